--- /dev/null
+++ b/crates/group/src/lib.rs
@@ -0,0 +1,1 @@
+//! Lock-step switching of expert maps with unanimous grants.
--- /dev/null
+++ b/crates/limit/src/lib.rs
@@ -0,0 +1,1 @@
+//! Learned concurrency limits, admission and fairness for one upstream.
--- /dev/null
+++ b/crates/place/src/lib.rs
@@ -0,0 +1,1 @@
+//! Expert placement planning under moving costs.
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,1 @@
+//! Traits and HTTP adapters for the platform's services and the engines.
--- /dev/null
+++ b/crates/retry/src/lib.rs
@@ -0,0 +1,1 @@
+//! Retry budgets, resumable streams and crash suspects.
--- /dev/null
+++ b/crates/route/src/lib.rs
@@ -0,0 +1,1 @@
+//! Choice of upstream and rank for a request.
--- /dev/null
+++ b/crates/scenario/src/lib.rs
@@ -0,0 +1,1 @@
+//! A small language for failure scenarios and its runner.
--- /dev/null
+++ b/crates/sesamerock/src/lib.rs
@@ -0,0 +1,1 @@
+//! A load balancer for expert-parallel model groups.
--- /dev/null
+++ b/crates/sesamerock/src/main.rs
@@ -0,0 +1,3 @@
+//! The `sesamerock` program.
+
+fn main() {}
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-in platform, engines, services and fault proxy for tests and dev.
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,17 @@
+//! Messages between sesamerock processes.
+//!
+//! The relay carries requests and streams over tonic, which brings flow
+//! control and cancellation per stream; the peer service carries small control
+//! calls over tarpc. See `docs/design.md`, section 8.
+
+#[rustfmt::skip]
+#[expect(
+    missing_docs,
+    clippy::all,
+    clippy::pedantic,
+    clippy::restriction,
+    clippy::allow_attributes_without_reason,
+    reason = "the generator decides the form of this code"
+)]
+#[path = "generated/sesamerock.relay.v1.rs"]
+pub mod relay;
