Add the platform adapters and the stand-ins

Cause: nothing could be run end to end; the interfaces of engines, log, VM list and weight store are not published. Change: one trait and one HTTP/JSON adapter for each, a client whose errors tell whether a request can have had an effect, a bounded server, and stand-ins for the platform, engines, services and a faulty network.

--- /dev/null
+++ b/crates/platform/src/engine/mod.rs
@@ -0,0 +1,176 @@
+//! A model engine or plain service behind an agent.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::uri::PathAndQuery;
+use http::{HeaderMap, Method, Request, Response, Uri};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use serde::{Deserialize, Serialize};
+
+use crate::error::Error;
+use crate::http::client::Client;
+
+/// What an engine reports of itself, with a lag.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Load {
+    /// Changes whenever the engine starts anew.
+    pub incarnation: u64,
+    /// Calls in the running batch.
+    pub running: u32,
+    /// Calls that wait inside the engine.
+    pub waiting: u32,
+    /// Duration of the last steps, in microseconds.
+    pub step_us: u32,
+    /// Models loaded, as `name@version`.
+    #[serde(default)]
+    pub models: Vec<String>,
+    /// Adapters loaded.
+    #[serde(default)]
+    pub adapters: Vec<String>,
+    /// Number of the last step, for ranks of a group.
+    #[serde(default)]
+    pub step: u64,
+    /// Step up to which the engine may run, for ranks of a group.
+    #[serde(default)]
+    pub granted_to: u64,
+    /// Expert maps staged.
+    #[serde(default)]
+    pub staged: Vec<u64>,
+}
+
+/// A command to an engine.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(tag = "command", rename_all = "snake_case")]
+pub enum Command {
+    /// Load a model version.
+    LoadModel {
+        /// Model name.
+        model: String,
+        /// Version.
+        version: u64,
+    },
+    /// Drop a model version.
+    DropModel {
+        /// Model name.
+        model: String,
+        /// Version.
+        version: u64,
+    },
+    /// Load an adapter.
+    LoadAdapter {
+        /// Adapter name.
+        adapter: String,
+    },
+    /// Drop an adapter.
+    DropAdapter {
+        /// Adapter name.
+        adapter: String,
+    },
+    /// Fetch an expert map without using it.
+    StageMap {
+        /// Map number.
+        map: u64,
+    },
+    /// Run steps `from..to` with a staged map.
+    RunSteps {
+        /// First step.
+        from: u64,
+        /// Step after the last.
+        to: u64,
+        /// Map number.
+        map: u64,
+    },
+}
+
+/// A command with the proof of its sender.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Order {
+    /// Fencing token; an engine that checks refuses a lower one than it saw.
+    pub fence: u64,
+    /// Name of the sending agent.
+    pub sender: String,
+    /// What to do.
+    #[serde(flatten)]
+    pub command: Command,
+}
+
+/// A call to pass on.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// HTTP method.
+    pub method: Method,
+    /// Path and query.
+    pub path: PathAndQuery,
+    /// Header fields to pass on.
+    pub headers: HeaderMap,
+    /// Whole request body.
+    pub body: Bytes,
+    /// Whether the call may be sent a second time if a pooled connection had
+    /// been closed.
+    pub repeatable: bool,
+}
+
+/// Passes calls and commands to one upstream.
+pub trait Engine: Clone + Send + Sync + 'static {
+    /// Passes a call on and returns the answer as it streams.
+    fn call(&self, call: Call) -> impl Future<Output = Result<Response<Incoming>, Error>> + Send;
+
+    /// Reads the engine's report.
+    fn load(&self) -> impl Future<Output = Result<Load, Error>> + Send;
+
+    /// Gives a command.
+    fn command(&self, order: &Order) -> impl Future<Output = Result<(), Error>> + Send;
+}
+
+/// An upstream over HTTP.
+#[derive(Clone, Debug)]
+pub struct Remote {
+    client: Client,
+    authority: http::uri::Authority,
+}
+
+impl Remote {
+    /// Makes an adapter for the upstream at `authority`, such as `127.0.0.1:80`.
+    pub fn new(client: Client, authority: http::uri::Authority) -> Self {
+        Self { client, authority }
+    }
+
+    fn uri(&self, path: PathAndQuery) -> Result<Uri, Error> {
+        Uri::builder()
+            .scheme("http")
+            .authority(self.authority.clone())
+            .path_and_query(path)
+            .build()
+            .map_err(|error| Error::NotSent(error.to_string()))
+    }
+}
+
+impl Engine for Remote {
+    async fn call(&self, call: Call) -> Result<Response<Incoming>, Error> {
+        let mut request = Request::new(Full::new(call.body));
+        *request.method_mut() = call.method;
+        *request.uri_mut() = self.uri(call.path)?;
+        *request.headers_mut() = call.headers;
+        if call.repeatable {
+            self.client.send(request).await
+        } else {
+            self.client.send_once(request).await
+        }
+    }
+
+    async fn load(&self) -> Result<Load, Error> {
+        self.client
+            .get(&format!("http://{}/load", self.authority), Duration::ZERO)
+            .await
+    }
+
+    async fn command(&self, order: &Order) -> Result<(), Error> {
+        let uri = format!("http://{}/commands", self.authority);
+        self.client
+            .post::<serde_json::Value>(&uri, order)
+            .await
+            .map(drop)
+    }
+}
--- /dev/null
+++ b/crates/platform/src/http/client/mod.rs
@@ -0,0 +1,197 @@
+//! HTTP client whose errors tell whether a request may have had an effect.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, Response, Uri};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::client::legacy::{Builder, Client as Pool};
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tokio::net::TcpStream;
+
+use super::body;
+use crate::error::Error;
+
+/// Length of error texts taken over from an answer, in bytes.
+const DETAIL_BYTES: usize = 512;
+
+/// Settings of a [`Client`].
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Time to establish a connection.
+    pub connect_timeout: Duration,
+    /// Time for a whole JSON exchange.
+    pub json_timeout: Duration,
+    /// Bound of a JSON answer, in bytes.
+    pub json_bytes: usize,
+    /// Idle connections kept per host.
+    pub idle_per_host: usize,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            connect_timeout: Duration::from_millis(500),
+            json_timeout: Duration::from_secs(2),
+            json_bytes: 16 << 20,
+            idle_per_host: 256,
+        }
+    }
+}
+
+/// A client with pooled connections.
+#[derive(Clone, Debug)]
+pub struct Client {
+    pool: Pool<HttpConnector, Full<Bytes>>,
+    settings: Settings,
+}
+
+impl Default for Client {
+    fn default() -> Self {
+        Self::new(Settings::default())
+    }
+}
+
+impl Client {
+    /// Makes a client.
+    pub fn new(settings: Settings) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(settings.connect_timeout));
+        let pool = Builder::new(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .pool_idle_timeout(Duration::from_secs(30))
+            .pool_max_idle_per_host(settings.idle_per_host)
+            .build(connector);
+        Self { pool, settings }
+    }
+
+    /// Sends a request over a pooled connection.
+    ///
+    /// A pooled connection may have been closed by the peer, and the library
+    /// then sends the request again if it never left. Use [`Client::send_once`]
+    /// for a request that must not repeat.
+    ///
+    /// # Errors
+    /// [`Error::NotSent`] if no connection could be made, otherwise
+    /// [`Error::Unknown`].
+    pub async fn send(&self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, Error> {
+        self.pool.request(request).await.map_err(|error| {
+            if error.is_connect() {
+                Error::NotSent(error.to_string())
+            } else {
+                Error::Unknown(chain(&error))
+            }
+        })
+    }
+
+    /// Sends a request over a connection of its own, at most once.
+    ///
+    /// # Errors
+    /// [`Error::NotSent`] if the connection could not be made; from the first
+    /// byte on, [`Error::Unknown`].
+    pub async fn send_once(
+        &self,
+        mut request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, Error> {
+        let authority = request
+            .uri()
+            .authority()
+            .map(ToString::to_string)
+            .ok_or_else(|| Error::NotSent("the request names no host".to_owned()))?;
+        let connect = TcpStream::connect(&authority);
+        let stream = tokio::time::timeout(self.settings.connect_timeout, connect)
+            .await
+            .map_err(|elapsed| Error::NotSent(elapsed.to_string()))?
+            .map_err(|error| Error::NotSent(error.to_string()))?;
+        let (mut sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream))
+            .await
+            .map_err(|error| Error::NotSent(error.to_string()))?;
+        tokio::spawn(connection);
+        if let Ok(host) = http::HeaderValue::from_str(&authority) {
+            request.headers_mut().insert(http::header::HOST, host);
+        }
+        if let Some(path) = request.uri().path_and_query().cloned() {
+            *request.uri_mut() = Uri::from(path);
+        }
+        sender
+            .send_request(request)
+            .await
+            .map_err(|error| Error::Unknown(chain(&error)))
+    }
+
+    /// Gets a JSON document.
+    ///
+    /// # Errors
+    /// Any [`Error`]; a status other than 2xx is [`Error::Refused`].
+    pub async fn get<T: DeserializeOwned>(&self, uri: &str, wait: Duration) -> Result<T, Error> {
+        let request = Request::get(uri).body(Full::default()).map_err(invalid)?;
+        self.exchange(request, wait).await
+    }
+
+    /// Posts a JSON document and reads a JSON answer.
+    ///
+    /// # Errors
+    /// Any [`Error`]; a status other than 2xx is [`Error::Refused`].
+    pub async fn post<T: DeserializeOwned>(
+        &self,
+        uri: &str,
+        content: &impl Serialize,
+    ) -> Result<T, Error> {
+        let content = serde_json::to_vec(content).map_err(invalid)?;
+        let request = Request::post(uri)
+            .header(http::header::CONTENT_TYPE, "application/json")
+            .body(Full::from(content))
+            .map_err(invalid)?;
+        self.exchange(request, Duration::ZERO).await
+    }
+
+    async fn exchange<T: DeserializeOwned>(
+        &self,
+        request: Request<Full<Bytes>>,
+        wait: Duration,
+    ) -> Result<T, Error> {
+        let limit = self.settings.json_timeout + wait;
+        let read = async {
+            let response = self.send(request).await?;
+            let status = response.status();
+            let content = body::collect(response.into_body(), self.settings.json_bytes)
+                .await
+                .map_err(|fault| Error::Unknown(format!("{fault:?}")))?;
+            if status.is_success() {
+                return serde_json::from_slice(&content)
+                    .map_err(|error| Error::Malformed(error.to_string()));
+            }
+            let end = content.len().min(DETAIL_BYTES);
+            let detail = String::from_utf8_lossy(&content[..end]).into_owned();
+            Err(Error::Refused {
+                status: status.as_u16(),
+                detail,
+            })
+        };
+        tokio::time::timeout(limit, read)
+            .await
+            .unwrap_or_else(|elapsed| Err(Error::Unknown(elapsed.to_string())))
+    }
+}
+
+fn invalid(error: impl std::fmt::Display) -> Error {
+    Error::NotSent(error.to_string())
+}
+
+/// Joins the texts of an error and its causes, since the outer text of hyper's
+/// errors alone rarely tells what happened.
+fn chain(error: &dyn std::error::Error) -> String {
+    let mut text = error.to_string();
+    let mut cause = error.source();
+    while let Some(inner) = cause {
+        text.push_str(": ");
+        text.push_str(&inner.to_string());
+        cause = inner.source();
+    }
+    text
+}
--- /dev/null
+++ b/crates/standin/src/engine/mod.rs
@@ -0,0 +1,382 @@
+//! Stand-in for a model engine with continuous batching.
+//!
+//! Each token it generates names the request's prompt and the token's
+//! position, so that a caller can tell a lost, doubled or foreign token.
+
+mod batch;
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use hyper::body::Incoming;
+use serde::Deserialize;
+use sesamerock_platform::engine::{Command, Load, Order};
+use sesamerock_platform::http::body::{self, Body, Chunk};
+use sesamerock_platform::http::server::{self, Handler};
+use tokio::net::TcpListener;
+use tokio::sync::Notify;
+use tokio_util::sync::CancellationToken;
+
+use crate::reply;
+use batch::{Batch, Sequence};
+
+/// Longest request body, in bytes.
+const BODY_BYTES: usize = 4 << 20;
+
+/// A prompt with this word kills the engine that runs it.
+pub const POISON: &str = "poison-pill";
+
+/// Behaviour of the stand-in that a test may change while it runs.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Duration of a step without calls.
+    pub step: Duration,
+    /// Addition to the step time for each call in the batch.
+    pub step_per_call: Duration,
+    /// Calls that run at once; more wait inside the engine.
+    pub capacity: usize,
+    /// Calls that run at once in cold start.
+    pub cold_capacity: usize,
+    /// Tokens that the engine generates until it is warm.
+    pub cold_tokens: u64,
+    /// Calls present, as a multiple of the current capacity, at which the
+    /// engine falls over.
+    pub collapse: usize,
+    /// Models loaded, as `name@version`.
+    pub models: Vec<String>,
+    /// Whether an order with an old fencing token is refused.
+    pub checks_fencing: bool,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            step: Duration::from_millis(2),
+            step_per_call: Duration::from_micros(50),
+            capacity: 32,
+            cold_capacity: 2,
+            cold_tokens: 200,
+            collapse: 4,
+            models: vec!["chalk-7b@1".to_owned()],
+            checks_fencing: true,
+        }
+    }
+}
+
+/// Counters for checks from the outside.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Record {
+    /// Calls accepted.
+    pub calls: u64,
+    /// Calls present above the capacity of the moment when they arrived.
+    pub over_capacity: u64,
+    /// Highest number of calls present at once.
+    pub peak: usize,
+    /// Times the engine died.
+    pub crashes: u64,
+    /// Tokens generated.
+    pub tokens: u64,
+}
+
+#[derive(Debug)]
+struct State {
+    settings: Settings,
+    batch: Batch,
+    record: Record,
+    incarnation: u64,
+    warm_at: u64,
+    highest_fence: u64,
+    commands: Vec<Order>,
+}
+
+impl State {
+    fn cold(&self) -> bool {
+        self.record.tokens < self.warm_at
+    }
+
+    fn capacity(&self) -> usize {
+        if self.cold() {
+            self.settings.cold_capacity
+        } else {
+            self.settings.capacity
+        }
+    }
+
+    fn crash(&mut self) {
+        self.batch.abort();
+        self.incarnation += 1;
+        self.record.crashes += 1;
+        self.warm_at = self.record.tokens + self.settings.cold_tokens;
+    }
+}
+
+/// A running stand-in engine.
+#[derive(Clone, Debug)]
+pub struct Engine {
+    address: SocketAddr,
+    state: Arc<Mutex<State>>,
+    arrived: Arc<Notify>,
+}
+
+#[derive(Debug, Deserialize)]
+struct Completion {
+    #[serde(default)]
+    messages: Vec<Message>,
+    #[serde(default)]
+    prompt: String,
+    #[serde(default)]
+    stream: bool,
+    #[serde(default = "default_tokens")]
+    max_tokens: u64,
+    #[serde(default)]
+    resume: Option<Resume>,
+}
+
+#[derive(Debug, Deserialize)]
+struct Message {
+    #[serde(default)]
+    content: String,
+}
+
+#[derive(Debug, Deserialize)]
+struct Resume {
+    tokens: u64,
+    text: String,
+}
+
+const fn default_tokens() -> u64 {
+    16
+}
+
+impl Engine {
+    /// Starts the stand-in on a port that the system chooses.
+    ///
+    /// # Errors
+    /// Returns the error of the listener.
+    pub async fn start(settings: Settings, stop: CancellationToken) -> io::Result<Self> {
+        let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
+        let warm_at = settings.cold_tokens;
+        let state = State {
+            settings,
+            batch: Batch::default(),
+            record: Record::default(),
+            incarnation: 1,
+            warm_at,
+            highest_fence: 0,
+            commands: Vec::new(),
+        };
+        let engine = Self {
+            address: listener.local_addr()?,
+            state: Arc::new(Mutex::new(state)),
+            arrived: Arc::new(Notify::new()),
+        };
+        let handler = Arc::new(engine.clone());
+        tokio::spawn(server::serve(
+            listener,
+            server::Settings::default(),
+            handler,
+            stop.clone(),
+        ));
+        let stepping = engine.clone();
+        tokio::spawn(async move { stop.run_until_cancelled(stepping.run()).await });
+        Ok(engine)
+    }
+
+    /// Returns the address it listens on.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Changes its behaviour.
+    pub fn configure(&self, change: impl FnOnce(&mut Settings)) {
+        change(&mut self.lock().settings);
+    }
+
+    /// Turns the engine cold without notice and without a new incarnation.
+    pub fn cool(&self) {
+        let mut state = self.lock();
+        state.warm_at = state.record.tokens + state.settings.cold_tokens;
+    }
+
+    /// Kills the engine: every call breaks off, and it starts anew, cold.
+    pub fn crash(&self) {
+        self.lock().crash();
+    }
+
+    /// Returns its counters.
+    pub fn record(&self) -> Record {
+        self.lock().record
+    }
+
+    /// Returns the orders it accepted, in order.
+    pub fn commands(&self) -> Vec<Order> {
+        self.lock().commands.clone()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Steps the batch for ever; each step gives each running call one token.
+    async fn run(self) {
+        loop {
+            let pause = {
+                let mut state = self.lock();
+                let capacity = state.capacity();
+                state.batch.admit(capacity);
+                let running = state.batch.running();
+                (running > 0)
+                    .then(|| state.settings.step + state.settings.step_per_call * running as u32)
+            };
+            let Some(pause) = pause else {
+                self.arrived.notified().await;
+                continue;
+            };
+            tokio::time::sleep(pause).await;
+            let mut state = self.lock();
+            let step = state.batch.step();
+            state.record.tokens += step.tokens;
+            if step.poisoned {
+                state.crash();
+            }
+        }
+    }
+
+    fn load(&self) -> Load {
+        let state = self.lock();
+        let running = state.batch.running();
+        let step = state.settings.step + state.settings.step_per_call * running as u32;
+        Load {
+            incarnation: state.incarnation,
+            running: running as u32,
+            waiting: state.batch.waiting() as u32,
+            step_us: step.as_micros() as u32,
+            models: state.settings.models.clone(),
+            ..Load::default()
+        }
+    }
+
+    fn complete(&self, request: &Completion) -> Response<Body> {
+        let prompt = request
+            .messages
+            .iter()
+            .map(|message| message.content.as_str())
+            .chain([request.prompt.as_str()])
+            .collect::<String>();
+        let tag = tag(&prompt);
+        let start = request.resume.as_ref().map_or(0, |resume| resume.tokens);
+        if let Some(resume) = &request.resume {
+            let expected: String = (0..resume.tokens).map(|n| token(&tag, n)).collect();
+            if resume.text != expected {
+                return reply::text(
+                    StatusCode::BAD_REQUEST,
+                    "the text to resume from is not ours",
+                );
+            }
+        }
+        let (sender, body) = Body::stream();
+        let sequence = Sequence {
+            sender,
+            tag,
+            next: start,
+            end: request.max_tokens,
+            streamed: request.stream,
+            poisoned: prompt.contains(POISON),
+            text: String::new(),
+        };
+        let mut state = self.lock();
+        state.record.calls += 1;
+        state.batch.push(sequence);
+        let present = state.batch.running() + state.batch.waiting();
+        state.record.peak = state.record.peak.max(present);
+        if present > state.capacity() {
+            state.record.over_capacity += 1;
+        }
+        if present > state.capacity() * state.settings.collapse {
+            state.crash();
+        }
+        drop(state);
+        self.arrived.notify_one();
+        let kind = if request.stream {
+            "text/event-stream"
+        } else {
+            "application/json"
+        };
+        reply::with_type(StatusCode::OK, kind, body)
+    }
+
+    fn obey(&self, order: Order) -> Response<Body> {
+        let mut state = self.lock();
+        if state.settings.checks_fencing && order.fence < state.highest_fence {
+            return reply::text(StatusCode::CONFLICT, "the fencing token is old");
+        }
+        state.highest_fence = state.highest_fence.max(order.fence);
+        match &order.command {
+            Command::LoadModel { model, version } => {
+                let name = format!("{model}@{version}");
+                if !state.settings.models.contains(&name) {
+                    state.settings.models.push(name);
+                }
+            }
+            Command::DropModel { model, version } => {
+                let name = format!("{model}@{version}");
+                state.settings.models.retain(|loaded| *loaded != name);
+            }
+            _ => {}
+        }
+        state.commands.push(order);
+        reply::json(StatusCode::OK, &serde_json::json!({}))
+    }
+}
+
+impl Handler for Engine {
+    async fn handle(&self, _peer: SocketAddr, request: Request<Incoming>) -> Response<Body> {
+        let (parts, content) = request.into_parts();
+        if parts.uri.path() == "/load" {
+            return reply::json(StatusCode::OK, &self.load());
+        }
+        let Ok(content) = body::collect(content, BODY_BYTES).await else {
+            return reply::text(StatusCode::BAD_REQUEST, "the body broke off or is too long");
+        };
+        match parts.uri.path() {
+            "/v1/chat/completions" | "/v1/completions" => match serde_json::from_slice(&content) {
+                Ok(request) => self.complete(&request),
+                Err(_) => reply::text(StatusCode::BAD_REQUEST, "expected a completion request"),
+            },
+            "/commands" => match serde_json::from_slice(&content) {
+                Ok(order) => self.obey(order),
+                Err(_) => reply::text(StatusCode::BAD_REQUEST, "expected an order"),
+            },
+            _ => reply::text(StatusCode::NOT_FOUND, "no such path"),
+        }
+    }
+}
+
+/// Returns the tag that marks every token of a prompt (FNV-1a, 32 bits).
+pub fn tag(prompt: &str) -> String {
+    let hash = prompt.bytes().fold(0x811c_9dc5_u32, |hash, byte| {
+        (hash ^ u32::from(byte)).wrapping_mul(0x0100_0193)
+    });
+    format!("{hash:08x}")
+}
+
+/// Returns the text of one token.
+pub fn token(tag: &str, position: u64) -> String {
+    format!("{tag}-{position} ")
+}
+
+/// Returns the whole answer to a prompt.
+pub fn answer(prompt: &str, tokens: u64) -> String {
+    let tag = tag(prompt);
+    (0..tokens).map(|position| token(&tag, position)).collect()
+}
+
+fn event(text: &str) -> Chunk {
+    Chunk::Data(Bytes::from(format!(
+        "data: {{\"object\":\"chat.completion.chunk\",\"choices\":[{{\"index\":0,\"delta\":{{\"content\":\"{text}\"}},\"finish_reason\":null}}]}}\n\n"
+    )))
+}
--- /dev/null
+++ b/crates/standin/src/service/mod.rs
@@ -0,0 +1,172 @@
+//! Stand-in for a plain service: orders or seats that must not be placed
+//! twice, and look-ups that may.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use http::{Method, Request, Response, StatusCode};
+use hyper::body::Incoming;
+use serde::{Deserialize, Serialize};
+use sesamerock_platform::engine::Load;
+use sesamerock_platform::http::body::{self, Body};
+use sesamerock_platform::http::server::{self, Handler};
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+
+use crate::reply;
+
+/// Longest request body, in bytes.
+const BODY_BYTES: usize = 1 << 20;
+
+/// One execution of a call that changes something.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Execution {
+    /// Value of `Idempotency-Key`, or empty.
+    pub key: String,
+    /// Path of the call.
+    pub path: String,
+    /// Body of the call.
+    pub body: String,
+}
+
+/// Behaviour of the stand-in that a test may change while it runs.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Time that a call takes.
+    pub delay: Duration,
+    /// Calls to come that are executed but whose answer breaks off.
+    pub lost_answers: usize,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            delay: Duration::from_millis(1),
+            lost_answers: 0,
+        }
+    }
+}
+
+#[derive(Debug)]
+struct State {
+    settings: Settings,
+    executions: Vec<Execution>,
+    lookups: u64,
+}
+
+/// A running stand-in service. It executes every call it gets, so that a
+/// repeated call shows in its record.
+#[derive(Clone, Debug)]
+pub struct Service {
+    address: SocketAddr,
+    state: Arc<Mutex<State>>,
+}
+
+impl Service {
+    /// Starts the stand-in on a port that the system chooses.
+    ///
+    /// # Errors
+    /// Returns the error of the listener.
+    pub async fn start(settings: Settings, stop: CancellationToken) -> io::Result<Self> {
+        let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
+        let state = State {
+            settings,
+            executions: Vec::new(),
+            lookups: 0,
+        };
+        let service = Self {
+            address: listener.local_addr()?,
+            state: Arc::new(Mutex::new(state)),
+        };
+        let handler = Arc::new(service.clone());
+        tokio::spawn(server::serve(
+            listener,
+            server::Settings::default(),
+            handler,
+            stop,
+        ));
+        Ok(service)
+    }
+
+    /// Returns the address it listens on.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Changes its behaviour.
+    pub fn configure(&self, change: impl FnOnce(&mut Settings)) {
+        change(&mut self.lock().settings);
+    }
+
+    /// Returns all executions in order.
+    pub fn executions(&self) -> Vec<Execution> {
+        self.lock().executions.clone()
+    }
+
+    /// Returns the number of look-ups answered.
+    pub fn lookups(&self) -> u64 {
+        self.lock().lookups
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn execute(&self, execution: Execution) -> Response<Body> {
+        let mut state = self.lock();
+        state.executions.push(execution);
+        let number = state.executions.len();
+        let lost = state.settings.lost_answers > 0;
+        state.settings.lost_answers = state.settings.lost_answers.saturating_sub(1);
+        drop(state);
+        if lost {
+            let (sender, body) = Body::stream();
+            let sent = sender.try_send(body::Chunk::Abort);
+            debug_assert!(sent.is_ok(), "a fresh channel has room");
+            return Response::new(body);
+        }
+        reply::json(
+            StatusCode::CREATED,
+            &serde_json::json!({ "number": number }),
+        )
+    }
+}
+
+impl Handler for Service {
+    async fn handle(&self, _peer: SocketAddr, request: Request<Incoming>) -> Response<Body> {
+        let (parts, content) = request.into_parts();
+        let Ok(content) = body::collect(content, BODY_BYTES).await else {
+            return reply::text(StatusCode::BAD_REQUEST, "the body broke off or is too long");
+        };
+        if parts.uri.path() == "/load" {
+            return reply::json(
+                StatusCode::OK,
+                &Load {
+                    incarnation: 1,
+                    ..Load::default()
+                },
+            );
+        }
+        let delay = self.lock().settings.delay;
+        tokio::time::sleep(delay).await;
+        if parts.method == Method::GET {
+            self.lock().lookups += 1;
+            let path = parts.uri.path();
+            return reply::json(
+                StatusCode::OK,
+                &serde_json::json!({ "path": path, "stock": 42 }),
+            );
+        }
+        let key = parts
+            .headers
+            .get("idempotency-key")
+            .and_then(|value| value.to_str().ok());
+        self.execute(Execution {
+            key: key.unwrap_or_default().to_owned(),
+            path: parts.uri.path().to_owned(),
+            body: String::from_utf8_lossy(&content).into_owned(),
+        })
+    }
+}
