limit: add the learner, queue, credits and gate

Cause: an agent needs one admission point that learns what its upstream can hold, since nobody has measured the upstreams. Change: step-time curve, learned call and token limits with proven load and remembered ceilings, deficit round robin with priority levels, expiring credits, and the gate that joins them.

--- /dev/null
+++ b/crates/limit/src/credit/mod.rs
@@ -0,0 +1,189 @@
+//! Expiring credits for entries.
+//!
+//! An entry that knows how many calls an upstream can take now sends those and
+//! no more, so refusals stay rare. Credits are hints: the gate admits a call
+//! without one and may refuse a call with one. A grant replaces the previous
+//! grant of the same entry, so a lost report costs nothing, and it expires, so
+//! an entry that died holds nothing back.
+
+use std::collections::{HashMap, VecDeque};
+use std::hash::Hash;
+use std::time::Duration;
+
+use sesamerock_base::time::Moment;
+
+/// Settings of a purse.
+#[derive(Clone, Copy, Debug)]
+pub struct Settings {
+    /// How long a grant lasts; several report intervals of an entry.
+    pub lifetime: Duration,
+    /// Entries remembered; the least recently granted is forgotten first.
+    pub entries: usize,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            lifetime: Duration::from_millis(500),
+            entries: 1024,
+        }
+    }
+}
+
+/// Calls an entry may send until a moment.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Grant {
+    /// Calls that are expected to be admitted at once.
+    pub calls: u32,
+    /// When the grant expires.
+    pub until: Moment,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Account {
+    grant: Grant,
+    demand: Demand,
+}
+
+/// Offers of the current and the previous period.
+#[derive(Clone, Copy, Debug, Default)]
+struct Demand {
+    offers: u32,
+    before: u32,
+    period: u64,
+}
+
+/// The credits of one upstream, by entry.
+#[derive(Clone, Debug)]
+pub struct Purse<E> {
+    settings: Settings,
+    accounts: HashMap<E, Account>,
+    expiry: VecDeque<(Moment, E)>,
+    outstanding: u32,
+    /// Demand of all entries together.
+    demand: Demand,
+}
+
+impl<E: Copy + Eq + Hash> Purse<E> {
+    /// Makes a purse without grants.
+    pub fn new(settings: Settings) -> Self {
+        Self {
+            settings,
+            accounts: HashMap::new(),
+            expiry: VecDeque::new(),
+            outstanding: 0,
+            demand: Demand::default(),
+        }
+    }
+
+    /// Returns the calls of all grants that are neither spent nor expired.
+    pub fn outstanding(&self) -> u32 {
+        self.outstanding
+    }
+
+    /// Returns the number of entries remembered.
+    pub fn entries(&self) -> usize {
+        self.accounts.len()
+    }
+
+    /// Counts an offer of an entry and spends one of its credits; returns
+    /// whether it had one.
+    pub fn spend(&mut self, now: Moment, entry: E) -> bool {
+        self.expire(now);
+        let period = self.period(now);
+        let Some(account) = self.accounts.get_mut(&entry) else {
+            return false;
+        };
+        account.demand.count(period);
+        self.demand.count(period);
+        if account.grant.calls == 0 {
+            return false;
+        }
+        account.grant.calls -= 1;
+        self.outstanding -= 1;
+        true
+    }
+
+    /// Grants an entry its share, by recent demand, of `free` calls that no
+    /// queued or running call needs.
+    pub fn grant(&mut self, now: Moment, entry: E, free: u32) -> Grant {
+        self.expire(now);
+        let period = self.period(now);
+        let until = now + self.settings.lifetime;
+        let all = u64::from(self.demand.recent(period));
+        let account = self.accounts.entry(entry).or_default();
+        let own = u64::from(account.demand.recent(period));
+        self.outstanding -= account.grant.calls;
+        let left = free.saturating_sub(self.outstanding);
+        let share = u64::from(left) * (own + 1) / (all + 1).max(own + 1);
+        let calls = (share as u32).clamp(u32::from(left > 0), left);
+        let grant = Grant { calls, until };
+        account.grant = grant;
+        self.outstanding += calls;
+        self.expiry.push_back((until, entry));
+        self.trim();
+        grant
+    }
+
+    /// Withdraws all grants, after a reset of the limit.
+    pub fn clear(&mut self) {
+        self.outstanding = 0;
+        self.expiry.clear();
+        self.accounts.clear();
+    }
+
+    fn period(&self, now: Moment) -> u64 {
+        now.0 / (self.settings.lifetime.as_micros() as u64).max(1)
+    }
+
+    fn expire(&mut self, now: Moment) {
+        while let Some((_, entry)) = self.expiry.pop_front_if(|(until, _)| *until <= now) {
+            self.revoke(now, entry);
+        }
+    }
+
+    /// Forgets the oldest grants beyond the bound of entries, and bounds the
+    /// expiry list against entries that ask often.
+    fn trim(&mut self) {
+        while self.accounts.len() > self.settings.entries
+            || self.expiry.len() > 8 * self.settings.entries
+        {
+            let Some((until, entry)) = self.expiry.pop_front() else {
+                return;
+            };
+            self.revoke(until, entry);
+        }
+    }
+
+    /// Ends a grant that expires by `now`, unless a later one replaced it.
+    fn revoke(&mut self, now: Moment, entry: E) {
+        let current = |a: &Account| a.grant.until <= now;
+        if self.accounts.get(&entry).is_some_and(current)
+            && let Some(account) = self.accounts.remove(&entry)
+        {
+            self.outstanding -= account.grant.calls;
+        }
+    }
+}
+
+impl Demand {
+    fn count(&mut self, period: u64) {
+        self.roll(period);
+        self.offers = self.offers.saturating_add(1);
+    }
+
+    fn recent(&mut self, period: u64) -> u32 {
+        self.roll(period);
+        self.offers.saturating_add(self.before)
+    }
+
+    fn roll(&mut self, period: u64) {
+        if period == self.period {
+            return;
+        }
+        let adjacent = period == self.period + 1;
+        self.before = if adjacent { self.offers } else { 0 };
+        self.offers = 0;
+        self.period = period;
+    }
+}
--- /dev/null
+++ b/crates/limit/src/curve/mod.rs
@@ -0,0 +1,150 @@
+//! Step time of an engine as a function of its batch.
+//!
+//! In continuous batching every running call gets one token per step, so the
+//! gap between two tokens of a call is one step. Step time grows with the
+//! batch, more slowly than the batch itself while the engine is healthy. The
+//! curve detects three deviations: a step time that grows as fast as the batch
+//! (no throughput is gained any more), one that drifts at an unchanged batch,
+//! and a sudden multiple of the usual one.
+
+/// Load levels per doubling of the batch; neighbours differ by about 9 %.
+const LEVELS_PER_DOUBLING: f64 = 8.0;
+/// Levels kept, enough for batches of 65,536.
+const LEVELS: usize = 128;
+/// Steps over which a level's mean forgets.
+const MEMORY_STEPS: f64 = 32.0;
+/// Steps a level needs before its mean is trusted.
+const TRUST_STEPS: f64 = 8.0;
+/// Steps averaged into a level's reference after [`Curve::rebase`].
+const REFERENCE_STEPS: f64 = 48.0;
+/// Steps over which the short-term ratio forgets; one slow step alone, such as
+/// a long prefill, must not read as slowness.
+const SUDDEN_STEPS: f64 = 3.0;
+/// Steps over which drift against the references is averaged.
+const DRIFT_STEPS: f64 = 48.0;
+/// Levels between the two batches compared by [`Curve::saturated`].
+const KNEE_LEVELS: usize = 2;
+/// Step time has to outgrow the batch by this factor to count as saturation;
+/// measured noise of a level's mean is 1 to 2 %.
+const KNEE_EXCESS: f64 = 1.03;
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Level {
+    /// Mean step time in seconds, and the steps behind it.
+    mean: f64,
+    steps: f64,
+    /// Mean batch of the samples.
+    batch: f64,
+    /// Mean step time of the first steps after the last rebase.
+    reference: f64,
+    reference_steps: f64,
+}
+
+/// Step time by batch, learned from token gaps.
+#[derive(Clone, Debug)]
+pub struct Curve {
+    levels: Vec<Level>,
+    sudden: f64,
+    drift: f64,
+    steps: f64,
+    last: f64,
+}
+
+impl Default for Curve {
+    fn default() -> Self {
+        Self {
+            levels: vec![Level::default(); LEVELS],
+            sudden: 1.0,
+            drift: 1.0,
+            steps: 0.0,
+            last: 0.0,
+        }
+    }
+}
+
+impl Curve {
+    /// Records a step time, in seconds, seen at a batch. `share` is the part of
+    /// a step this observation stands for: one over the batch for the token gap
+    /// of one call, 1 for a step time that the engine reports.
+    pub fn record(&mut self, batch: u32, gap: f64, share: f64) {
+        let batch = f64::from(batch.max(1));
+        let index = level(batch);
+        if let Some(expected) = self.expected_at(index) {
+            let ratio = gap / expected;
+            self.sudden += (ratio - self.sudden) * share / SUDDEN_STEPS;
+        }
+        self.steps += share;
+        self.last += (gap - self.last) * (share / self.steps.min(MEMORY_STEPS)).min(1.0);
+        let level = &mut self.levels[index];
+        level.steps += share;
+        let weight = (share / level.steps.min(MEMORY_STEPS)).min(1.0);
+        level.mean += (gap - level.mean) * weight;
+        level.batch += (batch - level.batch) * weight;
+        if level.reference_steps < REFERENCE_STEPS {
+            level.reference_steps += share;
+            let weight = (share / level.reference_steps).min(1.0);
+            // A level first visited after some drift gets the reference it
+            // would have had at the rebase.
+            level.reference += (gap / self.drift - level.reference) * weight;
+        } else {
+            let ratio = gap / level.reference;
+            self.drift += (ratio - self.drift) * share / DRIFT_STEPS;
+        }
+    }
+
+    /// Returns the expected step time, in seconds, of a batch; `None` before
+    /// enough steps were seen.
+    pub fn expected(&self, batch: u32) -> Option<f64> {
+        self.expected_at(level(f64::from(batch.max(1))))
+    }
+
+    /// Returns the recent step time at whatever batch, in seconds.
+    pub fn recent(&self) -> f64 {
+        self.last
+    }
+
+    /// Returns recent step time over the usual one of the same batch.
+    pub fn sudden(&self) -> f64 {
+        self.sudden
+    }
+
+    /// Returns step time over that at the last [`Curve::rebase`].
+    pub fn drift(&self) -> f64 {
+        self.drift
+    }
+
+    /// Makes the steps from here on the reference of [`Curve::drift`].
+    pub fn rebase(&mut self) {
+        self.drift = 1.0;
+        for level in &mut self.levels {
+            level.reference_steps = 0.0;
+        }
+    }
+
+    /// Returns whether throughput has stopped rising towards this batch: step
+    /// time grew by at least the factor that the batch grew.
+    pub fn saturated(&self, batch: u32) -> bool {
+        let index = level(f64::from(batch.max(1)));
+        let Some(lower) = index.checked_sub(KNEE_LEVELS) else {
+            return false;
+        };
+        let (high, low) = (self.levels[index], self.levels[lower]);
+        if high.steps < TRUST_STEPS || low.steps < TRUST_STEPS {
+            return false;
+        }
+        high.mean / low.mean > high.batch / low.batch * KNEE_EXCESS
+    }
+
+    fn expected_at(&self, index: usize) -> Option<f64> {
+        let below = self.levels[..=index].iter().rev();
+        let trusted = |l: &&Level| l.steps >= TRUST_STEPS;
+        below
+            .chain(&self.levels[index + 1..])
+            .find(trusted)
+            .map(|l| l.mean)
+    }
+}
+
+fn level(batch: f64) -> usize {
+    ((batch.log2() * LEVELS_PER_DOUBLING) as usize).min(LEVELS - 1)
+}
--- /dev/null
+++ b/crates/limit/src/gate/flight/mod.rs
@@ -0,0 +1,143 @@
+//! Calls in flight and how long they take.
+
+use std::collections::{HashMap, VecDeque};
+use std::time::Duration;
+
+use sesamerock_base::time::Moment;
+
+use crate::learn::{Flight, Load, Oldest};
+use crate::queue::Call;
+
+/// Weight of a finished call in the mean service time.
+const SERVICE_WEIGHT: f64 = 1.0 / 64.0;
+
+/// A call that was admitted.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Running {
+    pub tokens: u64,
+    pub admitted: Moment,
+    /// Load at admission, including itself, and the learner's steps.
+    pub load: Load,
+    pub steps: f64,
+    pub started: bool,
+    pub last: Moment,
+}
+
+/// All calls in flight.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Table {
+    calls: HashMap<Call, Running>,
+    /// Calls in the order of admission; those started or gone are dropped when
+    /// they reach the front or outnumber the others.
+    pending: VecDeque<Call>,
+    admitted: Load,
+    started: Load,
+}
+
+impl Table {
+    pub fn contains(&self, call: Call) -> bool {
+        self.calls.contains_key(&call)
+    }
+
+    pub fn flight(&self) -> Flight {
+        let oldest = self.pending.front().and_then(|call| self.calls.get(call));
+        Flight {
+            admitted: self.admitted,
+            started: self.started,
+            oldest: oldest.map(|r| Oldest {
+                admitted: r.steps,
+                tokens: r.tokens,
+            }),
+        }
+    }
+
+    pub fn insert(&mut self, now: Moment, call: Call, tokens: u64, steps: f64) {
+        self.admitted.add(tokens);
+        let running = Running {
+            tokens,
+            admitted: now,
+            load: self.admitted,
+            steps,
+            started: false,
+            last: now,
+        };
+        self.calls.insert(call, running);
+        self.pending.push_back(call);
+    }
+
+    /// Marks the first token of a call; returns `None` if it is not in flight
+    /// or had one before.
+    pub fn start(&mut self, now: Moment, call: Call) -> Option<Running> {
+        let running = self.calls.get_mut(&call)?;
+        if running.started {
+            return None;
+        }
+        running.started = true;
+        running.last = now;
+        let running = *running;
+        self.started.add(running.tokens);
+        self.tidy();
+        Some(running)
+    }
+
+    /// Marks further tokens of a call; returns the time since its last ones.
+    pub fn touch(&mut self, now: Moment, call: Call) -> Option<Duration> {
+        let running = self.calls.get_mut(&call)?;
+        if !running.started {
+            return None;
+        }
+        let gap = now.since(running.last);
+        running.last = now;
+        Some(gap)
+    }
+
+    pub fn remove(&mut self, call: Call) -> Option<Running> {
+        let running = self.calls.remove(&call)?;
+        self.admitted.take(running.tokens);
+        if running.started {
+            self.started.take(running.tokens);
+        }
+        self.tidy();
+        Some(running)
+    }
+
+    /// Makes the front of `pending` the oldest call without a first token.
+    fn tidy(&mut self) {
+        let calls = &self.calls;
+        let waits = |call: &Call| calls.get(call).is_some_and(|r| !r.started);
+        while self.pending.pop_front_if(|call| !waits(call)).is_some() {}
+        let waiting = (self.admitted.calls - self.started.calls) as usize;
+        if self.pending.len() > 2 * waiting + 8 {
+            self.pending.retain(waits);
+        }
+    }
+}
+
+/// Mean service time of finished calls, weighted by their tokens. With the
+/// tokens in flight it gives the rate at which a saturated upstream drains;
+/// a rate of finished tokens would be too low after a period of little load.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Service {
+    /// Token seconds and tokens, both forgotten exponentially.
+    held: f64,
+    tokens: f64,
+}
+
+impl Service {
+    pub fn add(&mut self, tokens: u64, duration: Duration) {
+        let tokens = tokens as f64;
+        self.held += tokens * duration.as_secs_f64() - self.held * SERVICE_WEIGHT;
+        self.tokens += tokens - self.tokens * SERVICE_WEIGHT;
+    }
+
+    /// Returns the time in which so many queued tokens begin while so many are
+    /// in flight; zero while nothing is known.
+    pub fn time(&self, queued: u64, in_flight: u64) -> Duration {
+        if self.tokens == 0.0 || in_flight == 0 {
+            return Duration::ZERO;
+        }
+        let turns = queued as f64 / in_flight as f64;
+        let seconds = turns * self.held / self.tokens;
+        Duration::from_secs_f64(seconds.clamp(0.0, 86_400.0))
+    }
+}
--- /dev/null
+++ b/crates/limit/src/gate/mod.rs
@@ -0,0 +1,314 @@
+//! The admission gate of one upstream.
+//!
+//! The agent offers every call to its gate and sends to the engine exactly what
+//! the gate admits, so the gate knows the work in flight whatever the lag of
+//! the engine's reports. A call is in one of two places, the queue or the table
+//! of running calls, and leaves by one decision or one finish; a refusal is
+//! therefore a correct `executed: no`. After any method, [`Gate::poll`] yields
+//! the decisions about queued calls.
+
+mod flight;
+mod types;
+
+pub use types::{Decision, Offer, Reason, Sample, Settings, Snapshot, Verdict};
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use sesamerock_base::key::Vm;
+use sesamerock_base::time::Moment;
+
+use crate::credit::{Grant, Purse};
+use crate::learn::{Bounds, Cause, End, First, Fit, Learner, Load, Outcome, Report};
+use crate::queue::{Call, Item, Push, Queue};
+use flight::{Service, Table};
+
+/// Shortest and longest advice to a refused caller.
+const RETRY_MIN: Duration = Duration::from_millis(50);
+const RETRY_MAX: Duration = Duration::from_secs(10);
+
+/// Admission control of one upstream.
+#[derive(Clone, Debug)]
+pub struct Gate {
+    learner: Learner,
+    queue: Queue,
+    purse: Purse<Vm>,
+    table: Table,
+    service: Service,
+    decisions: VecDeque<Decision>,
+    max_tokens: u64,
+    leaving: bool,
+    resets: u64,
+}
+
+impl Gate {
+    /// Makes a gate for an upstream of which nothing is known.
+    pub fn new(settings: Settings) -> Self {
+        let learner = Learner::new(settings.learn);
+        Self {
+            resets: learner.resets(),
+            learner,
+            queue: Queue::new(settings.queue),
+            purse: Purse::new(settings.credit),
+            table: Table::default(),
+            service: Service::default(),
+            decisions: VecDeque::new(),
+            max_tokens: settings.learn.bounds.max.tokens,
+            leaving: false,
+        }
+    }
+
+    /// Decides about a new call. `Refused` is final; `Queued` is followed by a
+    /// [`Decision`] unless the call is cancelled first.
+    pub fn offer(&mut self, now: Moment, offer: Offer) -> Verdict {
+        let item = offer.item();
+        let known = self.table.contains(item.call) || self.queue.contains(item.call);
+        if known || self.decisions.iter().any(|d| d.call() == item.call) {
+            return Verdict::Duplicate;
+        }
+        self.purse.spend(now, offer.entry);
+        if let Some(reason) = self.unacceptable(now, &item) {
+            return self.refusal(reason);
+        }
+        if self.queue.is_empty() && self.try_admit(now, &item) {
+            return Verdict::Admitted;
+        }
+        if now + self.wait(&item) > item.latest {
+            return self.refusal(Reason::Deadline);
+        }
+        match self.queue.push(item) {
+            Push::Queued => Verdict::Queued,
+            Push::Evicted(evicted) => {
+                self.shed(&evicted, Reason::Overloaded);
+                Verdict::Queued
+            }
+            Push::Full => self.refusal(Reason::Overloaded),
+            Push::Duplicate => Verdict::Duplicate,
+        }
+    }
+
+    /// Yields the decisions about queued calls that are due. What the caller
+    /// does not consume is yielded by the next poll.
+    pub fn poll(&mut self, now: Moment) -> impl Iterator<Item = Decision> {
+        self.settle();
+        while let Some(item) = self.queue.expired(now) {
+            self.shed(&item, Reason::Deadline);
+        }
+        while let Some(item) = self.queue.peek() {
+            if !self.try_admit(now, &item) {
+                break;
+            }
+            self.queue.pop();
+            self.decisions
+                .push_back(Decision::Admitted { call: item.call });
+        }
+        std::iter::from_fn(|| self.decisions.pop_front())
+    }
+
+    /// Returns when [`Gate::poll`] has something to do without another event.
+    pub fn next_wake(&self) -> Option<Moment> {
+        let after = Duration::from_micros(1);
+        self.queue.next_deadline().map(|latest| latest + after)
+    }
+
+    /// Removes a call whose caller has gone, queued or running; returns whether
+    /// it was either. A running call must also be cancelled at the engine.
+    pub fn cancel(&mut self, now: Moment, call: Call) -> bool {
+        self.decisions.retain(|d| d.call() != call);
+        if self.queue.remove(call).is_some() {
+            return true;
+        }
+        let sample = Sample {
+            outcome: Outcome::Cancelled,
+        };
+        self.finish(now, call, sample)
+    }
+
+    /// Records the first token of a running call, or the response head of an
+    /// upstream that streams nothing else.
+    pub fn first_token(&mut self, now: Moment, call: Call) {
+        let Some(running) = self.table.start(now, call) else {
+            return;
+        };
+        let first = First {
+            waited: self.learner.steps() - running.steps,
+            tokens: running.tokens,
+            load: running.load,
+        };
+        self.learner.first(now, &self.table.flight(), &first);
+        self.settle();
+    }
+
+    /// Records that a running call has delivered more tokens.
+    pub fn progress(&mut self, now: Moment, call: Call, tokens: u64) {
+        let Some(gap) = self.table.touch(now, call) else {
+            return;
+        };
+        let flight = self.table.flight();
+        self.learner.token(now, &flight, gap, tokens);
+        self.learner.check(&flight);
+        self.settle();
+    }
+
+    /// Records the end of a running call; returns whether it was running.
+    pub fn finish(&mut self, now: Moment, call: Call, sample: Sample) -> bool {
+        let flight = self.table.flight();
+        let Some(running) = self.table.remove(call) else {
+            return false;
+        };
+        self.decisions.retain(|d| d.call() != call);
+        if sample.outcome == Outcome::Done {
+            self.service
+                .add(running.tokens, now.since(running.admitted));
+        }
+        let end = End {
+            outcome: sample.outcome,
+            load: running.load,
+            duration: now.since(running.admitted),
+            streamed: running.started,
+        };
+        self.learner.done(&flight, &end);
+        self.settle();
+        true
+    }
+
+    /// Records a report of the engine.
+    pub fn observe(&mut self, now: Moment, report: &Report) {
+        self.learner.observe(now, &self.table.flight(), report);
+        self.settle();
+    }
+
+    /// Returns the limit to its first value. Calls in flight stay counted until
+    /// each is finished; queued calls are refused, so that entries can send
+    /// them elsewhere in time.
+    pub fn reset(&mut self, _now: Moment, cause: Cause) {
+        self.learner.reset(cause);
+        self.settle();
+    }
+
+    /// Replaces the safety bounds.
+    pub fn rebound(&mut self, bounds: Bounds) {
+        self.max_tokens = bounds.max.tokens;
+        self.learner.rebound(bounds);
+    }
+
+    /// Takes no new work from now on and refuses all queued work; running calls
+    /// continue.
+    pub fn drain(&mut self, _now: Moment) {
+        self.leaving = true;
+        self.refuse_queued(Reason::Leaving);
+    }
+
+    /// Grants an entry credits that expire.
+    pub fn credits(&mut self, now: Moment, entry: Vm) -> Grant {
+        let Load { calls, tokens } = self.table.flight().admitted;
+        let limit = self.learner.limit();
+        let used = calls.saturating_add(self.queue.len() as u32);
+        let closed = self.leaving || self.learner.down() || tokens >= limit.tokens;
+        let free = if closed {
+            0
+        } else {
+            limit.calls.saturating_sub(used)
+        };
+        self.purse.grant(now, entry, free)
+    }
+
+    /// Returns what the gate would report to an entry or a log line.
+    pub fn report(&self) -> Snapshot {
+        Snapshot {
+            in_flight: self.table.flight().admitted,
+            limit: self.learner.limit(),
+            ceiling: self.learner.ceiling(),
+            queued: Load {
+                calls: self.queue.len() as u32,
+                tokens: self.queue.tokens(),
+            },
+            credits: self.purse.outstanding(),
+            cold: self.learner.cold(),
+            leaving: self.leaving,
+            step: self.learner.step(),
+            resets: self.learner.resets(),
+        }
+    }
+
+    /// Returns why a call must not even wait.
+    fn unacceptable(&self, now: Moment, item: &Item) -> Option<Reason> {
+        if self.leaving {
+            return Some(Reason::Leaving);
+        }
+        if self.learner.down() {
+            return Some(Reason::Cold);
+        }
+        if item.tokens > self.max_tokens {
+            return Some(Reason::TooLarge);
+        }
+        (item.latest < now).then_some(Reason::Deadline)
+    }
+
+    fn try_admit(&mut self, now: Moment, item: &Item) -> bool {
+        let flight = self.table.flight();
+        let fit = self.learner.fit(now, &flight, item.tokens);
+        match fit {
+            Fit::Yes => {
+                let steps = self.learner.steps();
+                self.table.insert(now, item.call, item.tokens, steps);
+                return true;
+            }
+            Fit::Calls | Fit::Tokens => self.learner.block(fit, item.tokens),
+            Fit::Hold => {}
+        }
+        false
+    }
+
+    /// Returns the expected wait of a call if it were queued now; zero while
+    /// no call has finished.
+    fn wait(&self, item: &Item) -> Duration {
+        let ahead = self.queue.ahead(item.workspace, item.tokens, item.urgency);
+        self.drains(ahead)
+    }
+
+    /// Refuses queued calls after a reset that one of the inputs caused.
+    fn settle(&mut self) {
+        if self.learner.resets() != self.resets {
+            self.resets = self.learner.resets();
+            self.service = Service::default();
+            self.purse.clear();
+            self.refuse_queued(Reason::Cold);
+        }
+    }
+
+    fn refuse_queued(&mut self, reason: Reason) {
+        for item in self.queue.clear() {
+            self.shed(&item, reason);
+        }
+    }
+
+    fn shed(&mut self, item: &Item, reason: Reason) {
+        let retry_after = self.retry_after();
+        self.decisions.push_back(Decision::Shed {
+            call: item.call,
+            reason,
+            retry_after,
+        });
+    }
+
+    fn refusal(&self, reason: Reason) -> Verdict {
+        let retry_after = self.retry_after();
+        Verdict::Refused {
+            reason,
+            retry_after,
+        }
+    }
+
+    /// Returns the time in which today's queue drains, within bounds.
+    fn retry_after(&self) -> Duration {
+        let drains = self.drains(self.queue.tokens());
+        drains.clamp(RETRY_MIN, RETRY_MAX)
+    }
+
+    /// Returns the time in which so many queued tokens begin.
+    fn drains(&self, tokens: u64) -> Duration {
+        let in_flight = self.table.flight().admitted.tokens;
+        self.service.time(tokens, in_flight)
+    }
+}
