Add the choice of upstream and rank

Cause: entries need one place that decides where a request goes, without agreement and from late reports.

Change: the crate route holds the load of each upstream corrected by the entry's own work, a prefix index fed by cache events, a bounded subset per entry, and a picker that compares the expected time to first token over a random sample that grows with the entry's share of the work.

--- /dev/null
+++ b/crates/route/src/subset/mod.rs
@@ -0,0 +1,139 @@
+//! A bounded subset of the upstreams of a model for one entry.
+//!
+//! With thousands of upstreams an entry cannot know the load of each: it has
+//! too few requests to refresh the reports. Each entry therefore talks to a few
+//! upstreams, chosen by rendezvous hashing, so that a change of membership
+//! changes little. Each zone gets its share by systematic sampling: the
+//! expected share of every upstream is the same, and an entry keeps upstreams
+//! in nearly all zones when one is taken out of service.
+
+use sesamerock_base::key::{Upstream, Zone};
+
+use crate::hash;
+use crate::profile::Member;
+
+/// Bounds of a subset.
+#[derive(Clone, Copy, Debug)]
+pub struct Settings {
+    /// Smallest subset; pools up to this size are included whole.
+    pub least: usize,
+    /// Expected number of entries for each upstream.
+    ///
+    /// An upstream is in no subset with a probability near `exp(-cover)`; at
+    /// 16 that is one in nine million.
+    pub cover: usize,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            least: 32,
+            cover: 16,
+        }
+    }
+}
+
+/// The upstreams of one model that one entry uses.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Subset {
+    members: Vec<Upstream>,
+}
+
+/// What a change of membership did to a subset.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Change {
+    /// Upstreams that are new in the subset.
+    pub added: Vec<Upstream>,
+    /// Upstreams that are no longer in the subset.
+    pub removed: Vec<Upstream>,
+}
+
+impl Subset {
+    /// Returns the upstreams, in ascending order of their keys.
+    pub fn members(&self) -> &[Upstream] {
+        &self.members
+    }
+
+    /// Selects anew from the pool and returns what changed.
+    ///
+    /// `seat` is a hash of the entry's name and the model's name. `entries` is
+    /// the roughly known number of entries that share the pool.
+    pub fn update(
+        &mut self,
+        seat: u64,
+        pool: &[Member],
+        entries: usize,
+        settings: Settings,
+    ) -> Change {
+        let members = select(seat, pool, size(pool.len(), entries, settings));
+        let change = Change {
+            added: difference(&members, &self.members),
+            removed: difference(&self.members, &members),
+        };
+        self.members = members;
+        change
+    }
+}
+
+/// Returns the size of a subset.
+///
+/// The number of entries is rounded down to a power of two, since a size that
+/// followed each change of the count would add and remove members all day.
+pub fn size(pool: usize, entries: usize, settings: Settings) -> usize {
+    let entries = 1 << entries.max(1).ilog2();
+    let covering = (pool * settings.cover).div_ceil(entries);
+    covering.max(settings.least).min(pool)
+}
+
+fn select(seat: u64, pool: &[Member], size: usize) -> Vec<Upstream> {
+    let mut ranked: Vec<_> = pool
+        .iter()
+        .map(|m| (m.zone, hash::mix(seat, m.name), m))
+        .collect();
+    ranked.sort_unstable_by_key(|(zone, weight, member)| {
+        (*zone, std::cmp::Reverse(*weight), member.name)
+    });
+    let mut members = Vec::with_capacity(size);
+    let mut before = 0;
+    for zone in ranked.chunk_by(|left, right| left.0 == right.0) {
+        let count = quota(seat, before, zone.len(), size, pool.len());
+        members.extend(
+            zone.iter()
+                .take(count)
+                .map(|(_, _, member)| member.upstream),
+        );
+        before += zone.len();
+    }
+    members.sort_unstable();
+    members
+}
+
+/// Returns how many of a zone's upstreams are in the subset, `before` being the
+/// number of upstreams in earlier zones.
+///
+/// The offset depends on the seat, so that the rounding favours another zone
+/// at each entry.
+fn quota(seat: u64, before: usize, zone: usize, size: usize, pool: usize) -> usize {
+    let offset = hash::mix(seat, 0) % pool as u64;
+    let until = |count: usize| ((count * size) as u64 + offset) / pool as u64;
+    (until(before + zone) - until(before)) as usize
+}
+
+fn difference(left: &[Upstream], right: &[Upstream]) -> Vec<Upstream> {
+    let missing = |member: &&Upstream| right.binary_search(member).is_err();
+    left.iter().filter(missing).copied().collect()
+}
+
+/// Returns the number of members in each zone, for the log line of a change.
+pub fn zones(pool: &[Member], subset: &Subset) -> Vec<(Zone, usize)> {
+    let mut zones: Vec<_> = pool
+        .iter()
+        .filter(|member| subset.members.binary_search(&member.upstream).is_ok())
+        .map(|member| member.zone)
+        .collect();
+    zones.sort_unstable();
+    zones
+        .chunk_by(|left, right| left == right)
+        .map(|zone| (zone[0], zone.len()))
+        .collect()
+}
--- /dev/null
+++ b/crates/route/tests/pick.rs
@@ -0,0 +1,422 @@
+//! Guards the choice of upstream and rank.
+
+use std::time::Duration;
+
+use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::SeedableRng;
+use sesamerock_base::key::{Model, Upstream, Zone};
+use sesamerock_base::time::Moment;
+use sesamerock_route::choice::{Cause, Reason, Request, Why};
+use sesamerock_route::hash;
+use sesamerock_route::load::{Load, Rank, Report};
+use sesamerock_route::pick::{Outcome, Picker, Settings};
+use sesamerock_route::profile::{Adapter, Need, Offer, Profile, Role};
+
+const NOW: Moment = Moment::from_millis(10_000);
+
+fn rng() -> ChaCha8Rng {
+    ChaCha8Rng::seed_from_u64(7)
+}
+
+fn profile(upstream: Upstream) -> Profile {
+    Profile {
+        name: hash::name(upstream.0.to_le_bytes()),
+        offers: vec![Offer {
+            model: Model(1),
+            version: 3,
+            adapters: vec![Adapter(5)],
+        }],
+        ..Profile::default()
+    }
+}
+
+fn report(calls: u32) -> Report {
+    Report {
+        calls,
+        call_limit: 32,
+        credits: 8,
+        credits_for: Duration::from_secs(1),
+        step: Duration::from_millis(30),
+        ..Report::default()
+    }
+}
+
+fn pool(count: u32) -> (Picker, Vec<Upstream>) {
+    let mut picker = Picker::new(Settings::default());
+    let pool: Vec<_> = (0..count).map(Upstream).collect();
+    for upstream in &pool {
+        picker.upsert(*upstream, profile(*upstream));
+        picker.report(*upstream, report(4), NOW);
+    }
+    (picker, pool)
+}
+
+fn request<'a>() -> Request<'a> {
+    Request {
+        need: Need {
+            model: Model(1),
+            ..Need::default()
+        },
+        tokens: 500,
+        prompt: 300,
+        urgency: 3,
+        ..Request::default()
+    }
+}
+
+/// Picks and returns the cause of the refusal.
+fn cause(picker: &Picker, request: &Request<'_>, pool: &[Upstream], now: Moment) -> Cause {
+    picker
+        .pick(request, pool, now, &mut rng())
+        .expect_err("a refusal")
+        .cause
+}
+
+/// A request sent to an upstream without its model, adapter, version or role
+/// fails there.
+#[test]
+fn only_upstreams_that_serve_the_need() {
+    let (mut picker, pool) = pool(3);
+    let decode = Profile {
+        role: Role::Decode,
+        ..profile(pool[2])
+    };
+    picker.upsert(pool[2], decode);
+    let need = |need| Request { need, ..request() };
+    let base = request().need;
+    let cases = [
+        (
+            Need {
+                model: Model(2),
+                ..base
+            },
+            false,
+        ),
+        (
+            Need {
+                version: Some(3),
+                ..base
+            },
+            true,
+        ),
+        (
+            Need {
+                version: Some(4),
+                ..base
+            },
+            false,
+        ),
+        (
+            Need {
+                adapter: Some(Adapter(5)),
+                ..base
+            },
+            true,
+        ),
+        (
+            Need {
+                adapter: Some(Adapter(6)),
+                ..base
+            },
+            false,
+        ),
+        (
+            Need {
+                role: Role::Prefill,
+                ..base
+            },
+            true,
+        ),
+    ];
+    for (case, served) in cases {
+        let result = picker.pick(&need(case), &pool, NOW, &mut rng());
+        assert_eq!(result.is_ok(), served, "{case:?}");
+        if let Ok(choice) = result {
+            assert_ne!(choice.upstream, pool[2], "{case:?}");
+        }
+    }
+}
+
+/// Leaving, withdrawn and excluded upstreams must get no new work, and the
+/// refusal must name the reason.
+#[test]
+fn refusals_name_the_cause() {
+    let (mut picker, pool) = pool(2);
+    let excluding = Request {
+        excluded: &pool,
+        ..request()
+    };
+    assert_eq!(cause(&picker, &excluding, &pool, NOW), Cause::Excluded);
+    assert_eq!(
+        cause(&picker, &request(), &[Upstream(9)], NOW),
+        Cause::Unserved
+    );
+    for upstream in &pool {
+        picker.report(
+            *upstream,
+            Report {
+                leaving: true,
+                ..report(0)
+            },
+            NOW,
+        );
+    }
+    assert_eq!(cause(&picker, &request(), &pool, NOW), Cause::Leaving);
+    for upstream in &pool {
+        picker.upsert(
+            *upstream,
+            Profile {
+                out: true,
+                ..profile(*upstream)
+            },
+        );
+    }
+    let refusal = picker
+        .pick(&request(), &pool, NOW, &mut rng())
+        .expect_err("all out");
+    assert_eq!((refusal.cause, refusal.retry_after), (Cause::Out, None));
+    assert!(refusal.losers.iter().all(|loser| loser.why == Why::Out));
+}
+
+/// Credits that are used up must hold requests back only until they expire;
+/// an upstream without valid credits must be tried again.
+#[test]
+fn spent_credits_refuse_until_they_expire() {
+    let (mut picker, pool) = pool(1);
+    for _ in 0..8 {
+        let choice = picker
+            .pick(&request(), &pool, NOW, &mut rng())
+            .expect("credits");
+        picker.sent(&choice, &[], NOW);
+    }
+    let refusal = picker
+        .pick(&request(), &pool, NOW, &mut rng())
+        .expect_err("spent");
+    assert_eq!(refusal.cause, Cause::Credits);
+    assert_eq!(refusal.retry_after, Some(Duration::from_secs(1)));
+    let later = NOW + Duration::from_secs(2);
+    assert_eq!(cause(&picker, &request(), &pool, later), Cause::Credits);
+    let probe = picker.load(pool[0]).map(Load::own_calls);
+    assert_eq!(
+        probe,
+        Some(8),
+        "eight calls without a word from the upstream"
+    );
+    picker.report(
+        pool[0],
+        Report {
+            credits: 0,
+            credits_for: Duration::ZERO,
+            ..report(8)
+        },
+        later,
+    );
+    picker
+        .pick(&request(), &pool, later, &mut rng())
+        .expect("expired credits allow probes");
+}
+
+/// Two crash suspects on one upstream make it impossible to tell which one
+/// crashed it.
+#[test]
+fn one_suspect_at_a_time() {
+    let (mut picker, pool) = pool(2);
+    let suspect = Request {
+        isolated: true,
+        ..request()
+    };
+    let first = picker
+        .pick(&suspect, &pool, NOW, &mut rng())
+        .expect("first");
+    picker.sent(&first, &[], NOW);
+    let second = picker
+        .pick(&suspect, &pool, NOW, &mut rng())
+        .expect("second");
+    picker.sent(&second, &[], NOW);
+    assert_ne!(first.upstream, second.upstream);
+    assert_eq!(cause(&picker, &suspect, &pool, NOW), Cause::Suspect);
+    picker
+        .pick(&request(), &pool, NOW, &mut rng())
+        .expect("others run beside suspects");
+    picker.finished(&first, NOW);
+    let third = picker
+        .pick(&suspect, &pool, NOW, &mut rng())
+        .expect("third");
+    assert_eq!(third.upstream, first.upstream);
+}
+
+/// A cached prefix must outweigh a small difference in load, and must not
+/// outweigh an upstream at its limit.
+#[test]
+fn prefix_counts_until_the_upstream_is_full() {
+    let (mut picker, pool) = pool(8);
+    let prompt: Vec<u64> = (1..=128).collect();
+    let long = Request {
+        prompt: 2048,
+        tokens: 2300,
+        prefix: &prompt,
+        ..request()
+    };
+    let first = picker.pick(&long, &pool, NOW, &mut rng()).expect("first");
+    picker.sent(&first, &prompt, NOW);
+    let again = picker.pick(&long, &pool, NOW, &mut rng()).expect("again");
+    assert_eq!(
+        (again.upstream, again.reason),
+        (first.upstream, Reason::Prefix)
+    );
+    assert_eq!(again.matched, 2048);
+    picker.report(first.upstream, report(200), NOW);
+    let other = picker.pick(&long, &pool, NOW, &mut rng()).expect("other");
+    assert_ne!(other.upstream, first.upstream);
+}
+
+/// A straggling rank sets the step of all ranks, so it must get less work than
+/// the others at the same number of tokens.
+#[test]
+fn straggling_rank_is_relieved() {
+    let (mut picker, pool) = pool(1);
+    let mut ranks = vec![
+        Rank {
+            tokens: 4000,
+            step: Duration::from_millis(30)
+        };
+        8
+    ];
+    ranks[3].step = Duration::from_millis(60);
+    picker.upsert(
+        pool[0],
+        Profile {
+            ranks: 8,
+            ..profile(pool[0])
+        },
+    );
+    picker.report(
+        pool[0],
+        Report {
+            ranks,
+            credits: 1000,
+            ..report(8)
+        },
+        NOW,
+    );
+    let mut counts = [0; 8];
+    let mut rng = rng();
+    // The straggler holds as much time of work as the others with 59 more calls.
+    for _ in 0..56 {
+        let choice = picker
+            .pick(&request(), &pool, NOW, &mut rng)
+            .expect("credits");
+        counts[usize::from(choice.rank.expect("a rank"))] += 1;
+        picker.sent(&choice, &[], NOW);
+    }
+    assert_eq!(counts[3], 0, "{counts:?}");
+    let others: Vec<_> = counts
+        .iter()
+        .enumerate()
+        .filter(|(rank, _)| *rank != 3)
+        .collect();
+    let most = others.iter().map(|(_, count)| **count).max();
+    assert!(most <= Some(12), "{counts:?}");
+}
+
+/// Many entries with the same stale report must not all choose the upstream
+/// that it shows as least loaded.
+#[test]
+fn stale_reports_do_not_herd() {
+    let (mut picker, pool) = pool(12);
+    picker.report(pool[5], report(0), NOW);
+    let mut counts = [0; 12];
+    for seed in 0..1200 {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let choice = picker
+            .pick(&request(), &pool, NOW, &mut rng)
+            .expect("credits");
+        counts[choice.upstream.0 as usize] += 1;
+    }
+    assert!(counts[5] < 300, "{counts:?}");
+    assert!(counts.iter().all(|count| *count > 40), "{counts:?}");
+}
+
+/// A slow upstream must lose requests to the others, and get them back when
+/// nothing bad has been seen of it for a while.
+#[test]
+fn slowness_is_avoided_and_forgotten() {
+    let (mut picker, pool) = pool(2);
+    let choice = picker
+        .pick(&request(), &pool[..1], NOW, &mut rng())
+        .expect("choice");
+    for _ in 0..4 {
+        picker.observed(&choice, Outcome::Failed, NOW);
+    }
+    let share = |picker: &Picker, now: Moment| {
+        let mut rng = rng();
+        let picks = (0..100).filter_map(|_| picker.pick(&request(), &pool, now, &mut rng).ok());
+        picks.filter(|choice| choice.upstream == pool[0]).count()
+    };
+    assert_eq!(share(&picker, NOW), 0);
+    let later = NOW + Duration::from_mins(5);
+    for upstream in &pool {
+        picker.report(*upstream, report(4), later);
+    }
+    let busy = Report {
+        calls: 12,
+        ..report(0)
+    };
+    picker.report(pool[1], busy, later);
+    assert_eq!(share(&picker, later), 100);
+}
+
+/// All entries must send one key to the same server, and a change of membership
+/// must move only the keys of the server concerned.
+#[test]
+fn keys_stay_with_their_upstream() {
+    let (mut picker, pool) = pool(3);
+    let place = |picker: &Picker, key: u32, pool: &[Upstream]| {
+        picker
+            .keyed(&key.to_le_bytes(), &request(), pool)
+            .expect("a server")
+            .upstream
+    };
+    let reversed: Vec<_> = pool.iter().rev().copied().collect();
+    let before: Vec<_> = (0..300).map(|key| place(&picker, key, &pool)).collect();
+    for (key, upstream) in before.iter().enumerate() {
+        assert_eq!(place(&picker, key as u32, &reversed), *upstream);
+    }
+    for upstream in &pool {
+        let held = before.iter().filter(|other| *other == upstream).count();
+        assert!((60..140).contains(&held), "{held}");
+    }
+    picker.upsert(
+        pool[1],
+        Profile {
+            leaving: true,
+            ..profile(pool[1])
+        },
+    );
+    for (key, upstream) in before.iter().enumerate() {
+        let after = place(&picker, key as u32, &pool);
+        assert!(after == *upstream || *upstream == pool[1]);
+    }
+}
+
+/// Distance decides only between upstreams that are otherwise equal.
+#[test]
+fn zone_breaks_ties() {
+    let (mut picker, pool) = pool(2);
+    picker.upsert(
+        pool[0],
+        Profile {
+            zone: Zone(1),
+            ..profile(pool[0])
+        },
+    );
+    let near = picker
+        .pick(&request(), &pool, NOW, &mut rng())
+        .expect("choice");
+    assert_eq!(near.upstream, pool[1]);
+    picker.report(pool[1], report(30), NOW);
+    let far = picker
+        .pick(&request(), &pool, NOW, &mut rng())
+        .expect("choice");
+    assert_eq!(far.upstream, pool[0]);
+}
