Add the exchange node with its view, window, contact and readers

Cause: control records must reach every node within 7 s at a cost per node that does not grow with the number of nodes.

The tests drive it over a queue with loss, duplication, delay and cuts.

--- /dev/null
+++ b/crates/exchange/src/node/push.rs
@@ -0,0 +1,57 @@
+//! Telling peers of new records and facts.
+
+use rand::{Rng, RngExt};
+use sesamerock_base::time::Moment;
+
+use super::Node;
+use crate::message::Record;
+use crate::peer::{Distance, Peer};
+
+impl Node {
+    /// Tells a bounded number of peers what is new since the last push.
+    ///
+    /// Within the region a round trip costs little, so the version is only
+    /// announced and the receiver pulls once, whoever else announces it.
+    /// Between regions the records go along, which saves a long round trip.
+    pub(super) fn push(&mut self, now: Moment, rng: &mut impl Rng) {
+        let fresh = self.records_after(self.pushed).unwrap_or_default();
+        self.pushed = self.version();
+        let fanout = self.settings.fanout;
+        let mut targets = self.targets(now, Distance::Zone, fanout.zone, rng);
+        targets.extend(self.targets(now, Distance::Region, fanout.region, rng));
+        for peer in targets {
+            let records: &[Record] = if fanout.eager { &fresh } else { &[] };
+            self.announce(now, &peer, records, rng);
+        }
+        if self.reads_log() && fanout.world > 0.0 || rng.random_bool(fanout.world) {
+            for peer in self.targets(now, Distance::World, 1, rng) {
+                self.announce(now, &peer, &fresh, rng);
+            }
+        }
+    }
+
+    fn targets(
+        &self,
+        now: Moment,
+        distance: Distance,
+        count: usize,
+        rng: &mut impl Rng,
+    ) -> Vec<Peer> {
+        let mut chosen = Vec::with_capacity(count);
+        let mut exclude = Vec::with_capacity(count);
+        for _ in 0..count {
+            if let Some(peer) = self.view.pick(now, distance, &exclude, rng) {
+                exclude.push(peer.address);
+                chosen.push(peer);
+            }
+        }
+        chosen
+    }
+
+    fn announce(&mut self, now: Moment, peer: &Peer, records: &[Record], rng: &mut impl Rng) {
+        let mut message = self.message(now);
+        message.records = records.to_vec();
+        message.facts = self.board.select(now, None, rng);
+        self.send(now, peer.address, false, message);
+    }
+}
--- /dev/null
+++ b/crates/exchange/src/node/round.rs
@@ -0,0 +1,160 @@
+//! Periodic exchanges: anti-entropy, refresh of the view, contact.
+
+use std::time::Duration;
+
+use rand::{Rng, RngExt};
+use sesamerock_base::time::Moment;
+
+use super::Node;
+use crate::peer::{Distance, Peer};
+
+/// When the next periodic exchanges are due.
+#[derive(Clone, Debug)]
+pub(super) struct Schedule {
+    round: Moment,
+    contact: Moment,
+    answered: [Moment; 3],
+}
+
+impl Schedule {
+    pub(super) fn new(now: Moment) -> Self {
+        Self {
+            round: now,
+            contact: now,
+            answered: [now; 3],
+        }
+    }
+
+    pub(super) fn answered(&mut self, now: Moment, distance: Distance) {
+        self.answered[distance as usize] = now;
+    }
+}
+
+impl Node {
+    /// Starts the exchanges that are due.
+    pub(super) fn run_rounds(&mut self, now: Moment, rng: &mut impl Rng) {
+        if self.round.round <= now {
+            self.round.round = now + jittered(self.settings.round, rng);
+            self.round(now, rng);
+            self.escape(now, rng);
+        }
+        if self.wants_contact(now) && self.round.contact <= now {
+            self.round.contact = now + self.settings.contact_retry;
+            self.seek_contact(now, rng);
+        }
+    }
+
+    pub(super) fn next_round(&self, now: Moment) -> Moment {
+        if !self.contact.knows_others() {
+            return self.round.round;
+        }
+        let age = self.contact.age(now).unwrap_or(Duration::MAX);
+        let soft = now + self.settings.contact_soft.saturating_sub(age);
+        self.round.round.min(soft.max(self.round.contact))
+    }
+
+    fn wants_contact(&self, now: Moment) -> bool {
+        let age = self.contact.age(now);
+        let old = age.is_none_or(|age| age >= self.settings.contact_soft);
+        self.contact.knows_others() && old
+    }
+
+    /// Exchanges with one peer, mostly a near one.
+    fn round(&mut self, now: Moment, rng: &mut impl Rng) {
+        let remix = rng.random_ratio(1, self.settings.remix);
+        let peer = if remix {
+            let distance = Distance::ALL[rng.random_range(0..Distance::ALL.len())];
+            self.view.seed(distance, rng)
+        } else {
+            None
+        };
+        let peer = peer.or_else(|| self.partner(now, rng));
+        if let Some(peer) = peer {
+            self.exchange(now, &peer, rng);
+        }
+    }
+
+    /// Asks a seed of each distance that has not answered for long, so that a
+    /// node or a group of nodes with a dead sample finds the others again.
+    fn escape(&mut self, now: Moment, rng: &mut impl Rng) {
+        for distance in Distance::ALL {
+            let silent = now.since(self.round.answered[distance as usize]);
+            if silent < self.settings.isolation {
+                continue;
+            }
+            if let Some(seed) = self.view.seed(distance, rng) {
+                self.exchange(now, &seed, rng);
+            }
+        }
+    }
+
+    /// Asks a peer outside the zone, mostly in the region, since its reply
+    /// comes sooner.
+    fn seek_contact(&mut self, now: Moment, rng: &mut impl Rng) {
+        let near = rng.random_bool(0.75);
+        let order = if near {
+            [Distance::Region, Distance::World]
+        } else {
+            [Distance::World, Distance::Region]
+        };
+        let peer = order
+            .into_iter()
+            .find_map(|distance| self.candidate(now, distance, rng));
+        if let Some(peer) = peer {
+            self.exchange(now, &peer, rng);
+        }
+    }
+
+    fn partner(&self, now: Moment, rng: &mut impl Rng) -> Option<Peer> {
+        let weights = self.settings.weights;
+        let mut candidates = Distance::ALL.map(|d| self.candidate(now, d, rng));
+        let total = |candidates: &[Option<Peer>; 3]| -> u32 {
+            let present = candidates.iter().zip(weights);
+            present.filter(|(c, _)| c.is_some()).map(|(_, w)| w).sum()
+        };
+        let sum = total(&candidates);
+        if sum == 0 {
+            return None;
+        }
+        let mut point = rng.random_range(0..sum);
+        for (candidate, weight) in candidates.iter_mut().zip(weights) {
+            if candidate.is_none() {
+                continue;
+            }
+            if point < weight {
+                return candidate.take();
+            }
+            point -= weight;
+        }
+        None
+    }
+
+    /// Chooses a peer of a distance: the one not heard from for longest or a
+    /// random one, or a seed if none is known.
+    fn candidate(&self, now: Moment, distance: Distance, rng: &mut impl Rng) -> Option<Peer> {
+        let known = if rng.random_bool(0.5) {
+            self.view.oldest(now, distance)
+        } else {
+            self.view.pick(now, distance, &[], rng)
+        };
+        known.or_else(|| self.view.seed(distance, rng))
+    }
+
+    fn exchange(&mut self, now: Moment, peer: &Peer, rng: &mut impl Rng) {
+        let mut message = self.message(now);
+        message.sync = true;
+        message.peers = self.view.sample(now, self.settings.shuffle, rng);
+        message.digest = self.board.digest();
+        message.facts = self.board.select(now, None, rng);
+        if self.view.distance(peer.place) == Distance::Zone {
+            message.readers = self.ranking.sample(now);
+        }
+        self.send(now, peer.address, false, message);
+    }
+}
+
+/// Spreads a time by a quarter to both sides, so that nodes started together
+/// do not stay in step.
+fn jittered(mean: Duration, rng: &mut impl Rng) -> Duration {
+    mean.mul_f64(rng.random_range(0.75..1.25))
+}
--- /dev/null
+++ b/crates/exchange/src/node/settings.rs
@@ -0,0 +1,104 @@
+//! Settings of a node.
+
+use std::time::Duration;
+
+use crate::fact;
+use crate::pace::Windows;
+use crate::peer;
+use crate::reader::Rule;
+
+/// How new records are pushed.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Fanout {
+    /// Peers of the own zone told of new records.
+    pub zone: usize,
+    /// Peers of other zones of the region told.
+    pub region: usize,
+    /// Probability that a peer of another region is told; nodes that read the
+    /// log always tell one.
+    pub world: f64,
+    /// Whether pushes within the region carry the records. If not, they only
+    /// state the version and the receiver asks for what it lacks, which costs
+    /// one more round trip of a few milliseconds and sends each record once.
+    pub eager: bool,
+}
+
+impl Default for Fanout {
+    fn default() -> Self {
+        Self {
+            zone: 2,
+            region: 1,
+            world: 0.2,
+            eager: false,
+        }
+    }
+}
+
+/// Settings of a node.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Settings {
+    /// Mean time between periodic exchanges; each is jittered by a quarter.
+    pub round: Duration,
+    /// Weights of zone, region and world among periodic exchanges.
+    pub weights: [u32; 3],
+    /// Age of contact above which the node asks a peer outside its zone.
+    pub contact_soft: Duration,
+    /// Time between such requests.
+    pub contact_retry: Duration,
+    /// Time without a reply from a distance after which seeds are asked.
+    pub isolation: Duration,
+    /// Mean number of rounds between exchanges with a peer of the VM list,
+    /// which joins samples that have drifted apart.
+    pub remix: u32,
+    /// Time after which a pull is given up. It exceeds the driver's time-out
+    /// of a call, which normally reports the failure first.
+    pub pull_timeout: Duration,
+    /// Bound of pushes.
+    pub fanout: Fanout,
+    /// Coalescing of pushes.
+    pub windows: Windows,
+    /// Records kept for peers that lag.
+    pub window_records: usize,
+    /// Bytes of records kept.
+    pub window_bytes: usize,
+    /// Bytes of records or of a snapshot part in one message. The rest of a
+    /// message takes at most a few KB, so messages stay below 64 KB.
+    pub payload: usize,
+    /// Largest snapshot accepted in bytes.
+    pub snapshot: usize,
+    /// Entries of each distance in a periodic message.
+    pub shuffle: usize,
+    /// Bounds of the view.
+    pub view: peer::Limits,
+    /// Choice of readers.
+    pub readers: Rule,
+    /// Bounds of facts.
+    pub facts: fact::Limits,
+    /// Start of fact sequence numbers, see [`fact::Board::new`].
+    pub incarnation: u64,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            round: Duration::from_secs(1),
+            weights: [60, 25, 15],
+            contact_soft: Duration::from_secs(1),
+            contact_retry: Duration::from_millis(250),
+            isolation: Duration::from_secs(10),
+            remix: 60,
+            pull_timeout: Duration::from_millis(1_500),
+            fanout: Fanout::default(),
+            windows: Windows::default(),
+            window_records: 1_024,
+            window_bytes: 1 << 20,
+            payload: 48 << 10,
+            snapshot: 8 << 20,
+            shuffle: 2,
+            view: peer::Limits::default(),
+            readers: Rule::default(),
+            facts: fact::Limits::default(),
+            incarnation: 0,
+        }
+    }
+}
--- /dev/null
+++ b/crates/exchange/src/reader/mod.rs
@@ -0,0 +1,146 @@
+//! Which nodes of a zone read the log.
+//!
+//! Reading must not scale with nodes, so about three nodes per zone read and
+//! the others learn from peers. The readers are the nodes with the highest
+//! hash rank. A random sample of the zone would not do: with 24 of 344 nodes
+//! known, one node in eight would find itself among the first three. So the
+//! best entries known travel in every message within the zone, which spreads
+//! them like a rumour. An entry lasts only while its node keeps renewing it;
+//! when readers die, the next in rank take over.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use sesamerock_base::time::Moment;
+
+use crate::peer::{Distance, Heard, Peer};
+
+/// Settings of the choice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Rule {
+    /// Nodes of a zone that read.
+    pub readers: usize,
+    /// Further candidates that are kept known, so that they take over at once
+    /// and without all other nodes trying.
+    pub spares: usize,
+    /// Time after which a candidate nobody heard from is forgotten. It must
+    /// exceed the time a renewal takes to spread within a zone.
+    pub expiry: Duration,
+}
+
+impl Default for Rule {
+    fn default() -> Self {
+        Self {
+            readers: 3,
+            spares: 2,
+            expiry: Duration::from_secs(15),
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Candidate {
+    peer: Peer,
+    rank: u64,
+    heard: Heard,
+}
+
+/// The best ranked nodes of the own zone that are known.
+#[derive(Clone, Debug)]
+pub struct Ranking {
+    rule: Rule,
+    rank: u64,
+    best: Vec<Candidate>,
+}
+
+impl Ranking {
+    /// Makes the ranking of a node that knows only itself.
+    pub fn new(me: &Peer, rule: Rule) -> Self {
+        Self {
+            rule,
+            rank: rank(me.address),
+            best: Vec::new(),
+        }
+    }
+
+    /// Returns whether this node should read the log.
+    pub fn reads(&self, me: &Peer) -> bool {
+        let better = self.best.iter().filter(|c| c.rank > self.rank).count();
+        !me.leaving && better < self.rule.readers
+    }
+
+    /// Adds entries of the own zone; others are ignored.
+    pub fn merge(&mut self, now: Moment, me: &Peer, peers: &[Peer]) {
+        for peer in peers {
+            let near = me.place.distance(peer.place) == Distance::Zone;
+            if near && peer.address != me.address {
+                self.add(now, *peer);
+            }
+        }
+    }
+
+    /// Forgets a peer that did not answer.
+    pub fn failed(&mut self, address: SocketAddr) {
+        self.best.retain(|c| c.peer.address != address);
+    }
+
+    /// Forgets candidates that nobody heard from for long.
+    pub fn expire(&mut self, now: Moment) {
+        let expiry = self.rule.expiry;
+        self.best.retain(|c| c.heard.age(now) <= expiry);
+    }
+
+    /// Returns the candidates known with their ages, for a message.
+    pub fn sample(&self, now: Moment) -> Vec<Peer> {
+        self.best.iter().map(|c| c.aged(now)).collect()
+    }
+
+    fn add(&mut self, now: Moment, peer: Peer) {
+        let heard = Heard::ago(now, peer.age);
+        let expired = heard.age(now) > self.rule.expiry;
+        let known = self
+            .best
+            .iter()
+            .position(|c| c.peer.address == peer.address);
+        if known.is_some_and(|at| self.best[at].heard > heard) {
+            return;
+        }
+        if let Some(at) = known {
+            self.best.remove(at);
+        }
+        if peer.leaving || expired {
+            return;
+        }
+        let rank = rank(peer.address);
+        let at = self.best.partition_point(|c| c.rank > rank);
+        self.best.insert(at, Candidate { peer, rank, heard });
+        self.best.truncate(self.rule.readers + self.rule.spares);
+    }
+}
+
+impl Candidate {
+    fn aged(&self, now: Moment) -> Peer {
+        let age = self.heard.tenths(now);
+        Peer { age, ..self.peer }
+    }
+}
+
+/// Hashes an address to a rank that all nodes compute alike.
+pub fn rank(address: SocketAddr) -> u64 {
+    let start = match address {
+        SocketAddr::V4(v4) => u64::from(u32::from(*v4.ip())),
+        SocketAddr::V6(v6) => {
+            let bits = u128::from(*v6.ip());
+            mix(bits as u64) ^ (bits >> 64) as u64
+        }
+    };
+    mix(start ^ (u64::from(address.port()) << 48))
+}
+
+/// The finaliser of splitmix64.
+fn mix(value: u64) -> u64 {
+    let value = value.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    let value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    value ^ (value >> 31)
+}
--- /dev/null
+++ b/crates/exchange/tests/spread.rs
@@ -0,0 +1,172 @@
+//! Dissemination of records over a faulty network.
+
+mod net;
+
+use std::time::Duration;
+
+use net::{Net, place, record, snapshot};
+use quickcheck::{Arbitrary, Gen, QuickCheck, TestResult};
+use sesamerock_base::version::Version;
+use sesamerock_exchange::node::{Outcome, Settings};
+use sesamerock_exchange::peer::Place;
+
+/// Three zones of one region and a second region with two.
+fn places(per_zone: usize) -> Vec<Place> {
+    let zones = [(0, 0), (0, 1), (0, 2), (1, 0), (1, 1)];
+    let all = zones.iter().cycle().take(zones.len() * per_zone);
+    all.map(|(region, zone)| place(*region, *zone)).collect()
+}
+
+/// Sizes of up to 40 records.
+#[derive(Clone, Debug)]
+struct Sizes(Vec<u16>);
+
+impl Arbitrary for Sizes {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let mut sizes: Vec<u16> = Arbitrary::arbitrary(g);
+        sizes.truncate(40);
+        Self(sizes)
+    }
+}
+
+const SECOND: Duration = Duration::from_secs(1);
+
+/// Guards against gaps, repetitions and steps back under any mix of loss,
+/// duplication and reordering (the network asserts them), and against a node
+/// that never catches up.
+#[test]
+fn any_faults_keep_order_and_converge() {
+    fn check(seed: u64, loss: u8, duplication: u8, delay: u16, sizes: Sizes) -> TestResult {
+        let Sizes(sizes) = sizes;
+        let mut net = Net::new(seed, &places(3), &Settings::default());
+        net.loss = f64::from(loss % 60) / 100.0;
+        net.duplication = f64::from(duplication % 50) / 100.0;
+        net.delay = Duration::from_millis(u64::from(delay % 2_000));
+        for (i, size) in sizes.iter().enumerate() {
+            net.learn(i % 2, record(i as u64 + 1, usize::from(*size % 20_000)));
+            net.learn(0, record(i as u64 + 1, usize::from(*size % 20_000)));
+            net.run(Duration::from_millis(u64::from(*size) % 300));
+        }
+        net.loss = 0.0;
+        net.delay = Duration::from_millis(20);
+        net.run(15 * SECOND);
+        let head = Version(sizes.len() as u64);
+        TestResult::from_bool(net.converged() && net.applied[0] == head)
+    }
+    QuickCheck::new()
+        .tests(60)
+        .quickcheck(check as fn(u64, u8, u8, u16, Sizes) -> TestResult);
+}
+
+/// Guards against a change that does not reach a far region within seconds.
+#[test]
+fn a_change_crosses_regions_promptly() {
+    let mut net = Net::new(1, &places(8), &Settings::default());
+    net.loss = 0.01;
+    net.run(10 * SECOND);
+    net.learn(0, record(1, 300));
+    net.run(7 * SECOND);
+    assert!(net.applied.iter().all(|v| *v == Version(1)));
+}
+
+/// Guards against a cut that never heals, for instance since each side forgot
+/// the other: an hour without contact, with more changes than the window.
+#[test]
+fn an_hour_of_cut_heals() {
+    let settings = Settings {
+        window_records: 64,
+        ..Settings::default()
+    };
+    let mut net = Net::new(2, &places(3), &settings);
+    net.run(10 * SECOND);
+    for (side, place_of) in net.side.iter_mut().zip(places(3)) {
+        *side = u8::from(place_of.region == place(1, 0).region);
+    }
+    for version in 1..=100 {
+        net.learn(0, record(version, 300));
+        net.run(36 * SECOND);
+        if net.node(0).snapshot_due() {
+            let now = net.now;
+            let state = snapshot(net.applied[0].0, 150_000);
+            net.node(0).provide(now, state);
+        }
+    }
+    assert_eq!(net.applied[3], Version(0), "the cut leaks");
+    net.side.fill(0);
+    net.run(15 * SECOND);
+    assert!(net.applied.iter().all(|v| *v == Version(100)));
+}
+
+/// Guards against a restarted node that cannot join: its peers' windows start
+/// after its version and the snapshot takes several messages.
+#[test]
+fn a_new_node_catches_up_through_a_snapshot() {
+    let mut net = Net::new(3, &places(2), &Settings::default());
+    net.loss = 0.05;
+    let now = net.now;
+    net.node(0).restore(now, snapshot(5_000, 1_000_000));
+    net.flush(0);
+    net.run(20 * SECOND);
+    assert!(net.converged(), "first snapshot");
+    net.learn(0, record(5_001, 300));
+    net.run(5 * SECOND);
+    net.stop(7);
+    net.run(5 * SECOND);
+    net.start(7);
+    net.run(20 * SECOND);
+    assert_eq!(net.applied[7], Version(5_001));
+}
+
+/// Guards against messages above the limit (asserted by the network) and
+/// against records that no message can carry.
+#[test]
+fn large_records_are_bounded() {
+    let mut net = Net::new(4, &places(1), &Settings::default());
+    let now = net.now;
+    for version in 1..=60 {
+        net.learn(0, record(version, 40_000));
+    }
+    let oversized = net.node(0).learn(now, record(61, 60_000));
+    assert_eq!(oversized, Outcome::Oversized);
+    net.run(30 * SECOND);
+    net.node(0).restore(now, snapshot(61, 60_000));
+    net.flush(0);
+    net.run(10 * SECOND);
+    assert!(net.applied.iter().all(|v| *v == Version(61)));
+    assert!(net.largest > 40_000);
+}
+
+/// Guards against a reader that skips records it has not read.
+#[test]
+fn learn_reports_what_became_of_a_record() {
+    let mut net = Net::new(5, &places(1), &Settings::default());
+    let now = net.now;
+    let node = net.node(0);
+    assert_eq!(node.learn(now, record(2, 8)), Outcome::Gap);
+    assert_eq!(node.learn(now, record(1, 8)), Outcome::Applied);
+    assert_eq!(node.learn(now, record(1, 8)), Outcome::Known);
+    assert_eq!(node.restore(now, snapshot(1, 8)), Outcome::Known);
+    assert_eq!(node.version(), Version(1));
+}
+
+/// Guards against an endless exchange of pulls with a peer that claims a
+/// version it cannot supply.
+#[test]
+fn a_false_claim_causes_no_storm() {
+    let settings = Settings {
+        window_records: 4,
+        ..Settings::default()
+    };
+    let mut net = Net::new(6, &places(2), &settings);
+    net.run(5 * SECOND);
+    let before = net.messages;
+    net.run(30 * SECOND);
+    let calm = net.messages - before;
+    for version in 1..=20 {
+        net.learn(0, record(version, 300));
+    }
+    let before = net.messages;
+    net.run(30 * SECOND);
+    let claimed = net.messages - before;
+    assert!(claimed < 4 * calm, "{claimed} messages against {calm}");
+}
