--- /dev/null
+++ b/crates/note/src/fold/edit/rules/mod.rs
@@ -0,0 +1,199 @@
+//! Rules that hold between entries after a note.
+
+use std::collections::BTreeSet;
+
+use sesamerock_base::key;
+
+use crate::fold::State;
+use crate::fold::entry::{Served, Upstream};
+use crate::fold::outcome::{Conflict, Item, Kind};
+use crate::note::Note;
+
+/// Examines the references from and to every entry that a note touched.
+pub(super) fn check(next: &State, old: &State, note: &Note, conflicts: &mut Vec<Conflict>) {
+    let upstreams = note.add.upstreams.iter().chain(&note.change.upstreams);
+    for entry in upstreams {
+        if let Some((key, upstream)) = next.upstreams.find(&entry.name) {
+            check_upstream(next, old, key, upstream, conflicts);
+        }
+    }
+    let adapters = note.add.adapters.iter().chain(&note.change.adapters);
+    for entry in adapters {
+        let by = Item::new(Kind::Adapter, entry.name.as_str());
+        if next.models.find(&entry.model).is_none() {
+            conflicts.push(missing(Kind::Model, &entry.model, &by));
+        }
+    }
+    check_users(next, note, conflicts);
+}
+
+fn check_upstream(
+    next: &State,
+    old: &State,
+    key: key::Upstream,
+    upstream: &Upstream,
+    conflicts: &mut Vec<Conflict>,
+) {
+    let by = Item::new(Kind::Upstream, next.upstreams.name(key));
+    for served in &upstream.models {
+        check_served(next, served, &by, conflicts);
+        check_rising(next, old, key, served, &by, conflicts);
+    }
+    if let Some(service) = upstream.service
+        && next.services.get(service).is_none()
+    {
+        let name = next.services.name(service);
+        conflicts.push(missing(Kind::Service, name, &by));
+    }
+    check_rank(next, key, upstream, conflicts);
+}
+
+fn check_served(next: &State, served: &Served, by: &Item, conflicts: &mut Vec<Conflict>) {
+    let name = next.models.name(served.model);
+    let Some(model) = next.models.get(served.model) else {
+        conflicts.push(missing(Kind::Model, name, by));
+        return;
+    };
+    if let Some(version) = served.version.filter(|v| !model.versions.contains(v)) {
+        let item = Item::new(Kind::Model, name);
+        conflicts.push(Conflict::NoVersion { item, version });
+    }
+    for adapter in &served.adapters {
+        let live = next.adapters.get(*adapter);
+        if live.is_none_or(|live| live.model != served.model) {
+            let name = next.adapters.name(*adapter);
+            conflicts.push(missing(Kind::Adapter, name, by));
+        }
+    }
+}
+
+/// A version that an upstream serves may not go back.
+fn check_rising(
+    next: &State,
+    old: &State,
+    key: key::Upstream,
+    served: &Served,
+    by: &Item,
+    conflicts: &mut Vec<Conflict>,
+) {
+    let before = old.serving(key, served.model);
+    let after = next.serving(key, served.model);
+    let (Some(from), Some(to)) = (before, after) else {
+        return;
+    };
+    if to < from {
+        let item = by.clone();
+        conflicts.push(Conflict::VersionBack { item, from, to });
+    }
+}
+
+/// Two upstreams with one rank of a group would both answer for it.
+fn check_rank(
+    next: &State,
+    key: key::Upstream,
+    upstream: &Upstream,
+    conflicts: &mut Vec<Conflict>,
+) {
+    let Some(rank) = upstream.rank else {
+        return;
+    };
+    let group = next.groups.get(rank.group);
+    let ranks = group.map_or(&[][..], |group| &group.ranks);
+    let other = ranks
+        .iter()
+        .find(|(index, other)| *index == rank.index && *other != key);
+    if let Some((_, other)) = other {
+        conflicts.push(Conflict::RankTaken {
+            item: Item::new(Kind::Group, next.groups.name(rank.group)),
+            rank: rank.index,
+            by: Item::new(Kind::Upstream, next.upstreams.name(*other)),
+        });
+    }
+}
+
+/// Nothing that is withdrawn may still be in use. This scans the state, but
+/// only for notes that withdraw something other than upstreams or move an
+/// adapter to another model.
+fn check_users(next: &State, note: &Note, conflicts: &mut Vec<Conflict>) {
+    let withdraw = &note.withdraw;
+    let nothing = withdraw.models.is_empty()
+        && withdraw.adapters.is_empty()
+        && withdraw.versions.is_empty()
+        && withdraw.services.is_empty()
+        && note.change.adapters.is_empty();
+    if nothing {
+        return;
+    }
+    let models: BTreeSet<_> = keys(&withdraw.models, |name| next.models.key(name));
+    let services: BTreeSet<_> = keys(&withdraw.services, |name| next.services.key(name));
+    let moved = note.change.adapters.iter().map(|entry| &entry.name);
+    let adapters = withdraw.adapters.iter().chain(moved);
+    let adapters: BTreeSet<_> = adapters
+        .filter_map(|name| next.adapters.key(name))
+        .collect();
+    for (key, adapter) in next.adapters.iter() {
+        if models.contains(&adapter.model) {
+            let by = Item::new(Kind::Adapter, next.adapters.name(key));
+            let item = Item::new(Kind::Model, next.models.name(adapter.model));
+            conflicts.push(Conflict::InUse { item, by });
+        }
+    }
+    let mut found = Vec::new();
+    for (key, upstream) in next.upstreams.iter() {
+        let by = Item::new(Kind::Upstream, next.upstreams.name(key));
+        let mut in_use = |kind, name: &str| {
+            let item = Item::new(kind, name);
+            let by = by.clone();
+            found.push(Conflict::InUse { item, by });
+        };
+        if let Some(service) = upstream.service.filter(|key| services.contains(key)) {
+            in_use(Kind::Service, next.services.name(service));
+        }
+        for served in &upstream.models {
+            if models.contains(&served.model) {
+                in_use(Kind::Model, next.models.name(served.model));
+            }
+            for adapter in served.adapters.iter().filter(|key| adapters.contains(key)) {
+                let live = next.adapters.get(*adapter);
+                if live.is_none_or(|live| live.model != served.model) {
+                    in_use(Kind::Adapter, next.adapters.name(*adapter));
+                }
+            }
+        }
+    }
+    conflicts.append(&mut found);
+    for release in &withdraw.versions {
+        check_version(next, &release.model, release.version, conflicts);
+    }
+}
+
+fn check_version(next: &State, name: &str, version: u32, conflicts: &mut Vec<Conflict>) {
+    let Some((key, model)) = next.models.find(name) else {
+        return;
+    };
+    let item = Item::new(Kind::Model, name);
+    if model.version == version {
+        let by = item.clone();
+        conflicts.push(Conflict::VersionInUse { item, version, by });
+        return;
+    }
+    let user = next.upstreams.iter().find(|(_, upstream)| {
+        let served = upstream.serves(key);
+        served.is_some_and(|served| served.version == Some(version))
+    });
+    if let Some((user, _)) = user {
+        let by = Item::new(Kind::Upstream, next.upstreams.name(user));
+        conflicts.push(Conflict::VersionInUse { item, version, by });
+    }
+}
+
+fn keys<K: Ord>(names: &[String], key: impl Fn(&str) -> Option<K>) -> BTreeSet<K> {
+    names.iter().filter_map(|name| key(name)).collect()
+}
+
+fn missing(kind: Kind, name: &str, by: &Item) -> Conflict {
+    Conflict::Missing {
+        item: Item::new(kind, name),
+        by: Some(by.clone()),
+    }
+}
--- /dev/null
+++ b/crates/note/src/fold/merge/mod.rs
@@ -0,0 +1,421 @@
+//! Merging of snapshots into the state.
+//!
+//! The merge is a join: of two forms of an entry the one with the higher stamp
+//! stays, whichever side holds it, so the order of snapshots does not matter.
+//! It is a function of the log alone, since a snapshot is part of the log.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use sesamerock_base::version::Version;
+
+use super::entry::{Adapter, Model, Place, Service, Stamped, Upstream};
+use super::outcome::{Item, Kind, Merge, Outcome};
+use super::past::{Past, Recent};
+use super::row::{Entry, Row, boxed, of_slot};
+use super::{HIGHEST, Slot, State};
+use crate::bound;
+use crate::record::{Body, Record, Skip};
+use crate::snapshot::{self, PARTS, PENDING_SPAN, Part, Pending};
+
+impl State {
+    pub(crate) fn next_offset(&self) -> u64 {
+        self.next
+    }
+
+    /// Returns the offset up to which the newest snapshot in the log covers
+    /// it, or `None` if this state folded no snapshot.
+    pub fn covered(&self) -> Option<u64> {
+        self.covered
+    }
+
+    /// Returns whether a snapshot is being written: its first part was folded
+    /// and some of the others are missing.
+    pub fn writing(&self) -> bool {
+        !self.pending.is_empty()
+    }
+
+    /// Returns whether this state holds every entry of another one or a newer
+    /// form of it.
+    pub(crate) fn covers(&self, other: &Self) -> bool {
+        self.clone().join(other) == 0
+    }
+
+    /// Returns a state with the content of both and the higher version, at the
+    /// offset of `log`. Used while the log does not hold all of `kept`.
+    pub(crate) fn overlay(kept: &Self, log: &Self) -> Self {
+        let version = kept.version().max(log.version());
+        let mut state = log.clone();
+        state.shift = version.0 + 1 - log.next.min(version.0);
+        state.join(kept);
+        state
+    }
+
+    /// Returns the offset from which a state restored from this one's snapshot
+    /// must read, so that it completes the same pending snapshots.
+    pub(crate) fn replay_from(&self) -> u64 {
+        let firsts = self.pending.iter().map(|pending| pending.first);
+        firsts.min().unwrap_or(self.next).min(self.next)
+    }
+
+    /// Returns all rows in an order that is the same on every node.
+    pub(crate) fn rows(&self) -> Vec<Row> {
+        let mut entries: BTreeMap<Item, Row> = BTreeMap::new();
+        self.collect::<Model>(&mut entries);
+        self.collect::<Adapter>(&mut entries);
+        self.collect::<Service>(&mut entries);
+        self.collect::<Upstream>(&mut entries);
+        for (key, place) in self.zones.iter() {
+            let name = self.zones.name(key);
+            entries.insert(Item::new(Kind::Zone, name), place.to_row(Kind::Zone, name));
+        }
+        for (key, place) in self.vms.iter() {
+            let name = self.vms.name(key);
+            entries.insert(Item::new(Kind::Vm, name), place.to_row(Kind::Vm, name));
+        }
+        let past = self.recent.iter().map(|past| Row::Past(Past::clone(past)));
+        entries.into_values().chain(past).collect()
+    }
+
+    fn collect<E: Entry>(&self, rows: &mut BTreeMap<Item, Row>) {
+        let table = E::table(self);
+        let live = table.iter().map(|(key, entry)| (key, entry, false));
+        let gone = table.gone().map(|(key, entry)| (key, entry, true));
+        for (key, entry, gone) in live.chain(gone) {
+            let item = Item::new(E::KIND, table.name(key));
+            rows.insert(item, entry.row(key, gone, self));
+        }
+    }
+
+    /// Builds the state of a snapshot.
+    pub(crate) fn restore<'a>(head: &Part, rows: impl IntoIterator<Item = &'a Row>) -> Self {
+        let mut state = Self::starting_at(head.next);
+        state.seen = head.from.min(head.next);
+        state.shift = head.shift.max(1);
+        for row in rows {
+            match row {
+                Row::Past(past) => state.push_past(past.clone()),
+                row => state.put_row(row),
+            }
+        }
+        state.floor = head.floor;
+        state
+    }
+
+    /// Folds one part of a snapshot.
+    pub(super) fn fold_part(&mut self, offset: u64, part: Part) -> Outcome {
+        let sane = part.version() < HIGHEST;
+        if part.count > PARTS || !sane {
+            let fault = "expected a snapshot of bounded size and version".to_owned();
+            return Outcome::Skipped(Skip::Malformed { fault });
+        }
+        let parts = match self.keep_part(offset, part) {
+            Ok(parts) => parts,
+            Err(missing) => return Outcome::Part { missing },
+        };
+        let first = parts.iter().map(|part| part.next).min();
+        match snapshot::restore(&parts) {
+            Ok(other) => {
+                self.covered = self.covered.max(first);
+                Outcome::Merged(self.merge(offset, &other))
+            }
+            Err(fault) => Outcome::Skipped(Skip::Malformed {
+                fault: fault.to_string(),
+            }),
+        }
+    }
+
+    /// Keeps the parts of a record that the state covers already, after a
+    /// restore.
+    pub(super) fn collect_only(&mut self, offset: u64, record: Result<Record, Skip>) -> Outcome {
+        if let Ok(Record {
+            body: Body::Snapshot(part),
+            ..
+        }) = record
+        {
+            let missing = self.keep_part(offset, part).err().unwrap_or_default();
+            return Outcome::Part { missing };
+        }
+        self.again(record)
+    }
+
+    /// Returns all parts once the last one arrives, else how many are missing.
+    ///
+    /// Only a first part opens a snapshot: a state restored in the middle then
+    /// collects the same ones as a state that read everything.
+    fn keep_part(&mut self, offset: u64, part: Part) -> Result<Vec<Arc<Part>>, usize> {
+        let count = part.count as usize;
+        let pending = Arc::make_mut(&mut self.pending);
+        pending.retain(|pending| offset - pending.first < PENDING_SPAN);
+        let at = match pending.iter().position(|pending| pending.takes(&part)) {
+            Some(at) => at,
+            None if part.index == 0 => {
+                let parts = Vec::new();
+                pending.push(Pending {
+                    first: offset,
+                    parts,
+                });
+                pending.len() - 1
+            }
+            None => return Err(count),
+        };
+        let missing = pending[at].keep(part);
+        if missing > 0 {
+            return Err(missing);
+        }
+        Ok(pending.remove(at).parts)
+    }
+
+    /// Merges another state at an offset and raises the shift so that the
+    /// version lies above both.
+    pub(super) fn merge(&mut self, offset: u64, other: &Self) -> Merge {
+        let before = Version((offset + self.shift).saturating_sub(1));
+        let above = before.max(other.version()).next();
+        let shift = self.shift.max(other.shift).max(above.0 - offset);
+        let raised = shift - self.shift;
+        self.shift = shift;
+        let taken = self.join(other);
+        let version = self.version();
+        Merge {
+            version,
+            taken,
+            raised,
+        }
+    }
+
+    /// Takes over what another state holds newer or alone and returns how many
+    /// entries that were. Leaves offset and shift as they are.
+    pub(crate) fn join(&mut self, other: &Self) -> usize {
+        if self.digest == other.digest && self.floor == other.floor {
+            return 0;
+        }
+        let mut taken = 0;
+        for row in other.rows() {
+            taken += usize::from(self.join_row(&row));
+        }
+        taken += self.drop_forgotten(other);
+        self.floor = self.floor.max(other.floor);
+        if taken > 0 {
+            self.repair();
+        }
+        self.join_past(other);
+        self.forget();
+        taken
+    }
+
+    fn join_row(&mut self, row: &Row) -> bool {
+        let Some((item, changed)) = row.item() else {
+            return false;
+        };
+        let newer = match self.row(&item) {
+            None => changed > self.floor,
+            Some(own) => {
+                let own_changed = own.item().map_or(changed, |(_, changed)| changed);
+                let tie = changed == own_changed && *row != own;
+                changed > own_changed || (tie && row.hash() > own.hash())
+            }
+        };
+        if newer {
+            self.put_row(row);
+        }
+        newer
+    }
+
+    /// Removes entries that the other state withdrew so long ago that it no
+    /// longer remembers them.
+    fn drop_forgotten(&mut self, other: &Self) -> usize {
+        if other.floor == Version::default() {
+            return 0;
+        }
+        let known: BTreeSet<Item> = other
+            .rows()
+            .iter()
+            .filter_map(|row| row.item().map(|(item, _)| item))
+            .collect();
+        let own = self.rows();
+        let forgotten = own.iter().filter_map(Row::item).filter(|(item, changed)| {
+            let place = matches!(item.kind, Kind::Zone | Kind::Vm);
+            !place && *changed <= other.floor && !known.contains(item)
+        });
+        let forgotten: Vec<_> = forgotten.collect();
+        for (item, _) in &forgotten {
+            self.vacate(item);
+        }
+        forgotten.len()
+    }
+
+    fn row(&self, item: &Item) -> Option<Row> {
+        match item.kind {
+            Kind::Upstream => self.entry_row::<Upstream>(&item.name),
+            Kind::Model => self.entry_row::<Model>(&item.name),
+            Kind::Adapter => self.entry_row::<Adapter>(&item.name),
+            Kind::Service => self.entry_row::<Service>(&item.name),
+            Kind::Zone | Kind::Vm => self
+                .place(item.kind, &item.name)
+                .map(|place| place.to_row(item.kind, &item.name)),
+            Kind::Group => None,
+        }
+    }
+
+    fn entry_row<E: Entry>(&self, name: &str) -> Option<Row> {
+        let key = E::table(self).key(name)?;
+        of_slot(E::table(self).slot(key), key, self)
+    }
+
+    fn put_row(&mut self, row: &Row) {
+        match row {
+            Row::Upstream(kept) => {
+                let entry = Upstream::intern(&kept.entry, kept.changed, self);
+                let key = self.upstreams.intern(&kept.entry.name);
+                self.put_upstream(key, &slot(entry, kept.gone));
+            }
+            Row::Model(kept) => {
+                let entry = Model {
+                    version: kept.entry.version,
+                    highest: kept.entry.highest,
+                    versions: kept.entry.versions.as_slice().into(),
+                    changed: kept.changed,
+                };
+                self.put_named(&kept.entry.name, &slot(entry, kept.gone));
+            }
+            Row::Adapter(kept) => {
+                let entry = Adapter {
+                    model: self.models.intern(&kept.entry.model),
+                    version: kept.entry.version,
+                    changed: kept.changed,
+                };
+                self.put_named(&kept.entry.name, &slot(entry, kept.gone));
+            }
+            Row::Service(kept) => {
+                let entry = Service {
+                    not_repeatable: boxed(&kept.entry.not_repeatable),
+                    changed: kept.changed,
+                };
+                self.put_named(&kept.entry.name, &slot(entry, kept.gone));
+            }
+            Row::Zone(kept) => {
+                let place = Place {
+                    out: kept.entry.out,
+                    changed: kept.changed,
+                };
+                self.put_place(Kind::Zone, &kept.entry.name, place);
+            }
+            Row::Vm(kept) => {
+                let place = Place {
+                    out: kept.entry.out,
+                    changed: kept.changed,
+                };
+                self.put_place(Kind::Vm, &kept.entry.name, place);
+            }
+            Row::Past(_) => {}
+        }
+    }
+
+    fn put_named<E: Entry>(&mut self, name: &str, slot: &Slot<E>) {
+        let key = E::table_mut(self).intern(name);
+        self.put(key, slot);
+    }
+
+    /// Unites the remembered verdicts; of two on one id the later one stays.
+    fn join_past(&mut self, other: &Self) {
+        let all = self.recent.iter().chain(other.recent.iter());
+        let mut by_id: BTreeMap<String, Arc<Past>> = BTreeMap::new();
+        for past in all {
+            let rank = |past: &Past| (past.version, Row::Past(past.clone()).hash());
+            let known = by_id.get(&past.id);
+            if known.is_none_or(|known| rank(known) < rank(past)) {
+                by_id.insert(past.id.clone(), Arc::clone(past));
+            }
+        }
+        let mut sorted: Vec<_> = by_id.into_values().collect();
+        sorted.sort_by(|a, b| (a.version, &a.id).cmp(&(b.version, &b.id)));
+        let surplus = sorted.len().saturating_sub(bound::PAST);
+        for past in self.recent.iter() {
+            let row = Row::Past(Past::clone(past));
+            self.digest = self.digest.wrapping_sub(row.hash());
+        }
+        self.recent = Arc::new(Recent::default());
+        for past in sorted.into_iter().skip(surplus) {
+            self.push_past(Past::clone(&past));
+        }
+    }
+
+    /// Restores the references between entries after a join: two histories may
+    /// each be valid and their union not.
+    fn repair(&mut self) {
+        let mut upstreams: Vec<_> = self.upstreams.iter().map(|(key, _)| key).collect();
+        upstreams.sort_by(|a, b| self.upstreams.name(*a).cmp(self.upstreams.name(*b)));
+        for key in upstreams {
+            self.repair_upstream(key);
+        }
+        let adapters: Vec<_> = self.adapters.iter().map(|(_, entry)| entry.model).collect();
+        for model in adapters {
+            self.revive::<Model>(model);
+        }
+    }
+
+    fn repair_upstream(&mut self, key: sesamerock_base::key::Upstream) {
+        let Some(upstream) = self.upstreams.get(key).cloned() else {
+            return;
+        };
+        if let Some(service) = upstream.service {
+            self.revive::<Service>(service);
+        }
+        for served in &upstream.models {
+            self.revive::<Model>(served.model);
+            for adapter in &served.adapters {
+                self.revive::<Adapter>(*adapter);
+            }
+            let pinned = served.version;
+            let model = self.models.get(served.model).cloned();
+            if let (Some(version), Some(mut model)) = (pinned, model)
+                && !model.versions.contains(&version)
+            {
+                let mut versions = model.versions.to_vec();
+                versions.push(version);
+                versions.sort_unstable();
+                model.highest = model.highest.max(version);
+                model.versions = versions.into();
+                self.put(served.model, &Slot::Live(Arc::new(model)));
+            }
+        }
+        self.repair_rank(key, &upstream);
+    }
+
+    /// Of two upstreams that claim one rank the one changed later stays.
+    fn repair_rank(&mut self, key: sesamerock_base::key::Upstream, upstream: &Upstream) {
+        let Some(rank) = upstream.rank else {
+            return;
+        };
+        let Some(group) = self.groups.get(rank.group) else {
+            return;
+        };
+        let order = |key| {
+            let changed = self.upstreams.get(key).map(Stamped::changed);
+            (changed, self.upstreams.name(key))
+        };
+        let holders = group.ranks.iter().filter(|(index, _)| *index == rank.index);
+        let last = holders.map(|(_, holder)| *holder).max_by_key(|k| order(*k));
+        if last != Some(key) {
+            let entry = Arc::new(upstream.clone());
+            self.put_upstream(key, &Slot::Gone(entry));
+        }
+    }
+
+    /// Brings an entry back that another one refers to.
+    fn revive<E: Entry>(&mut self, key: E::Key) {
+        if let Slot::Gone(entry) = E::table(self).slot(key) {
+            let entry = Arc::clone(entry);
+            self.put(key, &Slot::Live(entry));
+        }
+    }
+}
+
+fn slot<E>(entry: E, gone: bool) -> Slot<E> {
+    let entry = Arc::new(entry);
+    if gone {
+        Slot::Gone(entry)
+    } else {
+        Slot::Live(entry)
+    }
+}
--- /dev/null
+++ b/crates/note/src/record/mod.rs
@@ -0,0 +1,223 @@
+//! Records of the log's stream `control`.
+//!
+//! A record is JSON of the shape `{"format":1,"id":"..","body":{KIND:{..}}}`.
+//! Decoding never fails hard: a record that this program cannot read is
+//! reported as a [`Skip`], so that old and new programs can run side by side.
+
+use std::collections::BTreeMap;
+use std::fmt;
+
+use serde::de::IgnoredAny;
+use serde::{Deserialize, Serialize};
+use sesamerock_base::version::Version;
+
+use crate::bound;
+use crate::note::Note;
+use crate::snapshot::Part;
+
+/// Format that this program writes and the newest one that it reads.
+pub const FORMAT: u32 = 1;
+
+/// Kinds of records that this program reads.
+const KINDS: [&str; 4] = ["note", "zone", "vm", "snapshot"];
+
+/// One record of the stream `control`.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Record {
+    /// Identifies the record; a second record with the same id is a duplicate.
+    /// The id of a note's record is the id of the note.
+    pub id: String,
+    /// Content by kind.
+    pub body: Body,
+}
+
+/// Content of a record.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Body {
+    /// A release note.
+    Note(Box<Note>),
+    /// A zone goes out of service or comes back.
+    Zone(Turn),
+    /// A VM goes out of service or comes back.
+    Vm(Turn),
+    /// One part of a snapshot of the control state.
+    Snapshot(Part),
+}
+
+/// Change of the service state of a zone or VM.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Turn {
+    /// Name of the zone or VM.
+    pub name: String,
+    /// The new service state.
+    pub to: Service,
+    /// Version that the publisher had. The record's version lies above it even
+    /// if the log lost its tail since, so the newest command stays the newest.
+    #[serde(default)]
+    pub seen: Version,
+}
+
+/// Service state of a zone or VM.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Service {
+    /// Gets no new work.
+    Out,
+    /// Gets work.
+    In,
+}
+
+/// Why a record was skipped.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Skip {
+    /// The record is larger than [`bound::RECORD`].
+    Oversized {
+        /// Its size in bytes.
+        bytes: usize,
+    },
+    /// The record is written in a newer format.
+    Newer {
+        /// Its format.
+        format: u32,
+    },
+    /// The record is of a kind that this program does not know.
+    Unknown {
+        /// Its kind, shortened to a readable length.
+        kind: String,
+    },
+    /// The bytes are no record.
+    Malformed {
+        /// What the decoder expected.
+        fault: String,
+    },
+}
+
+impl fmt::Display for Skip {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Oversized { bytes } => {
+                write!(f, "expected at most {} bytes, found {bytes}", bound::RECORD)
+            }
+            Self::Newer { format } => write!(f, "expected format {FORMAT}, found {format}"),
+            Self::Unknown { kind } => write!(f, "expected a known kind, found {kind:?}"),
+            Self::Malformed { fault } => write!(f, "malformed record: {fault}"),
+        }
+    }
+}
+
+#[derive(Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Wire<B> {
+    format: u32,
+    id: String,
+    body: B,
+}
+
+/// What every format keeps, so that a newer one is recognised.
+#[derive(Deserialize)]
+struct Head {
+    format: u32,
+    #[serde(default)]
+    #[expect(
+        clippy::zero_sized_map_values,
+        reason = "only the key of the body matters"
+    )]
+    body: Option<BTreeMap<String, IgnoredAny>>,
+}
+
+impl Record {
+    /// Makes the record of a note.
+    pub fn note(note: Note) -> Self {
+        Self {
+            id: note.id.clone(),
+            body: Body::Note(Box::new(note)),
+        }
+    }
+
+    /// Makes the record of a zone's change of service state.
+    pub fn zone(id: impl Into<String>, name: &str, to: Service, seen: Version) -> Self {
+        let name = name.to_owned();
+        Self {
+            id: id.into(),
+            body: Body::Zone(Turn { name, to, seen }),
+        }
+    }
+
+    /// Makes the record of a VM's change of service state.
+    pub fn vm(id: impl Into<String>, name: &str, to: Service, seen: Version) -> Self {
+        let name = name.to_owned();
+        Self {
+            id: id.into(),
+            body: Body::Vm(Turn { name, to, seen }),
+        }
+    }
+
+    /// Decodes a record.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the record is to be skipped.
+    pub fn decode(bytes: &[u8]) -> Result<Self, Skip> {
+        if bytes.len() > bound::RECORD {
+            return Err(Skip::Oversized { bytes: bytes.len() });
+        }
+        let wire: Wire<Body> = serde_json::from_slice(bytes).map_err(|e| diagnose(bytes, &e))?;
+        if wire.format != FORMAT {
+            return Err(Skip::Newer {
+                format: wire.format,
+            });
+        }
+        if wire.id.is_empty() || wire.id.len() > bound::ID {
+            let fault = format!("expected an id of 1 to {} bytes", bound::ID);
+            return Err(Skip::Malformed { fault });
+        }
+        let mut body = wire.body;
+        if let Body::Note(note) = &mut body {
+            note.id.clone_from(&wire.id);
+        }
+        Ok(Self { id: wire.id, body })
+    }
+
+    /// Encodes the record.
+    pub fn encode(&self) -> Vec<u8> {
+        let mut body = self.body.clone();
+        if let Body::Note(note) = &mut body {
+            // The record's own id stands for it.
+            note.id.clear();
+        }
+        let wire = Wire {
+            format: FORMAT,
+            id: self.id.clone(),
+            body,
+        };
+        to_json(&wire)
+    }
+}
+
+/// Encodes a value whose serialisation cannot fail: all maps have string keys.
+pub(crate) fn to_json(value: &impl Serialize) -> Vec<u8> {
+    serde_json::to_vec(value).expect("plain structs always serialise")
+}
+
+fn diagnose(bytes: &[u8], error: &serde_json::Error) -> Skip {
+    let malformed = Skip::Malformed {
+        fault: error.to_string(),
+    };
+    let Ok(head) = serde_json::from_slice::<Head>(bytes) else {
+        return malformed;
+    };
+    if head.format > FORMAT {
+        return Skip::Newer {
+            format: head.format,
+        };
+    }
+    let kind = head.body.and_then(|body| body.into_keys().next());
+    match kind {
+        Some(kind) if !KINDS.contains(&kind.as_str()) => Skip::Unknown {
+            kind: kind.chars().take(bound::NAME).collect(),
+        },
+        _ => malformed,
+    }
+}
--- /dev/null
+++ b/crates/note/src/snapshot/mod.rs
@@ -0,0 +1,191 @@
+//! Snapshots of the control state, in parts of bounded size.
+//!
+//! Nodes with the same state encode the same bytes. A new process restores a
+//! state from the parts and folds the log from [`State::position`] on. In the
+//! fold a snapshot is merged into the state: usually this changes nothing, but
+//! after the log lost its tail it brings back what the log no longer holds.
+
+mod due;
+
+use std::collections::BTreeSet;
+use std::fmt;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+use sesamerock_base::version::Version;
+
+use crate::fold::State;
+use crate::fold::row::Row;
+use crate::record::{Body, Record, to_json};
+
+pub use due::{Due, Reason, Schedule};
+
+/// Bytes of rows in one part. Small enough for every append, and large enough
+/// that 10,000 upstreams need a few dozen parts.
+pub const PART_BYTES: usize = 128 * 1024;
+
+/// Parts of one snapshot; [`crate::bound::ITEMS`] upstreams fit.
+pub const PARTS: u32 = 4_096;
+
+/// Records after which a snapshot whose parts are incomplete is given up. Its
+/// writer stopped, or appends so slowly that another node writes one.
+pub const PENDING_SPAN: u64 = 8_192;
+
+/// One part of a snapshot. The parts differ only in `index` and `rows`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Part {
+    /// Identifies the snapshot: version and hash of the state.
+    pub snapshot: String,
+    /// Position of this part, from 0.
+    pub index: u32,
+    /// Number of parts.
+    pub count: u32,
+    /// Offset of the record that the state folds next.
+    pub next: u64,
+    /// Offset from which a restored state needs the log.
+    pub from: u64,
+    /// Version minus offset.
+    pub shift: u64,
+    /// See [`State::floor`].
+    pub floor: Version,
+    /// Entries and verdicts in a fixed order.
+    pub rows: Vec<Row>,
+}
+
+impl Part {
+    /// Returns the version of the state.
+    pub fn version(&self) -> Version {
+        Version(self.next.saturating_add(self.shift).saturating_sub(1))
+    }
+
+    /// Returns whether two parts belong to one snapshot.
+    fn joins(&self, other: &Self) -> bool {
+        let head = |part: &Self| (part.count, part.next, part.from, part.shift, part.floor);
+        self.snapshot == other.snapshot && head(self) == head(other)
+    }
+}
+
+/// Why a state could not be restored.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// Some parts are missing.
+    Incomplete {
+        /// How many.
+        missing: usize,
+    },
+    /// The parts belong to different snapshots.
+    Mixed,
+    /// The content does not match the hash in the snapshot's id.
+    Hash,
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Incomplete { missing } => write!(f, "{missing} parts of the snapshot missing"),
+            Self::Mixed => write!(f, "parts of different snapshots"),
+            Self::Hash => write!(f, "the content does not match the snapshot's hash"),
+        }
+    }
+}
+
+impl std::error::Error for Fault {}
+
+/// Encodes a state as the records of a snapshot.
+pub fn encode(state: &State) -> Vec<Record> {
+    let snapshot = name(state);
+    let chunks = chunk(state.rows());
+    let count = chunks.len() as u32;
+    let record = |(index, rows)| Record {
+        id: format!("{snapshot}/{index}"),
+        body: Body::Snapshot(Part {
+            snapshot: snapshot.clone(),
+            index,
+            count,
+            next: state.next_offset(),
+            from: state.replay_from(),
+            shift: state.shift(),
+            floor: state.floor(),
+            rows,
+        }),
+    };
+    (0..).zip(chunks).map(record).collect()
+}
+
+/// Returns the id of a state's snapshot.
+pub fn name(state: &State) -> String {
+    let hash = blake3::Hash::from_bytes(state.hash()).to_hex();
+    format!("snapshot-{}-{hash}", state.version().0)
+}
+
+/// Restores a state from all parts of one snapshot, in any order.
+///
+/// # Errors
+///
+/// Fails if the parts are not those of one whole, undamaged snapshot.
+pub fn restore(parts: &[Arc<Part>]) -> Result<State, Fault> {
+    let Some(first) = parts.first() else {
+        return Err(Fault::Incomplete { missing: 1 });
+    };
+    if parts.iter().any(|part| !part.joins(first)) {
+        return Err(Fault::Mixed);
+    }
+    let known: BTreeSet<_> = parts.iter().map(|part| part.index).collect();
+    let missing = (0..first.count).filter(|index| !known.contains(index));
+    let missing = missing.count();
+    if missing > 0 || first.count == 0 {
+        return Err(Fault::Incomplete { missing });
+    }
+    let mut sorted: Vec<_> = parts.iter().collect();
+    sorted.sort_by_key(|part| part.index);
+    sorted.dedup_by_key(|part| part.index);
+    let rows = sorted.iter().flat_map(|part| &part.rows);
+    let state = State::restore(first, rows);
+    if name(&state) != first.snapshot {
+        return Err(Fault::Hash);
+    }
+    Ok(state)
+}
+
+fn chunk(rows: Vec<Row>) -> Vec<Vec<Row>> {
+    let mut chunks = vec![Vec::new()];
+    let mut bytes = 0;
+    for row in rows {
+        let size = to_json(&row).len();
+        if bytes + size > PART_BYTES && bytes > 0 {
+            chunks.push(Vec::new());
+            bytes = 0;
+        }
+        bytes += size;
+        if let Some(last) = chunks.last_mut() {
+            last.push(row);
+        }
+    }
+    chunks
+}
+
+/// A snapshot whose parts the fold collects.
+#[derive(Clone, Debug)]
+pub(crate) struct Pending {
+    /// Offset of its first part.
+    pub(crate) first: u64,
+    pub(crate) parts: Vec<Arc<Part>>,
+}
+
+impl Pending {
+    /// Returns whether a part belongs here.
+    pub(crate) fn takes(&self, part: &Part) -> bool {
+        self.parts.first().is_some_and(|first| first.joins(part))
+    }
+
+    /// Keeps a part unless it is known and returns how many are missing.
+    pub(crate) fn keep(&mut self, part: Part) -> usize {
+        let known = self.parts.iter().any(|other| other.index == part.index);
+        let count = part.count as usize;
+        if !known && part.index < part.count {
+            self.parts.push(Arc::new(part));
+        }
+        count - self.parts.len().min(count)
+    }
+}
