Add retry rules, stream resumption and crash suspects

Cause: a failed attempt must be followed only by what is safe, and one request must not cost more than two upstreams.

Change: the crate retry holds the budget, the attempt and hedge rules, the resumable stream and the mergeable list of crash suspects. The first version of the list convicted an innocent request when one of several entries had reported only its part of the calls aboard; a record that may lack calls now convicts nobody it accuses (test partial_evidence_waits_for_the_rest).

--- /dev/null
+++ b/crates/retry/src/budget/mod.rs
@@ -0,0 +1,107 @@
+//! A budget for retries, so that they cannot multiply an overload.
+//!
+//! Each success adds a share of a retry; a small rate is added besides, so that
+//! an entry with little traffic can retry at all.
+
+use std::time::Duration;
+
+use sesamerock_base::time::Moment;
+
+/// Bounds of a budget.
+#[derive(Clone, Copy, Debug)]
+pub struct Settings {
+    /// Retries that each success pays for.
+    pub share: f64,
+    /// Retries granted per second without any success.
+    pub floor: f64,
+    /// Most retries saved up.
+    pub most: f64,
+    /// How far resumed streams may overdraw the budget. Losing one of a dozen
+    /// upstreams cuts a twelfth of all streams at once, more than the share of
+    /// successes saved in the seconds before.
+    pub overdraft: f64,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            share: 0.1,
+            floor: 1.0,
+            most: 100.0,
+            overdraft: 400.0,
+        }
+    }
+}
+
+/// Whether the budget allows another attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// The attempt was taken from the budget.
+    Granted,
+    /// Nothing was taken; without successes the budget allows an attempt after
+    /// this time.
+    Exhausted(Duration),
+}
+
+/// The retry budget of one entry for one pool of upstreams.
+#[derive(Clone, Debug)]
+pub struct Budget {
+    settings: Settings,
+    balance: f64,
+    at: Moment,
+}
+
+impl Budget {
+    /// Makes a budget that has saved a tenth of its bound, enough for the first
+    /// seconds of a new entry.
+    pub fn new(settings: Settings, now: Moment) -> Self {
+        Self {
+            balance: settings.most / 10.0,
+            settings,
+            at: now,
+        }
+    }
+
+    /// Counts a call that succeeded at its first attempt or later.
+    pub fn success(&mut self, now: Moment) {
+        self.refill(now);
+        self.add(self.settings.share);
+    }
+
+    /// Takes a retry or a hedge from the budget, if it allows one.
+    pub fn may_retry(&mut self, now: Moment) -> Verdict {
+        self.take(now, 0.0)
+    }
+
+    /// Takes the resumption of a stream from the budget, if it allows one.
+    pub fn may_resume(&mut self, now: Moment) -> Verdict {
+        self.take(now, -self.settings.overdraft)
+    }
+
+    /// Returns the retries saved up; negative while overdrawn.
+    pub fn balance(&self) -> f64 {
+        self.balance
+    }
+
+    fn take(&mut self, now: Moment, least: f64) -> Verdict {
+        self.refill(now);
+        let missing = least + 1.0 - self.balance;
+        if missing <= 0.0 {
+            self.balance -= 1.0;
+            return Verdict::Granted;
+        }
+        Verdict::Exhausted(Duration::from_secs_f64(
+            missing / self.settings.floor.max(1e-3),
+        ))
+    }
+
+    fn refill(&mut self, now: Moment) {
+        let age = now.since(self.at).as_secs_f64();
+        self.at = self.at.max(now);
+        self.add(age * self.settings.floor);
+    }
+
+    fn add(&mut self, retries: f64) {
+        self.balance = (self.balance + retries).min(self.settings.most);
+    }
+}
--- /dev/null
+++ b/crates/retry/src/chunk/mod.rs
@@ -0,0 +1,100 @@
+//! The part of a streamed completion chunk that a resumption needs.
+
+use serde::Deserialize;
+use serde::de::IgnoredAny;
+use serde_json::Value;
+
+/// A chunk of a chat completion or a completion; other fields are skipped.
+#[derive(Debug, Default, Deserialize)]
+pub struct Chunk {
+    /// Identifier of the response, the same in all of its chunks.
+    #[serde(default)]
+    pub id: Option<String>,
+    #[serde(default)]
+    choices: Vec<Part>,
+}
+
+#[derive(Debug, Default, Deserialize)]
+struct Part {
+    #[serde(default)]
+    index: u32,
+    #[serde(default)]
+    delta: Option<Delta>,
+    #[serde(default)]
+    text: Option<String>,
+    #[serde(default)]
+    finish_reason: Option<IgnoredAny>,
+}
+
+#[derive(Debug, Default, Deserialize)]
+struct Delta {
+    #[serde(default)]
+    content: Option<String>,
+    #[serde(default)]
+    tool_calls: Option<IgnoredAny>,
+}
+
+impl Chunk {
+    /// Decodes the data of an event; `None` if it is not a chunk.
+    pub fn decode(data: &[u8]) -> Option<Self> {
+        serde_json::from_slice(data).ok()
+    }
+
+    /// Returns the text of the chunk; empty if it has none.
+    pub fn text(&self) -> &str {
+        let part = self.choices.first();
+        let text = part.and_then(|part| {
+            let content = part
+                .delta
+                .as_ref()
+                .and_then(|delta| delta.content.as_deref());
+            content.or(part.text.as_deref())
+        });
+        text.unwrap_or_default()
+    }
+
+    /// Returns whether the chunk ends the text.
+    pub fn finishes(&self) -> bool {
+        self.choices.iter().any(|part| part.finish_reason.is_some())
+    }
+
+    /// Returns whether the chunk is about the text at all; one with only usage
+    /// counts is not.
+    pub fn has_choice(&self) -> bool {
+        !self.choices.is_empty()
+    }
+
+    /// Returns whether the response is one plain text. Several texts side by
+    /// side and tool calls cannot be continued from a text.
+    pub fn is_plain(&self) -> bool {
+        let plain = |part: &Part| {
+            let tools = part
+                .delta
+                .as_ref()
+                .is_some_and(|delta| delta.tool_calls.is_some());
+            part.index == 0 && !tools
+        };
+        self.choices.len() <= 1 && self.choices.iter().all(plain)
+    }
+}
+
+/// Returns the event with its text and identifier replaced, or `None` if its
+/// data is not a chunk.
+pub fn rewrite(data: &[u8], id: Option<&str>, text: Option<&str>) -> Option<Vec<u8>> {
+    let mut value: Value = serde_json::from_slice(data).ok()?;
+    if let Some(id) = id {
+        *value.get_mut("id")? = Value::from(id);
+    }
+    if let Some(text) = text {
+        let part = value.get_mut("choices")?.get_mut(0)?;
+        let slot = match part.get_mut("delta") {
+            Some(delta) => delta.get_mut("content"),
+            None => part.get_mut("text"),
+        };
+        *slot? = Value::from(text);
+    }
+    let mut event = b"data: ".to_vec();
+    serde_json::to_writer(&mut event, &value).ok()?;
+    event.extend_from_slice(b"\n\n");
+    Some(event)
+}
--- /dev/null
+++ b/crates/retry/src/event/mod.rs
@@ -0,0 +1,84 @@
+//! Boundaries of server-sent events in a byte stream.
+//!
+//! The scanner looks at line ends and the first bytes of each line only; it
+//! does not decode the data. Lines end with LF or CRLF; engines do not send the
+//! lone CR that the format allows too.
+
+/// The end of a complete event.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct End {
+    /// Offset of the byte after the event's blank line.
+    pub at: usize,
+    /// Whether the event has data; comments and blank lines have none.
+    pub data: bool,
+    /// Whether the data is the closing mark `[DONE]`.
+    pub done: bool,
+}
+
+/// Position in a buffer that grows at its end and is cut at event ends.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Scanner {
+    /// Bytes looked at, so that a long event is not looked at again with each
+    /// chunk.
+    seen: usize,
+    /// Start of the current line.
+    line: usize,
+    data: bool,
+    done: bool,
+}
+
+impl Scanner {
+    /// Returns the next complete event, or `None` if more bytes are needed.
+    /// Offsets count from the start of `buffer`.
+    pub fn next(&mut self, buffer: &[u8]) -> Option<End> {
+        while let Some(length) = buffer[self.seen..].iter().position(|byte| *byte == b'\n') {
+            let end = self.seen + length;
+            let line = buffer[self.line..end]
+                .strip_suffix(b"\r")
+                .unwrap_or(&buffer[self.line..end]);
+            self.seen = end + 1;
+            self.line = end + 1;
+            if line.is_empty() {
+                return Some(self.close());
+            }
+            if let Some(data) = data(line) {
+                self.data = true;
+                self.done = data == b"[DONE]";
+            }
+        }
+        self.seen = buffer.len();
+        None
+    }
+
+    /// Takes in that `count` bytes were cut from the start of the buffer, up to
+    /// an event end that [`Scanner::next`] returned.
+    pub fn cut(&mut self, count: usize) {
+        self.seen -= count;
+        self.line -= count;
+    }
+
+    fn close(&mut self) -> End {
+        let end = End {
+            at: self.line,
+            data: self.data,
+            done: self.done,
+        };
+        self.data = false;
+        self.done = false;
+        end
+    }
+}
+
+/// Returns the data of a line, if it is a data line.
+fn data(line: &[u8]) -> Option<&[u8]> {
+    let value = line.strip_prefix(b"data:")?;
+    Some(value.strip_prefix(b" ").unwrap_or(value))
+}
+
+/// Returns the data of one event; several data lines are joined by LF.
+pub fn payload(event: &[u8]) -> Vec<u8> {
+    let lines = event.split(|byte| *byte == b'\n');
+    let lines = lines.map(|line| line.strip_suffix(b"\r").unwrap_or(line));
+    let data: Vec<_> = lines.filter_map(data).collect();
+    data.join(&b'\n')
+}
--- /dev/null
+++ b/crates/retry/src/flight/mod.rs
@@ -0,0 +1,83 @@
+//! The calls in flight on one upstream, for isolation and crash evidence.
+//!
+//! An agent keeps one for its engine, where at most one suspect may run at a
+//! time; an entry keeps one for each connection, to report what was in flight
+//! if the agent dies too.
+
+use std::collections::BTreeMap;
+
+use crate::evidence::{Fingerprint, Stamp};
+use crate::suspect::{Findings, Verdict};
+
+/// Calls in flight.
+#[derive(Clone, Debug, Default)]
+pub struct Flight {
+    aboard: BTreeMap<Fingerprint, u32>,
+}
+
+/// Whether a call may begin.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Start {
+    /// It was added to the calls in flight.
+    Begun,
+    /// It is a suspect, and another suspect is in flight.
+    Occupied,
+    /// It is a suspect that must wait this many milliseconds.
+    Held(u64),
+    /// It is convicted.
+    Convicted,
+}
+
+impl Flight {
+    /// Begins a call, unless the findings forbid it now.
+    pub fn start(&mut self, fingerprint: Fingerprint, findings: &Findings, now: Stamp) -> Start {
+        let verdict = findings.verdict(fingerprint);
+        if verdict == Verdict::Convicted {
+            return Start::Convicted;
+        }
+        if verdict == Verdict::Suspect {
+            let hold = findings.hold(fingerprint, now).as_millis() as u64;
+            if hold > 0 {
+                return Start::Held(hold);
+            }
+            if self.holds_suspect(findings) {
+                return Start::Occupied;
+            }
+        }
+        *self.aboard.entry(fingerprint).or_default() += 1;
+        Start::Begun
+    }
+
+    /// Ends a call, whatever its outcome.
+    pub fn finish(&mut self, fingerprint: Fingerprint) {
+        if let Some(count) = self.aboard.get_mut(&fingerprint) {
+            *count -= 1;
+            if *count == 0 {
+                self.aboard.remove(&fingerprint);
+            }
+        }
+    }
+
+    /// Returns whether a suspect is in flight. A call may have become one by a
+    /// crash elsewhere after it began.
+    pub fn holds_suspect(&self, findings: &Findings) -> bool {
+        self.aboard
+            .keys()
+            .any(|one| findings.verdict(*one) == Verdict::Suspect)
+    }
+
+    /// Ends all calls, because the upstream crashed, and returns them.
+    pub fn crash(&mut self) -> Vec<Fingerprint> {
+        std::mem::take(&mut self.aboard).into_keys().collect()
+    }
+
+    /// Returns the number of different requests in flight.
+    pub fn len(&self) -> usize {
+        self.aboard.len()
+    }
+
+    /// Returns whether nothing is in flight.
+    pub fn is_empty(&self) -> bool {
+        self.aboard.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/retry/src/suspect/mod.rs
@@ -0,0 +1,311 @@
+//! Requests that may crash every upstream that runs them.
+//!
+//! Each call in flight at a crash is a suspect. Of the calls in flight at a
+//! further crash, those that were suspects of another one are implicated. If
+//! that is exactly one, it is convicted, and its crashes accuse nobody else.
+//! A request that completes is cleared of all crashes known at that node. The
+//! verdicts follow from the merged facts alone, so nodes with the same facts
+//! agree, and it does not matter whether a node knew of the first crash when
+//! the second happened. See `docs/notes/retries.md`.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::time::Duration;
+
+use crate::evidence::{Crash, Fingerprint, Record, Stamp, Update};
+
+/// Bounds of a list.
+#[derive(Clone, Copy, Debug)]
+pub struct Settings {
+    /// How long a crash accuses.
+    pub expiry: Duration,
+    /// Most crashes kept; those with the greatest incarnations stay.
+    pub crashes: usize,
+    /// Most requests kept for each crash.
+    pub aboard: usize,
+    /// How long a suspect waits after its latest crash, until the other nodes
+    /// know of it. It must exceed the usual time of sharing.
+    pub share: Duration,
+    /// How long a request implicated by two crashes waits, so that others
+    /// implicated beside it complete and are cleared first.
+    pub doubt: Duration,
+    /// Time after which a crash record counts as complete although no agent
+    /// contributed, because the agent died too.
+    pub settle: Duration,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            expiry: Duration::from_mins(15),
+            crashes: 64,
+            aboard: 4096,
+            share: Duration::from_millis(500),
+            doubt: Duration::from_secs(10),
+            settle: Duration::from_secs(2),
+        }
+    }
+}
+
+/// What is held against a request.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Verdict {
+    /// Nothing.
+    #[default]
+    Clean,
+    /// It was in flight at a crash; it runs only where no other suspect runs.
+    Suspect,
+    /// It crashed upstreams; it is refused.
+    Convicted,
+}
+
+/// The crashes that a node knows, and what follows from them.
+#[derive(Clone, Debug, Default)]
+pub struct List {
+    settings: Settings,
+    crashes: BTreeMap<Crash, Record>,
+    /// Local revision at which each record last changed.
+    revisions: HashMap<Crash, u64>,
+    revision: u64,
+}
+
+/// What follows from the facts at one moment.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Findings {
+    /// Requests that are refused.
+    pub convicted: BTreeSet<Fingerprint>,
+    /// Requests that run in isolation.
+    pub suspects: BTreeMap<Fingerprint, Accusation>,
+    share: Duration,
+    doubt: Duration,
+}
+
+/// The crashes that accuse one suspect.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Accusation {
+    /// Their number.
+    pub crashes: u32,
+    /// The latest of them.
+    pub latest: Stamp,
+}
+
+impl List {
+    /// Makes an empty list.
+    pub fn new(settings: Settings) -> Self {
+        Self {
+            settings,
+            ..Self::default()
+        }
+    }
+
+    /// Takes in a crash with the calls that were in flight. `complete` says
+    /// that these were all calls, as only the upstream's agent knows.
+    pub fn crashed(
+        &mut self,
+        crash: Crash,
+        aboard: impl IntoIterator<Item = Fingerprint>,
+        complete: bool,
+        now: Stamp,
+    ) {
+        let record = Record {
+            at: now,
+            complete,
+            aboard: aboard
+                .into_iter()
+                .map(|fingerprint| (fingerprint, false))
+                .collect(),
+        };
+        self.merge_record(crash, &record);
+        self.bound();
+    }
+
+    /// Takes in that a request completed, which clears it of all crashes.
+    pub fn completed(&mut self, fingerprint: Fingerprint) {
+        self.revision += 1;
+        for (crash, record) in &mut self.crashes {
+            if let Some(cleared) = record.aboard.get_mut(&fingerprint)
+                && !*cleared
+            {
+                *cleared = true;
+                self.revisions.insert(*crash, self.revision);
+            }
+        }
+    }
+
+    /// Merges what another node knows.
+    pub fn merge(&mut self, update: &Update) {
+        for (crash, record) in &update.records {
+            self.merge_record(*crash, record);
+        }
+        self.bound();
+    }
+
+    /// Returns the records that changed after a revision, and the revision to
+    /// ask with next time.
+    pub fn changes(&self, since: u64) -> (u64, Update) {
+        let changed = |crash: &Crash| self.revisions.get(crash).is_some_and(|at| *at > since);
+        let records = self.crashes.iter().filter(|(crash, _)| changed(crash));
+        let records = records
+            .map(|(crash, record)| (*crash, record.clone()))
+            .collect();
+        (self.revision, Update { records })
+    }
+
+    /// Drops what has expired.
+    pub fn expire(&mut self, now: Stamp) {
+        let expiry = self.settings.expiry.as_millis() as u64;
+        self.crashes
+            .retain(|_, record| now.since(record.at) <= expiry);
+        self.revisions
+            .retain(|crash, _| self.crashes.contains_key(crash));
+    }
+
+    /// Returns what is held against a request.
+    ///
+    /// This looks at all facts. A program that checks every request publishes
+    /// [`List::findings`] whenever [`List::revision`] changes, and at least as
+    /// often as [`Settings::settle`], and checks against those.
+    pub fn check(&self, fingerprint: Fingerprint, now: Stamp) -> Verdict {
+        self.findings(now).verdict(fingerprint)
+    }
+
+    /// Returns a number that changes with the facts.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Returns what follows from the facts now.
+    pub fn findings(&self, now: Stamp) -> Findings {
+        let mut open = self.open(now);
+        let mut findings = Findings::default();
+        loop {
+            let counts = counts(&open);
+            // While a record may lack calls, another request in it may turn out
+            // to be the one in common, so it convicts nobody it accuses.
+            let unsettled: BTreeSet<_> = open
+                .iter()
+                .filter(|(record, _)| !self.settled(record, now))
+                .flat_map(|(_, aboard)| aboard.iter().copied())
+                .collect();
+            let convicted: BTreeSet<_> = open
+                .iter()
+                .filter_map(|(_, aboard)| only_implicated(aboard, &counts))
+                .filter(|one| !unsettled.contains(one))
+                .collect();
+            if convicted.is_empty() {
+                findings.suspects = counts;
+                findings.share = self.settings.share;
+                findings.doubt = self.settings.doubt;
+                return findings;
+            }
+            open.retain(|(_, aboard)| aboard.iter().all(|one| !convicted.contains(one)));
+            findings.convicted.extend(convicted);
+        }
+    }
+
+    /// Returns the number of crashes kept.
+    pub fn len(&self) -> usize {
+        self.crashes.len()
+    }
+
+    /// Returns whether no crash is kept.
+    pub fn is_empty(&self) -> bool {
+        self.crashes.is_empty()
+    }
+
+    /// Returns the crashes that have not expired, with those not cleared.
+    fn open(&self, now: Stamp) -> Vec<(&Record, Vec<Fingerprint>)> {
+        let expiry = self.settings.expiry.as_millis() as u64;
+        let valid = self
+            .crashes
+            .values()
+            .filter(|record| now.since(record.at) <= expiry);
+        valid
+            .map(|record| (record, record.open().collect()))
+            .collect()
+    }
+
+    fn settled(&self, record: &Record, now: Stamp) -> bool {
+        record.complete || u128::from(now.since(record.at)) >= self.settings.settle.as_millis()
+    }
+
+    fn merge_record(&mut self, crash: Crash, record: &Record) {
+        let known = self.crashes.get(&crash);
+        let mut merged = known.cloned().unwrap_or_else(|| Record {
+            at: record.at,
+            ..Record::default()
+        });
+        merged.merge(record, self.settings.aboard);
+        if known != Some(&merged) {
+            self.revision += 1;
+            self.revisions.insert(crash, self.revision);
+            self.crashes.insert(crash, merged);
+        }
+    }
+
+    fn bound(&mut self) {
+        while self.crashes.len() > self.settings.crashes {
+            if let Some((crash, _)) = self.crashes.pop_first() {
+                self.revisions.remove(&crash);
+            }
+        }
+    }
+}
+
+impl PartialEq for List {
+    /// Lists are equal if they hold the same facts.
+    fn eq(&self, other: &Self) -> bool {
+        self.crashes == other.crashes
+    }
+}
+
+impl Findings {
+    /// Returns how long a suspect must wait before it runs, even in isolation.
+    pub fn hold(&self, fingerprint: Fingerprint, now: Stamp) -> Duration {
+        let Some(accusation) = self.suspects.get(&fingerprint) else {
+            return Duration::ZERO;
+        };
+        let hold = if accusation.crashes > 1 {
+            self.doubt
+        } else {
+            self.share
+        };
+        hold.saturating_sub(Duration::from_millis(now.since(accusation.latest)))
+    }
+
+    /// Returns what is held against a request.
+    pub fn verdict(&self, fingerprint: Fingerprint) -> Verdict {
+        if self.convicted.contains(&fingerprint) {
+            Verdict::Convicted
+        } else if self.suspects.contains_key(&fingerprint) {
+            Verdict::Suspect
+        } else {
+            Verdict::Clean
+        }
+    }
+}
+
+/// Returns by how many crashes each request is accused, and the latest.
+fn counts(open: &[(&Record, Vec<Fingerprint>)]) -> BTreeMap<Fingerprint, Accusation> {
+    let mut counts: BTreeMap<Fingerprint, Accusation> = BTreeMap::new();
+    for (record, aboard) in open {
+        for fingerprint in aboard {
+            let count = counts.entry(*fingerprint).or_default();
+            count.crashes += 1;
+            count.latest = count.latest.max(record.at);
+        }
+    }
+    counts
+}
+
+/// Returns the request aboard that another crash accuses too, if it is the
+/// only one.
+fn only_implicated(
+    aboard: &[Fingerprint],
+    counts: &BTreeMap<Fingerprint, Accusation>,
+) -> Option<Fingerprint> {
+    let mut implicated = aboard
+        .iter()
+        .filter(|one| counts.get(one).is_some_and(|count| count.crashes > 1));
+    let first = implicated.next()?;
+    implicated.next().is_none().then_some(*first)
+}
--- /dev/null
+++ b/crates/retry/tests/resume.rs
@@ -0,0 +1,346 @@
+//! Guards the continuation of streams on another upstream.
+
+use bytes::Bytes;
+use quickcheck::{Arbitrary, Gen, QuickCheck};
+use sesamerock_retry::chunk::Chunk;
+use sesamerock_retry::event::payload;
+use sesamerock_retry::resume::{Cut, Fault, Origin, Point, Reason, Settings, Step, Stream};
+
+const FINISH: &str = r#"{"id":"ID","choices":[{"index":0,"delta":{},"finish_reason":"stop"}]}"#;
+
+fn event(id: &str, text: &str) -> String {
+    let text = serde_json::to_string(text).expect("a string");
+    format!(
+        r#"data: {{"id":"{id}","choices":[{{"index":0,"delta":{{"content":{text}}},"finish_reason":null}}]}}"#
+    ) + "\n\n"
+}
+
+fn opening(id: &str) -> String {
+    format!(
+        r#"data: {{"id":"{id}","choices":[{{"index":0,"delta":{{"role":"assistant","content":""}}}}]}}"#
+    ) + "\n\n"
+}
+
+fn closing(id: &str) -> String {
+    format!("data: {}\n\ndata: [DONE]\n\n", FINISH.replace("ID", id))
+}
+
+/// A whole response as an engine sends it.
+fn response(id: &str, tokens: &[String]) -> String {
+    let body: String = tokens.iter().map(|token| event(id, token)).collect();
+    opening(id) + &body + &closing(id)
+}
+
+/// The bytes that a caller received.
+#[derive(Default)]
+struct Caller {
+    bytes: Vec<u8>,
+    done: bool,
+}
+
+impl Caller {
+    fn take(&mut self, step: Step) {
+        match step {
+            Step::Deliver(pieces) => pieces
+                .iter()
+                .for_each(|piece| self.bytes.extend_from_slice(piece)),
+            Step::Done(pieces) => {
+                pieces
+                    .iter()
+                    .for_each(|piece| self.bytes.extend_from_slice(piece));
+                self.done = true;
+            }
+            other => panic!("{other:?}"),
+        }
+    }
+
+    /// Returns all text and the identifiers seen.
+    fn text(&self) -> (String, Vec<String>) {
+        let text = String::from_utf8(self.bytes.clone())
+            .expect("utf-8")
+            .replace("\r\n", "\n");
+        assert!(
+            text.is_empty() || text.ends_with("\n\n"),
+            "only whole events: {text:?}"
+        );
+        let mut ids = Vec::new();
+        let mut out = String::new();
+        for event in text.split_inclusive("\n\n") {
+            let data = payload(event.as_bytes());
+            if data.is_empty() || data == b"[DONE]" {
+                continue;
+            }
+            let chunk = Chunk::decode(&data).expect("a chunk");
+            out.push_str(chunk.text());
+            ids.extend(chunk.id);
+        }
+        ids.dedup();
+        (out, ids)
+    }
+}
+
+fn tokens(texts: &[&str]) -> Vec<String> {
+    texts.iter().map(|text| (*text).to_owned()).collect()
+}
+
+fn push(stream: &mut Stream, caller: &mut Caller, attempt: u64, bytes: &str) {
+    caller.take(stream.push(attempt, &Bytes::copy_from_slice(bytes.as_bytes())));
+}
+
+/// Whole events are passed on as they came, with comments and either line end.
+#[test]
+fn passes_events_unchanged() {
+    let tokens = tokens(&["Chalk ", "is \"white\"\n", "é"]);
+    for text in [
+        response("a", &tokens),
+        response("a", &tokens).replace('\n', "\r\n"),
+    ] {
+        let text = format!(
+            ": ping{}{text}",
+            if text.contains('\r') {
+                "\r\n\r\n"
+            } else {
+                "\n\n"
+            }
+        );
+        for size in [1, 2, 3, 7, 64, 10_000] {
+            let mut stream = Stream::new(1, Settings::default());
+            let mut caller = Caller::default();
+            for part in text.as_bytes().chunks(size) {
+                caller.take(stream.push(1, &Bytes::copy_from_slice(part)));
+            }
+            assert_eq!(caller.bytes, text.as_bytes(), "chunks of {size}");
+            assert!(caller.done && stream.is_done());
+            assert_eq!(stream.events(), 5);
+        }
+    }
+}
+
+/// Bytes of a superseded attempt, or after the closing mark, would give the
+/// caller text twice.
+#[test]
+fn drops_superseded_and_trailing_bytes() {
+    let mut stream = Stream::new(1, Settings::default());
+    let mut caller = Caller::default();
+    push(&mut stream, &mut caller, 1, &event("a", "one "));
+    assert!(matches!(stream.cut(1), Cut::Resume(_)));
+    let late = Bytes::from(event("a", "late "));
+    assert_eq!(stream.push(1, &late), Step::Superseded);
+    assert!(stream.begin(2, Origin::Continues));
+    assert_eq!(stream.push(1, &late), Step::Superseded);
+    assert_eq!(stream.cut(1), Cut::Superseded);
+    assert!(!stream.begin(2, Origin::Continues), "attempt numbers rise");
+    push(
+        &mut stream,
+        &mut caller,
+        2,
+        &(event("b", "two") + &closing("b") + &event("b", "more")),
+    );
+    assert_eq!(stream.push(2, &late), Step::Superseded);
+    assert_eq!(caller.text().0, "one two");
+}
+
+/// A half event was not delivered, so the continuation must bring it whole.
+#[test]
+fn half_event_is_not_delivered() {
+    let mut stream = Stream::new(1, Settings::default());
+    let mut caller = Caller::default();
+    let half = event("a", "two ");
+    push(
+        &mut stream,
+        &mut caller,
+        1,
+        &(opening("a") + &event("a", "one ") + &half[..half.len() - 1]),
+    );
+    let point = Point {
+        tokens: 1,
+        text: "one ".to_owned(),
+    };
+    assert_eq!(stream.cut(1), Cut::Resume(point));
+    assert!(stream.begin(2, Origin::Continues));
+    push(
+        &mut stream,
+        &mut caller,
+        2,
+        &(opening("b") + &event("b", "two ") + &closing("b")),
+    );
+    let ids = vec!["a".to_owned()];
+    assert_eq!(caller.text(), ("one two ".to_owned(), ids));
+    assert!(caller.done);
+}
+
+/// If only the closing mark is missing, another attempt would add text.
+#[test]
+fn finished_text_needs_no_attempt() {
+    let mut stream = Stream::new(1, Settings::default());
+    let mut caller = Caller::default();
+    let text = response("a", &tokens(&["all"]));
+    push(
+        &mut stream,
+        &mut caller,
+        1,
+        text.strip_suffix("data: [DONE]\n\n").expect("a mark"),
+    );
+    assert_eq!(
+        stream.cut(1),
+        Cut::Complete(Bytes::from_static(b"data: [DONE]\n\n"))
+    );
+}
+
+/// A restarted response that differs must not be spliced to what was
+/// delivered.
+#[test]
+fn restart_must_repeat_the_text() {
+    let begin = |next: &str| {
+        let mut stream = Stream::new(1, Settings::default());
+        let mut caller = Caller::default();
+        push(&mut stream, &mut caller, 1, &event("a", "one two "));
+        stream.cut(1);
+        assert!(stream.begin(2, Origin::Restarts));
+        let step = stream.push(2, &Bytes::copy_from_slice(next.as_bytes()));
+        (stream, caller, step)
+    };
+    let same = opening("b") + &event("b", "one ") + &event("b", "two three") + &closing("b");
+    let (_, mut caller, step) = begin(&same);
+    caller.take(step);
+    assert_eq!(
+        caller.text(),
+        ("one two three".to_owned(), vec!["a".to_owned()])
+    );
+    let other = event("b", "one ") + &event("b", "three");
+    let (mut stream, _, step) = begin(&other);
+    assert_eq!(step, Step::Fault(Fault::Diverged));
+    assert_eq!(
+        stream.push(2, &Bytes::from(event("b", "x"))),
+        Step::Superseded
+    );
+    assert!(matches!(stream.cut(2), Cut::Resume(point) if point.text == "one two "));
+    let short = event("b", "one ") + &closing("b");
+    assert_eq!(begin(&short).2, Step::Fault(Fault::Diverged));
+}
+
+/// Memory must stay bounded, and a stream past the bound must say that it
+/// cannot be resumed rather than continue at a wrong place.
+#[test]
+fn bounds_hold() {
+    let settings = Settings {
+        raw: 256,
+        text: 40,
+        event: 1024,
+    };
+    let mut stream = Stream::new(1, settings);
+    let mut caller = Caller::default();
+    for _ in 0..10 {
+        push(&mut stream, &mut caller, 1, &event("a", "12345678"));
+    }
+    assert_eq!(caller.text().0.len(), 80);
+    assert_eq!(stream.cut(1), Cut::Unresumable(Reason::Long));
+    assert!(!stream.begin(2, Origin::Continues));
+    let mut stream = Stream::new(1, settings);
+    let long = Bytes::from("data: ".to_owned() + &"x".repeat(1_100));
+    assert_eq!(stream.push(1, &long), Step::Fault(Fault::Oversized));
+}
+
+/// Tool calls and several texts side by side cannot be continued from a text.
+#[test]
+fn only_one_plain_text_is_resumed() {
+    let tools = r#"{"choices":[{"index":0,"delta":{"tool_calls":[{"index":0}]}}]}"#;
+    let second = r#"{"choices":[{"index":1,"delta":{"content":"x"}}]}"#;
+    for data in [tools, second, "no json"] {
+        let mut stream = Stream::new(1, Settings::default());
+        let mut caller = Caller::default();
+        push(&mut stream, &mut caller, 1, &format!("data: {data}\n\n"));
+        assert_eq!(stream.cut(1), Cut::Unresumable(Reason::Structure), "{data}");
+    }
+}
+
+/// A response, cut at some places, continued in either way, in chunks.
+#[derive(Clone, Debug)]
+struct Schedule {
+    tokens: Vec<String>,
+    cuts: Vec<(usize, bool)>,
+    chunk: usize,
+    crlf: bool,
+}
+
+impl Arbitrary for Schedule {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let cuts = Vec::<(usize, bool)>::arbitrary(g);
+        Self {
+            tokens: Vec::<String>::arbitrary(g)
+                .into_iter()
+                .filter(|token| !token.is_empty())
+                .collect(),
+            cuts: cuts.into_iter().take(4).collect(),
+            chunk: 1 + usize::arbitrary(g) % 97,
+            crlf: bool::arbitrary(g),
+        }
+    }
+}
+
+/// Runs a schedule and returns whether the caller has exactly the response.
+fn delivers(schedule: &Schedule) -> bool {
+    let whole: String = schedule.tokens.concat();
+    let settings = Settings {
+        raw: 300,
+        ..Settings::default()
+    };
+    let mut stream = Stream::new(0, settings);
+    let mut caller = Caller::default();
+    let mut rest = schedule.tokens.clone();
+    let mut attempt = 0;
+    for (place, restarts) in schedule
+        .cuts
+        .iter()
+        .map(|cut| (Some(cut.0), cut.1))
+        .chain([(None, false)])
+    {
+        let id = format!("attempt-{attempt}");
+        let text = response(&id, &rest);
+        let text = if schedule.crlf {
+            text.replace('\n', "\r\n")
+        } else {
+            text
+        };
+        let end = place.map_or(text.len(), |place| place % (text.len() + 1));
+        for part in text.as_bytes()[..end].chunks(schedule.chunk) {
+            caller.take(stream.push(attempt, &Bytes::copy_from_slice(part)));
+        }
+        attempt += 1;
+        let point = match stream.cut(attempt - 1) {
+            Cut::Complete(missing) => {
+                caller.bytes.extend_from_slice(&missing);
+                break;
+            }
+            Cut::Resume(point) => point,
+            other => panic!("{other:?}"),
+        };
+        rest.clone_from(&schedule.tokens);
+        let origin = if restarts {
+            Origin::Restarts
+        } else {
+            Origin::Continues
+        };
+        if !restarts {
+            rest.drain(..point.tokens as usize);
+        }
+        assert!(stream.begin(attempt, origin));
+    }
+    let (text, ids) = caller.text();
+    text == whole && ids.len() <= 1
+}
+
+/// No token may be lost or doubled, wherever the attempts break off.
+#[test]
+fn every_cut_is_continued_exactly() {
+    #[expect(
+        clippy::needless_pass_by_value,
+        reason = "quickcheck passes owned values"
+    )]
+    fn holds(schedule: Schedule) -> bool {
+        delivers(&schedule)
+    }
+    QuickCheck::new()
+        .tests(5_000)
+        .quickcheck(holds as fn(Schedule) -> bool);
+}
--- /dev/null
+++ b/crates/retry/tests/suspect.rs
@@ -0,0 +1,306 @@
+//! Guards the detection of requests that crash upstreams.
+
+use std::time::Duration;
+
+use quickcheck::{Arbitrary, Gen, QuickCheck};
+use sesamerock_retry::evidence::{Crash, Fingerprint, Stamp, Update};
+use sesamerock_retry::flight::{Flight, Start};
+use sesamerock_retry::suspect::{List, Settings, Verdict};
+
+const POISON: Fingerprint = Fingerprint(666);
+const INNOCENT: Fingerprint = Fingerprint(1);
+const OTHER: Fingerprint = Fingerprint(2);
+
+fn crash(upstream: u64) -> Crash {
+    Crash {
+        incarnation: 100 + upstream,
+        upstream,
+    }
+}
+
+fn at(millis: u64) -> Stamp {
+    Stamp(1_000_000 + millis)
+}
+
+fn crashed(list: &mut List, upstream: u64, aboard: &[Fingerprint]) {
+    list.crashed(crash(upstream), aboard.iter().copied(), true, at(upstream));
+}
+
+fn verdicts(list: &List) -> [Verdict; 3] {
+    [POISON, INNOCENT, OTHER].map(|one| list.check(one, at(100)))
+}
+
+/// A request aboard one crash must not be refused, and the second crash must
+/// convict the one that was aboard both and clear those beside it.
+#[test]
+fn second_crash_convicts_the_common_request() {
+    let mut list = List::default();
+    assert_eq!(verdicts(&list), [Verdict::Clean; 3]);
+    crashed(&mut list, 1, &[POISON, INNOCENT]);
+    assert_eq!(
+        verdicts(&list),
+        [Verdict::Suspect, Verdict::Suspect, Verdict::Clean]
+    );
+    crashed(&mut list, 2, &[POISON, OTHER]);
+    assert_eq!(
+        verdicts(&list),
+        [Verdict::Convicted, Verdict::Clean, Verdict::Clean]
+    );
+}
+
+/// With two requests common to both crashes neither may be refused; once one
+/// completes, the other is convicted without a third crash.
+#[test]
+fn ambiguity_ends_with_a_completion() {
+    let mut list = List::default();
+    crashed(&mut list, 1, &[POISON, INNOCENT, OTHER]);
+    crashed(&mut list, 2, &[POISON, INNOCENT]);
+    assert_eq!(verdicts(&list), [Verdict::Suspect; 3]);
+    list.completed(INNOCENT);
+    assert_eq!(
+        verdicts(&list),
+        [Verdict::Convicted, Verdict::Clean, Verdict::Clean]
+    );
+}
+
+/// A frequent request that completed between two crashes must not be taken for
+/// the cause of both.
+#[test]
+fn completion_between_crashes_clears() {
+    let mut list = List::default();
+    crashed(&mut list, 1, &[POISON, INNOCENT]);
+    list.completed(INNOCENT);
+    crashed(&mut list, 2, &[POISON, INNOCENT]);
+    assert_eq!(list.check(POISON, at(10)), Verdict::Convicted);
+    assert_eq!(list.check(INNOCENT, at(10)), Verdict::Clean);
+}
+
+/// What only one of several entries reports may be a part of the calls aboard;
+/// until the others had time to report, it convicts nobody.
+#[test]
+fn partial_evidence_waits_for_the_rest() {
+    let mut list = List::default();
+    crashed(&mut list, 1, &[POISON, INNOCENT]);
+    list.crashed(crash(2), [INNOCENT], false, at(2));
+    assert_eq!(list.check(INNOCENT, at(10)), Verdict::Suspect);
+    list.crashed(crash(2), [POISON], false, at(40));
+    assert_eq!(list.check(INNOCENT, at(5_000)), Verdict::Suspect);
+    list.completed(INNOCENT);
+    assert_eq!(list.check(POISON, at(5_000)), Verdict::Convicted);
+}
+
+/// A request resent through another entry must be known there as a suspect,
+/// and a crash that happened before the news arrived must count.
+#[test]
+fn other_entries_learn_of_suspects() {
+    let (mut here, mut there) = (List::default(), List::default());
+    crashed(&mut here, 1, &[POISON, INNOCENT]);
+    crashed(&mut there, 2, &[POISON, OTHER]);
+    let (revision, update) = here.changes(0);
+    there.merge(&update);
+    assert_eq!(there.check(POISON, at(10)), Verdict::Convicted);
+    assert_eq!(here.changes(revision).1, Update::default());
+    here.merge(&there.changes(0).1);
+    assert_eq!(here, there);
+    assert_eq!(here.findings(at(10)), there.findings(at(10)));
+}
+
+/// Two suspects on one upstream would leave open which one crashed it; a
+/// convicted request must not run at all.
+#[test]
+fn isolation_of_suspects() {
+    let mut list = List::default();
+    crashed(&mut list, 1, &[POISON, INNOCENT]);
+    let mut flight = Flight::default();
+    let findings = list.findings(at(100));
+    assert_eq!(flight.start(POISON, &findings, at(101)), Start::Held(400));
+    assert_eq!(flight.start(POISON, &findings, at(600)), Start::Begun);
+    assert_eq!(flight.start(INNOCENT, &findings, at(600)), Start::Occupied);
+    assert_eq!(flight.start(OTHER, &findings, at(600)), Start::Begun);
+    assert_eq!(flight.crash(), [OTHER, POISON]);
+    crashed(&mut list, 2, &[OTHER, POISON]);
+    let findings = list.findings(at(601));
+    assert_eq!(flight.start(POISON, &findings, at(700)), Start::Convicted);
+    assert_eq!(flight.start(INNOCENT, &findings, at(700)), Start::Begun);
+    flight.finish(INNOCENT);
+    assert!(flight.is_empty());
+}
+
+/// A request that became a suspect while it ran counts as the one suspect of
+/// its upstream.
+#[test]
+fn running_call_becomes_the_suspect_aboard() {
+    let mut list = List::default();
+    let mut flight = Flight::default();
+    assert_eq!(
+        flight.start(INNOCENT, &list.findings(at(0)), at(0)),
+        Start::Begun
+    );
+    crashed(&mut list, 1, &[POISON, INNOCENT]);
+    assert_eq!(
+        flight.start(POISON, &list.findings(at(900)), at(900)),
+        Start::Occupied
+    );
+}
+
+/// A conviction must end, since the engine may have been repaired, and must not
+/// come back from a node that still holds it.
+#[test]
+fn accusations_expire() {
+    let mut list = List::default();
+    crashed(&mut list, 1, &[POISON]);
+    crashed(&mut list, 2, &[POISON]);
+    let update = list.changes(0).1;
+    let later = at(16 * 60 * 1000);
+    assert_eq!(list.check(POISON, later), Verdict::Clean);
+    list.expire(later);
+    assert!(list.is_empty());
+    list.merge(&update);
+    assert_eq!(list.check(POISON, later), Verdict::Clean);
+}
+
+/// Memory must stay bounded whatever peers send.
+#[test]
+fn size_is_bounded() {
+    let settings = Settings {
+        crashes: 4,
+        aboard: 8,
+        ..Settings::default()
+    };
+    let mut list = List::new(settings);
+    for upstream in 0..20 {
+        list.crashed(
+            crash(upstream),
+            (0..50).map(Fingerprint),
+            true,
+            at(upstream),
+        );
+    }
+    let (_, update) = list.changes(0);
+    assert_eq!(list.len(), 4);
+    assert_eq!(update.records.len(), 4);
+    assert!(
+        update
+            .records
+            .iter()
+            .all(|(_, record)| record.aboard.len() == 8)
+    );
+    assert_eq!(update.records[0].0, crash(16));
+}
+
+/// The parts of a fingerprint must not run into each other.
+#[test]
+fn fingerprints_separate_their_parts() {
+    let one = Fingerprint::of("ab", "c", b"body");
+    assert_ne!(one, Fingerprint::of("a", "bc", b"body"));
+    assert_ne!(one, Fingerprint::of("ab", "cb", b"ody"));
+    assert_eq!(one, Fingerprint::of("ab", "c", b"body"));
+}
+
+/// One observation at a node.
+#[derive(Clone, Debug)]
+enum Fact {
+    Crash(u8, Vec<u8>, bool, u16),
+    Completion(u8),
+}
+
+impl Arbitrary for Fact {
+    fn arbitrary(g: &mut Gen) -> Self {
+        if bool::arbitrary(g) {
+            let aboard = Vec::<u8>::arbitrary(g)
+                .into_iter()
+                .map(|one| one % 12)
+                .collect();
+            Self::Crash(
+                u8::arbitrary(g) % 8,
+                aboard,
+                bool::arbitrary(g),
+                u16::arbitrary(g),
+            )
+        } else {
+            Self::Completion(u8::arbitrary(g) % 12)
+        }
+    }
+}
+
+/// Builds the list of a node with bounds small enough to be reached.
+fn list(facts: &[Fact]) -> List {
+    let settings = Settings {
+        crashes: 5,
+        aboard: 6,
+        share: Duration::ZERO,
+        ..Settings::default()
+    };
+    let mut list = List::new(settings);
+    for fact in facts {
+        match fact {
+            Fact::Crash(upstream, aboard, complete, millis) => {
+                let aboard = aboard.iter().map(|one| Fingerprint(u64::from(*one)));
+                list.crashed(
+                    crash(u64::from(*upstream)),
+                    aboard,
+                    *complete,
+                    at(u64::from(*millis)),
+                );
+            }
+            Fact::Completion(one) => list.completed(Fingerprint(u64::from(*one))),
+        }
+    }
+    list
+}
+
+fn merged(left: &List, right: &List) -> List {
+    let mut merged = left.clone();
+    merged.merge(&right.changes(0).1);
+    merged
+}
+
+/// Nodes that received the same facts in another order, grouping or number
+/// would otherwise refuse different requests.
+#[test]
+fn merge_is_commutative_associative_idempotent() {
+    #[expect(
+        clippy::needless_pass_by_value,
+        reason = "quickcheck passes owned values"
+    )]
+    fn holds(a: Vec<Fact>, b: Vec<Fact>, c: Vec<Fact>) -> bool {
+        let (a, b, c) = (list(&a), list(&b), list(&c));
+        let now = at(70_000);
+        let commutes = merged(&a, &b) == merged(&b, &a);
+        let left = merged(&merged(&a, &b), &c);
+        let right = merged(&a, &merged(&b, &c));
+        let once = merged(&a, &b);
+        let twice = merged(&once, &b);
+        commutes && left == right && once == twice && left.findings(now) == right.findings(now)
+    }
+    QuickCheck::new()
+        .tests(3_000)
+        .quickcheck(holds as fn(Vec<Fact>, Vec<Fact>, Vec<Fact>) -> bool);
+}
+
+/// Changes since a revision must bring another node to the same facts as the
+/// whole list, or deltas would lose evidence.
+#[test]
+fn deltas_carry_all_facts() {
+    #[expect(
+        clippy::needless_pass_by_value,
+        reason = "quickcheck passes owned values"
+    )]
+    fn holds(before: Vec<Fact>, after: Vec<Fact>) -> bool {
+        let early = list(&before);
+        let all: Vec<_> = before.iter().chain(&after).cloned().collect();
+        let late = list(&all);
+        let mut other = List::new(Settings {
+            crashes: 5,
+            aboard: 6,
+            ..Settings::default()
+        });
+        let (revision, update) = early.changes(0);
+        other.merge(&update);
+        other.merge(&late.changes(revision).1);
+        other == late
+    }
+    QuickCheck::new()
+        .tests(2_000)
+        .quickcheck(holds as fn(Vec<Fact>, Vec<Fact>) -> bool);
+}
