--- /dev/null
+++ b/crates/ledger/src/batch/mod.rs
@@ -0,0 +1,271 @@
+//! Group commit: when to append, and what is not yet known to be in the log.
+//!
+//! One entry is under way at a time, and it counts as appended only when the
+//! writer reads it in the stream. An answer to the append is therefore only a
+//! hint: when it is lost, or claims a failure after the append took effect, the
+//! same entry is sent again and readers drop the duplicate by its number.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::Arc;
+use std::time::Duration;
+
+use sesamerock_base::time::Moment;
+
+use crate::id::Incarnation;
+use crate::record::{Entry, Record};
+
+/// Settings of a batch.
+#[derive(Clone, Copy, Debug)]
+pub struct Config {
+    /// Appends per second that all writers of the shard may use together. The
+    /// settings divide the platform's limit among shards and other uses.
+    pub appends_per_second: f64,
+    /// Time over which other writers are counted.
+    pub window: Duration,
+    /// Time that a record nobody waits for may wait for company.
+    pub lazy: Duration,
+    /// Time after which an entry that was not read back is sent again.
+    pub resend: Duration,
+    /// Largest wait after repeated failures.
+    pub max_backoff: Duration,
+    /// Largest estimated size of an entry in bytes, but for a single record
+    /// that is larger.
+    pub max_bytes: usize,
+}
+
+impl Default for Config {
+    fn default() -> Self {
+        Self {
+            appends_per_second: 200.0,
+            window: Duration::from_secs(2),
+            lazy: Duration::from_millis(200),
+            resend: Duration::from_millis(500),
+            max_backoff: Duration::from_secs(10),
+            max_bytes: 256 * 1024,
+        }
+    }
+}
+
+/// The writer's identity, as in the entries' headers.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Author {
+    /// This process.
+    pub incarnation: Incarnation,
+    /// Name of its upstream.
+    pub upstream: Arc<str>,
+}
+
+/// How soon a record must be appended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Urgency {
+    /// A call waits for it.
+    Now,
+    /// It may wait for [`Config::lazy`].
+    Lazy,
+}
+
+#[derive(Clone, Debug)]
+struct Queued {
+    record: Record,
+    due: Moment,
+}
+
+#[derive(Clone, Debug)]
+struct Flight {
+    entry: Arc<Entry>,
+    /// When it may be sent again.
+    again: Moment,
+    backoff: Duration,
+}
+
+/// The records of one writer on their way into the log.
+#[derive(Clone, Debug)]
+pub struct Batch {
+    config: Config,
+    author: Author,
+    queue: VecDeque<Queued>,
+    flight: Option<Flight>,
+    number: u64,
+    /// Attempts whose intent or void is queued or under way.
+    held: BTreeSet<u64>,
+    /// When the last append was sent.
+    sent: Option<Moment>,
+    /// Other writers of the stream and when their last entry was read.
+    others: BTreeMap<Incarnation, Moment>,
+}
+
+impl Batch {
+    /// Makes an empty batch.
+    pub fn new(config: Config, author: Author) -> Self {
+        Self {
+            config,
+            author,
+            queue: VecDeque::new(),
+            flight: None,
+            number: 0,
+            held: BTreeSet::new(),
+            sent: None,
+            others: BTreeMap::new(),
+        }
+    }
+
+    /// Adds a record.
+    pub fn push(&mut self, record: Record, urgency: Urgency, now: Moment) {
+        let due = match urgency {
+            Urgency::Now => now,
+            Urgency::Lazy => now + self.config.lazy,
+        };
+        self.held.extend(sequence(&record));
+        self.queue.push_back(Queued { record, due });
+    }
+
+    /// Returns whether an intent or a void of an attempt is not yet known to be
+    /// in the log.
+    pub fn holds(&self, sequence: u64) -> bool {
+        self.held.contains(&sequence)
+    }
+
+    /// Returns whether a snapshot part is not yet known to be in the log.
+    pub fn holds_part(&self) -> bool {
+        self.any(|record| matches!(record, Record::Part(_)))
+    }
+
+    /// Returns whether an age statement is not yet known to be in the log.
+    pub fn holds_age(&self) -> bool {
+        self.any(|record| matches!(record, Record::Age(_)))
+    }
+
+    fn any(&self, test: impl Fn(&Record) -> bool) -> bool {
+        let mut flying = self.flight.iter().flat_map(|flight| &flight.entry.records);
+        flying.any(&test) || self.queue.iter().any(|queued| test(&queued.record))
+    }
+
+    /// Removes an intent that no append has carried yet; returns false if it may
+    /// be in the log.
+    pub fn cancel(&mut self, sequence: u64) -> bool {
+        let before = self.queue.len();
+        self.queue.retain(|queued| {
+            !matches!(&queued.record, Record::Intent(intent) if intent.sequence == sequence)
+        });
+        let cancelled = self.queue.len() < before;
+        if cancelled {
+            self.held.remove(&sequence);
+        }
+        cancelled
+    }
+
+    /// Returns the entry to append now, if any; the same one again when it was
+    /// not read back in time.
+    pub fn poll(&mut self, now: Moment) -> Option<Arc<Entry>> {
+        if self.wake()? > now {
+            return None;
+        }
+        self.sent = Some(now);
+        if let Some(flight) = &mut self.flight {
+            flight.backoff = (flight.backoff * 2).min(self.config.max_backoff);
+            flight.again = now + flight.backoff;
+            return Some(Arc::clone(&flight.entry));
+        }
+        let entry = Arc::new(self.collect());
+        self.flight = Some(Flight {
+            entry: Arc::clone(&entry),
+            again: now + self.config.resend,
+            backoff: self.config.resend,
+        });
+        Some(entry)
+    }
+
+    /// Returns when [`Self::poll`] has something to append, if ever.
+    pub fn wake(&self) -> Option<Moment> {
+        let due = match &self.flight {
+            Some(flight) => flight.again,
+            None => self.queue.iter().map(|queued| queued.due).min()?,
+        };
+        let earliest = self.sent.map(|sent| sent + self.interval());
+        Some(earliest.map_or(due, |earliest| due.max(earliest)))
+    }
+
+    /// Takes note that an append of the current entry failed or is unanswered;
+    /// `retry_after` is what the log asked for.
+    pub fn failed(&mut self, number: u64, retry_after: Option<Duration>, now: Moment) {
+        if let Some(flight) = &mut self.flight
+            && flight.entry.number == number
+        {
+            let wait = retry_after.unwrap_or(flight.backoff);
+            flight.again = flight.again.max(now + wait);
+        }
+    }
+
+    /// Takes note of an entry read in the stream.
+    pub fn observe(&mut self, entry: &Entry, now: Moment) {
+        if entry.writer != self.author.incarnation {
+            self.others.insert(entry.writer, now);
+            return;
+        }
+        let read_back = |flight: &mut Flight| flight.entry.number == entry.number;
+        if let Some(flight) = self.flight.take_if(read_back) {
+            for record in &flight.entry.records {
+                if let Some(sequence) = sequence(record) {
+                    self.held.remove(&sequence);
+                }
+            }
+        }
+    }
+
+    /// Forgets writers that were not seen for the window.
+    pub fn tick(&mut self, now: Moment) {
+        let window = self.config.window.max(self.interval() * 2);
+        self.others.retain(|_, seen| now.since(*seen) <= window);
+    }
+
+    /// Returns the time between two appends of this writer: with `n` writers,
+    /// each takes an `n`-th of the allowed rate.
+    pub fn interval(&self) -> Duration {
+        let writers = self.others.len() + 1;
+        Duration::from_secs_f64(writers as f64 / self.config.appends_per_second)
+    }
+
+    /// Returns whether nothing waits to be read back.
+    pub fn is_empty(&self) -> bool {
+        self.queue.is_empty() && self.flight.is_none()
+    }
+
+    /// Returns the number of records that no append has carried yet.
+    pub fn queued(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Returns the writer's identity.
+    pub const fn author(&self) -> &Author {
+        &self.author
+    }
+
+    /// Takes queued records up to the size limit, at least one.
+    fn collect(&mut self) -> Entry {
+        let mut bytes = 0;
+        let mut records = Vec::new();
+        while let Some(queued) = self.queue.front() {
+            bytes += queued.record.size();
+            if !records.is_empty() && bytes > self.config.max_bytes {
+                break;
+            }
+            records.extend(self.queue.pop_front().map(|queued| queued.record));
+        }
+        self.number += 1;
+        Entry {
+            writer: self.author.incarnation,
+            upstream: Arc::clone(&self.author.upstream),
+            number: self.number,
+            records,
+        }
+    }
+}
+
+/// Returns the attempt that waits for a record to be read back.
+const fn sequence(record: &Record) -> Option<u64> {
+    match record {
+        Record::Intent(intent) => Some(intent.sequence),
+        Record::Void(own) => Some(own.sequence),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/ledger/src/fold/aging.rs
@@ -0,0 +1,133 @@
+//! Expiry without a clock in the log.
+//!
+//! A writer that read offset `p` and measures, on its monotonic clock, that the
+//! time `a` has passed since, may state that `p` is at least `a` old. Readers
+//! continue from stated ages, so a restart loses little. Statements are lower
+//! bounds of true ages whatever the delays of their appends, hence an outcome
+//! can expire late but never early, and all readers agree since the statements
+//! are records themselves.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use sesamerock_base::time::Moment;
+
+use crate::record::{Age, Stream};
+
+/// Number of offsets whose age is followed at the same time. Expiry is late by
+/// up to `horizon / MARKERS`, and each marker costs about `MARKERS` records.
+const MARKERS: u32 = 16;
+
+#[derive(Clone, Copy, Debug)]
+struct Marker {
+    seconds: u64,
+    read: Moment,
+}
+
+impl Marker {
+    /// The age now: the stated one plus the time since this process read it.
+    const fn age(&self, now: Moment) -> u64 {
+        self.seconds + now.since(self.read).as_secs()
+    }
+}
+
+#[derive(Clone, Debug, Default)]
+pub(super) struct Aging {
+    expired: u64,
+    repair: u64,
+    markers: BTreeMap<u64, Marker>,
+}
+
+impl Aging {
+    pub(super) const fn expired(&self) -> u64 {
+        self.expired
+    }
+
+    pub(super) fn load(stream: &Stream, now: Moment) -> Self {
+        let marker = |seconds| Marker { seconds, read: now };
+        Self {
+            expired: stream.expired,
+            repair: stream.repair,
+            markers: stream
+                .ages
+                .iter()
+                .map(|(offset, seconds)| (*offset, marker(*seconds)))
+                .collect(),
+        }
+    }
+
+    pub(super) fn ages(&self) -> Vec<(u64, u64)> {
+        self.markers
+            .iter()
+            .map(|(offset, marker)| (*offset, marker.seconds))
+            .collect()
+    }
+
+    pub(super) const fn repair(&self) -> u64 {
+        self.repair
+    }
+
+    /// Starts over at a repair, since offsets are used again after it.
+    pub(super) fn restart(&mut self, repair: u64) {
+        *self = Self {
+            repair,
+            ..Self::default()
+        };
+    }
+
+    /// Folds a statement read at `offset`; returns whether outcomes expired.
+    pub(super) fn apply(&mut self, age: Age, offset: u64, horizon: Duration, now: Moment) -> bool {
+        let known = self.markers.get(&age.offset);
+        let stale = age.offset >= offset || age.offset < self.expired || age.repair != self.repair;
+        if stale || known.is_some_and(|marker| marker.seconds >= age.seconds) {
+            return false;
+        }
+        if age.seconds >= horizon.as_secs() {
+            self.expired = age.offset;
+            self.markers = self.markers.split_off(&(age.offset + 1));
+            return true;
+        }
+        if known.is_none() && self.markers.len() >= 2 * MARKERS as usize {
+            return false;
+        }
+        let marker = Marker {
+            seconds: age.seconds,
+            read: now,
+        };
+        self.markers.insert(age.offset, marker);
+        false
+    }
+
+    /// Returns a statement that raises a known age by a step, or starts a new
+    /// marker a step after the last one.
+    ///
+    /// `spread` from 0 to 0.5 lengthens the step.
+    pub(super) fn due(
+        &self,
+        next: u64,
+        horizon: Duration,
+        spread: f64,
+        now: Moment,
+    ) -> Option<Age> {
+        let step = horizon.mul_f64((1.0 + spread) / f64::from(MARKERS));
+        let step = step.as_secs().max(1);
+        let worth = |marker: &Marker| marker.age(now) >= marker.seconds + step;
+        let raised = self.markers.iter().find(|(_, marker)| worth(marker));
+        if let Some((offset, marker)) = raised {
+            return Some(self.statement(*offset, marker.age(now)));
+        }
+        let newest = self.markers.last_key_value();
+        let fresh =
+            newest.is_none_or(|(offset, marker)| marker.age(now) >= step && *offset + 1 < next);
+        let last = next.checked_sub(1)?;
+        (fresh && last >= self.expired).then(|| self.statement(last, 0))
+    }
+
+    const fn statement(&self, offset: u64, seconds: u64) -> Age {
+        Age {
+            offset,
+            seconds,
+            repair: self.repair,
+        }
+    }
+}
--- /dev/null
+++ b/crates/ledger/src/fold/mod.rs
@@ -0,0 +1,349 @@
+//! The deterministic fold over one shard's stream.
+//!
+//! Every reader that has folded the same offsets gives the same answer for each
+//! key. A reader that cannot be sure of having folded everything up to the head
+//! it read at start says [`NotReady`] and must not run a call.
+
+mod aging;
+mod apply;
+mod load;
+mod snapshot;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use sesamerock_base::time::Moment;
+
+use crate::guard::Guard;
+use crate::id::{Attempt, Incarnation, Key, Request};
+use crate::record::{Age, Entry, Outcome, SnapshotId, State, Writer};
+use aging::Aging;
+use load::{Coverage, Loader, Tally};
+
+pub use snapshot::Snapshot;
+
+/// Settings of a fold; all agents of a shard use the same ones.
+#[derive(Clone, Copy, Debug)]
+pub struct Config {
+    /// Time for which an outcome is kept at least.
+    pub horizon: Duration,
+    /// Time after which a new snapshot is due; a third of the log's retention
+    /// or less, so that one lost snapshot does no harm.
+    pub snapshot_every: Duration,
+    /// Entries after which a new snapshot is due.
+    pub snapshot_entries: u64,
+    /// Size of a snapshot part in bytes.
+    pub part_bytes: usize,
+}
+
+impl Default for Config {
+    fn default() -> Self {
+        Self {
+            horizon: Duration::from_hours(72),
+            snapshot_every: Duration::from_hours(4),
+            snapshot_entries: 200_000,
+            part_bytes: 64 * 1024,
+        }
+    }
+}
+
+/// One answer of the log to a read.
+#[derive(Clone, Debug, Default)]
+pub struct Page {
+    /// First offset that the log still holds.
+    pub first: u64,
+    /// Offset that the next append will get.
+    pub head: u64,
+    /// Offsets and entries in ascending order; `None` for one that could not
+    /// be decoded.
+    pub entries: Vec<(u64, Option<Arc<Entry>>)>,
+}
+
+/// Why no call may run now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NotReady {
+    /// Nothing was read yet, or the fold has not reached the head.
+    Behind,
+    /// The log was truncated past the reader and holds no complete snapshot yet.
+    NoSnapshot,
+    /// The log restarted with a lower head, and no repair is complete yet.
+    Repair,
+}
+
+/// A position in the stream, with the entry before it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Mark {
+    /// Next offset to fold.
+    pub position: u64,
+    /// Writer and number of the entry before, if it could be decoded.
+    pub last: Option<(Incarnation, u64)>,
+}
+
+/// What the fold knows of a key.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Standing {
+    /// No attempt holds the key.
+    Free,
+    /// An attempt holds the key and has recorded no outcome.
+    Running(Holder),
+    /// The call ran; this is its response.
+    Done(Holder, Arc<Outcome>),
+    /// The call may have run; its response will not be known.
+    Unknown(Holder),
+}
+
+/// The winner of a key.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Holder {
+    /// The only attempt that may run.
+    pub attempt: Attempt,
+    /// Hash of its request.
+    pub request: Request,
+}
+
+/// State of one key.
+#[derive(Clone, Debug)]
+struct Slot {
+    holder: Holder,
+    state: State,
+}
+
+#[derive(Clone, Debug)]
+enum Phase {
+    /// Nothing was read.
+    Start,
+    /// Reading the retained log for a snapshot.
+    Scan(Loader),
+    /// Folding from `next` on.
+    Fold,
+}
+
+/// The fold of one shard's stream.
+#[derive(Clone, Debug)]
+pub struct Ledger {
+    config: Config,
+    guard: Guard,
+    phase: Phase,
+    slots: BTreeMap<Key, Slot>,
+    writers: BTreeMap<Incarnation, Writer>,
+    aging: Aging,
+    coverage: Coverage,
+    tally: Tally,
+    /// Next offset to fold.
+    next: u64,
+    /// Head that must be reached before anything runs.
+    target: u64,
+    /// Writer and number of the entry at `next - 1`.
+    last: Option<(Incarnation, u64)>,
+    /// A repair that covers this offset must be read before anything runs.
+    repair: Option<u64>,
+    /// Own position before the log restarted with a lower head, until repaired.
+    survived: Option<u64>,
+    /// Furthest mark that a peer reported, until it was verified or repaired.
+    required: Option<Mark>,
+    /// Incarnations reported dead from outside the log.
+    dead: BTreeSet<Incarnation>,
+    /// Keys whose standing changed since they were last taken.
+    touched: Vec<Key>,
+    /// Whether any key may have changed, after a load or a repair.
+    reloaded: bool,
+    skipped: u64,
+}
+
+impl Ledger {
+    /// Makes an empty fold that is not ready.
+    pub fn new(config: Config) -> Self {
+        Self::guarded(config, Guard::default())
+    }
+
+    /// Makes a fold with safety rules turned off, for mutation checks.
+    #[doc(hidden)]
+    pub fn guarded(config: Config, guard: Guard) -> Self {
+        Self {
+            config,
+            guard,
+            phase: Phase::Start,
+            slots: BTreeMap::new(),
+            writers: BTreeMap::new(),
+            aging: Aging::default(),
+            coverage: Coverage::default(),
+            tally: Tally::default(),
+            next: 0,
+            target: 0,
+            last: None,
+            repair: None,
+            survived: None,
+            required: None,
+            dead: BTreeSet::new(),
+            touched: Vec::new(),
+            reloaded: false,
+            skipped: 0,
+        }
+    }
+
+    /// Returns the offset from which the next page is to be read.
+    pub const fn wanted(&self) -> u64 {
+        match &self.phase {
+            Phase::Scan(loader) => loader.next(),
+            Phase::Start | Phase::Fold => self.next,
+        }
+    }
+
+    /// Returns the offset from which to read after an error or a pause: one
+    /// entry of overlap shows whether the log restarted and grew past us.
+    pub const fn overlap(&self) -> u64 {
+        match &self.phase {
+            Phase::Scan(loader) => loader.next(),
+            Phase::Start | Phase::Fold => self.next.saturating_sub(1),
+        }
+    }
+
+    /// Returns how far this reader has come, for peers that start or reconnect.
+    ///
+    /// While a repair is awaited, this is the mark that awaits it, so that
+    /// nobody who starts now takes the shortened log for the whole.
+    pub fn mark(&self) -> Mark {
+        let own = Mark {
+            position: self.next,
+            last: self.last,
+        };
+        self.required.map_or(own, |required| required.max(own))
+    }
+
+    /// Says how far a peer has come; nothing runs before this reader has come
+    /// as far and found the same entry there.
+    ///
+    /// To be called at start and when the log answers again after errors, while
+    /// no read is under way.
+    pub fn require(&mut self, mark: Mark) {
+        if mark.position > self.next && Some(mark) > self.required {
+            self.required = Some(mark);
+            self.target = self.target.max(mark.position);
+        }
+    }
+
+    /// Takes one answer of the log.
+    pub fn read(&mut self, page: &Page, now: Moment) {
+        if !self.enter(page) {
+            return;
+        }
+        for (offset, entry) in &page.entries {
+            let proceed = match &mut self.phase {
+                Phase::Scan(loader) => {
+                    loader.take(*offset, entry.as_deref());
+                    true
+                }
+                Phase::Start | Phase::Fold => self.step(*offset, entry.as_deref(), page, now),
+            };
+            if !proceed {
+                break;
+            }
+        }
+        self.install(page, now);
+    }
+
+    /// Returns whether calls may run, or why not.
+    ///
+    /// # Errors
+    ///
+    /// The reason, if calls may not run.
+    pub fn ready(&self) -> Result<(), NotReady> {
+        match &self.phase {
+            Phase::Scan(loader) if loader.next() >= self.target => Err(NotReady::NoSnapshot),
+            _ if !self.guard.ready_first => Ok(()),
+            Phase::Start | Phase::Scan(_) => Err(NotReady::Behind),
+            Phase::Fold if self.next < self.target => Err(NotReady::Behind),
+            Phase::Fold if self.repair.is_some() => Err(NotReady::Repair),
+            Phase::Fold => Ok(()),
+        }
+    }
+
+    /// Returns what is known of a key.
+    pub fn standing(&self, key: &Key) -> Standing {
+        let Some(slot) = self.live(key) else {
+            return Standing::Free;
+        };
+        match &slot.state {
+            State::Done(outcome, _) => Standing::Done(slot.holder, Arc::clone(outcome)),
+            State::Broken => Standing::Unknown(slot.holder),
+            State::Running if self.is_dead(slot.holder.attempt.incarnation) => {
+                Standing::Unknown(slot.holder)
+            }
+            State::Running => Standing::Running(slot.holder),
+        }
+    }
+
+    /// Says that an agent process is known to be gone, for example because its
+    /// VM left the list. This only changes answers; it frees no key.
+    pub fn mark_dead(&mut self, incarnation: Incarnation) {
+        self.dead.insert(incarnation);
+        self.reloaded = true;
+    }
+
+    /// Takes the keys whose standing changed, and whether all may have changed.
+    pub fn take_touched(&mut self) -> (Vec<Key>, bool) {
+        let reloaded = std::mem::take(&mut self.reloaded);
+        (std::mem::take(&mut self.touched), reloaded)
+    }
+
+    /// Returns an age statement that is worth appending, if any.
+    ///
+    /// Writers differ by up to half a step, so that usually only one states it.
+    pub fn age_due(&self, writer: Incarnation, now: Moment) -> Option<Age> {
+        if self.ready().is_err() {
+            return None;
+        }
+        let horizon = self.config.horizon;
+        self.aging
+            .due(self.next, horizon, snapshot::spread(writer), now)
+    }
+
+    /// Returns the next offset to fold.
+    pub const fn position(&self) -> u64 {
+        self.next
+    }
+
+    /// Returns the number of keys held.
+    pub fn len(&self) -> usize {
+        self.slots.len()
+    }
+
+    /// Returns whether no key is held.
+    pub fn is_empty(&self) -> bool {
+        self.slots.is_empty()
+    }
+
+    /// Returns the number of entries that could not be decoded.
+    pub const fn skipped(&self) -> u64 {
+        self.skipped
+    }
+
+    /// Returns the latest complete snapshot in the stream.
+    pub const fn latest_snapshot(&self) -> Option<SnapshotId> {
+        self.tally.latest()
+    }
+
+    /// Returns the slot of a key unless its outcome has expired.
+    fn live(&self, key: &Key) -> Option<&Slot> {
+        self.slots.get(key).filter(|slot| !self.is_expired(slot))
+    }
+
+    /// A key without an outcome never expires: its winner may be paused, and
+    /// would run when it wakes up, however late.
+    const fn is_expired(&self, slot: &Slot) -> bool {
+        match slot.state {
+            State::Done(_, offset) => offset < self.aging.expired(),
+            State::Running | State::Broken => !self.guard.keep_running && self.aging.expired() > 0,
+        }
+    }
+
+    /// A writer that the fold no longer remembers was silent for the horizon.
+    fn is_dead(&self, incarnation: Incarnation) -> bool {
+        self.dead.contains(&incarnation)
+            || self
+                .writers
+                .get(&incarnation)
+                .is_none_or(|writer| writer.superseded)
+    }
+}
--- /dev/null
+++ b/crates/ledger/src/fold/snapshot.rs
@@ -0,0 +1,128 @@
+//! Writing snapshots, so that keys outlive the log's retention.
+
+use std::ops::Bound;
+
+use sesamerock_base::time::Moment;
+
+use super::{Ledger, Slot};
+use crate::id::{Incarnation, Key};
+use crate::record::{Part, Saved, State, Stream};
+
+/// Largest number of parts, one per value of a key's first two bytes.
+const MAX_PARTS: u32 = 1 << 16;
+
+/// A snapshot in the course of being written, one part per append.
+#[derive(Clone, Debug)]
+pub struct Snapshot {
+    number: u64,
+    count: u32,
+    index: u32,
+    repair: Option<u64>,
+}
+
+impl Ledger {
+    /// Returns whether the stream needs a new snapshot from this agent.
+    ///
+    /// Agents wait for up to half a period more, by a hash of their incarnation,
+    /// so that usually only one writes; several do no harm.
+    pub fn snapshot_due(&self, writer: Incarnation, now: Moment) -> bool {
+        if self.repair.is_some() && self.survived.is_some() && self.next >= self.target {
+            return true;
+        }
+        if self.ready().is_err() || self.next == 0 {
+            return false;
+        }
+        let spread = spread(writer);
+        let (base, age) = self.tally.covered(now);
+        let entries = self.config.snapshot_entries as f64 * (1.0 + spread);
+        let period = self.config.snapshot_every.mul_f64(1.0 + spread);
+        (self.next - base.min(self.next)) as f64 >= entries || age.is_some_and(|age| age >= period)
+    }
+
+    /// Starts a snapshot with a number that this writer has not used before.
+    pub fn snapshot(&self, number: u64) -> Snapshot {
+        let bytes: usize = self
+            .slots
+            .iter()
+            .map(|(key, slot)| saved(*key, slot).size())
+            .sum();
+        let parts = bytes.div_ceil(self.config.part_bytes.max(1)).max(1) as u32;
+        Snapshot {
+            number,
+            count: parts.next_power_of_two().min(MAX_PARTS),
+            index: 0,
+            repair: self.survived,
+        }
+    }
+
+    /// Returns the next part, from the current state, or `None` at the end or
+    /// when the fold is not in a state to be saved.
+    ///
+    /// Its size is bounded by the configured one, but for an uneven
+    /// distribution of key hashes and for the list of writers in the first.
+    pub fn next_part(&self, snapshot: &mut Snapshot) -> Option<Part> {
+        let consistent = self.ready().is_ok() || snapshot.repair.is_some();
+        if snapshot.index >= snapshot.count || !consistent {
+            return None;
+        }
+        let index = snapshot.index;
+        snapshot.index += 1;
+        Some(Part {
+            number: snapshot.number,
+            index,
+            count: snapshot.count,
+            base: self.next,
+            repair: snapshot.repair,
+            stream: (index == 0).then(|| self.stream()),
+            keys: self.range(index, snapshot.count),
+        })
+    }
+
+    fn stream(&self) -> Stream {
+        Stream {
+            expired: self.aging.expired(),
+            repair: self.aging.repair(),
+            ages: self.aging.ages(),
+            writers: self.writers.values().cloned().collect(),
+        }
+    }
+
+    fn range(&self, index: u32, count: u32) -> Vec<Saved> {
+        let width = MAX_PARTS / count;
+        let lower = Bound::Included(bound(index * width));
+        let end = (index + 1) * width;
+        let upper = if end == MAX_PARTS {
+            Bound::Unbounded
+        } else {
+            Bound::Excluded(bound(end))
+        };
+        self.slots
+            .range((lower, upper))
+            .filter(|(_, slot)| !self.is_expired(slot))
+            .map(|(key, slot)| saved(*key, slot))
+            .collect()
+    }
+}
+
+/// Returns a fraction from 0 to 0.5 that differs between writers.
+pub(super) fn spread(writer: Incarnation) -> f64 {
+    f64::from(writer.0 as u16) / f64::from(u16::MAX) / 2.0
+}
+
+/// Returns the smallest key with the given first two bytes.
+const fn bound(prefix: u32) -> Key {
+    let mut bytes = [0; 16];
+    bytes[0] = (prefix >> 8) as u8;
+    bytes[1] = prefix as u8;
+    Key(bytes)
+}
+
+fn saved(key: Key, slot: &Slot) -> Saved {
+    let state: State = slot.state.clone();
+    Saved {
+        key,
+        request: slot.holder.request,
+        winner: slot.holder.attempt,
+        state,
+    }
+}
--- /dev/null
+++ b/crates/ledger/src/mint/mod.rs
@@ -0,0 +1,256 @@
+//! Keys issued by the system: one process may run them, so no log is needed.
+//!
+//! A key is `UPSTREAM.INCARNATION.SEQUENCE.MAC`. It names the upstream and the
+//! process that may run it; the MAC shows that this process issued it. The
+//! secret lives in memory only and dies with the process, like the state it
+//! protects.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::Duration;
+
+use sesamerock_base::time::Moment;
+
+use crate::attempt::Finish;
+use crate::batch::Author;
+use crate::id::{self, Incarnation, Request};
+use crate::record::Outcome;
+
+/// Bytes of the MAC that a key carries.
+const MAC_BYTES: usize = 16;
+
+/// Settings of a mint.
+#[derive(Clone, Copy, Debug)]
+pub struct Config {
+    /// Time from issue after which a key is refused as expired.
+    pub lifetime: Duration,
+    /// Largest number of keys that have not expired.
+    pub capacity: usize,
+}
+
+impl Default for Config {
+    fn default() -> Self {
+        Self {
+            lifetime: Duration::from_hours(24),
+            capacity: 200_000,
+        }
+    }
+}
+
+/// No key is issued because too many have not expired.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Full;
+
+/// Permission to run the call of one issued key, once.
+#[derive(Debug, PartialEq, Eq)]
+#[must_use = "a dropped permit leaves its key in progress until it expires"]
+pub struct Permit {
+    sequence: u64,
+}
+
+impl Permit {
+    /// Returns the number of the key within its process.
+    pub const fn sequence(&self) -> u64 {
+        self.sequence
+    }
+
+    const fn redeem(self) -> u64 {
+        self.sequence
+    }
+}
+
+/// The answer to a call with an issued key.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Take {
+    /// Run the call.
+    Run(Permit),
+    /// The call ran before; this is its response.
+    Replay(Arc<Outcome>),
+    /// The call is running; ask again when it has ended.
+    InProgress,
+    /// The call may have run, in this process or in an earlier one.
+    Unknown,
+    /// The key was used with another request.
+    Conflict,
+    /// The key belongs to another upstream, named here.
+    WrongUpstream(String),
+    /// The key's lifetime is over; it is never run from now on, but may have
+    /// run before.
+    Expired,
+    /// The text is not a key, or this process did not issue it.
+    Invalid,
+}
+
+#[derive(Clone, Debug)]
+enum State {
+    Issued,
+    Running(Request),
+    Broken(Request),
+    Done(Request, Arc<Outcome>),
+}
+
+#[derive(Clone, Debug)]
+struct Issue {
+    at: Moment,
+    state: State,
+}
+
+/// The keys issued by one process.
+#[derive(Debug)]
+pub struct Mint {
+    config: Config,
+    author: Author,
+    secret: [u8; 32],
+    /// Sequence of the first key that has not expired.
+    floor: u64,
+    /// Keys from `floor` on, in the order of issue.
+    issues: VecDeque<Issue>,
+}
+
+impl Mint {
+    /// Makes the mint of a process that has just started, with a secret drawn
+    /// at random for this process.
+    pub const fn new(config: Config, author: Author, secret: [u8; 32]) -> Self {
+        Self {
+            config,
+            author,
+            secret,
+            floor: 0,
+            issues: VecDeque::new(),
+        }
+    }
+
+    /// Issues a key.
+    ///
+    /// # Errors
+    ///
+    /// [`Full`] if too many keys have not expired.
+    pub fn issue(&mut self, now: Moment) -> Result<String, Full> {
+        self.expire(now);
+        if self.issues.len() >= self.config.capacity {
+            return Err(Full);
+        }
+        let sequence = self.floor + self.issues.len() as u64;
+        let state = State::Issued;
+        self.issues.push_back(Issue { at: now, state });
+        let claim = format!(
+            "{}.{}.{sequence}",
+            self.author.upstream, self.author.incarnation
+        );
+        let mac = id::encode(&self.mac(&claim));
+        Ok(format!("{claim}.{mac}"))
+    }
+
+    /// Takes a call with an issued key; only the first gets a permit.
+    pub fn take(&mut self, key: &str, request: Request, now: Moment) -> Take {
+        let sequence = match self.verify(key) {
+            Ok(sequence) => sequence,
+            Err(take) => return take,
+        };
+        self.expire(now);
+        if sequence < self.floor {
+            return Take::Expired;
+        }
+        let Some(issue) = self.issues.get_mut((sequence - self.floor) as usize) else {
+            return Take::Invalid;
+        };
+        match &issue.state {
+            State::Issued => {
+                issue.state = State::Running(request);
+                Take::Run(Permit { sequence })
+            }
+            State::Running(first) | State::Broken(first) | State::Done(first, _)
+                if *first != request =>
+            {
+                Take::Conflict
+            }
+            State::Running(_) => Take::InProgress,
+            State::Broken(_) => Take::Unknown,
+            State::Done(_, outcome) => Take::Replay(Arc::clone(outcome)),
+        }
+    }
+
+    /// Takes the end of a call that was sent.
+    pub fn finish(&mut self, permit: Permit, finish: Finish) {
+        self.end(permit.redeem(), |request| match finish {
+            Finish::Done(outcome) => State::Done(request, Arc::new(outcome)),
+            Finish::Broken => State::Broken(request),
+        });
+    }
+
+    /// Gives back a permit with which nothing was sent and nothing will be; the
+    /// key can be used again.
+    pub fn decline(&mut self, permit: Permit) {
+        self.end(permit.redeem(), |_request| State::Issued);
+    }
+
+    /// Returns the number of keys that have not expired.
+    pub fn len(&self) -> usize {
+        self.issues.len()
+    }
+
+    /// Returns whether all issued keys have expired.
+    pub fn is_empty(&self) -> bool {
+        self.issues.is_empty()
+    }
+
+    /// Moves the end of a running key; that of an expired one is of no use.
+    fn end(&mut self, sequence: u64, next: impl FnOnce(Request) -> State) {
+        let index = sequence.checked_sub(self.floor);
+        let issue = index.and_then(|index| self.issues.get_mut(index as usize));
+        if let Some(issue) = issue
+            && let State::Running(request) = issue.state
+        {
+            issue.state = next(request);
+        }
+    }
+
+    /// Forgets keys in the order of issue, so that one number tells which ones
+    /// are expired.
+    fn expire(&mut self, now: Moment) {
+        while let Some(issue) = self.issues.front()
+            && now.since(issue.at) >= self.config.lifetime
+        {
+            self.issues.pop_front();
+            self.floor += 1;
+        }
+    }
+
+    /// Returns the sequence of a key that this process issued.
+    fn verify(&self, key: &str) -> Result<u64, Take> {
+        let mut fields = key.rsplitn(4, '.');
+        let mut field = || fields.next().ok_or(Take::Invalid);
+        let (mac, sequence, incarnation, upstream) = (field()?, field()?, field()?, field()?);
+        let incarnation: Incarnation = incarnation.parse().map_err(|_bad| Take::Invalid)?;
+        let number: u64 = sequence.parse().map_err(|_bad| Take::Invalid)?;
+        if upstream != &*self.author.upstream {
+            return Err(Take::WrongUpstream(upstream.to_owned()));
+        }
+        if incarnation != self.author.incarnation {
+            return Err(Take::Unknown);
+        }
+        let claim = &key[..key.len() - mac.len() - 1];
+        let given = id::decode(mac).map_err(|_bad| Take::Invalid)?;
+        let expected = self.mac(claim);
+        if !equal(&given, &expected) {
+            return Err(Take::Invalid);
+        }
+        Ok(number)
+    }
+
+    fn mac(&self, claim: &str) -> [u8; MAC_BYTES] {
+        let hash = blake3::keyed_hash(&self.secret, claim.as_bytes());
+        let mut mac = [0; MAC_BYTES];
+        mac.copy_from_slice(&hash.as_bytes()[..MAC_BYTES]);
+        mac
+    }
+}
+
+/// Compares without an early exit, so that the time tells nothing about the MAC.
+fn equal(given: &[u8], expected: &[u8; MAC_BYTES]) -> bool {
+    let differs = given
+        .iter()
+        .zip(expected)
+        .fold(0, |differs, (a, b)| differs | (a ^ b));
+    given.len() == MAC_BYTES && differs == 0
+}
--- /dev/null
+++ b/crates/ledger/src/shard/mod.rs
@@ -0,0 +1,319 @@
+//! One shard of keys in one agent: fold, batch and calls joined together.
+//!
+//! Events go in through [`Shard::submit`], [`Shard::read`], [`Shard::failed`],
+//! [`Shard::tick`], [`Shard::begin`], [`Shard::decline`] and [`Shard::finish`];
+//! actions come out of [`Shard::next`]. An agent calls `next` until it returns
+//! `None` after each event, and `tick` at [`Shard::wake`] or each second.
+
+mod decide;
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::Arc;
+use std::time::Duration;
+
+use sesamerock_base::time::Moment;
+
+use crate::attempt::{Answer, Call, Finish, Pending, Permit, Receipt, Refusal, Stage, Ticket};
+use crate::batch::{self, Author, Batch, Urgency};
+use crate::fold::{self, Ledger, Mark, NotReady, Page, Snapshot, Standing};
+use crate::guard::Guard;
+use crate::id::{Attempt, Incarnation, Key};
+use crate::record::{Entry, Intent, Own, Record, Settled};
+
+/// Settings of a shard.
+#[derive(Clone, Copy, Debug)]
+pub struct Config {
+    /// Settings of the fold.
+    pub fold: fold::Config,
+    /// Settings of the group commit.
+    pub batch: batch::Config,
+    /// Time without an answer of the log after which new calls are refused.
+    pub stale: Duration,
+    /// Time after its deadline that a call waits for its fate to be certain.
+    pub grace: Duration,
+    /// Largest number of calls in flight.
+    pub max_calls: usize,
+}
+
+impl Default for Config {
+    fn default() -> Self {
+        Self {
+            fold: fold::Config::default(),
+            batch: batch::Config::default(),
+            stale: Duration::from_secs(2),
+            grace: Duration::from_secs(1),
+            max_calls: 10_000,
+        }
+    }
+}
+
+/// What the agent has to do.
+#[derive(Debug)]
+pub enum Action {
+    /// Append the entry to the shard's stream.
+    Append(Arc<Entry>),
+    /// Run the call.
+    Run(Permit),
+    /// Respond to the call.
+    Answer(Ticket, Answer),
+}
+
+/// The permit came too late: nothing may be sent, and a void is on its way.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Late;
+
+/// One shard of keys in one agent.
+#[derive(Debug)]
+pub struct Shard {
+    config: Config,
+    guard: Guard,
+    ledger: Ledger,
+    batch: Batch,
+    calls: BTreeMap<u64, Pending>,
+    by_key: BTreeMap<Key, Vec<u64>>,
+    timers: BTreeSet<(Moment, u64)>,
+    actions: VecDeque<Action>,
+    snapshot: Option<Snapshot>,
+    snapshots: u64,
+    last_read: Option<Moment>,
+    /// Whether keys changed while the fold was not ready.
+    unreviewed: bool,
+    sequence: u64,
+}
+
+impl Shard {
+    /// Makes the shard of an agent process that has just started.
+    pub fn new(config: Config, author: Author) -> Self {
+        Self::guarded(config, author, Guard::default())
+    }
+
+    /// Makes a shard with safety rules turned off, for mutation checks.
+    #[doc(hidden)]
+    pub fn guarded(config: Config, author: Author, guard: Guard) -> Self {
+        Self {
+            config,
+            guard,
+            ledger: Ledger::guarded(config.fold, guard),
+            batch: Batch::new(config.batch, author),
+            calls: BTreeMap::new(),
+            by_key: BTreeMap::new(),
+            timers: BTreeSet::new(),
+            actions: VecDeque::new(),
+            snapshot: None,
+            snapshots: 0,
+            last_read: None,
+            unreviewed: false,
+            sequence: 0,
+        }
+    }
+
+    /// Takes a call; its end is a [`Action::Run`] or a [`Action::Answer`] with
+    /// the returned ticket.
+    pub fn submit(&mut self, call: Call, now: Moment) -> Ticket {
+        self.sequence += 1;
+        let sequence = self.sequence;
+        let standing = self.ledger.standing(&call.key);
+        if let Some(refusal) = self.refusal(&standing, now) {
+            self.respond(sequence, Answer::Refused(refusal));
+            return Ticket(sequence);
+        }
+        let pending = Pending {
+            call,
+            stage: Stage::Open,
+            answered: false,
+            given_up: false,
+        };
+        self.calls.insert(sequence, pending);
+        self.by_key.entry(call.key).or_default().push(sequence);
+        self.timers.insert((call.deadline, sequence));
+        self.evaluate(sequence, now);
+        Ticket(sequence)
+    }
+
+    /// Takes an answer of the log to a read from [`Self::wanted`].
+    ///
+    /// There must be one read at a time; the answer to a read that was given up
+    /// must be dropped, since a lower head means that the log restarted.
+    pub fn read(&mut self, page: &Page, now: Moment) {
+        self.last_read = Some(now);
+        let entries = page.entries.iter().filter_map(|(_, entry)| entry.as_ref());
+        for entry in entries {
+            self.batch.observe(entry, now);
+        }
+        self.ledger.read(page, now);
+        self.review(now);
+        self.upkeep(now);
+    }
+
+    /// Takes note that the append of an entry failed or is unanswered. An append
+    /// that was answered needs no note: it counts once it is read.
+    pub fn failed(&mut self, entry: &Entry, retry_after: Option<Duration>, now: Moment) {
+        self.batch.failed(entry.number, retry_after, now);
+    }
+
+    /// Handles deadlines and periodic work.
+    pub fn tick(&mut self, now: Moment) {
+        while let Some(&(at, sequence)) = self.timers.first()
+            && at <= now
+        {
+            self.timers.pop_first();
+            self.expire(sequence, now);
+        }
+        self.batch.tick(now);
+        self.upkeep(now);
+    }
+
+    /// Returns the next thing to do.
+    pub fn next(&mut self, now: Moment) -> Option<Action> {
+        if let Some(action) = self.actions.pop_front() {
+            return Some(action);
+        }
+        let entry = self.batch.poll(now)?;
+        if !self.guard.own_intent_first {
+            self.grant_unseen(&entry);
+        }
+        Some(Action::Append(entry))
+    }
+
+    /// Returns when [`Self::tick`] and [`Self::next`] have something to do.
+    pub fn wake(&self) -> Option<Moment> {
+        let timer = self.timers.first().map(|(at, _)| *at);
+        [timer, self.batch.wake()].into_iter().flatten().min()
+    }
+
+    /// Turns the permit into a receipt, just before the request is sent.
+    ///
+    /// # Errors
+    ///
+    /// [`Late`] if the deadline has passed; the answer follows as an action.
+    pub fn begin(&mut self, permit: Permit, now: Moment) -> Result<Receipt, Late> {
+        let late = now >= permit.deadline;
+        let ticket = permit.redeem();
+        if late {
+            self.withdraw(ticket.0, Refusal::Deadline, now);
+            return Err(Late);
+        }
+        Ok(Receipt { ticket })
+    }
+
+    /// Gives back a permit with which nothing was sent and nothing will be; the
+    /// answer follows as an action once the key is free for others.
+    pub fn decline(&mut self, permit: Permit, now: Moment) {
+        self.withdraw(permit.redeem().0, Refusal::Declined, now);
+    }
+
+    /// Takes the end of a call that was sent. The agent itself passes the
+    /// response on to its caller.
+    pub fn finish(&mut self, receipt: Receipt, finish: Finish, now: Moment) {
+        let sequence = receipt.redeem().0;
+        let Some(pending) = self.calls.get(&sequence) else {
+            return;
+        };
+        let key = pending.call.key;
+        let record = match finish {
+            Finish::Done(outcome) => Record::Outcome(Settled {
+                key,
+                sequence,
+                outcome: Arc::new(outcome),
+            }),
+            Finish::Broken => Record::Broken(Own { key, sequence }),
+        };
+        self.batch.push(record, Urgency::Lazy, now);
+        self.remove(sequence);
+    }
+
+    /// Returns the offset from which to read next.
+    pub const fn wanted(&self) -> u64 {
+        self.ledger.wanted()
+    }
+
+    /// Returns the offset from which to read after an error or a pause.
+    pub const fn overlap(&self) -> u64 {
+        self.ledger.overlap()
+    }
+
+    /// Returns how far this agent has read, to be told to peers.
+    pub fn mark(&self) -> Mark {
+        self.ledger.mark()
+    }
+
+    /// Says how far a peer has read; see [`Ledger::require`].
+    pub fn require(&mut self, mark: Mark) {
+        self.ledger.require(mark);
+    }
+
+    /// Says that an agent process is known to be gone.
+    pub fn mark_dead(&mut self, incarnation: Incarnation, now: Moment) {
+        self.ledger.mark_dead(incarnation);
+        self.review(now);
+    }
+
+    /// Returns whether calls may run, or why not.
+    ///
+    /// # Errors
+    ///
+    /// The reason, if calls may not run.
+    pub fn ready(&self) -> Result<(), NotReady> {
+        self.ledger.ready()
+    }
+
+    /// Returns the fold.
+    pub const fn ledger(&self) -> &Ledger {
+        &self.ledger
+    }
+
+    /// Returns the group commit.
+    pub const fn batch(&self) -> &Batch {
+        &self.batch
+    }
+
+    /// Returns the number of calls in flight.
+    pub fn in_flight(&self) -> usize {
+        self.calls.len()
+    }
+
+    /// Returns whether a graceful shutdown may end the process: no call is in
+    /// flight and every record was read back.
+    pub fn is_drained(&self) -> bool {
+        self.calls.is_empty() && self.batch.is_empty()
+    }
+
+    fn respond(&mut self, sequence: u64, answer: Answer) {
+        self.actions
+            .push_back(Action::Answer(Ticket(sequence), answer));
+    }
+
+    fn push_intent(&mut self, sequence: u64, call: &Call, now: Moment) {
+        let intent = Intent {
+            key: call.key,
+            request: call.request,
+            sequence,
+        };
+        self.batch.push(Record::Intent(intent), Urgency::Now, now);
+    }
+
+    fn push_void(&mut self, sequence: u64, key: Key, now: Moment) {
+        let void = Record::Void(Own { key, sequence });
+        self.batch.push(void, Urgency::Now, now);
+    }
+
+    fn own(&self, sequence: u64) -> Attempt {
+        Attempt {
+            incarnation: self.batch.author().incarnation,
+            sequence,
+        }
+    }
+
+    fn remove(&mut self, sequence: u64) {
+        let Some(pending) = self.calls.remove(&sequence) else {
+            return;
+        };
+        if let Some(list) = self.by_key.get_mut(&pending.call.key) {
+            list.retain(|other| *other != sequence);
+            if list.is_empty() {
+                self.by_key.remove(&pending.call.key);
+            }
+        }
+        self.timers.remove(&(pending.call.deadline, sequence));
+    }
+}
--- /dev/null
+++ b/crates/ledger/tests/explore.rs
@@ -0,0 +1,176 @@
+//! Seeded exploration of schedules with every failure the design names.
+
+mod world;
+
+use std::time::Instant;
+
+use sesamerock_ledger::guard::Guard;
+use world::{Counts, LOSE_END, PAUSE, Plan, WAKE, World};
+
+/// Schedules of the main exploration.
+const SCHEDULES: u64 = 100_000;
+/// Threads that share them; each schedule depends on its seed only.
+const THREADS: u64 = 8;
+
+const PLAN: Plan = Plan {
+    steps: 80,
+    agents: 3,
+    keys: 3,
+    horizon: 1_000_000,
+    haste: 1,
+    without: &[LOSE_END],
+    guard: Guard {
+        own_intent_first: true,
+        void_by_winner: true,
+        gap_check: true,
+        ready_first: true,
+        keep_running: true,
+        decline_final: true,
+    },
+};
+
+/// Long enough for outcomes to expire.
+const EXPIRY: Plan = Plan {
+    steps: 300,
+    keys: 2,
+    horizon: 16,
+    haste: 6,
+    ..PLAN
+};
+
+/// The log loses entries that it had acknowledged. What only a paused process
+/// had read is then gone, so nobody is paused.
+const SHORTENED: Plan = Plan {
+    without: &[PAUSE, WAKE],
+    ..PLAN
+};
+
+/// Runs schedules and returns the counts, or the first violation with its seed.
+fn explore(plan: Plan, seeds: std::ops::Range<u64>) -> Result<Counts, String> {
+    let run = |thread: u64| -> Result<Counts, String> {
+        let mut counts = Counts::default();
+        for seed in seeds
+            .clone()
+            .skip(thread as usize)
+            .step_by(THREADS as usize)
+        {
+            let mut world = World::new(plan, seed);
+            world
+                .explore()
+                .map_err(|fault| format!("seed {seed}: {fault}"))?;
+            counts.add(&world.counts);
+        }
+        Ok(counts)
+    };
+    std::thread::scope(|scope| {
+        let threads: Vec<_> = (0..THREADS)
+            .map(|thread| scope.spawn(move || run(thread)))
+            .collect();
+        let mut total = Counts::default();
+        for thread in threads {
+            total.add(&thread.join().expect("a schedule panicked")?);
+        }
+        Ok(total)
+    })
+}
+
+/// Guards against a second run, a false `executed: no` and a false replay.
+#[test]
+fn no_schedule_breaks_a_promise() {
+    let start = Instant::now();
+    let counts = explore(PLAN, 0..SCHEDULES).expect("a violation");
+    println!("{SCHEDULES} schedules in {:?}: {counts:?}", start.elapsed());
+    let rare = [
+        counts.runs,
+        counts.refusals,
+        counts.replays,
+        counts.unresolved,
+        counts.declined,
+        counts.late,
+        counts.restarts,
+        counts.trims,
+        counts.reloads,
+        counts.duplicates,
+        counts.expired,
+        counts.minted,
+    ];
+    assert!(rare.iter().all(|count| *count >= 1_000), "{counts:?}");
+}
+
+/// Guards against an outcome that expires before the horizon has passed, and
+/// against a key without outcome that expires at all.
+#[test]
+fn expiry_is_never_early() {
+    let counts = explore(EXPIRY, 0..4_000).expect("a violation");
+    println!("{counts:?}");
+    assert!(counts.again >= 100, "{counts:?}");
+}
+
+/// Guards against a second run after the log lost acknowledged entries.
+#[test]
+fn a_shortened_log_is_repaired_first() {
+    let counts = explore(SHORTENED, 0..20_000).expect("a violation");
+    println!("{counts:?}");
+    assert!(counts.shortened >= 10_000, "{counts:?}");
+}
+
+/// Guards against a checker that would not notice the absence of a rule.
+#[test]
+fn each_missing_rule_is_noticed() {
+    let all = Guard::default();
+    let mutants = [
+        (
+            "own_intent_first",
+            PLAN,
+            Guard {
+                own_intent_first: false,
+                ..all
+            },
+        ),
+        (
+            "void_by_winner",
+            PLAN,
+            Guard {
+                void_by_winner: false,
+                ..all
+            },
+        ),
+        (
+            "gap_check",
+            PLAN,
+            Guard {
+                gap_check: false,
+                ..all
+            },
+        ),
+        (
+            "ready_first",
+            SHORTENED,
+            Guard {
+                ready_first: false,
+                ..all
+            },
+        ),
+        (
+            "decline_final",
+            PLAN,
+            Guard {
+                decline_final: false,
+                ..all
+            },
+        ),
+        (
+            "keep_running",
+            EXPIRY,
+            Guard {
+                keep_running: false,
+                ..all
+            },
+        ),
+    ];
+    for (name, plan, guard) in mutants {
+        let found = explore(Plan { guard, ..plan }, 0..8_000);
+        let fault = found.expect_err(name);
+        println!("{name}: {fault}");
+    }
+}
--- /dev/null
+++ b/crates/ledger/tests/world/mod.rs
@@ -0,0 +1,572 @@
+//! Several agents, a log that misbehaves, and a record kept from the outside.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::{Rng, RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use sesamerock_base::time::Moment;
+use sesamerock_ledger::attempt::{Answer, Call, Executed, Finish, Permit, Receipt};
+use sesamerock_ledger::batch::{self, Author};
+use sesamerock_ledger::fold::{self, Mark, Page};
+use sesamerock_ledger::guard::Guard;
+use sesamerock_ledger::id::{Incarnation, Key, Request};
+use sesamerock_ledger::mint::{self, Mint, Take};
+use sesamerock_ledger::record::{Body, Entry, Outcome, Own, Record};
+use sesamerock_ledger::shard::{Action, Config, Shard};
+
+/// Kinds of events; the first five are what makes progress.
+const KINDS: usize = 13;
+const PROGRESS: usize = 5;
+const ADVANCE: usize = 4;
+pub const WAKE: usize = 5;
+pub const PAUSE: usize = 7;
+pub const LOSE_END: usize = 11;
+const WEIGHTS: [u32; KINDS] = [16, 24, 30, 24, 8, 3, 6, 2, 2, 2, 2, 1, 2];
+
+/// Draws how often each kind of event happens in one schedule. Leaving out some
+/// failures and repeating others reaches more states than an even mixture.
+fn weights(rng: &mut ChaCha8Rng) -> [u32; KINDS] {
+    let mut weights = WEIGHTS;
+    for weight in &mut weights[PROGRESS..] {
+        *weight *= [0, 0, 1, 3][rng.random_range(0..4)];
+    }
+    weights
+}
+
+/// What a schedule may contain, and how long it is.
+#[derive(Clone, Copy, Debug)]
+pub struct Plan {
+    pub steps: u32,
+    pub agents: usize,
+    pub keys: u8,
+    /// Horizon of the fold and unit of the long steps in time, in seconds.
+    pub horizon: u64,
+    /// Factor on how often time advances.
+    pub haste: u32,
+    /// Kinds of events that do not occur.
+    pub without: &'static [usize],
+    pub guard: Guard,
+}
+
+/// How often each kind of event happened, to show that nothing is vacuous.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Counts {
+    pub runs: u64,
+    pub refusals: u64,
+    pub replays: u64,
+    pub unresolved: u64,
+    pub declined: u64,
+    pub late: u64,
+    pub restarts: u64,
+    pub trims: u64,
+    pub shortened: u64,
+    /// Runs of a key that had run before and expired.
+    pub again: u64,
+    pub reloads: u64,
+    pub duplicates: u64,
+    pub expired: u64,
+    pub minted: u64,
+}
+
+impl Counts {
+    pub fn add(&mut self, other: &Self) {
+        self.runs += other.runs;
+        self.refusals += other.refusals;
+        self.replays += other.replays;
+        self.unresolved += other.unresolved;
+        self.declined += other.declined;
+        self.late += other.late;
+        self.restarts += other.restarts;
+        self.trims += other.trims;
+        self.shortened += other.shortened;
+        self.again += other.again;
+        self.reloads += other.reloads;
+        self.duplicates += other.duplicates;
+        self.expired += other.expired;
+        self.minted += other.minted;
+    }
+}
+
+/// One execution, as the service saw it.
+#[derive(Debug)]
+struct Run {
+    key: Key,
+    call: (u64, u64),
+    at: Moment,
+    /// The response and when it was given.
+    end: Option<(u16, Moment)>,
+}
+
+struct Agent {
+    incarnation: u64,
+    slot: usize,
+    shard: Shard,
+    mint: Mint,
+    permits: Vec<Permit>,
+    /// Receipts with the index of the run.
+    receipts: Vec<(Receipt, usize)>,
+    minted: Vec<(mint::Permit, u16)>,
+    paused: bool,
+}
+
+pub struct World {
+    plan: Plan,
+    rng: ChaCha8Rng,
+    now: Moment,
+    log: Vec<Arc<Entry>>,
+    first: u64,
+    up: bool,
+    agents: Vec<Agent>,
+    /// Processes that were replaced while paused; they may still wake up.
+    replaced: Vec<Agent>,
+    /// Appends under way, which may arrive late, twice or never.
+    appends: Vec<Arc<Entry>>,
+    runs: Vec<Run>,
+    answers: BTreeMap<(u64, u64), (Key, Answer)>,
+    calls: BTreeMap<(u64, u64), Key>,
+    issued: Vec<String>,
+    mint_runs: BTreeMap<String, u32>,
+    mint_names: BTreeMap<(u64, u64), String>,
+    incarnations: u64,
+    foreign: u64,
+    weights: [u32; KINDS],
+    /// Longest step in time of this schedule, as an index of the steps.
+    longest: usize,
+    pub counts: Counts,
+}
+
+impl World {
+    pub fn new(plan: Plan, seed: u64) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut weights = weights(&mut rng);
+        weights[ADVANCE] *= plan.haste;
+        for kind in plan.without {
+            weights[*kind] = 0;
+        }
+        let longest = rng.random_range(1..=5);
+        let mut world = Self {
+            plan,
+            rng,
+            now: Moment::from_millis(1_000),
+            log: Vec::new(),
+            first: 0,
+            up: true,
+            agents: Vec::new(),
+            replaced: Vec::new(),
+            appends: Vec::new(),
+            runs: Vec::new(),
+            answers: BTreeMap::new(),
+            calls: BTreeMap::new(),
+            issued: Vec::new(),
+            mint_runs: BTreeMap::new(),
+            mint_names: BTreeMap::new(),
+            incarnations: 0,
+            foreign: 0,
+            weights,
+            longest,
+            counts: Counts::default(),
+        };
+        for slot in 0..plan.agents {
+            let agent = world.start(slot);
+            world.agents.push(agent);
+        }
+        world
+    }
+
+    /// Runs the schedule and returns the first violation.
+    pub fn explore(&mut self) -> Result<(), String> {
+        for _ in 0..self.plan.steps {
+            self.step();
+        }
+        self.settle();
+        self.check()
+    }
+
+    fn start(&mut self, slot: usize) -> Agent {
+        self.incarnations += 1;
+        let author = Author {
+            incarnation: Incarnation(self.incarnations),
+            upstream: format!("u{slot}").into(),
+        };
+        let config = Config {
+            fold: fold::Config {
+                horizon: Duration::from_secs(self.plan.horizon),
+                snapshot_entries: 6,
+                snapshot_every: Duration::from_mins(1),
+                part_bytes: 400,
+            },
+            batch: batch::Config {
+                appends_per_second: 1_000.0,
+                resend: Duration::from_millis(50),
+                lazy: Duration::from_millis(5),
+                ..batch::Config::default()
+            },
+            grace: Duration::from_millis(100),
+            ..Config::default()
+        };
+        let lifetime = Duration::from_secs(20);
+        let mint = mint::Config {
+            lifetime,
+            capacity: 4,
+        };
+        Agent {
+            incarnation: self.incarnations,
+            slot,
+            shard: Shard::guarded(config, author.clone(), self.plan.guard),
+            mint: Mint::new(mint, author, [self.incarnations as u8; 32]),
+            permits: Vec::new(),
+            receipts: Vec::new(),
+            minted: Vec::new(),
+            paused: false,
+        }
+    }
+
+    fn step(&mut self) {
+        let index = self.rng.random_range(0..self.agents.len());
+        let mut draw = self.rng.random_range(0..self.weights.iter().sum());
+        let kind = self.weights.iter().position(|weight| {
+            let hit = draw < *weight;
+            draw = draw.saturating_sub(*weight);
+            hit
+        });
+        match kind {
+            Some(0) => self.submit(index),
+            Some(1) => self.deliver(),
+            Some(2) => self.read(index),
+            Some(3) => self.execute(index),
+            Some(4) => self.advance(),
+            Some(5) => self.wake_replaced(),
+            Some(6) => self.minted(index),
+            Some(7) => self.agents[index].paused ^= true,
+            Some(8) => self.restart(index),
+            Some(9) => self.trim(),
+            Some(10) => self.foreign_void(),
+            Some(11) => self.lose_end(),
+            _ => self.up ^= true,
+        }
+    }
+
+    /// The log restarts without its last entries, and the agents, which all saw
+    /// it fail, tell each other how far they had read.
+    fn lose_end(&mut self) {
+        if self.log.len() as u64 > self.first {
+            self.counts.shortened += 1;
+            let keep = self.rng.random_range(self.first..self.log.len() as u64);
+            self.log.truncate(keep as usize);
+        }
+        let furthest = self.furthest();
+        for agent in &mut self.agents {
+            if let Some(mark) = furthest {
+                agent.shard.require(mark);
+            }
+        }
+    }
+
+    fn furthest(&self) -> Option<Mark> {
+        self.agents.iter().map(|agent| agent.shard.mark()).max()
+    }
+
+    /// A writer that lost, or never tried, voids a key.
+    fn foreign_void(&mut self) {
+        self.foreign += 1;
+        let key = self.key();
+        self.log.push(Arc::new(Entry {
+            writer: Incarnation(1_000_000 + self.foreign),
+            upstream: "foreign".into(),
+            number: 1,
+            records: vec![Record::Void(Own { key, sequence: 1 })],
+        }));
+    }
+
+    fn submit(&mut self, index: usize) {
+        let key = self.key();
+        let body = u8::from(self.rng.random_ratio(1, 12));
+        let wait = [20, 200, 5_000][self.rng.random_range(0..3)];
+        let call = Call {
+            key,
+            request: Request([body; 8]),
+            deadline: self.now + Duration::from_millis(wait),
+        };
+        let agent = &mut self.agents[index];
+        if agent.paused {
+            return;
+        }
+        let ticket = agent.shard.submit(call, self.now);
+        self.calls.insert((agent.incarnation, ticket.0), key);
+        self.pump(index);
+    }
+
+    fn key(&mut self) -> Key {
+        // Keys at both ends of the key space land in different snapshot parts.
+        Key([self.rng.random_range(0..self.plan.keys).wrapping_mul(90); 16])
+    }
+
+    /// Takes the actions of an agent.
+    fn pump(&mut self, index: usize) {
+        let agent = &mut self.agents[index];
+        while let Some(action) = agent.shard.next(self.now) {
+            match action {
+                Action::Append(entry) => self.appends.push(entry),
+                Action::Run(permit) => agent.permits.push(permit),
+                Action::Answer(ticket, answer) => {
+                    let call = (agent.incarnation, ticket.0);
+                    match &answer {
+                        Answer::Replay(_) => self.counts.replays += 1,
+                        Answer::Unresolved => self.counts.unresolved += 1,
+                        Answer::Refused(_) => self.counts.refusals += 1,
+                        _ => {}
+                    }
+                    let previous = self.answers.insert(call, (self.calls[&call], answer));
+                    assert!(previous.is_none(), "a call was answered twice");
+                }
+            }
+        }
+    }
+
+    /// Lets one append take effect; now and then it stays under way and takes
+    /// effect again later, or its answer claims a failure.
+    fn deliver(&mut self) {
+        if self.appends.is_empty() || !self.up {
+            return;
+        }
+        let at = self.rng.random_range(0..self.appends.len());
+        let entry = if self.rng.random_ratio(1, 5) {
+            self.counts.duplicates += 1;
+            Arc::clone(&self.appends[at])
+        } else {
+            self.appends.swap_remove(at)
+        };
+        if self.rng.random_ratio(1, 4) {
+            let now = self.now;
+            for agent in &mut self.agents {
+                if agent.incarnation == entry.writer.0 {
+                    agent.shard.failed(&entry, None, now);
+                }
+            }
+        }
+        if !self.rng.random_ratio(1, 10) {
+            self.log.push(entry);
+        }
+    }
+
+    fn read(&mut self, index: usize) {
+        let most = [1, 2, 100][self.rng.random_range(0..3)];
+        if self.up && !self.agents[index].paused {
+            self.read_up_to(index, most);
+        }
+    }
+
+    fn read_up_to(&mut self, index: usize, most: usize) {
+        let agent = &mut self.agents[index];
+        let from = agent.shard.wanted();
+        self.counts.reloads += u64::from(self.first > from);
+        let from = from.max(self.first);
+        let entries = (from..self.log.len() as u64)
+            .take(most)
+            .map(|offset| (offset, Some(Arc::clone(&self.log[offset as usize]))))
+            .collect();
+        let page = Page {
+            first: self.first,
+            head: self.log.len() as u64,
+            entries,
+        };
+        agent.shard.read(&page, self.now);
+        self.pump(index);
+    }
+
+    /// Lets an executor use a permit, decline it, or end a call.
+    fn execute(&mut self, index: usize) {
+        if self.agents[index].paused {
+            return;
+        }
+        let choice = self.rng.random_range(0..8);
+        let agent = &mut self.agents[index];
+        if choice < 4 {
+            let Some(permit) = agent.permits.pop() else {
+                return;
+            };
+            let call = (agent.incarnation, permit.ticket().0);
+            match agent.shard.begin(permit, self.now) {
+                Ok(receipt) => {
+                    agent.receipts.push((receipt, self.runs.len()));
+                    self.counts.runs += 1;
+                    let again = self.runs.iter().any(|run| run.key == self.calls[&call]);
+                    self.counts.again += u64::from(again);
+                    self.runs.push(Run {
+                        key: self.calls[&call],
+                        call,
+                        at: self.now,
+                        end: None,
+                    });
+                }
+                Err(_late) => self.counts.late += 1,
+            }
+        } else if choice == 4 {
+            if let Some(permit) = agent.permits.pop() {
+                self.counts.declined += 1;
+                agent.shard.decline(permit, self.now);
+            }
+        } else if let Some((receipt, run)) = agent.receipts.pop() {
+            let finish = if choice == 5 {
+                Finish::Broken
+            } else {
+                self.runs[run].end = Some((run as u16, self.now));
+                Finish::Done(response(run as u16))
+            };
+            agent.shard.finish(receipt, finish, self.now);
+        }
+        self.pump(index);
+    }
+
+    /// A process that was replaced while paused wakes up and goes on.
+    fn wake_replaced(&mut self) {
+        if let Some(old) = self.replaced.pop() {
+            let index = self.agents.len();
+            self.agents.push(old);
+            self.execute(index);
+            if self.up && self.rng.random_ratio(1, 2) {
+                self.read_up_to(index, 100);
+                self.execute(index);
+            }
+            self.replaced.extend(self.agents.pop());
+        }
+    }
+
+    fn restart(&mut self, index: usize) {
+        self.counts.restarts += 1;
+        let slot = self.agents[index].slot;
+        let mut fresh = self.start(slot);
+        self.furthest()
+            .into_iter()
+            .for_each(|mark| fresh.shard.require(mark));
+        let mut old = std::mem::replace(&mut self.agents[index], fresh);
+        old.paused = false;
+        if self.weights[WAKE] > 0 && self.rng.random_ratio(2, 3) {
+            self.replaced.push(old);
+        }
+    }
+
+    fn trim(&mut self) {
+        if !self.log.is_empty() {
+            let to = self.rng.random_range(0..=self.log.len() as u64);
+            self.counts.trims += u64::from(to > self.first);
+            self.first = self.first.max(to);
+        }
+    }
+
+    fn advance(&mut self) {
+        let long = self.plan.horizon * 1_000 / 6;
+        let millis = [1, 10, 60, 400, long.min(30_000)][self.rng.random_range(0..self.longest)];
+        self.now = self.now + Duration::from_millis(millis);
+        for index in 0..self.agents.len() {
+            if !self.agents[index].paused {
+                self.agents[index].shard.tick(self.now);
+                self.pump(index);
+            }
+        }
+    }
+
+    /// Issues, uses and ends minted keys.
+    fn minted(&mut self, index: usize) {
+        let agent = &mut self.agents[index];
+        if self.rng.random_ratio(1, 3) {
+            self.issued.extend(agent.mint.issue(self.now));
+        } else if let Some((permit, value)) = agent.minted.pop() {
+            match value % 3 {
+                0 => agent.mint.finish(permit, Finish::Broken),
+                _ => agent.mint.finish(permit, Finish::Done(response(value))),
+            }
+        } else if !self.issued.is_empty() {
+            let text = &self.issued[self.rng.random_range(0..self.issued.len())];
+            match agent.mint.take(text, Request([0; 8]), self.now) {
+                Take::Run(permit) if self.rng.random_ratio(1, 4) => agent.mint.decline(permit),
+                Take::Run(permit) => {
+                    let value = self.rng.next_u32() as u16;
+                    self.counts.minted += 1;
+                    *self.mint_runs.entry(text.clone()).or_default() += 1;
+                    let call = (agent.incarnation, permit.sequence());
+                    self.mint_names.insert(call, text.clone());
+                    agent.minted.push((permit, value));
+                }
+                Take::Expired => self.counts.expired += 1,
+                _ => {}
+            }
+        }
+    }
+
+    /// Lets everything under way come to an end, so that late runs show.
+    fn settle(&mut self) {
+        self.up = true;
+        while let Some(old) = self.replaced.pop() {
+            self.agents.push(old);
+        }
+        for _ in 0..6 {
+            self.log.append(&mut self.appends);
+            for index in 0..self.agents.len() {
+                self.agents[index].paused = false;
+                self.read_up_to(index, 1_000);
+                while !self.agents[index].permits.is_empty() {
+                    self.execute(index);
+                }
+            }
+            self.advance();
+        }
+    }
+
+    fn check(&self) -> Result<(), String> {
+        self.check_runs()?;
+        self.check_answers()?;
+        match self.mint_runs.iter().find(|(_, runs)| **runs > 1) {
+            Some((key, runs)) => Err(format!("minted key {key} ran {runs} times")),
+            None => Ok(()),
+        }
+    }
+
+    /// Two runs of a key must be a horizon apart, counted from the response.
+    fn check_runs(&self) -> Result<(), String> {
+        for (index, run) in self.runs.iter().enumerate() {
+            let earlier = self.runs[..index]
+                .iter()
+                .rfind(|other| other.key == run.key);
+            let Some(earlier) = earlier else { continue };
+            let horizon = Duration::from_secs(self.plan.horizon);
+            let apart = earlier
+                .end
+                .is_some_and(|(_, end)| run.at.since(end) >= horizon);
+            if !apart {
+                return Err(format!("{run:?} after {earlier:?}"));
+            }
+        }
+        Ok(())
+    }
+
+    fn check_answers(&self) -> Result<(), String> {
+        for (call, (key, answer)) in &self.answers {
+            if answer.executed() == Executed::No && self.runs.iter().any(|run| run.call == *call) {
+                return Err(format!("{call:?} ran but was answered {answer:?}"));
+            }
+            if let Answer::Replay(outcome) = answer {
+                let matches = |run: &Run| {
+                    run.key == *key
+                        && run
+                            .end
+                            .is_some_and(|(value, _)| response(value) == **outcome)
+                };
+                if !self.runs.iter().any(matches) {
+                    return Err(format!("{call:?} of {key} was replayed {outcome:?}"));
+                }
+            }
+        }
+        Ok(())
+    }
+}
+
+fn response(value: u16) -> Outcome {
+    Outcome {
+        status: value,
+        content_type: String::new(),
+        body: Body::Text(String::new()),
+    }
+}
