--- a/crates/platform/src/engine/mod.rs
+++ b/crates/platform/src/engine/mod.rs
@@ -10,7 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::error::Error;
-use crate::http::client::Client;
+use crate::http::client::{Client, Link};
 
 /// What an engine reports of itself, with a lag.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -107,16 +107,25 @@
     pub headers: HeaderMap,
     /// Whole request body.
     pub body: Bytes,
-    /// Whether the call may be sent a second time if a pooled connection had
-    /// been closed.
-    pub repeatable: bool,
 }
 
 /// Passes calls and commands to one upstream.
 pub trait Engine: Clone + Send + Sync + 'static {
-    /// Passes a call on and returns the answer as it streams.
+    /// Passes a call on that may be repeated, and returns the answer as it
+    /// streams. The call may be sent a second time if a pooled connection had
+    /// been closed.
     fn call(&self, call: Call) -> impl Future<Output = Result<Response<Incoming>, Error>> + Send;
 
+    /// Opens a connection for a call that is sent at most once.
+    fn connect(&self) -> impl Future<Output = Result<Link, Error>> + Send;
+
+    /// Passes a call on over its own connection, at most once.
+    fn call_once(
+        &self,
+        link: Link,
+        call: Call,
+    ) -> impl Future<Output = Result<Response<Incoming>, Error>> + Send;
+
     /// Reads the engine's report.
     fn load(&self) -> impl Future<Output = Result<Load, Error>> + Send;
 
@@ -137,6 +146,14 @@
         Self { client, authority }
     }
 
+    fn request(&self, call: Call) -> Result<Request<Full<Bytes>>, Error> {
+        let mut request = Request::new(Full::new(call.body));
+        *request.method_mut() = call.method;
+        *request.uri_mut() = self.uri(call.path)?;
+        *request.headers_mut() = call.headers;
+        Ok(request)
+    }
+
     fn uri(&self, path: PathAndQuery) -> Result<Uri, Error> {
         Uri::builder()
             .scheme("http")
@@ -149,15 +166,15 @@
 
 impl Engine for Remote {
     async fn call(&self, call: Call) -> Result<Response<Incoming>, Error> {
-        let mut request = Request::new(Full::new(call.body));
-        *request.method_mut() = call.method;
-        *request.uri_mut() = self.uri(call.path)?;
-        *request.headers_mut() = call.headers;
-        if call.repeatable {
-            self.client.send(request).await
-        } else {
-            self.client.send_once(request).await
-        }
+        self.client.send(self.request(call)?).await
+    }
+
+    async fn connect(&self) -> Result<Link, Error> {
+        self.client.connect(&self.authority).await
+    }
+
+    async fn call_once(&self, link: Link, call: Call) -> Result<Response<Incoming>, Error> {
+        link.send(self.request(call)?).await
     }
 
     async fn load(&self) -> Result<Load, Error> {
--- a/crates/platform/src/http/client/mod.rs
+++ b/crates/platform/src/http/client/mod.rs
@@ -3,9 +3,11 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Request, Response, Uri};
+use http::uri::Authority;
+use http::{HeaderValue, Request, Response, Uri};
 use http_body_util::Full;
 use hyper::body::Incoming;
+use hyper::client::conn::http1::SendRequest;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::client::legacy::{Builder, Client as Pool};
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
@@ -73,8 +75,8 @@
     /// Sends a request over a pooled connection.
     ///
     /// A pooled connection may have been closed by the peer, and the library
-    /// then sends the request again if it never left. Use [`Client::send_once`]
-    /// for a request that must not repeat.
+    /// then sends the request again if it never left. Use [`Client::connect`] for
+    /// a request that must not repeat.
     ///
     /// # Errors
     /// [`Error::NotSent`] if no connection could be made, otherwise
@@ -89,39 +91,23 @@
         })
     }
 
-    /// Sends a request over a connection of its own, at most once.
+    /// Opens a connection of its own, for a request that is sent at most once.
     ///
     /// # Errors
-    /// [`Error::NotSent`] if the connection could not be made; from the first
-    /// byte on, [`Error::Unknown`].
-    pub async fn send_once(
-        &self,
-        mut request: Request<Full<Bytes>>,
-    ) -> Result<Response<Incoming>, Error> {
-        let authority = request
-            .uri()
-            .authority()
-            .map(ToString::to_string)
-            .ok_or_else(|| Error::NotSent("the request names no host".to_owned()))?;
-        let connect = TcpStream::connect(&authority);
+    /// [`Error::NotSent`] if the connection could not be made.
+    pub async fn connect(&self, authority: &Authority) -> Result<Link, Error> {
+        let connect = TcpStream::connect(authority.as_str());
         let stream = tokio::time::timeout(self.settings.connect_timeout, connect)
             .await
-            .map_err(|elapsed| Error::NotSent(elapsed.to_string()))?
-            .map_err(|error| Error::NotSent(error.to_string()))?;
-        let (mut sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream))
+            .map_err(invalid)?
+            .map_err(invalid)?;
+        stream.set_nodelay(true).map_err(invalid)?;
+        let (sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream))
             .await
-            .map_err(|error| Error::NotSent(error.to_string()))?;
+            .map_err(invalid)?;
         tokio::spawn(connection);
-        if let Ok(host) = http::HeaderValue::from_str(&authority) {
-            request.headers_mut().insert(http::header::HOST, host);
-        }
-        if let Some(path) = request.uri().path_and_query().cloned() {
-            *request.uri_mut() = Uri::from(path);
-        }
-        sender
-            .send_request(request)
-            .await
-            .map_err(|error| Error::Unknown(chain(&error)))
+        let host = HeaderValue::from_str(authority.as_str()).map_err(invalid)?;
+        Ok(Link { sender, host })
     }
 
     /// Gets a JSON document.
@@ -179,6 +165,33 @@
     }
 }
 
+/// An open connection that carries one request.
+#[derive(Debug)]
+pub struct Link {
+    sender: SendRequest<Full<Bytes>>,
+    host: HeaderValue,
+}
+
+impl Link {
+    /// Sends the one request.
+    ///
+    /// # Errors
+    /// [`Error::Unknown`], since some bytes may have left.
+    pub async fn send(
+        mut self,
+        mut request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, Error> {
+        request.headers_mut().insert(http::header::HOST, self.host);
+        if let Some(path) = request.uri().path_and_query().cloned() {
+            *request.uri_mut() = Uri::from(path);
+        }
+        self.sender
+            .send_request(request)
+            .await
+            .map_err(|error| Error::Unknown(chain(&error)))
+    }
+}
+
 fn invalid(error: impl std::fmt::Display) -> Error {
     Error::NotSent(error.to_string())
 }
--- /dev/null
+++ b/crates/sesamerock/src/agent/execute/mod.rs
@@ -0,0 +1,252 @@
+//! Life of one call in the agent: checks, admission, execution, answer.
+
+pub(super) mod pass;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use sesamerock_platform::engine::Engine;
+use sesamerock_wire::relay::refusal::Reason;
+use sesamerock_wire::relay::{Down, Head, Ready, Refusal, Refused, Up, down, up};
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+use tonic::{Status, Streaming};
+
+use super::probe::Sight;
+use super::suspects::Verdict;
+use super::{Context, keyed};
+use crate::clock;
+use crate::settings::Kind;
+
+/// Frames that go down to the entry.
+pub(super) type Sender = mpsc::Sender<Result<Down, Status>>;
+
+/// The entry is gone, so that nobody reads the answer.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Gone;
+
+/// Sends one frame down.
+pub(super) async fn send(sender: &Sender, kind: down::Kind) -> Result<(), Gone> {
+    sender
+        .send(Ok(Down { kind: Some(kind) }))
+        .await
+        .map_err(|_error| Gone)
+}
+
+/// Runs one call; every outcome goes down as a frame.
+pub(super) async fn run<E: Engine>(
+    context: &Arc<Context<E>>,
+    mut frames: Streaming<Up>,
+    sender: &Sender,
+) {
+    let Ok(Some(Up {
+        kind: Some(up::Kind::Head(head)),
+    })) = frames.message().await
+    else {
+        return;
+    };
+    let outcome = tokio::select! {
+        outcome = steps(context, &head, &mut frames, sender) => outcome,
+        // Dropping the steps cancels the call towards the engine as well.
+        () = sender.closed() => Err(Stop::Gone),
+    };
+    match outcome {
+        Ok(()) => {}
+        Err(Stop::Gone) => {
+            log::info!(
+                "event=call_cancelled request={} attempt={} upstream={}",
+                head.request_id,
+                head.attempt,
+                head.upstream
+            );
+        }
+        Err(Stop::Refused(refusal)) => refuse(context, &head, refusal, sender).await,
+    }
+}
+
+/// Why a call ended before it was passed on.
+#[derive(Debug)]
+pub(super) enum Stop {
+    /// The entry went away.
+    Gone,
+    /// The call was not run and will not be.
+    Refused(Refusal),
+}
+
+impl From<Gone> for Stop {
+    fn from(_: Gone) -> Self {
+        Self::Gone
+    }
+}
+
+/// Makes a refusal.
+pub(super) fn refusal(reason: Reason, detail: impl Into<String>) -> Refusal {
+    Refusal {
+        reason: reason.into(),
+        retry_after_ms: 0,
+        detail: detail.into(),
+    }
+}
+
+async fn refuse<E>(context: &Context<E>, head: &Head, refusal: Refusal, sender: &Sender) {
+    log::info!(
+        "event=call_refused request={} attempt={} upstream={} workspace={} reason={:?} executed=no detail={:?}",
+        head.request_id,
+        head.attempt,
+        head.upstream,
+        head.workspace,
+        refusal.reason(),
+        refusal.detail
+    );
+    context.metrics.refusals.add(1, &[]);
+    let report = context.report(&head.entry);
+    let refused = Refused {
+        refusal: Some(refusal),
+        report: Some(report),
+    };
+    if send(sender, down::Kind::Refused(refused)).await.is_err() {
+        log::debug!("event=refusal_unread request={}", head.request_id);
+    }
+}
+
+async fn steps<E: Engine>(
+    context: &Arc<Context<E>>,
+    head: &Head,
+    frames: &mut Streaming<Up>,
+    sender: &Sender,
+) -> Result<(), Stop> {
+    let deadline = Instant::now() + Duration::from_millis(head.timeout_ms);
+    check(context, head)?;
+    let permit = context
+        .gate
+        .admit(head, deadline)
+        .await
+        .map_err(Stop::Refused)?;
+    // The state may have changed while the call was queued.
+    check(context, head)?;
+    log::info!(
+        "event=call_admitted request={} attempt={} upstream={} workspace={} waited_us={} in_flight={}",
+        head.request_id,
+        head.attempt,
+        head.upstream,
+        head.workspace,
+        clock::now().since(permit.offered()).as_micros(),
+        permit.in_flight()
+    );
+    if head.await_ready {
+        send(sender, down::Kind::Ready(Ready {})).await?;
+    }
+    let body = match tokio::time::timeout_at(deadline, read(context, head, frames)).await {
+        Ok(body) => body?,
+        Err(_) => {
+            return Err(Stop::Refused(refusal(
+                Reason::Deadline,
+                "the body did not arrive",
+            )));
+        }
+    };
+    if head.idempotency_key.is_empty() || head.repeatable {
+        pass::run(context, head, body, permit, deadline, sender).await
+    } else {
+        keyed::run(context, head, body, permit, deadline, sender).await
+    }
+}
+
+/// Refuses what must not start here at all.
+fn check<E>(context: &Context<E>, head: &Head) -> Result<(), Stop> {
+    let refuse = |reason, detail: &str| Err(Stop::Refused(refusal(reason, detail)));
+    if head.upstream != context.settings.upstream.name {
+        return refuse(Reason::WrongUpstream, "this agent serves another upstream");
+    }
+    let view = context.control.view();
+    if view.leaving() {
+        return refuse(Reason::Leaving, view.why_leaving());
+    }
+    if !view.in_contact() {
+        return refuse(
+            Reason::OutOfContact,
+            "no contact with the log or another zone",
+        );
+    }
+    if context.probe.incarnation() == 0 {
+        return refuse(
+            Reason::UpstreamUnreachable,
+            "the upstream has not reported yet",
+        );
+    }
+    if !loaded(context, head) {
+        return refuse(
+            Reason::ModelNotLoaded,
+            "the engine has not loaded the model",
+        );
+    }
+    match context.manifest.check(head) {
+        Verdict::Clean => Ok(()),
+        verdict => Err(Stop::Refused(suspected(verdict))),
+    }
+}
+
+/// Returns whether the engine reports the model of a call as loaded; a plain
+/// service loads nothing.
+fn loaded<E>(context: &Context<E>, head: &Head) -> bool {
+    if context.settings.upstream.kind == Kind::Service {
+        return true;
+    }
+    let Sight::Alive(load) = context.probe.sight() else {
+        return false;
+    };
+    load.models.iter().any(|loaded| {
+        loaded
+            .split_once('@')
+            .is_some_and(|(name, _)| name == head.model)
+    })
+}
+
+/// Makes the refusal of a crash suspect.
+fn suspected(verdict: Verdict) -> Refusal {
+    match verdict {
+        Verdict::Convicted => refusal(Reason::Convicted, "the request crashed two upstreams"),
+        Verdict::Clean => refusal(
+            Reason::Suspect,
+            "another crash suspect runs on this upstream",
+        ),
+        Verdict::Busy(millis) => Refusal {
+            retry_after_ms: millis,
+            ..refusal(
+                Reason::Suspect,
+                "a crash suspect must wait or run elsewhere",
+            )
+        },
+    }
+}
+
+/// Reads the whole body; a call without its whole body is never run.
+async fn read<E>(
+    context: &Context<E>,
+    head: &Head,
+    frames: &mut Streaming<Up>,
+) -> Result<Bytes, Stop> {
+    let expected = usize::try_from(head.body_bytes).unwrap_or(usize::MAX);
+    if expected > context.settings.body_bytes {
+        return Err(Stop::Refused(refusal(
+            Reason::Overloaded,
+            "the body is too long",
+        )));
+    }
+    let mut whole = BytesMut::new();
+    while whole.len() < expected {
+        match frames.message().await {
+            Ok(Some(Up {
+                kind: Some(up::Kind::Body(chunk)),
+            })) => {
+                if whole.is_empty() && chunk.len() == expected {
+                    return Ok(chunk);
+                }
+                whole.extend_from_slice(&chunk);
+            }
+            _ => return Err(Stop::Gone),
+        }
+    }
+    Ok(whole.freeze())
+}
--- /dev/null
+++ b/crates/sesamerock/src/agent/keyed/ledger/mod.rs
@@ -0,0 +1,67 @@
+//! The shards of keys that this agent follows.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, PoisonError};
+
+use sesamerock_ledger::batch::Author;
+use sesamerock_ledger::id::Key;
+use sesamerock_platform::log::Remote;
+use sesamerock_wire::relay::Head;
+
+use super::shard::Shard;
+
+/// Shards of the keys of one service. Each has a stream of its own, so that an
+/// agent reads only what concerns its keys.
+pub(crate) const SHARDS: u8 = 8;
+
+/// Returns the shard of a key.
+pub(crate) fn shard_of(key: &Key) -> u8 {
+    key.0[15] % SHARDS
+}
+
+/// The shards of one agent; each is opened with its first call.
+#[derive(Clone, Debug)]
+pub(super) struct Ledger {
+    log: Remote,
+    author: Author,
+    open: Arc<Mutex<HashMap<String, Arc<Shard>>>>,
+}
+
+impl Ledger {
+    pub(super) fn new(log: Remote, author: Author) -> Self {
+        Self {
+            log,
+            author,
+            open: Arc::default(),
+        }
+    }
+
+    /// Returns the shard of a call's key.
+    pub(super) fn shard(&self, head: &Head) -> Arc<Shard> {
+        let key = key(head);
+        let stream = format!("keys-{}-{:02}", head.model, shard_of(&key));
+        let mut open = self.open.lock().unwrap_or_else(PoisonError::into_inner);
+        let shard = open
+            .entry(stream.clone())
+            .or_insert_with(|| Shard::start(stream, self.log.clone(), self.author.clone()));
+        Arc::clone(shard)
+    }
+}
+
+impl Ledger {
+    /// Waits until the log holds every record of this agent.
+    pub(super) async fn drained(&self) {
+        let open: Vec<_> = {
+            let open = self.open.lock().unwrap_or_else(PoisonError::into_inner);
+            open.values().cloned().collect()
+        };
+        for shard in open {
+            shard.drained().await;
+        }
+    }
+}
+
+/// Returns the key of a call.
+pub(super) fn key(head: &Head) -> Key {
+    Key::new(&head.workspace, &head.model, &head.idempotency_key)
+}
--- /dev/null
+++ b/crates/sesamerock/src/agent/keyed/shard/mod.rs
@@ -0,0 +1,315 @@
+//! One shard of keys: drives [`sesamerock_ledger::shard`] with the log.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use sesamerock_ledger::attempt::{Answer, Call, Finish, Permit, Receipt, Ticket};
+use sesamerock_ledger::batch::Author;
+use sesamerock_ledger::fold::Page;
+use sesamerock_ledger::id::Request;
+use sesamerock_ledger::record::Entry;
+use sesamerock_ledger::shard::{self as machine, Action};
+use sesamerock_platform::error::Error;
+use sesamerock_platform::log::{self, Log as _, Remote};
+use sesamerock_wire::relay::Head;
+use tokio::sync::{Notify, oneshot};
+use tokio::time::Instant;
+
+use super::ledger;
+use crate::clock;
+
+/// Records per read.
+const PAGE_RECORDS: usize = 1_000;
+/// Longest time that the log holds back an answer without records.
+const WAIT: Duration = Duration::from_millis(500);
+/// The same while the shard is not ready.
+const OPENING_WAIT: Duration = Duration::from_millis(5);
+/// Pause after a failed read.
+const PAUSE: Duration = Duration::from_millis(100);
+/// Longest time between two ticks of the state machine.
+const TICK: Duration = Duration::from_millis(200);
+
+/// What was decided about a call.
+#[derive(Debug)]
+pub(super) enum Decision {
+    /// Run it.
+    Run(Grant),
+    /// Do not run it.
+    Answer(Answer),
+}
+
+#[derive(Debug)]
+struct Inner {
+    machine: machine::Shard,
+    waiting: HashMap<Ticket, oneshot::Sender<Result<Permit, Answer>>>,
+}
+
+/// A shard that follows its stream as long as the process runs.
+#[derive(Debug)]
+pub(super) struct Shard {
+    stream: String,
+    log: Remote,
+    inner: Mutex<Inner>,
+    changed: Notify,
+}
+
+/// Permission to run one call. Dropping it gives the key back.
+#[derive(Debug)]
+pub(super) struct Grant {
+    shard: Arc<Shard>,
+    permit: Option<Permit>,
+}
+
+/// Proof that a call may have been sent. Dropping it records that its outcome
+/// is not known.
+#[derive(Debug)]
+pub(super) struct Sent {
+    shard: Arc<Shard>,
+    receipt: Option<Receipt>,
+}
+
+impl Shard {
+    pub(super) fn start(stream: String, log: Remote, author: Author) -> Arc<Self> {
+        let machine = machine::Shard::new(machine::Config::default(), author);
+        let inner = Mutex::new(Inner {
+            machine,
+            waiting: HashMap::new(),
+        });
+        let shard = Arc::new(Self {
+            stream,
+            log,
+            inner,
+            changed: Notify::new(),
+        });
+        tokio::spawn(Arc::clone(&shard).follow());
+        tokio::spawn(Arc::clone(&shard).act());
+        shard
+    }
+
+    /// Submits a call and waits for the decision.
+    pub(super) async fn submit(
+        self: &Arc<Self>,
+        head: &Head,
+        request: Request,
+        deadline: Instant,
+    ) -> Decision {
+        self.until_ready(deadline).await;
+        let now = clock::now();
+        let left = deadline.saturating_duration_since(Instant::now());
+        let call = Call {
+            key: ledger::key(head),
+            request,
+            deadline: now + left,
+        };
+        let receiver = {
+            let mut inner = self.lock();
+            let ticket = inner.machine.submit(call, now);
+            let (sender, receiver) = oneshot::channel();
+            inner.waiting.insert(ticket, sender);
+            receiver
+        };
+        self.changed.notify_one();
+        match receiver.await {
+            Ok(Ok(permit)) => {
+                let grant = Grant {
+                    shard: Arc::clone(self),
+                    permit: Some(permit),
+                };
+                Decision::Run(grant)
+            }
+            Ok(Err(answer)) => Decision::Answer(answer),
+            Err(_) => Decision::Answer(Answer::Unresolved),
+        }
+    }
+
+    /// Waits a little for a shard that has just been opened to catch up.
+    async fn until_ready(&self, deadline: Instant) {
+        while self.lock().machine.ready().is_err() && Instant::now() + TICK < deadline {
+            // A log that is down is told to the caller instead of waited for.
+            if tokio::time::timeout(TICK * 5, self.changed.notified())
+                .await
+                .is_err()
+            {
+                return;
+            }
+        }
+    }
+
+    /// Waits until the log holds every record of this agent.
+    pub(super) async fn drained(&self) {
+        while !self.lock().machine.is_drained() {
+            tokio::time::sleep(TICK).await;
+        }
+    }
+
+    /// Reads the stream for ever.
+    async fn follow(self: Arc<Self>) {
+        let mut failed = false;
+        loop {
+            let (from, wait) = {
+                let inner = self.lock();
+                let machine = &inner.machine;
+                let from = if failed {
+                    machine.overlap()
+                } else {
+                    machine.wanted()
+                };
+                // A call waits for a shard that has just been opened.
+                (
+                    from,
+                    if machine.ready().is_ok() {
+                        WAIT
+                    } else {
+                        OPENING_WAIT
+                    },
+                )
+            };
+            match self.log.read(&self.stream, from, PAGE_RECORDS, wait).await {
+                Ok(page) => {
+                    failed = false;
+                    self.lock().machine.read(&decode(page), clock::now());
+                    self.changed.notify_waiters();
+                    self.changed.notify_one();
+                }
+                Err(error) => {
+                    ::log::debug!(
+                        "event=ledger_read_failed stream={} error={error}",
+                        self.stream
+                    );
+                    failed = true;
+                    tokio::time::sleep(PAUSE).await;
+                }
+            }
+        }
+    }
+
+    /// Does what the state machine asks for, for ever.
+    async fn act(self: Arc<Self>) {
+        loop {
+            let wake = {
+                let mut inner = self.lock();
+                let now = clock::now();
+                inner.machine.tick(now);
+                while let Some(action) = inner.machine.next(now) {
+                    self.perform(&mut inner, action);
+                }
+                inner.machine.wake()
+            };
+            let pause = wake.map_or(TICK, |wake| wake.since(clock::now())).min(TICK);
+            tokio::select! {
+                () = tokio::time::sleep(pause.max(Duration::from_millis(1))) => {}
+                () = self.changed.notified() => {}
+            }
+        }
+    }
+
+    fn perform(self: &Arc<Self>, inner: &mut Inner, action: Action) {
+        match action {
+            Action::Append(entry) => {
+                tokio::spawn(Arc::clone(self).append(entry));
+            }
+            Action::Run(permit) => match inner.waiting.remove(&permit.ticket()) {
+                Some(waiter) => {
+                    if let Err(Ok(permit)) = waiter.send(Ok(permit)) {
+                        inner.machine.decline(permit, clock::now());
+                    }
+                }
+                None => inner.machine.decline(permit, clock::now()),
+            },
+            Action::Answer(ticket, answer) => {
+                let waiter = inner.waiting.remove(&ticket);
+                if waiter.is_none_or(|waiter| waiter.send(Err(answer)).is_err()) {
+                    ::log::debug!("event=ledger_answer_unread stream={}", self.stream);
+                }
+            }
+        }
+    }
+
+    async fn append(self: Arc<Self>, entry: Arc<Entry>) {
+        let content = Bytes::from(entry.encode());
+        if let Err(error) = self.log.append(&self.stream, vec![content]).await {
+            ::log::warn!(
+                "event=ledger_append_failed stream={} error={error}",
+                self.stream
+            );
+            let busy = matches!(error, Error::Refused { status: 429, .. });
+            let retry_after = busy.then_some(PAUSE);
+            self.lock()
+                .machine
+                .failed(&entry, retry_after, clock::now());
+            self.changed.notify_one();
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Grant {
+    /// Turns the permission into a proof of sending, just before the request
+    /// is sent; `None` if the deadline has passed.
+    pub(super) fn begin(mut self) -> Option<Sent> {
+        let permit = self.permit.take()?;
+        let begun = self.shard.lock().machine.begin(permit, clock::now());
+        self.shard.changed.notify_one();
+        let receipt = begun.ok()?;
+        Some(Sent {
+            shard: Arc::clone(&self.shard),
+            receipt: Some(receipt),
+        })
+    }
+
+    /// Gives the key back; nothing was sent.
+    pub(super) fn decline(self) {
+        drop(self);
+    }
+}
+
+impl Drop for Grant {
+    fn drop(&mut self) {
+        if let Some(permit) = self.permit.take() {
+            self.shard.lock().machine.decline(permit, clock::now());
+            self.shard.changed.notify_one();
+        }
+    }
+}
+
+impl Sent {
+    /// Records the outcome.
+    pub(super) fn finish(mut self, finish: Finish) {
+        self.end(finish);
+    }
+
+    fn end(&mut self, finish: Finish) {
+        if let Some(receipt) = self.receipt.take() {
+            self.shard
+                .lock()
+                .machine
+                .finish(receipt, finish, clock::now());
+            self.shard.changed.notify_one();
+        }
+    }
+}
+
+impl Drop for Sent {
+    fn drop(&mut self) {
+        self.end(Finish::Broken);
+    }
+}
+
+fn decode(page: log::Page) -> Page {
+    let entries = page.entries.into_iter();
+    Page {
+        first: page.first,
+        head: page.head,
+        entries: entries
+            .map(|entry| {
+                let decoded = Entry::decode(&entry.content).ok();
+                (entry.offset, decoded.map(|decoded| Arc::new(decoded.entry)))
+            })
+            .collect(),
+    }
+}
--- /dev/null
+++ b/crates/sesamerock/src/agent/operator/mod.rs
@@ -0,0 +1,48 @@
+//! Health and metrics of an agent.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use http::{Request, Response, StatusCode};
+use hyper::body::Incoming;
+use sesamerock_platform::engine::Engine;
+use sesamerock_platform::http::body::Body;
+use sesamerock_platform::http::server::Handler;
+
+use super::Context;
+use super::probe::Sight;
+use crate::entry::operator::{not_found, text};
+
+/// Serves `/healthz`, `/readyz` and `/metrics`.
+#[derive(Debug)]
+pub struct Operator<E> {
+    context: Arc<Context<E>>,
+}
+
+impl<E> Operator<E> {
+    /// Makes the handler.
+    pub fn new(context: Arc<Context<E>>) -> Self {
+        Self { context }
+    }
+
+    fn ready(&self) -> Response<Body> {
+        let view = self.context.control.view();
+        let alive = matches!(self.context.probe.sight(), Sight::Alive(_));
+        if alive && view.in_contact() && !view.leaving() {
+            text(StatusCode::OK, "ready\n")
+        } else {
+            text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n")
+        }
+    }
+}
+
+impl<E: Engine> Handler for Operator<E> {
+    async fn handle(&self, _peer: SocketAddr, request: Request<Incoming>) -> Response<Body> {
+        match request.uri().path() {
+            "/healthz" => text(StatusCode::OK, "ok\n"),
+            "/readyz" => self.ready(),
+            "/metrics" => text(StatusCode::OK, self.context.metrics.render()),
+            _ => not_found(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/sesamerock/src/agent/probe/mod.rs
@@ -0,0 +1,125 @@
+//! Watches the upstream's own reports: load, incarnation, reachability.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use sesamerock_platform::engine::{Engine, Load};
+use tokio::sync::{Notify, watch};
+
+/// Longest time that a broken call waits for the verdict on its upstream.
+const VERDICT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Consecutive failed reads after which the upstream counts as dead.
+const DEAD_READS: u32 = 2;
+/// Time between reads while a broken call waits for the verdict.
+const URGENT_INTERVAL: Duration = Duration::from_millis(20);
+
+/// What a read of the report gave.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Sight {
+    /// Nothing read yet.
+    None,
+    /// The upstream answered.
+    Alive(Load),
+    /// The upstream did not answer several times.
+    Dead,
+}
+
+/// The watcher of one upstream.
+#[derive(Debug)]
+pub struct Probe {
+    sight: watch::Sender<(u64, Sight)>,
+    incarnation: AtomicU64,
+    urgent: Notify,
+}
+
+impl Default for Probe {
+    fn default() -> Self {
+        Self {
+            sight: watch::Sender::new((0, Sight::None)),
+            incarnation: AtomicU64::new(0),
+            urgent: Notify::new(),
+        }
+    }
+}
+
+impl Probe {
+    /// Returns the incarnation last seen, or 0.
+    pub fn incarnation(&self) -> u64 {
+        self.incarnation.load(Ordering::Relaxed)
+    }
+
+    /// Returns a receiver of what is seen; the number rises with every read.
+    pub fn subscribe(&self) -> watch::Receiver<(u64, Sight)> {
+        self.sight.subscribe()
+    }
+
+    /// Returns what was last seen.
+    pub fn sight(&self) -> Sight {
+        self.sight.borrow().1.clone()
+    }
+
+    /// Asks for a read now.
+    pub fn wake(&self) {
+        self.urgent.notify_one();
+    }
+
+    /// Tells whether the upstream died since it ran as `incarnation`.
+    ///
+    /// A connection can break for other reasons than a crash, and a call must
+    /// not be blamed for those, so this waits for fresh reads.
+    pub async fn crashed(&self, incarnation: u64) -> bool {
+        let mut sight = self.sight.subscribe();
+        let start = sight.borrow_and_update().0;
+        self.wake();
+        let wait = async {
+            loop {
+                if sight.changed().await.is_err() {
+                    return false;
+                }
+                let (count, seen) = &*sight.borrow_and_update();
+                match seen {
+                    Sight::Dead => return true,
+                    Sight::Alive(load) if *count > start => {
+                        return load.incarnation != incarnation;
+                    }
+                    _ => self.wake(),
+                }
+            }
+        };
+        // An upstream that answers nothing in this time is as good as dead.
+        tokio::time::timeout(VERDICT_TIMEOUT, wait)
+            .await
+            .unwrap_or(true)
+    }
+
+    /// Reads reports until the task is dropped.
+    pub async fn run(&self, engine: impl Engine, interval: Duration) {
+        let mut failures = 0;
+        loop {
+            let read = tokio::time::timeout(interval.max(URGENT_INTERVAL), engine.load()).await;
+            let sight = if let Ok(Ok(load)) = read {
+                failures = 0;
+                self.incarnation.store(load.incarnation, Ordering::Relaxed);
+                Some(Sight::Alive(load))
+            } else {
+                failures += 1;
+                (failures >= DEAD_READS).then_some(Sight::Dead)
+            };
+            if let Some(sight) = sight {
+                self.sight.send_modify(|(count, last)| {
+                    *count += 1;
+                    *last = sight;
+                });
+            }
+            let pause = if failures > 0 {
+                URGENT_INTERVAL
+            } else {
+                interval
+            };
+            tokio::select! {
+                () = tokio::time::sleep(pause) => {}
+                () = self.urgent.notified() => {}
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/sesamerock/src/cli/command/mod.rs
@@ -0,0 +1,241 @@
+//! Runs the commands of the command line.
+
+use std::fs;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use bytes::Bytes;
+use eyre::{WrapErr as _, eyre};
+use http::Request;
+use http_body_util::Full;
+use serde::de::DeserializeOwned;
+use sesamerock_platform::error::Error;
+use sesamerock_platform::http::body;
+use sesamerock_platform::http::client::Client;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio_util::sync::CancellationToken;
+
+use super::{Command, Options};
+use crate::entry::operator::{Published, Status, Verdict};
+use crate::{agent, dev, entry, settings, telemetry};
+
+/// Exit code for a failure.
+const FAILED: u8 = 1;
+/// Exit code for a faulty file.
+const FAULTY: u8 = 2;
+/// Exit code for an unknown outcome.
+const UNKNOWN: u8 = 3;
+/// Longest answer read from an entry, in bytes.
+const ANSWER_BYTES: usize = 16 << 20;
+/// Time for an operator's command, which may wait until a note is in force
+/// everywhere.
+const COMMAND_TIMEOUT: Duration = Duration::from_mins(1);
+
+/// Runs one command and returns the exit code of the program.
+pub(super) fn run(options: Options) -> ExitCode {
+    let started = telemetry::start_log(options.log_level);
+    let outcome = started.and_then(|()| match options.command {
+        Command::Dev => serve(0, dev::run),
+        Command::Entry { settings } => start_entry(&settings),
+        Command::Agent { settings } => start_agent(&settings),
+        Command::Check { file } => check(&file),
+        command => operate(command),
+    });
+    match outcome {
+        Ok(code) => ExitCode::from(code),
+        Err(error) => {
+            eprintln!("sesamerock: {error:#}");
+            ExitCode::from(FAILED)
+        }
+    }
+}
+
+fn start_entry(file: &Path) -> eyre::Result<u8> {
+    let Some(settings) = load::<settings::Entry>(file)? else {
+        return Ok(FAULTY);
+    };
+    serve(settings.node.threads, |stop| async move {
+        entry::run(settings, stop).await
+    })
+}
+
+fn start_agent(file: &Path) -> eyre::Result<u8> {
+    let Some(settings) = load::<settings::Agent>(file)? else {
+        return Ok(FAULTY);
+    };
+    serve(settings.node.threads, |stop| async move {
+        agent::run(settings, stop).await
+    })
+}
+
+/// Reads a settings file; reports every fault of it and returns `None` if there
+/// is one.
+fn load<T: DeserializeOwned>(file: &Path) -> eyre::Result<Option<T>> {
+    let text = read(file)?;
+    let faults = settings::check::faults(&text);
+    if !faults.is_empty() {
+        report(file, &faults);
+        return Ok(None);
+    }
+    serde_yaml_ng::from_str(&text)
+        .map(Some)
+        .wrap_err_with(|| format!("{} is not a settings file", file.display()))
+}
+
+fn read(file: &Path) -> eyre::Result<String> {
+    fs::read_to_string(file).wrap_err_with(|| format!("cannot read {}", file.display()))
+}
+
+fn check(file: &Path) -> eyre::Result<u8> {
+    let faults = settings::check::faults(&read(file)?);
+    report(file, &faults);
+    if faults.is_empty() {
+        println!("{}: ok", file.display());
+        return Ok(0);
+    }
+    Ok(FAULTY)
+}
+
+fn report(file: &Path, faults: &[String]) {
+    for fault in faults {
+        eprintln!("{}: {fault}", file.display());
+    }
+}
+
+/// Runs a role on a multi-threaded runtime until SIGTERM or SIGINT.
+fn serve<F>(threads: usize, role: impl FnOnce(CancellationToken) -> F) -> eyre::Result<u8>
+where
+    F: Future<Output = eyre::Result<()>>,
+{
+    let mut builder = tokio::runtime::Builder::new_multi_thread();
+    builder.enable_all().thread_name("traffic");
+    if threads > 0 {
+        builder.worker_threads(threads);
+    }
+    let runtime = builder
+        .build()
+        .wrap_err("cannot start the traffic threads")?;
+    runtime.block_on(async {
+        let stop = CancellationToken::new();
+        let mut terminate = signal(SignalKind::terminate())?;
+        let mut interrupt = signal(SignalKind::interrupt())?;
+        let stopping = stop.clone();
+        tokio::spawn(async move {
+            tokio::select! {
+                _ = terminate.recv() => {}
+                _ = interrupt.recv() => {}
+            }
+            log::info!("event=stopping");
+            stopping.cancel();
+        });
+        role(stop).await
+    })?;
+    Ok(0)
+}
+
+fn operate(command: Command) -> eyre::Result<u8> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    runtime.block_on(async {
+        match command {
+            Command::Publish {
+                operator,
+                file,
+                wait,
+            } => publish(operator, &file, wait).await,
+            Command::Show { operator } => show(operator).await,
+            Command::Zone {
+                operator,
+                service,
+                name,
+            } => {
+                let path = format!("/operator/zones/{name}/{}", service.as_str());
+                verdict(&post(operator, &path, Bytes::new()).await?)
+            }
+            Command::Vm {
+                operator,
+                service,
+                name,
+            } => {
+                let path = format!("/operator/vms/{name}/{}", service.as_str());
+                verdict(&post(operator, &path, Bytes::new()).await?)
+            }
+            Command::Status { operator, json } => status(operator, json).await,
+            Command::Dev
+            | Command::Entry { .. }
+            | Command::Agent { .. }
+            | Command::Check { .. } => Err(eyre!("this command does not ask an entry")),
+        }
+    })
+}
+
+async fn publish(operator: SocketAddr, file: &Path, wait: bool) -> eyre::Result<u8> {
+    let text = read(file)?;
+    let faults = settings::check::note_faults(&text);
+    if !faults.is_empty() {
+        report(file, &faults);
+        return Ok(FAULTY);
+    }
+    let path = if wait {
+        "/operator/notes?wait=1"
+    } else {
+        "/operator/notes"
+    };
+    verdict(&post(operator, path, Bytes::from(text)).await?)
+}
+
+fn verdict(published: &Published) -> eyre::Result<u8> {
+    println!("{}", serde_json::to_string(published)?);
+    Ok(match published.outcome {
+        Verdict::Accepted => 0,
+        Verdict::Rejected => FAILED,
+        Verdict::Unknown => UNKNOWN,
+    })
+}
+
+async fn show(operator: SocketAddr) -> eyre::Result<u8> {
+    let notes: serde_json::Value = get(operator, "/operator/notes").await?;
+    println!("{}", serde_yaml_ng::to_string(&notes)?.trim_end());
+    Ok(0)
+}
+
+async fn status(operator: SocketAddr, json: bool) -> eyre::Result<u8> {
+    let status: Status = get(operator, "/operator/status").await?;
+    if json {
+        println!("{}", serde_json::to_string_pretty(&status)?);
+    } else {
+        print!("{status}");
+    }
+    Ok(0)
+}
+
+async fn get<T: DeserializeOwned>(operator: SocketAddr, path: &str) -> eyre::Result<T> {
+    let uri = format!("http://{operator}{path}");
+    Client::default()
+        .get(&uri, Duration::ZERO)
+        .await
+        .wrap_err_with(|| format!("the entry at {operator} did not answer"))
+}
+
+async fn post(operator: SocketAddr, path: &str, content: Bytes) -> eyre::Result<Published> {
+    let request = Request::post(format!("http://{operator}{path}")).body(Full::new(content))?;
+    let client = Client::default();
+    let exchange = async {
+        let response = client.send(request).await?;
+        let content = body::collect(response.into_body(), ANSWER_BYTES)
+            .await
+            .map_err(|fault| Error::Unknown(format!("{fault:?}")))?;
+        serde_json::from_slice(&content).map_err(|error| Error::Malformed(error.to_string()))
+    };
+    match tokio::time::timeout(COMMAND_TIMEOUT, exchange).await {
+        Ok(Ok(published)) => Ok(published),
+        Ok(Err(error @ (Error::NotSent(_) | Error::Malformed(_)))) => {
+            Err(error).wrap_err_with(|| format!("the entry at {operator} did not answer"))
+        }
+        Ok(Err(error)) => Ok(Published::unknown(error.to_string())),
+        Err(elapsed) => Ok(Published::unknown(elapsed.to_string())),
+    }
+}
--- /dev/null
+++ b/crates/sesamerock/src/control/driver/apply/mod.rs
@@ -0,0 +1,188 @@
+//! Folds what the log and the peers deliver.
+
+use sesamerock_base::time::Moment;
+use sesamerock_base::version::Version;
+use sesamerock_exchange::message::Record;
+use sesamerock_exchange::node::Delivery;
+use sesamerock_exchange::transfer::Snapshot;
+use sesamerock_note::fold::State;
+use sesamerock_note::fold::outcome::Outcome;
+use sesamerock_note::snapshot::{self, Part};
+use sesamerock_platform::log::Page;
+
+use super::{Driver, Read};
+
+impl Driver {
+    /// Takes in a read of the log.
+    pub(super) fn read(&mut self, read: Read) {
+        let now = crate::clock::now();
+        match read.page {
+            Ok(page) => self.page(now, read.sent, read.from, &page),
+            Err(error) => log::debug!("event=log_read_failed from={} error={error}", read.from),
+        }
+        // The reader waits for a new offset after every read.
+        let position = self.fold.position();
+        let reads = self.exchange.reads_log() || !self.whole;
+        self.asked.send_replace(reads.then_some(position));
+    }
+
+    fn page(&mut self, now: Moment, sent: Moment, from: u64, page: &Page) {
+        if from != self.fold.position() {
+            // Peers were faster than the log.
+            return self.caught_up(now, sent, page);
+        }
+        if page.head < from || page.first > from {
+            self.restart(now, page);
+        }
+        for entry in &page.entries {
+            let outcome = self.fold.apply(entry.offset, &entry.content);
+            self.folded(entry.offset, &outcome);
+            let version = self.fold.log().version();
+            let record = Record {
+                version,
+                bytes: entry.content.to_vec().into(),
+            };
+            self.exchange.learn(now, record);
+        }
+        self.caught_up(now, sent, page);
+    }
+
+    /// The log no longer holds what follows the position: it dropped old
+    /// records, or it lost its tail.
+    fn restart(&mut self, now: Moment, page: &Page) {
+        let position = self.fold.position();
+        log::warn!(
+            "event=log_restart position={position} first={} head={} version={}",
+            page.first,
+            page.head,
+            self.fold.version().0
+        );
+        self.fold.restart(now, State::starting_at(page.first));
+        self.dirty = true;
+    }
+
+    fn caught_up(&mut self, now: Moment, sent: Moment, page: &Page) {
+        self.log_state.read = Some(now);
+        self.log_state.first = page.first;
+        self.log_state.head = page.head;
+        if self.fold.position() < page.head {
+            return;
+        }
+        // A log that dropped its beginning is only whole with a snapshot.
+        let covered = page.first == 0 || self.fold.log().covered().is_some();
+        if !covered && !self.whole {
+            return;
+        }
+        self.catch_exchange_up(now);
+        self.exchange.log_read(sent, self.fold.log().version());
+        self.become_whole("log");
+    }
+
+    /// Brings the exchange to the version of the fold, where single records
+    /// could not.
+    pub(super) fn catch_exchange_up(&mut self, now: Moment) {
+        if self.fold.log().version() > self.exchange.version() {
+            let snapshot = self.encode();
+            self.exchange.restore(now, snapshot);
+        }
+    }
+
+    /// Applies what the exchange delivers.
+    pub(super) fn take_deliveries(&mut self, now: Moment) {
+        for delivery in self.exchange.deliveries() {
+            match delivery {
+                Delivery::Record(record) => self.deliver(now, &record),
+                Delivery::Snapshot(snapshot) => self.install(now, &snapshot),
+            }
+        }
+    }
+
+    fn deliver(&mut self, now: Moment, record: &Record) {
+        if record.version <= self.fold.log().version() {
+            return;
+        }
+        let offset = record.version.0 - self.fold.log().shift();
+        let outcome = self.fold.apply(offset, &record.bytes);
+        self.folded(offset, &outcome);
+        if matches!(outcome, Outcome::Gap { .. }) {
+            return;
+        }
+        // A record may raise the version by more than one.
+        self.catch_exchange_up(now);
+        self.become_whole("peers");
+    }
+
+    fn install(&mut self, now: Moment, snapshot: &Snapshot) {
+        if snapshot.version <= self.fold.log().version() {
+            return;
+        }
+        let restored = serde_json::from_slice::<Vec<Part>>(&snapshot.bytes)
+            .map_err(|error| error.to_string())
+            .and_then(|parts| {
+                let parts: Vec<_> = parts.into_iter().map(std::sync::Arc::new).collect();
+                snapshot::restore(&parts).map_err(|fault| fault.to_string())
+            });
+        match restored {
+            Ok(state) => {
+                let version = state.version();
+                if self.fold.install(now, state) {
+                    log::info!("event=snapshot_installed version={} source=peer", version.0);
+                    self.dirty = true;
+                    self.become_whole("peers");
+                }
+            }
+            Err(fault) => log::warn!("event=snapshot_refused source=peer fault={fault:?}"),
+        }
+    }
+
+    fn folded(&mut self, offset: u64, outcome: &Outcome) {
+        self.dirty = true;
+        let version = self.fold.version().0;
+        match outcome {
+            Outcome::Accepted { .. } => {
+                log::info!("event=record_applied offset={offset} version={version}");
+            }
+            Outcome::Rejected { conflicts, .. } => {
+                let conflicts: Vec<_> = conflicts.iter().map(ToString::to_string).collect();
+                log::info!(
+                    "event=record_rejected offset={offset} version={version} conflicts={conflicts:?}"
+                );
+            }
+            Outcome::Skipped(skip) => {
+                log::warn!("event=record_skipped offset={offset} version={version} why={skip:?}");
+            }
+            Outcome::Gap { expected } => {
+                log::warn!("event=record_gap offset={offset} expected={expected}");
+            }
+            other => log::debug!("event=record_folded offset={offset} outcome={other:?}"),
+        }
+    }
+
+    fn become_whole(&mut self, source: &str) {
+        if !self.whole {
+            self.whole = true;
+            self.dirty = true;
+            log::info!(
+                "event=control_ready version={} source={source}",
+                self.fold.version().0
+            );
+        }
+    }
+
+    /// Encodes the fold of the log for peers.
+    pub(super) fn encode(&self) -> Snapshot {
+        let state = self.fold.log();
+        let parts: Vec<_> = snapshot::encode(state)
+            .into_iter()
+            .filter_map(|record| match record.body {
+                sesamerock_note::record::Body::Snapshot(part) => Some(part),
+                _ => None,
+            })
+            .collect();
+        let bytes = serde_json::to_vec(&parts).unwrap_or_default();
+        Snapshot {
+            version: Version(state.version().0),
+            bytes: bytes.into(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/sesamerock/src/control/reader/mod.rs
@@ -0,0 +1,64 @@
+//! Reads the log for the control thread.
+
+use std::time::Duration;
+
+use sesamerock_base::time::Moment;
+use sesamerock_platform::error::Error;
+use sesamerock_platform::log::{Log, Page};
+use tokio::sync::{mpsc, watch};
+
+use super::STREAM;
+use crate::clock;
+
+/// Records per read.
+const PAGE_RECORDS: usize = 500;
+/// Longest time that the log holds back an answer without records. It must be
+/// well below the bound of the contact rule, since each answer is a contact.
+const WAIT: Duration = Duration::from_millis(500);
+/// Pause after a failed read.
+const PAUSE: Duration = Duration::from_millis(200);
+
+/// What a read gave.
+#[derive(Debug)]
+pub(super) struct Read {
+    /// When it was sent.
+    pub(super) sent: Moment,
+    /// Offset it began at.
+    pub(super) from: u64,
+    /// Its answer.
+    pub(super) page: Result<Page, Error>,
+}
+
+/// Reads from the offset asked for, again and again, until either channel
+/// closes. It reads nothing while `None` is asked for.
+pub(super) async fn run(
+    log: impl Log,
+    mut asked: watch::Receiver<Option<u64>>,
+    reads: mpsc::Sender<Read>,
+) {
+    loop {
+        let Ok(from) = asked
+            .wait_for(Option::is_some)
+            .await
+            .map(|from| from.unwrap_or(0))
+        else {
+            return;
+        };
+        let sent = clock::now();
+        let page = log.read(STREAM, from, PAGE_RECORDS, WAIT).await;
+        let failed = page.is_err();
+        asked.mark_unchanged();
+        if reads.send(Read { sent, from, page }).await.is_err() {
+            return;
+        }
+        if failed {
+            let jitter = Duration::from_millis(u64::from(rand::random::<u8>()));
+            tokio::time::sleep(PAUSE + jitter).await;
+            continue;
+        }
+        // The control thread answers every read with the next offset.
+        if asked.changed().await.is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/sesamerock/src/control/view/mod.rs
@@ -0,0 +1,192 @@
+//! An immutable snapshot of the control state for the traffic threads.
+
+use std::net::SocketAddr;
+
+use serde::Serialize;
+use sesamerock_base::time::Moment;
+use sesamerock_base::version::Version;
+use sesamerock_exchange::blob::Blob;
+use sesamerock_note::fold::State;
+
+use super::Lease;
+use crate::entry::entries::Announcement;
+use crate::settings::Node;
+
+/// Key of the fact by which an entry announces itself.
+pub const ANNOUNCEMENT: u64 = 1;
+/// First key of the facts that carry crash records.
+pub const CRASHES: u64 = 1_000;
+
+/// A fact of some node.
+#[derive(Clone, Debug)]
+pub struct Fact {
+    /// Node that states it.
+    pub origin: SocketAddr,
+    /// Its key.
+    pub key: u64,
+    /// Its value.
+    pub value: Blob,
+}
+
+/// What a node knows at one moment.
+#[derive(Clone, Debug)]
+pub struct View {
+    /// The control state.
+    pub state: State,
+    /// Facts of all nodes.
+    pub facts: Vec<Fact>,
+    /// When the log was last read, if it was.
+    pub log_read: Option<Moment>,
+    /// VMs that the platform's list calls leaving or no longer names, if the
+    /// list was read.
+    pub vms_leaving: Vec<String>,
+    pub(super) whole: bool,
+    pub(super) stopping: bool,
+    pub(super) zone: String,
+    pub(super) vm: String,
+    pub(super) lease: Lease,
+}
+
+/// What the accepted notes have put into force, for operators.
+#[derive(Debug, Serialize)]
+pub struct Summary {
+    /// Control version.
+    pub version: Version,
+    /// Zones out of service.
+    pub zones_out: Vec<String>,
+    /// VMs out of service.
+    pub vms_out: Vec<String>,
+    /// Names of upstreams.
+    pub upstreams: Vec<String>,
+    /// Models as `name@version`.
+    pub models: Vec<String>,
+    /// Names of services.
+    pub services: Vec<String>,
+    /// Recent verdicts, oldest first.
+    pub verdicts: Vec<String>,
+}
+
+impl View {
+    /// Makes the view of a node that knows nothing yet.
+    pub fn new(node: &Node, lease: Lease) -> Self {
+        Self {
+            state: State::default(),
+            facts: Vec::new(),
+            log_read: None,
+            vms_leaving: Vec::new(),
+            whole: false,
+            stopping: false,
+            zone: node.zone.clone(),
+            vm: node.vm.clone(),
+            lease,
+        }
+    }
+
+    /// Returns the control version in force here.
+    pub fn version(&self) -> Version {
+        self.state.version()
+    }
+
+    /// Returns whether the whole control state was obtained once.
+    pub fn ready(&self) -> bool {
+        self.whole
+    }
+
+    /// Returns whether the contact rule lets this node take new work now.
+    pub fn in_contact(&self) -> bool {
+        self.whole && self.lease.holds()
+    }
+
+    /// Returns whether this node is to take no new work.
+    pub fn leaving(&self) -> bool {
+        !self.why_leaving().is_empty()
+    }
+
+    /// Returns why this node is to take no new work, or an empty text.
+    pub fn why_leaving(&self) -> &'static str {
+        if self.stopping {
+            "the process is stopping"
+        } else if self.zone_out(&self.zone) {
+            "the availability zone is out of service"
+        } else if self.vm_out(&self.vm) {
+            "the VM is out of service"
+        } else if self.vms_leaving.contains(&self.vm) {
+            "the VM is leaving"
+        } else {
+            ""
+        }
+    }
+
+    /// Returns whether a zone and a VM are in service.
+    pub fn in_service(&self, zone: &str, vm: &str) -> bool {
+        !self.zone_out(zone) && !self.vm_out(vm)
+    }
+
+    /// Returns the entries that have announced themselves.
+    pub fn entries(&self) -> Vec<Announcement> {
+        self.facts
+            .iter()
+            .filter(|fact| fact.key == ANNOUNCEMENT)
+            .filter_map(|fact| serde_json::from_slice(&fact.value).ok())
+            .collect()
+    }
+
+    /// Returns a summary for operators.
+    pub fn summary(&self) -> Summary {
+        let state = &self.state;
+        let upstreams = state.upstreams();
+        let models = state.models();
+        Summary {
+            version: state.version(),
+            zones_out: self.zones_out(),
+            vms_out: self.vms_out(),
+            upstreams: upstreams
+                .iter()
+                .map(|(key, _)| upstreams.name(key).to_owned())
+                .collect(),
+            models: models
+                .iter()
+                .map(|(key, model)| format!("{}@{}", models.name(key), model.version))
+                .collect(),
+            services: {
+                let services = state.services();
+                services
+                    .iter()
+                    .map(|(key, _)| services.name(key).to_owned())
+                    .collect()
+            },
+            verdicts: state
+                .verdicts()
+                .map(|past| format!("{} {} {:?}", past.version.0, past.id, past.verdict))
+                .collect(),
+        }
+    }
+
+    /// Returns the zones out of service.
+    pub fn zones_out(&self) -> Vec<String> {
+        let zones = self.state.zones();
+        let out = zones.iter().filter(|(_, place)| place.out);
+        out.map(|(key, _)| zones.name(key).to_owned()).collect()
+    }
+
+    /// Returns the VMs out of service.
+    pub fn vms_out(&self) -> Vec<String> {
+        let vms = self.state.vms();
+        let out = vms.iter().filter(|(_, place)| place.out);
+        out.map(|(key, _)| vms.name(key).to_owned()).collect()
+    }
+
+    fn zone_out(&self, zone: &str) -> bool {
+        self.state
+            .zones()
+            .find(zone)
+            .is_some_and(|(_, place)| place.out)
+    }
+
+    fn vm_out(&self, vm: &str) -> bool {
+        self.state
+            .vms()
+            .find(vm)
+            .is_some_and(|(_, place)| place.out)
+    }
+}
--- /dev/null
+++ b/crates/sesamerock/src/entry/ask/mod.rs
@@ -0,0 +1,254 @@
+//! First filter of the request path: what a caller asks for.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::request::Parts;
+use http::uri::PathAndQuery;
+use http::{HeaderMap, HeaderName, Method, StatusCode};
+use serde::Deserialize;
+use sesamerock_retry::evidence::Fingerprint;
+use tokio::time::Instant;
+
+use crate::problem::Problem;
+
+/// Header that names the workspace.
+pub const WORKSPACE: &str = "x-workspace";
+/// Header that names the request in every hop.
+pub const REQUEST_ID: &str = "x-request-id";
+/// Header with the time the caller will wait, in milliseconds.
+pub const TIMEOUT: &str = "x-request-timeout-ms";
+/// Header with the key that makes a call idempotent.
+pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
+
+/// Tokens assumed for an answer whose length the caller does not bound.
+const DEFAULT_TOKENS: u64 = 256;
+/// Bytes of text that make one token, on average over common languages.
+const BYTES_PER_TOKEN: u64 = 4;
+/// Default urgency of RFC 9218.
+const DEFAULT_URGENCY: u8 = 3;
+/// Longest name or key taken from a caller, in bytes.
+const NAME_BYTES: usize = 256;
+
+/// What kind of upstream a request goes to.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Target {
+    /// A model call.
+    Model {
+        /// Model name.
+        model: String,
+        /// Whether the answer is a stream of events.
+        streamed: bool,
+    },
+    /// A call to a plain service.
+    Service {
+        /// Service name.
+        name: String,
+    },
+}
+
+/// A request, read and checked.
+#[derive(Clone, Debug)]
+pub struct Ask {
+    /// Id that follows the request through every hop.
+    pub id: String,
+    /// Workspace, the unit of fairness.
+    pub workspace: String,
+    /// Where it goes.
+    pub target: Target,
+    /// HTTP method towards the upstream.
+    pub method: Method,
+    /// Path and query towards the upstream.
+    pub path: PathAndQuery,
+    /// Header fields to pass on.
+    pub headers: HeaderMap,
+    /// Whole body.
+    pub body: Bytes,
+    /// When the caller gives up.
+    pub deadline: Instant,
+    /// Urgency of RFC 9218, 0 is the highest.
+    pub urgency: u8,
+    /// Key that makes the call idempotent.
+    pub key: Option<String>,
+    /// Estimated tokens it will hold in an upstream.
+    pub tokens: u64,
+    /// Hash of workspace, target and body, by which crash suspects are known.
+    pub fingerprint: [u8; 8],
+}
+
+#[derive(Debug, Deserialize)]
+struct Completion {
+    model: String,
+    #[serde(default)]
+    stream: bool,
+    #[serde(default, alias = "max_completion_tokens")]
+    max_tokens: Option<u64>,
+}
+
+/// Makes the id of a request that came without one.
+pub fn new_id() -> String {
+    static NEXT: AtomicU64 = AtomicU64::new(0);
+    format!(
+        "{:08x}{:08x}",
+        rand::random::<u32>(),
+        NEXT.fetch_add(1, Ordering::Relaxed)
+    )
+}
+
+/// Returns the caller's request id, or a new one if it has none that is safe to
+/// put into a log line.
+pub fn id(headers: &HeaderMap) -> String {
+    match text(headers, REQUEST_ID) {
+        Some(id)
+            if id.len() <= 64 && id.bytes().all(|b| b.is_ascii_alphanumeric() || b == b'-') =>
+        {
+            id.to_owned()
+        }
+        _ => new_id(),
+    }
+}
+
+impl Ask {
+    /// Reads a request whose body has arrived.
+    ///
+    /// # Errors
+    /// Returns the [`Problem`] to answer with if the request is not well formed.
+    pub fn read(
+        id: String,
+        parts: &Parts,
+        body: Bytes,
+        default_timeout: Duration,
+    ) -> Result<Self, Problem> {
+        let workspace = text(&parts.headers, WORKSPACE).unwrap_or("default");
+        if workspace.is_empty() || workspace.len() > NAME_BYTES {
+            return Err(invalid("x-workspace must have 1 to 256 bytes"));
+        }
+        let timeout = match text(&parts.headers, TIMEOUT) {
+            None => default_timeout,
+            Some(value) => Duration::from_millis(
+                value
+                    .parse()
+                    .map_err(|_error| invalid("x-request-timeout-ms must be a number"))?,
+            ),
+        };
+        let key = text(&parts.headers, IDEMPOTENCY_KEY).map(str::to_owned);
+        if key
+            .as_ref()
+            .is_some_and(|key| key.is_empty() || key.len() > NAME_BYTES)
+        {
+            return Err(invalid("idempotency-key must have 1 to 256 bytes"));
+        }
+        let (target, path, tokens) = target(parts, &body)?;
+        let fingerprint = Fingerprint::of(workspace, path.as_str(), &body)
+            .0
+            .to_le_bytes();
+        Ok(Self {
+            id,
+            workspace: workspace.to_owned(),
+            target,
+            method: parts.method.clone(),
+            path,
+            headers: passed_on(&parts.headers),
+            body,
+            deadline: Instant::now() + timeout,
+            urgency: urgency(&parts.headers),
+            key,
+            tokens,
+            fingerprint,
+        })
+    }
+
+    /// Returns the time left until the caller gives up.
+    pub fn remaining(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+}
+
+fn target(parts: &Parts, body: &Bytes) -> Result<(Target, PathAndQuery, u64), Problem> {
+    let whole = parts
+        .uri
+        .path_and_query()
+        .cloned()
+        .unwrap_or(PathAndQuery::from_static("/"));
+    if let Some(rest) = whole.as_str().strip_prefix("/services/") {
+        let end = rest.find(['/', '?']).unwrap_or(rest.len());
+        let (name, rest) = rest.split_at(end);
+        if name.is_empty() {
+            return Err(invalid("the path names no service"));
+        }
+        let rest = if rest.starts_with('/') {
+            rest.to_owned()
+        } else {
+            format!("/{rest}")
+        };
+        let path = rest
+            .parse()
+            .map_err(|_error| invalid("the path is not valid"))?;
+        return Ok((
+            Target::Service {
+                name: name.to_owned(),
+            },
+            path,
+            1,
+        ));
+    }
+    let completion: Completion = serde_json::from_slice(body)
+        .map_err(|error| invalid(format!("the body is not a completion request: {error}")))?;
+    let prompt = body.len() as u64 / BYTES_PER_TOKEN;
+    let tokens = prompt + completion.max_tokens.unwrap_or(DEFAULT_TOKENS);
+    let target = Target::Model {
+        model: completion.model,
+        streamed: completion.stream,
+    };
+    Ok((target, whole, tokens))
+}
+
+fn invalid(detail: impl Into<String>) -> Problem {
+    Problem::refused(StatusCode::BAD_REQUEST, "invalid-request", detail)
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name).and_then(|value| value.to_str().ok())
+}
+
+/// Reads `u=N` of the `Priority` header (RFC 9218).
+fn urgency(headers: &HeaderMap) -> u8 {
+    text(headers, "priority")
+        .into_iter()
+        .flat_map(|value| value.split(','))
+        .filter_map(|item| item.trim().strip_prefix("u="))
+        .find_map(|value| value.parse().ok())
+        .filter(|urgency| *urgency <= 7)
+        .unwrap_or(DEFAULT_URGENCY)
+}
+
+/// Keeps the header fields that concern the upstream: no hop-by-hop fields
+/// (RFC 9110, section 7.6.1) and none that the client library sets itself.
+fn passed_on(headers: &HeaderMap) -> HeaderMap {
+    const DROPPED: [&str; 10] = [
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "host",
+        "content-length",
+    ];
+    let listed: Vec<_> = text(headers, "connection")
+        .into_iter()
+        .flat_map(|value| value.split(','))
+        .map(|name| name.trim().to_ascii_lowercase())
+        .collect();
+    let keep = |name: &HeaderName| {
+        !DROPPED.contains(&name.as_str()) && !listed.iter().any(|other| other == name.as_str())
+    };
+    headers
+        .iter()
+        .filter(|(name, _)| keep(name))
+        .map(|(name, value)| (name.clone(), value.clone()))
+        .collect()
+}
--- /dev/null
+++ b/crates/sesamerock/src/entry/dispatch/attempt/mod.rs
@@ -0,0 +1,433 @@
+//! One attempt: choice of the upstream, and the way to its answer's head.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
+use sesamerock_base::key::Upstream;
+use sesamerock_retry::attempt::Executed;
+use sesamerock_retry::resume::Point;
+use sesamerock_route::choice::{Choice, Loser};
+use sesamerock_route::pick::Outcome;
+use sesamerock_wire::relay::refusal::Reason;
+use sesamerock_wire::relay::{Refused, Reply, Tail, down, tail};
+
+use super::{Run, next_attempt, told};
+use crate::entry::Context;
+use crate::entry::ask::Target as Asked;
+use crate::entry::relay::{self, Call};
+use crate::entry::table::{Table, Target, Wish};
+use crate::problem::Problem;
+
+/// An attempt whose answer has begun.
+#[derive(Debug)]
+pub(super) struct Open {
+    pub(super) attempt: u64,
+    pub(super) call: Call,
+    pub(super) reply: Reply,
+    pub(super) flight: Flight,
+}
+
+/// An attempt that counts as in flight in the routing table until it is
+/// dropped.
+#[derive(Debug)]
+pub(super) struct Flight {
+    pub(super) target: Target,
+    context: Arc<Context>,
+}
+
+/// An attempt that brought no answer.
+#[derive(Debug)]
+pub(super) struct Failure {
+    pub(super) kind: &'static str,
+    pub(super) detail: String,
+    pub(super) status: StatusCode,
+    pub(super) executed: Executed,
+    /// Whether a byte of the call may have left this process.
+    pub(super) sent: bool,
+    pub(super) retry_after: Option<Duration>,
+    /// The upstream, if another one may do better.
+    pub(super) upstream: Option<Upstream>,
+}
+
+impl Open {
+    /// Returns the status of the answer.
+    pub(super) fn status(&self) -> StatusCode {
+        u16::try_from(self.reply.status)
+            .ok()
+            .and_then(|status| StatusCode::from_u16(status).ok())
+            .unwrap_or(StatusCode::BAD_GATEWAY)
+    }
+
+    /// Returns the header fields of the answer.
+    pub(super) fn headers(&self) -> HeaderMap {
+        self.reply
+            .headers
+            .iter()
+            .filter_map(|header| {
+                let name = HeaderName::from_bytes(header.name.as_bytes()).ok()?;
+                let value = HeaderValue::from_bytes(&header.value).ok()?;
+                Some((name, value))
+            })
+            .collect()
+    }
+}
+
+impl Flight {
+    /// Makes the failure of an attempt whose answer broke off.
+    pub(super) fn broken(&self, detail: String) -> Failure {
+        self.context.table().observed(&self.target, Outcome::Failed);
+        Failure {
+            kind: "upstream-failed",
+            detail,
+            status: StatusCode::BAD_GATEWAY,
+            executed: Executed::Unknown,
+            sent: true,
+            retry_after: None,
+            upstream: Some(self.target.choice.upstream),
+        }
+    }
+
+    /// Takes in the end of an attempt; returns its failure if the answer is not
+    /// whole.
+    pub(super) fn ended(&self, tail: &Tail) -> Result<(), Failure> {
+        if let Some(report) = &tail.report {
+            self.context.table().report(&self.target, report);
+        }
+        if tail.complete {
+            return Ok(());
+        }
+        if tail.crashed {
+            self.context.table().restarted(&self.target);
+        }
+        let executed = match tail.executed() {
+            tail::Executed::Yes => Executed::Yes,
+            tail::Executed::No => Executed::No,
+            tail::Executed::Unknown | tail::Executed::Unspecified => Executed::Unknown,
+        };
+        Err(Failure {
+            executed,
+            ..self.broken(tail.detail.clone())
+        })
+    }
+}
+
+impl Drop for Flight {
+    fn drop(&mut self) {
+        self.context.table().finished(&self.target);
+    }
+}
+
+impl Failure {
+    /// Makes the problem to tell the caller, where `executed` covers all
+    /// attempts.
+    pub(super) fn problem(&self, executed: Executed) -> Problem {
+        Problem {
+            status: self.status,
+            kind: self.kind,
+            detail: self.detail.clone(),
+            executed: told(executed),
+            retry_after: self.retry_after,
+        }
+    }
+
+    fn refused(kind: &'static str, detail: impl Into<String>) -> Self {
+        Self {
+            kind,
+            detail: detail.into(),
+            status: StatusCode::SERVICE_UNAVAILABLE,
+            executed: Executed::No,
+            sent: false,
+            retry_after: Some(Duration::ZERO),
+            upstream: None,
+        }
+    }
+}
+
+impl Run {
+    /// Makes one attempt, up to the head of the answer.
+    pub(super) async fn attempt(&mut self) -> Result<Open, Failure> {
+        self.attempt_from(next_attempt(), None).await
+    }
+
+    /// Makes one attempt that continues a stream where it broke off.
+    pub(super) async fn attempt_from(
+        &mut self,
+        attempt: u64,
+        point: Option<Point>,
+    ) -> Result<Open, Failure> {
+        self.hold().await;
+        self.made += 1;
+        let target = self.choose(attempt)?;
+        // What the release notes forbid to repeat is known once the upstream
+        // is; a call is never made repeatable again.
+        self.repeatable &= !target.not_repeatable;
+        let mut head = self.head(attempt, &target);
+        if let Some(point) = point {
+            head.delivered_tokens = point.tokens;
+            head.delivered_text = point.text;
+        }
+        let flight = Flight {
+            target,
+            context: Arc::clone(&self.context),
+        };
+        let left = self.ask.remaining();
+        match tokio::time::timeout(left, self.open(attempt, head, flight)).await {
+            Ok(opened) => opened,
+            Err(_) => Err(Failure {
+                kind: "deadline",
+                status: StatusCode::GATEWAY_TIMEOUT,
+                executed: Executed::Unknown,
+                sent: true,
+                ..Failure::refused("deadline", "the deadline passed before an answer came")
+            }),
+        }
+    }
+
+    fn choose(&self, attempt: u64) -> Result<Target, Failure> {
+        let wish = Wish {
+            pool: self.pool(),
+            service: matches!(self.ask.target, Asked::Service { .. }),
+            workspace: &self.ask.workspace,
+            tokens: self.ask.tokens,
+            urgency: self.ask.urgency,
+            prefix: &self.prefix,
+            excluded: if self.keyed() { &[] } else { &self.excluded },
+            isolated: self.isolated(),
+            key: self.ledger_key(),
+            method: self.ask.method.as_str(),
+            path: self.ask.path.path(),
+        };
+        let mut table = self.context.table();
+        if let Some(name) = &self.minted {
+            return table.named(name, &wish).ok_or_else(|| Failure {
+                executed: Executed::Unknown,
+                sent: true,
+                ..Failure::refused(
+                    "key-holder-gone",
+                    "the upstream that issued the key is gone",
+                )
+            });
+        }
+        match table.choose(&wish) {
+            Ok(target) => {
+                log::info!(
+                    "event=routed request={} attempt={attempt} workspace={} pool={} upstream={} reason={} expected_us={} matched={} losers={}",
+                    self.ask.id,
+                    self.ask.workspace,
+                    wish.pool,
+                    target.name,
+                    target.choice.reason,
+                    target.choice.expected.as_micros(),
+                    target.choice.matched,
+                    losers(&table, &target.choice.losers)
+                );
+                Ok(target)
+            }
+            Err(refusal) => {
+                log::info!(
+                    "event=not_routed request={} attempt={attempt} workspace={} pool={} cause={} losers={}",
+                    self.ask.id,
+                    self.ask.workspace,
+                    wish.pool,
+                    refusal.cause,
+                    losers(&table, &refusal.losers)
+                );
+                let detail = format!("no upstream can take the request: {}", refusal.cause);
+                Err(Failure {
+                    retry_after: refusal.retry_after,
+                    ..Failure::refused("no-upstream", detail)
+                })
+            }
+        }
+    }
+
+    /// Sends the call and waits for the head of the answer.
+    async fn open(
+        &self,
+        attempt: u64,
+        head: sesamerock_wire::relay::Head,
+        flight: Flight,
+    ) -> Result<Open, Failure> {
+        let held_back = head.await_ready;
+        let begun = Instant::now();
+        let pool = &self.context.relays;
+        let agent = flight.target.agent;
+        let mut call = pool
+            .call(agent, head, &self.ask.body)
+            .await
+            .map_err(|failure| {
+                self.context
+                    .table()
+                    .observed(&flight.target, Outcome::Failed);
+                relay_failure(failure, &flight.target.choice)
+            })?;
+        let mut body_sent = !held_back;
+        loop {
+            match call.next().await {
+                Ok(Some(down::Kind::Ready(_))) => {
+                    body_sent = true;
+                    call.send_body(&self.ask.body).await;
+                }
+                Ok(Some(down::Kind::Refused(refused))) => {
+                    return Err(self.refused(&flight, &refused));
+                }
+                Ok(Some(down::Kind::Reply(reply))) => {
+                    self.answered(&flight, &reply, begun.elapsed());
+                    return Ok(Open {
+                        attempt,
+                        call,
+                        reply,
+                        flight,
+                    });
+                }
+                Ok(Some(down::Kind::Tail(tail))) => {
+                    return match flight.ended(&tail) {
+                        Ok(()) => Err(flight.broken("the agent sent no answer".to_owned())),
+                        Err(failure) => Err(failure),
+                    };
+                }
+                Ok(Some(down::Kind::Body(_))) => {}
+                Ok(None) => return Err(cut(&flight, body_sent, "the agent ended the call")),
+                Err(detail) => {
+                    self.context.relays.forget(agent);
+                    return Err(cut(&flight, body_sent, &detail));
+                }
+            }
+        }
+    }
+
+    fn answered(&self, flight: &Flight, reply: &Reply, waited: Duration) {
+        let mut table = self.context.table();
+        if let Some(report) = &reply.report {
+            table.report(&flight.target, report);
+        }
+        table.observed(&flight.target, Outcome::First(waited));
+        self.context
+            .metrics
+            .first_byte
+            .record(waited.as_secs_f64(), &[]);
+    }
+
+    fn refused(&self, flight: &Flight, refused: &Refused) -> Failure {
+        let mut table = self.context.table();
+        if let Some(report) = &refused.report {
+            table.report(&flight.target, report);
+        }
+        table.observed(&flight.target, Outcome::Neutral);
+        drop(table);
+        self.context.metrics.refusals.add(1, &[]);
+        let Some(refusal) = &refused.refusal else {
+            return Failure::refused("refused", "the agent gave no reason");
+        };
+        let detail = format!("{}: {}", refusal.reason().as_str_name(), refusal.detail);
+        let retry_after = Some(Duration::from_millis(refusal.retry_after_ms));
+        let failure = Failure {
+            // Another upstream may have room at once.
+            retry_after: if self.keyed() { retry_after } else { None },
+            upstream: Some(flight.target.choice.upstream),
+            ..Failure::refused("refused", detail)
+        };
+        match refusal.reason() {
+            Reason::Overloaded | Reason::Cold | Reason::Deadline => Failure {
+                kind: "overloaded",
+                ..failure
+            },
+            Reason::Convicted => Failure {
+                kind: "convicted",
+                status: StatusCode::UNPROCESSABLE_ENTITY,
+                ..failure
+            },
+            Reason::KeyConflict => Failure {
+                kind: "key-conflict",
+                status: StatusCode::UNPROCESSABLE_ENTITY,
+                ..failure
+            },
+            Reason::LedgerUnavailable => Failure {
+                kind: "ledger-unavailable",
+                ..failure
+            },
+            _ => failure,
+        }
+    }
+}
+
+/// Makes the failure of a call whose stream ended without an answer.
+fn cut(flight: &Flight, body_sent: bool, detail: &str) -> Failure {
+    let failure = flight.broken(detail.to_owned());
+    if body_sent {
+        return failure;
+    }
+    // The agent never had the body, so no upstream can have begun the call.
+    Failure {
+        executed: Executed::No,
+        sent: false,
+        ..failure
+    }
+}
+
+fn relay_failure(failure: relay::Failure, choice: &Choice) -> Failure {
+    let upstream = Some(choice.upstream);
+    match failure {
+        relay::Failure::NotSent(detail) => Failure {
+            upstream,
+            retry_after: None,
+            ..Failure::refused("agent-unreachable", detail)
+        },
+        relay::Failure::Unknown(detail) => Failure {
+            upstream,
+            status: StatusCode::BAD_GATEWAY,
+            executed: Executed::Unknown,
+            sent: true,
+            retry_after: None,
+            ..Failure::refused("agent-failed", detail)
+        },
+    }
+}
+
+/// Asks the agents of a service for a key, one after the other.
+pub(super) async fn mint(context: &Context, service: &str) -> Result<String, String> {
+    let mut excluded = Vec::new();
+    loop {
+        let target = {
+            let wish = Wish {
+                pool: service,
+                service: true,
+                workspace: "",
+                tokens: 1,
+                urgency: 0,
+                prefix: &[],
+                excluded: &excluded,
+                isolated: false,
+                key: None,
+                method: "POST",
+                path: "/",
+            };
+            context.table().choose(&wish)
+        };
+        let target =
+            target.map_err(|refusal| format!("no agent issues a key: {}", refusal.cause))?;
+        let minted = context.relays.mint(target.agent, service).await;
+        context.table().finished(&target);
+        match minted {
+            Ok(key) => return Ok(key),
+            Err(detail) => log::info!(
+                "event=key_not_issued service={service} upstream={} detail={detail:?}",
+                target.name
+            ),
+        }
+        excluded.push(target.choice.upstream);
+    }
+}
+
+fn losers(table: &Table, losers: &[Loser]) -> String {
+    let parts: Vec<_> = losers
+        .iter()
+        .map(|loser| format!("{}:{}", table.name(loser.upstream), loser.why))
+        .collect();
+    if parts.is_empty() {
+        "-".to_owned()
+    } else {
+        parts.join(",")
+    }
+}
--- /dev/null
+++ b/crates/sesamerock/src/entry/dispatch/head/mod.rs
@@ -0,0 +1,93 @@
+//! What a request tells the agent.
+
+use bytes::Bytes;
+use http::Method;
+use sesamerock_wire::relay::{Head, Header};
+
+use super::Run;
+use crate::entry::ask::{Ask, Target};
+use crate::entry::table;
+
+/// Length of an incarnation in a key that an agent issued.
+const INCARNATION_LENGTH: usize = 16;
+/// Length of the MAC in a key that an agent issued.
+const MAC_LENGTH: usize = 32;
+
+/// Returns the upstream named in a key that has the form of an issued one.
+pub(super) fn minted_by(key: &str) -> Option<&str> {
+    let mut fields = key.rsplitn(4, '.');
+    let (mac, sequence, incarnation) = (fields.next()?, fields.next()?, fields.next()?);
+    let upstream = fields.next()?;
+    let hex = |text: &str, length: usize| {
+        text.len() == length && text.bytes().all(|byte| byte.is_ascii_hexdigit())
+    };
+    let issued = hex(mac, MAC_LENGTH)
+        && hex(incarnation, INCARNATION_LENGTH)
+        && sequence.parse::<u64>().is_ok();
+    issued.then_some(upstream)
+}
+
+/// Returns whether a call may run more than once as far as its method tells.
+///
+/// A completion changes nothing outside the engine. Of the methods of a plain
+/// service, those that are idempotent by definition (RFC 9110, section 9.2.2)
+/// may repeat, unless the release notes say otherwise.
+pub(super) fn repeatable(ask: &Ask) -> bool {
+    match ask.target {
+        Target::Model { .. } => true,
+        Target::Service { .. } => [
+            Method::GET,
+            Method::HEAD,
+            Method::OPTIONS,
+            Method::PUT,
+            Method::DELETE,
+        ]
+        .contains(&ask.method),
+    }
+}
+
+impl Run {
+    /// Makes the head of an attempt.
+    pub(super) fn head(&self, attempt: u64, target: &table::Target) -> Head {
+        let ask = &self.ask;
+        let headers = ask
+            .headers
+            .iter()
+            .map(|(name, value)| Header {
+                name: name.as_str().to_owned(),
+                value: Bytes::copy_from_slice(value.as_bytes()),
+            })
+            .collect();
+        Head {
+            request_id: ask.id.clone(),
+            attempt,
+            workspace: ask.workspace.clone(),
+            upstream: target.name.to_string(),
+            method: ask.method.as_str().to_owned(),
+            path: ask.path.as_str().to_owned(),
+            headers,
+            timeout_ms: ask.remaining().as_millis() as u64,
+            urgency: u32::from(ask.urgency),
+            tokens: ask.tokens,
+            fingerprint: Bytes::copy_from_slice(&ask.fingerprint),
+            idempotency_key: ask.key.clone().unwrap_or_default(),
+            repeatable: self.repeatable,
+            delivered_tokens: 0,
+            delivered_text: String::new(),
+            rank: 0,
+            version: self.context.control.view().version().0,
+            entry: self.context.settings.node.name.clone(),
+            body_bytes: ask.body.len() as u64,
+            await_ready: !self.repeatable,
+            model: self.pool().to_owned(),
+        }
+    }
+
+    /// Returns the model or service that the request names.
+    pub(super) fn pool(&self) -> &str {
+        match &self.ask.target {
+            Target::Model { model, .. } => model,
+            Target::Service { name } => name,
+        }
+    }
+}
--- /dev/null
+++ b/crates/sesamerock/src/entry/dispatch/mod.rs
@@ -0,0 +1,278 @@
+//! Runs one request: routes it, sends it, and tries again where that is safe.
+//!
+//! The rules of what may be tried again are in [`sesamerock_retry::attempt`];
+//! this module applies them to what the relay reports.
+
+mod attempt;
+mod head;
+mod stream;
+mod whole;
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use http::{Response, StatusCode};
+use sesamerock_base::key::Upstream;
+use sesamerock_base::time::Moment;
+use sesamerock_ledger::id::Key;
+use sesamerock_platform::http::body::Body;
+use sesamerock_retry::attempt::{Attempt, Decision, Executed, Phase, Settings, decide};
+use sesamerock_retry::suspect::Verdict;
+use sesamerock_route::hash;
+
+use super::Context;
+use super::ask::{Ask, Target};
+use super::operator::json;
+use crate::clock;
+use crate::problem::{self, Problem};
+use crate::suspects::{fingerprint, stamp};
+use attempt::Failure;
+
+/// Bytes of prompt that make one block of the prefix index.
+const BLOCK_BYTES: usize = 256;
+/// Most blocks of a prompt that are compared.
+const BLOCKS: usize = 64;
+
+/// A request on its way, with what its attempts have shown so far.
+#[derive(Debug)]
+struct Run {
+    context: Arc<Context>,
+    ask: Ask,
+    /// Whether the call may run more than once.
+    repeatable: bool,
+    prefix: Vec<u64>,
+    excluded: Vec<Upstream>,
+    made: u32,
+    earlier: Executed,
+    deadline: Moment,
+    minted: Option<String>,
+}
+
+/// What follows a failed attempt.
+#[derive(Debug)]
+enum Next {
+    /// Another attempt.
+    Again,
+    /// The failure to tell the caller.
+    Fail(Problem),
+}
+
+/// Runs a request and returns the answer for the caller.
+pub(super) async fn run(context: Arc<Context>, ask: Ask) -> Response<Body> {
+    let id = ask.id.clone();
+    context.metrics.in_flight.add(1, &[]);
+    let _present = Present(Arc::clone(&context));
+    let response = match Run::new(Arc::clone(&context), ask) {
+        Ok(run) => run.finish().await,
+        Err(problem) => {
+            log::info!(
+                "event=request_refused request={id} kind={} executed=no detail={:?}",
+                problem.kind,
+                problem.detail
+            );
+            problem.respond(&id)
+        }
+    };
+    context.metrics.requests.add(1, &[]);
+    response
+}
+
+/// Counts a request as present until it is dropped.
+struct Present(Arc<Context>);
+
+impl Drop for Present {
+    fn drop(&mut self) {
+        self.0.metrics.in_flight.add(-1, &[]);
+    }
+}
+
+impl Run {
+    fn new(context: Arc<Context>, ask: Ask) -> Result<Self, Problem> {
+        if !context.control.view().in_contact() {
+            let detail = "this entry has no contact with the log or another zone";
+            return Err(unavailable(
+                "out-of-contact",
+                detail,
+                Some(Duration::from_secs(1)),
+            ));
+        }
+        let findings = context.suspects.findings();
+        if findings.verdict(fingerprint(&ask.fingerprint)) == Verdict::Convicted {
+            let detail = "the request crashed two upstreams and is refused";
+            return Err(Problem::refused(
+                StatusCode::UNPROCESSABLE_ENTITY,
+                "convicted",
+                detail,
+            ));
+        }
+        let prefix = match &ask.target {
+            Target::Model { .. } => {
+                let mut chain = hash::chain(&ask.body, BLOCK_BYTES);
+                chain.truncate(BLOCKS);
+                chain
+            }
+            Target::Service { .. } => Vec::new(),
+        };
+        let minted = match (&ask.target, &ask.key) {
+            (Target::Service { .. }, Some(key)) => head::minted_by(key).map(str::to_owned),
+            _ => None,
+        };
+        Ok(Self {
+            repeatable: head::repeatable(&ask),
+            deadline: clock::now() + ask.remaining(),
+            prefix,
+            excluded: Vec::new(),
+            made: 0,
+            earlier: Executed::No,
+            minted,
+            context,
+            ask,
+        })
+    }
+
+    /// Makes attempts until one brings an answer or no other is allowed.
+    async fn finish(mut self) -> Response<Body> {
+        let id = self.ask.id.clone();
+        loop {
+            let failure = match self.attempt().await {
+                Ok(open) if self.streams(&open) => return stream::respond(self, open),
+                Ok(open) => match whole::respond(&mut self, open).await {
+                    Ok(response) => return response,
+                    Err(failure) => failure,
+                },
+                Err(failure) => failure,
+            };
+            match self.after(&failure, Phase::Silent).await {
+                Next::Again => {}
+                Next::Fail(problem) => return problem.respond(&id),
+            }
+        }
+    }
+
+    fn streams(&self, open: &attempt::Open) -> bool {
+        let streamed = matches!(self.ask.target, Target::Model { streamed: true, .. });
+        streamed && open.status() == StatusCode::OK
+    }
+
+    /// Decides what follows a failed attempt, and waits where it says so.
+    async fn after(&mut self, failure: &Failure, phase: Phase) -> Next {
+        let attempt = Attempt {
+            phase,
+            executed: failure.executed,
+            earlier: self.earlier,
+            repeatable: self.repeatable,
+            keyed: self.keyed(),
+            sent: failure.sent,
+            deadline: self.deadline,
+            made: self.made,
+            retry_after: failure.retry_after,
+        };
+        let settings = Settings {
+            most: self.context.settings.attempts,
+            ..Settings::default()
+        };
+        let now = clock::now();
+        let jitter = rand::random();
+        let decision = decide(&attempt, &mut self.context.budget(), now, jitter, &settings);
+        if failure.sent {
+            self.earlier = self.earlier.max(failure.executed);
+        }
+        if let Some(upstream) = failure.upstream {
+            self.excluded.push(upstream);
+        }
+        log::info!(
+            "event=attempt_failed request={} attempt={} executed={:?} kind={} decision={decision:?} detail={:?}",
+            self.ask.id,
+            self.made,
+            failure.executed,
+            failure.kind,
+            failure.detail
+        );
+        match decision {
+            Decision::Retry { after } => {
+                self.context.metrics.retries.add(1, &[]);
+                tokio::time::sleep(after).await;
+                Next::Again
+            }
+            Decision::Resume => {
+                self.context.metrics.resumes.add(1, &[]);
+                Next::Again
+            }
+            Decision::Fail { executed, .. } => Next::Fail(failure.problem(executed)),
+        }
+    }
+
+    /// Returns whether the ledger decides about this call.
+    fn keyed(&self) -> bool {
+        self.ask.key.is_some() && !self.repeatable
+    }
+
+    /// Returns the ledger's key, if the log decides about this call.
+    fn ledger_key(&self) -> Option<Key> {
+        let (Target::Service { name }, Some(key)) = (&self.ask.target, &self.ask.key) else {
+            return None;
+        };
+        self.keyed()
+            .then(|| Key::new(&self.ask.workspace, name, key))
+    }
+
+    fn isolated(&self) -> bool {
+        let findings = self.context.suspects.findings();
+        findings.verdict(fingerprint(&self.ask.fingerprint)) == Verdict::Suspect
+    }
+
+    /// Waits while a suspect must not run anywhere.
+    async fn hold(&self) {
+        let hold = {
+            let findings = self.context.suspects.findings();
+            findings.hold(fingerprint(&self.ask.fingerprint), stamp())
+        };
+        let left = self.ask.remaining();
+        if !hold.is_zero() && hold < left {
+            tokio::time::sleep(hold).await;
+        }
+    }
+}
+
+/// Issues a key for a later call to a service, by one of its agents.
+pub(super) async fn mint(context: &Context, id: &str, query: &str) -> Response<Body> {
+    let Some(service) = query
+        .split('&')
+        .find_map(|pair| pair.strip_prefix("service="))
+    else {
+        let detail = "expected ?service=NAME";
+        return Problem::refused(StatusCode::BAD_REQUEST, "invalid-request", detail).respond(id);
+    };
+    match attempt::mint(context, service).await {
+        Ok(key) => json(StatusCode::CREATED, &serde_json::json!({ "key": key })),
+        Err(detail) => unavailable("no-key", detail, Some(Duration::from_secs(1))).respond(id),
+    }
+}
+
+/// Makes the problem of a call that nothing can serve now.
+fn unavailable(
+    kind: &'static str,
+    detail: impl Into<String>,
+    retry_after: Option<Duration>,
+) -> Problem {
+    Problem {
+        retry_after,
+        ..Problem::refused(StatusCode::SERVICE_UNAVAILABLE, kind, detail)
+    }
+}
+
+/// Returns the next attempt id, unique within this process.
+fn next_attempt() -> u64 {
+    static NEXT: AtomicU64 = AtomicU64::new(1);
+    NEXT.fetch_add(1, Ordering::Relaxed)
+}
+
+/// Returns what a caller is told.
+fn told(executed: Executed) -> problem::Executed {
+    match executed {
+        Executed::No => problem::Executed::No,
+        Executed::Unknown => problem::Executed::Unknown,
+        Executed::Yes => problem::Executed::Yes,
+    }
+}
--- /dev/null
+++ b/crates/sesamerock/src/entry/server/mod.rs
@@ -0,0 +1,85 @@
+//! The callers' interface of an entry.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use http::request::Parts;
+use http::{Method, Request, Response, StatusCode};
+use hyper::body::Incoming;
+use sesamerock_platform::http::body::{self, Body, Fault};
+use sesamerock_platform::http::server::Handler;
+
+use super::ask::{self, Ask};
+use super::operator::{not_found, readiness, text};
+use super::{Context, dispatch, entries};
+use crate::problem::Problem;
+
+/// Serves callers.
+#[derive(Debug)]
+pub struct Caller {
+    context: Arc<Context>,
+}
+
+impl Caller {
+    /// Makes the handler.
+    pub fn new(context: Arc<Context>) -> Self {
+        Self { context }
+    }
+
+    async fn call(&self, id: &str, parts: &Parts, content: Incoming) -> Response<Body> {
+        match self.read(id, parts, content).await {
+            Ok(ask) => dispatch::run(Arc::clone(&self.context), ask).await,
+            Err(problem) => problem.respond(id),
+        }
+    }
+
+    async fn read(&self, id: &str, parts: &Parts, content: Incoming) -> Result<Ask, Problem> {
+        let settings = &self.context.settings;
+        let read = body::collect(content, settings.body_bytes);
+        let body = match tokio::time::timeout(settings.body_timeout, read).await {
+            Ok(Ok(body)) => body,
+            Ok(Err(Fault::TooLong)) => {
+                let detail = format!("the body is longer than {} bytes", settings.body_bytes);
+                return Err(refused(StatusCode::PAYLOAD_TOO_LARGE, detail));
+            }
+            Ok(Err(Fault::Broken(detail))) => {
+                return Err(refused(StatusCode::BAD_REQUEST, detail));
+            }
+            Err(_) => {
+                return Err(refused(
+                    StatusCode::REQUEST_TIMEOUT,
+                    "the body took too long",
+                ));
+            }
+        };
+        Ask::read(id.to_owned(), parts, body, settings.request_timeout)
+    }
+}
+
+impl Handler for Caller {
+    async fn handle(&self, peer: SocketAddr, request: Request<Incoming>) -> Response<Body> {
+        let (parts, content) = request.into_parts();
+        let id = ask::id(&parts.headers);
+        let path = parts.uri.path();
+        match (&parts.method, path) {
+            (&Method::GET, "/v1/entries") => entries::respond(&self.context, &parts),
+            (&Method::GET, "/healthz") => text(StatusCode::OK, "ok\n"),
+            (&Method::GET, "/readyz") => readiness(&self.context),
+            (&Method::POST, "/v1/chat/completions" | "/v1/completions") => {
+                self.call(&id, &parts, content).await
+            }
+            (&Method::POST, "/v1/keys") => {
+                dispatch::mint(&self.context, &id, parts.uri.query().unwrap_or_default()).await
+            }
+            (_, path) if path.starts_with("/services/") => self.call(&id, &parts, content).await,
+            _ => {
+                log::debug!("event=unknown_path peer={peer} path={path:?}");
+                not_found()
+            }
+        }
+    }
+}
+
+fn refused(status: StatusCode, detail: impl Into<String>) -> Problem {
+    Problem::refused(status, "invalid-request", detail)
+}
--- /dev/null
+++ b/crates/sesamerock/src/entry/table/mod.rs
@@ -0,0 +1,378 @@
+//! The routing table: what the control state says, as the picker needs it.
+
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use sesamerock_base::arena::Names;
+use sesamerock_base::key::{Model, Upstream, Zone};
+use sesamerock_ledger::id::Key;
+use sesamerock_note::fold::State;
+use sesamerock_note::fold::entry;
+use sesamerock_note::note;
+use sesamerock_route::choice::{Choice, Refusal, Request};
+use sesamerock_route::hash;
+use sesamerock_route::load;
+use sesamerock_route::pick::{self, Outcome, Picker};
+use sesamerock_route::profile::{self, Member, Need, Offer, Profile};
+use sesamerock_route::subset::{self, Subset};
+use sesamerock_wire::relay::Report;
+
+use super::operator;
+use crate::agent::shard_of;
+use crate::clock;
+use crate::control::view::View;
+use crate::settings::Node;
+
+/// An upstream to send a call to.
+#[derive(Clone, Debug)]
+pub(super) struct Target {
+    pub(super) choice: Choice,
+    pub(super) name: Arc<str>,
+    pub(super) agent: SocketAddr,
+    /// Whether a call of the asked method and path must not be repeated.
+    pub(super) not_repeatable: bool,
+}
+
+/// What a call needs.
+#[derive(Clone, Debug)]
+pub(super) struct Wish<'a> {
+    pub(super) pool: &'a str,
+    pub(super) service: bool,
+    pub(super) workspace: &'a str,
+    pub(super) tokens: u64,
+    pub(super) urgency: u8,
+    pub(super) prefix: &'a [u64],
+    pub(super) excluded: &'a [Upstream],
+    pub(super) isolated: bool,
+    pub(super) key: Option<Key>,
+    pub(super) method: &'a str,
+    pub(super) path: &'a str,
+}
+
+#[derive(Clone, Debug)]
+struct Row {
+    name: Arc<str>,
+    agent: SocketAddr,
+    zone: String,
+    serving: bool,
+    pools: Vec<String>,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Group {
+    members: Vec<Member>,
+    subset: Subset,
+}
+
+/// Upstreams by what they serve, with their load.
+#[derive(Debug)]
+pub(super) struct Table {
+    entry: String,
+    picker: Picker,
+    rng: SmallRng,
+    state: State,
+    entries: usize,
+    leaving: Vec<String>,
+    upstreams: Names<Upstream>,
+    zones: Names<Zone>,
+    models: Names<Model>,
+    adapters: Names<Model>,
+    rows: HashMap<Upstream, Row>,
+    pools: HashMap<String, Group>,
+}
+
+impl Table {
+    pub(super) fn new(node: &Node) -> Self {
+        let mut zones = Names::default();
+        let zone = zones.intern(&node.zone);
+        Self {
+            entry: node.name.clone(),
+            picker: Picker::new(pick::Settings {
+                zone,
+                ..pick::Settings::default()
+            }),
+            rng: SmallRng::from_rng(&mut rand::rng()),
+            state: State::default(),
+            entries: 1,
+            leaving: Vec::new(),
+            upstreams: Names::default(),
+            zones,
+            models: Names::default(),
+            adapters: Names::default(),
+            rows: HashMap::new(),
+            pools: HashMap::new(),
+        }
+    }
+
+    /// Takes in a new view of the control state.
+    pub(super) fn update(&mut self, view: &View) {
+        let entries = view.entries().len().max(1);
+        let same = self.state.version() == view.state.version()
+            && self.entries == entries
+            && self.leaving == view.vms_leaving;
+        if same && !self.rows.is_empty() {
+            return;
+        }
+        self.entries = entries;
+        self.leaving.clone_from(&view.vms_leaving);
+        self.state = view.state.clone();
+        self.rebuild();
+    }
+
+    fn rebuild(&mut self) {
+        let state = self.state.clone();
+        let mut rows = HashMap::new();
+        let mut pools: HashMap<String, Vec<Member>> = HashMap::new();
+        for (key, entry) in state.upstreams().iter() {
+            let name = state.upstreams().name(key);
+            let upstream = self.upstreams.intern(name);
+            let row = self.row(&state, key, entry);
+            let profile = self.profile(&state, key, entry, &row);
+            let member = Member {
+                upstream,
+                name: profile.name,
+                zone: profile.zone,
+            };
+            for pool in &row.pools {
+                pools.entry(pool.clone()).or_default().push(member);
+            }
+            self.picker.upsert(upstream, profile);
+            rows.insert(upstream, row);
+        }
+        let gone: HashSet<_> = self
+            .rows
+            .keys()
+            .filter(|key| !rows.contains_key(key))
+            .collect();
+        for upstream in gone {
+            self.picker.remove(*upstream);
+        }
+        self.rows = rows;
+        self.regroup(pools);
+    }
+
+    /// Selects the subset of each pool anew.
+    fn regroup(&mut self, pools: HashMap<String, Vec<Member>>) {
+        self.pools.retain(|pool, _| pools.contains_key(pool));
+        for (pool, members) in pools {
+            let seat = hash::name(format!("{}/{pool}", self.entry));
+            let group = self.pools.entry(pool.clone()).or_default();
+            let settings = subset::Settings::default();
+            let change = group.subset.update(seat, &members, self.entries, settings);
+            group.members = members;
+            if !change.added.is_empty() || !change.removed.is_empty() {
+                log::info!(
+                    "event=subset_changed pool={pool} size={} of={} added={} removed={}",
+                    group.subset.members().len(),
+                    group.members.len(),
+                    change.added.len(),
+                    change.removed.len()
+                );
+            }
+        }
+    }
+
+    fn row(
+        &self,
+        state: &State,
+        key: sesamerock_base::key::Upstream,
+        entry: &entry::Upstream,
+    ) -> Row {
+        let models = entry
+            .models
+            .iter()
+            .map(|served| state.models().name(served.model).to_owned());
+        let service = entry
+            .service
+            .map(|service| pool_of_service(state.services().name(service)));
+        let vm = state.vms().name(entry.vm);
+        Row {
+            name: Arc::from(state.upstreams().name(key)),
+            agent: entry.agent,
+            zone: state.zones().name(entry.zone).to_owned(),
+            serving: state.in_service(entry) && !self.leaving.iter().any(|name| name == vm),
+            pools: models.chain(service).collect(),
+        }
+    }
+
+    fn profile(
+        &mut self,
+        state: &State,
+        key: sesamerock_base::key::Upstream,
+        entry: &entry::Upstream,
+        row: &Row,
+    ) -> Profile {
+        let mut offers: Vec<_> = entry
+            .models
+            .iter()
+            .map(|served| Offer {
+                model: self.models.intern(state.models().name(served.model)),
+                version: state.serving(key, served.model).unwrap_or_default(),
+                adapters: served
+                    .adapters
+                    .iter()
+                    .map(|adapter| {
+                        let name = state.adapters().name(*adapter);
+                        profile::Adapter(self.adapters.intern(name).0)
+                    })
+                    .collect(),
+            })
+            .collect();
+        if let Some(service) = entry.service {
+            let pool = pool_of_service(state.services().name(service));
+            offers.push(Offer {
+                model: self.models.intern(&pool),
+                ..Offer::default()
+            });
+        }
+        Profile {
+            name: hash::name(row.name.as_bytes()),
+            zone: self.zones.intern(&row.zone),
+            leaving: false,
+            out: !row.serving,
+            role: match entry.role {
+                note::Role::Mixed => profile::Role::Whole,
+                note::Role::Prefill => profile::Role::Prefill,
+                note::Role::Decode => profile::Role::Decode,
+            },
+            ranks: 1,
+            offers,
+        }
+    }
+
+    /// Chooses an upstream and counts the call as sent to it.
+    pub(super) fn choose(&mut self, wish: &Wish<'_>) -> Result<Target, Refusal> {
+        let pool = if wish.service {
+            pool_of_service(wish.pool)
+        } else {
+            wish.pool.to_owned()
+        };
+        let request = Request {
+            need: Need {
+                model: self.models.intern(&pool),
+                ..Need::default()
+            },
+            workspace: hash::name(wish.workspace),
+            tokens: wish.tokens,
+            prompt: wish.tokens,
+            prefix: wish.prefix,
+            urgency: wish.urgency,
+            excluded: wish.excluded,
+            isolated: wish.isolated,
+        };
+        let now = clock::now();
+        let empty = Group::default();
+        let group = self.pools.get(&pool).unwrap_or(&empty);
+        let choice = match &wish.key {
+            Some(key) => {
+                let members: Vec<_> = group.members.iter().map(|member| member.upstream).collect();
+                self.picker.keyed(&[shard_of(key)], &request, &members)?
+            }
+            None => self
+                .picker
+                .pick(&request, group.subset.members(), now, &mut self.rng)?,
+        };
+        self.picker.sent(&choice, wish.prefix, now);
+        Ok(self.target(choice, wish))
+    }
+
+    /// Returns one named upstream, in service or not, and counts a call as sent
+    /// to it.
+    pub(super) fn named(&mut self, name: &str, wish: &Wish<'_>) -> Option<Target> {
+        let upstream = self.upstreams.get(name)?;
+        self.rows.get(&upstream)?;
+        let choice = Choice {
+            upstream,
+            rank: None,
+            reason: sesamerock_route::choice::Reason::Keyed,
+            expected: Duration::ZERO,
+            matched: 0,
+            tokens: wish.tokens,
+            isolated: wish.isolated,
+            losers: Vec::new(),
+        };
+        self.picker.sent(&choice, &[], clock::now());
+        Some(self.target(choice, wish))
+    }
+
+    fn target(&self, choice: Choice, wish: &Wish<'_>) -> Target {
+        let row = &self.rows[&choice.upstream];
+        let not_repeatable = self
+            .state
+            .upstreams()
+            .key(&row.name)
+            .is_some_and(|key| self.state.not_repeatable(key, wish.method, wish.path));
+        Target {
+            name: Arc::clone(&row.name),
+            agent: row.agent,
+            not_repeatable,
+            choice,
+        }
+    }
+
+    /// Takes in a report that came with an answer.
+    pub(super) fn report(&mut self, target: &Target, report: &Report) {
+        let report = load::Report {
+            calls: report.calls_in_flight,
+            tokens: report.tokens_in_flight,
+            call_limit: report.call_limit,
+            token_limit: report.token_limit,
+            queued: report.queued,
+            credits: report.credits,
+            credits_for: Duration::from_millis(u64::from(report.credits_ms)),
+            cold: report.cold,
+            leaving: report.leaving,
+            step: Duration::from_micros(u64::from(report.step_us)),
+            ranks: Vec::new(),
+        };
+        self.picker
+            .report(target.choice.upstream, report, clock::now());
+    }
+
+    /// Takes in how a call began.
+    pub(super) fn observed(&mut self, target: &Target, outcome: Outcome) {
+        self.picker.observed(&target.choice, outcome, clock::now());
+    }
+
+    /// Takes in that the upstream of a call crashed.
+    pub(super) fn restarted(&mut self, target: &Target) {
+        self.picker.restarted(target.choice.upstream);
+    }
+
+    /// Takes in that a call has ended.
+    pub(super) fn finished(&mut self, target: &Target) {
+        self.picker.finished(&target.choice, clock::now());
+    }
+
+    /// Returns the name of an upstream.
+    pub(super) fn name(&self, upstream: Upstream) -> &str {
+        self.upstreams.name(upstream).unwrap_or("?")
+    }
+
+    /// Returns the upstreams for operators.
+    pub(super) fn status(&self) -> BTreeMap<String, operator::Upstream> {
+        self.rows
+            .iter()
+            .map(|(upstream, row)| {
+                let report = self.picker.load(*upstream).and_then(|load| load.last());
+                let status = operator::Upstream {
+                    zone: row.zone.clone(),
+                    serving: row.serving,
+                    calls: report.map_or(0, |report| report.calls),
+                    limit: report.map_or(0, |report| report.call_limit),
+                    cold: report.is_some_and(|report| report.cold),
+                };
+                (row.name.to_string(), status)
+            })
+            .collect()
+    }
+}
+
+/// Returns the name of a service's pool, which cannot be that of a model.
+fn pool_of_service(service: &str) -> String {
+    format!("service:{service}")
+}
--- a/crates/sesamerock/src/main.rs
+++ b/crates/sesamerock/src/main.rs
@@ -1,3 +1,14 @@
-//! The `sesamerock` program.
+//! The `sesamerock` program: a thin layer over the library of the same name.
 
-fn main() {}
+use std::process::ExitCode;
+
+use mimalloc::MiMalloc;
+
+// Streams allocate small short-lived buffers on every thread, which the system
+// allocator serves more slowly.
+#[global_allocator]
+static ALLOCATOR: MiMalloc = MiMalloc;
+
+fn main() -> ExitCode {
+    sesamerock::cli::run()
+}
--- /dev/null
+++ b/crates/sesamerock/src/peer/client/mod.rs
@@ -0,0 +1,65 @@
+//! Calls to other nodes.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use sesamerock_base::version::Version;
+use sesamerock_exchange::message::Message;
+use sesamerock_wire::peer::{self, PeerClient};
+use tarpc::context::{self, Context};
+
+/// Time for one call.
+const TIMEOUT: Duration = Duration::from_secs(1);
+/// Connections kept; a view holds fewer peers than this, and others are met
+/// seldom.
+const CONNECTIONS: usize = 48;
+
+/// Connections to peers of the control thread.
+#[derive(Debug, Default)]
+pub struct Clients {
+    open: RefCell<HashMap<SocketAddr, PeerClient>>,
+}
+
+impl Clients {
+    /// Exchanges one message; `None` if the peer did not answer.
+    pub async fn exchange(&self, peer: SocketAddr, message: Message) -> Option<Message> {
+        let client = self.client(peer).await?;
+        match client.exchange(context(), message).await {
+            Ok(reply) => Some(reply),
+            Err(error) => {
+                log::debug!("event=peer_failed peer={peer} error={error}");
+                self.open.borrow_mut().remove(&peer);
+                None
+            }
+        }
+    }
+
+    async fn client(&self, peer: SocketAddr) -> Option<PeerClient> {
+        if let Some(client) = self.open.borrow().get(&peer) {
+            return Some(client.clone());
+        }
+        let client = peer::connect(peer).await.ok()?;
+        let mut open = self.open.borrow_mut();
+        if open.len() >= CONNECTIONS
+            && let Some(other) = open.keys().next().copied()
+        {
+            open.remove(&other);
+        }
+        open.insert(peer, client.clone());
+        Some(client)
+    }
+}
+
+/// Asks a node which control version it has in force.
+pub async fn version(peer: SocketAddr) -> Option<Version> {
+    let client = peer::connect(peer).await.ok()?;
+    client.version(context()).await.ok()
+}
+
+fn context() -> Context {
+    let mut context = context::current();
+    context.deadline = Instant::now() + TIMEOUT;
+    context
+}
--- /dev/null
+++ b/crates/sesamerock/src/peer/mod.rs
@@ -0,0 +1,4 @@
+//! The peer service between any two nodes.
+
+pub mod client;
+pub mod server;
--- /dev/null
+++ b/crates/sesamerock/src/settings/mod.rs
@@ -0,0 +1,180 @@
+//! Settings of the roles, read from YAML.
+//!
+//! Every struct has defaults that suit a test on loopback, so that a settings
+//! file names only what differs. Units are part of each name. The reference for
+//! operators is `docs/settings.md`.
+
+pub mod check;
+
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use serde_with::{DurationMilliSeconds, serde_as};
+
+/// What every process is told about itself and its surroundings.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Node {
+    /// Name of the process, unique among live processes.
+    pub name: String,
+    /// VM that hosts it.
+    pub vm: String,
+    /// Availability zone.
+    pub zone: String,
+    /// Region.
+    pub region: String,
+    /// Address of the peer service, as other nodes reach it.
+    pub peer: SocketAddr,
+    /// Peer addresses to begin with.
+    pub seeds: Vec<SocketAddr>,
+    /// Address of the platform's services.
+    pub platform: SocketAddr,
+    /// Threads for traffic; 0 stands for one per core.
+    pub threads: usize,
+}
+
+impl Default for Node {
+    fn default() -> Self {
+        Self {
+            name: "node".to_owned(),
+            vm: "vm".to_owned(),
+            zone: "a".to_owned(),
+            region: "local".to_owned(),
+            peer: loopback(),
+            seeds: Vec::new(),
+            platform: loopback(),
+            threads: 0,
+        }
+    }
+}
+
+/// Settings of an entry.
+#[serde_as]
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Entry {
+    /// The node.
+    pub node: Node,
+    /// Address for callers.
+    pub caller: SocketAddr,
+    /// Address for operators; callers must not reach it.
+    pub operator: SocketAddr,
+    /// Longest request body in bytes.
+    pub body_bytes: usize,
+    /// Connections of callers open at once.
+    pub connections: usize,
+    /// Time for a caller to send its request header.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "header_timeout_ms")]
+    pub header_timeout: Duration,
+    /// Time for a caller to send its request body.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "body_timeout_ms")]
+    pub body_timeout: Duration,
+    /// Deadline of a request that names none.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "request_timeout_ms")]
+    pub request_timeout: Duration,
+    /// Time for which callers may keep the list of entries.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "entries_max_age_ms")]
+    pub entries_max_age: Duration,
+    /// Attempts per request, the first included.
+    pub attempts: u32,
+}
+
+impl Default for Entry {
+    fn default() -> Self {
+        Self {
+            node: Node::default(),
+            caller: loopback(),
+            operator: loopback(),
+            body_bytes: 4 << 20,
+            connections: 10_000,
+            header_timeout: Duration::from_secs(30),
+            body_timeout: Duration::from_secs(30),
+            request_timeout: Duration::from_mins(1),
+            entries_max_age: Duration::from_secs(5),
+            attempts: 4,
+        }
+    }
+}
+
+/// Kind of an upstream.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Kind {
+    /// A model engine.
+    #[default]
+    Engine,
+    /// A plain service.
+    Service,
+}
+
+/// The upstream beside an agent.
+#[serde_as]
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Upstream {
+    /// Name, as in release notes.
+    pub name: String,
+    /// Address of its HTTP interface.
+    pub address: SocketAddr,
+    /// Kind.
+    pub kind: Kind,
+    /// Time between two reads of its load report.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "poll_ms")]
+    pub poll: Duration,
+}
+
+impl Default for Upstream {
+    fn default() -> Self {
+        Self {
+            name: "upstream".to_owned(),
+            address: loopback(),
+            kind: Kind::Engine,
+            poll: Duration::from_millis(100),
+        }
+    }
+}
+
+/// Settings of an agent.
+#[serde_as]
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Agent {
+    /// The node.
+    pub node: Node,
+    /// Address of the relay service, as entries reach it.
+    pub relay: SocketAddr,
+    /// Address for metrics and health.
+    pub operator: SocketAddr,
+    /// The upstream.
+    pub upstream: Upstream,
+    /// Longest request body in bytes.
+    pub body_bytes: usize,
+    /// Time for running calls to finish after a stop.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "drain_timeout_ms")]
+    pub drain_timeout: Duration,
+}
+
+impl Default for Agent {
+    fn default() -> Self {
+        Self {
+            node: Node::default(),
+            relay: loopback(),
+            operator: loopback(),
+            upstream: Upstream::default(),
+            body_bytes: 4 << 20,
+            drain_timeout: Duration::from_mins(2),
+        }
+    }
+}
+
+/// Returns a loopback address with a port that the system chooses.
+pub const fn loopback() -> SocketAddr {
+    SocketAddr::V4(SocketAddrV4::new(Ipv4Addr::LOCALHOST, 0))
+}
--- /dev/null
+++ b/crates/sesamerock/src/suspects/mod.rs
@@ -0,0 +1,153 @@
+//! Crash suspects of a process, shared with all nodes as facts.
+//!
+//! The rules are those of [`sesamerock_retry::suspect`]; this module keeps the
+//! list of a process, publishes what follows from it, and moves records in and
+//! out of the facts that peers exchange.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, SystemTime};
+
+use arc_swap::ArcSwap;
+use sesamerock_retry::evidence::{Crash, Fingerprint, Stamp, Update};
+use sesamerock_retry::suspect::{Findings, List, Settings};
+
+use crate::control::Control;
+use crate::control::view::{CRASHES, View};
+
+/// Time for which a crash record travels among the nodes.
+const FACT_TTL: Duration = Duration::from_mins(10);
+/// Time between two looks at the clock, after which records settle and expire.
+const REVIEW: Duration = Duration::from_millis(500);
+/// Crash records that one node keeps in its facts; older ones have reached the
+/// other nodes' lists long before they are overwritten.
+const SLOTS: u64 = 16;
+
+/// The suspects that a process knows.
+#[derive(Clone, Debug)]
+pub struct Suspects {
+    list: Arc<Mutex<List>>,
+    findings: Arc<ArcSwap<Findings>>,
+    control: Control,
+}
+
+/// Returns the wall-clock time as shared between nodes.
+pub fn stamp() -> Stamp {
+    let now = SystemTime::now()
+        .duration_since(SystemTime::UNIX_EPOCH)
+        .unwrap_or_default();
+    Stamp(now.as_millis() as u64)
+}
+
+/// Returns the fingerprint that a head carries.
+pub fn fingerprint(bytes: &[u8]) -> Fingerprint {
+    let mut whole = [0; 8];
+    let length = bytes.len().min(8);
+    whole[..length].copy_from_slice(&bytes[..length]);
+    Fingerprint(u64::from_le_bytes(whole))
+}
+
+impl Suspects {
+    /// Makes the empty list of a process.
+    pub fn new(control: Control) -> Self {
+        Self {
+            list: Arc::new(Mutex::new(List::new(Settings::default()))),
+            findings: Arc::default(),
+            control,
+        }
+    }
+
+    /// Returns what follows from all that is known.
+    pub fn findings(&self) -> arc_swap::Guard<Arc<Findings>> {
+        self.findings.load()
+    }
+
+    /// Notes a crash and tells all nodes.
+    pub async fn crashed(&self, crash: Crash, aboard: Vec<Fingerprint>, complete: bool) {
+        log::warn!(
+            "event=upstream_crashed upstream={:016x} incarnation={} aboard={} complete={complete}",
+            crash.upstream,
+            crash.incarnation,
+            aboard.len()
+        );
+        self.lock().crashed(crash, aboard, complete, stamp());
+        self.publish();
+        self.tell(crash).await;
+    }
+
+    /// Notes that a request completed, which clears it.
+    pub async fn completed(&self, fingerprint: Fingerprint) {
+        // The common case needs neither the lock nor a message.
+        if !self.findings.load().suspects.contains_key(&fingerprint) {
+            return;
+        }
+        let crashes: Vec<_> = {
+            let mut list = self.lock();
+            let before = list.revision();
+            list.completed(fingerprint);
+            let (_, update) = list.changes(before);
+            update.records.into_iter().map(|(crash, _)| crash).collect()
+        };
+        log::info!("event=suspect_cleared fingerprint={:016x}", fingerprint.0);
+        self.publish();
+        for crash in crashes {
+            self.tell(crash).await;
+        }
+    }
+
+    /// Follows the facts of other nodes and the clock until the task is
+    /// dropped.
+    pub async fn run(&self) {
+        let mut changes = self.control.changes();
+        loop {
+            let view = self.control.view().clone();
+            self.merge(&view);
+            self.lock().expire(stamp());
+            self.publish();
+            tokio::select! {
+                outcome = changes.changed() => if outcome.is_err() { return },
+                () = tokio::time::sleep(REVIEW) => {}
+            }
+        }
+    }
+
+    fn merge(&self, view: &View) {
+        let facts = view.facts.iter().filter(|fact| fact.key >= CRASHES);
+        let updates: Vec<Update> = facts
+            .filter_map(|fact| serde_json::from_slice(&fact.value).ok())
+            .collect();
+        let mut list = self.lock();
+        for update in &updates {
+            list.merge(update);
+        }
+    }
+
+    fn publish(&self) {
+        let findings = self.lock().findings(stamp());
+        let before = self.findings.load();
+        for convicted in findings.convicted.difference(&before.convicted) {
+            log::warn!("event=request_convicted fingerprint={:016x}", convicted.0);
+        }
+        if **before != findings {
+            self.findings.store(Arc::new(findings));
+        }
+    }
+
+    /// States the record of a crash as a fact.
+    async fn tell(&self, crash: Crash) {
+        let (_, all) = self.lock().changes(0);
+        let records = all
+            .records
+            .into_iter()
+            .filter(|(other, _)| *other == crash)
+            .collect();
+        let Ok(value) = serde_json::to_vec(&Update { records }) else {
+            return;
+        };
+        let slot = (crash.incarnation ^ crash.upstream) % SLOTS;
+        self.control.state(CRASHES + slot, value, FACT_TTL).await;
+    }
+
+    fn lock(&self) -> MutexGuard<'_, List> {
+        self.list.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/sesamerock/src/telemetry/mod.rs
@@ -0,0 +1,97 @@
+//! Log lines and metrics.
+
+use std::time::SystemTime;
+
+use eyre::WrapErr as _;
+use log::LevelFilter;
+use opentelemetry::metrics::{Counter, Histogram, MeterProvider as _, UpDownCounter};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Registry, TextEncoder};
+
+/// Starts logging to standard error, one key=value line per event.
+///
+/// # Errors
+/// Fails if a logger was set before.
+pub fn start_log(level: LevelFilter) -> eyre::Result<()> {
+    fern::Dispatch::new()
+        .format(|out, message, record| {
+            let now = SystemTime::now()
+                .duration_since(SystemTime::UNIX_EPOCH)
+                .unwrap_or_default();
+            out.finish(format_args!(
+                "time={}.{:06} level={} module={} {}",
+                now.as_secs(),
+                now.subsec_micros(),
+                record.level().as_str().to_ascii_lowercase(),
+                record.target(),
+                message
+            ));
+        })
+        .level(LevelFilter::Warn)
+        .level_for("sesamerock", level)
+        .level_for("sesamerock_platform", level)
+        .chain(std::io::stderr())
+        .apply()
+        .wrap_err("the logger was started twice")
+}
+
+/// Instruments of a process and the registry they are scraped from.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    // Dropping the provider would stop the instruments.
+    _provider: SdkMeterProvider,
+    /// Requests answered, by status class.
+    pub requests: Counter<u64>,
+    /// Attempts that were refused with `executed: no`, by reason.
+    pub refusals: Counter<u64>,
+    /// Attempts after the first.
+    pub retries: Counter<u64>,
+    /// Streams that moved to another upstream.
+    pub resumes: Counter<u64>,
+    /// Requests in progress.
+    pub in_flight: UpDownCounter<i64>,
+    /// Time to the first byte of an answer, in seconds.
+    pub first_byte: Histogram<f64>,
+    /// Control version in force.
+    pub version: opentelemetry::metrics::Gauge<u64>,
+    /// Limit of calls in flight that the agent has learnt.
+    pub limit: opentelemetry::metrics::Gauge<u64>,
+}
+
+impl Metrics {
+    /// Makes the instruments of a role.
+    ///
+    /// # Errors
+    /// Fails if the exporter cannot be registered.
+    pub fn new(role: &'static str) -> eyre::Result<Self> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .build()?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter(role);
+        Ok(Self {
+            requests: meter.u64_counter("sesamerock_requests").build(),
+            refusals: meter.u64_counter("sesamerock_refusals").build(),
+            retries: meter.u64_counter("sesamerock_retries").build(),
+            resumes: meter.u64_counter("sesamerock_resumes").build(),
+            in_flight: meter.i64_up_down_counter("sesamerock_in_flight").build(),
+            first_byte: meter
+                .f64_histogram("sesamerock_first_byte")
+                .with_unit("s")
+                .build(),
+            version: meter.u64_gauge("sesamerock_version").build(),
+            limit: meter.u64_gauge("sesamerock_limit").build(),
+            registry,
+            _provider: provider,
+        })
+    }
+
+    /// Renders all metrics in the Prometheus text format.
+    pub fn render(&self) -> String {
+        TextEncoder::new()
+            .encode_to_string(&self.registry.gather())
+            .unwrap_or_default()
+    }
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -4,6 +4,8 @@
 //! control and cancellation per stream; the peer service carries small control
 //! calls over tarpc. See `docs/design.md`, section 8.
 
+pub mod peer;
+
 #[rustfmt::skip]
 #[expect(
     missing_docs,
