Fix lost wake-ups of a new key shard and retries that cannot help

Cause: a keyed call to a shard opened just now waited for the next page of a long poll, since the page could arrive between the look and the wait; key conflicts and unknown models were retried although no attempt can do better. Change: the wait is registered before the look; such failures end at once, an unknown target answers 404, and each failed request has one log line.

--- a/crates/sesamerock/src/agent/keyed/shard/mod.rs
+++ b/crates/sesamerock/src/agent/keyed/shard/mod.rs
@@ -26,6 +26,8 @@
 const WAIT: Duration = Duration::from_millis(500);
 /// The same while the shard is not ready.
 const OPENING_WAIT: Duration = Duration::from_millis(5);
+/// Longest time that a call waits for a shard to become ready.
+const OPENING_TIMEOUT: Duration = Duration::from_secs(1);
 /// Pause after a failed read.
 const PAUSE: Duration = Duration::from_millis(100);
 /// Longest time between two ticks of the state machine.
@@ -53,6 +55,7 @@
     log: Remote,
     inner: Mutex<Inner>,
     changed: Notify,
+    read: Notify,
 }
 
 /// Permission to run one call. Dropping it gives the key back.
@@ -82,6 +85,7 @@
             log,
             inner,
             changed: Notify::new(),
+            read: Notify::new(),
         });
         tokio::spawn(Arc::clone(&shard).follow());
         tokio::spawn(Arc::clone(&shard).act());
@@ -126,12 +130,17 @@
 
     /// Waits a little for a shard that has just been opened to catch up.
     async fn until_ready(&self, deadline: Instant) {
-        while self.lock().machine.ready().is_err() && Instant::now() + TICK < deadline {
-            // A log that is down is told to the caller instead of waited for.
-            if tokio::time::timeout(TICK * 5, self.changed.notified())
-                .await
-                .is_err()
-            {
+        // A log that is down is told to the caller instead of waited for.
+        let until = deadline.min(Instant::now() + OPENING_TIMEOUT);
+        loop {
+            // Registered before the look, so that no page is missed between.
+            let read = self.read.notified();
+            tokio::pin!(read);
+            read.as_mut().enable();
+            if self.lock().machine.ready().is_ok() {
+                return;
+            }
+            if tokio::time::timeout_at(until, read).await.is_err() {
                 return;
             }
         }
@@ -170,7 +179,7 @@
                 Ok(page) => {
                     failed = false;
                     self.lock().machine.read(&decode(page), clock::now());
-                    self.changed.notify_waiters();
+                    self.read.notify_waiters();
                     self.changed.notify_one();
                 }
                 Err(error) => {
--- a/crates/sesamerock/src/entry/dispatch/attempt/mod.rs
+++ b/crates/sesamerock/src/entry/dispatch/attempt/mod.rs
@@ -7,7 +7,7 @@
 use sesamerock_base::key::Upstream;
 use sesamerock_retry::attempt::Executed;
 use sesamerock_retry::resume::Point;
-use sesamerock_route::choice::{Choice, Loser};
+use sesamerock_route::choice::{Cause, Choice, Loser, Refusal};
 use sesamerock_route::pick::Outcome;
 use sesamerock_wire::relay::refusal::Reason;
 use sesamerock_wire::relay::{Refused, Reply, Tail, down, tail};
@@ -48,6 +48,8 @@
     pub(super) retry_after: Option<Duration>,
     /// The upstream, if another one may do better.
     pub(super) upstream: Option<Upstream>,
+    /// Whether no other attempt can do better.
+    pub(super) last: bool,
 }
 
 impl Open {
@@ -85,6 +87,7 @@
             sent: true,
             retry_after: None,
             upstream: Some(self.target.choice.upstream),
+            last: false,
         }
     }
 
@@ -127,7 +130,7 @@
             kind: self.kind,
             detail: self.detail.clone(),
             executed: told(executed),
-            retry_after: self.retry_after,
+            retry_after: self.retry_after.filter(|_| !self.last),
         }
     }
 
@@ -140,6 +143,7 @@
             sent: false,
             retry_after: Some(Duration::ZERO),
             upstream: None,
+            last: false,
         }
     }
 }
@@ -184,7 +188,31 @@
         }
     }
 
-    fn choose(&self, attempt: u64) -> Result<Target, Failure> {
+    /// Makes the failure of a request that no upstream can take now.
+    fn unroutable(&mut self, refusal: &Refusal) -> Failure {
+        let detail = format!("no upstream can take the request: {}", refusal.cause);
+        let failure = Failure::refused("no-upstream", detail);
+        match refusal.cause {
+            Cause::Unserved => Failure {
+                kind: "unknown-target",
+                status: StatusCode::NOT_FOUND,
+                retry_after: None,
+                last: true,
+                ..failure
+            },
+            Cause::Excluded => {
+                // Each was tried once; the next attempt may try them again.
+                self.excluded.clear();
+                failure
+            }
+            _ => Failure {
+                retry_after: refusal.retry_after,
+                ..failure
+            },
+        }
+    }
+
+    fn choose(&mut self, attempt: u64) -> Result<Target, Failure> {
         let wish = Wish {
             pool: self.pool(),
             service: matches!(self.ask.target, Asked::Service { .. }),
@@ -233,11 +261,8 @@
                     refusal.cause,
                     losers(&table, &refusal.losers)
                 );
-                let detail = format!("no upstream can take the request: {}", refusal.cause);
-                Err(Failure {
-                    retry_after: refusal.retry_after,
-                    ..Failure::refused("no-upstream", detail)
-                })
+                drop(table);
+                Err(self.unroutable(&refusal))
             }
         }
     }
@@ -335,11 +360,15 @@
             },
             Reason::Convicted => Failure {
                 kind: "convicted",
+                retry_after: None,
+                last: true,
                 status: StatusCode::UNPROCESSABLE_ENTITY,
                 ..failure
             },
             Reason::KeyConflict => Failure {
                 kind: "key-conflict",
+                retry_after: None,
+                last: true,
                 status: StatusCode::UNPROCESSABLE_ENTITY,
                 ..failure
             },
--- a/crates/sesamerock/src/entry/dispatch/mod.rs
+++ b/crates/sesamerock/src/entry/dispatch/mod.rs
@@ -145,7 +145,16 @@
             };
             match self.after(&failure, Phase::Silent).await {
                 Next::Again => {}
-                Next::Fail(problem) => return problem.respond(&id),
+                Next::Fail(problem) => {
+                    log::info!(
+                        "event=request_failed request={id} status={} kind={} executed={} detail={:?}",
+                        problem.status.as_u16(),
+                        problem.kind,
+                        problem.executed.as_str(),
+                        problem.detail
+                    );
+                    return problem.respond(&id);
+                }
             }
         }
     }
@@ -174,6 +183,9 @@
         };
         let now = clock::now();
         let jitter = rand::random();
+        if let (true, Phase::Silent) = (failure.last, phase) {
+            return Next::Fail(failure.problem(self.earlier.max(failure.executed)));
+        }
         let decision = decide(&attempt, &mut self.context.budget(), now, jitter, &settings);
         if failure.sent {
             self.earlier = self.earlier.max(failure.executed);
--- a/crates/standin/src/engine/batch/mod.rs
+++ b/crates/standin/src/engine/batch/mod.rs
@@ -69,13 +69,13 @@
         }
     }
 
-    /// Gives each running call its next token.
-    pub(super) fn step(&mut self) -> Step {
+    /// Gives each running call its next `burst` tokens.
+    pub(super) fn step(&mut self, burst: u64) -> Step {
         let mut step = Step::default();
         self.running.retain_mut(|sequence| {
             step.poisoned |= sequence.poisoned && sequence.next > 0;
-            let outcome = sequence.advance();
-            step.tokens += u64::from(outcome.generated);
+            let outcome = sequence.advance(burst);
+            step.tokens += outcome.generated;
             !outcome.ended
         });
         step
@@ -83,49 +83,39 @@
 }
 
 struct Outcome {
-    generated: bool,
+    generated: u64,
     ended: bool,
 }
 
 impl Sequence {
-    fn advance(&mut self) -> Outcome {
+    fn advance(&mut self, burst: u64) -> Outcome {
+        let idle = |ended| Outcome {
+            generated: 0,
+            ended,
+        };
         if self.sender.is_closed() {
-            return Outcome {
-                generated: false,
-                ended: true,
-            };
+            return idle(true);
         }
         if self.next >= self.end {
-            return Outcome {
-                generated: false,
-                ended: self.finish(),
-            };
+            return idle(self.finish());
         }
-        let text = token(&self.tag, self.next);
-        if !self.streamed {
-            self.text.push_str(&text);
-            self.next += 1;
-            return Outcome {
-                generated: true,
-                ended: false,
-            };
-        }
-        match self.sender.try_send(event(&text)) {
-            Ok(()) => {
-                self.next += 1;
-                Outcome {
-                    generated: true,
-                    ended: false,
-                }
+        let end = self.end.min(self.next + burst);
+        let generated = end - self.next;
+        let texts = (self.next..end).map(|position| token(&self.tag, position));
+        if self.streamed {
+            let events: String = texts.map(|text| event(&text)).collect();
+            match self.sender.try_send(Chunk::Data(Bytes::from(events))) {
+                Ok(()) => {}
+                Err(TrySendError::Full(_)) => return idle(false),
+                Err(TrySendError::Closed(_)) => return idle(true),
             }
-            Err(TrySendError::Full(_)) => Outcome {
-                generated: false,
-                ended: false,
-            },
-            Err(TrySendError::Closed(_)) => Outcome {
-                generated: false,
-                ended: true,
-            },
+        } else {
+            self.text.extend(texts);
+        }
+        self.next = end;
+        Outcome {
+            generated,
+            ended: false,
         }
     }
 
--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -8,14 +8,13 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use bytes::Bytes;
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 use serde::Deserialize;
 use sesamerock_platform::engine::{Command, Load, Order};
-use sesamerock_platform::http::body::{self, Body, Chunk};
+use sesamerock_platform::http::body::{self, Body};
 use sesamerock_platform::http::server::{self, Handler};
 use tokio::net::TcpListener;
 use tokio::sync::Notify;
@@ -37,6 +36,9 @@
     pub step: Duration,
     /// Addition to the step time for each call in the batch.
     pub step_per_call: Duration,
+    /// Tokens that each call gets per step. More than one makes a fast engine,
+    /// since timers resolve a millisecond.
+    pub tokens_per_step: u64,
     /// Calls that run at once; more wait inside the engine.
     pub capacity: usize,
     /// Calls that run at once in cold start.
@@ -57,6 +59,7 @@
         Self {
             step: Duration::from_millis(2),
             step_per_call: Duration::from_micros(50),
+            tokens_per_step: 1,
             capacity: 32,
             cold_capacity: 2,
             cold_tokens: 200,
@@ -80,6 +83,8 @@
     pub crashes: u64,
     /// Tokens generated.
     pub tokens: u64,
+    /// When the last call arrived.
+    pub last_call: Option<Instant>,
 }
 
 #[derive(Debug)]
@@ -238,7 +243,8 @@
             };
             tokio::time::sleep(pause).await;
             let mut state = self.lock();
-            let step = state.batch.step();
+            let burst = state.settings.tokens_per_step;
+            let step = state.batch.step(burst);
             state.record.tokens += step.tokens;
             if step.poisoned {
                 state.crash();
@@ -290,6 +296,7 @@
         };
         let mut state = self.lock();
         state.record.calls += 1;
+        state.record.last_call = Some(Instant::now());
         state.batch.push(sequence);
         let present = state.batch.running() + state.batch.waiting();
         state.record.peak = state.record.peak.max(present);
@@ -375,8 +382,8 @@
     (0..tokens).map(|position| token(&tag, position)).collect()
 }
 
-fn event(text: &str) -> Chunk {
-    Chunk::Data(Bytes::from(format!(
+fn event(text: &str) -> String {
+    format!(
         "data: {{\"object\":\"chat.completion.chunk\",\"choices\":[{{\"index\":0,\"delta\":{{\"content\":\"{text}\"}},\"finish_reason\":null}}]}}\n\n"
-    )))
+    )
 }
