--- a/crates/retry/src/flight/mod.rs
+++ b/crates/retry/src/flight/mod.rs
@@ -1,8 +1,8 @@
 //! The calls in flight on one upstream, for isolation and crash evidence.
 //!
 //! An agent keeps one for its engine, where at most one suspect may run at a
-//! time; an entry keeps one for each connection, to report what was in flight
-//! if the agent dies too.
+//! time; an entry keeps one for each upstream, to report what was in flight if
+//! the agent dies too.
 
 use std::collections::BTreeMap;
 
@@ -12,7 +12,15 @@
 /// Calls in flight.
 #[derive(Clone, Debug, Default)]
 pub struct Flight {
-    aboard: BTreeMap<Fingerprint, u32>,
+    aboard: BTreeMap<Fingerprint, Calls>,
+}
+
+/// Calls in flight with the same fingerprint.
+#[derive(Clone, Copy, Debug, Default)]
+struct Calls {
+    count: u32,
+    /// Whether a sender said that they are suspect.
+    flagged: bool,
 }
 
 /// Whether a call may begin.
@@ -29,30 +37,38 @@
 }
 
 impl Flight {
-    /// Begins a call, unless the findings forbid it now.
-    pub fn start(&mut self, fingerprint: Fingerprint, findings: &Findings, now: Stamp) -> Start {
+    /// Begins a call, unless the findings forbid it now. `flagged` is the
+    /// suspect flag of the sender, which may know of a crash before this node.
+    pub fn start(
+        &mut self,
+        fingerprint: Fingerprint,
+        flagged: bool,
+        findings: &Findings,
+        now: Stamp,
+    ) -> Start {
         let verdict = findings.verdict(fingerprint);
         if verdict == Verdict::Convicted {
             return Start::Convicted;
         }
-        if verdict == Verdict::Suspect {
-            let hold = findings.hold(fingerprint, now).as_millis() as u64;
-            if hold > 0 {
-                return Start::Held(hold);
-            }
-            if self.holds_suspect(findings) {
-                return Start::Occupied;
-            }
+        let hold = findings.hold(fingerprint, now).as_millis() as u64;
+        if hold > 0 {
+            return Start::Held(hold);
+        }
+        let suspect = flagged || verdict == Verdict::Suspect;
+        if suspect && self.holds_suspect(findings) {
+            return Start::Occupied;
         }
-        *self.aboard.entry(fingerprint).or_default() += 1;
+        let calls = self.aboard.entry(fingerprint).or_default();
+        calls.count += 1;
+        calls.flagged |= flagged;
         Start::Begun
     }
 
     /// Ends a call, whatever its outcome.
     pub fn finish(&mut self, fingerprint: Fingerprint) {
-        if let Some(count) = self.aboard.get_mut(&fingerprint) {
-            *count -= 1;
-            if *count == 0 {
+        if let Some(calls) = self.aboard.get_mut(&fingerprint) {
+            calls.count -= 1;
+            if calls.count == 0 {
                 self.aboard.remove(&fingerprint);
             }
         }
@@ -61,9 +77,10 @@
     /// Returns whether a suspect is in flight. A call may have become one by a
     /// crash elsewhere after it began.
     pub fn holds_suspect(&self, findings: &Findings) -> bool {
+        let suspect = |one| findings.verdict(one) == Verdict::Suspect;
         self.aboard
-            .keys()
-            .any(|one| findings.verdict(*one) == Verdict::Suspect)
+            .iter()
+            .any(|(one, calls)| calls.flagged || suspect(*one))
     }
 
     /// Ends all calls, because the upstream crashed, and returns them.
