--- a/crates/note/src/control/mod.rs
+++ b/crates/note/src/control/mod.rs
@@ -80,20 +80,15 @@
         self.kept.as_ref().map(|kept| kept.since)
     }
 
-    /// Folds the record at an offset, given as bytes from the log.
+    /// Folds the record at an offset, given as bytes from the log. Readers also
+    /// give the record before [`Self::position`]; on [`Outcome::Rewritten`] or
+    /// a head below the position they must [`Self::restart`].
     pub fn apply(&mut self, offset: u64, bytes: &[u8]) -> Outcome {
-        if let Ok(record) = Record::decode(bytes) {
-            return self.apply_record(offset, record);
-        }
-        let outcome = self.log.apply(offset, bytes);
-        self.settle(false);
-        outcome
-    }
-
-    /// Folds the record at an offset, given in decoded form.
-    pub fn apply_record(&mut self, offset: u64, record: Record) -> Outcome {
-        let turn = matches!(record.body, Body::Zone(_) | Body::Vm(_));
-        let outcome = self.log.apply_record(offset, record);
+        let record = Record::decode(bytes);
+        let turn = record
+            .as_ref()
+            .is_ok_and(|record| matches!(record.body, Body::Zone(_) | Body::Vm(_)));
+        let outcome = self.log.fold(offset, bytes, record);
         self.settle(turn || matches!(outcome, Outcome::Merged(_)));
         outcome
     }
--- a/crates/note/src/fold/mod.rs
+++ b/crates/note/src/fold/mod.rs
@@ -70,6 +70,8 @@
     floor: Version,
     recent: Arc<Recent>,
     pending: Arc<Vec<Pending>>,
+    /// Hash of the last record, to notice a log that was rewritten.
+    last: Option<u64>,
     /// See [`State::covered`]; it does not enter the hash.
     covered: Option<u64>,
     /// Sum of the hashes of all rows.
@@ -100,6 +102,7 @@
             floor: Version::default(),
             recent: Arc::default(),
             pending: Arc::default(),
+            last: None,
             covered: None,
             digest: 0,
         }
@@ -110,7 +113,9 @@
         Version(self.next + self.shift - 1)
     }
 
-    /// Returns the offset from which this state needs the log.
+    /// Returns the offset from which this state needs the log. A reader asks
+    /// for the record before it too: if that one is no longer the same, the log
+    /// lost its tail and was written anew, see [`Outcome::Rewritten`].
     pub fn position(&self) -> u64 {
         self.seen
     }
@@ -138,24 +143,31 @@
                 expected: self.seen,
             };
         }
-        self.fold(offset, Record::decode(bytes))
+        self.fold(offset, bytes, Record::decode(bytes))
     }
 
-    /// Folds the record at an offset, given in decoded form.
-    pub fn apply_record(&mut self, offset: u64, record: Record) -> Outcome {
-        self.fold(offset, Ok(record))
-    }
-
-    fn fold(&mut self, offset: u64, record: Result<Record, Skip>) -> Outcome {
+    /// Folds the record at an offset, given as bytes and in decoded form.
+    pub(crate) fn fold(
+        &mut self,
+        offset: u64,
+        bytes: &[u8],
+        record: Result<Record, Skip>,
+    ) -> Outcome {
         if offset > self.seen {
             return Outcome::Gap {
                 expected: self.seen,
             };
         }
+        let mark = short_hash(bytes);
         if offset < self.seen {
+            let last = offset + 1 == self.seen;
+            if last && self.last.is_some_and(|known| known != mark) {
+                return Outcome::Rewritten;
+            }
             return self.again(record);
         }
         self.seen = offset + 1;
+        self.last = Some(mark);
         if offset < self.next {
             return self.collect_only(offset, record);
         }
@@ -401,7 +413,11 @@
         Body::Zone(turn) | Body::Vm(turn) => to_json(&(&turn.name, turn.to)),
         Body::Snapshot(_) => return 0,
     };
-    let hash = blake3::hash(&bytes);
+    short_hash(&bytes)
+}
+
+fn short_hash(bytes: &[u8]) -> u64 {
+    let hash = blake3::hash(bytes);
     let (head, _) = hash.as_bytes().split_at(size_of::<u64>());
     u64::from_le_bytes(head.try_into().unwrap_or_default())
 }
--- a/crates/note/src/fold/outcome/mod.rs
+++ b/crates/note/src/fold/outcome/mod.rs
@@ -38,6 +38,9 @@
     Merged(Merge),
     /// The record is not readable for this program.
     Skipped(Skip),
+    /// The record at the last folded offset is now another one: the log lost its
+    /// tail and was written anew. The fold must start again from the log.
+    Rewritten,
     /// Records before this one are missing; nothing was folded.
     Gap {
         /// Offset that must be folded next.
--- a/crates/note/tests/fold.rs
+++ b/crates/note/tests/fold.rs
@@ -23,12 +23,12 @@
     accept(&mut state, first.clone());
     first.id = "n2".to_owned();
     let conflicts = reject(&mut state, first);
-    let stale = Conflict::Stale {
+    let conflict = Conflict::Stale {
         item: item(Kind::Upstream, "e1"),
         base: Version(1),
         changed: Version(2),
     };
-    assert_eq!(conflicts, [stale]);
+    assert_eq!(conflicts, [conflict]);
 }
 
 /// Guards against needless rejection of concurrent notes on other items.
@@ -198,16 +198,16 @@
 fn zone_and_vm_always_win() {
     let mut state = small();
     let out = Record::zone("z1", "a", Turned::Out, Version(0));
-    assert!(matches!(append(&mut state, out), Outcome::Accepted { .. }));
+    assert!(matches!(append(&mut state, &out), Outcome::Accepted { .. }));
     let mut change = note("n1", 1);
     change.change.upstreams.push(engine("e1", &["chat"]));
     accept(&mut state, change);
     assert_eq!(state.serving_upstreams().count(), 0);
     let back = Record::zone("z2", "a", Turned::In, Version(0));
-    append(&mut state, back);
+    append(&mut state, &back);
     assert_eq!(state.serving_upstreams().count(), 1);
     let out = Record::vm("v1", "vm-e1", Turned::Out, Version(0));
-    append(&mut state, out);
+    append(&mut state, &out);
     assert_eq!(state.serving_upstreams().count(), 0);
 }
 
@@ -244,7 +244,7 @@
     bad.add.models.push(model("two words", 1));
     let conflicts = reject(&mut state, bad);
     assert!(
-        matches!(&conflicts[..], [Conflict::Invalid { path, .. }] if path == "add.models[0].name")
+        matches!(&*conflicts, [Conflict::Invalid { path, .. }] if path == "add.models[0].name")
     );
 }
 
@@ -267,9 +267,11 @@
 fn gap_and_unknown_past_change_nothing() {
     let mut state = small();
     let record = Record::note(note("n1", 1)).encode();
+    accept(&mut state, note("n0", 1));
     let hash = state.hash();
-    assert_eq!(state.apply(5, &record), Outcome::Gap { expected: 1 });
-    assert_eq!(state.apply(0, &record), Outcome::Behind { expected: 1 });
+    assert_eq!(state.apply(5, &record), Outcome::Gap { expected: 2 });
+    assert_eq!(state.apply(0, &record), Outcome::Behind { expected: 2 });
+    assert_eq!(state.apply(1, &record), Outcome::Rewritten);
     assert_eq!(state.hash(), hash);
 }
 
--- a/crates/note/tests/support/mod.rs
+++ b/crates/note/tests/support/mod.rs
@@ -76,14 +76,14 @@
 }
 
 /// Appends a record to a log and folds it.
-pub fn append(state: &mut State, record: Record) -> Outcome {
+pub fn append(state: &mut State, record: &Record) -> Outcome {
     let offset = state.position();
     state.apply(offset, &record.encode())
 }
 
 /// Appends a note to a log and folds it.
 pub fn publish(state: &mut State, note: Note) -> Outcome {
-    append(state, Record::note(note))
+    append(state, &Record::note(note))
 }
 
 /// Appends a note that must be accepted.
