Add schemas as data and the check of release notes

Cause: operators need every fault of a note at once, with path, line and what was expected, and the daemon's settings files need the same.

Change: schema::check walks a table of fields over a YAML tree that knows its lines; schema::markdown prints the same table as a reference. check::note reads a note, check::against places conflicts with a state on their lines. The tree is built from the events of saphyr-parser, which saphyr already pulls in, because saphyr's loader stops at the first duplicated key and expands aliases.

Conclusion: quickcheck found that control characters passed the check and failed in serde_yaml_ng, and a test that long values were compared by their shortened form; both are fixed. docs/examples/note.yaml is checked by a test.

--- a/crates/note/src/fold/edit/mod.rs
+++ b/crates/note/src/fold/edit/mod.rs
@@ -18,7 +18,7 @@
 use crate::bound;
 use crate::note::{self, Note};
 
-pub(crate) use shape::{NAME_RULE, is_name};
+pub(crate) use shape::{CALL_RULE, NAME_RULE, is_name};
 
 /// Applies a note at the state's version, or returns what speaks against it.
 pub(super) fn apply(state: &mut State, note: &Note) -> Result<(), Vec<Conflict>> {
--- a/crates/note/src/fold/mod.rs
+++ b/crates/note/src/fold/mod.rs
@@ -7,6 +7,7 @@
 //! [`crate::control::Control`].
 
 mod edit;
+pub(crate) use edit::{CALL_RULE, NAME_RULE, is_name};
 pub mod entry;
 mod merge;
 pub mod outcome;
--- a/crates/note/src/lib.rs
+++ b/crates/note/src/lib.rs
@@ -7,10 +7,12 @@
 
 pub mod bound;
 pub mod call;
+pub mod check;
 pub mod control;
 pub mod fold;
 pub mod key;
 pub mod note;
 pub mod record;
+pub mod schema;
 pub mod snapshot;
 pub mod table;
--- /dev/null
+++ b/crates/note/src/schema/mod.rs
@@ -0,0 +1,466 @@
+//! Schemas of YAML files as data, and their check.
+//!
+//! One table of fields serves three purposes: it checks a file and reports all
+//! faults at once with path, line and expected value; it documents the file;
+//! and it keeps the two from drifting apart. Release notes and the daemon's
+//! settings files use it.
+//!
+//! ```
+//! use sesamerock_note::schema::{self, Field, Kind, Need, Schema};
+//!
+//! static LISTEN: Schema = Schema {
+//!     name: "listen",
+//!     about: "Where an entry accepts callers.",
+//!     fields: &[Field {
+//!         name: "address",
+//!         kind: Kind::Address,
+//!         need: Need::Required,
+//!         about: "Address and port.",
+//!     }],
+//!     rules: &[],
+//! };
+//! let faults = schema::check("adress: 1.2.3.4:80", &LISTEN);
+//! let lines: Vec<_> = faults.iter().map(ToString::to_string).collect();
+//! assert_eq!(
+//!     lines,
+//!     [
+//!         "adress:1: expected one of address, found an unknown key",
+//!         "address:1: expected an address such as 10.0.0.1:7000, found nothing",
+//!     ]
+//! );
+//! ```
+
+mod reference;
+pub mod tree;
+pub mod value;
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+pub use reference::markdown;
+use tree::{Node, Pair, Value};
+
+/// Bytes of a text that is examined at all.
+pub const TEXT: usize = 4 << 20;
+
+/// Faults that one check lists; more would not help to read them.
+pub const FAULTS: usize = 200;
+
+/// A mapping with known keys.
+#[derive(Debug)]
+pub struct Schema {
+    /// Name of the mapping, the heading of its reference.
+    pub name: &'static str,
+    /// One sentence about it.
+    pub about: &'static str,
+    /// Its keys, in the order of the reference.
+    pub fields: &'static [Field],
+    /// Rules between its keys.
+    pub rules: &'static [Rule],
+}
+
+/// A key of a mapping.
+#[derive(Debug)]
+pub struct Field {
+    /// The key.
+    pub name: &'static str,
+    /// What its value must be.
+    pub kind: Kind,
+    /// Whether it must be there.
+    pub need: Need,
+    /// One sentence about it.
+    pub about: &'static str,
+}
+
+/// Whether a key must be there.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Need {
+    /// It must.
+    Required,
+    /// It may be absent, which means what its description says.
+    Optional,
+    /// It may be absent, which means this value.
+    Default(&'static str),
+}
+
+/// What a value must be.
+#[derive(Clone, Copy, Debug)]
+pub enum Kind {
+    /// A text of a length in bytes.
+    Text {
+        /// Least bytes.
+        min: usize,
+        /// Most bytes.
+        max: usize,
+    },
+    /// A text of a form.
+    Form {
+        /// What is expected, such as `a method and a path`.
+        expected: &'static str,
+        /// Whether a text has the form.
+        accepts: fn(&str) -> bool,
+    },
+    /// A whole number.
+    Integer {
+        /// Least value.
+        min: i64,
+        /// Most value.
+        max: i64,
+    },
+    /// A number.
+    Number {
+        /// Least value.
+        min: f64,
+        /// Most value.
+        max: f64,
+    },
+    /// `true` or `false`.
+    Boolean,
+    /// One of several words.
+    Choice(&'static [&'static str]),
+    /// IP address and port.
+    Address,
+    /// A span with unit, see [`value::duration`].
+    Span {
+        /// Least span.
+        min: Duration,
+        /// Most span.
+        max: Duration,
+    },
+    /// A number of bytes with unit, see [`value::bytes`].
+    Bytes {
+        /// Least bytes.
+        min: u64,
+        /// Most bytes.
+        max: u64,
+    },
+    /// A list.
+    List {
+        /// What its items must be.
+        of: &'static Kind,
+        /// Least items.
+        min: usize,
+        /// Most items.
+        max: usize,
+        /// What may not occur twice.
+        unique: Unique,
+    },
+    /// A mapping with known keys.
+    Record(&'static Schema),
+    /// A mapping with free keys.
+    Map {
+        /// What its values must be.
+        of: &'static Kind,
+        /// Most keys.
+        max: usize,
+    },
+}
+
+/// What may not occur twice in a list.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Unique {
+    /// Anything may.
+    Nothing,
+    /// The items themselves.
+    Items,
+    /// Each of these keys of the items.
+    Keys(&'static [&'static str]),
+}
+
+/// A rule between the keys of a mapping.
+#[derive(Debug)]
+pub struct Rule {
+    /// Key at which a breach is reported.
+    pub at: &'static str,
+    /// What is expected there.
+    pub expected: &'static str,
+    /// Whether a mapping keeps the rule. Values may be of any kind, since the
+    /// rule is examined beside the other faults.
+    pub holds: fn(&Node) -> bool,
+}
+
+/// One fault of a text.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Fault {
+    /// Where in the document, such as `add.upstreams[2].zone`; empty for the
+    /// document itself.
+    pub path: String,
+    /// Line, from 1.
+    pub line: usize,
+    /// What was expected.
+    pub expected: String,
+    /// What was found instead.
+    pub found: String,
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let path = match self.path.as_str() {
+            "" => "document",
+            path => path,
+        };
+        let Self {
+            line,
+            expected,
+            found,
+            ..
+        } = self;
+        write!(f, "{path}:{line}: expected {expected}, found {found}")
+    }
+}
+
+/// Checks a text and returns all faults in the order of lines.
+pub fn check(text: &str, schema: &'static Schema) -> Vec<Fault> {
+    match read(text) {
+        Ok(root) => check_tree(&root, schema),
+        Err(faults) => faults,
+    }
+}
+
+/// Parses a text of bounded size into a tree.
+///
+/// # Errors
+///
+/// Returns the faults if the text is too long or not one plain document.
+pub fn read(text: &str) -> Result<Node, Vec<Fault>> {
+    if text.len() > TEXT {
+        return Err(vec![Fault {
+            path: String::new(),
+            line: 1,
+            expected: format!("at most {TEXT} bytes"),
+            found: format!("{} bytes", text.len()),
+        }]);
+    }
+    let unprintable = text.lines().enumerate().find_map(|(index, line)| {
+        let found = line.chars().find(|c| c.is_control() && *c != '\t')?;
+        Some((index + 1, found))
+    });
+    if let Some((line, found)) = unprintable {
+        return Err(vec![Fault {
+            path: String::new(),
+            line,
+            expected: "printable text".to_owned(),
+            found: format!("the control character {found:?}"),
+        }]);
+    }
+    tree::parse(text)
+}
+
+/// Checks a tree and returns all faults in the order of lines.
+pub fn check_tree(root: &Node, schema: &'static Schema) -> Vec<Fault> {
+    let mut check = Check::default();
+    check.record("", root, schema);
+    let mut faults = check.faults;
+    faults.sort_by_key(|fault| fault.line);
+    faults.truncate(FAULTS);
+    faults
+}
+
+#[derive(Default)]
+struct Check {
+    faults: Vec<Fault>,
+}
+
+impl Check {
+    fn push(&mut self, path: &str, line: usize, expected: String, found: String) {
+        self.faults.push(Fault {
+            path: path.to_owned(),
+            line,
+            expected,
+            found,
+        });
+    }
+
+    fn mismatch(&mut self, path: &str, node: &Node, kind: &Kind) {
+        self.push(path, node.line, kind.to_string(), node.describe());
+    }
+
+    fn record(&mut self, path: &str, node: &Node, schema: &'static Schema) {
+        let Value::Map(pairs) = &node.value else {
+            self.mismatch(path, node, &Kind::Record(schema));
+            return;
+        };
+        self.repeated(path, pairs);
+        for pair in pairs {
+            let at = join(path, &pair.key);
+            let field = schema.fields.iter().find(|field| field.name == pair.key);
+            if let Some(field) = field {
+                self.value(&at, &pair.node, &field.kind);
+                continue;
+            }
+            let names: Vec<_> = schema.fields.iter().map(|field| field.name).collect();
+            let expected = format!("one of {}", names.join(", "));
+            self.push(&at, pair.line, expected, "an unknown key".to_owned());
+        }
+        for field in schema.fields {
+            if field.need == Need::Required && node.get(field.name).is_none() {
+                let at = join(path, field.name);
+                self.push(&at, node.line, field.kind.to_string(), "nothing".to_owned());
+            }
+        }
+        for rule in schema.rules {
+            if !(rule.holds)(node) {
+                self.breach(path, node, rule);
+            }
+        }
+    }
+
+    fn breach(&mut self, path: &str, node: &Node, rule: &Rule) {
+        let value = node.get(rule.at);
+        let line = value.map_or(node.line, |value| value.line);
+        let found = value.map_or_else(|| "nothing".to_owned(), Node::describe);
+        let at = join(path, rule.at);
+        self.push(&at, line, rule.expected.to_owned(), found);
+    }
+
+    fn repeated(&mut self, path: &str, pairs: &[Pair]) {
+        let mut first: BTreeMap<&str, usize> = BTreeMap::new();
+        for pair in pairs {
+            if let Some(line) = first.get(pair.key.as_str()) {
+                let found = format!("it again after line {line}");
+                let at = join(path, &pair.key);
+                self.push(&at, pair.line, "the key once".to_owned(), found);
+            } else {
+                first.insert(&pair.key, pair.line);
+            }
+        }
+    }
+
+    fn value(&mut self, path: &str, node: &Node, kind: &'static Kind) {
+        match (kind, &node.value) {
+            (Kind::Record(schema), _) => self.record(path, node, schema),
+            (Kind::Map { of, max }, Value::Map(pairs)) => {
+                self.repeated(path, pairs);
+                if pairs.len() > *max {
+                    self.mismatch(path, node, kind);
+                }
+                for pair in pairs {
+                    self.value(&join(path, &pair.key), &pair.node, of);
+                }
+            }
+            (
+                Kind::List {
+                    of,
+                    min,
+                    max,
+                    unique,
+                },
+                Value::List(items),
+            ) => {
+                if !(*min..=*max).contains(&items.len()) {
+                    self.mismatch(path, node, kind);
+                }
+                for (index, item) in items.iter().enumerate() {
+                    self.value(&format!("{path}[{index}]"), item, of);
+                }
+                self.unique(path, items, *unique);
+            }
+            (kind, _) if kind.accepts(node) => {}
+            (kind, _) => self.mismatch(path, node, kind),
+        }
+    }
+
+    fn unique(&mut self, path: &str, items: &[Node], unique: Unique) {
+        match unique {
+            Unique::Nothing => {}
+            Unique::Items => self.distinct(path, "", items, Some),
+            Unique::Keys(keys) => {
+                for key in keys {
+                    self.distinct(path, key, items, |item| item.get(key));
+                }
+            }
+        }
+    }
+
+    fn distinct<'a>(
+        &mut self,
+        path: &str,
+        key: &str,
+        items: &'a [Node],
+        value: impl Fn(&'a Node) -> Option<&'a Node>,
+    ) {
+        let mut first: BTreeMap<String, usize> = BTreeMap::new();
+        for (index, item) in items.iter().enumerate() {
+            let node = value(item);
+            let plain = |node: &&Node| !matches!(node.value, Value::List(_) | Value::Map(_));
+            let Some(node) = node.filter(plain) else {
+                continue;
+            };
+            // The description is shortened, so it cannot tell values apart.
+            let text = node
+                .as_text()
+                .map_or_else(|| node.describe(), str::to_owned);
+            let at = match key {
+                "" => format!("{path}[{index}]"),
+                key => format!("{path}[{index}].{key}"),
+            };
+            if let Some(line) = first.get(&text) {
+                let found = format!("{} again after line {line}", node.describe());
+                self.push(&at, node.line, "each value once".to_owned(), found);
+            } else {
+                first.insert(text, node.line);
+            }
+        }
+    }
+}
+
+impl Kind {
+    /// Returns whether a value that is no collection is of this kind.
+    fn accepts(&self, node: &Node) -> bool {
+        match (self, &node.value) {
+            (Self::Text { min, max }, Value::Text(text)) => (*min..=*max).contains(&text.len()),
+            (Self::Form { accepts, .. }, Value::Text(text)) => accepts(text),
+            (Self::Integer { min, max }, Value::Integer(value)) => (*min..=*max).contains(value),
+            (Self::Number { min, max }, Value::Integer(value)) => {
+                (*min..=*max).contains(&(*value as f64))
+            }
+            (Self::Number { min, max }, Value::Float(value)) => (*min..=*max).contains(value),
+            (Self::Boolean, Value::Boolean(_)) => true,
+            (Self::Choice(words), Value::Text(text)) => words.contains(&text.as_str()),
+            (Self::Address, Value::Text(text)) => {
+                let address = text.parse::<SocketAddr>();
+                address.is_ok_and(|address| address.port() != 0)
+            }
+            (Self::Span { min, max }, Value::Text(text)) => {
+                value::duration(text).is_some_and(|span| (*min..=*max).contains(&span))
+            }
+            (Self::Bytes { min, max }, Value::Text(text)) => {
+                value::bytes(text).is_some_and(|bytes| (*min..=*max).contains(&bytes))
+            }
+            _ => false,
+        }
+    }
+}
+
+impl fmt::Display for Kind {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Text { min, max } => write!(f, "a text of {min} to {max} bytes"),
+            Self::Form { expected, .. } => f.write_str(expected),
+            Self::Integer { min, max } => write!(f, "a whole number from {min} to {max}"),
+            Self::Number { min, max } => write!(f, "a number from {min} to {max}"),
+            Self::Boolean => f.write_str("true or false"),
+            Self::Choice(words) => write!(f, "one of {}", words.join(", ")),
+            Self::Address => f.write_str("an address such as 10.0.0.1:7000"),
+            Self::Span { min, max } => {
+                write!(f, "a span from {min:?} to {max:?} such as 250ms, 3s or 2h")
+            }
+            Self::Bytes { min, max } => {
+                write!(f, "a size from {min} to {max} bytes such as 64KB or 32MB")
+            }
+            Self::List { min: 0, max, .. } => write!(f, "a list of at most {max}"),
+            Self::List { min, max, .. } => write!(f, "a list of {min} to {max}"),
+            Self::Record(schema) => write!(f, "a mapping ({})", schema.name),
+            Self::Map { max, .. } => write!(f, "a mapping of at most {max} keys"),
+        }
+    }
+}
+
+fn join(path: &str, key: &str) -> String {
+    if path.is_empty() {
+        return key.to_owned();
+    }
+    format!("{path}.{key}")
+}
