--- a/crates/note/src/lib.rs
+++ b/crates/note/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod key;
 pub mod note;
 pub mod record;
+pub mod rollout;
 pub mod schema;
 pub mod snapshot;
 pub mod table;
--- /dev/null
+++ b/crates/note/src/rollout/report/mod.rs
@@ -0,0 +1,92 @@
+//! What agents report about their engines.
+
+use sesamerock_base::arena::Arena;
+use sesamerock_base::key;
+use sesamerock_base::version::Version;
+
+use crate::key::Adapter;
+use crate::note::Role;
+
+/// Stage of a loaded model.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    /// Weights are being fetched or the engine warms up.
+    Loading,
+    /// It serves at its full rate.
+    Warm,
+    /// It is loaded, but the engine is in cold start.
+    Cold,
+}
+
+/// A model in an engine's memory.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Loaded {
+    /// The model.
+    pub model: key::Model,
+    /// Its version.
+    pub version: u32,
+    /// Its stage.
+    pub phase: Phase,
+    /// Adapters with their versions.
+    pub adapters: Vec<(Adapter, u32)>,
+}
+
+/// The latest report of one upstream's agent.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Report {
+    /// Version of the control state that the agent acted on when it reported.
+    pub version: Version,
+    /// What the engine holds.
+    pub loaded: Vec<Loaded>,
+    /// Role of the engine.
+    pub role: Role,
+    /// Models that fit beside those loaded.
+    pub room: usize,
+    /// Whether the agent is reachable and its VM is not known to be gone.
+    pub live: bool,
+}
+
+impl Report {
+    /// Returns a version of a model in memory.
+    pub fn find(&self, model: key::Model, version: u32) -> Option<&Loaded> {
+        self.loaded
+            .iter()
+            .find(|loaded| loaded.model == model && loaded.version == version)
+    }
+
+    /// Returns whether some version of a model is warm.
+    pub fn warm(&self, model: key::Model) -> bool {
+        self.loaded
+            .iter()
+            .any(|loaded| loaded.model == model && loaded.phase == Phase::Warm)
+    }
+}
+
+/// Latest reports by upstream.
+#[derive(Clone, Debug, Default)]
+pub struct Reports {
+    reports: Arena<key::Upstream, Option<Report>>,
+}
+
+impl Reports {
+    /// Keeps a report, unless a newer one is known.
+    pub fn set(&mut self, upstream: key::Upstream, report: Report) {
+        let slot = self.reports.entry(upstream);
+        if slot
+            .as_ref()
+            .is_none_or(|old| old.version <= report.version)
+        {
+            *slot = Some(report);
+        }
+    }
+
+    /// Forgets an upstream's report.
+    pub fn forget(&mut self, upstream: key::Upstream) {
+        *self.reports.entry(upstream) = None;
+    }
+
+    /// Returns an upstream's report.
+    pub fn get(&self, upstream: key::Upstream) -> Option<&Report> {
+        self.reports.get(upstream)?.as_ref()
+    }
+}
--- /dev/null
+++ b/crates/note/src/rollout/unit/mod.rs
@@ -0,0 +1,194 @@
+//! Units that load and serve together: a group of ranks or a single engine.
+
+use std::collections::BTreeMap;
+
+use sesamerock_base::key;
+
+use super::Input;
+use super::report::{Phase, Report};
+use crate::fold::entry::{Served, Upstream};
+use crate::key::Adapter;
+use crate::note::Kind;
+
+/// A group of ranks or a single engine.
+#[derive(Debug)]
+pub(super) struct Unit {
+    /// Orders the units alike on every node.
+    pub(super) hash: u64,
+    pub(super) members: Vec<key::Upstream>,
+    /// Withdrawn, but still running.
+    pub(super) leaving: bool,
+}
+
+/// What a unit is to hold of one model and how far it is.
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "independent findings, each read in one place"
+)]
+#[derive(Clone, Debug)]
+pub(super) struct Target {
+    pub(super) unit: usize,
+    pub(super) model: key::Model,
+    pub(super) version: u32,
+    /// All members report.
+    pub(super) live: bool,
+    /// Some member lacks the version.
+    pub(super) missing: bool,
+    /// Some member loads the version.
+    pub(super) loading: bool,
+    /// The version is warm with its adapters and the role on all members.
+    pub(super) ready: bool,
+    /// Some version is warm on all members.
+    pub(super) warm: bool,
+    /// Something is warm on some member, so that loading costs service.
+    pub(super) serving: bool,
+    /// All members are in service and act on the same entries as this node.
+    pub(super) reliable: bool,
+}
+
+/// Collects the units: groups, single engines, and withdrawn engines that
+/// still report.
+pub(super) fn units(input: &Input<'_>) -> Vec<Unit> {
+    let state = input.state;
+    let groups = state.groups().iter().map(|(key, group)| Unit {
+        hash: fnv(&[state.groups().name(key), "/group"]),
+        members: group.ranks.iter().map(|(_, member)| *member).collect(),
+        leaving: false,
+    });
+    let single = |leaving| {
+        move |(key, upstream): (key::Upstream, &Upstream)| {
+            let alone = leaving || upstream.rank.is_none();
+            (alone && upstream.kind == Kind::Engine).then(|| Unit {
+                hash: fnv(&[state.upstreams().name(key)]),
+                members: vec![key],
+                leaving,
+            })
+        }
+    };
+    let engines = state.upstreams().iter().filter_map(single(false));
+    let gone = state.upstreams().gone();
+    let gone = gone.filter(|(key, _)| input.reports.get(*key).is_some());
+    let leaving = gone.filter_map(single(true));
+    groups.chain(engines).chain(leaving).collect()
+}
+
+/// Assesses every model of every unit that is not leaving.
+pub(super) fn targets(input: &Input<'_>, units: &[Unit]) -> Vec<Target> {
+    let mut targets = Vec::new();
+    for (index, unit) in units.iter().enumerate() {
+        if unit.leaving {
+            continue;
+        }
+        let mut models: BTreeMap<key::Model, u32> = BTreeMap::new();
+        for member in &unit.members {
+            let served = input.state.upstreams().get(*member);
+            for served in served.map_or(&[][..], |upstream| &upstream.models) {
+                let version = version(input, served);
+                let known = models.entry(served.model).or_default();
+                *known = version.max(*known);
+            }
+        }
+        for (model, version) in models {
+            targets.push(assess(input, index, unit, model, version));
+        }
+    }
+    targets
+}
+
+/// Returns the version of a served model.
+pub(super) fn version(input: &Input<'_>, served: &Served) -> u32 {
+    let model = input.state.models().get(served.model);
+    let followed = model.map_or(0, |model| model.version);
+    served.version.unwrap_or(followed)
+}
+
+fn assess(input: &Input<'_>, index: usize, unit: &Unit, model: key::Model, version: u32) -> Target {
+    let mut target = Target {
+        unit: index,
+        model,
+        version,
+        live: true,
+        missing: false,
+        loading: false,
+        ready: true,
+        warm: true,
+        serving: false,
+        reliable: true,
+    };
+    for key in &unit.members {
+        let report = input.reports.get(*key).filter(|report| report.live);
+        let (Some(upstream), Some(report)) = (input.state.upstreams().get(*key), report) else {
+            target.live = false;
+            target.ready = false;
+            target.warm = false;
+            target.reliable = false;
+            continue;
+        };
+        let loaded = report.find(model, version);
+        target.missing |= loaded.is_none();
+        target.loading |= loaded.is_some_and(|loaded| loaded.phase == Phase::Loading);
+        target.ready &= is_ready(input, upstream, report, model, version);
+        target.warm &= report.warm(model);
+        target.serving |= report
+            .loaded
+            .iter()
+            .any(|loaded| loaded.phase == Phase::Warm);
+        target.reliable &= acts_alike(input, upstream, report, model);
+    }
+    target
+}
+
+fn is_ready(
+    input: &Input<'_>,
+    upstream: &Upstream,
+    report: &Report,
+    model: key::Model,
+    version: u32,
+) -> bool {
+    let loaded = report.find(model, version);
+    let warm = loaded.is_some_and(|loaded| loaded.phase == Phase::Warm);
+    warm && report.role == upstream.role
+        && lacking(input, upstream, report, model, version).is_empty()
+}
+
+/// Returns the adapters that a loaded model still lacks, with their versions.
+pub(super) fn lacking(
+    input: &Input<'_>,
+    upstream: &Upstream,
+    report: &Report,
+    model: key::Model,
+    version: u32,
+) -> Vec<(Adapter, u32)> {
+    let loaded = report.find(model, version);
+    let present = loaded.map_or(&[][..], |loaded| &loaded.adapters);
+    let wanted = upstream
+        .serves(model)
+        .map_or(&[][..], |served| &served.adapters);
+    let wanted = wanted.iter().filter_map(|adapter| {
+        let entry = input.state.adapters().get(*adapter)?;
+        Some((*adapter, entry.version))
+    });
+    wanted.filter(|pair| !present.contains(pair)).collect()
+}
+
+/// Returns whether an agent is in service and acts on the same entries as this
+/// node. One that acts on a newer state may already be about to drop a model;
+/// one on an older state may not know yet that it is to keep it.
+fn acts_alike(input: &Input<'_>, upstream: &Upstream, report: &Report, model: key::Model) -> bool {
+    let entry = input.state.models().get(model);
+    let changed = entry.map_or(upstream.changed, |model| {
+        model.changed.max(upstream.changed)
+    });
+    let alike = (changed..=input.state.version()).contains(&report.version);
+    alike && input.state.in_service(upstream)
+}
+
+/// Hashes names alike on every node and in every build (FNV-1a, 64 bits).
+pub(super) fn fnv(parts: &[&str]) -> u64 {
+    const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
+    const PRIME: u64 = 0x0100_0000_01b3;
+    let bytes = parts.iter().flat_map(|part| part.bytes());
+    bytes.fold(OFFSET, |hash, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(PRIME)
+    })
+}
