--- a/crates/ledger/src/fold/aging.rs
+++ b/crates/ledger/src/fold/aging.rs
@@ -34,7 +34,6 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct Aging {
     expired: u64,
-    repair: u64,
     markers: BTreeMap<u64, Marker>,
 }
 
@@ -47,7 +46,6 @@
         let marker = |seconds| Marker { seconds, read: now };
         Self {
             expired: stream.expired,
-            repair: stream.repair,
             markers: stream
                 .ages
                 .iter()
@@ -63,22 +61,10 @@
             .collect()
     }
 
-    pub(super) const fn repair(&self) -> u64 {
-        self.repair
-    }
-
-    /// Starts over at a repair, since offsets are used again after it.
-    pub(super) fn restart(&mut self, repair: u64) {
-        *self = Self {
-            repair,
-            ..Self::default()
-        };
-    }
-
     /// Folds a statement read at `offset`; returns whether outcomes expired.
     pub(super) fn apply(&mut self, age: Age, offset: u64, horizon: Duration, now: Moment) -> bool {
         let known = self.markers.get(&age.offset);
-        let stale = age.offset >= offset || age.offset < self.expired || age.repair != self.repair;
+        let stale = age.offset >= offset || age.offset < self.expired;
         if stale || known.is_some_and(|marker| marker.seconds >= age.seconds) {
             return false;
         }
@@ -98,8 +84,8 @@
         false
     }
 
-    /// Returns a statement that raises a known age by a step, or starts a new
-    /// marker a step after the last one.
+    /// Returns offset and seconds of a statement that raises a known age by a
+    /// step, or starts a new marker a step after the last one.
     ///
     /// `spread` from 0 to 0.5 lengthens the step.
     pub(super) fn due(
@@ -108,26 +94,18 @@
         horizon: Duration,
         spread: f64,
         now: Moment,
-    ) -> Option<Age> {
+    ) -> Option<(u64, u64)> {
         let step = horizon.mul_f64((1.0 + spread) / f64::from(MARKERS));
         let step = step.as_secs().max(1);
         let worth = |marker: &Marker| marker.age(now) >= marker.seconds + step;
         let raised = self.markers.iter().find(|(_, marker)| worth(marker));
         if let Some((offset, marker)) = raised {
-            return Some(self.statement(*offset, marker.age(now)));
+            return Some((*offset, marker.age(now)));
         }
         let newest = self.markers.last_key_value();
         let fresh =
             newest.is_none_or(|(offset, marker)| marker.age(now) >= step && *offset + 1 < next);
         let last = next.checked_sub(1)?;
-        (fresh && last >= self.expired).then(|| self.statement(last, 0))
-    }
-
-    const fn statement(&self, offset: u64, seconds: u64) -> Age {
-        Age {
-            offset,
-            seconds,
-            repair: self.repair,
-        }
+        (fresh && last >= self.expired).then(|| (last, 0))
     }
 }
--- a/crates/ledger/src/fold/apply.rs
+++ b/crates/ledger/src/fold/apply.rs
@@ -4,9 +4,9 @@
 
 use sesamerock_base::time::Moment;
 
-use super::{Holder, Ledger, Page, Slot};
+use super::{Holder, Ledger, Mark, Page, Slot};
 use crate::id::{Attempt, Key};
-use crate::record::{Entry, Intent, Own, Part, Record, SnapshotId, State, Writer};
+use crate::record::{Age, Entry, Intent, Own, Part, Record, SnapshotId, State, Writer};
 
 impl Ledger {
     /// Folds the entry at an offset; returns false if the rest of the page must
@@ -18,47 +18,51 @@
         page: &Page,
         now: Moment,
     ) -> bool {
+        self.recheck = Some(offset + 1).filter(|after| *after < self.next);
         if offset < self.next {
-            return self.is_same(offset, entry) || self.restarted(page);
+            return self.trail.matches(self.next - offset, entry) || self.restarted(page);
         }
         if offset > self.next && self.guard.gap_check {
             self.scan(page);
             return false;
         }
         self.next = offset + 1;
-        self.last = entry.map(|entry| (entry.writer, entry.number));
+        self.trail.push(entry);
         self.verify();
-        match entry {
-            Some(entry) => self.apply(offset, entry, now),
-            None => self.skipped += 1,
+        if let Some(entry) = entry {
+            return self.apply(offset, entry, now);
         }
+        self.skipped += 1;
         true
     }
 
-    /// Returns whether an entry read again is the one that was folded.
-    fn is_same(&self, offset: u64, entry: Option<&Entry>) -> bool {
-        let identity = entry.map(|entry| (entry.writer, entry.number));
-        offset + 1 < self.next || self.last.is_none() || identity == self.last
-    }
-
     /// Compares with a peer's mark once the fold has come as far.
     fn verify(&mut self) {
-        if let Some(mark) = self.required
-            && mark.position == self.next
+        let reached = |mark: &mut Mark| *mark == self.trail.mark(self.generation, self.next);
+        if let Some(mark) = self.required.take_if(reached)
+            && !mark.agrees(&self.trail)
         {
-            if mark.last == self.last {
-                self.required = None;
-            } else {
-                self.await_repair(mark.position);
-            }
+            self.await_repair(mark);
         }
     }
 
-    fn apply(&mut self, offset: u64, entry: &Entry, now: Moment) {
+    /// Returns false if a repair took the place of the state.
+    fn apply(&mut self, offset: u64, entry: &Entry, now: Moment) -> bool {
+        for record in &entry.records {
+            if let Record::Part(part) = record
+                && part.repair
+                && self.repaired(entry, part, now)
+            {
+                return false;
+            }
+        }
+        if self.awaiting.is_some() {
+            return true;
+        }
         if !self.admit(offset, entry) {
             self.touched
                 .extend(entry.records.iter().filter_map(intended));
-            return;
+            return true;
         }
         for record in &entry.records {
             match record {
@@ -71,14 +75,18 @@
                     self.settle(offset, entry, own.key, own.sequence, State::Broken);
                 }
                 Record::Void(own) => self.void(offset, entry, own),
-                Record::Age(age) => {
-                    if self.aging.apply(*age, offset, self.config.horizon, now) {
-                        self.evict();
-                    }
-                }
+                Record::Age(age) => self.age(offset, *age, now),
                 Record::Part(part) => self.part(offset, entry, part, now),
             }
         }
+        true
+    }
+
+    fn age(&mut self, offset: u64, age: Age, now: Moment) {
+        let current = age.generation == self.generation;
+        if current && self.aging.apply(age, offset, self.config.horizon, now) {
+            self.evict();
+        }
     }
 
     /// Notes the writer; returns false for an entry that was folded before. A
@@ -158,16 +166,37 @@
             writer: entry.writer,
             number: part.number,
         };
-        if part.repair.is_some() {
-            self.merge(offset, part);
-        }
-        let complete = self.tally.note(id, part, offset, now);
-        let covers = self.repair <= part.repair;
-        if complete && covers {
-            self.repair = None;
-            self.survived = None;
-            self.required = None;
-        }
+        self.tally.note(id, part, offset, now);
+    }
+
+    /// Collects a part of a repair; returns true if the repair is complete and
+    /// took the place of the state.
+    ///
+    /// Of the repairs of one generation the one that covers most counts, and of
+    /// equal ones the first: its followers may have run calls already.
+    fn repaired(&mut self, entry: &Entry, part: &Arc<Part>, now: Moment) -> bool {
+        let id = SnapshotId {
+            writer: entry.writer,
+            number: part.number,
+        };
+        self.repairs.collect(id, part);
+        let Some(parts) = self.repairs.complete(id) else {
+            return false;
+        };
+        let Some(stream) = &parts[0].stream else {
+            return false;
+        };
+        let newer = (stream.generation, stream.through) > (self.generation, self.through);
+        // A repair that covers less than what is awaited must not take the place
+        // of what this reader may know better.
+        let enough = self
+            .awaiting
+            .as_ref()
+            .is_none_or(|mark| mark.is_covered(stream));
+        if newer && enough {
+            self.load(&parts, now);
+        }
+        newer && enough
     }
 
     /// Forgets expired outcomes and the writers that were silent as long.
@@ -177,50 +206,6 @@
             .retain(|_, slot| !matches!(slot.state, State::Done(_, offset) if offset < expired));
         self.writers.retain(|_, writer| writer.last >= expired);
     }
-
-    /// Adds what a survivor knew before the log restarted with a lower head.
-    fn merge(&mut self, offset: u64, part: &Part) {
-        if part.index == 0 {
-            self.aging.restart(offset);
-            for slot in self.slots.values_mut() {
-                if let State::Done(_, at) = &mut slot.state {
-                    *at = offset;
-                }
-            }
-        }
-        for writer in part.stream.iter().flat_map(|stream| &stream.writers) {
-            self.writers
-                .entry(writer.incarnation)
-                .and_modify(|known| known.number = known.number.max(writer.number))
-                .or_insert_with(|| Writer {
-                    last: offset,
-                    ..writer.clone()
-                });
-        }
-        for saved in &part.keys {
-            let mut slot = Slot::from(saved);
-            if let State::Done(_, at) = &mut slot.state {
-                *at = offset;
-            }
-            self.adopt(saved.key, slot);
-        }
-        self.reloaded = true;
-    }
-
-    /// Keeps the known winner of a key, but prefers a known response.
-    pub(super) fn adopt(&mut self, key: Key, slot: Slot) {
-        match self.slots.get_mut(&key) {
-            None => {
-                self.slots.insert(key, slot);
-            }
-            Some(known) => {
-                let settled = !matches!(slot.state, State::Running);
-                if matches!(known.state, State::Running) && settled {
-                    *known = slot;
-                }
-            }
-        }
-    }
 }
 
 const fn attempt(entry: &Entry, sequence: u64) -> Attempt {
--- a/crates/ledger/src/fold/load.rs
+++ b/crates/ledger/src/fold/load.rs
@@ -7,27 +7,63 @@
 
 use sesamerock_base::time::Moment;
 
-use super::{Holder, Ledger, Page, Phase, Slot};
+use super::{Holder, Ledger, Mark, Page, Phase, Slot, Trail};
 use crate::id::Key;
 use crate::record::{Entry, Part, Record, Saved, SnapshotId, Stream};
 
 /// Snapshots that are followed at the same time; the oldest is dropped first.
 const FOLLOWED: usize = 8;
 
-/// Collects the parts of the snapshots in the retained log.
+/// Parts of the latest snapshots.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Collector {
+    parts: BTreeMap<SnapshotId, Vec<Option<Arc<Part>>>>,
+    order: Vec<SnapshotId>,
+}
+
+impl Collector {
+    pub(super) fn collect(&mut self, id: SnapshotId, part: &Arc<Part>) {
+        if !self.parts.contains_key(&id) {
+            self.order.push(id);
+            self.parts.insert(id, vec![None; part.count as usize]);
+        }
+        if self.order.len() > FOLLOWED {
+            let oldest = self.order.remove(0);
+            self.parts.remove(&oldest);
+        }
+        if let Some(parts) = self.parts.get_mut(&id)
+            && parts.len() == part.count as usize
+        {
+            parts[part.index as usize] = Some(Arc::clone(part));
+        }
+    }
+
+    /// Returns the parts of a snapshot if all are present.
+    pub(super) fn complete(&self, id: SnapshotId) -> Option<Vec<Arc<Part>>> {
+        let parts: Option<Vec<_>> = self.parts.get(&id)?.iter().cloned().collect();
+        parts.filter(|parts| parts[0].stream.is_some())
+    }
+
+    /// Returns the latest complete snapshot whose bases are still in the log.
+    fn latest(&self, first: u64) -> Option<Vec<Arc<Part>>> {
+        let held = |parts: &Vec<Arc<Part>>| parts.iter().all(|part| part.base >= first);
+        let complete = |id: &SnapshotId| self.complete(*id).filter(held);
+        self.order.iter().rev().find_map(complete)
+    }
+}
+
+/// Scans the retained log for snapshots.
 #[derive(Clone, Debug)]
 pub(super) struct Loader {
     next: u64,
-    parts: BTreeMap<SnapshotId, Vec<Option<Arc<Part>>>>,
-    order: Vec<SnapshotId>,
+    found: Collector,
 }
 
 impl Loader {
-    const fn new(next: u64) -> Self {
+    fn new(next: u64) -> Self {
         Self {
             next,
-            parts: BTreeMap::new(),
-            order: Vec::new(),
+            found: Collector::default(),
         }
     }
 
@@ -47,38 +83,10 @@
                     writer: entry.writer,
                     number: part.number,
                 };
-                self.collect(id, part);
+                self.found.collect(id, part);
             }
         }
     }
-
-    fn collect(&mut self, id: SnapshotId, part: &Arc<Part>) {
-        if !self.parts.contains_key(&id) {
-            self.order.push(id);
-            self.parts.insert(id, vec![None; part.count as usize]);
-        }
-        if self.order.len() > FOLLOWED {
-            let oldest = self.order.remove(0);
-            self.parts.remove(&oldest);
-        }
-        if let Some(parts) = self.parts.get_mut(&id)
-            && parts.len() == part.count as usize
-        {
-            parts[part.index as usize] = Some(Arc::clone(part));
-        }
-    }
-
-    /// Returns the latest snapshot all of whose parts are present and whose
-    /// bases are still in the log.
-    fn complete(&self, first: u64) -> Option<Vec<Arc<Part>>> {
-        let whole = |id: &SnapshotId| -> Option<Vec<Arc<Part>>> {
-            let parts: Option<Vec<_>> = self.parts.get(id)?.iter().cloned().collect();
-            parts.filter(|parts| {
-                parts[0].stream.is_some() && parts.iter().all(|part| part.base >= first)
-            })
-        };
-        self.order.iter().rev().find_map(whole)
-    }
 }
 
 /// The bases of the snapshot that the fold started from.
@@ -148,10 +156,12 @@
     /// Decides, from the bounds of a page, how to go on; returns false if its
     /// entries are of no use because the fold starts over.
     pub(super) fn enter(&mut self, page: &Page) -> bool {
-        if let Some(mark) = self.required
+        self.first = page.first;
+        if let Some(mark) = &self.required
+            && mark.generation == self.generation
             && page.head < mark.position
         {
-            self.await_repair(mark.position);
+            self.await_repair(mark.clone());
         }
         match &mut self.phase {
             Phase::Start => self.begin(page),
@@ -188,55 +198,69 @@
         if loader.next < self.target {
             return;
         }
-        let Some(parts) = loader.complete(page.first) else {
+        let Some(parts) = loader.found.latest(page.first) else {
             return;
         };
-        let base = parts.iter().map(|part| part.base).min().unwrap_or(0);
-        let stream = parts[0].stream.clone().unwrap_or_default();
-        self.restore(&stream, now);
-        // What a survivor of a restart knows may be missing from the snapshot.
-        if self.survived.is_none() {
-            self.slots.clear();
-        }
-        for saved in parts.iter().flat_map(|part| &part.keys) {
-            self.adopt(saved.key, Slot::from(saved));
-        }
-        self.coverage.bases = parts.iter().map(|part| part.base).collect();
-        self.next = base;
-        self.last = None;
+        self.load(&parts, now);
         self.target = self.target.max(page.head);
-        self.phase = Phase::Fold;
-        self.reloaded = true;
     }
 
-    fn restore(&mut self, stream: &Stream, now: Moment) {
-        self.aging = super::Aging::load(stream, now);
+    /// Takes the state of a snapshot and goes on from its base.
+    pub(super) fn load(&mut self, parts: &[Arc<Part>], now: Moment) {
+        let stream = parts[0].stream.clone().unwrap_or_default();
+        self.aging = super::Aging::load(&stream, now);
+        self.generation = stream.generation;
+        self.through = stream.through;
         self.writers = stream
             .writers
             .iter()
             .map(|writer| (writer.incarnation, writer.clone()))
             .collect();
+        self.slots = parts
+            .iter()
+            .flat_map(|part| &part.keys)
+            .map(|saved| (saved.key, Slot::from(saved)))
+            .collect();
+        self.coverage.bases = parts.iter().map(|part| part.base).collect();
+        self.next = parts.iter().map(|part| part.base).min().unwrap_or(0);
+        self.trail = Trail::default();
+        self.recheck = None;
+        self.phase = Phase::Fold;
+        self.reloaded = true;
+        self.settle_marks(&stream);
+    }
+
+    /// Drops the marks that the loaded state covers.
+    fn settle_marks(&mut self, stream: &Stream) {
+        self.awaiting.take_if(|mark| mark.is_covered(stream));
+        self.required.take_if(|mark| mark.is_covered(stream));
+        let required = self.required.take();
+        self.required = required.filter(|mark| self.is_beyond(mark));
+        if self.awaiting.is_none() {
+            self.survived = None;
+        }
     }
 
-    /// Runs nothing until a repair that covers a position was read.
-    pub(super) fn await_repair(&mut self, position: u64) {
-        self.repair = self.repair.max(Some(position));
+    /// Folds and runs nothing until a repair that covers the mark was read.
+    pub(super) fn await_repair(&mut self, mark: Mark) {
+        self.awaiting = self.awaiting.take().max(Some(mark));
     }
 
     /// Keeps what is known and reads the whole log again: it lost its end, or
     /// another log took its place. Always returns false, to end the page.
     pub(super) fn restarted(&mut self, page: &Page) -> bool {
-        // What is read while a repair is awaited adds nothing to what this
-        // reader knows of the entries that were lost first.
-        if self.repair.is_none() {
-            self.survived = Some(self.next);
-            self.await_repair(self.next);
+        // What is read while a repair is awaited adds nothing to the knowledge
+        // of the entries that were lost first.
+        if self.awaiting.is_none() {
+            self.survived = Some(self.own());
         }
-        self.aging.restart(0);
+        self.await_repair(self.own());
         self.coverage = Coverage::default();
         self.tally = Tally::default();
+        self.repairs = Collector::default();
         self.next = page.first;
-        self.last = None;
+        self.trail = Trail::default();
+        self.recheck = None;
         self.target = page.head;
         self.phase = Phase::Fold;
         self.reloaded = true;
--- a/crates/ledger/src/fold/mod.rs
+++ b/crates/ledger/src/fold/mod.rs
@@ -7,6 +7,7 @@
 mod aging;
 mod apply;
 mod load;
+mod mark;
 mod snapshot;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -19,8 +20,10 @@
 use crate::id::{Attempt, Incarnation, Key, Request};
 use crate::record::{Age, Entry, Outcome, SnapshotId, State, Writer};
 use aging::Aging;
-use load::{Coverage, Loader, Tally};
+use load::{Collector, Coverage, Loader, Tally};
+use mark::Trail;
 
+pub use mark::Mark;
 pub use snapshot::Snapshot;
 
 /// Settings of a fold; all agents of a shard use the same ones.
@@ -71,15 +74,6 @@
     Repair,
 }
 
-/// A position in the stream, with the entry before it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct Mark {
-    /// Next offset to fold.
-    pub position: u64,
-    /// Writer and number of the entry before, if it could be decoded.
-    pub last: Option<(Incarnation, u64)>,
-}
-
 /// What the fold knows of a key.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Standing {
@@ -130,17 +124,27 @@
     aging: Aging,
     coverage: Coverage,
     tally: Tally,
+    /// First offset that the log still held at the last read.
+    first: u64,
     /// Next offset to fold.
     next: u64,
     /// Head that must be reached before anything runs.
     target: u64,
-    /// Writer and number of the entry at `next - 1`.
-    last: Option<(Incarnation, u64)>,
-    /// A repair that covers this offset must be read before anything runs.
-    repair: Option<u64>,
-    /// Own position before the log restarted with a lower head, until repaired.
-    survived: Option<u64>,
-    /// Furthest mark that a peer reported, until it was verified or repaired.
+    /// The entries before `next`.
+    trail: Trail,
+    /// Offset from which entries are read again and compared.
+    recheck: Option<u64>,
+    /// Number of repairs folded, and the position that the last one covers.
+    generation: u64,
+    through: u64,
+    /// Parts of the repairs in the stream.
+    repairs: Collector,
+    /// How far somebody had read before the log lost its end. Until a repair
+    /// covers it, nothing is folded and nothing runs.
+    awaiting: Option<Mark>,
+    /// How far this reader had read before the log lost its end.
+    survived: Option<Mark>,
+    /// How far a peer has come, until this reader has verified it.
     required: Option<Mark>,
     /// Incarnations reported dead from outside the log.
     dead: BTreeSet<Incarnation>,
@@ -169,10 +173,15 @@
             aging: Aging::default(),
             coverage: Coverage::default(),
             tally: Tally::default(),
+            first: 0,
             next: 0,
             target: 0,
-            last: None,
-            repair: None,
+            trail: Trail::default(),
+            recheck: None,
+            generation: 0,
+            through: 0,
+            repairs: Collector::default(),
+            awaiting: None,
             survived: None,
             required: None,
             dead: BTreeSet::new(),
@@ -183,32 +192,28 @@
     }
 
     /// Returns the offset from which the next page is to be read.
-    pub const fn wanted(&self) -> u64 {
+    pub fn wanted(&self) -> u64 {
         match &self.phase {
             Phase::Scan(loader) => loader.next(),
-            Phase::Start | Phase::Fold => self.next,
+            Phase::Start | Phase::Fold => self.recheck.unwrap_or(self.next),
         }
     }
 
-    /// Returns the offset from which to read after an error or a pause: one
-    /// entry of overlap shows whether the log restarted and grew past us.
-    pub const fn overlap(&self) -> u64 {
-        match &self.phase {
-            Phase::Scan(loader) => loader.next(),
-            Phase::Start | Phase::Fold => self.next.saturating_sub(1),
-        }
+    /// Says that the log answers again after errors or a pause.
+    ///
+    /// The next read then overlaps with what was folded, which shows whether
+    /// another history has grown past this reader.
+    pub fn reconnected(&mut self) {
+        self.recheck = Some(self.next - self.trail.len().min(self.next));
     }
 
     /// Returns how far this reader has come, for peers that start or reconnect.
     ///
-    /// While a repair is awaited, this is the mark that awaits it, so that
+    /// While a repair is awaited, this is the mark that it must cover, so that
     /// nobody who starts now takes the shortened log for the whole.
     pub fn mark(&self) -> Mark {
-        let own = Mark {
-            position: self.next,
-            last: self.last,
-        };
-        self.required.map_or(own, |required| required.max(own))
+        let known = self.awaiting.iter().chain(&self.required).max();
+        known.map_or_else(|| self.own(), |known| known.clone().max(self.own()))
     }
 
     /// Says how far a peer has come; nothing runs before this reader has come
@@ -217,12 +222,20 @@
     /// To be called at start and when the log answers again after errors, while
     /// no read is under way.
     pub fn require(&mut self, mark: Mark) {
-        if mark.position > self.next && Some(mark) > self.required {
-            self.required = Some(mark);
-            self.target = self.target.max(mark.position);
+        if self.is_beyond(&mark) {
+            self.required = self.required.take().max(Some(mark));
         }
     }
 
+    const fn is_beyond(&self, mark: &Mark) -> bool {
+        mark.generation > self.generation
+            || mark.generation == self.generation && mark.position > self.next
+    }
+
+    fn own(&self) -> Mark {
+        self.trail.mark(self.generation, self.next)
+    }
+
     /// Takes one answer of the log.
     pub fn read(&mut self, page: &Page, now: Moment) {
         if !self.enter(page) {
@@ -254,7 +267,8 @@
             _ if !self.guard.ready_first => Ok(()),
             Phase::Start | Phase::Scan(_) => Err(NotReady::Behind),
             Phase::Fold if self.next < self.target => Err(NotReady::Behind),
-            Phase::Fold if self.repair.is_some() => Err(NotReady::Repair),
+            Phase::Fold if self.awaiting.is_some() => Err(NotReady::Repair),
+            Phase::Fold if self.required.is_some() => Err(NotReady::Behind),
             Phase::Fold => Ok(()),
         }
     }
@@ -295,8 +309,13 @@
             return None;
         }
         let horizon = self.config.horizon;
-        self.aging
-            .due(self.next, horizon, snapshot::spread(writer), now)
+        let spread = snapshot::spread(writer);
+        let (offset, seconds) = self.aging.due(self.next, horizon, spread, now)?;
+        Some(Age {
+            offset,
+            seconds,
+            generation: self.generation,
+        })
     }
 
     /// Returns the next offset to fold.
--- a/crates/ledger/src/fold/snapshot.rs
+++ b/crates/ledger/src/fold/snapshot.rs
@@ -4,7 +4,7 @@
 
 use sesamerock_base::time::Moment;
 
-use super::{Ledger, Slot};
+use super::{Ledger, Mark, Slot};
 use crate::id::{Incarnation, Key};
 use crate::record::{Part, Saved, State, Stream};
 
@@ -17,7 +17,10 @@
     number: u64,
     count: u32,
     index: u32,
-    repair: Option<u64>,
+    /// The base of a repair's parts, which is the same for all.
+    base: Option<u64>,
+    /// The mark that a repair covers.
+    repair: Option<Mark>,
 }
 
 impl Ledger {
@@ -26,8 +29,8 @@
     /// Agents wait for up to half a period more, by a hash of their incarnation,
     /// so that usually only one writes; several do no harm.
     pub fn snapshot_due(&self, writer: Incarnation, now: Moment) -> bool {
-        if self.repair.is_some() && self.survived.is_some() && self.next >= self.target {
-            return true;
+        if self.awaiting.is_some() {
+            return self.survived == self.awaiting && self.next >= self.target;
         }
         if self.ready().is_err() || self.next == 0 {
             return false;
@@ -51,7 +54,8 @@
             number,
             count: parts.next_power_of_two().min(MAX_PARTS),
             index: 0,
-            repair: self.survived,
+            base: None,
+            repair: self.survived.clone(),
         }
     }
 
@@ -61,34 +65,54 @@
     /// Its size is bounded by the configured one, but for an uneven
     /// distribution of key hashes and for the list of writers in the first.
     pub fn next_part(&self, snapshot: &mut Snapshot) -> Option<Part> {
-        let consistent = self.ready().is_ok() || snapshot.repair.is_some();
+        let consistent = if snapshot.repair.is_some() {
+            snapshot.repair == self.survived
+        } else {
+            self.ready().is_ok()
+        };
         if snapshot.index >= snapshot.count || !consistent {
             return None;
         }
         let index = snapshot.index;
         snapshot.index += 1;
+        // A repair adds what was lost below everything the log holds now.
+        let base = match &snapshot.repair {
+            Some(_) => *snapshot.base.get_or_insert(self.first),
+            None => self.next,
+        };
         Some(Part {
             number: snapshot.number,
             index,
             count: snapshot.count,
-            base: self.next,
-            repair: snapshot.repair,
-            stream: (index == 0).then(|| self.stream()),
-            keys: self.range(index, snapshot.count),
+            base,
+            repair: snapshot.repair.is_some(),
+            stream: (index == 0).then(|| self.stream(snapshot)),
+            keys: self.range(index, snapshot),
         })
     }
 
-    fn stream(&self) -> Stream {
-        Stream {
-            expired: self.aging.expired(),
-            repair: self.aging.repair(),
-            ages: self.aging.ages(),
-            writers: self.writers.values().cloned().collect(),
+    /// A repair starts a new generation, in which no age is known yet.
+    fn stream(&self, snapshot: &Snapshot) -> Stream {
+        let writers = self.writers.values().cloned().collect();
+        match &snapshot.repair {
+            Some(mark) => Stream {
+                generation: mark.generation + 1,
+                through: mark.position,
+                writers,
+                ..Stream::default()
+            },
+            None => Stream {
+                expired: self.aging.expired(),
+                generation: self.generation,
+                through: self.through,
+                ages: self.aging.ages(),
+                writers,
+            },
         }
     }
 
-    fn range(&self, index: u32, count: u32) -> Vec<Saved> {
-        let width = MAX_PARTS / count;
+    fn range(&self, index: u32, snapshot: &Snapshot) -> Vec<Saved> {
+        let width = MAX_PARTS / snapshot.count;
         let lower = Bound::Included(bound(index * width));
         let end = (index + 1) * width;
         let upper = if end == MAX_PARTS {
@@ -100,10 +124,22 @@
             .range((lower, upper))
             .filter(|(_, slot)| !self.is_expired(slot))
             .map(|(key, slot)| saved(*key, slot))
+            .map(|saved| saved.rebased(snapshot.base))
             .collect()
     }
 }
 
+impl Saved {
+    /// Counts the age of an outcome from a repair's base, since its offset
+    /// belongs to the generation before.
+    fn rebased(mut self, base: Option<u64>) -> Self {
+        if let (State::Done(_, offset), Some(base)) = (&mut self.state, base) {
+            *offset = base;
+        }
+        self
+    }
+}
+
 /// Returns a fraction from 0 to 0.5 that differs between writers.
 pub(super) fn spread(writer: Incarnation) -> f64 {
     f64::from(writer.0 as u16) / f64::from(u16::MAX) / 2.0
--- a/crates/ledger/src/record/mod.rs
+++ b/crates/ledger/src/record/mod.rs
@@ -83,9 +83,9 @@
     pub offset: u64,
     /// Seconds since some agent had read that offset, by monotonic clocks.
     pub seconds: u64,
-    /// Offset of the last repair that the writer had read; a repair makes older
-    /// statements void because offsets are used again after it.
-    pub repair: u64,
+    /// Generation of the stream that the offset belongs to; offsets are used
+    /// again after a repair.
+    pub generation: u64,
 }
 
 /// A recorded response, as replayed to a repeated call.
@@ -170,9 +170,9 @@
     pub count: u32,
     /// Entries below this offset are included.
     pub base: u64,
-    /// For a repair: the highest offset the writer had read before the log
-    /// restarted with a lower head.
-    pub repair: Option<u64>,
+    /// Whether the snapshot is a repair, written after the log restarted with a
+    /// lower head; it takes the place of what readers folded before.
+    pub repair: bool,
     /// Stream-wide state, in part 0 only.
     pub stream: Option<Stream>,
     /// Keys of the range.
@@ -184,8 +184,11 @@
 pub struct Stream {
     /// Outcomes below this offset are expired.
     pub expired: u64,
-    /// Offset of the last repair.
-    pub repair: u64,
+    /// Number of repairs so far.
+    pub generation: u64,
+    /// Position that the last repair's writer had reached in the generation
+    /// before.
+    pub through: u64,
     /// Known lower bounds of ages: offset and seconds.
     pub ages: Vec<(u64, u64)>,
     /// Writers seen within the horizon.
--- a/crates/ledger/src/record/wire.rs
+++ b/crates/ledger/src/record/wire.rs
@@ -75,16 +75,16 @@
     i: u32,
     c: u32,
     b: u64,
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    x: Option<u64>,
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    x: bool,
     #[serde(default, skip_serializing_if = "Option::is_none")]
     s: Option<Shared>,
     k: Vec<Row>,
 }
 
-/// Expired offset, repair offset, ages, writers.
+/// Expired offset, generation, through, ages, writers.
 #[derive(Serialize, Deserialize)]
-struct Shared(u64, u64, Vec<(u64, u64)>, Vec<Author>);
+struct Shared(u64, u64, u64, Vec<(u64, u64)>, Vec<Author>);
 
 /// Incarnation, upstream, number, last offset, superseded.
 #[derive(Serialize, Deserialize)]
@@ -140,7 +140,7 @@
         Record::Outcome(done) => Line::Outcome(done.key, done.sequence, reply(&done.outcome)),
         Record::Void(own) => Line::Void(own.key, own.sequence),
         Record::Broken(own) => Line::Broken(own.key, own.sequence),
-        Record::Age(age) => Line::Age(age.offset, age.seconds, age.repair),
+        Record::Age(age) => Line::Age(age.offset, age.seconds, age.generation),
         Record::Part(part) => Line::Part(piece(part)),
     }
 }
@@ -161,10 +161,10 @@
         }),
         Line::Void(key, sequence) => Record::Void(Own { key, sequence }),
         Line::Broken(key, sequence) => Record::Broken(Own { key, sequence }),
-        Line::Age(offset, seconds, repair) => Record::Age(Age {
+        Line::Age(offset, seconds, generation) => Record::Age(Age {
             offset,
             seconds,
-            repair,
+            generation,
         }),
         Line::Part(piece) => Record::Part(Arc::new(part(piece)?)),
     })
@@ -223,13 +223,20 @@
 
 fn shared(stream: &Stream) -> Shared {
     let authors = stream.writers.iter().map(author).collect();
-    Shared(stream.expired, stream.repair, stream.ages.clone(), authors)
+    Shared(
+        stream.expired,
+        stream.generation,
+        stream.through,
+        stream.ages.clone(),
+        authors,
+    )
 }
 
-fn stream(Shared(expired, repair, ages, authors): Shared) -> Stream {
+fn stream(Shared(expired, generation, through, ages, authors): Shared) -> Stream {
     Stream {
         expired,
-        repair,
+        generation,
+        through,
         ages,
         writers: authors.into_iter().map(writer).collect(),
     }
--- a/crates/ledger/src/shard/mod.rs
+++ b/crates/ledger/src/shard/mod.rs
@@ -223,13 +223,13 @@
     }
 
     /// Returns the offset from which to read next.
-    pub const fn wanted(&self) -> u64 {
+    pub fn wanted(&self) -> u64 {
         self.ledger.wanted()
     }
 
-    /// Returns the offset from which to read after an error or a pause.
-    pub const fn overlap(&self) -> u64 {
-        self.ledger.overlap()
+    /// Says that the log answers again; see [`Ledger::reconnected`].
+    pub fn reconnected(&mut self) {
+        self.ledger.reconnected();
     }
 
     /// Returns how far this agent has read, to be told to peers.
