Add the measure spread

Cause: the target of 7 s and 6 KB/s per node at 11,000 nodes has to be shown on the real state machines.

Change: a message queue with delay, loss, churn and cuts drives the nodes at three sizes, with baselines and a cut of an hour.

--- /dev/null
+++ b/crates/measure/src/spread/tally.rs
@@ -0,0 +1,190 @@
+//! Counts of one scenario.
+
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+use sesamerock_base::time::Moment;
+
+/// Time to each node and bytes per node.
+#[derive(Debug)]
+pub struct Tally {
+    start: u64,
+    appended: Vec<Moment>,
+    slowest: Vec<Duration>,
+    missed: Vec<usize>,
+    version: Vec<u64>,
+    since: Vec<Moment>,
+    counted: (Moment, Moment),
+    bytes: Vec<u64>,
+    messages: u64,
+    contact: [u64; 2],
+    delays: Histogram<u32>,
+    joins: Vec<Duration>,
+    /// Nodes that read the log at the end.
+    pub readers: usize,
+    /// CPU seconds of the run, the queue included.
+    pub cpu: f64,
+}
+
+impl Tally {
+    /// Starts counting; bytes are counted within a span.
+    pub fn new(nodes: usize, start: u64, counted: (Moment, Moment)) -> Self {
+        Self {
+            start,
+            appended: Vec::new(),
+            slowest: Vec::new(),
+            missed: Vec::new(),
+            version: vec![0; nodes],
+            since: vec![Moment::default(); nodes],
+            counted,
+            bytes: vec![0; nodes],
+            messages: 0,
+            contact: [0; 2],
+            delays: Histogram::new(3).expect("three digits are in range"),
+            joins: Vec::new(),
+            readers: 0,
+            cpu: 0.0,
+        }
+    }
+
+    /// Counts a change.
+    pub fn appended(&mut self, now: Moment) {
+        self.appended.push(now);
+        self.slowest.push(Duration::ZERO);
+    }
+
+    /// Counts a node that starts with no state.
+    pub fn started(&mut self, now: Moment, node: usize) {
+        self.version[node] = 0;
+        self.since[node] = now;
+    }
+
+    /// Counts that a node reached a version; only nodes that ran when a change
+    /// was appended count towards its time.
+    pub fn applied(&mut self, now: Moment, node: usize, version: u64) {
+        let from = self.version[node].max(self.start);
+        if self.version[node] == 0 && now > Moment::from_millis(1_000) {
+            self.joins.push(now.since(self.since[node]));
+        }
+        self.version[node] = version;
+        for change in from..version {
+            let index = (change - self.start) as usize;
+            let at = self.appended[index];
+            if self.since[node] > at {
+                continue;
+            }
+            let delay = now.since(at);
+            self.slowest[index] = self.slowest[index].max(delay);
+            self.delays.saturating_record(delay.as_millis() as u64);
+        }
+    }
+
+    /// Counts bytes a node sent.
+    pub fn sent(&mut self, now: Moment, node: usize, bytes: u64) {
+        self.received(now, node, bytes);
+        self.messages += u64::from(self.counts(now));
+    }
+
+    /// Counts bytes a node received.
+    pub fn received(&mut self, now: Moment, node: usize, bytes: u64) {
+        if self.counts(now) {
+            self.bytes[node] += bytes;
+        }
+    }
+
+    /// Counts whether a node is in contact at one of its ticks.
+    pub fn contact(&mut self, now: Moment, held: bool) {
+        if now > Moment::from_millis(5_000) {
+            self.contact[usize::from(held)] += 1;
+        }
+    }
+
+    /// Counts the nodes that lack changes at the end.
+    pub fn finish(&mut self, versions: impl Iterator<Item = Option<u64>>) {
+        self.missed = vec![0; self.appended.len()];
+        for (node, version) in versions.enumerate() {
+            let Some(version) = version else { continue };
+            for (index, at) in self.appended.iter().enumerate() {
+                let lacks = version <= self.start + index as u64;
+                self.missed[index] += usize::from(lacks && self.since[node] <= *at);
+            }
+        }
+    }
+
+    /// Returns the time to the last node at a quantile of the changes. A
+    /// change that did not reach all nodes counts as infinite.
+    pub fn last(&self, quantile: f64) -> f64 {
+        let reached = |index: usize| self.missed[index] == 0;
+        let mut times: Vec<_> = (0..self.slowest.len())
+            .map(|i| {
+                if reached(i) {
+                    self.slowest[i].as_secs_f64()
+                } else {
+                    f64::INFINITY
+                }
+            })
+            .collect();
+        times.sort_by(f64::total_cmp);
+        let rank = (quantile * times.len() as f64).ceil() as usize;
+        times[rank.clamp(1, times.len()) - 1]
+    }
+
+    /// Returns the time to a node at a quantile of all nodes and changes.
+    pub fn any(&self, quantile: f64) -> f64 {
+        self.delays.value_at_quantile(quantile) as f64 / 1e3
+    }
+
+    /// Returns the share of node and change pairs that were not reached.
+    pub fn unreached(&self) -> f64 {
+        let missed: usize = self.missed.iter().sum();
+        missed as f64 / (self.bytes.len() * self.appended.len().max(1)) as f64
+    }
+
+    /// Returns the seconds after a moment until every change appended before
+    /// it had reached all nodes.
+    pub fn settled_after(&self, moment: Moment) -> f64 {
+        let early = self.appended.iter().take_while(|at| **at < moment);
+        let done = early.zip(&self.slowest).map(|(at, slowest)| *at + *slowest);
+        let last = done.max().unwrap_or_default();
+        if self.missed.iter().any(|missed| *missed > 0) {
+            return f64::INFINITY;
+        }
+        last.since(moment).as_secs_f64()
+    }
+
+    /// Returns the number of changes.
+    pub fn changes(&self) -> usize {
+        self.appended.len()
+    }
+
+    /// Returns bytes sent and received per node and second: average, busiest.
+    pub fn bytes(&self) -> (f64, f64) {
+        let seconds = self.counted.1.since(self.counted.0).as_secs_f64();
+        let sum: u64 = self.bytes.iter().sum();
+        let busiest = self.bytes.iter().max().copied().unwrap_or_default();
+        let average = sum as f64 / self.bytes.len() as f64;
+        (average / seconds, busiest as f64 / seconds)
+    }
+
+    /// Returns messages sent per node and second.
+    pub fn messages(&self) -> f64 {
+        let seconds = self.counted.1.since(self.counted.0).as_secs_f64();
+        self.messages as f64 / self.bytes.len() as f64 / seconds
+    }
+
+    /// Returns the share of ticks at which a node was out of contact.
+    pub fn out_of_contact(&self) -> f64 {
+        let [out, held] = self.contact;
+        out as f64 / (out + held).max(1) as f64
+    }
+
+    /// Returns the longest time from a restart to the first state.
+    pub fn slowest_join(&self) -> f64 {
+        let slowest = self.joins.iter().max();
+        slowest.copied().unwrap_or_default().as_secs_f64()
+    }
+
+    fn counts(&self, now: Moment) -> bool {
+        (self.counted.0..self.counted.1).contains(&now)
+    }
+}
--- /dev/null
+++ b/crates/measure/src/spread/world.rs
@@ -0,0 +1,419 @@
+//! The nodes of one scenario, driven over the queue.
+
+use std::hint::black_box;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bincode::Options;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use sesamerock_base::time::Moment;
+use sesamerock_base::version::Version;
+use sesamerock_exchange::blob::Blob;
+use sesamerock_exchange::message::{Message, Record, Request, Standing, Ticket};
+use sesamerock_exchange::node::{Delivery, Node, Settings};
+use sesamerock_exchange::peer::{Distance, Peer, Place};
+use sesamerock_exchange::transfer::Snapshot;
+
+use super::queue::{Event, Queue};
+use super::tally::Tally;
+
+/// Regions and zones of the target size.
+const REGIONS: usize = 10;
+const ZONES: usize = 32;
+
+/// Bytes a message costs besides its bincode encoding: 40 for TCP and IP
+/// headers, 40 for the acknowledgement, 40 for the call's envelope.
+const FRAME: u64 = 120;
+
+/// Time after which a call fails.
+const TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Time a VM takes to come back after it stopped.
+const RESTART: Duration = Duration::from_secs(30);
+
+/// Entries of the VM list a node is given, a random part of the whole.
+const LISTED: usize = 150;
+
+/// Version and size of the state that all nodes start from.
+const START: u64 = 10_000;
+const STATE: usize = 200 << 10;
+
+/// Content of one record in bytes.
+const RECORD: usize = 300;
+
+/// Who learns of a change first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Origin {
+    /// The nodes that read the log, which is in the first region.
+    Readers,
+    /// One random node, as if only it could read the log.
+    One,
+}
+
+/// A region that is cut off from all others for a while.
+#[derive(Clone, Copy, Debug)]
+pub struct Cut {
+    /// Its number.
+    pub region: usize,
+    /// When the cut begins and ends.
+    pub from: Moment,
+    /// When it ends.
+    pub to: Moment,
+}
+
+/// What a scenario is made of.
+#[derive(Clone, Debug)]
+pub struct Scenario {
+    /// Its name in the report.
+    pub name: &'static str,
+    /// Number of nodes.
+    pub nodes: usize,
+    /// Settings of all nodes.
+    pub settings: Settings,
+    /// Who learns first.
+    pub origin: Origin,
+    /// Moments at which changes are appended.
+    pub changes: Vec<Moment>,
+    /// End of the run.
+    pub end: Moment,
+    /// Start and end of the span in which bytes are counted.
+    pub counted: (Moment, Moment),
+    /// When a rack fails.
+    pub rack: Option<Moment>,
+    /// A cut between regions.
+    pub cut: Option<Cut>,
+}
+
+/// One VM.
+#[derive(Debug)]
+struct Slot {
+    node: Option<Node>,
+    tick: Moment,
+}
+
+/// All VMs and what is on its way between them.
+#[derive(Debug)]
+pub struct World<'a> {
+    scenario: &'a Scenario,
+    peers: Vec<Peer>,
+    slots: Vec<Slot>,
+    queue: Queue,
+    now: Moment,
+    rng: ChaCha8Rng,
+    state: Blob,
+    content: Blob,
+    appended: u64,
+    tally: Tally,
+}
+
+/// Runs a scenario and returns what was counted.
+pub fn run(scenario: &Scenario, seed: u64) -> Tally {
+    let mut world = World::new(scenario, seed);
+    world.plan();
+    while let Some((at, event)) = world.queue.pop(scenario.end) {
+        world.now = at;
+        world.handle(event);
+    }
+    world.finish()
+}
+
+impl<'a> World<'a> {
+    fn new(scenario: &'a Scenario, seed: u64) -> Self {
+        let peers: Vec<_> = (0..scenario.nodes).map(peer).collect();
+        let slots = peers.iter().map(|_| Slot {
+            node: None,
+            tick: Moment(u64::MAX),
+        });
+        Self {
+            slots: slots.collect(),
+            queue: Queue::default(),
+            now: Moment::default(),
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            state: Blob::from(vec![7; STATE]),
+            content: Blob::from(vec![9; RECORD]),
+            appended: START,
+            tally: Tally::new(scenario.nodes, START, scenario.counted),
+            scenario,
+            peers,
+        }
+    }
+
+    /// Schedules starts, changes, churn and the failure of a rack.
+    fn plan(&mut self) {
+        for index in 0..self.peers.len() {
+            let at = Moment(self.rng.random_range(0..1_000_000));
+            self.now = at;
+            self.start(index, true);
+        }
+        for at in &self.scenario.changes {
+            self.queue.push(*at, Event::Append);
+        }
+        let seconds = self.scenario.end.since(Moment::default()).as_secs_f64();
+        let per_second = 1_180.0 / 86_400.0 * self.peers.len() as f64 / 11_000.0;
+        let mut at = 0.0;
+        loop {
+            at -= (1.0 - self.rng.random::<f64>()).ln() / per_second;
+            if at >= seconds {
+                break;
+            }
+            let index = self.rng.random_range(0..self.peers.len());
+            self.stop_at(Moment((at * 1e6) as u64), index);
+        }
+        if let Some(at) = self.scenario.rack {
+            // At small sizes a zone has fewer nodes than a rack; half of it.
+            let size = 40.min(self.peers.len() / ZONES / 2);
+            for index in 0..size {
+                self.stop_at(at, ZONES * index + 5);
+            }
+        }
+    }
+
+    fn stop_at(&mut self, at: Moment, index: usize) {
+        self.queue.push(at, Event::Stop(index as u32));
+        self.queue.push(at + RESTART, Event::Start(index as u32));
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Tick(index) => self.tick(index as usize),
+            Event::Request(from, to, ticket, message) => {
+                self.request(from as usize, to as usize, ticket, &message);
+            }
+            Event::Reply(from, to, ticket, message) => {
+                self.reply(from as usize, to as usize, ticket, &message);
+            }
+            Event::Failed(index, ticket) => {
+                self.with(index as usize, |node, now, _| node.failed(now, &ticket));
+            }
+            Event::Log(index, version) => self.read_log(index as usize, version),
+            Event::Append => self.append(),
+            Event::Stop(index) => self.slots[index as usize].node = None,
+            Event::Start(index) => self.start(index as usize, false),
+        }
+    }
+
+    /// Calls a node, if it runs, and takes out what it wants done.
+    fn with<T>(
+        &mut self,
+        index: usize,
+        call: impl FnOnce(&mut Node, Moment, &mut ChaCha8Rng) -> T,
+    ) -> Option<T> {
+        let now = self.now;
+        let node = self.slots[index].node.as_mut()?;
+        let result = call(node, now, &mut self.rng);
+        let deliveries = node.deliveries();
+        let requests = node.requests();
+        let next = node.next(now).max(now + Duration::from_millis(1));
+        for delivery in deliveries {
+            let version = match delivery {
+                Delivery::Record(record) => record.version,
+                Delivery::Snapshot(snapshot) => snapshot.version,
+            };
+            self.tally.applied(now, index, version.0);
+        }
+        for request in requests {
+            self.send(index, request);
+        }
+        let slot = &mut self.slots[index];
+        if next < slot.tick {
+            slot.tick = next;
+            self.queue.push(next, Event::Tick(index as u32));
+        }
+        Some(result)
+    }
+
+    fn start(&mut self, index: usize, first: bool) {
+        let me = self.peers[index];
+        let listed: Vec<_> = (0..LISTED)
+            .map(|_| self.peers[self.rng.random_range(0..self.peers.len())])
+            .collect();
+        let mut node = Node::new(self.now, me, self.scenario.settings, []);
+        node.vms(listed.iter().copied(), &mut self.rng);
+        if first {
+            // The state and a full sample, as after some time of running.
+            let mut hello = Message::new(listed[0], Version(0), Standing::default());
+            hello.peers = listed;
+            node.receive(self.now, &hello, &mut self.rng);
+            let state = Snapshot {
+                version: Version(START),
+                bytes: self.state.clone(),
+            };
+            node.restore(self.now, state);
+        }
+        let slot = &mut self.slots[index];
+        slot.node = Some(node);
+        slot.tick = Moment(u64::MAX);
+        self.tally.started(self.now, index);
+        self.with(index, |node, now, rng| {
+            if !first {
+                node.tick(now, rng);
+            }
+        });
+    }
+
+    fn tick(&mut self, index: usize) {
+        if self.slots[index].tick != self.now {
+            return;
+        }
+        self.slots[index].tick = Moment(u64::MAX);
+        let held = self.with(index, |node, now, rng| {
+            node.tick(now, rng);
+            node.in_contact(now)
+        });
+        if let Some(held) = held {
+            self.tally.contact(self.now, held);
+        }
+    }
+
+    fn send(&mut self, from: usize, request: Request) {
+        let Request { ticket, message } = request;
+        let to = index_of(ticket.to);
+        self.tally.sent(self.now, from, coded(&message));
+        match self.transit(from, to) {
+            Some(delay) => self.queue.push(
+                self.now + delay,
+                Event::Request(from as u32, to as u32, ticket, Box::new(message)),
+            ),
+            None => self.fail(from, ticket),
+        }
+    }
+
+    fn request(&mut self, from: usize, to: usize, ticket: Ticket, message: &Message) {
+        let reply = self.with(to, |node, now, rng| node.receive(now, message, rng));
+        let Some(reply) = reply else {
+            self.fail(from, ticket);
+            return;
+        };
+        self.tally.received(self.now, to, size(message));
+        self.tally.sent(self.now, to, coded(&reply));
+        match self.transit(to, from) {
+            Some(delay) => self.queue.push(
+                self.now + delay,
+                Event::Reply(to as u32, from as u32, ticket, Box::new(reply)),
+            ),
+            None => self.fail(from, ticket),
+        }
+    }
+
+    fn reply(&mut self, from: usize, to: usize, ticket: Ticket, message: &Message) {
+        debug_assert_eq!(index_of(ticket.to), from, "a reply of another node");
+        self.tally.received(self.now, to, size(message));
+        self.with(to, |node, now, rng| node.reply(now, &ticket, message, rng));
+    }
+
+    fn fail(&mut self, index: usize, ticket: Ticket) {
+        let at = (ticket.sent + TIMEOUT).max(self.now);
+        self.queue.push(at, Event::Failed(index as u32, ticket));
+    }
+
+    fn append(&mut self) {
+        self.appended += 1;
+        let version = self.appended;
+        self.tally.appended(self.now);
+        if self.scenario.origin == Origin::One {
+            let index = self.rng.random_range(0..self.peers.len());
+            self.queue.push(self.now, Event::Log(index as u32, version));
+            return;
+        }
+        for index in 0..self.slots.len() {
+            let reads = self.slots[index].node.as_ref();
+            let cut = self.is_cut(0, index);
+            if cut || !reads.is_some_and(Node::reads_log) {
+                continue;
+            }
+            let poll = Duration::from_micros(self.rng.random_range(0..50_000));
+            let at = self.now + latency(self.peers[0].place, self.peers[index].place) + poll;
+            self.queue.push(at, Event::Log(index as u32, version));
+        }
+    }
+
+    /// Gives a node the records of the log that it lacks.
+    fn read_log(&mut self, index: usize, version: u64) {
+        let content = self.content.clone();
+        self.with(index, |node, now, _| {
+            let from = node.version().next().0;
+            if from <= START {
+                return;
+            }
+            for version in from..=version {
+                let record = Record {
+                    version: Version(version),
+                    bytes: content.clone(),
+                };
+                node.learn(now, record);
+            }
+        });
+    }
+
+    /// Returns the delay of a message, or none if it is lost.
+    fn transit(&mut self, from: usize, to: usize) -> Option<Duration> {
+        if self.rng.random_bool(0.01) || self.is_cut(from, to) {
+            return None;
+        }
+        let base = latency(self.peers[from].place, self.peers[to].place);
+        Some(base.mul_f64(self.rng.random_range(0.9..1.5)))
+    }
+
+    fn is_cut(&self, from: usize, to: usize) -> bool {
+        let Some(cut) = self.scenario.cut else {
+            return false;
+        };
+        let inside = |index: usize| region_of(index) == cut.region;
+        (cut.from..cut.to).contains(&self.now) && inside(from) != inside(to)
+    }
+
+    fn finish(mut self) -> Tally {
+        let versions = self.slots.iter().map(|slot| {
+            let node = slot.node.as_ref();
+            node.map(|node| node.version().0)
+        });
+        let readers = self.slots.iter().filter_map(|slot| slot.node.as_ref());
+        self.tally.readers = readers.filter(|node| node.reads_log()).count();
+        self.tally.finish(versions);
+        self.tally
+    }
+}
+
+/// Zones are filled in turn; the region of a zone is its number modulo ten.
+fn region_of(index: usize) -> usize {
+    index % ZONES % REGIONS
+}
+
+fn peer(index: usize) -> Peer {
+    let zone = index % ZONES;
+    let place = Place::named(&format!("region-{}", region_of(index)), &format!("{zone}"));
+    let [_, a, b, c] = (index as u32).to_be_bytes();
+    Peer::new(SocketAddr::from(([10, a, b, c], 7_400)), place)
+}
+
+fn index_of(address: SocketAddr) -> usize {
+    match address {
+        SocketAddr::V4(v4) => (u32::from(*v4.ip()) & 0x00ff_ffff) as usize,
+        SocketAddr::V6(_) => unreachable!("all nodes have IPv4 addresses"),
+    }
+}
+
+fn latency(from: Place, to: Place) -> Duration {
+    match from.distance(to) {
+        Distance::Zone => Duration::from_micros(500),
+        Distance::Region => Duration::from_millis(1),
+        Distance::World => Duration::from_millis(80),
+    }
+}
+
+/// Encodes and decodes a message, so that the measured CPU time contains it,
+/// and returns its size. The original is delivered, which shares record
+/// contents among the nodes and keeps the run within memory.
+fn coded(message: &Message) -> u64 {
+    let options = bincode::DefaultOptions::new();
+    let bytes = options.serialize(message).unwrap_or_default();
+    let decoded: Result<Message, _> = options.deserialize(&bytes);
+    black_box(decoded.is_ok());
+    bytes.len() as u64 + FRAME
+}
+
+fn size(message: &Message) -> u64 {
+    let size = bincode::DefaultOptions::new().serialized_size(message);
+    size.unwrap_or_default() + FRAME
+}
