--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -8,6 +8,7 @@
 mod poison;
 #[allow(dead_code, reason = "no measure has a lower bound yet")]
 mod report;
+mod spread;
 
 use bpaf::{Parser, construct, long, positional};
 
@@ -25,6 +26,7 @@
 
 /// All measures, in alphabetical order.
 const MEASURES: &[Measure] = &[("poison", poison::run)];
+const MEASURES: &[Measure] = &[("spread", spread::run)];
 
 fn options() -> bpaf::OptionParser<Options> {
     let seed = long("seed")
