Measure the overhead of the path and a zone that leaves and returns

Cause: the users weigh service during zone changes most, and the cost of the path was unknown. Change: measures overhead and zone over real connections; the suspect flag travels with each call; the key shard checks the log's history after errors.

--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -5,10 +5,12 @@
 //! if one falls short. Bounds come from `docs/design.md`, section 11.
 
 mod clock;
+mod overhead;
 mod poison;
-#[allow(dead_code, reason = "no measure has a lower bound yet")]
 mod report;
 mod spread;
+mod traffic;
+mod zone;
 
 use bpaf::{Parser, construct, long, positional};
 
@@ -25,8 +27,12 @@
 type Measure = (&'static str, fn(u64, &mut Report));
 
 /// All measures, in alphabetical order.
-const MEASURES: &[Measure] = &[("poison", poison::run)];
-const MEASURES: &[Measure] = &[("spread", spread::run)];
+const MEASURES: &[Measure] = &[
+    ("overhead", overhead::run),
+    ("poison", poison::run),
+    ("spread", spread::run),
+    ("zone", zone::run),
+];
 
 fn options() -> bpaf::OptionParser<Options> {
     let seed = long("seed")
--- a/crates/sesamerock/src/agent/keyed/shard/mod.rs
+++ b/crates/sesamerock/src/agent/keyed/shard/mod.rs
@@ -155,29 +155,16 @@
 
     /// Reads the stream for ever.
     async fn follow(self: Arc<Self>) {
-        let mut failed = false;
         loop {
             let (from, wait) = {
                 let inner = self.lock();
-                let machine = &inner.machine;
-                let from = if failed {
-                    machine.overlap()
-                } else {
-                    machine.wanted()
-                };
                 // A call waits for a shard that has just been opened.
-                (
-                    from,
-                    if machine.ready().is_ok() {
-                        WAIT
-                    } else {
-                        OPENING_WAIT
-                    },
-                )
+                let ready = inner.machine.ready().is_ok();
+                let wait = if ready { WAIT } else { OPENING_WAIT };
+                (inner.machine.wanted(), wait)
             };
             match self.log.read(&self.stream, from, PAGE_RECORDS, wait).await {
                 Ok(page) => {
-                    failed = false;
                     self.lock().machine.read(&decode(page), clock::now());
                     self.read.notify_waiters();
                     self.changed.notify_one();
@@ -187,8 +174,10 @@
                         "event=ledger_read_failed stream={} error={error}",
                         self.stream
                     );
-                    failed = true;
                     tokio::time::sleep(PAUSE).await;
+                    // The next read overlaps, and so shows whether the log
+                    // came back with another history.
+                    self.lock().machine.reconnected();
                 }
             }
         }
--- a/crates/sesamerock/src/agent/suspects/mod.rs
+++ b/crates/sesamerock/src/agent/suspects/mod.rs
@@ -78,7 +78,10 @@
         let findings = self.suspects.findings();
         let mut aboard = self.lock();
         aboard.incarnation = incarnation;
-        match aboard.flight.start(fingerprint, &findings, stamp()) {
+        match aboard
+            .flight
+            .start(fingerprint, head.suspect, &findings, stamp())
+        {
             Start::Begun => {}
             Start::Occupied => return Err(Verdict::Busy(0)),
             Start::Held(millis) => return Err(Verdict::Busy(millis)),
--- a/crates/sesamerock/src/dev/mod.rs
+++ b/crates/sesamerock/src/dev/mod.rs
@@ -8,7 +8,7 @@
 use eyre::WrapErr as _;
 use tokio_util::sync::CancellationToken;
 
-pub use cluster::{Cluster, Settings};
+pub use cluster::{Cluster, MODEL, SERVICE, Settings};
 
 /// Runs the whole path until `stop` is cancelled.
 ///
--- a/crates/sesamerock/src/entry/dispatch/head/mod.rs
+++ b/crates/sesamerock/src/entry/dispatch/head/mod.rs
@@ -80,6 +80,7 @@
             body_bytes: ask.body.len() as u64,
             await_ready: !self.repeatable,
             model: self.pool().to_owned(),
+            suspect: self.isolated(),
         }
     }
 
