--- a/crates/limit/src/curve/mod.rs
+++ b/crates/limit/src/curve/mod.rs
@@ -24,6 +24,9 @@
 const DRIFT_STEPS: f64 = 48.0;
 /// Levels between the two batches compared by [`Curve::saturated`].
 const KNEE_LEVELS: usize = 2;
+/// Age up to which a level's mean is compared with another's; an older mean
+/// may differ by drift alone, and starts again when its batch recurs.
+const FRESH_STEPS: f64 = 128.0;
 /// Step time has to outgrow the batch by this factor to count as saturation;
 /// measured noise of a level's mean is 1 to 2 %.
 const KNEE_EXCESS: f64 = 1.03;
@@ -35,6 +38,8 @@
     steps: f64,
     /// Mean batch of the samples.
     batch: f64,
+    /// Step of the last sample.
+    at: f64,
     /// Mean step time of the first steps after the last rebase.
     reference: f64,
     reference_steps: f64,
@@ -76,6 +81,10 @@
         self.steps += share;
         self.last += (gap - self.last) * (share / self.steps.min(MEMORY_STEPS)).min(1.0);
         let level = &mut self.levels[index];
+        if self.steps - level.at > FRESH_STEPS {
+            level.steps = 0.0;
+        }
+        level.at = self.steps;
         level.steps += share;
         let weight = (share / level.steps.min(MEMORY_STEPS)).min(1.0);
         level.mean += (gap - level.mean) * weight;
@@ -132,6 +141,9 @@
         if high.steps < TRUST_STEPS || low.steps < TRUST_STEPS {
             return false;
         }
+        if self.steps - low.at > FRESH_STEPS {
+            return false;
+        }
         high.mean / low.mean > high.batch / low.batch * KNEE_EXCESS
     }
 
--- /dev/null
+++ b/crates/limit/src/learn/axis/mod.rs
@@ -0,0 +1,163 @@
+//! One of the two quantities that are limited: calls, or tokens.
+
+/// Steps at the limit that justify growth while no ceiling is known.
+const GROW_STEPS: f64 = 3.0;
+/// Steps at the limit that justify growth after a ceiling proved outdated, and
+/// the load over it up to which growth is that cautious.
+const CAUTIOUS_STEPS: f64 = 8.0;
+const CAUTIOUS_UP_TO: f64 = 1.25;
+/// Growth before a ceiling is known, as a part of the limit. Work beyond the
+/// proven load still goes one call at a time.
+const GROW_PART: f64 = 1.0 / 8.0;
+/// Use of a limit from which it grows along with the other one.
+const ALONG: f64 = 0.8;
+/// Steps at the limit before the first probe above a ceiling, and the most
+/// between two; each failed probe multiplies the interval.
+const PROBE_STEPS: f64 = 16.0;
+const PROBE_STEPS_MAX: f64 = 2048.0;
+const PROBE_GROWTH: f64 = 4.0;
+/// Part of a ceiling that the limit stays below but for probes.
+const MARGIN: f64 = 0.95;
+
+/// Limit, proof and ceiling of one quantity.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Axis {
+    pub limit: f64,
+    /// Safety bounds of the limit.
+    pub min: f64,
+    pub max: f64,
+    /// The largest load that ran at the same time in this and the previous
+    /// window, and in this one.
+    pub proven: f64,
+    window: f64,
+    /// Load at which trouble was seen, if any.
+    pub ceiling: Option<f64>,
+    /// How far the limit may exceed the margin because probes raised it.
+    probe: f64,
+    /// Steps at the limit since the last growth and the last probe.
+    evidence: f64,
+    probe_evidence: f64,
+    /// Evidence the next probe requires.
+    interval: f64,
+    /// Limit up to which growth is cautious.
+    cautious: f64,
+}
+
+impl Axis {
+    pub fn new(first: f64, min: f64, max: f64) -> Self {
+        let mut axis = Self {
+            limit: 0.0,
+            min,
+            max,
+            proven: 0.0,
+            window: 0.0,
+            ceiling: None,
+            probe: 0.0,
+            evidence: 0.0,
+            probe_evidence: 0.0,
+            interval: PROBE_STEPS,
+            cautious: 0.0,
+        };
+        axis.set(first);
+        axis
+    }
+
+    /// Sets the limit within its bounds.
+    pub fn set(&mut self, limit: f64) {
+        self.limit = limit.min(self.max).max(self.min);
+    }
+
+    /// Returns the ceiling at the present step time, infinite if unknown.
+    /// `drift` is step time over that at the last trouble.
+    pub fn current(&self, drift: f64) -> f64 {
+        self.ceiling.map_or(f64::INFINITY, |c| c / drift)
+    }
+
+    /// Records that a load ran at the same time.
+    pub fn prove(&mut self, load: f64, drift: f64) {
+        self.window = self.window.max(load.min(self.limit));
+        self.proven = self.proven.max(self.window);
+        if self.probe > 0.0 && self.proven > self.current(drift) {
+            self.forget();
+        }
+    }
+
+    /// Ends a window; a load that did not run since the last end is no longer
+    /// proven.
+    pub fn roll(&mut self) {
+        self.proven = self.window;
+        self.window = 0.0;
+    }
+
+    /// Adds evidence of steps at the limit and returns the next limit if it
+    /// suffices. `unit` is the smallest useful step.
+    pub fn grown(&mut self, steps: f64, unit: f64, drift: f64) -> Option<f64> {
+        self.evidence += steps;
+        self.probe_evidence += steps;
+        let cautious = self.limit < self.cautious;
+        let needed = if cautious { CAUTIOUS_STEPS } else { GROW_STEPS };
+        let part = if cautious || self.ceiling.is_some() {
+            0.0
+        } else {
+            self.limit * GROW_PART
+        };
+        let next = self.limit + part.ceil().max(unit);
+        let above = next > MARGIN * self.current(drift);
+        if self.evidence < needed || (above && self.probe_evidence < self.interval) {
+            return None;
+        }
+        self.evidence = 0.0;
+        if above {
+            self.probe_evidence = 0.0;
+            self.probe += unit;
+        }
+        Some(next)
+    }
+
+    /// Grows along with the other limit while no ceiling is known, so that the
+    /// two do not block calls in turns.
+    pub fn grow_along(&mut self, used: f64) {
+        if self.ceiling.is_none() && self.limit >= self.cautious && used >= ALONG * self.limit {
+            self.set(self.limit + (self.limit * GROW_PART).ceil());
+        }
+    }
+
+    /// Lowers the limit if its ceiling has come close.
+    pub fn follow(&mut self, drift: f64) {
+        let allowed = (MARGIN * self.current(drift) + self.probe).floor();
+        if self.limit > allowed {
+            self.lower(allowed);
+        }
+    }
+
+    /// Restates the ceiling for step times measured anew from here on.
+    pub fn rebase(&mut self, drift: f64) {
+        self.ceiling = self.ceiling.map(|c| c / drift);
+    }
+
+    /// Remembers `held`, what the upstream could hold, and backs off below it.
+    pub fn back_off(&mut self, held: f64) {
+        self.ceiling = Some(held.max(1.0));
+        self.lower(self.limit.min((MARGIN * held).floor()));
+        self.probe = 0.0;
+        self.evidence = 0.0;
+        self.probe_evidence = 0.0;
+        self.interval = (self.interval * PROBE_GROWTH).min(PROBE_STEPS_MAX);
+    }
+
+    /// Forgets a ceiling that proved outdated.
+    pub fn forget(&mut self) {
+        if self.ceiling.take().is_some() {
+            self.cautious = self.proven * CAUTIOUS_UP_TO;
+            self.probe = 0.0;
+            self.interval = (self.interval / PROBE_GROWTH).max(PROBE_STEPS);
+        }
+    }
+
+    /// Sets a lower limit, above which nothing is proven any more.
+    fn lower(&mut self, limit: f64) {
+        self.set(limit);
+        self.proven = self.proven.min(self.limit);
+        self.window = self.window.min(self.limit);
+    }
+}
--- a/crates/limit/src/learn/input/mod.rs
+++ b/crates/limit/src/learn/input/mod.rs
@@ -17,6 +17,14 @@
         self.calls >= other.calls && self.tokens >= other.tokens
     }
 
+    /// Returns this load and one call more.
+    pub(crate) fn with(self, tokens: u64) -> Self {
+        Self {
+            calls: self.calls + 1,
+            tokens: self.tokens.saturating_add(tokens),
+        }
+    }
+
     pub(crate) fn add(&mut self, tokens: u64) {
         self.calls += 1;
         self.tokens += tokens;
--- a/crates/limit/src/learn/mod.rs
+++ b/crates/limit/src/learn/mod.rs
@@ -2,13 +2,14 @@
 //!
 //! The limit starts at a small first value and grows by evidence: the upstream
 //! ran at the limit for some steps, callers wanted more, and no signal of
-//! nearing capacity was seen. Work beyond the largest load that is proven to
-//! run concurrently is admitted one call at a time, so that a capacity which
-//! gives no early signal is exceeded by a single call. Where trouble was seen,
-//! a ceiling is remembered; the limit backs off below it, follows it when step
+//! nearing capacity was seen. Work beyond the largest load that was recently
+//! proven to run concurrently is admitted one call at a time, so that a capacity
+//! which gives no early signal is exceeded by a single call. Where trouble was
+//! seen, a ceiling is remembered; the limit stays below it, follows it when step
 //! time drifts, and exceeds it rarely and by the smallest step. The
 //! alternatives are weighed in `docs/notes/limits.md`.
 
+mod axis;
 mod input;
 
 pub use input::{Bounds, Cause, End, First, Fit, Flight, Load, Oldest, Outcome, Report, Settings};
@@ -18,35 +19,40 @@
 use sesamerock_base::time::Moment;
 
 use crate::curve::Curve;
+use axis::Axis;
 
-/// Steps at the limit that justify growth while no ceiling is known.
-const GROW_STEPS: f64 = 3.0;
-/// Steps at the limit that justify growth after a ceiling was exceeded safely.
-const CAUTIOUS_STEPS: f64 = 16.0;
-/// Growth before a ceiling is known, as a part of the limit.
-const GROW_PART: u32 = 16;
-/// Steps at the limit before the first probe above a ceiling, and the most
-/// between two; each failed probe doubles the interval.
-const PROBE_STEPS: f64 = 64.0;
-const PROBE_STEPS_MAX: f64 = 16_384.0;
-/// Part of a ceiling the limit backs off to.
-const MARGIN: f64 = 0.93;
-/// Part of a drifting ceiling at which the limit backs off to the margin.
-const TRIGGER: f64 = 0.98;
-/// Part of a limit from which the limit is blamed for trouble.
-const BLAME: f64 = 0.85;
-/// Part of a ceiling from which at most [`PENDING_PART`] of the calls may wait
-/// for their first token, so that a capacity that falls unseen is exceeded by
-/// few calls.
+/// Step time over that at the last trouble below which ceilings are forgotten,
+/// since the engine is no longer the one that showed them.
+const FASTER: f64 = 0.85;
+/// Drift of step time that a ceiling follows at most.
+const DRIFT_MAX: f64 = 2.0;
+/// Drift that is not followed: noise of its mean.
+const DRIFT_NOISE: f64 = 0.02;
+/// Part of a ceiling from which one call in [`PENDING_PART`], or a single one,
+/// may wait for its first token, so that a capacity that falls unseen is
+/// exceeded by few calls.
 const NEAR: f64 = 0.75;
-const PENDING_PART: u32 = 32;
+const PENDING_PART: u32 = 128;
 /// Step time over the usual one that counts as a turn to cold.
 const SLOW: f64 = 1.8;
 /// Silence, in expected steps plus a fixed slack, after which admission pauses.
 const SILENT_STEPS: f64 = 2.0;
 const SILENT_SLACK: Duration = Duration::from_millis(20);
-/// Steps to first token that are never late.
-const LATE_STEPS: f64 = 3.0;
+/// Steps beyond the usual ones to first token, and multiples of their usual
+/// deviation, after which a call on unproven ground was queued, and after which
+/// any call is late.
+const QUEUED_STEPS: f64 = 0.6;
+const QUEUED_DEVIATIONS: f64 = 2.0;
+const LATE_STEPS: f64 = 1.5;
+const LATE_DEVIATIONS: f64 = 4.0;
+/// Steps to first token before any are known: the rest of the running step and
+/// the call's own.
+const TYPICAL_STEPS: f64 = 2.0;
+/// Weights that keep the usual steps to first token near their maximum.
+const TYPICAL_UP: f64 = 1.0 / 8.0;
+const TYPICAL_DOWN: f64 = 1.0 / 128.0;
+/// Steps after which the proof of a load expires unless it ran again.
+const PROOF_STEPS: f64 = 256.0;
 /// Weight of a new observation in slowly changing means.
 const SLOW_WEIGHT: f64 = 1.0 / 64.0;
 /// Weight of a new observation in quickly changing means.
@@ -56,44 +62,35 @@
 const QUEUEING: f64 = 2.0;
 /// Age at which a report of waiting calls no longer counts.
 const REPORT_AGE: Duration = Duration::from_secs(2);
+/// Reports in a row with waiting calls that count as trouble.
+const REPORTS: u32 = 2;
 /// Failed calls in a row that count as trouble.
 const FAILURES: u32 = 3;
-/// Drift of step time followed by a ceiling at most.
-const DRIFT_MAX: f64 = 2.0;
 
 /// The learned limits of one upstream.
 #[derive(Clone, Debug)]
 pub struct Learner {
     settings: Settings,
-    limit: Load,
-    /// The largest load seen to run at the same time.
-    proven: Load,
-    /// Loads at which trouble was seen; `None` while unknown.
-    ceiling_calls: Option<f64>,
-    ceiling_tokens: Option<f64>,
+    calls: Axis,
+    tokens: Axis,
     curve: Curve,
-    /// Steps since the reset, and the step of the last trouble.
+    /// Steps so far, and the steps of the last trouble and proof window.
     steps: f64,
     trouble: f64,
-    /// Steps at the limit since the last growth.
-    evidence: f64,
-    /// Evidence required by the next probe above a ceiling.
-    interval: f64,
-    cautious: bool,
-    /// How far the limit may exceed the trigger because probes raised it.
-    probe: Load,
+    window: f64,
     /// What the last blocked call was blocked by, and its tokens.
     blocked: Option<(Fit, u64)>,
     last_token: Moment,
-    /// Usual steps to first token, and usual tokens of a call.
+    /// Usual steps to first token and their excess, and usual tokens of a call.
     typical: f64,
+    deviation: f64,
     mean_tokens: f64,
     /// Usual latency of an upstream that does not stream, in seconds, and the
     /// recent ratio to it.
     latency: f64,
     latency_ratio: f64,
     failures: u32,
-    /// Reports in a row with calls waiting in the engine.
+    /// Reports in a row with calls waiting in the engine, and the last report.
     waiting: u32,
     reported: Moment,
     incarnation: Option<u64>,
@@ -105,22 +102,19 @@
 impl Learner {
     /// Makes a learner at its first value.
     pub fn new(settings: Settings) -> Self {
-        let mut learner = Self {
+        let (calls, tokens) = axes(&settings);
+        Self {
             settings,
-            limit: Load::default(),
-            proven: Load::default(),
-            ceiling_calls: None,
-            ceiling_tokens: None,
+            calls,
+            tokens,
             curve: Curve::default(),
             steps: 0.0,
             trouble: 0.0,
-            evidence: 0.0,
-            interval: PROBE_STEPS,
-            cautious: false,
-            probe: Load::default(),
+            window: 0.0,
             blocked: None,
             last_token: Moment::default(),
-            typical: 1.0,
+            typical: TYPICAL_STEPS,
+            deviation: 0.0,
             mean_tokens: 0.0,
             latency: 0.0,
             latency_ratio: 1.0,
@@ -130,30 +124,46 @@
             incarnation: None,
             down: false,
             resets: 0,
+        }
+    }
+
+    /// Returns the limit to its first value and forgets what was learned.
+    pub fn reset(&mut self, cause: Cause) {
+        *self = Self {
+            steps: self.steps,
+            trouble: self.steps,
+            window: self.steps,
+            last_token: self.last_token,
+            incarnation: self.incarnation,
+            down: cause == Cause::Crash,
+            resets: self.resets + 1,
+            ..Self::new(self.settings)
         };
-        learner.reset(Cause::Start);
-        learner
     }
 
     /// Returns the current limit.
     pub fn limit(&self) -> Load {
-        self.limit
+        Load {
+            calls: self.calls.limit as u32,
+            tokens: self.tokens.limit as u64,
+        }
     }
 
-    /// Returns the load at which trouble was last seen, at today's step time.
+    /// Returns the load at which trouble was last seen, at the present step
+    /// time; a quantity without trouble is at its largest value.
     pub fn ceiling(&self) -> Option<Load> {
-        let calls = self.current(self.ceiling_calls);
-        let tokens = self.current(self.ceiling_tokens);
-        (self.ceiling_calls.is_some() || self.ceiling_tokens.is_some()).then_some(Load {
-            calls: calls.min(f64::from(u32::MAX)) as u32,
-            tokens: tokens as u64,
+        let known = self.calls.ceiling.or(self.tokens.ceiling).is_some();
+        let drift = self.drift();
+        known.then(|| Load {
+            calls: self.calls.current(drift) as u32,
+            tokens: self.tokens.current(drift) as u64,
         })
     }
 
     /// Returns whether the limit still grows from its first value.
     pub fn cold(&self) -> bool {
-        let first = self.settings.first.calls;
-        self.down || (self.ceiling().is_none() && self.limit.calls < first.saturating_mul(4))
+        let small = self.limit().calls < self.settings.first.calls.saturating_mul(4);
+        self.down || (small && self.calls.ceiling.is_none())
     }
 
     /// Returns whether the upstream crashed and has shown no life since.
@@ -166,7 +176,7 @@
         self.steps
     }
 
-    /// Returns the resets so far, the initial one included.
+    /// Returns the number of resets so far.
     pub fn resets(&self) -> u64 {
         self.resets
     }
@@ -179,29 +189,28 @@
     /// Replaces the safety bounds and applies them at once.
     pub fn rebound(&mut self, bounds: Bounds) {
         self.settings.bounds = bounds;
-        self.set_limit(self.limit);
+        let (calls, tokens) = axes(&self.settings);
+        (self.calls.min, self.calls.max) = (calls.min, calls.max);
+        (self.tokens.min, self.tokens.max) = (tokens.min, tokens.max);
+        self.calls.set(self.calls.limit);
+        self.tokens.set(self.tokens.limit);
     }
 
     /// Returns whether a call of so many tokens may be admitted now.
     pub fn fit(&self, now: Moment, flight: &Flight, tokens: u64) -> Fit {
-        let after = Load {
-            calls: flight.admitted.calls + 1,
-            tokens: flight.admitted.tokens.saturating_add(tokens),
-        };
-        if after.calls > self.limit.calls {
+        let after = flight.admitted.with(tokens);
+        let limit = self.limit();
+        if after.calls > limit.calls {
             return Fit::Calls;
         }
         // A call larger than the token limit runs alone, or it would never run.
-        if after.tokens > self.limit.tokens && flight.admitted.calls > 0 {
+        if after.tokens > limit.tokens && flight.admitted.calls > 0 {
             return Fit::Tokens;
         }
-        if self.settings.bounds.min.covers(after) {
+        if self.settings.bounds.min.covers(after) || !self.holds(now, flight, after) {
             return Fit::Yes;
         }
-        if self.holds(now, flight, after) {
-            return Fit::Hold;
-        }
-        Fit::Yes
+        Fit::Hold
     }
 
     /// Records that a call of so many tokens was held back for this reason;
@@ -210,37 +219,41 @@
         self.blocked = Some((reason, tokens));
     }
 
-    /// Records tokens of one call, `gap` after its previous ones.
-    pub fn token(&mut self, now: Moment, flight: &Flight, gap: Duration, tokens: u64) {
-        let batch = flight.started.calls.max(1);
-        let share = 1.0 / f64::from(batch);
-        let steps = tokens as f64 * share;
-        self.last_token = now;
-        self.steps += steps;
-        let step = gap.as_secs_f64() / tokens.max(1) as f64;
-        self.record(batch, step, share);
-        self.grow(flight, steps);
-    }
-
     /// Records the first token of a call.
     pub fn first(&mut self, now: Moment, flight: &Flight, first: &First) {
         self.last_token = now;
-        self.prove(flight.started);
-        let size = self.size(first.tokens);
+        let waited = first.waited / self.size(first.tokens);
         let weight = if self.mean_tokens == 0.0 {
             1.0
         } else {
             SLOW_WEIGHT
         };
         self.mean_tokens += (first.tokens as f64 - self.mean_tokens) * weight;
-        let unproven = !self.proven.covers(first.load) && first.load.calls > 1;
-        let queued = first.waited > (self.typical + 1.0) * size;
-        if flight.started.calls > 1 && first.waited <= self.late_steps() {
-            self.typical += (first.waited - self.typical) * SLOW_WEIGHT;
+        let queued = waited > self.usual(QUEUED_STEPS, QUEUED_DEVIATIONS);
+        if flight.started.calls > 1 && waited <= self.late_steps() {
+            let off = waited - self.typical;
+            let weight = if off > 0.0 { TYPICAL_UP } else { TYPICAL_DOWN };
+            self.typical += off * weight;
+            self.deviation += (off.max(0.0) - self.deviation) * SLOW_WEIGHT;
         }
+        self.prove(flight.started);
+        let unproven = !self.proven().covers(first.load) && first.load.calls > 1;
         // The call began only once another had ended.
-        if unproven && queued && self.waited_since_trouble(first.waited) {
-            self.back_off(flight, flight.started);
+        if unproven && queued && self.steps - first.waited >= self.trouble {
+            self.back_off(first.load, flight.started);
+        }
+    }
+
+    /// Records tokens of one call, `gap` after its previous ones.
+    pub fn token(&mut self, now: Moment, flight: &Flight, gap: Duration, tokens: u64) {
+        let batch = flight.started.calls.max(1);
+        let share = 1.0 / f64::from(batch);
+        let steps = tokens as f64 * share;
+        self.last_token = now;
+        self.steps += steps;
+        self.record(batch, gap.as_secs_f64() / tokens.max(1) as f64, share);
+        if flight.started.calls == flight.admitted.calls {
+            self.grow(flight, steps);
         }
     }
 
@@ -250,7 +263,7 @@
             && oldest.admitted >= self.trouble
             && self.late(&oldest)
         {
-            self.back_off(flight, flight.started);
+            self.back_off(flight.admitted, flight.started);
         }
     }
 
@@ -262,12 +275,11 @@
             Outcome::Cancelled => return,
             Outcome::Done => self.failures = 0,
         }
-        if end.streamed {
-            return;
+        if !end.streamed {
+            self.latency(flight, end.duration.as_secs_f64());
+            self.prove(end.load);
+            self.grow(flight, 1.0 / self.calls.limit.max(1.0));
         }
-        self.latency(flight, end.duration.as_secs_f64());
-        self.prove(end.load);
-        self.grow(flight, 1.0 / f64::from(self.limit.calls.max(1)));
     }
 
     /// Records a lagged report of the engine.
@@ -279,68 +291,53 @@
         }
         self.down = false;
         self.reported = now;
-        if self.steps == 0.0 && report.running > 0 {
+        let streams = self.steps > 0.0;
+        if !streams && report.running > 0 && !report.step.is_zero() {
             self.record(report.running, report.step.as_secs_f64(), 1.0);
         }
-        self.waiting = if report.waiting == 0 {
-            0
-        } else {
+        // An engine also counts calls that only wait for the next step; where
+        // the first tokens are seen, they tell which it is.
+        let unusual = |o: Oldest| {
+            o.admitted >= self.trouble && self.steps - o.admitted > self.typical + QUEUED_STEPS
+        };
+        let queues = report.waiting > 0 && (!streams || flight.oldest.is_some_and(unusual));
+        self.waiting = if queues {
             self.waiting.saturating_add(1)
+        } else {
+            0
         };
-        // One report may show a call that only waits for the next step.
-        if self.waiting == 2 {
+        if self.waiting == REPORTS {
             let runs = f64::from(report.running) / f64::from(report.running + report.waiting);
-            let tokens = (flight.admitted.tokens as f64 * runs) as u64;
-            let calls = report.running.min(flight.admitted.calls);
-            self.back_off(flight, Load { calls, tokens });
+            let held = Load {
+                calls: report.running.min(flight.admitted.calls),
+                tokens: (flight.admitted.tokens as f64 * runs) as u64,
+            };
+            self.back_off(flight.admitted, held);
         }
     }
 
-    /// Returns the limit to its first value and forgets what was learned.
-    pub fn reset(&mut self, cause: Cause) {
-        self.resets += 1;
-        self.down = cause == Cause::Crash;
-        self.set_limit(self.settings.first);
-        self.proven = Load::default();
-        self.ceiling_calls = None;
-        self.ceiling_tokens = None;
-        self.curve = Curve::default();
-        self.trouble = self.steps;
-        self.evidence = 0.0;
-        self.interval = PROBE_STEPS;
-        self.cautious = false;
-        self.probe = Load::default();
-        self.blocked = None;
-        self.typical = 1.0;
-        self.latency = 0.0;
-        self.latency_ratio = 1.0;
-        self.failures = 0;
-        self.waiting = 0;
-    }
-
-    fn set_limit(&mut self, limit: Load) {
-        let Bounds { min, max } = self.settings.bounds;
-        self.limit.calls = limit.calls.min(max.calls).max(min.calls).max(1);
-        self.limit.tokens = limit.tokens.min(max.tokens).max(min.tokens);
+    fn proven(&self) -> Load {
+        Load {
+            calls: self.calls.proven as u32,
+            tokens: self.tokens.proven as u64,
+        }
     }
 
     /// Returns whether a call that the limit allows should wait for evidence.
     fn holds(&self, now: Moment, flight: &Flight, after: Load) -> bool {
         let pending = flight.admitted.calls - flight.started.calls;
-        if self.down {
-            return true;
-        }
         let reported = self.waiting > 0 && now.since(self.reported) < REPORT_AGE;
-        let unproven = !self.proven.covers(after);
-        if unproven && (pending > 0 || reported) {
+        let unproven = !self.proven().covers(after);
+        if self.down || (unproven && (pending > 0 || reported)) {
             return true;
         }
         if self.steps == 0.0 {
             return false;
         }
-        let near = f64::from(after.calls) >= NEAR * self.current(self.ceiling_calls)
-            || after.tokens as f64 >= NEAR * self.current(self.ceiling_tokens);
-        let many = pending > (after.calls / PENDING_PART);
+        let drift = self.drift();
+        let near = f64::from(after.calls) >= NEAR * self.calls.current(drift)
+            || after.tokens as f64 >= NEAR * self.tokens.current(drift);
+        let many = pending > after.calls / PENDING_PART;
         let late = flight.oldest.is_some_and(|oldest| self.late(&oldest));
         late || (near && (many || reported)) || self.silent(now, flight)
     }
@@ -360,10 +357,6 @@
         self.steps - oldest.admitted > self.late_steps() * self.size(oldest.tokens)
     }
 
-    fn waited_since_trouble(&self, waited: f64) -> bool {
-        self.steps - waited >= self.trouble
-    }
-
     /// Returns the size of a call over the usual one, at least 1; a long prompt
     /// takes more steps to its first token.
     fn size(&self, tokens: u64) -> f64 {
@@ -371,55 +364,46 @@
     }
 
     fn late_steps(&self) -> f64 {
-        (2.0 * self.typical + 1.0).max(LATE_STEPS)
+        self.usual(LATE_STEPS, LATE_DEVIATIONS)
+    }
+
+    /// Returns the usual steps to first token plus an allowance.
+    fn usual(&self, steps: f64, deviations: f64) -> f64 {
+        self.typical + steps + deviations * self.deviation
     }
 
-    /// Returns a ceiling at today's step time, infinite if none is known.
-    fn current(&self, ceiling: Option<f64>) -> f64 {
+    /// Returns step time over that at the last trouble, without its noise.
+    fn drift(&self) -> f64 {
         let drift = self.curve.drift().clamp(1.0 / DRIFT_MAX, DRIFT_MAX);
-        ceiling.map_or(f64::INFINITY, |c| c / drift)
+        let beyond = ((drift - 1.0).abs() - DRIFT_NOISE).max(0.0);
+        1.0 + beyond.copysign(drift - 1.0)
     }
 
     fn record(&mut self, batch: u32, step: f64, share: f64) {
         self.curve.record(batch, step, share);
         if self.curve.sudden() > SLOW {
             self.reset(Cause::Slow);
-            return;
-        }
-        self.follow_drift();
-    }
-
-    /// Lowers limits that a falling ceiling has come close to.
-    fn follow_drift(&mut self) {
-        let calls = self.current(self.ceiling_calls);
-        let tokens = self.current(self.ceiling_tokens);
-        let mut limit = self.limit;
-        if f64::from(limit.calls) > TRIGGER * calls + f64::from(self.probe.calls) {
-            limit.calls = (MARGIN * calls) as u32;
-            self.probe.calls = 0;
-        }
-        if limit.tokens as f64 > TRIGGER * tokens + self.probe.tokens as f64 {
-            limit.tokens = (MARGIN * tokens) as u64;
-            self.probe.tokens = 0;
-        }
-        if limit != self.limit {
-            self.lower(limit);
+        } else if self.curve.drift() < FASTER {
+            self.calls.forget();
+            self.tokens.forget();
+            self.curve.rebase();
+        } else {
+            let drift = self.drift();
+            self.calls.follow(drift);
+            self.tokens.follow(drift);
         }
     }
 
-    /// Sets a lower limit, above which nothing is proven any more.
-    fn lower(&mut self, limit: Load) {
-        self.set_limit(limit);
-        self.proven.calls = self.proven.calls.min(self.limit.calls);
-        self.proven.tokens = self.proven.tokens.min(self.limit.tokens);
-        self.evidence = 0.0;
-    }
-
     /// Records that a load ran at the same time.
     fn prove(&mut self, load: Load) {
-        self.proven.calls = self.proven.calls.max(load.calls.min(self.limit.calls));
-        self.proven.tokens = self.proven.tokens.max(load.tokens.min(self.limit.tokens));
-        self.passed_ceiling();
+        if self.steps - self.window > PROOF_STEPS {
+            self.window = self.steps;
+            self.calls.roll();
+            self.tokens.roll();
+        }
+        let drift = self.drift();
+        self.calls.prove(f64::from(load.calls), drift);
+        self.tokens.prove(load.tokens as f64, drift);
     }
 
     /// Adds evidence and grows the limit that holds callers back.
@@ -427,107 +411,58 @@
         let Some((reason, tokens)) = self.blocked else {
             return;
         };
-        let after = flight.admitted.tokens.saturating_add(tokens);
-        let at_limit = match reason {
-            Fit::Calls => flight.admitted.calls >= self.limit.calls,
-            Fit::Tokens => after > self.limit.tokens,
-            Fit::Hold | Fit::Yes => false,
+        let limit = self.limit();
+        let drift = self.drift();
+        let after = flight.admitted.with(tokens);
+        let (axis, unit, at_limit) = match reason {
+            Fit::Calls => (&mut self.calls, 1.0, after.calls > limit.calls),
+            _ => (&mut self.tokens, tokens as f64, after.tokens > limit.tokens),
         };
-        let streams = self.latency == 0.0;
-        let queueing = streams && flight.started.calls < flight.admitted.calls;
-        if !at_limit || queueing || self.waiting > 0 {
+        if !at_limit || self.waiting > 0 {
             return;
         }
-        self.evidence += steps;
-        let next = self.raised(reason, tokens);
-        let above = self.above_ceiling(next);
-        let needed = if above {
-            self.interval
-        } else if self.cautious {
-            CAUTIOUS_STEPS
-        } else {
-            GROW_STEPS
-        };
-        if self.evidence < needed {
+        let Some(next) = axis.grown(steps, unit, drift) else {
             return;
-        }
-        self.evidence = 0.0;
+        };
         self.blocked = None;
-        if self.curve.saturated(flight.started.calls) {
-            self.back_off(flight, flight.started);
+        if !self.curve.saturated(flight.started.calls) {
+            axis.set(next);
+            if reason == Fit::Calls {
+                self.tokens.grow_along(flight.admitted.tokens as f64);
+            } else {
+                self.calls.grow_along(f64::from(flight.admitted.calls));
+            }
             return;
         }
-        let before = self.limit;
-        self.set_limit(next);
-        if above {
-            self.probe.calls += self.limit.calls - before.calls;
-            self.probe.tokens += self.limit.tokens - before.tokens;
-        }
-    }
-
-    /// Returns the limit one step of growth larger.
-    fn raised(&self, reason: Fit, tokens: u64) -> Load {
-        let small = self.cautious || self.ceiling().is_some();
-        let mut limit = self.limit;
-        if reason == Fit::Calls {
-            let part = if small { 0 } else { limit.calls / GROW_PART };
-            limit.calls = limit.calls.saturating_add(part.max(1));
+        let held = if reason == Fit::Calls {
+            f64::from(flight.started.calls)
         } else {
-            let part = if small {
-                0
-            } else {
-                limit.tokens / u64::from(GROW_PART)
-            };
-            limit.tokens = limit.tokens.saturating_add(part.max(tokens));
-        }
-        limit
-    }
-
-    fn above_ceiling(&self, limit: Load) -> bool {
-        f64::from(limit.calls) > TRIGGER * self.current(self.ceiling_calls)
-            || limit.tokens as f64 > TRIGGER * self.current(self.ceiling_tokens)
+            flight.started.tokens as f64
+        };
+        axis.back_off(held * drift);
+        self.rebase();
     }
 
-    /// Drops a ceiling that the proven load has passed.
-    fn passed_ceiling(&mut self) {
-        let probed = self.probe != Load::default();
-        let calls = probed && f64::from(self.proven.calls) > self.current(self.ceiling_calls);
-        let tokens = probed && self.proven.tokens as f64 > self.current(self.ceiling_tokens);
-        if calls {
-            self.ceiling_calls = None;
+    /// Backs off after `tried` turned out too much and only `held` ran. Proof
+    /// that a quantity was larger clears it; without any, both are blamed.
+    fn back_off(&mut self, tried: Load, held: Load) {
+        let proven = self.proven();
+        let calls = tried.calls > proven.calls;
+        let tokens = tried.tokens > proven.tokens;
+        self.rebase();
+        if calls || !tokens {
+            self.calls.back_off(f64::from(held.calls));
         }
-        if tokens {
-            self.ceiling_tokens = None;
-        }
-        if calls || tokens {
-            self.cautious = true;
-            self.probe = Load::default();
-            self.interval = (self.interval / 2.0).max(PROBE_STEPS);
+        if tokens || !calls {
+            self.tokens.back_off(held.tokens as f64);
         }
     }
 
-    /// Remembers `held`, the load the upstream could hold, as the ceiling and
-    /// backs off below it.
-    fn back_off(&mut self, flight: &Flight, held: Load) {
-        let near = |used: f64, limit: f64| used >= BLAME * limit;
-        let calls = near(
-            f64::from(flight.admitted.calls),
-            f64::from(self.limit.calls),
-        );
-        let tokens = near(flight.admitted.tokens as f64, self.limit.tokens as f64);
-        let neither = !calls && !tokens;
-        let mut limit = self.limit;
-        if calls || neither {
-            self.ceiling_calls = Some(f64::from(held.calls.max(1)));
-            limit.calls = limit.calls.min((MARGIN * f64::from(held.calls)) as u32);
-        }
-        if tokens || neither {
-            self.ceiling_tokens = Some(held.tokens.max(1) as f64);
-            limit.tokens = limit.tokens.min((MARGIN * held.tokens as f64) as u64);
-        }
-        self.lower(limit);
-        self.probe = Load::default();
-        self.interval = (self.interval * 2.0).min(PROBE_STEPS_MAX);
+    /// Measures drift from here on.
+    fn rebase(&mut self) {
+        let drift = self.drift();
+        self.calls.rebase(drift);
+        self.tokens.rebase(drift);
         self.trouble = self.steps;
         self.curve.rebase();
     }
@@ -536,7 +471,7 @@
         self.failures += 1;
         if self.failures >= FAILURES {
             self.failures = 0;
-            self.back_off(flight, flight.admitted);
+            self.back_off(flight.admitted, flight.admitted);
         }
     }
 
@@ -552,7 +487,23 @@
             self.reset(Cause::Slow);
         } else if self.latency_ratio > QUEUEING {
             self.latency_ratio = 1.0;
-            self.back_off(flight, flight.admitted);
+            self.back_off(flight.admitted, flight.admitted);
         }
     }
 }
+
+/// Makes both axes at their first values.
+fn axes(settings: &Settings) -> (Axis, Axis) {
+    let Bounds { min, max } = settings.bounds;
+    let calls = Axis::new(
+        f64::from(settings.first.calls),
+        f64::from(min.calls.max(1)),
+        f64::from(max.calls.max(1)),
+    );
+    let tokens = Axis::new(
+        settings.first.tokens as f64,
+        min.tokens as f64,
+        max.tokens as f64,
+    );
+    (calls, tokens)
+}
--- a/crates/limit/src/queue/mod.rs
+++ b/crates/limit/src/queue/mod.rs
@@ -266,9 +266,11 @@
         before + higher.min(shared)
     }
 
-    /// Removes all calls, in no particular order.
+    /// Removes all calls and returns them in the order of arrival.
     pub fn clear(&mut self) -> Vec<Item> {
-        let items = self.items.drain().map(|(_, (item, _))| item).collect();
+        let mut items: Vec<_> = self.items.drain().map(|(_, item)| item).collect();
+        items.sort_unstable_by_key(|(_, stamp)| *stamp);
+        let items = items.into_iter().map(|(item, _)| item).collect();
         self.levels = Default::default();
         self.deadlines.clear();
         items
