--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -7,6 +7,8 @@
 mod clock;
 mod overhead;
 mod poison;
+mod fairness;
+mod limits;
 mod report;
 mod spread;
 mod traffic;
@@ -33,6 +35,7 @@
     ("spread", spread::run),
     ("zone", zone::run),
 ];
+const MEASURES: &[Measure] = &[("fairness", fairness::run), ("limits", limits::run)];
 
 fn options() -> bpaf::OptionParser<Options> {
     let seed = long("seed")
