--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -4,6 +4,7 @@
 //! beside the measured part, then one `target` line per bound. It exits with 1
 //! if one falls short. Bounds come from `docs/design.md`, section 11.
 
+mod balance;
 mod clock;
 mod overhead;
 mod poison;
@@ -36,6 +37,7 @@
     ("zone", zone::run),
 ];
 const MEASURES: &[Measure] = &[("fairness", fairness::run), ("limits", limits::run)];
+const MEASURES: &[Measure] = &[("balance", balance::run), ("poison", poison::run)];
 
 fn options() -> bpaf::OptionParser<Options> {
     let seed = long("seed")
