--- a/crates/ledger/src/fold/aging.rs
+++ b/crates/ledger/src/fold/aging.rs
@@ -106,6 +106,6 @@
         let fresh =
             newest.is_none_or(|(offset, marker)| marker.age(now) >= step && *offset + 1 < next);
         let last = next.checked_sub(1)?;
-        (fresh && last >= self.expired).then(|| (last, 0))
+        (fresh && last >= self.expired).then_some((last, 0))
     }
 }
--- a/crates/ledger/src/fold/apply.rs
+++ b/crates/ledger/src/fold/apply.rs
@@ -76,6 +76,7 @@
                 }
                 Record::Void(own) => self.void(offset, entry, own),
                 Record::Age(age) => self.age(offset, *age, now),
+                Record::Part(part) if part.base > offset => {}
                 Record::Part(part) => self.part(offset, entry, part, now),
             }
         }
@@ -202,8 +203,11 @@
     /// Forgets expired outcomes and the writers that were silent as long.
     fn evict(&mut self) {
         let expired = self.aging.expired();
-        self.slots
-            .retain(|_, slot| !matches!(slot.state, State::Done(_, offset) if offset < expired));
+        let keep_running = self.guard.keep_running;
+        self.slots.retain(|_, slot| match slot.state {
+            State::Done(_, offset) => offset >= expired,
+            State::Running | State::Broken => keep_running,
+        });
         self.writers.retain(|_, writer| writer.last >= expired);
     }
 }
--- a/crates/ledger/src/fold/load.rs
+++ b/crates/ledger/src/fold/load.rs
@@ -44,11 +44,16 @@
         parts.filter(|parts| parts[0].stream.is_some())
     }
 
-    /// Returns the latest complete snapshot whose bases are still in the log.
+    /// Returns the latest complete snapshot whose bases are still in the log, of
+    /// the newest generation.
     fn latest(&self, first: u64) -> Option<Vec<Arc<Part>>> {
         let held = |parts: &Vec<Arc<Part>>| parts.iter().all(|part| part.base >= first);
+        let generation = |parts: &Vec<Arc<Part>>| parts[0].stream.as_ref().map(|s| s.generation);
         let complete = |id: &SnapshotId| self.complete(*id).filter(held);
-        self.order.iter().rev().find_map(complete)
+        self.order
+            .iter()
+            .filter_map(complete)
+            .max_by_key(generation)
     }
 }
 
@@ -78,7 +83,9 @@
         self.next = offset + 1;
         let Some(entry) = entry else { return };
         for record in &entry.records {
-            if let Record::Part(part) = record {
+            if let Record::Part(part) = record
+                && part.base <= offset
+            {
                 let id = SnapshotId {
                     writer: entry.writer,
                     number: part.number,
--- a/crates/ledger/src/fold/mod.rs
+++ b/crates/ledger/src/fold/mod.rs
@@ -212,8 +212,14 @@
     /// While a repair is awaited, this is the mark that it must cover, so that
     /// nobody who starts now takes the shortened log for the whole.
     pub fn mark(&self) -> Mark {
-        let known = self.awaiting.iter().chain(&self.required).max();
-        known.map_or_else(|| self.own(), |known| known.clone().max(self.own()))
+        // What was read since belongs to the shortened log.
+        let own = match &self.awaiting {
+            Some(awaited) => awaited.clone(),
+            None => self.own(),
+        };
+        self.required
+            .clone()
+            .map_or(own.clone(), |mark| mark.max(own))
     }
 
     /// Says how far a peer has come; nothing runs before this reader has come
@@ -353,7 +359,7 @@
     const fn is_expired(&self, slot: &Slot) -> bool {
         match slot.state {
             State::Done(_, offset) => offset < self.aging.expired(),
-            State::Running | State::Broken => !self.guard.keep_running && self.aging.expired() > 0,
+            State::Running | State::Broken => false,
         }
     }
 
--- a/crates/ledger/src/record/mod.rs
+++ b/crates/ledger/src/record/mod.rs
@@ -168,7 +168,8 @@
     /// Number of parts, a power of two; part `i` holds the `i`-th equal range
     /// of the key space.
     pub count: u32,
-    /// Entries below this offset are included.
+    /// Entries below this offset are included. A part at a lower offset than its
+    /// base was written before the log restarted, and is ignored.
     pub base: u64,
     /// Whether the snapshot is a repair, written after the log restarted with a
     /// lower head; it takes the place of what readers folded before.
