--- a/crates/ledger/src/fold/apply.rs
+++ b/crates/ledger/src/fold/apply.rs
@@ -22,8 +22,7 @@
         if offset < self.next {
             return self.trail.matches(self.next - offset, entry) || self.restarted(page);
         }
-        if offset > self.next && self.guard.gap_check {
-            self.scan(page);
+        if offset > self.next && !self.skip_to(offset, page) {
             return false;
         }
         self.next = offset + 1;
--- a/crates/ledger/src/fold/load.rs
+++ b/crates/ledger/src/fold/load.rs
@@ -175,7 +175,9 @@
             Phase::Scan(loader) if page.head < loader.next => self.scan(page),
             Phase::Scan(loader) => loader.next = loader.next.max(page.first),
             Phase::Fold if page.head < self.next => return self.restarted(page),
-            Phase::Fold if page.first > self.next && self.guard.gap_check => self.scan(page),
+            Phase::Fold if page.first > self.next => {
+                self.skip_to(page.first, page);
+            }
             Phase::Fold => {}
         }
         true
@@ -190,6 +192,20 @@
         }
     }
 
+    /// Handles a jump in the offsets; returns whether reading can go on there.
+    ///
+    /// While a repair is awaited nothing is folded, so nothing is missed, and a
+    /// snapshot must not take the place of what a survivor knows.
+    pub(super) fn skip_to(&mut self, offset: u64, page: &Page) -> bool {
+        let harmless = self.awaiting.is_some() || !self.guard.gap_check;
+        if harmless {
+            self.next = offset;
+        } else {
+            self.scan(page);
+        }
+        harmless
+    }
+
     /// Starts over from a snapshot, because entries were lost to this reader.
     pub(super) fn scan(&mut self, page: &Page) {
         self.target = page.head;
