--- a/crates/ledger/src/fold/apply.rs
+++ b/crates/ledger/src/fold/apply.rs
@@ -22,8 +22,7 @@
         if offset < self.next {
             return self.trail.matches(self.next - offset, entry) || self.restarted(page);
         }
-        if offset > self.next && self.guard.gap_check {
-            self.scan(page);
+        if offset > self.next && !self.skip_to(offset, page) {
             return false;
         }
         self.next = offset + 1;
@@ -76,6 +75,7 @@
                 }
                 Record::Void(own) => self.void(offset, entry, own),
                 Record::Age(age) => self.age(offset, *age, now),
+                Record::Part(part) if part.base > offset => {}
                 Record::Part(part) => self.part(offset, entry, part, now),
             }
         }
@@ -202,8 +202,11 @@
     /// Forgets expired outcomes and the writers that were silent as long.
     fn evict(&mut self) {
         let expired = self.aging.expired();
-        self.slots
-            .retain(|_, slot| !matches!(slot.state, State::Done(_, offset) if offset < expired));
+        let keep_running = self.guard.keep_running;
+        self.slots.retain(|_, slot| match slot.state {
+            State::Done(_, offset) => offset >= expired,
+            State::Running | State::Broken => keep_running,
+        });
         self.writers.retain(|_, writer| writer.last >= expired);
     }
 }
--- a/crates/ledger/src/fold/load.rs
+++ b/crates/ledger/src/fold/load.rs
@@ -44,11 +44,16 @@
         parts.filter(|parts| parts[0].stream.is_some())
     }
 
-    /// Returns the latest complete snapshot whose bases are still in the log.
+    /// Returns the latest complete snapshot whose bases are still in the log, of
+    /// the newest generation.
     fn latest(&self, first: u64) -> Option<Vec<Arc<Part>>> {
         let held = |parts: &Vec<Arc<Part>>| parts.iter().all(|part| part.base >= first);
+        let generation = |parts: &Vec<Arc<Part>>| parts[0].stream.as_ref().map(|s| s.generation);
         let complete = |id: &SnapshotId| self.complete(*id).filter(held);
-        self.order.iter().rev().find_map(complete)
+        self.order
+            .iter()
+            .filter_map(complete)
+            .max_by_key(generation)
     }
 }
 
@@ -78,7 +83,9 @@
         self.next = offset + 1;
         let Some(entry) = entry else { return };
         for record in &entry.records {
-            if let Record::Part(part) = record {
+            if let Record::Part(part) = record
+                && part.base <= offset
+            {
                 let id = SnapshotId {
                     writer: entry.writer,
                     number: part.number,
@@ -168,7 +175,9 @@
             Phase::Scan(loader) if page.head < loader.next => self.scan(page),
             Phase::Scan(loader) => loader.next = loader.next.max(page.first),
             Phase::Fold if page.head < self.next => return self.restarted(page),
-            Phase::Fold if page.first > self.next && self.guard.gap_check => self.scan(page),
+            Phase::Fold if page.first > self.next => {
+                self.skip_to(page.first, page);
+            }
             Phase::Fold => {}
         }
         true
@@ -183,6 +192,20 @@
         }
     }
 
+    /// Handles a jump in the offsets; returns whether reading can go on there.
+    ///
+    /// While a repair is awaited nothing is folded, so nothing is missed, and a
+    /// snapshot must not take the place of what a survivor knows.
+    pub(super) fn skip_to(&mut self, offset: u64, page: &Page) -> bool {
+        let harmless = self.awaiting.is_some() || !self.guard.gap_check;
+        if harmless {
+            self.next = offset;
+        } else {
+            self.scan(page);
+        }
+        harmless
+    }
+
     /// Starts over from a snapshot, because entries were lost to this reader.
     pub(super) fn scan(&mut self, page: &Page) {
         self.target = page.head;
