Let calls wait in an agent's queue where every upstream is full

Cause: an entry refused a call when no upstream had credits, and 619 of 640 streams failed at a cold system. Change: the picker can consider full upstreams for calls that may queue; the agent's queue is fair between workspaces.

--- a/crates/measure/src/balance/world/mod.rs
+++ b/crates/measure/src/balance/world/mod.rs
@@ -232,6 +232,7 @@
             urgency: 3,
             excluded: &call.excluded,
             isolated: false,
+            queues: false,
         };
         match self.entries[call.entry].choose(&request, now, &mut self.rng) {
             Ok(choice) => {
--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -6,10 +6,10 @@
 
 mod balance;
 mod clock;
-mod overhead;
-mod poison;
 mod fairness;
 mod limits;
+mod overhead;
+mod poison;
 mod report;
 mod spread;
 mod traffic;
@@ -31,13 +31,14 @@
 
 /// All measures, in alphabetical order.
 const MEASURES: &[Measure] = &[
+    ("balance", balance::run),
+    ("fairness", fairness::run),
+    ("limits", limits::run),
     ("overhead", overhead::run),
     ("poison", poison::run),
     ("spread", spread::run),
     ("zone", zone::run),
 ];
-const MEASURES: &[Measure] = &[("fairness", fairness::run), ("limits", limits::run)];
-const MEASURES: &[Measure] = &[("balance", balance::run), ("poison", poison::run)];
 
 fn options() -> bpaf::OptionParser<Options> {
     let seed = long("seed")
--- a/crates/measure/src/traffic/mod.rs
+++ b/crates/measure/src/traffic/mod.rs
@@ -58,14 +58,18 @@
     let status = response.status();
     let mut body = response.into_body();
     let mut length = 0;
+    let mut tail = Bytes::new();
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|error| error.to_string())?;
-        length += frame.data_ref().map_or(0, Bytes::len);
+        if let Ok(data) = frame.into_data() {
+            length += data.len();
+            tail = data;
+        }
     }
     if status.is_success() {
         Ok(length)
     } else {
-        Err(status.to_string())
+        Err(format!("{status} {}", String::from_utf8_lossy(&tail)))
     }
 }
 
@@ -142,7 +146,12 @@
                         latencies.push(begin.elapsed());
                         bytes += length;
                     }
-                    Err(_) => failed += 1,
+                    Err(error) => {
+                        failed += 1;
+                        if failed == 1 {
+                            println!("measure=traffic failed_request={number} error={error:?}");
+                        }
+                    }
                 }
                 if !pause.is_zero() {
                     tokio::time::sleep(pause).await;
--- a/crates/route/src/choice/mod.rs
+++ b/crates/route/src/choice/mod.rs
@@ -28,6 +28,9 @@
     /// Whether the request is a crash suspect, of which an upstream runs at
     /// most one at a time.
     pub isolated: bool,
+    /// Whether the request may wait in an agent's queue, so that upstreams in
+    /// cold start at their limit and without credits are candidates as well.
+    pub queues: bool,
 }
 
 /// The upstream chosen for a request.
--- a/crates/route/src/pick/mod.rs
+++ b/crates/route/src/pick/mod.rs
@@ -326,12 +326,15 @@
         let cold = state.load.last().is_some_and(|report| {
             report.cold && report.call_limit > 0 && state.load.own_calls() >= report.call_limit
         });
-        if cold {
+        if cold && !request.queues {
             return Err(Why::Cold);
         }
         if request.isolated && state.suspects > 0 {
             return Err(Why::Suspect);
         }
+        if request.queues {
+            return Ok(());
+        }
         match state.load.credit(now, &self.settings.load) {
             Credit::None(left) => Err(Why::Credits(left)),
             Credit::Unknown(0) => Err(Why::Credits(self.settings.retry_after)),
--- a/crates/sesamerock/src/entry/table/mod.rs
+++ b/crates/sesamerock/src/entry/table/mod.rs
@@ -13,7 +13,7 @@
 use sesamerock_note::fold::State;
 use sesamerock_note::fold::entry;
 use sesamerock_note::note;
-use sesamerock_route::choice::{Choice, Refusal, Request};
+use sesamerock_route::choice::{Cause, Choice, Refusal, Request};
 use sesamerock_route::hash;
 use sesamerock_route::load;
 use sesamerock_route::pick::{self, Outcome, Picker};
@@ -263,6 +263,7 @@
             urgency: wish.urgency,
             excluded: wish.excluded,
             isolated: wish.isolated,
+            queues: false,
         };
         let now = clock::now();
         let empty = Group::default();
@@ -272,9 +273,23 @@
                 let members: Vec<_> = group.members.iter().map(|member| member.upstream).collect();
                 self.picker.keyed(&[shard_of(key)], &request, &members)?
             }
-            None => self
-                .picker
-                .pick(&request, group.subset.members(), now, &mut self.rng)?,
+            None => {
+                let pool = group.subset.members();
+                self.picker
+                    .pick(&request, pool, now, &mut self.rng)
+                    .or_else(|refusal| {
+                        // Where the only fault is a full upstream, the call waits
+                        // in an agent's queue, which is fair between workspaces.
+                        if !matches!(refusal.cause, Cause::Cold | Cause::Credits) {
+                            return Err(refusal);
+                        }
+                        let request = Request {
+                            queues: true,
+                            ..request
+                        };
+                        self.picker.pick(&request, pool, now, &mut self.rng)
+                    })?
+            }
         };
         self.picker.sent(&choice, wish.prefix, now);
         Ok(self.target(choice, wish))
@@ -289,8 +304,10 @@
             upstream,
             rank: None,
             reason: sesamerock_route::choice::Reason::Keyed,
+            ceiling: None,
             expected: Duration::ZERO,
             matched: 0,
+            fresh: 0,
             tokens: wish.tokens,
             isolated: wish.isolated,
             losers: Vec::new(),
