Wait for room within the deadline instead of failing after four refusals

Cause: a refusal counted as an attempt, so a call failed within 40 ms while limits were small, although its caller would have waited. Change: a call that only lacks room waits with a doubling pause, bounded by the deadline and by the number of waiting calls; it uses no retry budget.

--- a/crates/sesamerock/src/entry/dispatch/attempt/mod.rs
+++ b/crates/sesamerock/src/entry/dispatch/attempt/mod.rs
@@ -50,6 +50,8 @@
     pub(super) upstream: Option<Upstream>,
     /// Whether no other attempt can do better.
     pub(super) last: bool,
+    /// Whether the call only lacks room, so that it may wait and ask again.
+    pub(super) waits: bool,
 }
 
 impl Open {
@@ -88,6 +90,7 @@
             retry_after: None,
             upstream: Some(self.target.choice.upstream),
             last: false,
+            waits: false,
         }
     }
 
@@ -144,6 +147,7 @@
             retry_after: Some(Duration::ZERO),
             upstream: None,
             last: false,
+            waits: false,
         }
     }
 }
@@ -203,10 +207,14 @@
             Cause::Excluded => {
                 // Each was tried once; the next attempt may try them again.
                 self.excluded.clear();
-                failure
+                Failure {
+                    waits: true,
+                    ..failure
+                }
             }
             _ => Failure {
                 retry_after: refusal.retry_after,
+                waits: true,
                 ..failure
             },
         }
@@ -354,7 +362,18 @@
             ..Failure::refused("refused", detail)
         };
         match refusal.reason() {
-            Reason::Overloaded | Reason::Cold | Reason::Deadline => Failure {
+            Reason::Overloaded | Reason::Cold => Failure {
+                kind: "overloaded",
+                waits: true,
+                ..failure
+            },
+            Reason::Suspect | Reason::Leaving | Reason::OutOfContact | Reason::ModelNotLoaded => {
+                Failure {
+                    waits: true,
+                    ..failure
+                }
+            }
+            Reason::Deadline => Failure {
                 kind: "overloaded",
                 ..failure
             },
--- a/crates/sesamerock/src/entry/dispatch/mod.rs
+++ b/crates/sesamerock/src/entry/dispatch/mod.rs
@@ -33,6 +33,14 @@
 const BLOCK_BYTES: usize = 256;
 /// Most blocks of a prompt that are compared.
 const BLOCKS: usize = 64;
+/// Pause of a call that waits for room; it doubles with each refusal.
+const WAIT_FIRST: Duration = Duration::from_millis(5);
+/// Most doublings of the pause.
+const WAIT_DOUBLINGS: u32 = 6;
+/// Longest pause.
+const WAIT_LONGEST: Duration = Duration::from_millis(250);
+/// Time before the deadline in which a call no longer waits.
+const WAIT_MARGIN: Duration = Duration::from_millis(10);
 
 /// A request on its way, with what its attempts have shown so far.
 #[derive(Debug)]
@@ -44,11 +52,23 @@
     prefix: Vec<u64>,
     excluded: Vec<Upstream>,
     made: u32,
+    refusals: u32,
     earlier: Executed,
     deadline: Moment,
     minted: Option<String>,
 }
 
+/// How a wait for room ended.
+#[derive(Debug, PartialEq, Eq)]
+enum Wait {
+    /// The call may ask again.
+    Over,
+    /// Too many calls wait.
+    Full,
+    /// The deadline is too near.
+    Late,
+}
+
 /// What follows a failed attempt.
 #[derive(Debug)]
 enum Next {
@@ -124,6 +144,7 @@
             prefix,
             excluded: Vec::new(),
             made: 0,
+            refusals: 0,
             earlier: Executed::No,
             minted,
             context,
@@ -186,6 +207,12 @@
         if let (true, Phase::Silent) = (failure.last, phase) {
             return Next::Fail(failure.problem(self.earlier.max(failure.executed)));
         }
+        if failure.waits {
+            match self.wait(failure).await {
+                Wait::Over => return Next::Again,
+                Wait::Full | Wait::Late => {}
+            }
+        }
         let decision = decide(&attempt, &mut self.context.budget(), now, jitter, &settings);
         if failure.sent {
             self.earlier = self.earlier.max(failure.executed);
@@ -215,6 +242,38 @@
         }
     }
 
+    /// Waits until a call that was refused for want of room may ask again.
+    ///
+    /// Asking again costs the upstreams nothing, so it is bounded by the
+    /// deadline and by the number of calls that wait, and not by the retry
+    /// budget: at a cold system nothing would refill it.
+    async fn wait(&mut self, failure: &Failure) -> Wait {
+        let Ok(_slot) = Arc::clone(&self.context.waiting).try_acquire_owned() else {
+            return Wait::Full;
+        };
+        self.refusals += 1;
+        let doublings = self.refusals.min(WAIT_DOUBLINGS);
+        let full = (WAIT_FIRST * (1 << doublings)).min(WAIT_LONGEST);
+        let asked = failure.retry_after.unwrap_or_default().min(WAIT_LONGEST);
+        let pause = asked.max(full.mul_f64(rand::random_range(0.5..1.0)));
+        if self.ask.remaining() <= pause + WAIT_MARGIN {
+            return Wait::Late;
+        }
+        log::info!(
+            "event=call_waits request={} refusals={} pause_us={} kind={} detail={:?}",
+            self.ask.id,
+            self.refusals,
+            pause.as_micros(),
+            failure.kind,
+            failure.detail
+        );
+        self.excluded.clear();
+        tokio::time::sleep(pause).await;
+        // It was no attempt: no upstream began it.
+        self.made -= 1;
+        Wait::Over
+    }
+
     /// Returns whether the ledger decides about this call.
     fn keyed(&self) -> bool {
         self.ask.key.is_some() && !self.repeatable
--- a/crates/sesamerock/src/entry/mod.rs
+++ b/crates/sesamerock/src/entry/mod.rs
@@ -15,6 +15,7 @@
 use sesamerock_platform::http::server as http_server;
 use sesamerock_retry::budget::{self, Budget};
 use tokio::net::TcpListener;
+use tokio::sync::Semaphore;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -47,6 +48,8 @@
     suspects: Suspects,
     metrics: Metrics,
     tasks: TaskTracker,
+    /// Slots for calls that wait for room at an upstream.
+    waiting: Arc<Semaphore>,
 }
 
 impl Context {
@@ -158,6 +161,7 @@
         budget: Mutex::new(Budget::new(budget::Settings::default(), clock::now())),
         suspects: Suspects::new(control.clone()),
         metrics: Metrics::new("entry")?,
+        waiting: Arc::new(Semaphore::new(settings.waiting)),
         tasks: TaskTracker::new(),
         control: control.clone(),
         settings,
--- a/crates/sesamerock/src/settings/mod.rs
+++ b/crates/sesamerock/src/settings/mod.rs
@@ -82,6 +82,8 @@
     pub entries_max_age: Duration,
     /// Attempts per request, the first included.
     pub attempts: u32,
+    /// Requests that may wait for room at an upstream; more are refused.
+    pub waiting: usize,
 }
 
 impl Default for Entry {
@@ -97,6 +99,7 @@
             request_timeout: Duration::from_mins(1),
             entries_max_age: Duration::from_secs(5),
             attempts: 4,
+            waiting: 4_096,
         }
     }
 }
