--- a/crates/limit/src/learn/mod.rs
+++ b/crates/limit/src/learn/mod.rs
@@ -328,7 +328,13 @@
         let pending = flight.admitted.calls - flight.started.calls;
         let reported = self.waiting > 0 && now.since(self.reported) < REPORT_AGE;
         let unproven = !self.proven().covers(after);
-        if self.down || (unproven && (pending > 0 || reported)) {
+        // Without first tokens, a load is proven when calls at it have ended.
+        let waits = if self.latency > 0.0 {
+            !self.proven().covers(flight.admitted)
+        } else {
+            pending > 0
+        };
+        if self.down || (unproven && (waits || reported)) {
             return true;
         }
         if self.steps == 0.0 {
--- /dev/null
+++ b/crates/limit/tests/learn.rs
@@ -0,0 +1,280 @@
+//! The learned limit follows evidence, on a small engine in virtual time.
+
+use std::time::Duration;
+
+use sesamerock_base::key::{Vm, Workspace};
+use sesamerock_base::time::Moment;
+use sesamerock_limit::gate::{Decision, Gate, Offer, Sample, Settings, Verdict};
+use sesamerock_limit::learn::{Cause, Outcome, Report};
+
+const STEP: Duration = Duration::from_millis(20);
+const OUTPUT: u32 = 100;
+
+/// An engine that runs up to `capacity` calls, each step one token for each;
+/// callers always want more.
+struct Bench {
+    gate: Gate,
+    now: Moment,
+    step: Duration,
+    capacity: usize,
+    running: Vec<(u64, u32)>,
+    waiting: Vec<u64>,
+    next: u64,
+    most: usize,
+    queued: u32,
+    admitted: u32,
+}
+
+impl Bench {
+    fn new(capacity: usize) -> Self {
+        Self {
+            gate: Gate::new(Settings::default()),
+            now: Moment::default(),
+            step: STEP,
+            capacity,
+            running: Vec::new(),
+            waiting: Vec::new(),
+            next: 0,
+            most: 0,
+            queued: 0,
+            admitted: 0,
+        }
+    }
+
+    fn offer(&mut self) {
+        let call = self.next;
+        self.next += 1;
+        let offer = Offer {
+            call,
+            workspace: Workspace(0),
+            tokens: 500,
+            urgency: 3,
+            deadline: self.now + Duration::from_mins(10),
+            service: Duration::ZERO,
+            entry: Vm(0),
+        };
+        match self.gate.offer(self.now, offer) {
+            Verdict::Admitted => self.admit(call),
+            Verdict::Queued => self.queued += 1,
+            Verdict::Refused { .. } | Verdict::Duplicate => {}
+        }
+    }
+
+    fn admit(&mut self, call: u64) {
+        self.waiting.push(call);
+        self.admitted += 1;
+    }
+
+    fn poll(&mut self) {
+        for decision in self.gate.poll(self.now).collect::<Vec<_>>() {
+            self.queued -= 1;
+            if let Decision::Admitted { call } = decision {
+                self.admit(call);
+            }
+        }
+        self.most = self.most.max(self.running.len() + self.waiting.len());
+    }
+
+    /// Runs one step with a backlog of `demand` calls before the gate.
+    fn step(&mut self, demand: u32) {
+        while self.queued < demand {
+            let queued = self.queued;
+            self.offer();
+            if self.queued == queued {
+                break;
+            }
+        }
+        self.poll();
+        while self.running.len() < self.capacity && !self.waiting.is_empty() {
+            self.running.push((self.waiting.remove(0), OUTPUT));
+        }
+        self.now = self.now + self.step;
+        for (call, left) in &mut self.running {
+            if *left == OUTPUT {
+                self.gate.first_token(self.now, *call);
+            } else {
+                self.gate.progress(self.now, *call, 1);
+            }
+            *left -= 1;
+            if *left == 0 {
+                let outcome = Outcome::Done;
+                self.gate.finish(self.now, *call, Sample { outcome });
+            }
+        }
+        self.running.retain(|(_, left)| *left > 0);
+        self.poll();
+    }
+
+    fn run(&mut self, steps: u32, demand: u32) {
+        for _ in 0..steps {
+            self.step(demand);
+        }
+    }
+
+    fn limit(&self) -> u32 {
+        self.gate.report().limit.calls
+    }
+}
+
+/// Fails if the limit stays at its first value under healthy load at the limit.
+#[test]
+fn grows_with_healthy_work_at_the_limit() {
+    let mut bench = Bench::new(1000);
+    let first = bench.limit();
+    bench.run(600, 8);
+    assert!(bench.limit() >= 16 * first, "limit {}", bench.limit());
+}
+
+/// Fails if the limit grows while nobody is held back by it, be it with time or
+/// with work far below it.
+#[test]
+fn does_not_grow_without_demand() {
+    let mut bench = Bench::new(1000);
+    let first = bench.limit();
+    bench.now = bench.now + Duration::from_hours(1);
+    bench.poll();
+    bench.offer();
+    bench.run(99, 0);
+    bench.offer();
+    bench.run(99, 0);
+    assert_eq!(bench.limit(), first);
+}
+
+/// Fails if an engine that gives no sign before its capacity is exceeded gets
+/// more than one call beyond it at a time.
+#[test]
+fn exceeds_an_unsignalled_capacity_by_one_call() {
+    for capacity in [3, 7, 20, 64, 150] {
+        let mut bench = Bench::new(capacity);
+        bench.run(4000, 8);
+        assert!(bench.most <= capacity + 1, "{} of {capacity}", bench.most);
+        let limit = bench.limit() as usize;
+        assert!(
+            limit * 10 >= capacity * 8 || limit + 1 >= capacity,
+            "{limit} of {capacity}"
+        );
+    }
+}
+
+/// Fails if the limit does not come down after capacity has fallen unseen.
+#[test]
+fn follows_a_capacity_that_falls() {
+    let mut bench = Bench::new(100);
+    bench.run(3000, 8);
+    assert!(bench.limit() > 80);
+    bench.capacity = 60;
+    bench.run(3000, 8);
+    assert!(bench.limit() <= 61, "limit {}", bench.limit());
+}
+
+/// Fails if a turn to cold without notice, seen only in the step time, leaves
+/// the limit where it was or lets more work in.
+#[test]
+fn resets_on_unexplained_slowness() {
+    let mut bench = Bench::new(100);
+    bench.run(1000, 8);
+    let resets = bench.gate.report().resets;
+    bench.step = 3 * STEP;
+    let admitted = bench.admitted;
+    bench.run(6, 8);
+    assert_eq!(bench.gate.report().resets, resets + 1);
+    // The turn shows after two slow steps, in each of which one call ends.
+    let more = bench.admitted - admitted;
+    assert!(more <= 3, "{more} calls were sent to a cold engine");
+    assert!(bench.limit() <= 4, "limit {}", bench.limit());
+}
+
+/// Fails if one slow step, such as a long prefill, costs the learned limit.
+#[test]
+fn one_slow_step_does_not_reset() {
+    let mut bench = Bench::new(100);
+    bench.run(1000, 8);
+    bench.step = 3 * STEP;
+    bench.run(1, 8);
+    bench.step = STEP;
+    bench.run(100, 8);
+    assert_eq!(bench.gate.report().resets, 0);
+}
+
+/// Fails if a restart that only a late report shows is missed.
+#[test]
+fn resets_on_a_new_incarnation() {
+    let mut bench = Bench::new(100);
+    let report = |incarnation| Report {
+        incarnation,
+        running: 10,
+        waiting: 0,
+        step: STEP,
+    };
+    bench.gate.observe(bench.now, &report(1));
+    bench.run(1000, 8);
+    bench.gate.observe(bench.now, &report(1));
+    assert_eq!(bench.gate.report().resets, 0);
+    bench.gate.observe(bench.now, &report(2));
+    assert_eq!(bench.gate.report().resets, 1);
+    assert_eq!(bench.gate.report().limit, Settings::default().learn.first);
+    bench.gate.reset(bench.now, Cause::Start);
+    assert_eq!(bench.gate.report().limit, Settings::default().learn.first);
+}
+
+/// Fails if calls that an engine counts as waiting only until its next step
+/// read as trouble and pull the limit down.
+#[test]
+fn calls_that_wait_for_the_next_step_are_no_trouble() {
+    let mut bench = Bench::new(1000);
+    for _ in 0..400 {
+        bench.step(8);
+        let report = Report {
+            incarnation: 1,
+            running: bench.running.len() as u32,
+            waiting: bench.waiting.len() as u32,
+            step: STEP,
+        };
+        bench.gate.observe(bench.now, &report);
+    }
+    assert!(bench.gate.report().ceiling.is_none());
+    assert!(bench.limit() > 20, "limit {}", bench.limit());
+}
+
+/// Fails if a plain service, which streams nothing, keeps the first limit or
+/// keeps a high one after its latency has multiplied.
+#[test]
+fn learns_without_tokens() {
+    let mut gate = Gate::new(Settings::default());
+    let mut now = Moment::default();
+    let mut call = 0;
+    let mut round = |gate: &mut Gate, latency: Duration| {
+        let mut running = Vec::new();
+        loop {
+            call += 1;
+            let offer = Offer {
+                call,
+                workspace: Workspace(0),
+                tokens: 1,
+                urgency: 3,
+                deadline: now + Duration::from_mins(1),
+                service: Duration::ZERO,
+                entry: Vm(0),
+            };
+            if gate.offer(now, offer) != Verdict::Admitted {
+                gate.cancel(now, call);
+                break;
+            }
+            running.push(call);
+        }
+        now = now + latency;
+        for call in running {
+            let outcome = Outcome::Done;
+            gate.finish(now, call, Sample { outcome });
+        }
+    };
+    for _ in 0..400 {
+        round(&mut gate, Duration::from_millis(5));
+    }
+    let grown = gate.report().limit.calls;
+    assert!(grown >= 8, "limit {grown}");
+    for _ in 0..20 {
+        round(&mut gate, Duration::from_millis(50));
+    }
+    assert!(gate.report().limit.calls < grown);
+}
--- /dev/null
+++ b/crates/limit/tests/queue.rs
@@ -0,0 +1,156 @@
+//! Fairness, bounds and order of the queue.
+
+use std::collections::BTreeMap;
+
+use quickcheck::quickcheck;
+use sesamerock_base::key::Workspace;
+use sesamerock_base::time::Moment;
+use sesamerock_limit::queue::{Item, Push, Queue, Settings};
+
+const FAR: Moment = Moment(u64::MAX / 2);
+const MAX_TOKENS: u64 = 4000;
+
+fn item(call: u64, workspace: u32, tokens: u64, urgency: u8) -> Item {
+    Item {
+        call,
+        workspace: Workspace(workspace),
+        tokens,
+        urgency,
+        latest: FAR,
+    }
+}
+
+quickcheck! {
+    /// Fails if a workspace with a continuous backlog gets less than its share,
+    /// up to a quantum and one call, whatever the costs of the others' calls.
+    fn backlogged_workspaces_get_equal_tokens(costs: Vec<u16>, served: u8) -> bool {
+        let settings = Settings::default();
+        let mut queue = Queue::new(settings);
+        let workspaces = costs.len().clamp(2, 8) as u32;
+        let mut call = 0;
+        let cost = |workspace: u32, call: u64| {
+            let index = (call as usize * 7 + workspace as usize) % costs.len().max(1);
+            u64::from(costs.get(index).copied().unwrap_or(1)) % MAX_TOKENS + 1
+        };
+        let mut push = |queue: &mut Queue, workspace: u32| {
+            call += 1;
+            queue.push(item(call, workspace, cost(workspace, call), 3));
+        };
+        for workspace in 0..workspaces {
+            push(&mut queue, workspace);
+            push(&mut queue, workspace);
+        }
+        let mut got: BTreeMap<u32, u64> = (0..workspaces).map(|w| (w, 0)).collect();
+        for _ in 0..u32::from(served) * 4 {
+            let Some(next) = queue.pop() else { return false };
+            *got.entry(next.workspace.0).or_default() += next.tokens;
+            push(&mut queue, next.workspace.0);
+        }
+        let most = got.values().max().copied().unwrap_or(0);
+        let least = got.values().min().copied().unwrap_or(0);
+        most - least <= 2 * (MAX_TOKENS + settings.quantum)
+    }
+
+    /// Fails if pushes, removals and service in any order lose a call, return
+    /// one twice, or leave records behind, which would grow without bound.
+    fn calls_are_exact_and_memory_is_bounded(ops: Vec<(u8, u8)>) -> bool {
+        let settings = Settings { calls: 16, ..Settings::default() };
+        let mut queue = Queue::new(settings);
+        let mut live: BTreeMap<u64, Item> = BTreeMap::new();
+        for (call, (kind, byte)) in ops.into_iter().enumerate() {
+            match kind % 4 {
+                0 | 1 => {
+                    let new = item(call as u64, u32::from(byte), u64::from(byte) + 1, byte % 9);
+                    match queue.push(new) {
+                        Push::Queued => drop(live.insert(new.call, new)),
+                        Push::Evicted(old) => {
+                            assert_eq!(live.remove(&old.call), Some(old));
+                            live.insert(new.call, new);
+                        }
+                        Push::Full => assert_eq!(live.len(), settings.calls),
+                        Push::Duplicate => return false,
+                    }
+                }
+                2 => {
+                    let peeked = queue.peek();
+                    let popped = queue.pop();
+                    assert_eq!(peeked, popped);
+                    assert_eq!(popped.and_then(|i| live.remove(&i.call)), popped);
+                }
+                _ => {
+                    let call = live.keys().nth(usize::from(byte) % live.len().max(1)).copied();
+                    let removed = call.and_then(|call| queue.remove(call));
+                    assert_eq!(removed, call.and_then(|call| live.remove(&call)));
+                }
+            }
+            assert_eq!(queue.len(), live.len());
+            assert_eq!(queue.tokens(), live.values().map(|i| i.tokens).sum::<u64>());
+            assert!(queue.flows() <= settings.calls);
+            assert!(queue.elements() <= 3 * settings.calls + 8 * queue.flows());
+        }
+        while let Some(next) = queue.pop() {
+            assert_eq!(live.remove(&next.call), Some(next));
+        }
+        live.is_empty() && queue.flows() == 0 && queue.elements() == 0
+    }
+}
+
+/// Fails if low priority starves while high priority has an endless backlog, or
+/// gets more than its bounded share.
+#[test]
+fn lower_levels_get_a_bounded_share() {
+    let settings = Settings::default();
+    let mut queue = Queue::new(settings);
+    let mut served = [0_u64; 8];
+    for call in 0..64 {
+        queue.push(item(call, 1, 100, 0));
+        queue.push(item(1_000_000 + call, 2, 100, 7));
+    }
+    for call in 64..10_064 {
+        let next = queue.pop().expect("both levels are backlogged");
+        served[usize::from(next.urgency)] += next.tokens;
+        let base = if next.urgency == 0 { 0 } else { 1_000_000 };
+        queue.push(item(base + call, next.workspace.0, 100, next.urgency));
+    }
+    let share = served[7] as f64 / served[0] as f64;
+    let expected = 1.0 / settings.lower_share as f64;
+    assert!((share / expected - 1.0).abs() < 0.1, "share {share}");
+}
+
+/// Fails if one workspace can fill the queue and lock the others out, or if low
+/// priority displaces high priority.
+#[test]
+fn a_full_queue_drops_from_the_lowest_and_largest() {
+    let settings = Settings {
+        calls: 4,
+        ..Settings::default()
+    };
+    let mut queue = Queue::new(settings);
+    for call in 0..4 {
+        queue.push(item(call, 1, 100, 3));
+    }
+    assert_eq!(queue.push(item(4, 1, 100, 3)), Push::Full);
+    assert_eq!(queue.push(item(5, 2, 100, 4)), Push::Full);
+    let newest = item(3, 1, 100, 3);
+    assert_eq!(queue.push(item(6, 2, 100, 3)), Push::Evicted(newest));
+    let newest = item(2, 1, 100, 3);
+    assert_eq!(queue.push(item(7, 1, 100, 0)), Push::Evicted(newest));
+    assert_eq!(queue.push(item(7, 1, 100, 0)), Push::Duplicate);
+    assert_eq!(queue.pop().map(|i| i.call), Some(7));
+}
+
+/// Fails if the cost of a call grows with the number of workspaces seen: an
+/// operation that scans them all takes minutes here, a constant one a second.
+#[test]
+fn many_workspaces_cost_no_more_each() {
+    let mut queue = Queue::new(Settings::default());
+    let mut popped = 0;
+    for call in 0..400_000_u64 {
+        queue.push(item(call, (call % 18_000) as u32, 500, 3));
+        if call >= 4000 {
+            popped += u64::from(queue.pop().is_some());
+        }
+        assert!(queue.flows() <= Settings::default().calls);
+    }
+    assert_eq!(popped, 396_000);
+}
