Leave the rank to the agent where the entry sends a small part

Cause: an entry that sends little has old reports of the ranks.

Change: below half of the known work of an upstream the picker returns no rank, and the agent calls rank::place with its own load. The measure balance shows the picker without ceilings too; the measure stream times streams and choices.

--- a/crates/measure/src/balance/world/mod.rs
+++ b/crates/measure/src/balance/world/mod.rs
@@ -184,7 +184,10 @@
             Event::Bounced(id) => self.bounced(id),
             Event::Step(index) => self.advance(index),
             Event::Publish => {
-                self.engines.iter_mut().for_each(Engine::publish);
+                let now = self.clock.now();
+                self.engines
+                    .iter_mut()
+                    .for_each(|engine| engine.publish(now));
                 self.after(PUBLISH, Event::Publish);
             }
             Event::Sample => self.sample(),
@@ -271,8 +274,9 @@
             prefill: held + call.unique,
             decode: call.decode,
             tokens: PREFIX_TOKENS + call.unique + call.decode,
+            fresh: choice.fresh,
         };
-        engine.add(usize::from(choice.rank.unwrap_or(0)), work);
+        engine.add(choice.rank, work, self.clock.now(), &mut self.rng);
         let idle = !engine.stepping;
         let stored = (!change.hit).then_some(call.prefix);
         if call.arrived >= WARM {
@@ -343,7 +347,7 @@
     }
 
     fn advance(&mut self, index: usize) {
-        let progress = self.engines[index].end();
+        let progress = self.engines[index].end(self.clock.now());
         let report = self.engines[index].report(self.setup.entries as u32);
         let upstream = Upstream(index as u32);
         for id in &progress.first {
--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -9,6 +9,7 @@
 mod poison;
 #[allow(dead_code, reason = "no measure has a lower bound yet")]
 mod report;
+mod stream;
 
 use bpaf::{Parser, construct, long, positional};
 
@@ -25,7 +26,11 @@
 type Measure = (&'static str, fn(u64, &mut Report));
 
 /// All measures, in alphabetical order.
-const MEASURES: &[Measure] = &[("balance", balance::run), ("poison", poison::run)];
+const MEASURES: &[Measure] = &[
+    ("balance", balance::run),
+    ("poison", poison::run),
+    ("stream", stream::run),
+];
 
 fn options() -> bpaf::OptionParser<Options> {
     let seed = long("seed")
--- a/crates/route/src/pick/mod.rs
+++ b/crates/route/src/pick/mod.rs
@@ -38,6 +38,9 @@
     pub prefix: prefix::Settings,
     /// Weights of the cost.
     pub score: score::Settings,
+    /// Share of an upstream's known work below which this entry leaves the
+    /// choice of the rank to the agent, which knows the work of all entries.
+    pub rank_share: f64,
     /// Load relative to the mean above which an agent should refuse a call that
     /// has other upstreams to go to.
     pub ceiling: f64,
@@ -57,7 +60,8 @@
             load: load::Settings::default(),
             prefix: prefix::Settings::default(),
             score: score::Settings::default(),
-            ceiling: 1.2,
+            rank_share: 0.5,
+            ceiling: 1.15,
             bounces: 3,
             retry_after: Duration::from_millis(100),
         }
@@ -417,7 +421,7 @@
     ) -> Option<Scored> {
         let state = self.state(upstream)?;
         let estimate = state.load.estimate(now, &prior.load, &self.settings.load);
-        let share = f64::from(state.load.own_calls()) / estimate.calls.max(1.0);
+        let share = f64::from(state.load.own_calls() + 1) / (estimate.calls + 1.0);
         let ranks = state.profile.ranks;
         let placement = rank::place(
             &state.load,
@@ -441,7 +445,10 @@
         };
         Some(Scored {
             upstream,
-            placement,
+            placement: Placement {
+                rank: placement.rank.filter(|_| share >= self.settings.rank_share),
+                ..placement
+            },
             matched,
             home,
             cost: score::cost(&candidate, request, prior, &self.settings.score),
--- a/crates/route/src/score/mod.rs
+++ b/crates/route/src/score/mod.rs
@@ -40,7 +40,7 @@
             hold: 20.0,
             horizon: 32.0,
             affinity: 0.25,
-            excess: 1.3,
+            excess: 1.6,
             half_life: Duration::from_secs(5),
         }
     }
