--- a/crates/retry/src/chunk/mod.rs
+++ b/crates/retry/src/chunk/mod.rs
@@ -1,56 +1,64 @@
 //! The part of a streamed completion chunk that a resumption needs.
 
+use std::borrow::Cow;
+
 use serde::Deserialize;
 use serde::de::IgnoredAny;
 use serde_json::Value;
+use smallvec::SmallVec;
 
 /// A chunk of a chat completion or a completion; other fields are skipped.
 #[derive(Debug, Default, Deserialize)]
-pub struct Chunk {
-    /// Identifier of the response, the same in all of its chunks.
-    #[serde(default)]
-    pub id: Option<String>,
-    #[serde(default)]
-    choices: Vec<Part>,
+pub struct Chunk<'a> {
+    #[serde(default, borrow)]
+    id: Option<Text<'a>>,
+    #[serde(default, borrow)]
+    choices: SmallVec<[Part<'a>; 1]>,
 }
 
 #[derive(Debug, Default, Deserialize)]
-struct Part {
+struct Part<'a> {
     #[serde(default)]
     index: u32,
-    #[serde(default)]
-    delta: Option<Delta>,
-    #[serde(default)]
-    text: Option<String>,
+    #[serde(default, borrow)]
+    delta: Option<Delta<'a>>,
+    #[serde(default, borrow)]
+    text: Option<Text<'a>>,
     #[serde(default)]
     finish_reason: Option<IgnoredAny>,
 }
 
 #[derive(Debug, Default, Deserialize)]
-struct Delta {
-    #[serde(default)]
-    content: Option<String>,
+struct Delta<'a> {
+    #[serde(default, borrow)]
+    content: Option<Text<'a>>,
     #[serde(default)]
     tool_calls: Option<IgnoredAny>,
 }
 
-impl Chunk {
+/// A string that is copied only where it has escapes.
+#[derive(Debug, Default, Deserialize)]
+struct Text<'a>(#[serde(borrow)] Cow<'a, str>);
+
+impl<'a> Chunk<'a> {
     /// Decodes the data of an event; `None` if it is not a chunk.
-    pub fn decode(data: &[u8]) -> Option<Self> {
+    pub fn decode(data: &'a [u8]) -> Option<Self> {
         serde_json::from_slice(data).ok()
     }
 
+    /// Returns the identifier of the response, the same in all of its chunks.
+    pub fn id(&self) -> Option<&str> {
+        self.id.as_ref().map(|id| id.0.as_ref())
+    }
+
     /// Returns the text of the chunk; empty if it has none.
     pub fn text(&self) -> &str {
         let part = self.choices.first();
         let text = part.and_then(|part| {
-            let content = part
-                .delta
-                .as_ref()
-                .and_then(|delta| delta.content.as_deref());
-            content.or(part.text.as_deref())
+            let content = part.delta.as_ref().and_then(|delta| delta.content.as_ref());
+            content.or(part.text.as_ref())
         });
-        text.unwrap_or_default()
+        text.map_or("", |text| text.0.as_ref())
     }
 
     /// Returns whether the chunk ends the text.
--- a/crates/retry/src/event/mod.rs
+++ b/crates/retry/src/event/mod.rs
@@ -4,6 +4,8 @@
 //! does not decode the data. Lines end with LF or CRLF; engines do not send the
 //! lone CR that the format allows too.
 
+use std::borrow::Cow;
+
 /// The end of a complete event.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct End {
@@ -76,9 +78,19 @@
 }
 
 /// Returns the data of one event; several data lines are joined by LF.
-pub fn payload(event: &[u8]) -> Vec<u8> {
+pub fn payload(event: &[u8]) -> Cow<'_, [u8]> {
     let lines = event.split(|byte| *byte == b'\n');
-    let lines = lines.map(|line| line.strip_suffix(b"\r").unwrap_or(line));
-    let data: Vec<_> = lines.filter_map(data).collect();
-    data.join(&b'\n')
+    let mut lines = lines
+        .map(|line| line.strip_suffix(b"\r").unwrap_or(line))
+        .filter_map(data);
+    let first = lines.next().unwrap_or_default();
+    let Some(second) = lines.next() else {
+        return Cow::Borrowed(first);
+    };
+    let mut joined = first.to_vec();
+    for line in std::iter::once(second).chain(lines) {
+        joined.push(b'\n');
+        joined.extend_from_slice(line);
+    }
+    Cow::Owned(joined)
 }
--- a/crates/retry/src/resume/mod.rs
+++ b/crates/retry/src/resume/mod.rs
@@ -322,12 +322,12 @@
             .delivered
             .id
             .as_deref()
-            .filter(|id| chunk.id.as_deref() != Some(*id));
+            .filter(|id| chunk.id() != Some(*id));
         let changed = (text.len() != chunk.text().len()).then_some(text.as_str());
         if id.is_none() && changed.is_none() {
             out.extend_from_slice(event);
         } else {
-            let id = id.filter(|_| chunk.id.is_some());
+            let id = id.filter(|_| chunk.id().is_some());
             out.extend(chunk::rewrite(&data, id, changed).ok_or(Fault::Diverged)?);
         }
         self.events += 1;
@@ -335,7 +335,7 @@
     }
 
     /// Returns the new text of a chunk, or `None` if the caller has all of it.
-    fn remainder(&mut self, chunk: &Chunk) -> Result<Option<String>, Fault> {
+    fn remainder(&mut self, chunk: &Chunk<'_>) -> Result<Option<String>, Fault> {
         let text = chunk.text();
         let empty = text.is_empty() && chunk.has_choice() && !chunk.finishes();
         match self.mode {
@@ -350,7 +350,7 @@
     }
 
     /// Compares a chunk of a restarted response with what was delivered.
-    fn replay(&mut self, chunk: &Chunk, seen: usize) -> Result<Option<String>, Fault> {
+    fn replay(&mut self, chunk: &Chunk<'_>, seen: usize) -> Result<Option<String>, Fault> {
         let text = chunk.text();
         let expected = &self.delivered.point.text[seen..];
         if let Some(new) = text.strip_prefix(expected) {
@@ -411,7 +411,7 @@
         self.point.text.push_str(chunk.text());
         self.finished |= chunk.finishes();
         if self.id.is_none() {
-            self.id = chunk.id;
+            self.id = chunk.id().map(str::to_owned);
         }
     }
 }
--- a/crates/retry/tests/resume.rs
+++ b/crates/retry/tests/resume.rs
@@ -67,12 +67,12 @@
         let mut out = String::new();
         for event in text.split_inclusive("\n\n") {
             let data = payload(event.as_bytes());
-            if data.is_empty() || data == b"[DONE]" {
+            if data.is_empty() || *data == *b"[DONE]" {
                 continue;
             }
             let chunk = Chunk::decode(&data).expect("a chunk");
             out.push_str(chunk.text());
-            ids.extend(chunk.id);
+            ids.extend(chunk.id().map(str::to_owned));
         }
         ids.dedup();
         (out, ids)
--- a/crates/route/src/load/mod.rs
+++ b/crates/route/src/load/mod.rs
@@ -240,16 +240,17 @@
 
     /// Returns the work of a rank in tokens held: the reported ones corrected by
     /// this entry's work since, but no fewer than this entry has there itself,
-    /// and the prompts of this entry that wait there.
-    pub fn rank_work(&self, rank: u16, now: Moment, settings: &Settings) -> f64 {
+    /// and the prompts of this entry that wait there. `known` is the weight of
+    /// the report, see [`Load::known`].
+    pub fn rank_work(&self, rank: u16, known: f64) -> f64 {
         let own = self
             .own_ranks
             .get(usize::from(rank))
             .copied()
             .unwrap_or_default();
-        let told = self.rank(rank).map_or(0.0, |told| {
-            self.known(now, settings) * (told.tokens as f64 + own.since as f64)
-        });
+        let told = self
+            .rank(rank)
+            .map_or(0.0, |told| known * (told.tokens as f64 + own.since as f64));
         told.max(own.tokens as f64) + FRESH_WEIGHT * own.fresh as f64
     }
 
--- a/crates/route/src/rank/mod.rs
+++ b/crates/route/src/rank/mod.rs
@@ -54,8 +54,9 @@
         return Placement::default();
     }
     let pace = Rates::of(load);
+    let known = load.known(now, settings);
     let time = |rank, more: u64| {
-        let held = load.rank_work(rank, now, settings) + more as f64;
+        let held = load.rank_work(rank, known) + more as f64;
         pace.time(load.rank(rank), held)
     };
     let slowest = (0..ranks)
--- a/crates/route/tests/load.rs
+++ b/crates/route/tests/load.rs
@@ -119,10 +119,10 @@
 fn rank_work_counts_waiting_prompts() {
     let mut load = Load::default();
     load.sent(WORK, Some(1), at(0));
-    assert!((load.rank_work(1, at(0), &SETTINGS) - (100.0 + 16.0 * 80.0)).abs() < 1e-9);
+    assert!((load.rank_work(1, 1.0) - (100.0 + 16.0 * 80.0)).abs() < 1e-9);
     load.begun(80, Some(1));
-    assert!((load.rank_work(1, at(0), &SETTINGS) - 100.0).abs() < 1e-9);
+    assert!((load.rank_work(1, 1.0) - 100.0).abs() < 1e-9);
     load.finished(100, Some(1), at(0));
-    assert!(load.rank_work(1, at(0), &SETTINGS).abs() < 1e-9);
-    assert!(load.rank_work(0, at(0), &SETTINGS).abs() < 1e-9);
+    assert!(load.rank_work(1, 1.0).abs() < 1e-9);
+    assert!(load.rank_work(0, 1.0).abs() < 1e-9);
 }
