Search line ends with memchr

Cause: half of the time per streamed token went into looking for line ends.

Change: the event scanner and the payload iterator use the crate memchr, which was in the lock file already.

--- a/crates/retry/src/event/mod.rs
+++ b/crates/retry/src/event/mod.rs
@@ -6,6 +6,8 @@
 
 use std::borrow::Cow;
 
+use memchr::memchr;
+
 /// The end of a complete event.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct End {
@@ -33,7 +35,7 @@
     /// Returns the next complete event, or `None` if more bytes are needed.
     /// Offsets count from the start of `buffer`.
     pub fn next(&mut self, buffer: &[u8]) -> Option<End> {
-        while let Some(length) = buffer[self.seen..].iter().position(|byte| *byte == b'\n') {
+        while let Some(length) = memchr(b'\n', &buffer[self.seen..]) {
             let end = self.seen + length;
             let line = buffer[self.line..end]
                 .strip_suffix(b"\r")
@@ -79,10 +81,7 @@
 
 /// Returns the data of one event; several data lines are joined by LF.
 pub fn payload(event: &[u8]) -> Cow<'_, [u8]> {
-    let lines = event.split(|byte| *byte == b'\n');
-    let mut lines = lines
-        .map(|line| line.strip_suffix(b"\r").unwrap_or(line))
-        .filter_map(data);
+    let mut lines = Lines(event).filter_map(data);
     let first = lines.next().unwrap_or_default();
     let Some(second) = lines.next() else {
         return Cow::Borrowed(first);
@@ -94,3 +93,17 @@
     }
     Cow::Owned(joined)
 }
+
+/// The lines of an event, without their ends.
+struct Lines<'a>(&'a [u8]);
+
+impl<'a> Iterator for Lines<'a> {
+    type Item = &'a [u8];
+
+    fn next(&mut self) -> Option<&'a [u8]> {
+        let end = memchr(b'\n', self.0)?;
+        let (line, rest) = self.0.split_at(end);
+        self.0 = &rest[1..];
+        Some(line.strip_suffix(b"\r").unwrap_or(line))
+    }
+}
