--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -14,6 +14,7 @@
 mod spread;
 mod traffic;
 mod zone;
+mod stream;
 
 use bpaf::{Parser, construct, long, positional};
 
@@ -38,6 +39,8 @@
     ("poison", poison::run),
     ("spread", spread::run),
     ("zone", zone::run),
+    ("poison", poison::run),
+    ("stream", stream::run),
 ];
 
 fn options() -> bpaf::OptionParser<Options> {
