Count units that do not report in a rollout's share

Change: every unit in service that is not ready takes a place in the order, whether it reports or not. Reports on a newer state count as confirmed, since reliance never leads back to an older one. A role, an unload and an in-place change follow the same rule.

--- a/crates/note/src/rollout/turn/mod.rs
+++ b/crates/note/src/rollout/turn/mod.rs
@@ -23,14 +23,25 @@
 struct Place {
     /// Live units that serve something and are before it, or load already.
     serving: usize,
-    /// Live units that are before it, or load already.
-    live: usize,
-    /// Units before it, live or not.
-    strict: usize,
+    /// Units in service that are before it, or load already. One that does not
+    /// report counts too: it is lost capacity, or acts unseen.
+    open: usize,
     /// Loads before it in the order of the weight store, over all models.
     store: usize,
 }
 
+impl Place {
+    fn count(&mut self, target: &Target) {
+        self.open += usize::from(target.in_service);
+        self.serving += usize::from(target.live && target.serving);
+    }
+
+    fn discount(&mut self, target: &Target) {
+        self.open -= usize::from(target.in_service);
+        self.serving -= usize::from(target.live && target.serving);
+    }
+}
+
 /// What the units of a model hold.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Roster {
@@ -88,23 +99,16 @@
         // Units that load although they are later in the order count as well.
         let mut after = Place::default();
         for target in open.iter().filter(|target| target.loading) {
-            after.live += usize::from(target.live);
-            after.serving += usize::from(target.live && target.serving);
+            after.count(target);
         }
         for target in open {
-            let live = usize::from(target.live);
-            let serving = usize::from(target.live && target.serving);
             if target.loading {
-                after.live -= live;
-                after.serving -= serving;
+                after.discount(target);
             }
             let place = self.places.entry((target.model, target.unit)).or_default();
-            place.live = before.live + after.live;
+            place.open = before.open + after.open;
             place.serving = before.serving + after.serving;
-            place.strict = before.strict;
-            before.strict += 1;
-            before.live += live;
-            before.serving += serving;
+            before.count(target);
         }
     }
 
@@ -143,15 +147,12 @@
             return Ok(());
         }
         let limit = self.limit(target.model, settings);
-        let place = self.place(target);
-        if self.kept_elsewhere(target.model, target.unit) {
-            return match place.live {
-                ahead if ahead < limit => Ok(()),
-                ahead => Err(Wait::Turn(ahead)),
-            };
+        let ahead = self.place(target).open;
+        if ahead >= limit {
+            return Err(Wait::Turn(ahead));
         }
-        if place.strict >= limit {
-            return Err(Wait::Turn(place.strict));
+        if self.kept_elsewhere(target.model, target.unit) {
+            return Ok(());
         }
         // Up to `limit - 1` of the units that hold another version may be
         // giving it up at this moment too.
--- a/crates/note/src/rollout/unit/mod.rs
+++ b/crates/note/src/rollout/unit/mod.rs
@@ -30,6 +30,8 @@
     pub(super) unit: usize,
     pub(super) model: key::Model,
     pub(super) version: u32,
+    /// No member's zone or VM is out of service.
+    pub(super) in_service: bool,
     /// All members report.
     pub(super) live: bool,
     /// Some member lacks the version.
@@ -42,7 +44,7 @@
     pub(super) warm: bool,
     /// Something is warm on some member, so that loading costs service.
     pub(super) serving: bool,
-    /// All members are in service and act on the same entries as this node.
+    /// All members are in service and confirmed the entries that this node has.
     pub(super) reliable: bool,
 }
 
@@ -107,6 +109,7 @@
         unit: index,
         model,
         version,
+        in_service: true,
         live: true,
         missing: false,
         loading: false,
@@ -116,8 +119,10 @@
         reliable: true,
     };
     for key in &unit.members {
+        let upstream = input.state.upstreams().get(*key);
+        target.in_service &= upstream.is_some_and(|upstream| input.state.in_service(upstream));
         let report = input.reports.get(*key).filter(|report| report.live);
-        let (Some(upstream), Some(report)) = (input.state.upstreams().get(*key), report) else {
+        let (Some(upstream), Some(report)) = (upstream, report) else {
             target.live = false;
             target.ready = false;
             target.warm = false;
@@ -133,7 +138,7 @@
             .loaded
             .iter()
             .any(|loaded| loaded.phase == Phase::Warm);
-        target.reliable &= acts_alike(input, upstream, report, model);
+        target.reliable &= has_confirmed(input, upstream, report, model);
     }
     target
 }
@@ -171,16 +176,24 @@
     wanted.filter(|pair| !present.contains(pair)).collect()
 }
 
-/// Returns whether an agent is in service and acts on the same entries as this
-/// node. One that acts on a newer state may already be about to drop a model;
-/// one on an older state may not know yet that it is to keep it.
-fn acts_alike(input: &Input<'_>, upstream: &Upstream, report: &Report, model: key::Model) -> bool {
+/// Returns whether an agent is in service and has confirmed the entries that
+/// make it keep a model.
+///
+/// An agent on an older state may not know yet that it is to keep the model. One
+/// on a newer state may be about to give it up, but then relies on an agent that
+/// confirmed that newer state, so a chain of reliance never returns to where it
+/// started.
+fn has_confirmed(
+    input: &Input<'_>,
+    upstream: &Upstream,
+    report: &Report,
+    model: key::Model,
+) -> bool {
     let entry = input.state.models().get(model);
     let changed = entry.map_or(upstream.changed, |model| {
         model.changed.max(upstream.changed)
     });
-    let alike = (changed..=input.state.version()).contains(&report.version);
-    alike && input.state.in_service(upstream)
+    report.version >= changed && input.state.in_service(upstream)
 }
 
 /// Hashes names alike on every node and in every build (FNV-1a, 64 bits).
--- a/crates/note/tests/rollout.rs
+++ b/crates/note/tests/rollout.rs
@@ -10,7 +10,7 @@
 use sesamerock_base::key::Upstream as Key;
 use sesamerock_base::time::Moment;
 use sesamerock_note::fold::State;
-use sesamerock_note::note::Role;
+use sesamerock_note::note::{Note, Role};
 use sesamerock_note::rollout::{
     Command, Hold, Input, Loaded, Phase, Plan, Reason, Report, Reports, Settings, Step,
 };
@@ -146,8 +146,10 @@
         }
     }
 
-    fn deliver(&mut self, at: usize) {
-        if let Some((to, from, report)) = self.mail.remove(at) {
+    /// Delivers one report; a receiver may take its sender for dead.
+    fn deliver(&mut self, at: usize, live: bool) {
+        if let Some((to, from, mut report)) = self.mail.remove(at) {
+            report.live = live;
             let key = self.key(from);
             self.seen[to].1.set(key, report);
         }
@@ -188,7 +190,7 @@
                 self.report(engine);
             }
             while !self.mail.is_empty() {
-                self.deliver(0);
+                self.deliver(0, true);
             }
             for engine in 0..self.engines.len() {
                 last = self.act(engine);
@@ -246,7 +248,8 @@
             }
             3..=5 if !world.mail.is_empty() => {
                 let at = rng.random_range(0..world.mail.len());
-                world.deliver(at);
+                let live = rng.random_range(0..6) > 0;
+                world.deliver(at, live);
             }
             _ => {
                 world.act(engine);
@@ -257,49 +260,58 @@
 }
 
 /// Guards against the last warm copy of a model being given up, whatever the
-/// agents see late: version changes without spare memory, and a model moved
-/// back and forth between engines by notes that follow each other.
+/// agents see late: version changes without spare memory, a model moved back
+/// and forth by notes that follow each other, and agents wrongly taken for dead.
 #[test]
 fn last_warm_upstream_of_a_model_stays() {
     fn holds(seed: u64) -> bool {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
-        let count = rng.random_range(2..6);
-        let memory = rng.random_range(1..3);
-        let settings = seeded_settings(&mut rng);
+        let count = rng.random_range(2..7);
+        let memory = 1 + usize::from(rng.random_range(0..4) == 0);
+        let settings = Settings {
+            share: rng.random_range(0.0..1.0),
+            store_loads: rng.random_range(1..5),
+        };
         let mut world = World::new(fleet(count), memory, settings);
         world.settle();
         assert_eq!(world.warm("chat"), count);
-        for round in 0..6 {
+        for round in 0..12 {
             let mut state = world.state().clone();
             let version = state.version().0;
             let mut change = note(&format!("n{round}"), version);
-            if rng.random() {
+            let kind = rng.random_range(0..4);
+            if kind > 0 {
                 change.change.models.push(model("chat", 4 + round));
-            } else {
-                let stay = rng.random_range(0..count);
-                for index in (0..count).filter(|index| *index != stay) {
-                    let keeps = rng.random_range(0..3) == 0;
-                    let models: &[&str] = if keeps { &["chat"] } else { &[] };
-                    let mut upstream = engine(&format!("e{index}"), models);
-                    upstream.agent.set_port(7_000 + index as u16);
-                    change.change.upstreams.push(upstream);
-                }
-                let upstream = engine(&format!("e{stay}"), &["chat"]);
-                change.change.upstreams.push(upstream);
+            }
+            if kind < 2 {
+                move_model(&mut change, &mut rng, count);
             }
             accept(&mut state, change);
             world.publish(state, memory);
-            wander(&mut world, &mut rng, 150, |world| {
+            let steps = rng.random_range(10..120);
+            wander(&mut world, &mut rng, steps, |world| {
                 assert!(world.warm("chat") > 0, "the last warm copy was given up");
             });
         }
         true
     }
     QuickCheck::new()
-        .tests(150)
+        .tests(400)
         .quickcheck(holds as fn(u64) -> bool);
 }
 
+/// Lets one engine and a random share of the others serve the model.
+fn move_model(change: &mut Note, rng: &mut ChaCha8Rng, count: usize) {
+    let stay = rng.random_range(0..count);
+    for index in 0..count {
+        let keeps = index == stay || rng.random_range(0..3) == 0;
+        let models: &[&str] = if keeps { &["chat"] } else { &[] };
+        let mut upstream = engine(&format!("e{index}"), models);
+        upstream.agent.set_port(7_000 + index as u16);
+        change.change.upstreams.push(upstream);
+    }
+}
+
 /// Guards against more units than the stated share giving up service at once.
 #[test]
 fn interrupted_units_stay_within_the_share() {
@@ -323,6 +335,50 @@
         .quickcheck(holds as fn(u64) -> bool);
 }
 
+/// Guards against two units that each rely on the other: both hold the only
+/// warm copies, both may change at once by the share, and neither sees the
+/// other's step.
+#[test]
+fn units_that_act_at_once_do_not_rely_on_each_other() {
+    let state = raise(&fleet(6));
+    let chat = state.models().key("chat").expect("the model");
+    let keys: Vec<_> = state.upstreams().iter().map(|(key, _)| key).collect();
+    let settings = Settings {
+        share: 0.34,
+        store_loads: 9,
+    };
+    for first in 0..keys.len() {
+        for second in first + 1..keys.len() {
+            let mut reports = Reports::default();
+            for (index, key) in keys.iter().enumerate() {
+                let mut report = Report {
+                    version: state.version(),
+                    live: true,
+                    ..Report::default()
+                };
+                if index == first || index == second {
+                    report.loaded.push(Loaded {
+                        model: chat,
+                        version: 3,
+                        phase: Phase::Warm,
+                        adapters: Vec::new(),
+                    });
+                }
+                reports.set(*key, report);
+            }
+            let plan = Plan::new(&Input {
+                state: &state,
+                reports: &reports,
+                settings,
+                now: Moment(0),
+                store_refused_until: None,
+            });
+            let unloads = |step: &&Step| matches!(step.command, Command::Unload { .. });
+            assert!(plan.steps.iter().filter(unloads).count() < 2);
+        }
+    }
+}
+
 /// Guards against a rollout that never ends, or that exceeds the pace of the
 /// weight store.
 #[test]
@@ -340,7 +396,7 @@
         world.report(engine);
     }
     while !world.mail.is_empty() {
-        world.deliver(0);
+        world.deliver(0, true);
     }
     for engine in 0..12 {
         world.act(engine);
@@ -391,7 +447,7 @@
         world.report(engine);
     }
     while !world.mail.is_empty() {
-        world.deliver(0);
+        world.deliver(0, true);
     }
     let plan = world.act(0);
     let model = world.state().models().key("chat").expect("the model");
