--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -15,6 +15,9 @@
 mod traffic;
 mod zone;
 mod stream;
+mod alloc;
+mod report;
+mod state;
 
 use bpaf::{Parser, construct, long, positional};
 
@@ -42,6 +45,10 @@
     ("poison", poison::run),
     ("stream", stream::run),
 ];
+const MEASURES: &[Measure] = &[("state", state::run)];
+
+#[global_allocator]
+static ALLOCATOR: alloc::Counting = alloc::Counting;
 
 fn options() -> bpaf::OptionParser<Options> {
     let seed = long("seed")
