limit: forget a ceiling only once it is clearly passed

Cause: any probe above a ceiling dropped it and growth ran on to the next trouble, also where the ceiling was right within its error. Change: a probe that succeeds raises the ceiling; it is forgotten 5 % above the last trouble. Probes after a start begin after 4 steps at the limit.

--- a/crates/limit/src/learn/axis/mod.rs
+++ b/crates/limit/src/learn/axis/mod.rs
@@ -4,7 +4,7 @@
 const GROW_STEPS: f64 = 3.0;
 /// Steps at the limit that justify growth after a ceiling proved outdated, and
 /// the load over it up to which growth is that cautious.
-const CAUTIOUS_STEPS: f64 = 8.0;
+const CAUTIOUS_STEPS: f64 = 4.0;
 const CAUTIOUS_UP_TO: f64 = 1.25;
 /// Growth before a ceiling is known, as a part of the limit. Work beyond the
 /// proven load still goes one call at a time.
@@ -13,9 +13,12 @@
 const ALONG: f64 = 0.8;
 /// Steps at the limit before the first probe above a ceiling, and the most
 /// between two; each failed probe multiplies the interval.
-const PROBE_STEPS: f64 = 16.0;
+const PROBE_STEPS: f64 = 4.0;
 const PROBE_STEPS_MAX: f64 = 2048.0;
 const PROBE_GROWTH: f64 = 4.0;
+/// Proven load over the last trouble from which its ceiling is forgotten; less
+/// may be the error of the ceiling.
+const OUTDATED: f64 = 1.05;
 /// Part of a ceiling that the limit stays below but for probes.
 const MARGIN: f64 = 0.95;
 
@@ -32,6 +35,8 @@
     window: f64,
     /// Load at which trouble was seen, if any.
     pub ceiling: Option<f64>,
+    /// The ceiling when trouble was last seen, before probes raised it.
+    found: f64,
     /// How far the limit may exceed the margin because probes raised it.
     probe: f64,
     /// Steps at the limit since the last growth and the last probe.
@@ -52,6 +57,7 @@
             proven: 0.0,
             window: 0.0,
             ceiling: None,
+            found: 0.0,
             probe: 0.0,
             evidence: 0.0,
             probe_evidence: 0.0,
@@ -78,7 +84,11 @@
         self.window = self.window.max(load.min(self.limit));
         self.proven = self.proven.max(self.window);
         if self.probe > 0.0 && self.proven > self.current(drift) {
-            self.forget();
+            self.ceiling = Some(self.proven * drift);
+            self.probe = (self.limit - MARGIN * self.proven).max(0.0);
+            if self.proven * drift > OUTDATED * self.found {
+                self.forget();
+            }
         }
     }
 
@@ -133,11 +143,13 @@
     /// Restates the ceiling for step times measured anew from here on.
     pub fn rebase(&mut self, drift: f64) {
         self.ceiling = self.ceiling.map(|c| c / drift);
+        self.found /= drift;
     }
 
     /// Remembers `held`, what the upstream could hold, and backs off below it.
     pub fn back_off(&mut self, held: f64) {
-        self.ceiling = Some(held.max(1.0));
+        self.found = held.max(1.0);
+        self.ceiling = Some(self.found);
         self.lower(self.limit.min((MARGIN * held).floor()));
         self.probe = 0.0;
         self.evidence = 0.0;
