--- a/crates/measure/src/limits/engine/mod.rs
+++ b/crates/measure/src/limits/engine/mod.rs
@@ -121,6 +121,8 @@
     pub all: u32,
     /// All but the first of each start or turn to cold.
     pub beyond_first: u32,
+    /// Those while the engine was over capacity already.
+    pub repeated: u32,
 }
 
 #[derive(Clone, Debug)]
@@ -189,7 +191,9 @@
         let tokens = self.tokens + self.waiting.iter().map(|j| j.tokens).sum::<u64>();
         let over = calls > capacity.calls || tokens + job.tokens > capacity.tokens;
         if over && calls > 1 {
+            let already = calls - 1 > capacity.calls || tokens > capacity.tokens;
             self.excess.all += 1;
+            self.excess.repeated += u32::from(already);
             self.excess.beyond_first += u32::from(self.probed);
             self.probed = true;
         }
--- a/crates/measure/src/limits/mod.rs
+++ b/crates/measure/src/limits/mod.rs
@@ -7,6 +7,7 @@
 
 mod engine;
 mod policy;
+mod rival;
 mod world;
 
 use engine::Kind;
@@ -34,7 +35,7 @@
     let Some((_, learned)) = of(Policy::Learned) else {
         return;
     };
-    let (_, beyond) = learned.excess(None);
+    let beyond = learned.excess(None).beyond_first;
     report.at_most(
         "over_capacity_calls_beyond_first_probe",
         BEYOND_FIRST_PROBE,
@@ -48,7 +49,8 @@
 }
 
 fn print(report: &Report, policy: Policy, out: &Outcomes, of_oracle: f64) {
-    let (over, beyond) = out.excess(None);
+    let excess = out.excess(None);
+    let of_kind = |kind| out.excess(Some(kind)).beyond_first;
     let seconds = |quantile| out.latency.value_at_quantile(quantile) as f64 / 1e6;
     report.line(&[
         ("policy", &policy.name()),
@@ -57,11 +59,12 @@
         ("goodput_of_oracle", &format!("{of_oracle:.4}")),
         ("p50_s", &format!("{:.2}", seconds(0.5))),
         ("p99_s", &format!("{:.2}", seconds(0.99))),
-        ("over_capacity_calls", &over),
-        ("beyond_first_probe", &beyond),
-        ("slowing", &out.excess(Some(Kind::Slowing)).1),
-        ("pressed", &out.excess(Some(Kind::Pressed)).1),
-        ("silent", &out.excess(Some(Kind::Silent)).1),
+        ("over_capacity_calls", &excess.all),
+        ("beyond_first_probe", &excess.beyond_first),
+        ("of_slowing", &of_kind(Kind::Slowing)),
+        ("of_pressed", &of_kind(Kind::Pressed)),
+        ("of_silent", &of_kind(Kind::Silent)),
+        ("while_already_over", &excess.repeated),
         ("engine_falls", &out.falls()),
         ("crashed_calls", &out.crashed),
         ("refused_calls", &out.refused),
--- a/crates/measure/src/limits/policy/mod.rs
+++ b/crates/measure/src/limits/policy/mod.rs
@@ -8,6 +8,8 @@
 use sesamerock_limit::gate::{Gate, Settings};
 use sesamerock_limit::learn::{self, Bounds, Load};
 
+use super::rival::Rule;
+
 /// Age from which a report says nothing; without it an upstream that looked
 /// full in its last report would get no call again.
 const STALE: Duration = Duration::from_secs(2);
@@ -23,6 +25,8 @@
     LeastOutstanding,
     /// The mean capacity of all upstreams as limit of each.
     Static,
+    /// A well-known algorithm for each upstream.
+    Rival(Rule),
     /// The true capacity at any moment as limit, with the views of entries as
     /// late as those of the learned limit.
     Known,
@@ -34,10 +38,13 @@
 }
 
 impl Policy {
-    pub const ALL: [Self; 6] = [
+    pub const ALL: [Self; 9] = [
         Self::RoundRobin,
         Self::LeastOutstanding,
         Self::Static,
+        Self::Rival(Rule::Aimd),
+        Self::Rival(Rule::Gradient),
+        Self::Rival(Rule::Vegas),
         Self::Known,
         Self::Oracle,
         Self::Learned,
@@ -48,6 +55,9 @@
             Self::RoundRobin => "round_robin",
             Self::LeastOutstanding => "least_outstanding",
             Self::Static => "static_mean",
+            Self::Rival(Rule::Aimd) => "aimd",
+            Self::Rival(Rule::Gradient) => "gradient",
+            Self::Rival(Rule::Vegas) => "vegas",
             Self::Known => "known_limits",
             Self::Oracle => "oracle",
             Self::Learned => "learned",
@@ -58,6 +68,14 @@
         matches!(self, Self::Known | Self::Oracle)
     }
 
+    /// Returns the algorithm of a rival.
+    pub fn rule(self) -> Option<Rule> {
+        match self {
+            Self::Rival(rule) => Some(rule),
+            _ => None,
+        }
+    }
+
     pub fn gated(self) -> bool {
         !matches!(self, Self::RoundRobin | Self::LeastOutstanding)
     }
--- a/crates/measure/src/limits/world/mod.rs
+++ b/crates/measure/src/limits/world/mod.rs
@@ -12,8 +12,9 @@
 use sesamerock_limit::gate::{Decision, Gate, Offer, Sample, Verdict};
 use sesamerock_limit::learn::{Load, Outcome, Report};
 
-use super::engine::{Engine, Hidden, Job, Kind, RESTART_US, Token};
+use super::engine::{Engine, Excess, Hidden, Job, Kind, RESTART_US, Token};
 use super::policy::{Policy, View, pinned};
+use super::rival::Rival;
 
 const ENGINES: usize = 12;
 const ENTRIES: usize = 4;
@@ -77,6 +78,8 @@
     attempts: u32,
     tried: u32,
     engine: Option<usize>,
+    /// When it was sent to the engine.
+    sent: u64,
     over: bool,
 }
 
@@ -101,6 +104,7 @@
     sequence: u64,
     engines: Vec<Engine>,
     gates: Vec<Gate>,
+    rivals: Vec<Rival>,
     views: Vec<Vec<View>>,
     /// Next wake of each gate that is in the event queue.
     wakes: [u64; ENGINES],
@@ -135,6 +139,9 @@
             sequence: 0,
             engines: hidden.iter().enumerate().map(engine).collect(),
             gates: (0..ENGINES).map(|_| policy.gate(mean)).collect(),
+            rivals: policy
+                .rule()
+                .map_or_else(Vec::new, |rule| vec![Rival::new(rule); ENGINES]),
             views: vec![vec![View::default(); ENGINES]; ENTRIES],
             wakes: [0; ENGINES],
             turns: [0; ENTRIES],
@@ -224,6 +231,7 @@
             attempts: 0,
             tried: 0,
             engine: None,
+            sent: 0,
             over: false,
         });
         self.out.offered += 1;
@@ -320,14 +328,31 @@
         self.poll(engine);
     }
 
-    /// Tells the gate of an informed policy the true capacity.
+    /// Sets the limit of a gate that does not learn it.
     fn inform(&mut self, engine: usize) {
         if self.policy.informed() {
             let bounds = pinned(self.engines[engine].capacity(self.now));
             self.gates[engine].rebound(bounds);
+        } else if let Some(rival) = self.rivals.get(engine) {
+            let calls = rival.limit();
+            self.gates[engine].rebound(pinned(Load {
+                calls,
+                tokens: u64::MAX / 2,
+            }));
         }
     }
 
+    /// Gives a rival the time to first token of a call.
+    fn sample(&mut self, engine: usize, call: u64) {
+        let Some(rival) = self.rivals.get_mut(engine) else {
+            return;
+        };
+        let state = &self.calls[call as usize];
+        let seconds = (self.now - state.sent) as f64 / 1e6;
+        let in_flight = self.gates[engine].report().in_flight.calls;
+        rival.sample(self.now, seconds, in_flight);
+    }
+
     fn refused(&mut self, call: u64, engine: usize) {
         self.out.refusals += 1;
         self.answered(call, engine);
@@ -367,7 +392,8 @@
             self.end(engine, call, Outcome::Crashed);
             return;
         }
-        let state = self.calls[call as usize];
+        let state = &mut self.calls[call as usize];
+        state.sent = self.now;
         let job = Job {
             call,
             tokens: state.prompt + u64::from(state.output),
@@ -426,6 +452,7 @@
         let gate = &mut self.gates[engine];
         if token.first {
             gate.first_token(now, token.call);
+            self.sample(engine, token.call);
             if self.policy.gated() {
                 self.answered(token.call, engine);
             }
@@ -444,6 +471,11 @@
             self.gates[engine].finish(now, call, Sample { outcome });
             self.answered(call, engine);
         }
+        if outcome == Outcome::Crashed
+            && let Some(rival) = self.rivals.get_mut(engine)
+        {
+            rival.crashed();
+        }
         let state = &mut self.calls[call as usize];
         state.over = true;
         self.views[state.entry][engine].outstanding -= 1;
@@ -513,11 +545,13 @@
 
 impl Outcomes {
     /// Sums admissions beyond capacity over the engines of a kind, or of all.
-    pub fn excess(&self, kind: Option<Kind>) -> (u32, u32) {
+    pub fn excess(&self, kind: Option<Kind>) -> Excess {
         let wanted = |e: &&Engine| kind.is_none_or(|k| e.hidden.kind == k);
         let engines = self.engines.iter().filter(wanted);
-        engines.fold((0, 0), |(all, beyond), e| {
-            (all + e.excess.all, beyond + e.excess.beyond_first)
+        engines.fold(Excess::default(), |sum, e| Excess {
+            all: sum.all + e.excess.all,
+            beyond_first: sum.beyond_first + e.excess.beyond_first,
+            repeated: sum.repeated + e.excess.repeated,
         })
     }
 
