limit: split the learner, the queue and the measure into smaller modules

Change: latency, start, level and outcome are modules of their own; the test of bounded memory also counts the rounds. Deviations to first token are scaled by the size of the call now, as the usual steps were.

--- a/crates/limit/src/learn/mod.rs
+++ b/crates/limit/src/learn/mod.rs
@@ -11,6 +11,8 @@
 
 mod axis;
 mod input;
+mod latency;
+mod start;
 
 pub use input::{Bounds, Cause, End, First, Fit, Flight, Load, Oldest, Outcome, Report, Settings};
 
@@ -20,6 +22,8 @@
 
 use crate::curve::Curve;
 use axis::Axis;
+use latency::{Latency, Sign};
+use start::Start;
 
 /// Step time over that at the last trouble below which ceilings are forgotten,
 /// since the engine is no longer the one that showed them.
@@ -38,28 +42,8 @@
 /// Silence, in expected steps plus a fixed slack, after which admission pauses.
 const SILENT_STEPS: f64 = 2.0;
 const SILENT_SLACK: Duration = Duration::from_millis(20);
-/// Steps beyond the usual ones to first token, and multiples of their usual
-/// deviation, after which a call on unproven ground was queued, and after which
-/// any call is late.
-const QUEUED_STEPS: f64 = 0.6;
-const QUEUED_DEVIATIONS: f64 = 2.0;
-const LATE_STEPS: f64 = 1.5;
-const LATE_DEVIATIONS: f64 = 4.0;
-/// Steps to first token before any are known: the rest of the running step and
-/// the call's own.
-const TYPICAL_STEPS: f64 = 2.0;
-/// Weights that keep the usual steps to first token near their maximum.
-const TYPICAL_UP: f64 = 1.0 / 8.0;
-const TYPICAL_DOWN: f64 = 1.0 / 128.0;
 /// Steps after which the proof of a load expires unless it ran again.
 const PROOF_STEPS: f64 = 256.0;
-/// Weight of a new observation in slowly changing means.
-const SLOW_WEIGHT: f64 = 1.0 / 64.0;
-/// Weight of a new observation in quickly changing means.
-const FAST_WEIGHT: f64 = 1.0 / 4.0;
-/// Latency over the usual one that counts as queueing, for upstreams that do
-/// not stream; twice this counts as a turn to cold.
-const QUEUEING: f64 = 2.0;
 /// Age at which a report of waiting calls no longer counts.
 const REPORT_AGE: Duration = Duration::from_secs(2);
 /// Reports in a row with waiting calls that count as trouble.
@@ -81,14 +65,8 @@
     /// What the last blocked call was blocked by, and its tokens.
     blocked: Option<(Fit, u64)>,
     last_token: Moment,
-    /// Usual steps to first token and their excess, and usual tokens of a call.
-    typical: f64,
-    deviation: f64,
-    mean_tokens: f64,
-    /// Usual latency of an upstream that does not stream, in seconds, and the
-    /// recent ratio to it.
-    latency: f64,
-    latency_ratio: f64,
+    start: Start,
+    latency: Latency,
     failures: u32,
     /// Reports in a row with calls waiting in the engine, and the last report.
     waiting: u32,
@@ -113,11 +91,8 @@
             window: 0.0,
             blocked: None,
             last_token: Moment::default(),
-            typical: TYPICAL_STEPS,
-            deviation: 0.0,
-            mean_tokens: 0.0,
-            latency: 0.0,
-            latency_ratio: 1.0,
+            start: Start::default(),
+            latency: Latency::default(),
             failures: 0,
             waiting: 0,
             reported: Moment::default(),
@@ -222,20 +197,9 @@
     /// Records the first token of a call.
     pub fn first(&mut self, now: Moment, flight: &Flight, first: &First) {
         self.last_token = now;
-        let waited = first.waited / self.size(first.tokens);
-        let weight = if self.mean_tokens == 0.0 {
-            1.0
-        } else {
-            SLOW_WEIGHT
-        };
-        self.mean_tokens += (first.tokens as f64 - self.mean_tokens) * weight;
-        let queued = waited > self.usual(QUEUED_STEPS, QUEUED_DEVIATIONS);
-        if flight.started.calls > 1 && waited <= self.late_steps() {
-            let off = waited - self.typical;
-            let weight = if off > 0.0 { TYPICAL_UP } else { TYPICAL_DOWN };
-            self.typical += off * weight;
-            self.deviation += (off.max(0.0) - self.deviation) * SLOW_WEIGHT;
-        }
+        let queued = self.start.queued(first.waited, first.tokens);
+        let alone = flight.started.calls <= 1;
+        self.start.record(first.waited, first.tokens, alone);
         self.prove(flight.started);
         let unproven = !self.proven().covers(first.load) && first.load.calls > 1;
         // The call began only once another had ended.
@@ -275,11 +239,16 @@
             Outcome::Cancelled => return,
             Outcome::Done => self.failures = 0,
         }
-        if !end.streamed {
-            self.latency(flight, end.duration.as_secs_f64());
-            self.prove(end.load);
-            self.grow(flight, 1.0 / self.calls.limit.max(1.0));
+        if end.streamed {
+            return;
+        }
+        match self.latency.record(end.duration.as_secs_f64()) {
+            Sign::Slow => return self.reset(Cause::Slow),
+            Sign::Queueing => return self.back_off(flight.admitted, flight.admitted),
+            Sign::Healthy => {}
         }
+        self.prove(end.load);
+        self.grow(flight, 1.0 / self.calls.limit.max(1.0));
     }
 
     /// Records a lagged report of the engine.
@@ -298,7 +267,7 @@
         // An engine also counts calls that only wait for the next step; where
         // the first tokens are seen, they tell which it is.
         let unusual = |o: Oldest| {
-            o.admitted >= self.trouble && self.steps - o.admitted > self.typical + QUEUED_STEPS
+            o.admitted >= self.trouble && self.start.queued(self.steps - o.admitted, o.tokens)
         };
         let queues = report.waiting > 0 && (!streams || flight.oldest.is_some_and(unusual));
         self.waiting = if queues {
@@ -329,7 +298,7 @@
         let reported = self.waiting > 0 && now.since(self.reported) < REPORT_AGE;
         let unproven = !self.proven().covers(after);
         // Without first tokens, a load is proven when calls at it have ended.
-        let waits = if self.latency > 0.0 {
+        let waits = if self.latency.known() {
             !self.proven().covers(flight.admitted)
         } else {
             pending > 0
@@ -360,22 +329,7 @@
 
     /// Returns whether a call has waited too long for its first token.
     fn late(&self, oldest: &Oldest) -> bool {
-        self.steps - oldest.admitted > self.late_steps() * self.size(oldest.tokens)
-    }
-
-    /// Returns the size of a call over the usual one, at least 1; a long prompt
-    /// takes more steps to its first token.
-    fn size(&self, tokens: u64) -> f64 {
-        (tokens as f64 / self.mean_tokens.max(1.0)).max(1.0)
-    }
-
-    fn late_steps(&self) -> f64 {
-        self.usual(LATE_STEPS, LATE_DEVIATIONS)
-    }
-
-    /// Returns the usual steps to first token plus an allowance.
-    fn usual(&self, steps: f64, deviations: f64) -> f64 {
-        self.typical + steps + deviations * self.deviation
+        self.start.late(self.steps - oldest.admitted, oldest.tokens)
     }
 
     /// Returns step time over that at the last trouble, without its noise.
@@ -480,22 +434,6 @@
             self.back_off(flight.admitted, flight.admitted);
         }
     }
-
-    /// Records the latency of a call that did not stream.
-    fn latency(&mut self, flight: &Flight, seconds: f64) {
-        if self.latency == 0.0 {
-            self.latency = seconds;
-        }
-        let ratio = seconds / self.latency.max(1e-6);
-        self.latency_ratio += (ratio - self.latency_ratio) * FAST_WEIGHT;
-        self.latency += (seconds - self.latency) * SLOW_WEIGHT;
-        if self.latency_ratio > 2.0 * QUEUEING {
-            self.reset(Cause::Slow);
-        } else if self.latency_ratio > QUEUEING {
-            self.latency_ratio = 1.0;
-            self.back_off(flight.admitted, flight.admitted);
-        }
-    }
 }
 
 /// Makes both axes at their first values.
--- /dev/null
+++ b/crates/limit/src/learn/start/mod.rs
@@ -0,0 +1,71 @@
+//! Steps until a call gets its first token, which show whether the engine took
+//! the call into its batch at once or queued it.
+
+/// Steps beyond the usual ones, and multiples of their usual deviation, after
+/// which a call was queued, and after which it is late.
+const QUEUED_STEPS: f64 = 0.6;
+const QUEUED_DEVIATIONS: f64 = 2.0;
+const LATE_STEPS: f64 = 1.5;
+const LATE_DEVIATIONS: f64 = 4.0;
+/// Usual steps before any are known: the rest of the running step and the
+/// call's own.
+const TYPICAL_STEPS: f64 = 2.0;
+/// Weights that keep the usual steps near their maximum.
+const TYPICAL_UP: f64 = 1.0 / 8.0;
+const TYPICAL_DOWN: f64 = 1.0 / 128.0;
+/// Weight of a new observation in the other means.
+const WEIGHT: f64 = 1.0 / 64.0;
+
+/// The usual start of a call.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Start {
+    typical: f64,
+    /// Usual excess over `typical`.
+    deviation: f64,
+    /// Usual tokens of a call.
+    tokens: f64,
+}
+
+impl Default for Start {
+    fn default() -> Self {
+        Self {
+            typical: TYPICAL_STEPS,
+            deviation: 0.0,
+            tokens: 0.0,
+        }
+    }
+}
+
+impl Start {
+    /// Records a call that began after so many steps. `alone` tells that no
+    /// other call ran, by whose tokens the steps could have been counted.
+    pub fn record(&mut self, waited: f64, tokens: u64, alone: bool) {
+        let weight = if self.tokens == 0.0 { 1.0 } else { WEIGHT };
+        self.tokens += (tokens as f64 - self.tokens) * weight;
+        if alone || self.late(waited, tokens) {
+            return;
+        }
+        let off = waited / self.size(tokens) - self.typical;
+        let weight = if off > 0.0 { TYPICAL_UP } else { TYPICAL_DOWN };
+        self.typical += off * weight;
+        self.deviation += (off.max(0.0) - self.deviation) * WEIGHT;
+    }
+
+    /// Returns whether a call that waited so long was queued.
+    pub fn queued(&self, waited: f64, tokens: u64) -> bool {
+        let usual = self.typical + QUEUED_STEPS + QUEUED_DEVIATIONS * self.deviation;
+        waited > usual * self.size(tokens)
+    }
+
+    /// Returns whether a call that still waits is late.
+    pub fn late(&self, waited: f64, tokens: u64) -> bool {
+        let usual = self.typical + LATE_STEPS + LATE_DEVIATIONS * self.deviation;
+        waited > usual * self.size(tokens)
+    }
+
+    /// Returns the size of a call over the usual one, at least 1; a long prompt
+    /// takes more steps to its first token.
+    fn size(&self, tokens: u64) -> f64 {
+        (tokens as f64 / self.tokens.max(1.0)).max(1.0)
+    }
+}
--- /dev/null
+++ b/crates/limit/src/queue/level/mod.rs
@@ -0,0 +1,52 @@
+//! Flows of one priority level.
+
+use std::collections::{BTreeSet, HashMap, VecDeque};
+
+use sesamerock_base::key::Workspace;
+
+use super::Call;
+
+/// Calls of one workspace in one level.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Flow {
+    /// Call and stamp; an element whose stamp is gone was removed.
+    pub calls: VecDeque<(Call, u64)>,
+    pub live: usize,
+    pub tokens: u64,
+    pub deficit: u64,
+    /// Stamp of this flow's element in the round.
+    pub stamp: u64,
+}
+
+#[derive(Clone, Debug, Default)]
+pub(super) struct Level {
+    pub flows: HashMap<Workspace, Flow>,
+    /// Backlogged workspaces in the order of service; an element whose stamp
+    /// differs from its flow's belongs to a flow that has ended.
+    pub round: VecDeque<(Workspace, u64)>,
+    /// Backlogged workspaces by queued tokens.
+    pub backlog: BTreeSet<(u64, Workspace)>,
+    pub tokens: u64,
+}
+
+impl Level {
+    /// Returns the workspace whose turn it is.
+    pub fn front(&mut self) -> Option<Workspace> {
+        while let Some((workspace, stamp)) = self.round.front() {
+            match self.flows.get(workspace) {
+                Some(flow) if flow.stamp == *stamp => return Some(*workspace),
+                _ => self.round.pop_front(),
+            };
+        }
+        None
+    }
+
+    /// Drops turns of ended flows once they outnumber the others.
+    pub fn compact(&mut self) {
+        if self.round.len() > 2 * self.flows.len() + 8 {
+            let flows = &self.flows;
+            self.round
+                .retain(|(w, stamp)| flows.get(w).is_some_and(|f| f.stamp == *stamp));
+        }
+    }
+}
--- a/crates/limit/src/queue/mod.rs
+++ b/crates/limit/src/queue/mod.rs
@@ -9,11 +9,15 @@
 //! full and they belong to the lowest level's most backlogged workspace. State
 //! exists only for workspaces with queued calls.
 
-use std::collections::{BTreeSet, HashMap, VecDeque};
+mod level;
+
+use std::collections::{BTreeSet, HashMap};
 
 use sesamerock_base::key::Workspace;
 use sesamerock_base::time::Moment;
 
+use level::Level;
+
 /// Number of priority levels, those of RFC 9218.
 pub const LEVELS: usize = 8;
 
@@ -69,29 +73,6 @@
     Duplicate,
 }
 
-/// Calls of one workspace in one level.
-#[derive(Clone, Debug, Default)]
-struct Flow {
-    /// Call and stamp; an element whose stamp is gone was removed.
-    calls: VecDeque<(Call, u64)>,
-    live: usize,
-    tokens: u64,
-    deficit: u64,
-    /// Stamp of this flow's element in the round.
-    stamp: u64,
-}
-
-#[derive(Clone, Debug, Default)]
-struct Level {
-    flows: HashMap<Workspace, Flow>,
-    /// Backlogged workspaces in the order of service; an element whose stamp
-    /// differs from its flow's belongs to a flow that has ended.
-    round: VecDeque<(Workspace, u64)>,
-    /// Backlogged workspaces by queued tokens.
-    backlog: BTreeSet<(u64, Workspace)>,
-    tokens: u64,
-}
-
 /// The queue of one upstream.
 #[derive(Clone, Debug)]
 pub struct Queue {
@@ -145,10 +126,12 @@
         self.levels.iter().map(|l| l.flows.len()).sum()
     }
 
-    /// Returns the elements held in flows, including those of removed calls.
+    /// Returns the elements held in flows and rounds, including those of calls
+    /// and flows that are gone.
     pub fn elements(&self) -> usize {
         let flows = self.levels.iter().flat_map(|l| l.flows.values());
-        flows.map(|f| f.calls.len()).sum()
+        let calls: usize = flows.map(|f| f.calls.len()).sum();
+        calls + self.levels.iter().map(|l| l.round.len()).sum::<usize>()
     }
 
     /// Adds a call; a full queue makes room at the expense of lower levels
@@ -387,28 +370,6 @@
     }
 }
 
-impl Level {
-    /// Returns the workspace whose turn it is.
-    fn front(&mut self) -> Option<Workspace> {
-        while let Some((workspace, stamp)) = self.round.front() {
-            match self.flows.get(workspace) {
-                Some(flow) if flow.stamp == *stamp => return Some(*workspace),
-                _ => self.round.pop_front(),
-            };
-        }
-        None
-    }
-
-    /// Drops turns of ended flows once they outnumber the others.
-    fn compact(&mut self) {
-        if self.round.len() > 2 * self.flows.len() + 8 {
-            let flows = &self.flows;
-            self.round
-                .retain(|(w, stamp)| flows.get(w).is_some_and(|f| f.stamp == *stamp));
-        }
-    }
-}
-
 fn index(urgency: u8) -> usize {
     usize::from(urgency).min(LEVELS - 1)
 }
--- a/crates/measure/src/limits/mod.rs
+++ b/crates/measure/src/limits/mod.rs
@@ -6,13 +6,15 @@
 //! `docs/notes/limits.md` explains the figures.
 
 mod engine;
+mod outcome;
 mod policy;
 mod rival;
 mod world;
 
 use engine::Kind;
+use outcome::Outcomes;
 use policy::Policy;
-use world::{Outcomes, World};
+use world::World;
 
 use crate::report::Report;
 
