--- a/crates/measure/src/limits/world/mod.rs
+++ b/crates/measure/src/limits/world/mod.rs
@@ -4,7 +4,6 @@
 use std::collections::BinaryHeap;
 use std::time::Duration;
 
-use hdrhistogram::Histogram;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use sesamerock_base::key::{Vm, Workspace};
@@ -12,8 +11,10 @@
 use sesamerock_limit::gate::{Decision, Gate, Offer, Sample, Verdict};
 use sesamerock_limit::learn::{Load, Outcome, Report};
 
-use super::engine::{Engine, Hidden, Job, Kind, RESTART_US, Token};
+use super::engine::{Engine, Hidden, Job, RESTART_US, Token};
+use super::outcome::Outcomes;
 use super::policy::{Policy, View, pinned};
+use super::rival::Rival;
 
 const ENGINES: usize = 12;
 const ENTRIES: usize = 4;
@@ -77,23 +78,11 @@
     attempts: u32,
     tried: u32,
     engine: Option<usize>,
+    /// When it was sent to the engine.
+    sent: u64,
     over: bool,
 }
 
-/// Result of a run.
-#[derive(Debug)]
-pub struct Outcomes {
-    pub offered: u64,
-    pub in_time: u64,
-    pub crashed: u64,
-    pub refused: u64,
-    pub refusals: u64,
-    pub expired: u64,
-    pub latency: Histogram<u64>,
-    pub engines: Vec<Engine>,
-    pub resets: u64,
-}
-
 pub struct World {
     policy: Policy,
     now: u64,
@@ -101,6 +90,7 @@
     sequence: u64,
     engines: Vec<Engine>,
     gates: Vec<Gate>,
+    rivals: Vec<Rival>,
     views: Vec<Vec<View>>,
     /// Next wake of each gate that is in the event queue.
     wakes: [u64; ENGINES],
@@ -135,6 +125,9 @@
             sequence: 0,
             engines: hidden.iter().enumerate().map(engine).collect(),
             gates: (0..ENGINES).map(|_| policy.gate(mean)).collect(),
+            rivals: policy
+                .rule()
+                .map_or_else(Vec::new, |rule| vec![Rival::new(rule); ENGINES]),
             views: vec![vec![View::default(); ENGINES]; ENTRIES],
             wakes: [0; ENGINES],
             turns: [0; ENTRIES],
@@ -143,17 +136,7 @@
             choices: ChaCha8Rng::seed_from_u64(seed + 2),
             rate,
             tokens: Vec::new(),
-            out: Outcomes {
-                offered: 0,
-                in_time: 0,
-                crashed: 0,
-                refused: 0,
-                refusals: 0,
-                expired: 0,
-                latency: Histogram::new_with_bounds(1, 600_000_000, 3).expect("valid bounds"),
-                engines: Vec::new(),
-                resets: 0,
-            },
+            out: Outcomes::default(),
         };
         world.at(0, Event::Arrive);
         world.at(COLD_US, Event::TurnCold);
@@ -224,6 +207,7 @@
             attempts: 0,
             tried: 0,
             engine: None,
+            sent: 0,
             over: false,
         });
         self.out.offered += 1;
@@ -320,14 +304,31 @@
         self.poll(engine);
     }
 
-    /// Tells the gate of an informed policy the true capacity.
+    /// Sets the limit of a gate that does not learn it.
     fn inform(&mut self, engine: usize) {
         if self.policy.informed() {
             let bounds = pinned(self.engines[engine].capacity(self.now));
             self.gates[engine].rebound(bounds);
+        } else if let Some(rival) = self.rivals.get(engine) {
+            let calls = rival.limit();
+            self.gates[engine].rebound(pinned(Load {
+                calls,
+                tokens: u64::MAX / 2,
+            }));
         }
     }
 
+    /// Gives a rival the time to first token of a call.
+    fn sample(&mut self, engine: usize, call: u64) {
+        let Some(rival) = self.rivals.get_mut(engine) else {
+            return;
+        };
+        let state = &self.calls[call as usize];
+        let seconds = (self.now - state.sent) as f64 / 1e6;
+        let in_flight = self.gates[engine].report().in_flight.calls;
+        rival.sample(self.now, seconds, in_flight);
+    }
+
     fn refused(&mut self, call: u64, engine: usize) {
         self.out.refusals += 1;
         self.answered(call, engine);
@@ -367,7 +368,8 @@
             self.end(engine, call, Outcome::Crashed);
             return;
         }
-        let state = self.calls[call as usize];
+        let state = &mut self.calls[call as usize];
+        state.sent = self.now;
         let job = Job {
             call,
             tokens: state.prompt + u64::from(state.output),
@@ -426,6 +428,7 @@
         let gate = &mut self.gates[engine];
         if token.first {
             gate.first_token(now, token.call);
+            self.sample(engine, token.call);
             if self.policy.gated() {
                 self.answered(token.call, engine);
             }
@@ -444,6 +447,11 @@
             self.gates[engine].finish(now, call, Sample { outcome });
             self.answered(call, engine);
         }
+        if outcome == Outcome::Crashed
+            && let Some(rival) = self.rivals.get_mut(engine)
+        {
+            rival.crashed();
+        }
         let state = &mut self.calls[call as usize];
         state.over = true;
         self.views[state.entry][engine].outstanding -= 1;
@@ -511,22 +519,6 @@
     }
 }
 
-impl Outcomes {
-    /// Sums admissions beyond capacity over the engines of a kind, or of all.
-    pub fn excess(&self, kind: Option<Kind>) -> (u32, u32) {
-        let wanted = |e: &&Engine| kind.is_none_or(|k| e.hidden.kind == k);
-        let engines = self.engines.iter().filter(wanted);
-        engines.fold((0, 0), |(all, beyond), e| {
-            (all + e.excess.all, beyond + e.excess.beyond_first)
-        })
-    }
-
-    /// Returns the falls of all engines.
-    pub fn falls(&self) -> u32 {
-        self.engines.iter().map(|e| e.falls).sum()
-    }
-}
-
 /// Draws a length: exponential with a floor of a quarter of the mean.
 fn draw(rng: &mut ChaCha8Rng, mean: f64, most: f64) -> u64 {
     let tail = -(1.0 - rng.random::<f64>()).ln();
