--- a/crates/sesamerock/src/control/driver/mod.rs
+++ b/crates/sesamerock/src/control/driver/mod.rs
@@ -109,13 +109,13 @@
         } = parts;
         let now = clock::now();
         let me = Peer::new(
-            settings.peer,
+            settings.reached_at(),
             Place::named(&settings.region, &settings.zone),
         );
         let seeds: Vec<_> = settings
             .seeds
             .iter()
-            .filter(|seed| **seed != settings.peer)
+            .filter(|seed| **seed != settings.reached_at())
             .map(|seed| Peer::new(*seed, me.place))
             .collect();
         let limits = fact::Limits {
--- a/crates/sesamerock/src/settings/mod.rs
+++ b/crates/sesamerock/src/settings/mod.rs
@@ -24,8 +24,10 @@
     pub zone: String,
     /// Region.
     pub region: String,
-    /// Address of the peer service, as other nodes reach it.
+    /// Address of the peer service.
     pub peer: SocketAddr,
+    /// Address at which other nodes reach the peer service, if it differs.
+    pub advertised_peer: Option<SocketAddr>,
     /// Peer addresses to begin with.
     pub seeds: Vec<SocketAddr>,
     /// Address of the platform's services.
@@ -34,6 +36,13 @@
     pub threads: usize,
 }
 
+impl Node {
+    /// Returns the address at which other nodes reach the peer service.
+    pub fn reached_at(&self) -> SocketAddr {
+        self.advertised_peer.unwrap_or(self.peer)
+    }
+}
+
 impl Default for Node {
     fn default() -> Self {
         Self {
@@ -42,6 +51,7 @@
             zone: "a".to_owned(),
             region: "local".to_owned(),
             peer: loopback(),
+            advertised_peer: None,
             seeds: Vec::new(),
             platform: loopback(),
             threads: 0,
--- /dev/null
+++ b/crates/sesamerock/tests/support/world/setup/mod.rs
@@ -0,0 +1,257 @@
+//! Start of a system of real processes.
+
+use std::collections::HashMap;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+
+use sesamerock::dev::{MODEL, SERVICE};
+use sesamerock::entry::operator::{Published, Verdict};
+use sesamerock::settings;
+use sesamerock_note::note::{self, Entries, Model, Note, Served, Upstream};
+use sesamerock_platform::http::client::Client;
+use sesamerock_platform::vms::Vm;
+use sesamerock_standin::engine::{self, Engine};
+use sesamerock_standin::platform::{self, Platform};
+use sesamerock_standin::proxy::Proxy;
+use sesamerock_standin::service::{self, Service};
+use tokio_util::sync::CancellationToken;
+
+use super::{Links, ProcessWorld};
+use crate::support::caller::Caller;
+use crate::support::node::{Node, free_address};
+
+/// Time for all processes to become ready.
+const READY_TIMEOUT: Duration = Duration::from_secs(60);
+
+/// Size of a system.
+#[derive(Clone, Debug)]
+pub struct Size {
+    /// Entries, spread over three zones.
+    pub entries: usize,
+    /// Engines in each zone.
+    pub engines_per_zone: usize,
+    /// Servers of the plain service in each zone.
+    pub services_per_zone: usize,
+    /// Behaviour of the engines.
+    pub engine: engine::Settings,
+}
+
+impl Default for Size {
+    fn default() -> Self {
+        Self {
+            entries: 2,
+            engines_per_zone: 1,
+            services_per_zone: 1,
+            engine: engine::Settings {
+                // Slow enough that a busy machine's delays are not taken for
+                // those of the engine.
+                step: Duration::from_millis(20),
+                step_per_call: Duration::from_micros(200),
+                cold_tokens: 50,
+                ..engine::Settings::default()
+            },
+        }
+    }
+}
+
+impl ProcessWorld {
+    /// Starts a system and waits until it serves.
+    pub async fn start(name: &str, size: Size) -> Self {
+        let dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+        if dir.exists() {
+            std::fs::remove_dir_all(&dir).expect("old logs can be removed");
+        }
+        let stop = CancellationToken::new();
+        let platform = Platform::start(platform::Settings::default(), stop.clone()).await;
+        let mut world = Self {
+            dir,
+            platform: platform.expect("the platform starts"),
+            engines: Vec::new(),
+            services: Vec::new(),
+            nodes: HashMap::new(),
+            links: HashMap::new(),
+            operators: Vec::new(),
+            caller: Caller {
+                client: Client::default(),
+                entries: Vec::new(),
+                record: Arc::default(),
+            },
+            loads: HashMap::new(),
+            verdicts: Vec::new(),
+            highest: HashMap::new(),
+            versions_back: 0,
+            stop,
+        };
+        let mut vms = Vec::new();
+        let mut upstreams = Vec::new();
+        for zone in ["a", "b", "c"] {
+            for _ in 0..size.engines_per_zone {
+                let engine = Engine::start(size.engine.clone(), world.stop.clone()).await;
+                let engine = engine.expect("the engine starts");
+                let address = engine.address();
+                world.engines.push((zone.to_owned(), engine));
+                let name = format!("engine-{}", world.engines.len());
+                let started = world.agent(&name, zone, address, note::Kind::Engine, &mut vms).await;
+                upstreams.push(started);
+            }
+            for _ in 0..size.services_per_zone {
+                let service = Service::start(service::Settings::default(), world.stop.clone()).await;
+                let service = service.expect("the service starts");
+                let address = service.address();
+                world.services.push((zone.to_owned(), service));
+                let name = format!("orders-{}", world.services.len());
+                let started = world.agent(&name, zone, address, note::Kind::Service, &mut vms).await;
+                upstreams.push(started);
+            }
+        }
+        for index in 0..size.entries {
+            world.entry(index, &mut vms).await;
+        }
+        world.platform.set_vms(vms);
+        world.publish_first(&upstreams).await;
+        world
+    }
+
+    /// Makes the settings of a node and its links.
+    async fn node(&mut self, name: &str, zone: &str, vms: &mut Vec<Vm>) -> settings::Node {
+        let peer = free_address();
+        let peers = self.proxy(peer).await;
+        let platform = self.proxy(self.platform.address()).await;
+        let node = settings::Node {
+            name: name.to_owned(),
+            vm: format!("vm-{name}"),
+            zone: zone.to_owned(),
+            peer,
+            advertised_peer: Some(peers.address()),
+            seeds: vms.iter().map(|vm| vm.peer).take(3).collect(),
+            platform: platform.address(),
+            threads: 2,
+            ..settings::Node::default()
+        };
+        vms.push(Vm {
+            name: node.vm.clone(),
+            peer: peers.address(),
+            zone: zone.to_owned(),
+            region: node.region.clone(),
+            leaving: false,
+        });
+        let links = Links { relay: None, peers, platform, upstream: None };
+        self.links.insert(name.to_owned(), links);
+        node
+    }
+
+    async fn proxy(&self, target: std::net::SocketAddr) -> Proxy {
+        Proxy::start(target, self.stop.clone()).await.expect("the proxy starts")
+    }
+
+    async fn agent(
+        &mut self,
+        name: &str,
+        zone: &str,
+        address: std::net::SocketAddr,
+        kind: note::Kind,
+        vms: &mut Vec<Vm>,
+    ) -> Upstream {
+        let node = self.node(name, zone, vms).await;
+        let upstream = self.proxy(address).await;
+        let relay = free_address();
+        let entrance = self.proxy(relay).await;
+        let agent = settings::Agent {
+            relay,
+            operator: free_address(),
+            upstream: settings::Upstream {
+                name: name.to_owned(),
+                address: upstream.address(),
+                kind: match kind {
+                    note::Kind::Engine => settings::Kind::Engine,
+                    note::Kind::Service => settings::Kind::Service,
+                },
+                ..settings::Upstream::default()
+            },
+            node,
+            ..settings::Agent::default()
+        };
+        let started = Upstream {
+            name: name.to_owned(),
+            kind,
+            agent: entrance.address(),
+            zone: zone.to_owned(),
+            vm: agent.node.vm.clone(),
+            models: match kind {
+                note::Kind::Engine => {
+                    vec![Served { name: MODEL.to_owned(), version: None, adapters: Vec::new() }]
+                }
+                note::Kind::Service => Vec::new(),
+            },
+            role: note::Role::Mixed,
+            group: None,
+            rank: None,
+            service: (kind == note::Kind::Service).then(|| SERVICE.to_owned()),
+            checks_fencing: true,
+            checks_sender: false,
+            not_repeatable: Vec::new(),
+        };
+        let links = self.links.get_mut(name).expect("the node has links");
+        links.relay = Some(entrance);
+        links.upstream = Some(upstream);
+        self.nodes.insert(name.to_owned(), Node::start("agent", name, &agent, &self.dir));
+        started
+    }
+
+    async fn entry(&mut self, index: usize, vms: &mut Vec<Vm>) {
+        let name = format!("entry-{}", index + 1);
+        let zone = ["a", "b", "c"][index % 3];
+        let entry = settings::Entry {
+            node: self.node(&name, zone, vms).await,
+            caller: free_address(),
+            operator: free_address(),
+            request_timeout: Duration::from_secs(20),
+            ..settings::Entry::default()
+        };
+        self.caller.entries.push(entry.caller);
+        self.operators.push(entry.operator);
+        self.nodes.insert(name.clone(), Node::start("entry", &name, &entry, &self.dir));
+    }
+
+    /// Publishes the first release note and waits until all entries have it.
+    async fn publish_first(&mut self, upstreams: &[Upstream]) {
+        let note = Note {
+            id: "first".to_owned(),
+            add: Entries {
+                upstreams: upstreams.to_vec(),
+                models: vec![Model { name: MODEL.to_owned(), version: 1 }],
+                services: vec![note::Service {
+                    name: SERVICE.to_owned(),
+                    not_repeatable: vec!["POST /orders".to_owned()],
+                }],
+                ..Entries::default()
+            },
+            ..Note::default()
+        };
+        let uri = format!("http://{}/operator/notes?wait=1", self.operators[0]);
+        let deadline = tokio::time::Instant::now() + READY_TIMEOUT;
+        loop {
+            let published = Client::default().post::<Published>(&uri, &note).await;
+            let done = published.as_ref().is_ok_and(|published| {
+                let everywhere = published.missing.as_ref().is_some_and(Vec::is_empty);
+                published.outcome == Verdict::Accepted && everywhere
+            });
+            if done {
+                return;
+            }
+            assert!(
+                tokio::time::Instant::now() < deadline,
+                "the system is not ready: {published:?}; logs in {}",
+                self.dir.display()
+            );
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+}
+
+impl Drop for ProcessWorld {
+    fn drop(&mut self) {
+        self.stop.cancel();
+    }
+}
