--- a/crates/measure/src/poison/mod.rs
+++ b/crates/measure/src/poison/mod.rs
@@ -43,7 +43,7 @@
 }
 
 /// Conditions that are harder than the target's, to show where the bounds end.
-fn variants(base: &Setup) -> [(&'static str, Setup); 5] {
+fn variants(base: &Setup) -> [(&'static str, Setup); 6] {
     [
         (
             "ours-frequent-bodies",
@@ -66,6 +66,14 @@
                 ..*base
             },
         ),
+        (
+            "ours-racks-fail",
+            Setup {
+                rack: 4,
+                frequent: 0.5,
+                ..*base
+            },
+        ),
         (
             "ours-slow-sharing",
             Setup {
--- a/crates/measure/src/poison/world/mod.rs
+++ b/crates/measure/src/poison/world/mod.rs
@@ -25,6 +25,10 @@
 const DEADLINE_MS: u64 = 30_000;
 /// Pause before a call that found no place is tried again.
 const PAUSE_MS: u64 = 10;
+/// When a rack fails, how often again, and within which time its upstreams do.
+const RACK_MS: u64 = 30_000;
+const RACK_AGAIN_MS: u64 = 25_000;
+const RACK_SPREAD_MS: u64 = 300;
 /// When the poison request is sent first, and when the run ends.
 const FIRST_MS: u64 = 5_000;
 const END_MS: u64 = 120_000;
@@ -54,6 +58,8 @@
     pub rate: f64,
     /// Share of innocent requests with one of a few frequent bodies.
     pub frequent: f64,
+    /// Upstreams that fail together, without any fault of a request.
+    pub rack: usize,
     /// Whether an agent dies with its engine, so that only the entries know
     /// what was in flight.
     pub agents_die: bool,
@@ -67,6 +73,7 @@
             resend: 100,
             rate: 72.0,
             frequent: 0.1,
+            rack: 0,
             agents_die: false,
         }
     }
@@ -75,7 +82,7 @@
 /// Figures of several runs.
 #[derive(Clone, Debug, Default)]
 pub struct Result {
-    /// Crashes of upstreams in the worst run.
+    /// Crashes of upstreams with the poison aboard, in the worst run.
     pub crashes: u64,
     /// Innocent requests.
     pub innocents: u64,
@@ -108,6 +115,7 @@
     Try(u64),
     Finish(usize, u64, u64),
     Crash(usize, u64),
+    Rack,
     Restart(usize),
     GiveUp(u64),
     Merge(usize, Update),
@@ -121,6 +129,14 @@
     flight: Flight,
 }
 
+impl Upstream {
+    fn flight_has(&self, fingerprint: Fingerprint) -> bool {
+        self.running
+            .values()
+            .any(|call| call.fingerprint == fingerprint)
+    }
+}
+
 /// A node with a list: the entries, then the agents.
 #[derive(Debug, Default)]
 struct Node {
@@ -177,6 +193,9 @@
     };
     world.clock.at(Moment::default(), Event::Arrive);
     world.clock.at(Moment::from_millis(FIRST_MS), Event::Poison);
+    if setup.rack > 0 {
+        world.clock.at(Moment::from_millis(RACK_MS), Event::Rack);
+    }
     while let Some(event) = world.clock.next(Moment::from_millis(END_MS)) {
         world.step(event);
     }
@@ -192,6 +211,7 @@
             Event::Try(id) => self.attempt(id),
             Event::Finish(upstream, incarnation, id) => self.finish(upstream, incarnation, id),
             Event::Crash(upstream, incarnation) => self.crash(upstream, incarnation),
+            Event::Rack => self.rack(),
             Event::Restart(upstream) => self.upstreams[upstream].up = true,
             Event::GiveUp(id) => self.give_up(id),
             Event::Merge(node, update) => {
@@ -361,7 +381,7 @@
         if self.upstreams[index].incarnation != incarnation {
             return;
         }
-        self.result.crashes += 1;
+        self.result.crashes += u64::from(self.upstreams[index].flight_has(POISON));
         let stamp = self.stamp();
         let upstream = &mut self.upstreams[index];
         upstream.up = false;
@@ -393,6 +413,19 @@
         self.after(Duration::from_millis(RESTART_MS), Event::Restart(index));
     }
 
+    /// Fails the first upstreams of the pool shortly after each other.
+    fn rack(&mut self) {
+        for index in 0..self.setup.rack {
+            let delay = self.rng.random_range(0..RACK_SPREAD_MS);
+            let incarnation = self.upstreams[index].incarnation;
+            self.after(
+                Duration::from_millis(delay),
+                Event::Crash(index, incarnation),
+            );
+        }
+        self.after(Duration::from_millis(RACK_AGAIN_MS), Event::Rack);
+    }
+
     fn refuse(&mut self, id: u64) {
         let Some(call) = self.waiting.remove(&id) else {
             return;
