Add log lines of choices, and treat ceiling refusals as no retries

Cause: a refusal above the ceiling costs no work; counted as a retry it would use up the budget, and a call that may be sent once would fail for it.

Change: Phase::Bounced goes to another upstream at once, outside the budget; Request::once asks for no ceiling. Choice::line and Refusal::line give the fields of the log line.

--- a/crates/measure/src/balance/world/mod.rs
+++ b/crates/measure/src/balance/world/mod.rs
@@ -235,6 +235,7 @@
             urgency: 3,
             excluded: &call.excluded,
             isolated: false,
+            once: false,
         };
         match self.entries[call.entry].choose(&request, now, &mut self.rng) {
             Ok(choice) => {
--- a/crates/retry/src/attempt/mod.rs
+++ b/crates/retry/src/attempt/mod.rs
@@ -34,6 +34,11 @@
 /// How far the response of the failed attempt came.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Phase {
+    /// The agent refused the call only because its load is above the ceiling
+    /// that the entry gave, see `sesamerock_route::choice::Choice`. The call
+    /// then goes to another upstream at once, which is no retry: it costs no
+    /// work, and the picker bounds how often it happens.
+    Bounced,
     /// The caller has received nothing.
     Silent,
     /// The caller has received part of a stream.
@@ -138,6 +143,12 @@
         return fail(Why::Unsafe);
     }
     let after = match attempt.phase {
+        Phase::Bounced if now < attempt.deadline => {
+            return Decision::Retry {
+                after: Duration::ZERO,
+            };
+        }
+        Phase::Bounced => return fail(Why::Deadline),
         Phase::Silent => pause(attempt, jitter, settings),
         Phase::Streaming { resumable: true } if attempt.repeatable => Duration::ZERO,
         Phase::Streaming { .. } => return fail(Why::Unresumable),
@@ -149,7 +160,7 @@
         return fail(Why::Deadline);
     }
     let (verdict, decision) = match attempt.phase {
-        Phase::Silent => (budget.may_retry(now), Decision::Retry { after }),
+        Phase::Bounced | Phase::Silent => (budget.may_retry(now), Decision::Retry { after }),
         Phase::Streaming { .. } => (budget.may_resume(now), Decision::Resume),
     };
     match verdict {
@@ -160,13 +171,11 @@
 
 /// Returns what a caller may be told of all attempts so far.
 pub fn told(attempt: &Attempt) -> Executed {
-    let this = if attempt.sent {
-        attempt.executed
-    } else {
-        Executed::No
+    let this = match attempt.phase {
+        Phase::Streaming { .. } => Executed::Yes,
+        Phase::Silent if attempt.sent => attempt.executed,
+        Phase::Silent | Phase::Bounced => Executed::No,
     };
-    let streaming = matches!(attempt.phase, Phase::Streaming { .. });
-    let this = if streaming { Executed::Yes } else { this };
     this.max(attempt.earlier)
 }
 
--- a/crates/route/src/choice/mod.rs
+++ b/crates/route/src/choice/mod.rs
@@ -28,6 +28,9 @@
     /// Whether the request is a crash suspect, of which an upstream runs at
     /// most one at a time.
     pub isolated: bool,
+    /// Whether the call must not be sent to a second upstream, as it is neither
+    /// repeatable nor keyed; it then gets no ceiling.
+    pub once: bool,
 }
 
 /// The upstream chosen for a request.
@@ -156,6 +159,40 @@
     }
 }
 
+impl Choice {
+    /// Returns the fields of the log line; `name` returns an upstream's name.
+    pub fn line<'a>(&self, name: impl Fn(Upstream) -> &'a str) -> String {
+        let rank = self
+            .rank
+            .map_or_else(|| "any".to_owned(), |rank| rank.to_string());
+        format!(
+            "upstream={} rank={rank} reason={} expected_ms={} cached_tokens={} losers={}",
+            name(self.upstream),
+            self.reason,
+            self.expected.as_millis(),
+            self.matched,
+            losers(&self.losers, name),
+        )
+    }
+}
+
+impl Refusal {
+    /// Returns the fields of the log line; `name` returns an upstream's name.
+    pub fn line<'a>(&self, name: impl Fn(Upstream) -> &'a str) -> String {
+        let after = self.retry_after.map_or(0, |after| after.as_millis());
+        let losers = losers(&self.losers, name);
+        format!(
+            "upstream=none reason={} retry_after_ms={after} losers={losers}",
+            self.cause
+        )
+    }
+}
+
+fn losers<'a>(losers: &[Loser], name: impl Fn(Upstream) -> &'a str) -> String {
+    let one = |loser: &Loser| format!("{}:{}", name(loser.upstream), loser.why);
+    losers.iter().map(one).collect::<Vec<_>>().join(",")
+}
+
 impl Display for Reason {
     fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
--- a/crates/route/src/pick/mod.rs
+++ b/crates/route/src/pick/mod.rs
@@ -468,7 +468,7 @@
     /// agent knows its own load, so it can refuse what exceeds the mean by a
     /// share, at the price of one round trip.
     fn ceiling(&self, request: &Request<'_>, eligible: usize, prior: &Prior) -> Option<f64> {
-        let others = eligible > 1 && prior.used > 0.0;
+        let others = eligible > 1 && prior.used > 0.0 && !request.once;
         let tries = request.excluded.len() < self.settings.bounces;
         (others && tries)
             .then(|| score::fair(prior) * self.settings.ceiling + score::SLACK / prior.calls)
--- a/crates/route/tests/pick.rs
+++ b/crates/route/tests/pick.rs
@@ -423,6 +423,15 @@
     let high = ceiling(&picker, &[], &pool).expect("a ceiling");
     assert!(high > 17.0 / 32.0 && high < 24.0 / 32.0, "{high}");
     assert_eq!(ceiling(&picker, &pool[..3], &pool), None);
+    // A refused order that may be sent only once would have failed for nothing.
+    let order = Request {
+        once: true,
+        ..request()
+    };
+    let choice = picker
+        .pick(&order, &pool, NOW, &mut rng())
+        .expect("a choice");
+    assert_eq!(choice.ceiling, None);
     assert_eq!(ceiling(&picker, &[], &pool[..1]), None);
 }
 
@@ -527,3 +536,32 @@
         .expect("choice");
     assert_eq!(far.upstream, pool[0]);
 }
+
+/// Operators find the reason and the candidates not chosen in one log line.
+#[test]
+fn log_lines_name_reason_and_losers() {
+    let (mut picker, pool) = pool(3);
+    picker.upsert(
+        pool[2],
+        Profile {
+            leaving: true,
+            ..profile(pool[2])
+        },
+    );
+    picker.report(pool[0], report(30), NOW);
+    let name = |upstream: Upstream| ["a", "b", "c"][upstream.0 as usize];
+    let choice = picker
+        .pick(&request(), &pool, NOW, &mut rng())
+        .expect("a choice");
+    let line = choice.line(name);
+    assert!(
+        line.starts_with("upstream=b rank=any reason=least-cost expected_ms="),
+        "{line}"
+    );
+    assert!(line.contains(" losers=c:leaving,a:cost+"), "{line}");
+    let refusal = picker
+        .pick(&request(), &pool[2..], NOW, &mut rng())
+        .expect_err("leaving");
+    let expected = "upstream=none reason=all-leaving retry_after_ms=0 losers=c:leaving";
+    assert_eq!(refusal.line(name), expected);
+}
