--- /dev/null
+++ b/crates/retry/src/resume/delivered/mod.rs
@@ -0,0 +1,61 @@
+//! What was delivered of a stream, kept for a resumption.
+
+use super::{Point, Reason, Settings};
+use crate::chunk::Chunk;
+use crate::event::{self, Scanner};
+
+/// What was delivered, as far as it is decoded.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Delivered {
+    raw: Vec<u8>,
+    pub(super) point: Point,
+    pub(super) id: Option<String>,
+    pub(super) finished: bool,
+    pub(super) lost: Option<Reason>,
+}
+
+impl Delivered {
+    /// Keeps delivered events for a later resumption.
+    pub(super) fn keep(&mut self, events: &[u8], settings: &Settings) {
+        if self.lost.is_some() {
+            return;
+        }
+        self.raw.extend_from_slice(events);
+        if self.raw.len() > settings.raw {
+            self.decode(settings);
+        }
+    }
+
+    /// Decodes the kept events into text.
+    pub(super) fn decode(&mut self, settings: &Settings) {
+        let raw = std::mem::take(&mut self.raw);
+        let mut scanner = Scanner::default();
+        let mut start = 0;
+        while let Some(end) = scanner.next(&raw) {
+            if end.data && !end.done && self.lost.is_none() {
+                self.add(&event::payload(&raw[start..end.at]));
+            }
+            start = end.at;
+        }
+        if self.lost.is_none() && self.point.text.len() > settings.text {
+            self.lost = Some(Reason::Long);
+        }
+        if self.lost.is_some() {
+            self.point = Point::default();
+        }
+    }
+
+    fn add(&mut self, data: &[u8]) {
+        let chunk = Chunk::decode(data).filter(Chunk::is_plain);
+        let Some(chunk) = chunk else {
+            self.lost = Some(Reason::Structure);
+            return;
+        };
+        self.point.tokens += u64::from(!chunk.text().is_empty());
+        self.point.text.push_str(chunk.text());
+        self.finished |= chunk.finishes();
+        if self.id.is_none() {
+            self.id = chunk.id().map(str::to_owned);
+        }
+    }
+}
--- a/crates/retry/src/resume/mod.rs
+++ b/crates/retry/src/resume/mod.rs
@@ -6,11 +6,14 @@
 //! most one event, the kept bytes and the text; a stream whose text exceeds its
 //! bound keeps nothing from then on and cannot be resumed.
 
+mod delivered;
+
 use bytes::{Bytes, BytesMut};
 use smallvec::SmallVec;
 
 use crate::chunk::{self, Chunk};
 use crate::event::{self, End, Scanner};
+use delivered::Delivered;
 
 /// Bounds of one stream.
 #[derive(Clone, Copy, Debug)]
@@ -101,16 +104,6 @@
 /// The closing mark, for a caller that has everything else.
 const DONE: &[u8] = b"data: [DONE]\n\n";
 
-/// What was delivered, as far as it is decoded.
-#[derive(Clone, Debug, Default)]
-struct Delivered {
-    raw: Vec<u8>,
-    point: Point,
-    id: Option<String>,
-    finished: bool,
-    lost: Option<Reason>,
-}
-
 /// How the events of the current attempt are treated.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Mode {
@@ -369,49 +362,3 @@
         Ok(None)
     }
 }
-
-impl Delivered {
-    /// Keeps delivered events for a later resumption.
-    fn keep(&mut self, events: &[u8], settings: &Settings) {
-        if self.lost.is_some() {
-            return;
-        }
-        self.raw.extend_from_slice(events);
-        if self.raw.len() > settings.raw {
-            self.decode(settings);
-        }
-    }
-
-    /// Decodes the kept events into text.
-    fn decode(&mut self, settings: &Settings) {
-        let raw = std::mem::take(&mut self.raw);
-        let mut scanner = Scanner::default();
-        let mut start = 0;
-        while let Some(end) = scanner.next(&raw) {
-            if end.data && !end.done && self.lost.is_none() {
-                self.add(&event::payload(&raw[start..end.at]));
-            }
-            start = end.at;
-        }
-        if self.lost.is_none() && self.point.text.len() > settings.text {
-            self.lost = Some(Reason::Long);
-        }
-        if self.lost.is_some() {
-            self.point = Point::default();
-        }
-    }
-
-    fn add(&mut self, data: &[u8]) {
-        let chunk = Chunk::decode(data).filter(Chunk::is_plain);
-        let Some(chunk) = chunk else {
-            self.lost = Some(Reason::Structure);
-            return;
-        };
-        self.point.tokens += u64::from(!chunk.text().is_empty());
-        self.point.text.push_str(chunk.text());
-        self.finished |= chunk.finishes();
-        if self.id.is_none() {
-            self.id = chunk.id().map(str::to_owned);
-        }
-    }
-}
