--- a/crates/retry/tests/resume.rs
+++ b/crates/retry/tests/resume.rs
@@ -165,6 +165,10 @@
         &(opening("b") + &event("b", "two ") + &closing("b")),
     );
     let ids = vec!["a".to_owned()];
+    // The role belongs to the start of a response; a second one would tell the
+    // caller that another message begins.
+    let bytes = String::from_utf8_lossy(&caller.bytes);
+    assert_eq!(bytes.matches("assistant").count(), 1);
     assert_eq!(caller.text(), ("one two ".to_owned(), ids));
     assert!(caller.done);
 }
