--- a/crates/measure/src/balance/world/mod.rs
+++ b/crates/measure/src/balance/world/mod.rs
@@ -236,6 +236,7 @@
             excluded: &call.excluded,
             isolated: false,
             queues: false,
+            once: false,
         };
         match self.entries[call.entry].choose(&request, now, &mut self.rng) {
             Ok(choice) => {
--- a/crates/sesamerock/src/entry/table/mod.rs
+++ b/crates/sesamerock/src/entry/table/mod.rs
@@ -48,6 +48,8 @@
     pub(super) prefix: &'a [u64],
     pub(super) excluded: &'a [Upstream],
     pub(super) isolated: bool,
+    /// Whether the call must not be sent to a second upstream.
+    pub(super) once: bool,
     pub(super) key: Option<Key>,
     pub(super) method: &'a str,
     pub(super) path: &'a str,
@@ -264,6 +266,7 @@
             excluded: wish.excluded,
             isolated: wish.isolated,
             queues: false,
+            once: wish.once,
         };
         let now = clock::now();
         let empty = Group::default();
