Stamp entries that a merge repairs with the version of the merge

A repaired entry kept its old stamp, so the next join with either history undid the repair and reported a difference again.

Change: entries that the merge brings back or withdraws get the version of the merge.

--- a/crates/note/src/fold/edit/mod.rs
+++ b/crates/note/src/fold/edit/mod.rs
@@ -251,7 +251,7 @@
         let Some(entry) = self.live::<E>(name) else {
             return;
         };
-        let entry = entry.withdrawn(self.version);
+        let entry = entry.stamped(self.version);
         entry.bury(name, &mut self.state);
     }
 
@@ -339,8 +339,6 @@
 
 /// An entry that a note can withdraw.
 trait Withdrawn: Sized {
-    /// Returns the entry stamped with the version that withdraws it.
-    fn withdrawn(self, version: Version) -> Self;
     /// Keeps the entry as a withdrawn one.
     fn bury(self, name: &str, state: &mut State);
 }
@@ -348,10 +346,6 @@
 macro_rules! withdrawn {
     ($($entry:ident, $table:ident, $put:ident;)+) => {$(
         impl Withdrawn for $entry {
-            fn withdrawn(self, version: Version) -> Self {
-                Self { changed: version, ..self }
-            }
-
             fn bury(self, name: &str, state: &mut State) {
                 let key = state.$table.intern(name);
                 state.$put(key, &Slot::Gone(Arc::new(self)));
--- a/crates/note/src/fold/entry/mod.rs
+++ b/crates/note/src/fold/entry/mod.rs
@@ -9,9 +9,12 @@
 use crate::note::{Kind, Role};
 
 /// An entry that knows the version that changed it last.
-pub trait Stamped {
+pub trait Stamped: Clone {
     /// Returns the version of the record that changed the entry last.
     fn changed(&self) -> Version;
+    /// Returns the entry as changed by a version.
+    #[must_use]
+    fn stamped(&self, changed: Version) -> Self;
 }
 
 macro_rules! stamped {
@@ -20,11 +23,15 @@
             fn changed(&self) -> Version {
                 self.changed
             }
+
+            fn stamped(&self, changed: Version) -> Self {
+                Self { changed, ..self.clone() }
+            }
         }
     )+};
 }
 
-stamped!(Upstream, Model, Adapter, Service, Place);
+stamped!(Upstream, Model, Adapter, Service);
 
 /// One engine or server of a service.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/note/src/fold/merge/mod.rs
+++ b/crates/note/src/fold/merge/mod.rs
@@ -341,7 +341,8 @@
     }
 
     /// Restores the references between entries after a join: two histories may
-    /// each be valid and their union not.
+    /// each be valid and their union not. What it changes gets the version of
+    /// the merge as stamp, so that a later join with either history keeps it.
     fn repair(&mut self) {
         let mut upstreams: Vec<_> = self.upstreams.iter().map(|(key, _)| key).collect();
         upstreams.sort_by(|a, b| self.upstreams.name(*a).cmp(self.upstreams.name(*b)));
@@ -376,6 +377,7 @@
                 versions.sort_unstable();
                 model.highest = model.highest.max(version);
                 model.versions = versions.into();
+                model.changed = self.version();
                 self.put(served.model, &Slot::Live(Arc::new(model)));
             }
         }
@@ -397,16 +399,17 @@
         let holders = group.ranks.iter().filter(|(index, _)| *index == rank.index);
         let last = holders.map(|(_, holder)| *holder).max_by_key(|k| order(*k));
         if last != Some(key) {
-            let entry = Arc::new(upstream.clone());
-            self.put_upstream(key, &Slot::Gone(entry));
+            let mut entry = upstream.clone();
+            entry.changed = self.version();
+            self.put_upstream(key, &Slot::Gone(Arc::new(entry)));
         }
     }
 
     /// Brings an entry back that another one refers to.
     fn revive<E: Entry>(&mut self, key: E::Key) {
         if let Slot::Gone(entry) = E::table(self).slot(key) {
-            let entry = Arc::clone(entry);
-            self.put(key, &Slot::Live(entry));
+            let entry = entry.stamped(self.version());
+            self.put(key, &Slot::Live(Arc::new(entry)));
         }
     }
 }
