Sort the conflicts that a scan of the state finds

Tables iterate in the order in which a process met the names; the verdict, and with it the state's hash, differed between nodes.

Change: what a scan finds is sorted by name, and where one user stands for all it is the first by name.

--- a/crates/note/src/fold/edit/rules/mod.rs
+++ b/crates/note/src/fold/edit/rules/mod.rs
@@ -99,21 +99,23 @@
     };
     let group = next.groups.get(rank.group);
     let ranks = group.map_or(&[][..], |group| &group.ranks);
-    let other = ranks
+    let others = ranks
         .iter()
-        .find(|(index, other)| *index == rank.index && *other != key);
-    if let Some((_, other)) = other {
+        .filter(|(index, other)| *index == rank.index && *other != key);
+    let names = others.map(|(_, other)| next.upstreams.name(*other));
+    if let Some(other) = names.min() {
         conflicts.push(Conflict::RankTaken {
             item: Item::new(Kind::Group, next.groups.name(rank.group)),
             rank: rank.index,
-            by: Item::new(Kind::Upstream, next.upstreams.name(*other)),
+            by: Item::new(Kind::Upstream, other),
         });
     }
 }
 
 /// Nothing that is withdrawn may still be in use. This scans the state, but
 /// only for notes that withdraw something other than upstreams or move an
-/// adapter to another model.
+/// adapter to another model. Tables iterate in the order in which a process met
+/// the names, so whatever a scan finds is sorted or reduced to a minimum.
 fn check_users(next: &State, note: &Note, conflicts: &mut Vec<Conflict>) {
     let withdraw = &note.withdraw;
     let nothing = withdraw.models.is_empty()
@@ -131,14 +133,14 @@
     let adapters: BTreeSet<_> = adapters
         .filter_map(|name| next.adapters.key(name))
         .collect();
+    let mut found = Vec::new();
     for (key, adapter) in next.adapters.iter() {
         if models.contains(&adapter.model) {
             let by = Item::new(Kind::Adapter, next.adapters.name(key));
             let item = Item::new(Kind::Model, next.models.name(adapter.model));
-            conflicts.push(Conflict::InUse { item, by });
+            found.push(Conflict::InUse { item, by });
         }
     }
-    let mut found = Vec::new();
     for (key, upstream) in next.upstreams.iter() {
         let by = Item::new(Kind::Upstream, next.upstreams.name(key));
         let mut in_use = |kind, name: &str| {
@@ -161,6 +163,7 @@
             }
         }
     }
+    found.sort();
     conflicts.append(&mut found);
     for release in &withdraw.versions {
         check_version(next, &release.model, release.version, conflicts);
@@ -177,12 +180,13 @@
         conflicts.push(Conflict::VersionInUse { item, version, by });
         return;
     }
-    let user = next.upstreams.iter().find(|(_, upstream)| {
+    let users = next.upstreams.iter().filter(|(_, upstream)| {
         let served = upstream.serves(key);
         served.is_some_and(|served| served.version == Some(version))
     });
-    if let Some((user, _)) = user {
-        let by = Item::new(Kind::Upstream, next.upstreams.name(user));
+    let names = users.map(|(user, _)| next.upstreams.name(user));
+    if let Some(user) = names.min() {
+        let by = Item::new(Kind::Upstream, user);
         conflicts.push(Conflict::VersionInUse { item, version, by });
     }
 }
--- a/crates/note/src/fold/outcome/mod.rs
+++ b/crates/note/src/fold/outcome/mod.rs
@@ -175,7 +175,7 @@
 }
 
 /// Why a record was rejected.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Conflict {
     /// The note does not say which version it was written against.
--- a/crates/note/tests/converge.rs
+++ b/crates/note/tests/converge.rs
@@ -114,6 +114,38 @@
         .quickcheck(holds as fn(u64, usize) -> bool);
 }
 
+/// Guards against verdicts that list conflicts in the order in which a process
+/// met the names: two adapters use the withdrawn model, and a restored state
+/// knows them in another order.
+#[test]
+fn conflicts_do_not_depend_on_the_order_of_names() {
+    for seed in 0..20 {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut state = State::default();
+        let mut first = note("first", 0);
+        first.add.models.push(model("chat", 1));
+        let mut pinned = engine("e", &["chat"]);
+        pinned.models[0].version = Some(1);
+        for _ in 0..4 {
+            let name = format!("n{}", rng.random_range(0..1_000_000));
+            first.add.adapters.push(support::adapter(&name, "chat", 1));
+            pinned.name = name;
+            first.add.upstreams.push(pinned.clone());
+        }
+        accept(&mut state, first);
+        let mut restored = restore(&state);
+        let mut raise = note("raise", 1);
+        raise.change.models.push(model("chat", 2));
+        raise.withdraw.versions.push(support::release("chat", 1));
+        let mut withdraw = note("withdraw", 1);
+        withdraw.withdraw.models.push("chat".to_owned());
+        for bad in [raise, withdraw] {
+            let conflicts = support::reject(&mut state, bad.clone());
+            assert_eq!(conflicts, support::reject(&mut restored, bad));
+        }
+    }
+}
+
 /// Guards against a decoder that panics or a bad record that changes entries.
 #[test]
 fn any_bytes_change_nothing() {
