--- a/crates/ledger/src/batch/mod.rs
+++ b/crates/ledger/src/batch/mod.rs
@@ -14,6 +14,11 @@
 use crate::id::Incarnation;
 use crate::record::{Entry, Record};
 
+/// Largest wait for others to show themselves. When 300 idle agents started at
+/// once, the first of them saw nobody else yet, sent a second entry within
+/// milliseconds, and all together exceeded the limit by up to 5 appends.
+const SETTLE: Duration = Duration::from_millis(100);
+
 /// Settings of a batch.
 #[derive(Clone, Copy, Debug)]
 pub struct Config {
@@ -92,6 +97,8 @@
     sent: Option<Moment>,
     /// Other writers of the stream and when their last entry was read.
     others: BTreeMap<Incarnation, Moment>,
+    /// Number of writers that may start at any time, including this one.
+    known: usize,
 }
 
 impl Batch {
@@ -106,6 +113,7 @@
             held: BTreeSet::new(),
             sent: None,
             others: BTreeMap::new(),
+            known: 1,
         }
     }
 
@@ -218,11 +226,19 @@
         self.others.retain(|_, seen| now.since(*seen) <= window);
     }
 
+    /// Says how many agents, including this one, may write to the stream.
+    pub const fn set_known(&mut self, agents: usize) {
+        self.known = agents;
+    }
+
     /// Returns the time between two appends of this writer: with `n` writers,
-    /// each takes an `n`-th of the allowed rate.
+    /// each takes an `n`-th of the allowed rate. Idle writers that are known
+    /// count only up to the time in which they would show themselves.
     pub fn interval(&self) -> Duration {
-        let writers = self.others.len() + 1;
-        Duration::from_secs_f64(writers as f64 / self.config.appends_per_second)
+        let turn = Duration::from_secs_f64(1.0 / self.config.appends_per_second);
+        let active = turn * (self.others.len() as u32 + 1);
+        let known = turn * self.known as u32;
+        active.max(known.min(SETTLE))
     }
 
     /// Returns whether nothing waits to be read back.
--- a/crates/ledger/src/fold/aging.rs
+++ b/crates/ledger/src/fold/aging.rs
@@ -18,6 +18,11 @@
 /// up to `horizon / MARKERS`, and each marker costs about `MARKERS` records.
 const MARKERS: u32 = 16;
 
+/// Time over which agents spread the first marker, in which they have nothing
+/// else to keep them apart; 300 agents stating it at once used up a second of the
+/// log's limit.
+const FIRST_SPREAD: Duration = Duration::from_mins(2);
+
 #[derive(Clone, Copy, Debug)]
 struct Marker {
     seconds: u64,
@@ -35,9 +40,18 @@
 pub(super) struct Aging {
     expired: u64,
     markers: BTreeMap<u64, Marker>,
+    /// When this process began to follow ages.
+    start: Moment,
 }
 
 impl Aging {
+    pub(super) fn new(now: Moment) -> Self {
+        Self {
+            start: now,
+            ..Self::default()
+        }
+    }
+
     pub(super) const fn expired(&self) -> u64 {
         self.expired
     }
@@ -46,6 +60,7 @@
         let marker = |seconds| Marker { seconds, read: now };
         Self {
             expired: stream.expired,
+            start: now,
             markers: stream
                 .ages
                 .iter()
@@ -103,8 +118,10 @@
             return Some((*offset, marker.age(now)));
         }
         let newest = self.markers.last_key_value();
-        let fresh =
-            newest.is_none_or(|(offset, marker)| marker.age(now) >= step && *offset + 1 < next);
+        let fresh = match newest {
+            Some((offset, marker)) => marker.age(now) >= step && *offset + 1 < next,
+            None => now.since(self.start) >= FIRST_SPREAD.mul_f64(spread),
+        };
         let last = next.checked_sub(1)?;
         (fresh && last >= self.expired).then_some((last, 0))
     }
--- a/crates/ledger/src/fold/apply.rs
+++ b/crates/ledger/src/fold/apply.rs
@@ -20,7 +20,7 @@
     ) -> bool {
         self.recheck = Some(offset + 1).filter(|after| *after < self.next);
         if offset < self.next {
-            return self.trail.matches(self.next - offset, entry) || self.restarted(page);
+            return self.trail.matches(self.next - offset, entry) || self.restarted(page, now);
         }
         if offset > self.next && !self.skip_to(offset, page) {
             return false;
--- a/crates/ledger/src/fold/load.rs
+++ b/crates/ledger/src/fold/load.rs
@@ -7,7 +7,7 @@
 
 use sesamerock_base::time::Moment;
 
-use super::{Holder, Ledger, Mark, Page, Phase, Slot, Trail};
+use super::{Aging, Holder, Ledger, Mark, Page, Phase, Slot, Trail};
 use crate::id::Key;
 use crate::record::{Entry, Part, Record, Saved, SnapshotId, Stream};
 
@@ -162,7 +162,7 @@
 impl Ledger {
     /// Decides, from the bounds of a page, how to go on; returns false if its
     /// entries are of no use because the fold starts over.
-    pub(super) fn enter(&mut self, page: &Page) -> bool {
+    pub(super) fn enter(&mut self, page: &Page, now: Moment) -> bool {
         self.first = page.first;
         if let Some(mark) = &self.required
             && mark.generation == self.generation
@@ -171,10 +171,10 @@
             self.await_repair(mark.clone());
         }
         match &mut self.phase {
-            Phase::Start => self.begin(page),
+            Phase::Start => self.begin(page, now),
             Phase::Scan(loader) if page.head < loader.next => self.scan(page),
             Phase::Scan(loader) => loader.next = loader.next.max(page.first),
-            Phase::Fold if page.head < self.next => return self.restarted(page),
+            Phase::Fold if page.head < self.next => return self.restarted(page, now),
             Phase::Fold if page.first > self.next => {
                 self.skip_to(page.first, page);
             }
@@ -183,7 +183,8 @@
         true
     }
 
-    fn begin(&mut self, page: &Page) {
+    fn begin(&mut self, page: &Page, now: Moment) {
+        self.aging = Aging::new(now);
         self.target = self.target.max(page.head);
         if page.first == 0 {
             self.phase = Phase::Fold;
@@ -231,7 +232,7 @@
     /// Takes the state of a snapshot and goes on from its base.
     pub(super) fn load(&mut self, parts: &[Arc<Part>], now: Moment) {
         let stream = parts[0].stream.clone().unwrap_or_default();
-        self.aging = super::Aging::load(&stream, now);
+        self.aging = Aging::load(&stream, now);
         self.generation = stream.generation;
         self.through = stream.through;
         self.writers = stream
@@ -271,7 +272,8 @@
 
     /// Keeps what is known and reads the whole log again: it lost its end, or
     /// another log took its place. Always returns false, to end the page.
-    pub(super) fn restarted(&mut self, page: &Page) -> bool {
+    pub(super) fn restarted(&mut self, page: &Page, now: Moment) -> bool {
+        self.restarted_at = now;
         // What is read while a repair is awaited adds nothing to the knowledge
         // of the entries that were lost first.
         if self.awaiting.is_none() {
--- a/crates/ledger/src/fold/mod.rs
+++ b/crates/ledger/src/fold/mod.rs
@@ -144,6 +144,8 @@
     awaiting: Option<Mark>,
     /// How far this reader had read before the log lost its end.
     survived: Option<Mark>,
+    /// When this reader noticed that the log lost its end.
+    restarted_at: Moment,
     /// How far a peer has come, until this reader has verified it.
     required: Option<Mark>,
     /// Incarnations reported dead from outside the log.
@@ -183,6 +185,7 @@
             repairs: Collector::default(),
             awaiting: None,
             survived: None,
+            restarted_at: Moment(0),
             required: None,
             dead: BTreeSet::new(),
             touched: Vec::new(),
@@ -244,7 +247,7 @@
 
     /// Takes one answer of the log.
     pub fn read(&mut self, page: &Page, now: Moment) {
-        if !self.enter(page) {
+        if !self.enter(page, now) {
             return;
         }
         for (offset, entry) in &page.entries {
--- a/crates/ledger/src/fold/snapshot.rs
+++ b/crates/ledger/src/fold/snapshot.rs
@@ -1,6 +1,7 @@
 //! Writing snapshots, so that keys outlive the log's retention.
 
 use std::ops::Bound;
+use std::time::Duration;
 
 use sesamerock_base::time::Moment;
 
@@ -11,6 +12,10 @@
 /// Largest number of parts, one per value of a key's first two bytes.
 const MAX_PARTS: u32 = 1 << 16;
 
+/// Time over which the agents that could write a repair are spread; nothing runs
+/// until the first one has written it.
+const REPAIR_SPREAD: Duration = Duration::from_secs(10);
+
 /// A snapshot in the course of being written, one part per append.
 #[derive(Clone, Debug)]
 pub struct Snapshot {
@@ -30,7 +35,8 @@
     /// so that usually only one writes; several do no harm.
     pub fn snapshot_due(&self, writer: Incarnation, now: Moment) -> bool {
         if self.awaiting.is_some() {
-            return self.survived == self.awaiting && self.next >= self.target;
+            let waited = now.since(self.restarted_at) >= REPAIR_SPREAD.mul_f64(spread(writer));
+            return waited && self.survived == self.awaiting && self.next >= self.target;
         }
         if self.ready().is_err() || self.next == 0 {
             return false;
--- a/crates/ledger/src/shard/mod.rs
+++ b/crates/ledger/src/shard/mod.rs
@@ -242,6 +242,11 @@
         self.ledger.require(mark);
     }
 
+    /// Says how many agents, including this one, serve the shard.
+    pub const fn set_agents(&mut self, agents: usize) {
+        self.batch.set_known(agents);
+    }
+
     /// Says that an agent process is known to be gone.
     pub fn mark_dead(&mut self, incarnation: Incarnation, now: Moment) {
         self.ledger.mark_dead(incarnation);
