--- a/crates/ledger/tests/world/mod.rs
+++ b/crates/ledger/tests/world/mod.rs
@@ -515,6 +515,10 @@
         let long = self.plan.horizon * 1_000 / 6;
         let millis = [1, 10, 60, 400, long.min(30_000)][self.rng.random_range(0..self.longest)];
         self.now = self.now + Duration::from_millis(millis);
+        self.tick();
+    }
+
+    fn tick(&mut self) {
         for index in 0..self.agents.len() {
             if !self.agents[index].paused {
                 self.agents[index].shard.tick(self.now);
@@ -568,17 +572,33 @@
             }
             self.advance();
         }
+        // All deadlines pass, then all grace after them.
+        for _ in 0..2 {
+            self.now = self.now + Duration::from_secs(20);
+            self.tick();
+        }
     }
 
     fn check(&self) -> Result<(), String> {
         self.check_runs()?;
         self.check_answers()?;
+        self.check_ends()?;
         match self.mint_runs.iter().find(|(_, runs)| **runs > 1) {
             Some((key, runs)) => Err(format!("minted key {key} ran {runs} times")),
             None => Ok(()),
         }
     }
 
+    /// Each call of a process that lives must have run or got an answer.
+    fn check_ends(&self) -> Result<(), String> {
+        let lives = |call: &(u64, u64)| self.agents.iter().any(|agent| agent.incarnation == call.0);
+        let open = self.calls.keys().find(|call| {
+            let ran = self.runs.iter().any(|run| run.call == **call);
+            lives(call) && !ran && !self.answers.contains_key(call)
+        });
+        open.map_or(Ok(()), |call| Err(format!("{call:?} has no end")))
+    }
+
     /// Two runs of a key must be a horizon apart, counted from the response.
     fn check_runs(&self) -> Result<(), String> {
         for (index, run) in self.runs.iter().enumerate() {
