--- a/crates/ledger/src/fold/apply.rs
+++ b/crates/ledger/src/fold/apply.rs
@@ -180,8 +180,7 @@
             writer: entry.writer,
             number: part.number,
         };
-        self.repairs.collect(id, part);
-        let Some(parts) = self.repairs.complete(id) else {
+        let Some(parts) = self.repairs.collect(id, part) else {
             return false;
         };
         let Some(stream) = &parts[0].stream else {
--- a/crates/ledger/src/fold/load.rs
+++ b/crates/ledger/src/fold/load.rs
@@ -14,46 +14,44 @@
 /// Snapshots that are followed at the same time; the oldest is dropped first.
 const FOLLOWED: usize = 8;
 
-/// Parts of the latest snapshots.
+/// Parts of the snapshots that are being read.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Collector {
-    parts: BTreeMap<SnapshotId, Vec<Option<Arc<Part>>>>,
+    found: BTreeMap<SnapshotId, Gathered>,
     order: Vec<SnapshotId>,
 }
 
+#[derive(Clone, Debug)]
+struct Gathered {
+    parts: Vec<Option<Arc<Part>>>,
+    missing: u32,
+}
+
 impl Collector {
-    pub(super) fn collect(&mut self, id: SnapshotId, part: &Arc<Part>) {
-        if !self.parts.contains_key(&id) {
+    /// Takes a part; returns all parts of its snapshot if it was the last one.
+    pub(super) fn collect(&mut self, id: SnapshotId, part: &Arc<Part>) -> Option<Vec<Arc<Part>>> {
+        if !self.found.contains_key(&id) {
             self.order.push(id);
-            self.parts.insert(id, vec![None; part.count as usize]);
         }
         if self.order.len() > FOLLOWED {
             let oldest = self.order.remove(0);
-            self.parts.remove(&oldest);
+            self.found.remove(&oldest);
         }
-        if let Some(parts) = self.parts.get_mut(&id)
-            && parts.len() == part.count as usize
-        {
-            parts[part.index as usize] = Some(Arc::clone(part));
+        let gathered = self.found.entry(id).or_insert_with(|| Gathered {
+            parts: vec![None; part.count as usize],
+            missing: part.count,
+        });
+        let slot = gathered.parts.get_mut(part.index as usize)?;
+        if slot.replace(Arc::clone(part)).is_none() {
+            gathered.missing -= 1;
         }
-    }
-
-    /// Returns the parts of a snapshot if all are present.
-    pub(super) fn complete(&self, id: SnapshotId) -> Option<Vec<Arc<Part>>> {
-        let parts: Option<Vec<_>> = self.parts.get(&id)?.iter().cloned().collect();
-        parts.filter(|parts| parts[0].stream.is_some())
-    }
-
-    /// Returns the latest complete snapshot whose bases are still in the log, of
-    /// the newest generation.
-    fn latest(&self, first: u64) -> Option<Vec<Arc<Part>>> {
-        let held = |parts: &Vec<Arc<Part>>| parts.iter().all(|part| part.base >= first);
-        let generation = |parts: &Vec<Arc<Part>>| parts[0].stream.as_ref().map(|s| s.generation);
-        let complete = |id: &SnapshotId| self.complete(*id).filter(held);
-        self.order
-            .iter()
-            .filter_map(complete)
-            .max_by_key(generation)
+        if gathered.missing > 0 {
+            return None;
+        }
+        self.order.retain(|other| *other != id);
+        let gathered = self.found.remove(&id)?;
+        let parts: Vec<_> = gathered.parts.into_iter().flatten().collect();
+        parts[0].stream.is_some().then_some(parts)
     }
 }
 
@@ -62,6 +60,8 @@
 pub(super) struct Loader {
     next: u64,
     found: Collector,
+    /// The latest complete snapshot of the newest generation.
+    latest: Option<Vec<Arc<Part>>>,
 }
 
 impl Loader {
@@ -69,6 +69,7 @@
         Self {
             next,
             found: Collector::default(),
+            latest: None,
         }
     }
 
@@ -90,12 +91,21 @@
                     writer: entry.writer,
                     number: part.number,
                 };
-                self.found.collect(id, part);
+                if let Some(parts) = self.found.collect(id, part)
+                    && generation(&parts) >= self.latest.as_deref().map_or(0, generation)
+                {
+                    self.latest = Some(parts);
+                }
             }
         }
     }
 }
 
+fn generation(parts: &[Arc<Part>]) -> u64 {
+    let stream = parts.first().and_then(|part| part.stream.as_ref());
+    stream.map_or(0, |stream| stream.generation)
+}
+
 /// The bases of the snapshot that the fold started from.
 ///
 /// Parts have different bases; a record below its part's base is included in
@@ -117,19 +127,23 @@
 pub(super) struct Tally {
     seen: BTreeMap<SnapshotId, (u64, Vec<bool>)>,
     order: Vec<SnapshotId>,
-    latest: Option<(SnapshotId, u64, Moment)>,
+    /// Base of the latest complete snapshot.
+    base: u64,
+    /// When it was read, or when this reader began.
+    at: Moment,
 }
 
 impl Tally {
-    pub(super) const fn latest(&self) -> Option<SnapshotId> {
-        match self.latest {
-            Some((id, _, _)) => Some(id),
-            None => None,
+    pub(super) fn new(base: u64, at: Moment) -> Self {
+        Self {
+            base,
+            at,
+            ..Self::default()
         }
     }
 
-    /// Notes a part; returns whether the snapshot is complete with it.
-    pub(super) fn note(&mut self, id: SnapshotId, part: &Part, offset: u64, now: Moment) -> bool {
+    /// Notes a part.
+    pub(super) fn note(&mut self, id: SnapshotId, part: &Part, offset: u64, now: Moment) {
         if !self.seen.contains_key(&id) {
             self.order.push(id);
         }
@@ -140,22 +154,19 @@
         let fresh = || (offset, vec![false; part.count as usize]);
         let (base, seen) = self.seen.entry(id).or_insert_with(fresh);
         *base = (*base).min(part.base);
-        if seen.len() != part.count as usize {
-            return false;
+        if let Some(seen) = seen.get_mut(part.index as usize) {
+            *seen = true;
         }
-        seen[part.index as usize] = true;
-        let complete = seen.iter().all(|seen| *seen);
-        if complete {
-            self.latest = Some((id, *base, now));
+        if seen.iter().all(|seen| *seen) {
+            self.base = *base;
+            self.at = now;
         }
-        complete
     }
 
     /// Returns the base of the latest complete snapshot and the time since it
     /// was read.
-    pub(super) fn covered(&self, now: Moment) -> (u64, Option<Duration>) {
-        self.latest
-            .map_or((0, None), |(_, base, at)| (base, Some(now.since(at))))
+    pub(super) const fn covered(&self, now: Moment) -> (u64, Duration) {
+        (self.base, now.since(self.at))
     }
 }
 
@@ -185,6 +196,7 @@
 
     fn begin(&mut self, page: &Page, now: Moment) {
         self.aging = Aging::new(now);
+        self.tally = Tally::new(0, now);
         self.target = self.target.max(page.head);
         if page.first == 0 {
             self.phase = Phase::Fold;
@@ -222,9 +234,12 @@
         if loader.next < self.target {
             return;
         }
-        let Some(parts) = loader.found.latest(page.first) else {
+        let Some(parts) = loader.latest.clone() else {
             return;
         };
+        if parts.iter().any(|part| part.base < page.first) {
+            return;
+        }
         self.load(&parts, now);
         self.target = self.target.max(page.head);
     }
@@ -249,6 +264,7 @@
         self.next = parts.iter().map(|part| part.base).min().unwrap_or(0);
         self.trail = Trail::default();
         self.recheck = None;
+        self.tally = Tally::new(self.next, now);
         self.phase = Phase::Fold;
         self.reloaded = true;
         self.settle_marks(&stream);
@@ -281,7 +297,7 @@
         }
         self.await_repair(self.own());
         self.coverage = Coverage::default();
-        self.tally = Tally::default();
+        self.tally = Tally::new(page.first, now);
         self.repairs = Collector::default();
         self.next = page.first;
         self.trail = Trail::default();
--- a/crates/ledger/src/fold/mod.rs
+++ b/crates/ledger/src/fold/mod.rs
@@ -18,7 +18,7 @@
 
 use crate::guard::Guard;
 use crate::id::{Attempt, Incarnation, Key, Request};
-use crate::record::{Age, Entry, Outcome, SnapshotId, State, Writer};
+use crate::record::{Age, Entry, Outcome, State, Writer};
 use aging::Aging;
 use load::{Collector, Coverage, Loader, Tally};
 use mark::Trail;
@@ -347,11 +347,6 @@
         self.skipped
     }
 
-    /// Returns the latest complete snapshot in the stream.
-    pub const fn latest_snapshot(&self) -> Option<SnapshotId> {
-        self.tally.latest()
-    }
-
     /// Returns the slot of a key unless its outcome has expired.
     fn live(&self, key: &Key) -> Option<&Slot> {
         self.slots.get(key).filter(|slot| !self.is_expired(slot))
--- a/crates/ledger/src/fold/snapshot.rs
+++ b/crates/ledger/src/fold/snapshot.rs
@@ -45,7 +45,7 @@
         let (base, age) = self.tally.covered(now);
         let entries = self.config.snapshot_entries as f64 * (1.0 + spread);
         let period = self.config.snapshot_every.mul_f64(1.0 + spread);
-        (self.next - base.min(self.next)) as f64 >= entries || age.is_some_and(|age| age >= period)
+        (self.next - base.min(self.next)) as f64 >= entries || age >= period
     }
 
     /// Starts a snapshot with a number that this writer has not used before.
--- a/crates/ledger/tests/fold.rs
+++ b/crates/ledger/tests/fold.rs
@@ -185,6 +185,28 @@
     assert_eq!(standings(&behind), standings(&writer));
 }
 
+/// Guards against an idle stream that is trimmed without a snapshot, and against
+/// a snapshot by each process that starts.
+#[test]
+fn a_snapshot_is_due_by_time_and_by_entries() {
+    let writer = Incarnation(0);
+    let mut log: Log = vec![entry(1, 1, intent(1, 1))];
+    let mut ledger = Ledger::new(CONFIG);
+    let hour = |hours: u64| Moment::from_millis(hours * 3_600_000);
+    catch_up(&mut ledger, &log, 0, hour(5));
+    assert!(!ledger.snapshot_due(writer, hour(5)));
+    assert!(ledger.snapshot_due(writer, hour(6)));
+    log.extend((2..=12).map(|n| entry(1, n, intent(n as u8, n))));
+    catch_up(&mut ledger, &log, 0, hour(5));
+    assert!(ledger.snapshot_due(writer, hour(5)));
+    write_snapshot(&mut ledger, &mut log, 9, &mut Vec::new());
+    assert!(!ledger.snapshot_due(writer, hour(0)));
+    let mut fresh = Ledger::new(CONFIG);
+    catch_up(&mut fresh, &log, 12, hour(5));
+    assert_eq!(fresh.ready(), Ok(()));
+    assert!(!fresh.snapshot_due(writer, hour(5)));
+}
+
 /// Guards against parts that grow with the number of keys.
 #[test]
 fn snapshot_parts_are_bounded() {
