--- a/crates/ledger/src/shard/mod.rs
+++ b/crates/ledger/src/shard/mod.rs
@@ -4,6 +4,9 @@
 //! [`Shard::tick`], [`Shard::begin`], [`Shard::decline`] and [`Shard::finish`];
 //! actions come out of [`Shard::next`]. An agent calls `next` until it returns
 //! `None` after each event, and `tick` at [`Shard::wake`] or each second.
+//!
+//! Times must come from a monotonic clock: how long an outcome is kept is
+//! measured by it, and a clock that jumps ahead would let a key run again.
 
 mod decide;
 
--- /dev/null
+++ b/crates/ledger/tests/world/check.rs
@@ -0,0 +1,67 @@
+//! What an observer from the outside checks at the end of a schedule.
+
+use std::time::Duration;
+
+use sesamerock_ledger::attempt::{Answer, Executed};
+
+use super::{Run, World, response};
+
+impl World {
+    pub(super) fn check(&self) -> Result<(), String> {
+        self.check_runs()?;
+        self.check_answers()?;
+        self.check_ends()?;
+        match self.mint_runs.iter().find(|(_, runs)| **runs > 1) {
+            Some((key, runs)) => Err(format!("minted key {key} ran {runs} times")),
+            None => Ok(()),
+        }
+    }
+
+    /// Each call of a process that lives must have run or got an answer.
+    fn check_ends(&self) -> Result<(), String> {
+        let lives = |call: &(u64, u64)| self.agents.iter().any(|agent| agent.incarnation == call.0);
+        let open = self.calls.keys().find(|call| {
+            let ran = self.runs.iter().any(|run| run.call == **call);
+            lives(call) && !ran && !self.answers.contains_key(call)
+        });
+        open.map_or(Ok(()), |call| Err(format!("{call:?} has no end")))
+    }
+
+    /// Two runs of a key must be a horizon apart, counted from the response.
+    fn check_runs(&self) -> Result<(), String> {
+        for (index, run) in self.runs.iter().enumerate() {
+            let earlier = self.runs[..index]
+                .iter()
+                .rfind(|other| other.key == run.key);
+            let Some(earlier) = earlier else { continue };
+            let horizon = Duration::from_secs(self.plan.horizon);
+            let apart = earlier
+                .end
+                .is_some_and(|(_, end)| run.at.since(end) >= horizon);
+            if !apart {
+                return Err(format!("{run:?} after {earlier:?}"));
+            }
+        }
+        Ok(())
+    }
+
+    fn check_answers(&self) -> Result<(), String> {
+        for (call, (key, answer)) in &self.answers {
+            if answer.executed() == Executed::No && self.runs.iter().any(|run| run.call == *call) {
+                return Err(format!("{call:?} ran but was answered {answer:?}"));
+            }
+            if let Answer::Replay(outcome) = answer {
+                let matches = |run: &Run| {
+                    run.key == *key
+                        && run
+                            .end
+                            .is_some_and(|(value, _)| response(value) == **outcome)
+                };
+                if !self.runs.iter().any(matches) {
+                    return Err(format!("{call:?} of {key} was replayed {outcome:?}"));
+                }
+            }
+        }
+        Ok(())
+    }
+}
--- a/crates/ledger/tests/world/mod.rs
+++ b/crates/ledger/tests/world/mod.rs
@@ -1,5 +1,8 @@
 //! Several agents, a log that misbehaves, and a record kept from the outside.
 
+mod check;
+mod plan;
+
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -7,93 +10,16 @@
 use rand::{Rng, RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use sesamerock_base::time::Moment;
-use sesamerock_ledger::attempt::{Answer, Call, Executed, Finish, Permit, Receipt};
+use sesamerock_ledger::attempt::{Answer, Call, Finish, Permit, Receipt};
 use sesamerock_ledger::batch::{self, Author};
 use sesamerock_ledger::fold::{self, Mark, Page};
-use sesamerock_ledger::guard::Guard;
 use sesamerock_ledger::id::{Incarnation, Key, Request};
 use sesamerock_ledger::mint::{self, Mint, Take};
 use sesamerock_ledger::record::{Body, Entry, Outcome, Own, Record};
 use sesamerock_ledger::shard::{Action, Config, Shard};
 
-/// Kinds of events; the first five are what makes progress.
-const KINDS: usize = 13;
-const PROGRESS: usize = 5;
-/// Number of different steps in time.
-const STEPS: usize = 5;
-const ADVANCE: usize = 4;
-pub const WAKE: usize = 5;
-pub const MINTED: usize = 6;
-pub const PAUSE: usize = 7;
-pub const RESTART: usize = 8;
-pub const FOREIGN: usize = 10;
-pub const LOSE_END: usize = 11;
-pub const OUTAGE: usize = 12;
-const WEIGHTS: [u32; KINDS] = [16, 24, 30, 24, 8, 3, 6, 2, 2, 2, 2, 1, 2];
-
-/// Draws how often each kind of event happens in one schedule. Leaving out some
-/// failures and repeating others reaches more states than an even mixture.
-fn weights(rng: &mut ChaCha8Rng) -> [u32; KINDS] {
-    let mut weights = WEIGHTS;
-    for weight in &mut weights[PROGRESS..] {
-        *weight *= [0, 0, 1, 3][rng.random_range(0..4)];
-    }
-    weights
-}
-
-/// What a schedule may contain, and how long it is.
-#[derive(Clone, Copy, Debug)]
-pub struct Plan {
-    pub steps: u32,
-    pub agents: usize,
-    pub keys: u8,
-    /// Horizon of the fold and unit of the long steps in time, in seconds.
-    pub horizon: u64,
-    /// Factor on how often time advances.
-    pub haste: u32,
-    /// Kinds of events that do not occur.
-    pub without: &'static [usize],
-    pub guard: Guard,
-}
-
-/// How often each kind of event happened, to show that nothing is vacuous.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Counts {
-    pub runs: u64,
-    pub refusals: u64,
-    pub replays: u64,
-    pub unresolved: u64,
-    pub declined: u64,
-    pub late: u64,
-    pub restarts: u64,
-    pub trims: u64,
-    pub shortened: u64,
-    /// Runs of a key that had run before and expired.
-    pub again: u64,
-    pub reloads: u64,
-    pub duplicates: u64,
-    pub expired: u64,
-    pub minted: u64,
-}
-
-impl Counts {
-    pub fn add(&mut self, other: &Self) {
-        self.runs += other.runs;
-        self.refusals += other.refusals;
-        self.replays += other.replays;
-        self.unresolved += other.unresolved;
-        self.declined += other.declined;
-        self.late += other.late;
-        self.restarts += other.restarts;
-        self.trims += other.trims;
-        self.shortened += other.shortened;
-        self.again += other.again;
-        self.reloads += other.reloads;
-        self.duplicates += other.duplicates;
-        self.expired += other.expired;
-        self.minted += other.minted;
-    }
-}
+use plan::{ADVANCE, KINDS, STEPS, weights};
+pub use plan::{Counts, FOREIGN, LOSE_END, MINTED, OUTAGE, PAUSE, Plan, RESTART, WAKE};
 
 /// One execution, as the service saw it.
 #[derive(Debug)]
@@ -578,64 +504,6 @@
             self.tick();
         }
     }
-
-    fn check(&self) -> Result<(), String> {
-        self.check_runs()?;
-        self.check_answers()?;
-        self.check_ends()?;
-        match self.mint_runs.iter().find(|(_, runs)| **runs > 1) {
-            Some((key, runs)) => Err(format!("minted key {key} ran {runs} times")),
-            None => Ok(()),
-        }
-    }
-
-    /// Each call of a process that lives must have run or got an answer.
-    fn check_ends(&self) -> Result<(), String> {
-        let lives = |call: &(u64, u64)| self.agents.iter().any(|agent| agent.incarnation == call.0);
-        let open = self.calls.keys().find(|call| {
-            let ran = self.runs.iter().any(|run| run.call == **call);
-            lives(call) && !ran && !self.answers.contains_key(call)
-        });
-        open.map_or(Ok(()), |call| Err(format!("{call:?} has no end")))
-    }
-
-    /// Two runs of a key must be a horizon apart, counted from the response.
-    fn check_runs(&self) -> Result<(), String> {
-        for (index, run) in self.runs.iter().enumerate() {
-            let earlier = self.runs[..index]
-                .iter()
-                .rfind(|other| other.key == run.key);
-            let Some(earlier) = earlier else { continue };
-            let horizon = Duration::from_secs(self.plan.horizon);
-            let apart = earlier
-                .end
-                .is_some_and(|(_, end)| run.at.since(end) >= horizon);
-            if !apart {
-                return Err(format!("{run:?} after {earlier:?}"));
-            }
-        }
-        Ok(())
-    }
-
-    fn check_answers(&self) -> Result<(), String> {
-        for (call, (key, answer)) in &self.answers {
-            if answer.executed() == Executed::No && self.runs.iter().any(|run| run.call == *call) {
-                return Err(format!("{call:?} ran but was answered {answer:?}"));
-            }
-            if let Answer::Replay(outcome) = answer {
-                let matches = |run: &Run| {
-                    run.key == *key
-                        && run
-                            .end
-                            .is_some_and(|(value, _)| response(value) == **outcome)
-                };
-                if !self.runs.iter().any(matches) {
-                    return Err(format!("{call:?} of {key} was replayed {outcome:?}"));
-                }
-            }
-        }
-        Ok(())
-    }
 }
 
 fn response(value: u16) -> Outcome {
--- /dev/null
+++ b/crates/ledger/tests/world/plan.rs
@@ -0,0 +1,84 @@
+//! What a schedule may contain.
+
+use rand::RngExt;
+use rand_chacha::ChaCha8Rng;
+use sesamerock_ledger::guard::Guard;
+
+/// Kinds of events; the first five are what makes progress.
+pub const KINDS: usize = 13;
+const PROGRESS: usize = 5;
+/// Number of different steps in time.
+pub const STEPS: usize = 5;
+pub const ADVANCE: usize = 4;
+pub const WAKE: usize = 5;
+pub const MINTED: usize = 6;
+pub const PAUSE: usize = 7;
+pub const RESTART: usize = 8;
+pub const FOREIGN: usize = 10;
+pub const LOSE_END: usize = 11;
+pub const OUTAGE: usize = 12;
+const WEIGHTS: [u32; KINDS] = [16, 24, 30, 24, 8, 3, 6, 2, 2, 2, 2, 1, 2];
+
+/// Draws how often each kind of event happens in one schedule. Leaving out some
+/// failures and repeating others reaches more states than an even mixture.
+pub fn weights(rng: &mut ChaCha8Rng) -> [u32; KINDS] {
+    let mut weights = WEIGHTS;
+    for weight in &mut weights[PROGRESS..] {
+        *weight *= [0, 0, 1, 3][rng.random_range(0..4)];
+    }
+    weights
+}
+
+/// What a schedule may contain, and how long it is.
+#[derive(Clone, Copy, Debug)]
+pub struct Plan {
+    pub steps: u32,
+    pub agents: usize,
+    pub keys: u8,
+    /// Horizon of the fold and unit of the long steps in time, in seconds.
+    pub horizon: u64,
+    /// Factor on how often time advances.
+    pub haste: u32,
+    /// Kinds of events that do not occur.
+    pub without: &'static [usize],
+    pub guard: Guard,
+}
+
+/// How often each kind of event happened, to show that nothing is vacuous.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Counts {
+    pub runs: u64,
+    pub refusals: u64,
+    pub replays: u64,
+    pub unresolved: u64,
+    pub declined: u64,
+    pub late: u64,
+    pub restarts: u64,
+    pub trims: u64,
+    pub shortened: u64,
+    /// Runs of a key that had run before and expired.
+    pub again: u64,
+    pub reloads: u64,
+    pub duplicates: u64,
+    pub expired: u64,
+    pub minted: u64,
+}
+
+impl Counts {
+    pub fn add(&mut self, other: &Self) {
+        self.runs += other.runs;
+        self.refusals += other.refusals;
+        self.replays += other.replays;
+        self.unresolved += other.unresolved;
+        self.declined += other.declined;
+        self.late += other.late;
+        self.restarts += other.restarts;
+        self.trims += other.trims;
+        self.shortened += other.shortened;
+        self.again += other.again;
+        self.reloads += other.reloads;
+        self.duplicates += other.duplicates;
+        self.expired += other.expired;
+        self.minted += other.minted;
+    }
+}
