--- a/crates/ledger/src/fold/apply.rs
+++ b/crates/ledger/src/fold/apply.rs
@@ -20,7 +20,7 @@
     ) -> bool {
         self.recheck = Some(offset + 1).filter(|after| *after < self.next);
         if offset < self.next {
-            return self.trail.matches(self.next - offset, entry) || self.restarted(page);
+            return self.trail.matches(self.next - offset, entry) || self.restarted(page, now);
         }
         if offset > self.next && !self.skip_to(offset, page) {
             return false;
@@ -180,8 +180,7 @@
             writer: entry.writer,
             number: part.number,
         };
-        self.repairs.collect(id, part);
-        let Some(parts) = self.repairs.complete(id) else {
+        let Some(parts) = self.repairs.collect(id, part) else {
             return false;
         };
         let Some(stream) = &parts[0].stream else {
--- a/crates/ledger/src/fold/mod.rs
+++ b/crates/ledger/src/fold/mod.rs
@@ -18,7 +18,7 @@
 
 use crate::guard::Guard;
 use crate::id::{Attempt, Incarnation, Key, Request};
-use crate::record::{Age, Entry, Outcome, SnapshotId, State, Writer};
+use crate::record::{Age, Entry, Outcome, State, Writer};
 use aging::Aging;
 use load::{Collector, Coverage, Loader, Tally};
 use mark::Trail;
@@ -144,6 +144,8 @@
     awaiting: Option<Mark>,
     /// How far this reader had read before the log lost its end.
     survived: Option<Mark>,
+    /// When this reader noticed that the log lost its end.
+    restarted_at: Moment,
     /// How far a peer has come, until this reader has verified it.
     required: Option<Mark>,
     /// Incarnations reported dead from outside the log.
@@ -183,6 +185,7 @@
             repairs: Collector::default(),
             awaiting: None,
             survived: None,
+            restarted_at: Moment(0),
             required: None,
             dead: BTreeSet::new(),
             touched: Vec::new(),
@@ -244,7 +247,7 @@
 
     /// Takes one answer of the log.
     pub fn read(&mut self, page: &Page, now: Moment) {
-        if !self.enter(page) {
+        if !self.enter(page, now) {
             return;
         }
         for (offset, entry) in &page.entries {
@@ -344,11 +347,6 @@
         self.skipped
     }
 
-    /// Returns the latest complete snapshot in the stream.
-    pub const fn latest_snapshot(&self) -> Option<SnapshotId> {
-        self.tally.latest()
-    }
-
     /// Returns the slot of a key unless its outcome has expired.
     fn live(&self, key: &Key) -> Option<&Slot> {
         self.slots.get(key).filter(|slot| !self.is_expired(slot))
--- a/crates/ledger/src/shard/mod.rs
+++ b/crates/ledger/src/shard/mod.rs
@@ -4,6 +4,9 @@
 //! [`Shard::tick`], [`Shard::begin`], [`Shard::decline`] and [`Shard::finish`];
 //! actions come out of [`Shard::next`]. An agent calls `next` until it returns
 //! `None` after each event, and `tick` at [`Shard::wake`] or each second.
+//!
+//! Times must come from a monotonic clock: how long an outcome is kept is
+//! measured by it, and a clock that jumps ahead would let a key run again.
 
 mod decide;
 
@@ -242,6 +245,11 @@
         self.ledger.require(mark);
     }
 
+    /// Says how many agents, including this one, serve the shard.
+    pub const fn set_agents(&mut self, agents: usize) {
+        self.batch.set_known(agents);
+    }
+
     /// Says that an agent process is known to be gone.
     pub fn mark_dead(&mut self, incarnation: Incarnation, now: Moment) {
         self.ledger.mark_dead(incarnation);
--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -11,6 +11,7 @@
 mod limits;
 mod overhead;
 mod poison;
+mod orders;
 mod report;
 mod spread;
 mod state;
@@ -47,6 +48,7 @@
 
 #[global_allocator]
 static ALLOCATOR: alloc::Counting = alloc::Counting;
+const MEASURES: &[Measure] = &[("orders", orders::run)];
 
 fn options() -> bpaf::OptionParser<Options> {
     let seed = long("seed")
