--- a/crates/exchange/src/node/mod.rs
+++ b/crates/exchange/src/node/mod.rs
@@ -319,8 +319,16 @@
     /// Makes a message with this node's version and contact.
     fn message(&self, now: Moment) -> Message {
         let standing = self.contact.standing(now);
-        let mut message = Message::new(self.view.me(), self.version(), standing);
-        message.wants = !self.pull.busy();
+        Message::new(self.view.me(), self.version(), standing)
+    }
+
+    /// Makes a request that also takes records, unless they may arrive from
+    /// elsewhere meanwhile: a round trip to another region is long enough that
+    /// a quarter of the records of a burst arrived twice.
+    fn request(&self, now: Moment, peer: &Peer) -> Message {
+        let near = self.view.distance(peer.place) != Distance::World;
+        let mut message = self.message(now);
+        message.wants = near && !self.pull.busy();
         message.urgent = self.pull.urgent(now);
         message
     }
--- a/crates/exchange/src/node/pull.rs
+++ b/crates/exchange/src/node/pull.rs
@@ -260,6 +260,7 @@
         }
         let mut message = self.message(now);
         message.wants = true;
+        message.urgent = self.pull.urgent(now);
         message.part = self.pull.intake.next();
         self.pull.current = Some(Current {
             to,
--- a/crates/exchange/src/node/push.rs
+++ b/crates/exchange/src/node/push.rs
@@ -62,7 +62,7 @@
     }
 
     fn announce(&mut self, now: Moment, peer: &Peer, records: &[Record], rng: &mut impl Rng) {
-        let mut message = self.message(now);
+        let mut message = self.request(now, peer);
         if self.allowance.open(now) {
             self.hand_out(now, records);
             message.records = records.to_vec();
--- a/crates/exchange/src/node/round.rs
+++ b/crates/exchange/src/node/round.rs
@@ -13,6 +13,7 @@
 pub(super) struct Schedule {
     round: Moment,
     contact: Moment,
+    seeks: u32,
     answered: [Moment; 3],
 }
 
@@ -21,6 +22,7 @@
         Self {
             round: now,
             contact: now,
+            seeks: 0,
             answered: [now; 3],
         }
     }
@@ -38,9 +40,12 @@
             self.round(now, rng);
             self.escape(now, rng);
         }
-        if self.wants_contact(now) && self.round.contact <= now {
+        if !self.wants_contact(now) {
+            self.round.seeks = 0;
+        } else if self.round.contact <= now {
             self.round.contact = now + self.settings.contact_retry;
             self.seek_contact(now, rng);
+            self.round.seeks += 1;
         }
     }
 
@@ -88,20 +93,19 @@
         }
     }
 
-    /// Asks a peer outside the zone, mostly in the region, since its reply
-    /// comes sooner. The request compares versions only, which keeps it small.
+    /// Asks a peer outside the zone, in the region if possible, since its reply
+    /// comes sooner. If that brings no contact, later attempts ask a peer of
+    /// another region too, since either may be cut off. The requests compare
+    /// versions only, which keeps them small.
     fn seek_contact(&mut self, now: Moment, rng: &mut impl Rng) {
-        let near = rng.random_bool(0.75);
-        let order = if near {
-            [Distance::Region, Distance::World]
+        let near = self.candidate(now, Distance::Region, rng);
+        let far = if near.is_none() || self.round.seeks > 0 {
+            self.candidate(now, Distance::World, rng)
         } else {
-            [Distance::World, Distance::Region]
+            None
         };
-        let peer = order
-            .into_iter()
-            .find_map(|distance| self.candidate(now, distance, rng));
-        if let Some(peer) = peer {
-            let message = self.message(now);
+        for peer in [near, far].into_iter().flatten() {
+            let message = self.request(now, &peer);
             self.send(now, peer.address, false, message);
         }
     }
@@ -142,7 +146,7 @@
     }
 
     fn exchange(&mut self, now: Moment, peer: &Peer, rng: &mut impl Rng) {
-        let mut message = self.message(now);
+        let mut message = self.request(now, peer);
         message.sync = true;
         message.peers = self.view.sample(now, self.settings.shuffle, rng);
         message.digest = self.board.digest();
--- /dev/null
+++ b/crates/exchange/tests/contact.rs
@@ -0,0 +1,196 @@
+//! The contact rule, alone and over a network.
+
+mod net;
+
+use std::time::Duration;
+
+use net::{Net, place, record};
+use sesamerock_base::time::Moment;
+use sesamerock_base::version::Version;
+use sesamerock_exchange::contact::Contact;
+use sesamerock_exchange::message::Standing;
+use sesamerock_exchange::node::Settings;
+use sesamerock_exchange::peer::Place;
+
+const SECOND: Duration = Duration::from_secs(1);
+const V: Version = Version(1);
+
+fn at(millis: u64) -> Moment {
+    Moment::from_millis(millis)
+}
+
+fn standing(age: u32) -> Standing {
+    Standing {
+        age: Some(age),
+        others: true,
+    }
+}
+
+/// Three zones of a region and two of another, four nodes each.
+fn places() -> Vec<Place> {
+    let zones = [(0, 0), (0, 1), (0, 2), (1, 0), (1, 1)];
+    let all = zones.iter().cycle().take(4 * zones.len());
+    all.map(|(region, zone)| place(*region, *zone)).collect()
+}
+
+/// Runs a network for a time in steps and counts, per node, the steps at
+/// which it was out of contact.
+fn lapses(net: &mut Net, time: Duration) -> Vec<usize> {
+    let step = Duration::from_millis(100);
+    let mut lapses = vec![0; net.nodes.len()];
+    for _ in 0..time.as_millis() / step.as_millis() {
+        net.run(step);
+        for (index, lapses) in lapses.iter_mut().enumerate() {
+            *lapses += usize::from(!net.in_contact(index));
+        }
+    }
+    lapses
+}
+
+/// Guards against serving before anything was heard, and past the limit.
+#[test]
+fn evidence_lasts_two_seconds() {
+    let mut contact = Contact::default();
+    contact.know_others();
+    assert!(!contact.holds(at(1_000)));
+    contact.log_read(at(1_000), V, V);
+    assert!(contact.holds(at(3_000)));
+    assert!(!contact.holds(at(3_001)));
+    contact.outside_reply(at(4_000), V, V);
+    assert!(contact.holds(at(6_000)));
+    assert!(!contact.holds(at(6_001)));
+}
+
+/// Guards against the nodes of a zone that is cut off renewing each other's
+/// contact: an age passed on inside a zone only grows.
+#[test]
+fn an_age_is_not_renewed_inside_a_zone() {
+    let (mut one, mut two) = (Contact::default(), Contact::default());
+    one.outside_reply(at(10_000), V, V);
+    two.know_others();
+    for step in 1..40 {
+        let now = at(10_000 + 100 * step);
+        two.inside_reply(now, one.standing(now), V, V);
+        one.inside_reply(now, two.standing(now), V, V);
+        let expected = step <= 20;
+        assert_eq!(two.holds(now), expected, "after {step} steps");
+        assert_eq!(one.holds(now), expected, "after {step} steps");
+    }
+}
+
+/// Guards against a node that was paused for a minute and then takes replies
+/// to old requests for fresh contact.
+#[test]
+fn a_reply_counts_from_its_request() {
+    let mut contact = Contact::default();
+    contact.outside_reply(at(10_000), V, V);
+    let resumed = at(70_000);
+    contact.outside_reply(at(10_200), V, V);
+    contact.inside_reply(at(10_200), standing(0), V, V);
+    assert!(!contact.holds(resumed));
+    contact.outside_reply(resumed, V, V);
+    assert!(contact.holds(at(70_010)));
+}
+
+/// Guards against an age from before this process's time being cut to zero,
+/// which would make old evidence fresh.
+#[test]
+fn evidence_older_than_the_process_does_not_count() {
+    let mut contact = Contact::default();
+    contact.inside_reply(at(100), standing(60_000), V, V);
+    assert_eq!(contact.age(at(100)), None);
+}
+
+/// Guards against serving on with a state known to be old: evidence that came
+/// with a version not held waits until the node advances.
+#[test]
+fn evidence_of_a_newer_version_waits_for_progress() {
+    let mut contact = Contact::default();
+    contact.outside_reply(at(1_000), Version(9), Version(1));
+    contact.log_read(at(1_500), Version(9), Version(1));
+    assert!(!contact.holds(at(1_600)));
+    contact.advanced();
+    assert_eq!(contact.age(at(1_600)), Some(Duration::from_millis(100)));
+}
+
+/// Guards against a deployment of one zone that never serves, and against a
+/// zone that forgets the others after it was cut off.
+#[test]
+fn any_peer_counts_until_another_zone_is_known() {
+    let unknown = Standing::default();
+    let mut contact = Contact::default();
+    contact.inside_reply(at(1_000), unknown, V, V);
+    assert!(contact.holds(at(2_000)));
+    contact.inside_reply(at(1_500), standing(60_000), V, V);
+    assert!(!contact.holds(at(2_000)), "another zone is known now");
+    contact.inside_reply(at(3_000), unknown, V, V);
+    assert!(!contact.holds(at(3_000)), "and stays known");
+}
+
+/// Guards against a log outage of hours stopping nodes whose peers are fine.
+#[test]
+fn a_log_outage_alone_changes_nothing() {
+    let mut net = Net::new(1, &places(), &Settings::default());
+    net.loss = 0.01;
+    net.run(5 * SECOND);
+    let lapses = lapses(&mut net, Duration::from_hours(2));
+    assert!(lapses.iter().all(|lapses| *lapses == 0), "{lapses:?}");
+}
+
+/// Guards against a zone that keeps serving while it is cut off from all
+/// others and may be out; no node of it may serve 3 s after the cut, though
+/// its nodes still hear each other.
+#[test]
+fn a_zone_cut_off_stops_and_resumes() {
+    for seed in 0..20 {
+        let mut net = Net::new(seed, &places(), &Settings::default());
+        net.run(10 * SECOND);
+        let cut: Vec<_> = (0..20).filter(|i| i % 5 == 1).collect();
+        for index in &cut {
+            net.side[*index] = 1;
+        }
+        net.run(Duration::from_millis(2_100));
+        assert!(cut.iter().all(|i| !net.in_contact(*i)), "seed {seed}");
+        let lapses = lapses(&mut net, 5 * Duration::from_mins(1));
+        for (index, lapses) in lapses.iter().enumerate() {
+            let expected = if cut.contains(&index) { 3_000 } else { 0 };
+            assert_eq!(*lapses, expected, "node {index}, seed {seed}");
+        }
+        net.side.fill(0);
+        net.run(8 * SECOND);
+        assert!(cut.iter().all(|i| net.in_contact(*i)), "seed {seed}");
+    }
+}
+
+/// Guards against a region that stops when it is cut off from all others
+/// though its zones hear each other; changes arrive after the cut.
+#[test]
+fn a_region_cut_off_serves_on() {
+    let mut net = Net::new(3, &places(), &Settings::default());
+    net.run(10 * SECOND);
+    for (side, place_of) in net.side.iter_mut().zip(places()) {
+        *side = u8::from(place_of.region == place(1, 0).region);
+    }
+    net.learn(0, record(1, 300));
+    let lapses = lapses(&mut net, Duration::from_hours(1));
+    assert!(lapses.iter().all(|lapses| *lapses == 0), "{lapses:?}");
+    net.side.fill(0);
+    net.run(7 * SECOND);
+    assert!(net.applied.iter().all(|version| *version == V));
+}
+
+/// Guards against a node of a cut-off zone that restarts during the cut,
+/// hears only its own zone, and takes that for contact.
+#[test]
+fn a_restart_inside_a_cut_zone_does_not_serve() {
+    let places = [place(0, 0), place(0, 0), place(0, 0), place(0, 1)];
+    let mut net = Net::new(4, &places, &Settings::default());
+    net.run(10 * SECOND);
+    net.side[3] = 1;
+    net.run(5 * SECOND);
+    net.stop(1);
+    net.run(SECOND);
+    net.start(1);
+    let lapses = lapses(&mut net, Duration::from_mins(5));
+    assert_eq!(lapses[..3], [3_000; 3]);
+}
--- a/crates/measure/src/spread/meter.rs
+++ b/crates/measure/src/spread/meter.rs
@@ -10,7 +10,7 @@
 pub struct Size {
     /// All bytes.
     pub bytes: u64,
-    /// Bytes of a snapshot part in it, which only joining nodes ask for.
+    /// Bytes of state in it that a joining node fetches.
     pub transfer: u64,
 }
 
--- a/crates/measure/src/spread/tally.rs
+++ b/crates/measure/src/spread/tally.rs
@@ -61,6 +61,11 @@
         self.since[node] = now;
     }
 
+    /// Returns when a node was started.
+    pub fn since(&self, node: usize) -> Moment {
+        self.since[node]
+    }
+
     /// Counts that a node reached a version; only nodes that ran when a change
     /// was appended count towards its time.
     pub fn applied(&mut self, now: Moment, node: usize, version: u64) {
