Refuse absurd versions and sequence numbers from peers

Cause: a quickcheck of messages with any content stopped the node: a fact of its own address with the highest sequence number overflowed its counter.

The measure states the memory bound of a node; its files are split by topic.

--- a/crates/exchange/src/fact/mod.rs
+++ b/crates/exchange/src/fact/mod.rs
@@ -26,6 +26,9 @@
 /// Bytes a fact takes on the wire besides its value, rounded up.
 const OVERHEAD: usize = 40;
 
+/// Highest sequence number accepted, far below overflow.
+const HIGHEST: u64 = 1 << 62;
+
 /// Facts closer to their expiry are not sent. Time in transit does not count
 /// against a fact, so without a margin nodes could hand an expiring fact to
 /// each other for ever.
@@ -135,7 +138,7 @@
     pub fn merge(&mut self, now: Moment, me: SocketAddr, facts: &[Fact]) -> bool {
         let before = self.digest;
         for fact in facts {
-            if fact.value.len() > self.limits.value {
+            if fact.value.len() > self.limits.value || fact.sequence > HIGHEST {
                 continue;
             }
             if fact.name.origin == me {
--- a/crates/exchange/src/node/mod.rs
+++ b/crates/exchange/src/node/mod.rs
@@ -30,6 +30,9 @@
 use crate::transfer::{Shelf, Snapshot};
 use crate::window::Window;
 
+/// Highest version a snapshot may have, far below overflow.
+const HIGHEST: Version = Version(1 << 62);
+
 /// Something for the owner to apply.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Delivery {
@@ -176,9 +179,9 @@
     }
 
     /// Moves this node to a newer snapshot and delivers it; an older one is
-    /// ignored, so the version never goes back.
+    /// ignored, so the version never goes back, and so is an absurd one.
     pub fn restore(&mut self, now: Moment, snapshot: Snapshot) -> Outcome {
-        if snapshot.version <= self.version() {
+        if snapshot.version <= self.version() || snapshot.version > HIGHEST {
             return Outcome::Known;
         }
         self.window.reset(snapshot.version);
--- a/crates/measure/src/spread/mod.rs
+++ b/crates/measure/src/spread/mod.rs
@@ -8,6 +8,8 @@
 mod meter;
 mod queue;
 mod tally;
+mod topology;
+mod wire;
 mod world;
 
 use std::sync::Mutex;
@@ -16,8 +18,11 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use sesamerock_base::time::Moment;
-use sesamerock_exchange::node::{Fanout, Settings};
+use sesamerock_exchange::fact::Fact;
+use sesamerock_exchange::message::Record;
+use sesamerock_exchange::node::{Fanout, Node, Settings};
 use sesamerock_exchange::pace::Windows;
+use sesamerock_exchange::peer::Peer;
 
 use crate::report::Report;
 use meter::Span;
@@ -58,9 +63,24 @@
         report.line(&[("cut_hour_settled_after_s", &format!("{seconds:.3}"))]);
         report.at_most("cut_settled_after_s", 7.0, seconds);
     }
+    let memory = memory(&Settings::default());
+    report.line(&[("memory_bound_bytes", &memory)]);
     targets(report, find);
 }
 
+/// Estimates the most memory of one node's exchange, snapshots aside: records,
+/// facts and peers at their bounds with the sizes of their types and 64 bytes
+/// per allocation. Up to three snapshots of the owner's state come on top.
+fn memory(settings: &Settings) -> usize {
+    const ALLOCATION: usize = 64;
+    let view = settings.view;
+    let peers = view.zone + view.region + view.world + 6 * view.seeds;
+    let records = settings.window_records * (size_of::<Record>() + ALLOCATION);
+    let facts = settings.facts.count * (size_of::<Fact>() + settings.facts.value + ALLOCATION);
+    let entries = peers * (size_of::<Peer>() + ALLOCATION);
+    size_of::<Node>() + settings.window_bytes + records + facts + entries
+}
+
 fn targets<'a>(report: &mut Report, find: impl Fn(&str, usize) -> &'a Tally) {
     let [_, middle, full] = SIZES;
     for name in ["day", "burst", "one_origin"] {
--- a/crates/measure/src/spread/world.rs
+++ b/crates/measure/src/spread/world.rs
@@ -1,10 +1,7 @@
 //! The nodes of one scenario, driven over the queue.
 
-use std::hint::black_box;
-use std::net::SocketAddr;
 use std::time::Duration;
 
-use bincode::Options;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use sesamerock_base::time::Moment;
@@ -12,20 +9,14 @@
 use sesamerock_exchange::blob::Blob;
 use sesamerock_exchange::message::{Message, Record, Request, Standing, Ticket};
 use sesamerock_exchange::node::{Delivery, Node, Settings};
-use sesamerock_exchange::peer::{Distance, Peer, Place};
+use sesamerock_exchange::peer::Peer;
 use sesamerock_exchange::transfer::Snapshot;
 
-use super::meter::{Size, Span};
+use super::meter::Span;
 use super::queue::{Event, Queue};
 use super::tally::Tally;
-
-/// Regions and zones of the target size.
-const REGIONS: usize = 10;
-const ZONES: usize = 32;
-
-/// Bytes a message costs besides its bincode encoding: 40 for TCP and IP
-/// headers, 40 for the acknowledgement, 40 for the call's envelope.
-const FRAME: u64 = 120;
+use super::topology::{ZONES, index_of, latency, peer, region_of};
+use super::wire::{coded, size};
 
 /// Time after which a call fails.
 const TIMEOUT: Duration = Duration::from_secs(1);
@@ -387,56 +378,3 @@
         self.tally
     }
 }
-
-/// Zones are filled in turn; the region of a zone is its number modulo ten.
-fn region_of(index: usize) -> usize {
-    index % ZONES % REGIONS
-}
-
-fn peer(index: usize) -> Peer {
-    let zone = index % ZONES;
-    let place = Place::named(&format!("region-{}", region_of(index)), &format!("{zone}"));
-    let [_, a, b, c] = (index as u32).to_be_bytes();
-    Peer::new(SocketAddr::from(([10, a, b, c], 7_400)), place)
-}
-
-fn index_of(address: SocketAddr) -> usize {
-    match address {
-        SocketAddr::V4(v4) => (u32::from(*v4.ip()) & 0x00ff_ffff) as usize,
-        SocketAddr::V6(_) => unreachable!("all nodes have IPv4 addresses"),
-    }
-}
-
-fn latency(from: Place, to: Place) -> Duration {
-    match from.distance(to) {
-        Distance::Zone => Duration::from_micros(500),
-        Distance::Region => Duration::from_millis(1),
-        Distance::World => Duration::from_millis(80),
-    }
-}
-
-/// Encodes and decodes a message, so that the measured CPU time contains it,
-/// and returns its size. The original is delivered, which shares record
-/// contents among the nodes and keeps the run within memory.
-fn coded(message: &Message, joining: bool) -> Size {
-    let options = bincode::DefaultOptions::new();
-    let bytes = options.serialize(message).unwrap_or_default();
-    let decoded: Result<Message, _> = options.deserialize(&bytes);
-    black_box(decoded.is_ok());
-    sized(message, bytes.len() as u64, joining)
-}
-
-fn size(message: &Message, joining: bool) -> Size {
-    let size = bincode::DefaultOptions::new().serialized_size(message);
-    sized(message, size.unwrap_or_default(), joining)
-}
-
-fn sized(message: &Message, encoded: u64, joining: bool) -> Size {
-    let chunk = message.chunk.as_ref().map_or(0, |chunk| chunk.bytes.len());
-    let records = message.records.iter().map(|r| r.bytes.len());
-    let records: usize = if joining { records.sum() } else { 0 };
-    Size {
-        bytes: encoded + FRAME,
-        transfer: (chunk + records) as u64,
-    }
-}
