--- a/crates/exchange/src/node/mod.rs
+++ b/crates/exchange/src/node/mod.rs
@@ -30,6 +30,9 @@
 use crate::transfer::{Shelf, Snapshot};
 use crate::window::Window;
 
+/// Highest version a snapshot may have, far below overflow.
+const HIGHEST: Version = Version(1 << 62);
+
 /// Something for the owner to apply.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Delivery {
@@ -176,9 +179,9 @@
     }
 
     /// Moves this node to a newer snapshot and delivers it; an older one is
-    /// ignored, so the version never goes back.
+    /// ignored, so the version never goes back, and so is an absurd one.
     pub fn restore(&mut self, now: Moment, snapshot: Snapshot) -> Outcome {
-        if snapshot.version <= self.version() {
+        if snapshot.version <= self.version() || snapshot.version > HIGHEST {
             return Outcome::Known;
         }
         self.window.reset(snapshot.version);
@@ -319,8 +322,16 @@
     /// Makes a message with this node's version and contact.
     fn message(&self, now: Moment) -> Message {
         let standing = self.contact.standing(now);
-        let mut message = Message::new(self.view.me(), self.version(), standing);
-        message.wants = !self.pull.busy();
+        Message::new(self.view.me(), self.version(), standing)
+    }
+
+    /// Makes a request that also takes records, unless they may arrive from
+    /// elsewhere meanwhile: a round trip to another region is long enough that
+    /// a quarter of the records of a burst arrived twice.
+    fn request(&self, now: Moment, peer: &Peer) -> Message {
+        let near = self.view.distance(peer.place) != Distance::World;
+        let mut message = self.message(now);
+        message.wants = near && !self.pull.busy();
         message.urgent = self.pull.urgent(now);
         message
     }
--- a/crates/measure/src/spread/world.rs
+++ b/crates/measure/src/spread/world.rs
@@ -1,10 +1,7 @@
 //! The nodes of one scenario, driven over the queue.
 
-use std::hint::black_box;
-use std::net::SocketAddr;
 use std::time::Duration;
 
-use bincode::Options;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use sesamerock_base::time::Moment;
@@ -12,20 +9,14 @@
 use sesamerock_exchange::blob::Blob;
 use sesamerock_exchange::message::{Message, Record, Request, Standing, Ticket};
 use sesamerock_exchange::node::{Delivery, Node, Settings};
-use sesamerock_exchange::peer::{Distance, Peer, Place};
+use sesamerock_exchange::peer::Peer;
 use sesamerock_exchange::transfer::Snapshot;
 
-use super::meter::{Size, Span};
+use super::meter::Span;
 use super::queue::{Event, Queue};
 use super::tally::Tally;
-
-/// Regions and zones of the target size.
-const REGIONS: usize = 10;
-const ZONES: usize = 32;
-
-/// Bytes a message costs besides its bincode encoding: 40 for TCP and IP
-/// headers, 40 for the acknowledgement, 40 for the call's envelope.
-const FRAME: u64 = 120;
+use super::topology::{ZONES, index_of, latency, peer, region_of};
+use super::wire::{coded, size};
 
 /// Time after which a call fails.
 const TIMEOUT: Duration = Duration::from_secs(1);
@@ -272,7 +263,8 @@
     fn send(&mut self, from: usize, request: Request) {
         let Request { ticket, message } = request;
         let to = index_of(ticket.to);
-        self.tally.sent(self.now, from, coded(&message));
+        let joining = self.joining(from, to);
+        self.tally.sent(self.now, from, coded(&message, joining));
         match self.transit(from, to) {
             Some(delay) => self.queue.push(
                 self.now + delay,
@@ -288,8 +280,9 @@
             self.fail(from, ticket);
             return;
         };
-        self.tally.received(self.now, to, size(message));
-        self.tally.sent(self.now, to, coded(&reply));
+        let joining = self.joining(from, to);
+        self.tally.received(self.now, to, size(message, joining));
+        self.tally.sent(self.now, to, coded(&reply, joining));
         match self.transit(to, from) {
             Some(delay) => self.queue.push(
                 self.now + delay,
@@ -301,7 +294,8 @@
 
     fn reply(&mut self, from: usize, to: usize, ticket: Ticket, message: &Message) {
         debug_assert_eq!(index_of(ticket.to), from, "a reply of another node");
-        self.tally.received(self.now, to, size(message));
+        let joining = self.joining(from, to);
+        self.tally.received(self.now, to, size(message, joining));
         self.with(to, |node, now, rng| node.reply(now, &ticket, message, rng));
     }
 
@@ -349,6 +343,13 @@
         });
     }
 
+    /// Returns whether one of two nodes was started within the last 10 s, so
+    /// that it fetches state and recent records.
+    fn joining(&self, one: usize, other: usize) -> bool {
+        let since = self.tally.since(one).max(self.tally.since(other));
+        since > Moment::from_millis(1_000) && self.now.since(since) < Duration::from_secs(10)
+    }
+
     /// Returns the delay of a message, or none if it is lost.
     fn transit(&mut self, from: usize, to: usize) -> Option<Duration> {
         if self.rng.random_bool(0.01) || self.is_cut(from, to) {
@@ -377,54 +378,3 @@
         self.tally
     }
 }
-
-/// Zones are filled in turn; the region of a zone is its number modulo ten.
-fn region_of(index: usize) -> usize {
-    index % ZONES % REGIONS
-}
-
-fn peer(index: usize) -> Peer {
-    let zone = index % ZONES;
-    let place = Place::named(&format!("region-{}", region_of(index)), &format!("{zone}"));
-    let [_, a, b, c] = (index as u32).to_be_bytes();
-    Peer::new(SocketAddr::from(([10, a, b, c], 7_400)), place)
-}
-
-fn index_of(address: SocketAddr) -> usize {
-    match address {
-        SocketAddr::V4(v4) => (u32::from(*v4.ip()) & 0x00ff_ffff) as usize,
-        SocketAddr::V6(_) => unreachable!("all nodes have IPv4 addresses"),
-    }
-}
-
-fn latency(from: Place, to: Place) -> Duration {
-    match from.distance(to) {
-        Distance::Zone => Duration::from_micros(500),
-        Distance::Region => Duration::from_millis(1),
-        Distance::World => Duration::from_millis(80),
-    }
-}
-
-/// Encodes and decodes a message, so that the measured CPU time contains it,
-/// and returns its size. The original is delivered, which shares record
-/// contents among the nodes and keeps the run within memory.
-fn coded(message: &Message) -> Size {
-    let options = bincode::DefaultOptions::new();
-    let bytes = options.serialize(message).unwrap_or_default();
-    let decoded: Result<Message, _> = options.deserialize(&bytes);
-    black_box(decoded.is_ok());
-    sized(message, bytes.len() as u64)
-}
-
-fn size(message: &Message) -> Size {
-    let size = bincode::DefaultOptions::new().serialized_size(message);
-    sized(message, size.unwrap_or_default())
-}
-
-fn sized(message: &Message, encoded: u64) -> Size {
-    let chunk = message.chunk.as_ref();
-    Size {
-        bytes: encoded + FRAME,
-        transfer: chunk.map_or(0, |chunk| chunk.bytes.len() as u64),
-    }
-}
