--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -9,9 +9,9 @@
 mod clock;
 mod fairness;
 mod limits;
+mod orders;
 mod overhead;
 mod poison;
-mod orders;
 mod report;
 mod spread;
 mod state;
@@ -38,6 +38,7 @@
     ("balance", balance::run),
     ("fairness", fairness::run),
     ("limits", limits::run),
+    ("orders", orders::run),
     ("overhead", overhead::run),
     ("poison", poison::run),
     ("spread", spread::run),
@@ -48,7 +49,6 @@
 
 #[global_allocator]
 static ALLOCATOR: alloc::Counting = alloc::Counting;
-const MEASURES: &[Measure] = &[("orders", orders::run)];
 
 fn options() -> bpaf::OptionParser<Options> {
     let seed = long("seed")
--- a/crates/sesamerock/src/agent/keyed/mod.rs
+++ b/crates/sesamerock/src/agent/keyed/mod.rs
@@ -238,7 +238,7 @@
     head: &Head,
     body: Bytes,
     link: sesamerock_platform::http::client::Link,
-    mut permit: Permit,
+    permit: Permit,
     deadline: Instant,
 ) -> (Finish, End) {
     let broken = |why| (Finish::Broken, End::Unknown(why));
--- a/crates/sesamerock/src/suspects/mod.rs
+++ b/crates/sesamerock/src/suspects/mod.rs
@@ -62,7 +62,7 @@
     }
 
     /// Notes a crash and tells all nodes.
-    pub async fn crashed(&self, crash: Crash, aboard: Vec<Fingerprint>, complete: bool) {
+    pub async fn crashed(&self, crash: Crash, aboard: Vec<(Fingerprint, Stamp)>, complete: bool) {
         log::warn!(
             "event=upstream_crashed upstream={:016x} incarnation={} aboard={} complete={complete}",
             crash.upstream,
--- a/crates/sesamerock/tests/support/caller/mod.rs
+++ b/crates/sesamerock/tests/support/caller/mod.rs
@@ -83,7 +83,14 @@
 
 impl Caller {
     /// Sends requests at a rate until `stop` is set, and waits for all answers.
-    pub async fn load(self, kind: Kind, rate: f64, tokens: u64, stop: Arc<AtomicBool>, tag: String) {
+    pub async fn load(
+        self,
+        kind: Kind,
+        rate: f64,
+        tokens: u64,
+        stop: Arc<AtomicBool>,
+        tag: String,
+    ) {
         let mut tasks = JoinSet::new();
         let begin = Instant::now();
         for number in 0_u32.. {
@@ -172,7 +179,10 @@
     pub async fn unkeyed(&self, body: &str, first: usize) {
         let begin = Instant::now();
         let entry = self.entries[first % self.entries.len()];
-        let told = match self.send(post(&order_uri(entry), None, body.to_owned())).await {
+        let told = match self
+            .send(post(&order_uri(entry), None, body.to_owned()))
+            .await
+        {
             Ok(answer) => told(&answer),
             Err(Error::NotSent(_)) => Told::No,
             Err(_) => Told::Unknown,
@@ -263,7 +273,9 @@
         let executed: HashSet<_> = executions.iter().map(|e| e.body.as_str()).collect();
         let orders = self.orders.lock().expect("no holder panics");
         let denied = orders.iter().filter(|(_, told)| **told == Told::No);
-        denied.filter(|(body, _)| executed.contains(body.as_str())).count()
+        denied
+            .filter(|(body, _)| executed.contains(body.as_str()))
+            .count()
     }
 
     /// Counts orders that were said to be placed and were not executed.
@@ -271,14 +283,19 @@
         let executed: HashSet<_> = executions.iter().map(|e| e.body.as_str()).collect();
         let orders = self.orders.lock().expect("no holder panics");
         let placed = orders.iter().filter(|(_, told)| **told == Told::Placed);
-        placed.filter(|(body, _)| !executed.contains(body.as_str())).count()
+        placed
+            .filter(|(body, _)| !executed.contains(body.as_str()))
+            .count()
     }
 }
 
 /// Counts executions beyond the first of each body.
 pub fn doubled(executions: &[Execution]) -> usize {
     let mut seen = HashSet::new();
-    executions.iter().filter(|execution| !seen.insert(execution.body.as_str())).count()
+    executions
+        .iter()
+        .filter(|execution| !seen.insert(execution.body.as_str()))
+        .count()
 }
 
 fn order_uri(entry: SocketAddr) -> String {
@@ -290,7 +307,9 @@
     if let Some(key) = key {
         request = request.header("idempotency-key", key);
     }
-    request.body(Full::from(body)).expect("the request is well formed")
+    request
+        .body(Full::from(body))
+        .expect("the request is well formed")
 }
 
 fn told(answer: &Answer) -> Told {
@@ -298,7 +317,10 @@
         return Told::Placed;
     }
     let document: serde_json::Value = serde_json::from_str(&answer.body).unwrap_or_default();
-    match document.get("executed").and_then(|executed| executed.as_str()) {
+    match document
+        .get("executed")
+        .and_then(|executed| executed.as_str())
+    {
         Some("no") => Told::No,
         _ => Told::Unknown,
     }
--- a/crates/sesamerock/tests/support/node/mod.rs
+++ b/crates/sesamerock/tests/support/node/mod.rs
@@ -25,7 +25,13 @@
         let text = serde_yaml_ng::to_string(settings).expect("settings can be written");
         fs::write(&file, text).expect("the settings file can be written");
         let log = dir.join(format!("{name}.log"));
-        let mut node = Self { role, file, log, child: None, stopped: Vec::new() };
+        let mut node = Self {
+            role,
+            file,
+            log,
+            child: None,
+            stopped: Vec::new(),
+        };
         node.spawn();
         node
     }
@@ -33,7 +39,10 @@
     /// Starts the process anew with the same settings.
     pub fn spawn(&mut self) {
         assert!(self.child.is_none(), "the node runs already");
-        let log = fs::OpenOptions::new().create(true).append(true).open(&self.log);
+        let log = fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(&self.log);
         let log = log.expect("the log file can be opened");
         let child = Command::new(env!("CARGO_BIN_EXE_sesamerock"))
             .arg(self.role)
@@ -91,5 +100,7 @@
 /// Returns an address on loopback whose port was free just now.
 pub fn free_address() -> SocketAddr {
     let listener = TcpListener::bind(("127.0.0.1", 0)).expect("a port is free");
-    listener.local_addr().expect("a bound listener has an address")
+    listener
+        .local_addr()
+        .expect("a bound listener has an address")
 }
--- /dev/null
+++ b/crates/sesamerock/tests/support/world/mod.rs
@@ -0,0 +1,464 @@
+//! The world that scenarios act on.
+
+mod setup;
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::Duration;
+
+use sesamerock::entry::operator::{Published, Status, Verdict};
+use sesamerock_note::note::Note;
+use sesamerock_platform::error::Error;
+use sesamerock_platform::http::client::Client;
+use sesamerock_scenario::run;
+use sesamerock_scenario::script::duration;
+use sesamerock_standin::engine::{self, Engine};
+use sesamerock_standin::platform::Platform;
+use sesamerock_standin::proxy::{Fault, Proxy};
+use sesamerock_standin::service::{Execution, Service};
+use tokio::task::JoinHandle;
+use tokio_util::sync::CancellationToken;
+
+pub use setup::Size;
+
+use super::caller::{self, Caller, Kind, Told};
+use super::node::Node;
+
+/// Links of one node, each with a fault proxy.
+#[derive(Debug)]
+pub struct Links {
+    /// From entries to the agent's relay.
+    pub relay: Option<Proxy>,
+    /// From other nodes to the peer service.
+    pub peers: Proxy,
+    /// From the node to the platform.
+    pub platform: Proxy,
+    /// From the agent to its upstream.
+    pub upstream: Option<Proxy>,
+}
+
+/// Load that runs in the background.
+#[derive(Debug)]
+struct Load {
+    stop: Arc<AtomicBool>,
+    task: JoinHandle<()>,
+}
+
+/// A system of real processes.
+#[derive(Debug)]
+pub struct ProcessWorld {
+    dir: PathBuf,
+    stop: CancellationToken,
+    platform: Platform,
+    engines: Vec<(String, Engine)>,
+    services: Vec<(String, Service)>,
+    nodes: HashMap<String, Node>,
+    links: HashMap<String, Links>,
+    operators: Vec<SocketAddr>,
+    caller: Caller,
+    loads: HashMap<String, Load>,
+    verdicts: Vec<Verdict>,
+    highest: HashMap<SocketAddr, u64>,
+    versions_back: u64,
+}
+
+impl run::World for ProcessWorld {
+    async fn act(
+        &mut self,
+        verb: &str,
+        words: &[String],
+        options: &[(String, String)],
+    ) -> Result<(), String> {
+        let words: Vec<_> = words.iter().map(String::as_str).collect();
+        let options = Options(options);
+        match (verb, words.as_slice()) {
+            ("load", [name]) => self.load(name, &options),
+            ("stop", [name]) => self.stop_load(name).await,
+            ("zone", [word, zone]) => self.order("zones", zone, word, &options).await,
+            ("vm", [word, vm]) => self.order("vms", vm, word, &options).await,
+            ("withdraw", [upstream]) => self.withdraw(upstream).await,
+            ("race", [upstream]) => self.race(upstream).await,
+            ("kill", [node]) => self.with_node(node, Node::kill),
+            ("start", [node]) => self.with_node(node, Node::spawn),
+            ("terminate", [node]) => self.with_node(node, Node::terminate),
+            ("pause", [node]) => self.with_node(node, |node| node.signal(libc::SIGSTOP)),
+            ("resume", [node]) => self.with_node(node, |node| node.signal(libc::SIGCONT)),
+            ("replace", ["all"]) => self.replace_all(),
+            ("platform", words) => self.change_platform(words, &options),
+            ("link", [node, link, fault]) => self.set_link(node, link, fault),
+            ("engine", [index, change]) => self.change_engine(index, change),
+            ("service", ["lose_answers"]) => self.lose_answers(&options),
+            ("order", ["everywhere"]) => self.order_everywhere(&options).await,
+            ("poison", []) => self.poison(&options).await,
+            _ => Err(format!("there is no command {verb} {words:?}")),
+        }
+    }
+
+    async fn quantity(&mut self, name: &str) -> Option<f64> {
+        if let Some(zone) = name.strip_prefix("calls.") {
+            let calls: u64 = self.in_zone(zone).map(|engine| engine.record().calls).sum();
+            return Some(calls as f64);
+        }
+        match name {
+            "versions_back" => {
+                self.look_at_versions().await;
+                Some(self.versions_back as f64)
+            }
+            "zones_out" => Some(self.fewest(|status| status.zones_out.len()).await),
+            "upstreams" => Some(self.most(|status| status.upstreams.len()).await),
+            "stopped" => {
+                let ended = self.nodes.values_mut().all(Node::ended);
+                Some(f64::from(u8::from(ended)))
+            }
+            _ => self.counted(name),
+        }
+    }
+}
+
+impl ProcessWorld {
+    /// Returns where the logs are and the first failed requests, for the report
+    /// of a failed scenario.
+    pub fn explain(&self) -> String {
+        let examples = self
+            .caller
+            .record
+            .examples
+            .lock()
+            .expect("no holder panics");
+        format!("logs in {}; failures: {examples:#?}", self.dir.display())
+    }
+
+    fn counted(&self, name: &str) -> Option<f64> {
+        let record = &self.caller.record;
+        let load = |counter: &AtomicU64| counter.load(Ordering::Relaxed) as f64;
+        Some(match name {
+            "answers" => load(&record.answers),
+            "failed" => load(&record.failed),
+            "mixed" => load(&record.mixed),
+            "reconnects" => load(&record.reconnects),
+            "slowest_ms" => load(&record.slowest_ms),
+            "orders_placed" => record.told(Told::Placed) as f64,
+            "orders_refused" => record.told(Told::No) as f64,
+            "orders_unknown" => record.told(Told::Unknown) as f64,
+            "executions" => self.executions().len() as f64,
+            "doubled" => caller::doubled(&self.executions()) as f64,
+            "false_refusals" => record.false_refusals(&self.executions()) as f64,
+            "lost_orders" => record.lost(&self.executions()) as f64,
+            "crashes" => self.sum(|record| record.crashes),
+            "over_capacity" => self.sum(|record| record.over_capacity),
+            "accepted" => self.verdicts(Verdict::Accepted),
+            "rejected" => self.verdicts(Verdict::Rejected),
+            "unknown" => self.verdicts(Verdict::Unknown),
+            _ => return None,
+        })
+    }
+
+    fn in_zone<'a>(&'a self, zone: &'a str) -> impl Iterator<Item = &'a Engine> {
+        self.engines
+            .iter()
+            .filter(move |(other, _)| other == zone)
+            .map(|(_, engine)| engine)
+    }
+
+    fn sum(&self, part: impl Fn(engine::Record) -> u64) -> f64 {
+        self.engines
+            .iter()
+            .map(|(_, engine)| part(engine.record()))
+            .sum::<u64>() as f64
+    }
+
+    fn verdicts(&self, verdict: Verdict) -> f64 {
+        self.verdicts
+            .iter()
+            .filter(|other| **other == verdict)
+            .count() as f64
+    }
+
+    fn executions(&self) -> Vec<Execution> {
+        self.services
+            .iter()
+            .flat_map(|(_, service)| service.executions())
+            .collect()
+    }
+
+    fn load(&mut self, name: &str, options: &Options<'_>) -> Result<(), String> {
+        let kind = match options.text("kind")? {
+            "model" => Kind::Model,
+            "order" => Kind::Order,
+            "minted" => Kind::Minted,
+            "unkeyed" => Kind::Unkeyed,
+            "lookup" => Kind::Lookup,
+            other => return Err(format!("there is no load of kind {other}")),
+        };
+        let stop = Arc::new(AtomicBool::new(false));
+        let tokens = options.number("tokens").unwrap_or(8.0) as u64;
+        let caller = self.caller.clone();
+        let rate = options.number("rate")?;
+        let load = caller.load(kind, rate, tokens, Arc::clone(&stop), name.to_owned());
+        let load = Load {
+            stop,
+            task: tokio::spawn(load),
+        };
+        self.loads.insert(name.to_owned(), load);
+        Ok(())
+    }
+
+    async fn stop_load(&mut self, name: &str) -> Result<(), String> {
+        let load = self.loads.remove(name).ok_or("there is no such load")?;
+        load.stop.store(true, Ordering::Relaxed);
+        load.task.await.map_err(|error| error.to_string())
+    }
+
+    async fn order(
+        &mut self,
+        kind: &str,
+        name: &str,
+        word: &str,
+        options: &Options<'_>,
+    ) -> Result<(), String> {
+        let via = options.number("via").unwrap_or(1.0) as usize;
+        let operator = self.operators[via - 1];
+        let uri = format!("http://{operator}/operator/{kind}/{name}/{word}");
+        self.verdicts.push(publish(&uri, &()).await);
+        Ok(())
+    }
+
+    /// Withdraws an upstream by a note.
+    async fn withdraw(&mut self, upstream: &str) -> Result<(), String> {
+        let uri = format!("http://{}/operator/notes", self.operators[0]);
+        self.verdicts
+            .push(publish(&uri, &withdrawal(upstream, "withdraw")).await);
+        Ok(())
+    }
+
+    /// Publishes two conflicting notes through two entries at the same time.
+    async fn race(&mut self, upstream: &str) -> Result<(), String> {
+        let uri = |index: usize| format!("http://{}/operator/notes", self.operators[index]);
+        let (first, second) = (uri(0), uri(1));
+        let (one, two) = (
+            withdrawal(upstream, "race-1"),
+            withdrawal(upstream, "race-2"),
+        );
+        let (one, two) = tokio::join!(publish(&first, &one), publish(&second, &two));
+        self.verdicts.extend([one, two]);
+        Ok(())
+    }
+
+    fn with_node(&mut self, name: &str, change: impl FnOnce(&mut Node)) -> Result<(), String> {
+        let node = self
+            .nodes
+            .get_mut(name)
+            .ok_or_else(|| format!("there is no node {name}"))?;
+        change(node);
+        Ok(())
+    }
+
+    /// Kills every process and starts each anew. The versions that callers saw
+    /// before count as acknowledged and must not go back.
+    fn replace_all(&mut self) -> Result<(), String> {
+        self.nodes.values_mut().for_each(Node::kill);
+        self.nodes.values_mut().for_each(Node::spawn);
+        Ok(())
+    }
+
+    fn change_platform(&mut self, words: &[&str], options: &Options<'_>) -> Result<(), String> {
+        match words {
+            ["down"] => self.platform.configure(|settings| settings.down = true),
+            ["up"] => self.platform.configure(|settings| settings.down = false),
+            ["lose_answers"] => {
+                let count = options.number("count")? as usize;
+                self.platform
+                    .configure(|settings| settings.lost_appends = count);
+            }
+            ["retain"] => {
+                let count = options.number("count")? as usize;
+                self.platform.configure(|settings| settings.retain = count);
+            }
+            ["lose_tail"] => {
+                let count = options.number("count")? as usize;
+                self.platform.lose_tail("control", count);
+            }
+            _ => return Err(format!("the platform cannot {words:?}")),
+        }
+        Ok(())
+    }
+
+    fn set_link(&mut self, node: &str, link: &str, fault: &str) -> Result<(), String> {
+        let fault = match fault {
+            "pass" => Fault::Pass,
+            "cut" => Fault::Cut,
+            "hold" => Fault::Hold,
+            "drop_answers" => Fault::DropAnswers,
+            "half_close" => Fault::HalfClose,
+            delay => Fault::Delay(duration(delay).ok_or("there is no such fault")?),
+        };
+        if node == "all" {
+            for links in self.links.values() {
+                links.get(link)?.set(fault);
+            }
+            return Ok(());
+        }
+        let links = self
+            .links
+            .get(node)
+            .ok_or_else(|| format!("there is no node {node}"))?;
+        links.get(link)?.set(fault);
+        Ok(())
+    }
+
+    fn change_engine(&mut self, index: &str, change: &str) -> Result<(), String> {
+        let index: usize = index
+            .parse()
+            .map_err(|_error| "an engine is named by its number".to_owned())?;
+        let (_, engine) = self
+            .engines
+            .get(index - 1)
+            .ok_or("there is no such engine")?;
+        match change {
+            "crash" => engine.crash(),
+            "cool" => engine.cool(),
+            _ => return Err(format!("an engine cannot {change}")),
+        }
+        Ok(())
+    }
+
+    fn lose_answers(&mut self, options: &Options<'_>) -> Result<(), String> {
+        let count = options.number("count")? as usize;
+        for (_, service) in &self.services {
+            service.configure(|settings| settings.lost_answers = count);
+        }
+        Ok(())
+    }
+
+    /// Sends the same orders under the same keys to every entry at once.
+    async fn order_everywhere(&mut self, options: &Options<'_>) -> Result<(), String> {
+        let times = options.number("times")? as usize;
+        let mut tasks = tokio::task::JoinSet::new();
+        for number in 0..times {
+            for first in 0..self.caller.entries.len() {
+                let caller = self.caller.clone();
+                let name = format!("everywhere-{number}");
+                tasks.spawn(async move { caller.order(&name, &name, first).await });
+            }
+        }
+        while tasks.join_next().await.is_some() {}
+        Ok(())
+    }
+
+    /// Sends a request that kills each engine that runs it, again and again as
+    /// a persistent caller does; its own failures do not count.
+    async fn poison(&mut self, options: &Options<'_>) -> Result<(), String> {
+        let times = options.number("times")? as usize;
+        let caller = Caller {
+            record: Arc::default(),
+            ..self.caller.clone()
+        };
+        for first in 0..times {
+            caller.complete(engine::POISON, 8, first).await;
+        }
+        Ok(())
+    }
+
+    async fn statuses(&self) -> Vec<(SocketAddr, Status)> {
+        let client = Client::default();
+        let mut statuses = Vec::new();
+        for operator in &self.operators {
+            let uri = format!("http://{operator}/operator/status");
+            if let Ok(status) = client.get::<Status>(&uri, Duration::ZERO).await {
+                statuses.push((*operator, status));
+            }
+        }
+        statuses
+    }
+
+    /// Counts entries in contact whose version is below one they showed before.
+    async fn look_at_versions(&mut self) {
+        for (operator, status) in self.statuses().await {
+            let highest = self.highest.entry(operator).or_default();
+            let back = status.in_contact && status.version.0 < *highest;
+            self.versions_back += u64::from(back);
+            *highest = (*highest).max(status.version.0);
+        }
+    }
+
+    async fn fewest(&self, count: impl Fn(&Status) -> usize) -> f64 {
+        let statuses = self.statuses().await;
+        if statuses.len() < self.operators.len() {
+            return 0.0;
+        }
+        statuses
+            .iter()
+            .map(|(_, status)| count(status))
+            .min()
+            .unwrap_or(0) as f64
+    }
+
+    async fn most(&self, count: impl Fn(&Status) -> usize) -> f64 {
+        let statuses = self.statuses().await;
+        statuses
+            .iter()
+            .map(|(_, status)| count(status))
+            .max()
+            .unwrap_or(0) as f64
+    }
+}
+
+impl Links {
+    fn get(&self, link: &str) -> Result<&Proxy, String> {
+        let proxy = match link {
+            "relay" => self.relay.as_ref(),
+            "peers" => Some(&self.peers),
+            "platform" => Some(&self.platform),
+            "upstream" => self.upstream.as_ref(),
+            _ => None,
+        };
+        proxy.ok_or_else(|| format!("the node has no link {link}"))
+    }
+}
+
+/// Options of a command.
+struct Options<'a>(&'a [(String, String)]);
+
+impl Options<'_> {
+    fn text(&self, key: &str) -> Result<&str, String> {
+        let found = self.0.iter().find(|(other, _)| other == key);
+        found
+            .map(|(_, value)| value.as_str())
+            .ok_or_else(|| format!("expected {key}="))
+    }
+
+    fn number(&self, key: &str) -> Result<f64, String> {
+        self.text(key)?
+            .parse()
+            .map_err(|_error| format!("{key} must be a number"))
+    }
+}
+
+fn withdrawal(upstream: &str, id: &str) -> Note {
+    let mut note = Note {
+        id: id.to_owned(),
+        ..Note::default()
+    };
+    note.withdraw.upstreams.push(upstream.to_owned());
+    note
+}
+
+async fn publish(uri: &str, content: &impl serde::Serialize) -> Verdict {
+    let content = serde_json::to_vec(content).expect("a note can be written");
+    let request = http::Request::post(uri)
+        .body(http_body_util::Full::from(content))
+        .expect("the request is well formed");
+    let answer = async {
+        let response = Client::default().send(request).await?;
+        let content = http_body_util::BodyExt::collect(response.into_body()).await;
+        let content = content.map_err(|error| Error::Unknown(error.to_string()))?;
+        serde_json::from_slice::<Published>(&content.to_bytes())
+            .map_err(|error| Error::Malformed(error.to_string()))
+    };
+    answer
+        .await
+        .map_or(Verdict::Unknown, |published| published.outcome)
+}
--- a/crates/sesamerock/tests/support/world/setup/mod.rs
+++ b/crates/sesamerock/tests/support/world/setup/mod.rs
@@ -1,6 +1,7 @@
 //! Start of a system of real processes.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
@@ -87,22 +88,10 @@
         let mut upstreams = Vec::new();
         for zone in ["a", "b", "c"] {
             for _ in 0..size.engines_per_zone {
-                let engine = Engine::start(size.engine.clone(), world.stop.clone()).await;
-                let engine = engine.expect("the engine starts");
-                let address = engine.address();
-                world.engines.push((zone.to_owned(), engine));
-                let name = format!("engine-{}", world.engines.len());
-                let started = world.agent(&name, zone, address, note::Kind::Engine, &mut vms).await;
-                upstreams.push(started);
+                upstreams.push(world.engine(zone, &size.engine, &mut vms).await);
             }
             for _ in 0..size.services_per_zone {
-                let service = Service::start(service::Settings::default(), world.stop.clone()).await;
-                let service = service.expect("the service starts");
-                let address = service.address();
-                world.services.push((zone.to_owned(), service));
-                let name = format!("orders-{}", world.services.len());
-                let started = world.agent(&name, zone, address, note::Kind::Service, &mut vms).await;
-                upstreams.push(started);
+                upstreams.push(world.service(zone, &mut vms).await);
             }
         }
         for index in 0..size.entries {
@@ -113,6 +102,31 @@
         world
     }
 
+    async fn engine(
+        &mut self,
+        zone: &str,
+        behaviour: &engine::Settings,
+        vms: &mut Vec<Vm>,
+    ) -> Upstream {
+        let engine = Engine::start(behaviour.clone(), self.stop.clone()).await;
+        let engine = engine.expect("the engine starts");
+        let address = engine.address();
+        self.engines.push((zone.to_owned(), engine));
+        let name = format!("engine-{}", self.engines.len());
+        self.agent(&name, zone, address, note::Kind::Engine, vms)
+            .await
+    }
+
+    async fn service(&mut self, zone: &str, vms: &mut Vec<Vm>) -> Upstream {
+        let service = Service::start(service::Settings::default(), self.stop.clone()).await;
+        let service = service.expect("the service starts");
+        let address = service.address();
+        self.services.push((zone.to_owned(), service));
+        let name = format!("orders-{}", self.services.len());
+        self.agent(&name, zone, address, note::Kind::Service, vms)
+            .await
+    }
+
     /// Makes the settings of a node and its links.
     async fn node(&mut self, name: &str, zone: &str, vms: &mut Vec<Vm>) -> settings::Node {
         let peer = free_address();
@@ -136,20 +150,27 @@
             region: node.region.clone(),
             leaving: false,
         });
-        let links = Links { relay: None, peers, platform, upstream: None };
+        let links = Links {
+            relay: None,
+            peers,
+            platform,
+            upstream: None,
+        };
         self.links.insert(name.to_owned(), links);
         node
     }
 
-    async fn proxy(&self, target: std::net::SocketAddr) -> Proxy {
-        Proxy::start(target, self.stop.clone()).await.expect("the proxy starts")
+    async fn proxy(&self, target: SocketAddr) -> Proxy {
+        Proxy::start(target, self.stop.clone())
+            .await
+            .expect("the proxy starts")
     }
 
     async fn agent(
         &mut self,
         name: &str,
         zone: &str,
-        address: std::net::SocketAddr,
+        address: SocketAddr,
         kind: note::Kind,
         vms: &mut Vec<Vm>,
     ) -> Upstream {
@@ -172,30 +193,14 @@
             node,
             ..settings::Agent::default()
         };
-        let started = Upstream {
-            name: name.to_owned(),
-            kind,
-            agent: entrance.address(),
-            zone: zone.to_owned(),
-            vm: agent.node.vm.clone(),
-            models: match kind {
-                note::Kind::Engine => {
-                    vec![Served { name: MODEL.to_owned(), version: None, adapters: Vec::new() }]
-                }
-                note::Kind::Service => Vec::new(),
-            },
-            role: note::Role::Mixed,
-            group: None,
-            rank: None,
-            service: (kind == note::Kind::Service).then(|| SERVICE.to_owned()),
-            checks_fencing: true,
-            checks_sender: false,
-            not_repeatable: Vec::new(),
-        };
+        let started = noted(&agent, kind, entrance.address());
         let links = self.links.get_mut(name).expect("the node has links");
         links.relay = Some(entrance);
         links.upstream = Some(upstream);
-        self.nodes.insert(name.to_owned(), Node::start("agent", name, &agent, &self.dir));
+        self.nodes.insert(
+            name.to_owned(),
+            Node::start("agent", name, &agent, &self.dir),
+        );
         started
     }
 
@@ -211,16 +216,20 @@
         };
         self.caller.entries.push(entry.caller);
         self.operators.push(entry.operator);
-        self.nodes.insert(name.clone(), Node::start("entry", &name, &entry, &self.dir));
+        self.nodes
+            .insert(name.clone(), Node::start("entry", &name, &entry, &self.dir));
     }
 
-    /// Publishes the first release note and waits until all entries have it.
+    /// Publishes the first release note and waits until all nodes have it.
     async fn publish_first(&mut self, upstreams: &[Upstream]) {
         let note = Note {
             id: "first".to_owned(),
             add: Entries {
                 upstreams: upstreams.to_vec(),
-                models: vec![Model { name: MODEL.to_owned(), version: 1 }],
+                models: vec![Model {
+                    name: MODEL.to_owned(),
+                    version: 1,
+                }],
                 services: vec![note::Service {
                     name: SERVICE.to_owned(),
                     not_repeatable: vec!["POST /orders".to_owned()],
@@ -229,10 +238,14 @@
             },
             ..Note::default()
         };
+        let client = Client::new(sesamerock_platform::http::client::Settings {
+            json_timeout: READY_TIMEOUT,
+            ..sesamerock_platform::http::client::Settings::default()
+        });
         let uri = format!("http://{}/operator/notes?wait=1", self.operators[0]);
         let deadline = tokio::time::Instant::now() + READY_TIMEOUT;
         loop {
-            let published = Client::default().post::<Published>(&uri, &note).await;
+            let published = client.post::<Published>(&uri, &note).await;
             let done = published.as_ref().is_ok_and(|published| {
                 let everywhere = published.missing.as_ref().is_some_and(Vec::is_empty);
                 published.outcome == Verdict::Accepted && everywhere
@@ -255,3 +268,31 @@
         self.stop.cancel();
     }
 }
+
+/// Returns the entry of a release note for an agent.
+fn noted(agent: &settings::Agent, kind: note::Kind, entrance: SocketAddr) -> Upstream {
+    Upstream {
+        name: agent.upstream.name.clone(),
+        kind,
+        agent: entrance,
+        zone: agent.node.zone.clone(),
+        vm: agent.node.vm.clone(),
+        models: match kind {
+            note::Kind::Engine => {
+                vec![Served {
+                    name: MODEL.to_owned(),
+                    version: None,
+                    adapters: Vec::new(),
+                }]
+            }
+            note::Kind::Service => Vec::new(),
+        },
+        role: note::Role::Mixed,
+        group: None,
+        rank: None,
+        service: (kind == note::Kind::Service).then(|| SERVICE.to_owned()),
+        checks_fencing: true,
+        checks_sender: false,
+        not_repeatable: Vec::new(),
+    }
+}
