--- a/crates/measure/src/balance/world/mod.rs
+++ b/crates/measure/src/balance/world/mod.rs
@@ -245,7 +245,7 @@
                 self.after(way, Event::Admit(id));
             }
             Err(wait) => {
-                self.figures.refusals += 1;
+                self.figures.refusals += u64::from(call.arrived >= WARM);
                 self.after(wait, Event::Try(id));
             }
         }
@@ -299,7 +299,7 @@
         let Some(choice) = call.choice.take() else {
             return;
         };
-        self.figures.bounces += 1;
+        self.figures.bounces += u64::from(call.arrived >= WARM);
         let report = self.engines[choice.upstream.0 as usize].report(self.setup.entries as u32);
         let entry = &mut self.entries[call.entry];
         entry.bounced(&choice, now);
