--- a/crates/measure/src/poison/mod.rs
+++ b/crates/measure/src/poison/mod.rs
@@ -41,7 +41,7 @@
 }
 
 /// Conditions that are harder than the target's, to show where the bounds end.
-fn variants(base: &Setup) -> [(&'static str, Setup); 6] {
+fn variants(base: &Setup) -> [(&'static str, Setup); 7] {
     [
         (
             "ours-frequent-bodies",
@@ -57,6 +57,14 @@
                 ..*base
             },
         ),
+        (
+            "ours-crowded",
+            Setup {
+                capacity: 64,
+                rate: 400.0,
+                ..*base
+            },
+        ),
         (
             "ours-agents-die",
             Setup {
--- a/crates/measure/src/poison/world/mod.rs
+++ b/crates/measure/src/poison/world/mod.rs
@@ -16,8 +16,6 @@
 const UPSTREAMS: usize = 12;
 const ENTRIES: usize = 4;
 const POISON: Fingerprint = Fingerprint(u64::MAX);
-/// Calls that an upstream runs at a time.
-const CAPACITY: usize = 12;
 const SERVICE_MS: (u64, u64) = (500, 1_500);
 /// Time from the start of the poison request to the crash.
 const FUSE_MS: (u64, u64) = (20, 300);
@@ -54,7 +52,9 @@
     pub patience: u64,
     /// Milliseconds from a failure to the poison's next sending.
     pub resend: u64,
-    /// Innocent requests per second; 144 are the capacity.
+    /// Calls that an upstream runs at a time; each takes a second on average.
+    pub capacity: usize,
+    /// Innocent requests per second.
     pub rate: f64,
     /// Share of innocent requests with one of a few frequent bodies.
     pub frequent: f64,
@@ -71,6 +71,7 @@
             share: (20, 200),
             patience: 2_000,
             resend: 100,
+            capacity: 12,
             rate: 72.0,
             frequent: 0.1,
             rack: 0,
@@ -307,7 +308,7 @@
     /// Returns the upstreams with room, the less loaded of two first.
     fn candidates(&mut self) -> Vec<usize> {
         let room = |index: &usize| {
-            self.upstreams[*index].up && self.upstreams[*index].running.len() < CAPACITY
+            self.upstreams[*index].up && self.upstreams[*index].running.len() < self.setup.capacity
         };
         let mut free: Vec<usize> = (0..UPSTREAMS).filter(room).collect();
         for index in 0..free.len() {
