Overcome answers of lagging replicas

Cause: one answer with a lower head from a replica that lags made a reader wait for a repair, for ever if the mark came from a peer; a reader that the log had moved past wrote a repair without what ran since (exploration seeds 13773, 124971 and 266757, with stale reads).

--- a/crates/ledger/src/fold/apply.rs
+++ b/crates/ledger/src/fold/apply.rs
@@ -28,6 +28,9 @@
         self.next = offset + 1;
         self.trail.push(entry);
         self.verify();
+        if self.resume() {
+            return false;
+        }
         if let Some(entry) = entry {
             return self.apply(offset, entry, now);
         }
@@ -37,14 +40,37 @@
 
     /// Compares with a peer's mark once the fold has come as far.
     fn verify(&mut self) {
-        let reached = |mark: &mut Mark| *mark == self.trail.mark(self.generation, self.next);
-        if let Some(mark) = self.required.take_if(reached)
+        let own = self.own();
+        if let Some(mark) = self.required.take_if(|mark| *mark == own)
             && !mark.agrees(&self.trail)
         {
             self.await_repair(mark);
         }
     }
 
+    /// Ends the wait for a repair if the entries that seemed lost are in the log,
+    /// because an answer came from a replica that lagged. Returns true if the
+    /// reader has to start over.
+    fn resume(&mut self) -> bool {
+        let own = self.own();
+        let proved = |mark: &mut Mark| *mark == own && mark.is_proved_by(&self.trail);
+        let Some(mark) = self.awaiting.take_if(proved) else {
+            return false;
+        };
+        self.reloaded = true;
+        if self.survived.take() == Some(mark) {
+            return false;
+        }
+        // This reader folded nothing while it waited.
+        let dead = std::mem::take(&mut self.dead);
+        *self = Self {
+            dead,
+            reloaded: true,
+            ..Self::guarded(self.config, self.guard)
+        };
+        true
+    }
+
     /// Returns false if a repair took the place of the state.
     fn apply(&mut self, offset: u64, entry: &Entry, now: Moment) -> bool {
         for record in &entry.records {
--- a/crates/ledger/src/fold/load.rs
+++ b/crates/ledger/src/fold/load.rs
@@ -181,6 +181,16 @@
         {
             self.await_repair(mark.clone());
         }
+        // The log has moved on beyond what was awaited: either a lagging replica
+        // had answered, or a repair was written and trimmed since.
+        if self
+            .awaiting
+            .take_if(|mark| page.first > mark.position)
+            .is_some()
+        {
+            self.survived = None;
+            self.scan(page);
+        }
         match &mut self.phase {
             Phase::Start => self.begin(page, now),
             Phase::Scan(loader) if page.head < loader.next => self.scan(page),
@@ -213,6 +223,7 @@
         let harmless = self.awaiting.is_some() || !self.guard.gap_check;
         if harmless {
             self.next = offset;
+            self.trail = Trail::default();
         } else {
             self.scan(page);
         }
@@ -294,9 +305,8 @@
         // of the entries that were lost first.
         if self.awaiting.is_none() {
             self.survived = Some(self.own());
+            self.await_repair(self.own());
         }
-        self.await_repair(self.own());
-        self.coverage = Coverage::default();
         self.tally = Tally::new(page.first, now);
         self.repairs = Collector::default();
         self.next = page.first;
--- a/crates/ledger/src/fold/mark.rs
+++ b/crates/ledger/src/fold/mark.rs
@@ -39,6 +39,14 @@
         mine.zip(trail.recent.iter().rev()).all(|(a, b)| a == b)
     }
 
+    /// Returns whether a reader saw all the entries that this mark remembers, so
+    /// that the log did not lose its end after all.
+    pub(super) fn is_proved_by(&self, trail: &Trail) -> bool {
+        let enough = self.position.min(REMEMBERED as u64) as usize;
+        let complete = self.recent.len() >= enough && trail.recent.len() >= enough;
+        complete && self.agrees(trail)
+    }
+
     /// Returns whether a state includes everything below this mark, or belongs
     /// to a later generation, in which the mark's offsets mean nothing.
     pub(super) const fn is_covered(&self, stream: &Stream) -> bool {
--- a/crates/ledger/tests/fold.rs
+++ b/crates/ledger/tests/fold.rs
@@ -266,6 +266,101 @@
     }
 }
 
+/// A log that lost the end of `full`, and a reader that had read all of it.
+fn shortened(full: &Log, keep: usize) -> (Log, Ledger) {
+    let mut survivor = Ledger::new(CONFIG);
+    catch_up(&mut survivor, full, 0, Moment(0));
+    let log: Log = full[..keep].to_vec();
+    catch_up(&mut survivor, &log, 0, Moment(0));
+    assert_eq!(survivor.ready(), Err(NotReady::Repair));
+    (log, survivor)
+}
+
+/// Guards against a mark of the shortened log, with which a process that starts
+/// would take it for the whole (exploration seed 17167).
+#[test]
+fn while_a_repair_is_awaited_the_mark_is_the_lost_one() {
+    let full: Log = vec![entry(1, 1, intent(1, 1)), entry(1, 2, done(1, 1))];
+    let (mut log, mut survivor) = shortened(&full, 1);
+    log.extend((1..=3).map(|n| entry(2, n, intent(2, n))));
+    catch_up(&mut survivor, &log, 0, Moment(0));
+    let mut fresh = Ledger::new(CONFIG);
+    fresh.require(survivor.mark());
+    catch_up(&mut fresh, &log, 0, Moment(0));
+    assert_eq!(fresh.ready(), Err(NotReady::Repair));
+}
+
+/// Guards against an old snapshot that takes the place of what a survivor knows
+/// when the log is trimmed meanwhile (exploration seed 475680).
+#[test]
+fn a_survivor_keeps_what_it_knows_when_the_log_is_trimmed() {
+    let mut full: Log = vec![entry(1, 1, intent(1, 1))];
+    let mut writer = Ledger::new(CONFIG);
+    catch_up(&mut writer, &full, 0, Moment(0));
+    write_snapshot(&mut writer, &mut full, 8, &mut Vec::new());
+    let kept = full.len();
+    full.push(entry(1, 2, done(1, 1)));
+    let (mut log, mut survivor) = shortened(&full, kept);
+    catch_up(&mut survivor, &log, 1, Moment(0));
+    let part = survivor
+        .next_part(&mut survivor.snapshot(1))
+        .expect("a repair");
+    log.push(entry(9, 1, Record::Part(Arc::new(part))));
+    catch_up(&mut survivor, &log, 1, Moment(0));
+    assert_eq!(survivor.ready(), Ok(()));
+    assert!(matches!(survivor.standing(&key(1)), Standing::Done(..)));
+}
+
+/// Guards against a second repair by a survivor that missed the first, with which
+/// it alone would forget what ran since (exploration seed 614523).
+#[test]
+fn a_survivor_that_missed_the_repair_takes_a_later_snapshot() {
+    let full: Log = vec![entry(1, 1, intent(1, 1)), entry(1, 2, done(1, 1))];
+    let (mut log, mut first) = shortened(&full, 1);
+    let (_, mut late) = shortened(&full, 1);
+    write_snapshot(&mut first, &mut log, 9, &mut Vec::new());
+    log.push(entry(2, 1, intent(2, 1)));
+    catch_up(&mut first, &log, 0, Moment(0));
+    let trimmed = log.len();
+    write_snapshot(&mut first, &mut log, 10, &mut Vec::new());
+    // Only the later snapshot is still there, and the late reader skips to it.
+    assert!(trimmed > 2);
+    late.read(&page(&log, 2, 2, 1), Moment(0));
+    catch_up(&mut late, &log, trimmed, Moment(0));
+    assert_eq!(late.ready(), Ok(()));
+    assert_eq!(standings(&late), standings(&first));
+}
+
+/// Guards against a reader that waits for ever, or writes a repair, because a
+/// replica of the log that lagged answered once.
+#[test]
+fn an_answer_of_a_lagging_replica_is_overcome() {
+    let log: Log = (1..=4).map(|n| entry(1, n, intent(n as u8, n))).collect();
+    let (_, mut reader) = shortened(&log, 2);
+    let mut fresh = Ledger::new(CONFIG);
+    fresh.require(reader.mark());
+    catch_up(&mut fresh, &log[..2].to_vec(), 0, Moment(0));
+    assert_eq!(fresh.ready(), Err(NotReady::Repair));
+    for ledger in [&mut reader, &mut fresh] {
+        catch_up(ledger, &log, 0, Moment(0));
+        assert_eq!(ledger.ready(), Ok(()));
+        assert!(!ledger.snapshot_due(Incarnation(0), Moment(0)));
+        assert!(matches!(ledger.standing(&key(4)), Standing::Running(_)));
+    }
+}
+
+/// Guards against a repair from a reader that the log has moved past, which would
+/// leave out what ran meanwhile (exploration seed 124971).
+#[test]
+fn a_reader_left_behind_does_not_write_a_repair() {
+    let mut log: Log = (1..=2).map(|n| entry(1, n, intent(n as u8, n))).collect();
+    let (_, mut behind) = shortened(&log, 1);
+    log.extend((3..=6).map(|n| entry(1, n, intent(n as u8, n))));
+    catch_up(&mut behind, &log, 4, Moment(0));
+    assert_eq!(behind.ready(), Err(NotReady::NoSnapshot));
+    assert!(!behind.snapshot_due(Incarnation(0), Moment::from_millis(60_000)));
+}
+
 /// Guards against another history that has grown past the reader.
 #[test]
 fn a_replaced_end_is_noticed_after_a_reconnect() {
--- a/crates/ledger/tests/world/mod.rs
+++ b/crates/ledger/tests/world/mod.rs
@@ -183,6 +183,7 @@
             Some(9) => self.trim(),
             Some(10) => self.foreign_void(),
             Some(11) => self.lose_end(),
+            Some(13) => self.read_stale(index),
             _ => self.up = false,
         }
         self.recover();
@@ -310,6 +311,17 @@
         }
     }
 
+    /// A replica of the log that lags answers a read.
+    fn read_stale(&mut self, index: usize) {
+        if self.up && !self.agents[index].paused && self.log.len() as u64 > self.first {
+            self.counts.stale += 1;
+            let keep = self.rng.random_range(self.first..self.log.len() as u64);
+            let end = self.log.split_off(keep as usize);
+            self.read_up_to(index, 100);
+            self.log.extend(end);
+        }
+    }
+
     fn read_up_to(&mut self, index: usize, most: usize) {
         let agent = &mut self.agents[index];
         let from = agent.shard.wanted();
