--- a/crates/ledger/src/fold/apply.rs
+++ b/crates/ledger/src/fold/apply.rs
@@ -61,10 +61,13 @@
         if self.survived.take() == Some(mark) {
             return false;
         }
-        // This reader folded nothing while it waited.
+        // This reader folded nothing while it waited. What is required of it by
+        // another mark stays required.
         let dead = std::mem::take(&mut self.dead);
+        let required = self.required.take();
         *self = Self {
             dead,
+            required,
             reloaded: true,
             ..Self::guarded(self.config, self.guard)
         };
--- a/crates/ledger/tests/fold.rs
+++ b/crates/ledger/tests/fold.rs
@@ -349,6 +349,23 @@
     }
 }
 
+/// Guards against a reader that forgets a second mark when the first proves to
+/// be no loss (exploration seed 1220443).
+#[test]
+fn a_second_mark_is_still_required_after_a_false_alarm() {
+    let full: Log = (1..=2).map(|n| entry(1, n, intent(n as u8, n))).collect();
+    let mut peer = Ledger::new(CONFIG);
+    let mut fresh = Ledger::new(CONFIG);
+    catch_up(&mut peer, &full[..1].to_vec(), 0, Moment(0));
+    fresh.require(peer.mark());
+    fresh.read(&page(&Vec::new(), 0, 0, 1), Moment(0));
+    catch_up(&mut peer, &full, 0, Moment(0));
+    fresh.require(peer.mark());
+    let shorter: Log = vec![Arc::clone(&full[0]), entry(2, 1, intent(2, 1))];
+    catch_up(&mut fresh, &shorter, 0, Moment(0));
+    assert_eq!(fresh.ready(), Err(NotReady::Repair));
+}
+
 /// Guards against a repair from a reader that the log has moved past, which would
 /// leave out what ran meanwhile (exploration seed 124971).
 #[test]
