--- a/crates/ledger/src/fold/apply.rs
+++ b/crates/ledger/src/fold/apply.rs
@@ -216,12 +216,11 @@
             return false;
         };
         let newer = (stream.generation, stream.through) > (self.generation, self.through);
-        // A repair that covers less than what is awaited must not take the place
-        // of what this reader may know better.
-        let enough = self
-            .awaiting
-            .as_ref()
-            .is_none_or(|mark| mark.is_covered(stream));
+        // A repair that covers less than what is awaited or required must not take
+        // the place of what this reader, or a later repair, knows better.
+        let mut marks = self.awaiting.iter().chain(&self.required);
+        let enough =
+            marks.all(|mark| mark.is_covered(stream) || mark.generation >= stream.generation);
         if newer && enough {
             self.load(&parts, now);
         }
--- a/crates/ledger/tests/fold.rs
+++ b/crates/ledger/tests/fold.rs
@@ -366,6 +366,24 @@
     assert_eq!(fresh.ready(), Err(NotReady::Repair));
 }
 
+/// Guards against a repair that covers less than a peer had read (exploration
+/// seed 1906864).
+#[test]
+fn a_repair_that_covers_too_little_is_ignored() {
+    let full: Log = (1..=3).map(|n| entry(1, n, intent(n as u8, n))).collect();
+    let (_, mut behind) = shortened(&full[..2].to_vec(), 1);
+    let mut log: Log = full[..1].to_vec();
+    let part = behind.next_part(&mut behind.snapshot(1)).expect("a repair");
+    log.push(entry(9, 1, Record::Part(Arc::new(part))));
+    log.extend((1..=2).map(|n| entry(2, n, intent(4, n))));
+    let mut peer = Ledger::new(CONFIG);
+    catch_up(&mut peer, &full, 0, Moment(0));
+    let mut fresh = Ledger::new(CONFIG);
+    fresh.require(peer.mark());
+    catch_up(&mut fresh, &log, 0, Moment(0));
+    assert_eq!(fresh.ready(), Err(NotReady::Repair));
+}
+
 /// Guards against a repair from a reader that the log has moved past, which would
 /// leave out what ran meanwhile (exploration seed 124971).
 #[test]
