--- a/crates/ledger/src/fold/apply.rs
+++ b/crates/ledger/src/fold/apply.rs
@@ -28,6 +28,9 @@
         self.next = offset + 1;
         self.trail.push(entry);
         self.verify();
+        if self.resume() {
+            return false;
+        }
         if let Some(entry) = entry {
             return self.apply(offset, entry, now);
         }
@@ -37,14 +40,40 @@
 
     /// Compares with a peer's mark once the fold has come as far.
     fn verify(&mut self) {
-        let reached = |mark: &mut Mark| *mark == self.trail.mark(self.generation, self.next);
-        if let Some(mark) = self.required.take_if(reached)
+        let own = self.own();
+        if let Some(mark) = self.required.take_if(|mark| *mark == own)
             && !mark.agrees(&self.trail)
         {
             self.await_repair(mark);
         }
     }
 
+    /// Ends the wait for a repair if the entries that seemed lost are in the log,
+    /// because an answer came from a replica that lagged. Returns true if the
+    /// reader has to start over.
+    fn resume(&mut self) -> bool {
+        let own = self.own();
+        let proved = |mark: &mut Mark| *mark == own && mark.is_proved_by(&self.trail);
+        let Some(mark) = self.awaiting.take_if(proved) else {
+            return false;
+        };
+        self.reloaded = true;
+        if self.survived.take() == Some(mark) {
+            return false;
+        }
+        // This reader folded nothing while it waited. What is required of it by
+        // another mark stays required.
+        let dead = std::mem::take(&mut self.dead);
+        let required = self.required.take();
+        *self = Self {
+            dead,
+            required,
+            reloaded: true,
+            ..Self::guarded(self.config, self.guard)
+        };
+        true
+    }
+
     /// Returns false if a repair took the place of the state.
     fn apply(&mut self, offset: u64, entry: &Entry, now: Moment) -> bool {
         for record in &entry.records {
@@ -187,12 +216,11 @@
             return false;
         };
         let newer = (stream.generation, stream.through) > (self.generation, self.through);
-        // A repair that covers less than what is awaited must not take the place
-        // of what this reader may know better.
-        let enough = self
-            .awaiting
-            .as_ref()
-            .is_none_or(|mark| mark.is_covered(stream));
+        // A repair that covers less than what is awaited or required must not take
+        // the place of what this reader, or a later repair, knows better.
+        let mut marks = self.awaiting.iter().chain(&self.required);
+        let enough =
+            marks.all(|mark| mark.is_covered(stream) || mark.generation >= stream.generation);
         if newer && enough {
             self.load(&parts, now);
         }
