--- a/crates/note/tests/snapshot.rs
+++ b/crates/note/tests/snapshot.rs
@@ -161,6 +161,120 @@
     assert_eq!(restored.hash(), state.hash());
 }
 
+/// Guards against a late snapshot that brings back what was withdrawn so long
+/// ago that the state no longer remembers it.
+#[test]
+fn late_snapshot_does_not_revive_forgotten_entries() {
+    let mut state = small();
+    let rounds = bound::GONE / 4_000 + 1;
+    let name = |round: usize, index: usize| format!("{round}-{index}");
+    for round in 0..rounds {
+        let mut add = note(&format!("add-{round}"), state.version().0);
+        add.add.models = (0..4_000).map(|i| model(&name(round, i), 1)).collect();
+        accept(&mut state, add);
+    }
+    let late = snapshot::encode(&state);
+    for round in 0..rounds {
+        let mut withdraw = note(&format!("withdraw-{round}"), state.version().0);
+        withdraw.withdraw.models = (0..4_000).map(|i| name(round, i)).collect();
+        accept(&mut state, withdraw);
+    }
+    for record in &late {
+        append(&mut state, record);
+    }
+    assert!(!state.writing());
+    assert_eq!(state.models().len(), 1);
+}
+
+/// Appends all parts of a snapshot and returns what became of the last one.
+fn append_all(state: &mut State, records: &[Record]) -> Outcome {
+    let outcomes = records.iter().map(|record| append(state, record));
+    outcomes.last().expect("a part")
+}
+
+/// Guards against a node that starts while a snapshot is half written and then
+/// misses what it brings back.
+#[test]
+fn half_written_snapshot_is_completed_after_a_restore() {
+    let mut state = large();
+    let mut survivor = state.clone();
+    let mut lost = note("lost", survivor.version().0);
+    lost.add.upstreams.push(engine("lost", &["chat"]));
+    accept(&mut survivor, lost);
+    let brought = snapshot::encode(&survivor);
+    let first = state.position();
+    append(&mut state, &brought[0]);
+    let between = Record::note(note("between", state.version().0));
+    append(&mut state, &between);
+    let mut started = snapshot::restore(&parts(&state)).expect("a whole snapshot");
+    assert_eq!(started.position(), first);
+    append(&mut started, &brought[0]);
+    append(&mut started, &between);
+    append_all(&mut state, &brought[1..]);
+    append_all(&mut started, &brought[1..]);
+    assert!(state.upstreams().find("lost").is_some());
+    assert_eq!(started.hash(), state.hash());
+}
+
+/// Guards against a version that falls below the one of a merged snapshot.
+#[test]
+fn merged_version_lies_above_both() {
+    let mut ahead = small();
+    for serial in 0..50 {
+        accept(&mut ahead, note(&format!("n{serial}"), 1));
+    }
+    let mut state = State::default();
+    append_all(&mut state, &snapshot::encode(&ahead));
+    assert!(state.version() > ahead.version());
+    assert!(state.verdict("n49").is_some());
+}
+
+/// Guards against references into nothing when one history withdrew a model and
+/// the other began to use it, and against two holders of one rank.
+#[test]
+fn merge_of_two_histories_keeps_references_whole() {
+    let mut base = small();
+    let mut group = note("group", base.version().0);
+    group.add.adapters.push(support::adapter("poet", "chat", 1));
+    accept(&mut base, group);
+    let mut lost = base.clone();
+    let mut withdraw = note("withdraw", lost.version().0);
+    withdraw.withdraw.upstreams.push("e1".to_owned());
+    withdraw.withdraw.adapters.push("poet".to_owned());
+    withdraw.withdraw.models.push("chat".to_owned());
+    let mut ranked = engine("r1", &[]);
+    ranked.group = Some("g".to_owned());
+    ranked.rank = Some(0);
+    withdraw.add.upstreams.push(ranked.clone());
+    accept(&mut lost, withdraw);
+
+    let mut state = base;
+    accept(&mut state, note("pad", 2));
+    let mut add = note("add", state.version().0);
+    let mut user = engine("e2", &["chat"]);
+    user.models[0].adapters.push("poet".to_owned());
+    add.add.upstreams.push(user);
+    ranked.name = "r2".to_owned();
+    add.add.upstreams.push(ranked);
+    accept(&mut state, add);
+
+    let other = snapshot::encode(&lost);
+    let outcome = append_all(&mut state, &other);
+    assert!(
+        matches!(outcome, Outcome::Merged(merge) if merge.taken > 0),
+        "{outcome}"
+    );
+    assert!(state.upstreams().find("e2").is_some());
+    assert!(state.models().find("chat").is_some());
+    assert!(state.adapters().find("poet").is_some());
+    assert!(state.upstreams().find("r1").is_none() && state.upstreams().find("r2").is_some());
+    let again = append_all(&mut state, &other);
+    assert!(
+        matches!(again, Outcome::Merged(merge) if merge.taken == 0),
+        "{again}"
+    );
+}
+
 /// Guards against a change that copies the whole state, or that leaks into a
 /// published clone.
 #[test]
