--- a/crates/measure/src/state/fleet/mod.rs
+++ b/crates/measure/src/state/fleet/mod.rs
@@ -171,6 +171,40 @@
         log
     }
 
+    /// Returns a log in which every upstream is soon replaced by one with a new
+    /// name.
+    pub fn replaced(count: usize) -> Vec<Vec<u8>> {
+        let fleet = Self::new(0, count, 1);
+        let mut log = fleet.log()[..1].to_vec();
+        log.append(&mut fleet.replacements(count, 1));
+        log
+    }
+
+    /// Returns notes from a version on that add upstreams with new names, each
+    /// note withdrawing those of the one before.
+    pub fn replacements(&self, count: usize, version: u64) -> Vec<Vec<u8>> {
+        let mut log = Vec::new();
+        let mut former = Vec::new();
+        for first in (0..count).step_by(BATCH) {
+            let base = version + log.len() as u64;
+            let mut note = empty(&format!("replace-{first:06}"), base);
+            note.withdraw.upstreams = former;
+            note.add.upstreams = (first..count.min(first + BATCH))
+                .map(|index| Upstream {
+                    name: format!("replaced-{index:05}"),
+                    vm: format!("vm-replaced-{index:05}"),
+                    group: None,
+                    rank: None,
+                    ..self.upstreams[index % self.upstreams.len()].clone()
+                })
+                .collect();
+            let names = note.add.upstreams.iter().map(|entry| entry.name.clone());
+            former = names.collect();
+            log.push(Record::note(note).encode());
+        }
+        log
+    }
+
     /// Returns a log of notes that change one model again and again.
     pub fn notes(count: usize) -> Vec<Vec<u8>> {
         let mut log = Self::models(0, 1);
--- a/crates/measure/src/state/mod.rs
+++ b/crates/measure/src/state/mod.rs
@@ -99,7 +99,10 @@
     let fold_time = started.elapsed();
     drop(log);
 
-    // Fill the bounded histories: verdicts, and withdrawn entries.
+    // Fill the bounded histories: withdrawn entries, and verdicts.
+    let withdrawn = fleet.replacements(bound::GONE + bound::GONE / 4, state.version().0);
+    let ((), bytes_withdrawn, _) = measured(|| apply(&mut state, &withdrawn));
+    drop(withdrawn);
     let history: Vec<_> = (0..bound::PAST + bound::PAST / 4)
         .map(|serial| fleet.change(serial, state.version().0 + serial as u64))
         .collect();
@@ -108,7 +111,7 @@
     let replay = started.elapsed();
     let changes = history.len();
     drop(history);
-    let bytes = bytes_fresh + bytes_history;
+    let bytes = bytes_fresh + bytes_withdrawn + bytes_history;
 
     let per_change = change_time(&mut fleet, &mut state);
     let entries = fleet.entries();
@@ -121,6 +124,7 @@
         ("records", &records),
         ("bytes", &bytes),
         ("bytes_without_history", &bytes_fresh),
+        ("bytes_of_withdrawn", &bytes_withdrawn),
         ("bytes_baseline_vector", &baseline_bytes),
         ("fold_upstreams_per_s", &rate(upstreams, fold_time)),
         ("fold_records_per_s", &rate(changes, replay)),
@@ -225,7 +229,7 @@
         black_box(state.hash());
     });
     let reports = Fleet::reports(state);
-    let plan = time(5, || {
+    let planning = time(5, || {
         black_box(Plan::new(&Input {
             state,
             reports: &reports,
@@ -239,7 +243,7 @@
         ("scan_serving_us", &micros(scan)),
         ("clone_us", &micros(clone)),
         ("hash_us", &micros(hash)),
-        ("plan_ms", &millis(plan)),
+        ("plan_ms", &millis(planning)),
     ]);
 }
 
@@ -258,7 +262,13 @@
         ]);
     }
     let verdict = per_entry(bound::PAST / 16, bound::PAST, Fleet::notes);
-    report.line(&[("bytes_per_remembered_note", &format!("{verdict:.0}"))]);
+    let withdrawn = per_entry(bound::GONE / 8, bound::GONE, Fleet::replaced);
+    let forgotten = per_entry(2 * bound::GONE, 4 * bound::GONE, Fleet::replaced);
+    report.line(&[
+        ("bytes_per_remembered_note", &format!("{verdict:.0}")),
+        ("bytes_per_withdrawn_upstream", &format!("{withdrawn:.0}")),
+        ("bytes_per_forgotten_upstream", &format!("{forgotten:.0}")),
+    ]);
 }
 
 fn per_entry(few: usize, many: usize, log: impl Fn(usize) -> Vec<Vec<u8>>) -> f64 {
