--- a/crates/note/src/fold/merge/mod.rs
+++ b/crates/note/src/fold/merge/mod.rs
@@ -16,7 +16,7 @@
 use super::{HIGHEST, Slot, State};
 use crate::bound;
 use crate::record::{Body, Record, Skip};
-use crate::snapshot::{self, PARTS, PENDING_SPAN, Part, Pending};
+use crate::snapshot::{PARTS, PENDING_SPAN, Part, Pending};
 
 impl State {
     pub(crate) fn next_offset(&self) -> u64 {
@@ -103,22 +103,18 @@
     }
 
     /// Folds one part of a snapshot.
-    pub(super) fn fold_part(&mut self, offset: u64, part: Part) -> Outcome {
+    pub(super) fn fold_part(&mut self, offset: u64, part: &Part) -> Outcome {
         let sane = part.version() < HIGHEST;
         if part.count > PARTS || !sane {
             let fault = "expected a snapshot of bounded size and version".to_owned();
             return Outcome::Skipped(Skip::Malformed { fault });
         }
-        let parts = match self.keep_part(offset, part) {
-            Ok(parts) => parts,
+        let snapshot = match self.keep_part(offset, part) {
+            Ok(snapshot) => snapshot,
             Err(missing) => return Outcome::Part { missing },
         };
-        let first = parts.iter().map(|part| part.next).min();
-        match snapshot::restore(&parts) {
-            Ok(other) => {
-                self.covered = self.covered.max(first);
-                Outcome::Merged(self.merge(offset, &other))
-            }
+        match snapshot.verify() {
+            Ok(digest) => Outcome::Merged(self.merge(offset, &snapshot, digest)),
             Err(fault) => Outcome::Skipped(Skip::Malformed {
                 fault: fault.to_string(),
             }),
@@ -133,48 +129,51 @@
             ..
         }) = record
         {
-            let missing = self.keep_part(offset, part).err().unwrap_or_default();
+            let missing = self.keep_part(offset, &part).err().unwrap_or_default();
             return Outcome::Part { missing };
         }
         self.again(record)
     }
 
-    /// Returns all parts once the last one arrives, else how many are missing.
+    /// Returns the snapshot once its last part arrives, else how many parts are
+    /// missing.
     ///
     /// Only a first part opens a snapshot: a state restored in the middle then
     /// collects the same ones as a state that read everything.
-    fn keep_part(&mut self, offset: u64, part: Part) -> Result<Vec<Arc<Part>>, usize> {
-        let count = part.count as usize;
+    fn keep_part(&mut self, offset: u64, part: &Part) -> Result<Pending, usize> {
         let pending = Arc::make_mut(&mut self.pending);
         pending.retain(|pending| offset - pending.first < PENDING_SPAN);
-        let at = match pending.iter().position(|pending| pending.takes(&part)) {
+        let at = match pending.iter().position(|pending| pending.takes(part)) {
             Some(at) => at,
             None if part.index == 0 => {
-                let parts = Vec::new();
-                pending.push(Pending {
-                    first: offset,
-                    parts,
-                });
+                pending.push(Pending::open(offset, part));
                 pending.len() - 1
             }
-            None => return Err(count),
+            None => return Err(part.count as usize),
         };
         let missing = pending[at].keep(part);
         if missing > 0 {
             return Err(missing);
         }
-        Ok(pending.remove(at).parts)
+        Ok(pending.remove(at))
     }
 
-    /// Merges another state at an offset and raises the shift so that the
-    /// version lies above both.
-    pub(super) fn merge(&mut self, offset: u64, other: &Self) -> Merge {
+    /// Merges a snapshot at an offset and raises the shift so that the version
+    /// lies above both.
+    fn merge(&mut self, offset: u64, snapshot: &Pending, digest: u128) -> Merge {
+        let head = &snapshot.head;
+        self.covered = self.covered.max(Some(head.next));
         let before = Version((offset + self.shift).saturating_sub(1));
-        let above = before.max(other.version()).next();
-        let shift = self.shift.max(other.shift).max(above.0 - offset);
+        let above = before.max(head.version()).next();
+        let shift = self.shift.max(head.shift).max(above.0 - offset);
         let raised = shift - self.shift;
         self.shift = shift;
-        let taken = self.join(other);
+        let same = self.digest == digest && self.floor == head.floor;
+        let taken = if same {
+            0
+        } else {
+            self.join_rows(head.floor, snapshot.rows())
+        };
         let version = self.version();
         Merge {
             version,
@@ -189,16 +188,31 @@
         if self.digest == other.digest && self.floor == other.floor {
             return 0;
         }
+        self.join_rows(other.floor, other.rows())
+    }
+
+    /// Joins rows that are decoded one after the other, since a second state in
+    /// memory would exceed the node's budget at the target size.
+    fn join_rows(&mut self, floor: Version, rows: impl IntoIterator<Item = Row>) -> usize {
         let mut taken = 0;
-        for row in other.rows() {
+        let mut known = BTreeSet::new();
+        let mut pasts = Vec::new();
+        for row in rows {
             taken += usize::from(self.join_row(&row));
+            match (row.item(), row) {
+                (Some((item, changed)), _) if changed <= floor => {
+                    known.insert(item);
+                }
+                (_, Row::Past(past)) => pasts.push(Arc::new(past)),
+                _ => {}
+            }
         }
-        taken += self.drop_forgotten(other);
-        self.floor = self.floor.max(other.floor);
+        taken += self.drop_forgotten(floor, &known);
+        self.floor = self.floor.max(floor);
         if taken > 0 {
             self.repair();
         }
-        self.join_past(other);
+        self.join_past(&pasts);
         self.forget();
         taken
     }
@@ -222,26 +236,27 @@
     }
 
     /// Removes entries that the other state withdrew so long ago that it no
-    /// longer remembers them.
-    fn drop_forgotten(&mut self, other: &Self) -> usize {
-        if other.floor == Version::default() {
-            return 0;
-        }
-        let known: BTreeSet<Item> = other
-            .rows()
-            .iter()
-            .filter_map(|row| row.item().map(|(item, _)| item))
-            .collect();
-        let own = self.rows();
-        let forgotten = own.iter().filter_map(Row::item).filter(|(item, changed)| {
-            let place = matches!(item.kind, Kind::Zone | Kind::Vm);
-            !place && *changed <= other.floor && !known.contains(item)
-        });
-        let forgotten: Vec<_> = forgotten.collect();
-        for (item, _) in &forgotten {
+    /// longer remembers them. `known` holds those of its entries that did not
+    /// change after its floor.
+    fn drop_forgotten(&mut self, floor: Version, known: &BTreeSet<Item>) -> usize {
+        let mut old = Vec::new();
+        self.collect_old::<Model>(floor, &mut old);
+        self.collect_old::<Adapter>(floor, &mut old);
+        self.collect_old::<Service>(floor, &mut old);
+        self.collect_old::<Upstream>(floor, &mut old);
+        old.retain(|item| !known.contains(item));
+        for item in &old {
             self.vacate(item);
         }
-        forgotten.len()
+        old.len()
+    }
+
+    /// Lists the entries that did not change after a version.
+    fn collect_old<E: Entry>(&self, floor: Version, old: &mut Vec<Item>) {
+        let table = E::table(self);
+        let entries = table.iter().chain(table.gone());
+        let entries = entries.filter(|(_, entry)| entry.changed() <= floor);
+        old.extend(entries.map(|(key, _)| Item::new(E::KIND, table.name(key))));
     }
 
     fn row(&self, item: &Item) -> Option<Row> {
@@ -317,8 +332,8 @@
     }
 
     /// Unites the remembered verdicts; of two on one id the later one stays.
-    fn join_past(&mut self, other: &Self) {
-        let all = self.recent.iter().chain(other.recent.iter());
+    fn join_past(&mut self, other: &[Arc<Past>]) {
+        let all = self.recent.iter().chain(other);
         let mut by_id: BTreeMap<String, Arc<Past>> = BTreeMap::new();
         for past in all {
             let rank = |past: &Past| (past.version, Row::Past(past.clone()).hash());
--- a/crates/note/src/fold/mod.rs
+++ b/crates/note/src/fold/mod.rs
@@ -130,11 +130,7 @@
     /// Returns a hash of version and content, the same on every node that
     /// folded the same log.
     pub fn hash(&self) -> [u8; 32] {
-        let mut hasher = blake3::Hasher::new();
-        hasher.update(&self.version().0.to_le_bytes());
-        hasher.update(&self.floor.0.to_le_bytes());
-        hasher.update(&self.digest.to_le_bytes());
-        *hasher.finalize().as_bytes()
+        content_hash(self.version(), self.floor, self.digest)
     }
 
     /// Folds the record at an offset, given as bytes from the log.
@@ -180,7 +176,7 @@
     }
 
     fn fold_next(&mut self, offset: u64, record: Record) -> Outcome {
-        if let Body::Snapshot(part) = record.body {
+        if let Body::Snapshot(part) = &record.body {
             return self.fold_part(offset, part);
         }
         let content = content(&record);
@@ -395,6 +391,16 @@
     }
 }
 
+/// Returns the hash of a state by its version, floor and the sum of the hashes
+/// of its rows.
+pub(crate) fn content_hash(version: Version, floor: Version, digest: u128) -> [u8; 32] {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(&version.0.to_le_bytes());
+    hasher.update(&floor.0.to_le_bytes());
+    hasher.update(&digest.to_le_bytes());
+    *hasher.finalize().as_bytes()
+}
+
 fn repeated(past: &Arc<Past>) -> Outcome {
     Outcome::Duplicate {
         version: past.version,
--- a/crates/note/src/snapshot/mod.rs
+++ b/crates/note/src/snapshot/mod.rs
@@ -7,15 +7,15 @@
 
 mod due;
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
 use sesamerock_base::version::Version;
 
-use crate::fold::State;
 use crate::fold::row::Row;
+use crate::fold::{State, content_hash};
 use crate::record::{Body, Record, to_json};
 
 pub use due::{Due, Reason, Schedule};
@@ -127,8 +127,12 @@
 
 /// Returns the id of a state's snapshot.
 pub fn name(state: &State) -> String {
-    let hash = blake3::Hash::from_bytes(state.hash()).to_hex();
-    format!("snapshot-{}-{hash}", state.version().0)
+    name_of(state.version(), state.hash())
+}
+
+fn name_of(version: Version, hash: [u8; 32]) -> String {
+    let hash = blake3::Hash::from_bytes(hash).to_hex();
+    format!("snapshot-{}-{hash}", version.0)
 }
 
 /// Restores a state from all parts of one snapshot, in any order.
@@ -185,26 +189,75 @@
 }
 
 /// A snapshot whose parts the fold collects.
+///
+/// Rows are kept encoded, which takes less than half the memory, and decoded
+/// one part at a time.
 #[derive(Clone, Debug)]
 pub(crate) struct Pending {
     /// Offset of its first part.
     pub(crate) first: u64,
-    pub(crate) parts: Vec<Arc<Part>>,
+    /// The first part without its rows.
+    pub(crate) head: Part,
+    rows: BTreeMap<u32, Arc<[u8]>>,
 }
 
 impl Pending {
+    /// Opens the snapshot of a part.
+    pub(crate) fn open(first: u64, part: &Part) -> Self {
+        let head = Part {
+            rows: Vec::new(),
+            ..part.clone()
+        };
+        Self {
+            first,
+            head,
+            rows: BTreeMap::new(),
+        }
+    }
+
     /// Returns whether a part belongs here.
     pub(crate) fn takes(&self, part: &Part) -> bool {
-        self.parts.first().is_some_and(|first| first.joins(part))
+        self.head.joins(part)
     }
 
     /// Keeps a part unless it is known and returns how many are missing.
-    pub(crate) fn keep(&mut self, part: Part) -> usize {
-        let known = self.parts.iter().any(|other| other.index == part.index);
-        let count = part.count as usize;
-        if !known && part.index < part.count {
-            self.parts.push(Arc::new(part));
+    pub(crate) fn keep(&mut self, part: &Part) -> usize {
+        if part.index < part.count {
+            let rows = || to_json(&part.rows).into();
+            self.rows.entry(part.index).or_insert_with(rows);
+        }
+        part.count as usize - self.rows.len().min(part.count as usize)
+    }
+
+    /// Yields all rows in their order.
+    pub(crate) fn rows(&self) -> impl Iterator<Item = Row> {
+        // The bytes were encoded here, so they decode.
+        let decode = |rows: &Arc<[u8]>| serde_json::from_slice::<Vec<Row>>(rows);
+        self.rows
+            .values()
+            .flat_map(move |rows| decode(rows).unwrap_or_default())
+    }
+
+    /// Returns the digest of the rows.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the content does not match the snapshot's id.
+    pub(crate) fn verify(&self) -> Result<u128, Fault> {
+        let version = self.head.version();
+        let floor = self.head.floor;
+        let mut digest = 0_u128;
+        let mut newest = floor;
+        for row in self.rows() {
+            digest = digest.wrapping_add(row.hash());
+            newest = newest.max(row.item().map_or(newest, |(_, changed)| changed));
+        }
+        if newest > version {
+            return Err(Fault::Version);
+        }
+        if name_of(version, content_hash(version, floor, digest)) != self.head.snapshot {
+            return Err(Fault::Hash);
         }
-        count - self.parts.len().min(count)
+        Ok(digest)
     }
 }
