limit: tests for cancelled workspaces and growth below the limit; cost of a call

Cause: two mutants survived: rounds that are never compacted, and evidence counted at any load. The fairness measure prints the cost of a call.

--- a/crates/limit/tests/learn.rs
+++ b/crates/limit/tests/learn.rs
@@ -140,6 +140,27 @@
     assert_eq!(bench.limit(), first);
 }
 
+/// Fails if work far below the limit counts as evidence because some call was
+/// held back before.
+#[test]
+fn does_not_grow_below_the_limit() {
+    let mut bench = Bench::new(1000);
+    let first = bench.limit();
+    bench.run(3, 0);
+    bench.offer();
+    bench.run(3, 0);
+    bench.offer();
+    bench.run(3, 0);
+    bench.offer();
+    assert_eq!(bench.queued, 1, "the third call is held back by the limit");
+    for (call, _) in std::mem::take(&mut bench.running) {
+        assert!(bench.gate.cancel(bench.now, call));
+    }
+    bench.run(OUTPUT - 1, 0);
+    assert_eq!(bench.gate.report().in_flight.calls, 1);
+    assert_eq!(bench.limit(), first);
+}
+
 /// Fails if an engine that gives no sign before its capacity is exceeded gets
 /// more than one call beyond it at a time.
 #[test]
--- a/crates/limit/tests/queue.rs
+++ b/crates/limit/tests/queue.rs
@@ -154,3 +154,16 @@
     }
     assert_eq!(popped, 396_000);
 }
+
+/// Fails if workspaces whose calls are all cancelled leave records behind.
+#[test]
+fn cancelled_workspaces_leave_nothing() {
+    let mut queue = Queue::new(Settings::default());
+    queue.push(item(0, 0, 100, 3));
+    for call in 1..10_000_u64 {
+        queue.push(item(call, call as u32, 100, 3));
+        assert!(queue.remove(call).is_some());
+        assert!(queue.elements() <= 32, "{} elements", queue.elements());
+    }
+    assert_eq!(queue.flows(), 1);
+}
--- a/crates/measure/src/fairness/baseline/mod.rs
+++ b/crates/measure/src/fairness/baseline/mod.rs
@@ -137,6 +137,11 @@
             admitted: VecDeque::new(),
         }
     }
+
+    /// Returns the number of calls queued.
+    pub fn queued(&self) -> u32 {
+        self.gate.report().queued.calls
+    }
 }
 
 impl Discipline for Fair {
--- a/crates/measure/src/fairness/mod.rs
+++ b/crates/measure/src/fairness/mod.rs
@@ -9,8 +9,8 @@
 mod baseline;
 
 use std::cmp::Reverse;
-use std::collections::BinaryHeap;
-use std::time::Duration;
+use std::collections::{BinaryHeap, VecDeque};
+use std::time::{Duration, Instant};
 
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -40,6 +40,10 @@
 /// Demand of the large workspaces relative to each other.
 const LARGE_WEIGHTS: [f64; LARGE] = [1.0, 1.0, 2.0, 2.0];
 
+/// Workspaces and calls of the runs that show the cost of a call.
+const COST_WORKSPACES: [u64; 3] = [18, 1_800, 18_000];
+const COST_CALLS: u64 = 1_000_000;
+
 /// Targets: part of its demand that each small workspace gets, and service of
 /// the best over the worst of the large ones.
 const SMALL_SERVED: f64 = 0.95;
@@ -82,6 +86,15 @@
             ("utilisation", &format!("{:.4}", served.utilisation)),
         ]);
     }
+    for workspaces in COST_WORKSPACES {
+        let (nanos, flows) = cost(workspaces);
+        report.line(&[
+            ("workspaces", &workspaces),
+            ("calls", &COST_CALLS),
+            ("nanos_per_call", &nanos),
+            ("queued", &flows),
+        ]);
+    }
     report.at_least("small_served_min", SMALL_SERVED, fair.small_worst);
     report.at_most("large_max_over_min", LARGE_RATIO, fair.large_ratio);
 }
@@ -122,6 +135,33 @@
     calls
 }
 
+/// Returns the processor time of one call through a gate whose queue is full,
+/// in nanoseconds, and the calls queued at the end.
+fn cost(workspaces: u64) -> (u64, u32) {
+    let mut fair = Fair::new();
+    let mut running = VecDeque::new();
+    let begin = Instant::now();
+    for id in 0..COST_CALLS {
+        let now = Moment(id * 100);
+        let call = Call {
+            id,
+            workspace: Workspace::new((id * 7919 % workspaces) as u32),
+            tokens: 1000,
+            at: now,
+            latest: now + PATIENCE,
+        };
+        fair.offer(now, call);
+        running.extend(std::iter::from_fn(|| fair.next(now)).map(|id| Call { id, ..call }));
+        if id % 2 == 0
+            && let Some(call) = running.pop_front()
+        {
+            fair.finish(now, &call);
+        }
+    }
+    let nanos = begin.elapsed().as_nanos() as u64 / COST_CALLS;
+    (nanos, fair.queued())
+}
+
 /// Serves a load in virtual time.
 fn serve(calls: &[Call], mut queue: impl Discipline) -> Served {
     let mut served = vec![0_u64; LARGE + SMALL];
