limit: a call that hangs no longer stops others

Cause: one call without a first token, such as one that waits for an adapter, held back all others or cut the limit to 1 on an almost idle engine (found by a_hanging_call_does_not_stop_others: 2 of 20 calls admitted). Change: away from the limit, trouble needs two late calls, and a call that waits 32 steps, or 2 s while nothing runs, counts as hung.

--- a/crates/limit/src/gate/flight/mod.rs
+++ b/crates/limit/src/gate/flight/mod.rs
@@ -40,14 +40,18 @@
     }
 
     pub fn flight(&self) -> Flight {
-        let oldest = self.pending.front().and_then(|call| self.calls.get(call));
+        // Few elements are skipped, as `tidy` bounds those that have started.
+        let calls = self.pending.iter().filter_map(|call| self.calls.get(call));
+        let mut waiting = calls.filter(|r| !r.started).map(|r| Oldest {
+            at: r.admitted,
+            admitted: r.steps,
+            tokens: r.tokens,
+        });
         Flight {
             admitted: self.admitted,
             started: self.started,
-            oldest: oldest.map(|r| Oldest {
-                admitted: r.steps,
-                tokens: r.tokens,
-            }),
+            oldest: waiting.next(),
+            second: waiting.next(),
         }
     }
 
--- a/crates/limit/src/learn/input/mod.rs
+++ b/crates/limit/src/learn/input/mod.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use sesamerock_base::time::Moment;
+
 /// Work in flight: calls, and the tokens they will hold together.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Load {
@@ -101,9 +103,11 @@
     Hold,
 }
 
-/// The oldest call without a first token.
+/// A call without a first token.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Oldest {
+    /// Its admission.
+    pub at: Moment,
     /// [`super::Learner::steps`] at its admission.
     pub admitted: f64,
     /// Its tokens.
@@ -119,6 +123,8 @@
     pub started: Load,
     /// The oldest that has not.
     pub oldest: Option<Oldest>,
+    /// The second oldest that has not.
+    pub second: Option<Oldest>,
 }
 
 /// What came of a call.
--- a/crates/limit/src/learn/mod.rs
+++ b/crates/limit/src/learn/mod.rs
@@ -46,6 +46,11 @@
 const PROOF_STEPS: f64 = 256.0;
 /// Age at which a report of waiting calls no longer counts.
 const REPORT_AGE: Duration = Duration::from_secs(2);
+/// Steps after which a call without a first token no longer holds others back
+/// where there is room for many.
+const HUNG_STEPS: f64 = 32.0;
+/// Time with the same meaning; five times the target for the first token.
+const HUNG_TIME: Duration = Duration::from_secs(2);
 /// Reports in a row with waiting calls that count as trouble.
 const REPORTS: u32 = 2;
 /// Failed calls in a row that count as trouble.
@@ -223,10 +228,9 @@
 
     /// Checks whether the oldest call without a first token is late.
     pub fn check(&mut self, flight: &Flight) {
-        if let Some(oldest) = flight.oldest
-            && oldest.admitted >= self.trouble
-            && self.late(&oldest)
-        {
+        let late = |waiting: Option<Oldest>| waiting.is_some_and(|o| self.late(&o));
+        // A single call may hang by itself where there is room for many.
+        if late(flight.oldest) && (late(flight.second) || self.near(flight.admitted)) {
             self.back_off(flight.admitted, flight.started);
         }
     }
@@ -294,7 +298,14 @@
 
     /// Returns whether a call that the limit allows should wait for evidence.
     fn holds(&self, now: Moment, flight: &Flight, after: Load) -> bool {
-        let pending = flight.admitted.calls - flight.started.calls;
+        let near = self.near(after);
+        let hangs = |o: Oldest| {
+            // Without running calls there are no steps to count.
+            let long = flight.started.calls == 0 && now.since(o.at) > HUNG_TIME;
+            long || self.steps - o.admitted > HUNG_STEPS
+        };
+        let hung = !near && flight.oldest.is_some_and(hangs);
+        let pending = flight.admitted.calls - flight.started.calls - u32::from(hung);
         let reported = self.waiting > 0 && now.since(self.reported) < REPORT_AGE;
         let unproven = !self.proven().covers(after);
         // Without first tokens, a load is proven when calls at it have ended.
@@ -309,12 +320,20 @@
         if self.steps == 0.0 {
             return false;
         }
-        let drift = self.drift();
-        let near = f64::from(after.calls) >= NEAR * self.calls.current(drift)
-            || after.tokens as f64 >= NEAR * self.tokens.current(drift);
         let many = pending > after.calls / PENDING_PART;
         let late = flight.oldest.is_some_and(|oldest| self.late(&oldest));
-        late || (near && (many || reported)) || self.silent(now, flight)
+        ((unproven || near) && late && !hung)
+            || (near && (many || reported))
+            || self.silent(now, flight)
+    }
+
+    /// Returns whether a load is close to what the upstream can hold, as far as
+    /// that is known.
+    fn near(&self, load: Load) -> bool {
+        let drift = self.drift();
+        let calls = self.calls.current(drift).min(self.calls.limit);
+        let tokens = self.tokens.current(drift).min(self.tokens.limit);
+        f64::from(load.calls) >= NEAR * calls || load.tokens as f64 >= NEAR * tokens
     }
 
     /// Returns whether tokens are overdue.
@@ -327,9 +346,11 @@
         batch > 0 && now.since(self.last_token) > allowed
     }
 
-    /// Returns whether a call has waited too long for its first token.
+    /// Returns whether a call has waited too long for its first token. One that
+    /// has caused trouble already does not cause more.
     fn late(&self, oldest: &Oldest) -> bool {
-        self.start.late(self.steps - oldest.admitted, oldest.tokens)
+        oldest.admitted >= self.trouble
+            && self.start.late(self.steps - oldest.admitted, oldest.tokens)
     }
 
     /// Returns step time over that at the last trouble, without its noise.
--- a/crates/limit/tests/learn.rs
+++ b/crates/limit/tests/learn.rs
@@ -257,6 +257,27 @@
     assert!(bench.limit() > 20, "limit {}", bench.limit());
 }
 
+/// Fails if one call that hangs before its first token stops admission, or costs
+/// the learned limit, where there is room for many.
+#[test]
+fn a_hanging_call_does_not_stop_others() {
+    let mut bench = Bench::new(1000);
+    bench.run(600, 8);
+    bench.run(2 * OUTPUT, 0);
+    let limit = bench.limit();
+    bench.offer();
+    let hanging = bench.waiting.pop().expect("the call is admitted");
+    let admitted = bench.admitted;
+    for _ in 0..20 {
+        bench.offer();
+        bench.run(20, 0);
+    }
+    bench.run(OUTPUT, 0);
+    assert_eq!(bench.admitted, admitted + 20);
+    assert_eq!(bench.limit(), limit);
+    assert!(bench.gate.cancel(bench.now, hanging));
+}
+
 /// Fails if a plain service, which streams nothing, keeps the first limit or
 /// keeps a high one after its latency has multiplied.
 #[test]
