--- a/crates/retry/src/budget/mod.rs
+++ b/crates/retry/src/budget/mod.rs
@@ -26,7 +26,7 @@
     fn default() -> Self {
         Self {
             share: 0.1,
-            floor: 1.0,
+            floor: 5.0,
             most: 100.0,
             overdraft: 400.0,
         }
@@ -52,11 +52,11 @@
 }
 
 impl Budget {
-    /// Makes a budget that has saved a tenth of its bound, enough for the first
-    /// seconds of a new entry.
+    /// Makes a full budget: a small system loses a third of its calls at once
+    /// with one upstream, also in its first seconds.
     pub fn new(settings: Settings, now: Moment) -> Self {
         Self {
-            balance: settings.most / 10.0,
+            balance: settings.most,
             settings,
             at: now,
         }
--- a/crates/route/src/pick/choose/mod.rs
+++ b/crates/route/src/pick/choose/mod.rs
@@ -85,11 +85,12 @@
         key: &[u8],
         request: &Request<'_>,
         pool: &[Upstream],
+        now: Moment,
     ) -> Result<Choice, Refusal> {
         let mut losers = Vec::new();
         let mut eligible: SmallVec<[(Upstream, u64); 16]> = SmallVec::new();
         for upstream in pool {
-            match self.fit(*upstream, request) {
+            match self.fit(*upstream, request, now) {
                 Ok(state) => eligible.push((*upstream, state.profile.name)),
                 Err(why) => losers.push(Loser {
                     upstream: *upstream,
@@ -137,9 +138,12 @@
     }
 
     /// Returns the state of an upstream if it may run the request at all.
-    fn fit(&self, upstream: Upstream, request: &Request<'_>) -> Result<&State, Why> {
+    fn fit(&self, upstream: Upstream, request: &Request<'_>, now: Moment) -> Result<&State, Why> {
         let state = self.state(upstream).ok_or(Why::Unknown)?;
-        let leaving = state.load.last().is_some_and(|report| report.leaving);
+        // An upstream that is leaving gets no calls and so sends no newer
+        // report; after a while a call finds out whether it came back.
+        let believed = state.load.known(now, &self.settings.load) > 0.0;
+        let leaving = believed && state.load.last().is_some_and(|report| report.leaving);
         if !state.profile.serves(&request.need) {
             Err(Why::Unfit)
         } else if state.profile.out {
@@ -155,7 +159,7 @@
 
     /// Returns whether an upstream can take the request now.
     fn eligible(&self, upstream: Upstream, request: &Request<'_>, now: Moment) -> Result<(), Why> {
-        let state = self.fit(upstream, request)?;
+        let state = self.fit(upstream, request, now)?;
         let cold = state.load.last().is_some_and(|report| {
             report.cold && report.call_limit > 0 && state.load.own_calls() >= report.call_limit
         });
--- a/crates/sesamerock/src/entry/dispatch/attempt/mod.rs
+++ b/crates/sesamerock/src/entry/dispatch/attempt/mod.rs
@@ -50,6 +50,8 @@
     pub(super) upstream: Option<Upstream>,
     /// Whether no other attempt can do better.
     pub(super) last: bool,
+    /// Whether the upstream died under the call.
+    pub(super) crashed: bool,
     /// Whether the call only lacks room, so that it may wait and ask again.
     pub(super) waits: bool,
 }
@@ -91,6 +93,7 @@
             upstream: Some(self.target.choice.upstream),
             last: false,
             waits: false,
+            crashed: false,
         }
     }
 
@@ -113,6 +116,7 @@
         };
         Err(Failure {
             executed,
+            crashed: tail.crashed,
             ..self.broken(tail.detail.clone())
         })
     }
@@ -148,6 +152,7 @@
             upstream: None,
             last: false,
             waits: false,
+            crashed: false,
         }
     }
 }
--- a/crates/sesamerock/src/entry/dispatch/mod.rs
+++ b/crates/sesamerock/src/entry/dispatch/mod.rs
@@ -53,6 +53,8 @@
     excluded: Vec<Upstream>,
     made: u32,
     refusals: u32,
+    /// When an upstream died under this call.
+    crashed: Option<Moment>,
     earlier: Executed,
     deadline: Moment,
     minted: Option<String>,
@@ -145,6 +147,7 @@
             excluded: Vec::new(),
             made: 0,
             refusals: 0,
+            crashed: None,
             earlier: Executed::No,
             minted,
             context,
@@ -203,6 +206,9 @@
             ..Settings::default()
         };
         let now = clock::now();
+        if failure.crashed {
+            self.crashed = Some(clock::now());
+        }
         let jitter = rand::random();
         if let (true, Phase::Silent) = (failure.last, phase) {
             return Next::Fail(failure.problem(self.earlier.max(failure.executed)));
@@ -289,16 +295,26 @@
     }
 
     fn isolated(&self) -> bool {
+        if self.crashed.is_some() {
+            return true;
+        }
         let findings = self.context.suspects.findings();
         findings.verdict(fingerprint(&self.ask.fingerprint)) == Verdict::Suspect
     }
 
     /// Waits while a suspect must not run anywhere.
     async fn hold(&self) {
-        let hold = {
+        let known = {
             let findings = self.context.suspects.findings();
             findings.hold(fingerprint(&self.ask.fingerprint), stamp())
         };
+        // This entry learns of the crash by its own call before the record of
+        // the agent has reached it.
+        let share = sesamerock_retry::suspect::Settings::default().share;
+        let own = self.crashed.map_or(Duration::ZERO, |at| {
+            share.saturating_sub(clock::now().since(at))
+        });
+        let hold = known.max(own);
         let left = self.ask.remaining();
         if !hold.is_zero() && hold < left {
             tokio::time::sleep(hold).await;
--- a/crates/sesamerock/src/entry/table/mod.rs
+++ b/crates/sesamerock/src/entry/table/mod.rs
@@ -274,7 +274,8 @@
         let choice = match &wish.key {
             Some(key) => {
                 let members: Vec<_> = group.members.iter().map(|member| member.upstream).collect();
-                self.picker.keyed(&[shard_of(key)], &request, &members)?
+                self.picker
+                    .keyed(&[shard_of(key)], &request, &members, now)?
             }
             None => {
                 let pool = group.subset.members();
