--- a/crates/measure/src/state/mod.rs
+++ b/crates/measure/src/state/mod.rs
@@ -44,7 +44,7 @@
 struct Figures {
     upstreams: usize,
     bytes: usize,
-    /// Most bytes in use while a snapshot from the log is merged.
+    /// Most bytes in use while a process starts from a snapshot or merges one.
     peak: usize,
     per_change: Duration,
     copied: Duration,
@@ -131,7 +131,8 @@
         ("change_us", &micros(per_change)),
         ("baseline_copy_us", &micros(copied)),
     ]);
-    let peak = bytes + snapshots(&state, upstreams, report);
+    let (merge_peak, start_peak) = snapshots(&state, upstreams, report);
+    let peak = start_peak.max(bytes + merge_peak);
     queries(&state, upstreams, report);
     Figures {
         upstreams,
@@ -179,8 +180,9 @@
     bytes
 }
 
-/// Returns the most bytes that merging a snapshot takes beyond the state.
-fn snapshots(state: &State, upstreams: usize, report: &Report) -> usize {
+/// Returns the most bytes that merging a snapshot takes beyond the state, and
+/// the most that a start from a snapshot takes in all.
+fn snapshots(state: &State, upstreams: usize, report: &Report) -> (usize, usize) {
     let encode = time(5, || {
         black_box(snapshot::encode(state));
     });
@@ -195,6 +197,11 @@
         black_box(snapshot::restore(&parts).is_ok());
     });
     drop(parts);
+    let ((), _, start_peak) = measured(|| {
+        let records = encoded.iter().map(|bytes| Record::decode(bytes));
+        let parts = snapshot::parts(records.filter_map(Result::ok));
+        black_box(snapshot::restore(&parts).is_ok());
+    });
 
     // What every node does with a snapshot that it reads in the log.
     let mut merging = state.clone();
@@ -214,8 +221,9 @@
         ("restore_ms", &millis(restore)),
         ("decode_and_merge_ms", &millis(merge)),
         ("merge_peak_bytes", &peak),
+        ("start_peak_bytes", &start_peak),
     ]);
-    peak
+    (peak, start_peak)
 }
 
 fn queries(state: &State, upstreams: usize, report: &Report) {
--- a/crates/note/src/fold/merge/mod.rs
+++ b/crates/note/src/fold/merge/mod.rs
@@ -9,7 +9,7 @@
 
 use sesamerock_base::version::Version;
 
-use super::entry::{Adapter, Model, Place, Service, Stamped, Upstream};
+use super::entry::{Adapter, Model, Place, Service, Upstream};
 use super::outcome::{Item, Kind, Merge, Outcome};
 use super::past::{Past, Recent};
 use super::row::{Entry, Row, boxed, of_slot};
@@ -354,79 +354,6 @@
             self.push_past(Past::clone(&past));
         }
     }
-
-    /// Restores the references between entries after a join: two histories may
-    /// each be valid and their union not. What it changes gets the version of
-    /// the merge as stamp, so that a later join with either history keeps it.
-    fn repair(&mut self) {
-        let mut upstreams: Vec<_> = self.upstreams.iter().map(|(key, _)| key).collect();
-        upstreams.sort_by(|a, b| self.upstreams.name(*a).cmp(self.upstreams.name(*b)));
-        for key in upstreams {
-            self.repair_upstream(key);
-        }
-        let adapters: Vec<_> = self.adapters.iter().map(|(_, entry)| entry.model).collect();
-        for model in adapters {
-            self.revive::<Model>(model);
-        }
-    }
-
-    fn repair_upstream(&mut self, key: sesamerock_base::key::Upstream) {
-        let Some(upstream) = self.upstreams.get(key).cloned() else {
-            return;
-        };
-        if let Some(service) = upstream.service {
-            self.revive::<Service>(service);
-        }
-        for served in &upstream.models {
-            self.revive::<Model>(served.model);
-            for adapter in &served.adapters {
-                self.revive::<Adapter>(*adapter);
-            }
-            let pinned = served.version;
-            let model = self.models.get(served.model).cloned();
-            if let (Some(version), Some(mut model)) = (pinned, model)
-                && !model.versions.contains(&version)
-            {
-                let mut versions = model.versions.to_vec();
-                versions.push(version);
-                versions.sort_unstable();
-                model.highest = model.highest.max(version);
-                model.versions = versions.into();
-                model.changed = self.version();
-                self.put(served.model, &Slot::Live(Arc::new(model)));
-            }
-        }
-        self.repair_rank(key, &upstream);
-    }
-
-    /// Of two upstreams that claim one rank the one changed later stays.
-    fn repair_rank(&mut self, key: sesamerock_base::key::Upstream, upstream: &Upstream) {
-        let Some(rank) = upstream.rank else {
-            return;
-        };
-        let Some(group) = self.groups.get(rank.group) else {
-            return;
-        };
-        let order = |key| {
-            let changed = self.upstreams.get(key).map(Stamped::changed);
-            (changed, self.upstreams.name(key))
-        };
-        let holders = group.ranks.iter().filter(|(index, _)| *index == rank.index);
-        let last = holders.map(|(_, holder)| *holder).max_by_key(|k| order(*k));
-        if last != Some(key) {
-            let mut entry = upstream.clone();
-            entry.changed = self.version();
-            self.put_upstream(key, &Slot::Gone(Arc::new(entry)));
-        }
-    }
-
-    /// Brings an entry back that another one refers to.
-    fn revive<E: Entry>(&mut self, key: E::Key) {
-        if let Slot::Gone(entry) = E::table(self).slot(key) {
-            let entry = entry.stamped(self.version());
-            self.put(key, &Slot::Live(Arc::new(entry)));
-        }
-    }
 }
 
 fn slot<E>(entry: E, gone: bool) -> Slot<E> {
--- a/crates/note/src/fold/mod.rs
+++ b/crates/note/src/fold/mod.rs
@@ -13,6 +13,7 @@
 pub mod outcome;
 pub mod past;
 mod query;
+mod repair;
 pub mod row;
 
 use std::collections::BTreeSet;
