--- a/crates/ledger/tests/fold.rs
+++ b/crates/ledger/tests/fold.rs
@@ -371,7 +371,7 @@
 #[test]
 fn a_repair_that_covers_too_little_is_ignored() {
     let full: Log = (1..=3).map(|n| entry(1, n, intent(n as u8, n))).collect();
-    let (_, mut behind) = shortened(&full[..2].to_vec(), 1);
+    let (_, behind) = shortened(&full[..2].to_vec(), 1);
     let mut log: Log = full[..1].to_vec();
     let part = behind.next_part(&mut behind.snapshot(1)).expect("a repair");
     log.push(entry(9, 1, Record::Part(Arc::new(part))));
