--- /dev/null
+++ b/crates/group/src/leader/mod.rs
@@ -0,0 +1,485 @@
+//! The leader's side: promises, staging, windows granted ahead of need.
+//!
+//! Every rank's agent holds a [`Leader`]; it follows until the group has been
+//! silent for a while. Two leaders at once are safe, and the one with the lower
+//! token steps back when it meets the higher one.
+
+mod settings;
+
+use std::time::Duration;
+
+use rand::{Rng, RngExt as _};
+use sesamerock_base::time::Moment;
+
+use crate::guard::Guard;
+use crate::message::{Fence, Incarnation, Map, Message, Report, Step, Window};
+use crate::pace::Pace;
+use crate::plan::{self, Conflict};
+pub use settings::Settings;
+
+/// What a leader does at present.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Role {
+    /// Another rank leads, or nobody does yet.
+    Following,
+    /// Promises are being collected.
+    Preparing,
+    /// Every rank promised.
+    Leading,
+}
+
+/// A message for one rank.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Request {
+    /// The rank.
+    pub to: u32,
+    /// The message.
+    pub message: Message,
+}
+
+/// What the leader knows of a rank under its present token.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+struct Peer {
+    report: Option<Report>,
+    accepted_to: Step,
+    running_to: Step,
+    due: Moment,
+    heard: Moment,
+}
+
+/// The leader of a group, or a rank that may become it.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Leader {
+    settings: Settings,
+    incarnation: Incarnation,
+    role: Role,
+    fence: Fence,
+    /// Highest counter seen in any token.
+    highest: u64,
+    peers: Vec<Peer>,
+    plan: Vec<Window>,
+    /// Step after the last one planned.
+    end: Step,
+    /// Map of the last step planned.
+    current: Option<Map>,
+    /// Step up to which every rank has accepted.
+    confirmed: Step,
+    /// Map to switch to.
+    target: Option<Map>,
+    /// When this rank proposes itself unless it hears of a leader.
+    deadline: Moment,
+    /// When the last window was added, until it is confirmed.
+    added: Option<Moment>,
+    /// Step and moment of the last sample of the step time.
+    sample: (Step, Moment),
+    pace: Pace,
+    guard: Guard,
+}
+
+impl Leader {
+    /// Makes a rank that follows.
+    pub fn new(
+        settings: Settings,
+        incarnation: Incarnation,
+        now: Moment,
+        rng: &mut impl Rng,
+    ) -> Self {
+        let mut leader = Self {
+            settings,
+            incarnation,
+            role: Role::Following,
+            fence: Fence::default(),
+            highest: 0,
+            peers: vec![Peer::default(); settings.ranks as usize],
+            plan: Vec::new(),
+            end: 0,
+            current: None,
+            confirmed: 0,
+            target: None,
+            deadline: now,
+            added: None,
+            sample: (0, now),
+            pace: Pace::new(settings.pace),
+            guard: Guard::default(),
+        };
+        leader.wait(now, rng);
+        leader
+    }
+
+    /// Turns safety rules off, for mutation checks.
+    #[doc(hidden)]
+    #[must_use]
+    pub fn with_guard(mut self, guard: Guard) -> Self {
+        self.guard = guard;
+        self
+    }
+
+    /// Returns what it does at present.
+    pub const fn role(&self) -> Role {
+        self.role
+    }
+
+    /// Returns its token.
+    pub const fn fence(&self) -> Fence {
+        self.fence
+    }
+
+    /// Returns the windows that it knows of and has not seen run by all.
+    pub fn plan(&self) -> &[Window] {
+        &self.plan
+    }
+
+    /// Returns the step up to which every rank has accepted.
+    pub const fn confirmed(&self) -> Step {
+        self.confirmed
+    }
+
+    /// Returns the length of the next window and the steps granted in advance.
+    pub const fn pace(&self) -> &Pace {
+        &self.pace
+    }
+
+    /// Returns the ranks that have not answered under the present token.
+    pub fn silent(&self) -> impl Iterator<Item = u32> {
+        let silent = (0..)
+            .zip(&self.peers)
+            .filter(|(_, peer)| peer.report.is_none());
+        silent.map(|(rank, _)| rank)
+    }
+
+    /// Sets the map that the group is to use as soon as every rank staged it.
+    pub fn switch(&mut self, now: Moment, map: Map) {
+        if self.target != Some(map) {
+            self.target = Some(map);
+            self.hurry(now);
+            self.extend(now);
+        }
+    }
+
+    /// Takes note of a token in a message to this rank's member. A live leader
+    /// keeps this rank from proposing itself; a higher token makes it step
+    /// back.
+    pub fn heard(&mut self, now: Moment, fence: Fence, rng: &mut impl Rng) {
+        self.highest = self.highest.max(fence.counter);
+        if fence > self.fence {
+            self.step_back(now, rng);
+        } else if self.role == Role::Following && fence.counter == self.highest {
+            self.wait(now, rng);
+        }
+    }
+
+    /// Proposes this rank with a token above any it has seen.
+    pub fn propose(&mut self, now: Moment) {
+        self.highest += 1;
+        self.fence = Fence {
+            counter: self.highest,
+            rank: self.settings.rank,
+            incarnation: self.incarnation,
+        };
+        self.role = Role::Preparing;
+        let peer = Peer {
+            heard: now,
+            ..Peer::default()
+        };
+        self.peers = vec![peer; self.settings.ranks as usize];
+        self.plan.clear();
+        self.end = 0;
+        self.current = None;
+        self.confirmed = 0;
+        self.added = None;
+        self.hurry(now);
+    }
+
+    /// Returns the messages that are due, in rank order.
+    ///
+    /// To be called after every input and at [`Leader::next`].
+    pub fn tick(&mut self, now: Moment, rng: &mut impl Rng) -> Vec<Request> {
+        if self.role != Role::Following && now >= self.patience() {
+            // Another rank may reach the silent one.
+            self.step_back(now, rng);
+            self.deadline = self.deadline + self.settings.silence;
+        }
+        if self.role == Role::Following && now >= self.deadline {
+            self.propose(now);
+        }
+        let mut requests = Vec::new();
+        for to in 0..self.settings.ranks {
+            if now < self.peers[to as usize].due {
+                continue;
+            }
+            let messages = self.messages(to);
+            let interval = if self.behind(to) {
+                self.settings.retry
+            } else {
+                self.settings.heartbeat
+            };
+            self.peers[to as usize].due = now + interval;
+            requests.extend(messages.into_iter().map(|message| Request { to, message }));
+        }
+        requests
+    }
+
+    /// Returns when [`Leader::tick`] is to be called next.
+    pub fn next(&self) -> Moment {
+        if self.role == Role::Following {
+            return self.deadline;
+        }
+        let due = self.peers.iter().map(|peer| peer.due);
+        due.min()
+            .map_or(self.deadline, |due| due.min(self.patience()))
+    }
+
+    /// Returns when a rank that leads gives up, since some rank is silent.
+    fn patience(&self) -> Moment {
+        let heard = self.peers.iter().map(|peer| peer.heard).min();
+        heard.unwrap_or(self.deadline) + self.settings.patience
+    }
+
+    /// Returns what a rank is to be told at present, due or not.
+    pub fn messages(&self, to: u32) -> Vec<Message> {
+        let fence = self.fence;
+        let report = &self.peers[to as usize].report;
+        match (self.role, report) {
+            (Role::Following, _) | (Role::Preparing, Some(_)) => Vec::new(),
+            (Role::Preparing | Role::Leading, None) => vec![Message::Prepare { fence }],
+            (Role::Leading, Some(report)) => {
+                let planned = self.plan.iter().map(|window| window.map);
+                let maps = planned.chain(self.target.or(self.current));
+                let mut missing: Vec<_> = maps.filter(|map| !report.staged.contains(map)).collect();
+                missing.sort_unstable();
+                missing.dedup();
+                let stage = missing.into_iter().map(|map| Message::Stage { fence, map });
+                let grant = Message::Grant {
+                    fence,
+                    incarnations: self.incarnations(),
+                    windows: self.plan.clone(),
+                    confirmed: self.confirmed,
+                };
+                stage.chain([grant]).collect()
+            }
+        }
+    }
+
+    /// Takes in a member's reply.
+    ///
+    /// # Errors
+    /// Returns a conflict if two engines may run one step with different maps,
+    /// which is a broken invariant; the leader then steps back.
+    pub fn receive(
+        &mut self,
+        now: Moment,
+        from: u32,
+        reply: &Message,
+        rng: &mut impl Rng,
+    ) -> Result<(), Conflict> {
+        let Some(report) = reply.report() else {
+            return Ok(());
+        };
+        if from >= self.settings.ranks {
+            return Ok(());
+        }
+        self.highest = self.highest.max(report.promised.counter);
+        if self.role == Role::Following || reply.fence() != self.fence {
+            return Ok(());
+        }
+        if report.promised > self.fence {
+            self.step_back(now, rng);
+            return Ok(());
+        }
+        self.peers[from as usize].heard = now;
+        let known = self.peers[from as usize].report.as_ref();
+        if known.is_some_and(|known| known.incarnation != report.incarnation) {
+            // The member forgot what it promised and accepted.
+            self.propose(now);
+            return Ok(());
+        }
+        let outcome = match (self.role, reply) {
+            (_, Message::Refused { report, .. }) => {
+                if let Some(known) = &mut self.peers[from as usize].report {
+                    known.staged.clone_from(&report.staged);
+                }
+                Ok(())
+            }
+            (Role::Preparing, Message::Promise { report, .. }) => self.promised(now, from, report),
+            (Role::Leading, _) => {
+                self.update(now, from, report);
+                Ok(())
+            }
+            _ => Ok(()),
+        };
+        if outcome.is_err() {
+            self.step_back(now, rng);
+        }
+        outcome
+    }
+
+    fn promised(&mut self, now: Moment, from: u32, report: &Report) -> Result<(), Conflict> {
+        self.peers[from as usize].report = Some(report.clone());
+        let missing = self.silent().count();
+        let allowed = usize::from(!self.guard.unanimity);
+        if missing > allowed {
+            return Ok(());
+        }
+        let reports: Vec<_> = self
+            .peers
+            .iter()
+            .filter_map(|peer| peer.report.as_ref())
+            .collect();
+        let start = plan::start(&reports);
+        if self.guard.learning {
+            self.plan = plan::merge(&reports, start)?;
+            self.current = plan::current(&reports);
+        }
+        if let Some(last) = self.plan.last() {
+            self.current = Some(last.map);
+        }
+        self.end = self.plan.last().map_or(start, |last| last.to);
+        self.role = Role::Leading;
+        self.confirmed = start;
+        self.sample = (start, now);
+        let fence = self.fence;
+        for peer in &mut self.peers {
+            if let Some(report) = &peer.report {
+                peer.accepted_to = report.accepted_to(fence);
+                peer.running_to = report.running_to();
+            }
+        }
+        self.extend(now);
+        self.hurry(now);
+        Ok(())
+    }
+
+    /// Takes in the state of a rank; replies may arrive in any order, so the
+    /// marks only rise.
+    fn update(&mut self, now: Moment, from: u32, report: &Report) {
+        let fence = self.fence;
+        let behind = self.behind(from);
+        let peer = &mut self.peers[from as usize];
+        peer.accepted_to = peer.accepted_to.max(report.accepted_to(fence));
+        peer.running_to = peer.running_to.max(report.running_to());
+        let known = peer.report.get_or_insert_with(|| report.clone());
+        if known.step <= report.step {
+            known.clone_from(report);
+        }
+        self.confirm(now);
+        self.extend(now);
+        self.trim();
+        if behind && !self.behind(from) {
+            self.peers[from as usize].due = now + self.settings.heartbeat;
+        }
+    }
+
+    fn confirm(&mut self, now: Moment) {
+        let heard = self.peers.iter().filter(|peer| peer.report.is_some());
+        let accepted = heard.map(|peer| peer.accepted_to).min().unwrap_or(0);
+        if accepted > self.confirmed {
+            self.confirmed = accepted;
+            self.hurry(now);
+        }
+        let running = self.peers.iter().map(|peer| peer.running_to).min();
+        if running.is_some_and(|running| running >= self.end)
+            && let Some(added) = self.added.take()
+        {
+            self.pace.confirmed(now.since(added));
+        }
+    }
+
+    /// Adds windows ahead of need. A switch begins with a new window.
+    fn extend(&mut self, now: Moment) {
+        if self.role != Role::Leading {
+            return;
+        }
+        let step = self.step();
+        self.measure(now, step);
+        while self.end < step + self.pace.ahead() {
+            let Some(map) = self.next_map() else { return };
+            let from = self.end;
+            let to = from + self.pace.window();
+            match self.plan.last_mut() {
+                // Sent windows may grow, since members take what is beyond
+                // their end as a window of its own.
+                Some(last) if last.map == map => last.to = to,
+                _ => self.plan.push(Window { from, to, map }),
+            }
+            self.end = to;
+            self.current = Some(map);
+            self.added.get_or_insert(now);
+            self.hurry(now);
+        }
+    }
+
+    fn measure(&mut self, now: Moment, step: Step) {
+        let (before, at) = self.sample;
+        if step > before {
+            let took = now.since(at) / (step - before).min(u64::from(u32::MAX)) as u32;
+            self.pace.stepped(took.max(Duration::from_nanos(1)));
+            self.sample = (step, now);
+        }
+    }
+
+    fn next_map(&self) -> Option<Map> {
+        let usable = |map: &Map| !self.guard.staging || self.staged_by_all(*map);
+        self.target.filter(usable).or(self.current.filter(usable))
+    }
+
+    fn staged_by_all(&self, map: Map) -> bool {
+        self.peers.iter().all(|peer| {
+            let report = peer.report.as_ref();
+            report.is_some_and(|report| report.staged.contains(&map))
+        })
+    }
+
+    /// Forgets what every rank has run.
+    fn trim(&mut self) {
+        let reports: Vec<_> = self.reports().collect();
+        let start = plan::start(&reports);
+        self.plan.retain(|window| window.to > start);
+        if let Some(first) = self.plan.first_mut() {
+            first.from = first.from.max(start);
+        }
+    }
+
+    /// Returns the highest next step of any rank.
+    fn step(&self) -> Step {
+        self.reports().map(|report| report.step).max().unwrap_or(0)
+    }
+
+    fn reports(&self) -> impl Iterator<Item = &Report> {
+        self.peers.iter().filter_map(|peer| peer.report.as_ref())
+    }
+
+    fn incarnations(&self) -> Vec<Incarnation> {
+        let reports = self.peers.iter().map(|peer| peer.report.as_ref());
+        reports
+            .map(|report| report.map_or(0, |report| report.incarnation))
+            .collect()
+    }
+
+    fn behind(&self, rank: u32) -> bool {
+        let peer = &self.peers[rank as usize];
+        let Some(report) = &peer.report else {
+            return true;
+        };
+        let staged = self.target.is_none_or(|map| report.staged.contains(&map));
+        let granted = peer.accepted_to >= self.end && peer.running_to >= self.confirmed;
+        !(staged && granted)
+    }
+
+    fn hurry(&mut self, now: Moment) {
+        for peer in &mut self.peers {
+            peer.due = now;
+        }
+    }
+
+    fn step_back(&mut self, now: Moment, rng: &mut impl Rng) {
+        self.role = Role::Following;
+        self.wait(now, rng);
+    }
+
+    /// Waits longer the higher the rank, so that the lowest live one proposes.
+    fn wait(&mut self, now: Moment, rng: &mut impl Rng) {
+        let turn = self.settings.stagger * self.settings.rank;
+        let jitter = self.settings.stagger.mul_f64(rng.random::<f64>() / 2.0);
+        self.deadline = now + self.settings.silence + turn + jitter;
+    }
+}
--- /dev/null
+++ b/crates/group/src/leader/settings/mod.rs
@@ -0,0 +1,44 @@
+//! Settings of a leader.
+
+use std::time::Duration;
+
+use crate::pace;
+
+/// Place of a rank in its group, and times.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Settings {
+    /// Rank of this process.
+    pub rank: u32,
+    /// Ranks of the group.
+    pub ranks: u32,
+    /// Time after which an unanswered message is sent again.
+    pub retry: Duration,
+    /// Time between messages to a rank that has all it needs; well below
+    /// `silence`, since they keep the others from proposing themselves.
+    pub heartbeat: Duration,
+    /// Time without a message of a leader after which rank 0 proposes itself.
+    pub silence: Duration,
+    /// Additional time for each rank after the first. Longer than a round
+    /// trip, so that a rank hears of a proposal before it makes its own.
+    pub stagger: Duration,
+    /// Time without a reply of some rank after which a leader steps back, since
+    /// another rank may reach it.
+    pub patience: Duration,
+    /// Bounds of the windows.
+    pub pace: pace::Settings,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            rank: 0,
+            ranks: 1,
+            retry: Duration::from_millis(20),
+            heartbeat: Duration::from_millis(100),
+            silence: Duration::from_millis(500),
+            stagger: Duration::from_millis(20),
+            patience: Duration::from_secs(2),
+            pace: pace::Settings::default(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/group/src/member/mod.rs
@@ -0,0 +1,303 @@
+//! One rank's side: promises, accepted windows, and what its engine may run.
+//!
+//! A member keeps nothing across a restart. What the engine may run survives in
+//! the engine; a promise or an accepted window may be lost, which is safe since
+//! nothing runs before all ranks have accepted it in their listed incarnations.
+
+use std::collections::BTreeSet;
+
+use crate::guard::Guard;
+use crate::message::{Fence, Held, Incarnation, Map, Message, Reason, Report, Step, Window};
+
+/// What the engine says of itself.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub struct Engine {
+    /// Next step.
+    pub step: Step,
+    /// Maps staged.
+    pub staged: Vec<Map>,
+    /// Windows it may run, ascending; those that ended may be missing.
+    pub windows: Vec<Window>,
+}
+
+/// A command for the engine, to be sent under the token.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Command {
+    /// Fetch a map without using it.
+    Stage(Map),
+    /// Run a window; the same window may be sent again.
+    Run(Window),
+}
+
+/// What a request led to.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Answer {
+    /// Reply to the leader.
+    pub reply: Message,
+    /// Commands for the engine, in order.
+    pub commands: Vec<Command>,
+}
+
+/// The member of one rank.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Member {
+    rank: u32,
+    incarnation: Incarnation,
+    promised: Fence,
+    /// Token under which `accepted` was accepted.
+    accepted_under: Fence,
+    accepted: Vec<Window>,
+    running: Vec<Window>,
+    step: Step,
+    staged: BTreeSet<Map>,
+    guard: Guard,
+}
+
+impl Member {
+    /// Makes the member of a rank from a report that the engine gave after the
+    /// agent started.
+    pub fn new(rank: u32, incarnation: Incarnation, engine: &Engine) -> Self {
+        let mut member = Self {
+            rank,
+            incarnation,
+            promised: Fence::default(),
+            accepted_under: Fence::default(),
+            accepted: Vec::new(),
+            running: engine.windows.clone(),
+            step: 0,
+            staged: BTreeSet::new(),
+            guard: Guard::default(),
+        };
+        member.observe(engine);
+        member
+    }
+
+    /// Turns safety rules off, for mutation checks.
+    #[doc(hidden)]
+    #[must_use]
+    pub fn with_guard(mut self, guard: Guard) -> Self {
+        self.guard = guard;
+        self
+    }
+
+    /// Takes in a later report of the engine.
+    pub fn observe(&mut self, engine: &Engine) {
+        self.step = self.step.max(engine.step);
+        self.staged = engine.staged.iter().copied().collect();
+        // The window that ended last stays, since another rank may be one step
+        // behind and a new leader must learn its map from someone.
+        let step = self.step;
+        self.running.retain(|window| window.to + 1 > step);
+    }
+
+    /// Returns the windows that the engine does not report although it may run
+    /// them: the commands for them were lost and are to be sent again.
+    pub fn missing(&self, engine: &Engine) -> Vec<Command> {
+        let end = engine.windows.last().map_or(engine.step, |last| last.to);
+        let missing = self.running.iter().filter(|window| window.to > end);
+        missing.copied().map(Command::Run).collect()
+    }
+
+    /// Returns the incarnation.
+    pub const fn incarnation(&self) -> Incarnation {
+        self.incarnation
+    }
+
+    /// Returns the highest token promised.
+    pub const fn promised(&self) -> Fence {
+        self.promised
+    }
+
+    /// Returns the map that the engine may run a step with, if it may.
+    pub fn map_of(&self, step: Step) -> Option<Map> {
+        let holds = |window: &&Window| (window.from..window.to).contains(&step);
+        self.running.iter().find(holds).map(|window| window.map)
+    }
+
+    /// Returns what the member says of itself.
+    pub fn report(&self) -> Report {
+        let running = self.running.iter().map(|window| Held {
+            window: *window,
+            accepted: None,
+        });
+        let accepted = self.accepted.iter().map(|window| Held {
+            window: *window,
+            accepted: Some(self.accepted_under),
+        });
+        Report {
+            incarnation: self.incarnation,
+            promised: self.promised,
+            step: self.step,
+            staged: self.staged.iter().copied().collect(),
+            held: running.chain(accepted).collect(),
+        }
+    }
+
+    /// Handles a request of a leader.
+    pub fn receive(&mut self, request: &Message) -> Answer {
+        let outcome = match request {
+            Message::Prepare { fence } => self.prepare(*fence).map(|()| Vec::new()),
+            Message::Stage { fence, map } => self.stage(*fence, *map),
+            Message::Grant {
+                fence,
+                incarnations,
+                windows,
+                confirmed,
+            } => self
+                .check(*fence, incarnations, windows)
+                .map(|()| self.grant(*fence, windows, *confirmed)),
+            _ => Err(Reason::Malformed),
+        };
+        let fence = request.fence();
+        let report = self.report();
+        match outcome {
+            Ok(commands) => Answer {
+                reply: match request {
+                    Message::Prepare { .. } => Message::Promise { fence, report },
+                    Message::Stage { .. } => Message::Staged { fence, report },
+                    _ => Message::Granted { fence, report },
+                },
+                commands,
+            },
+            Err(reason) => Answer {
+                reply: Message::Refused {
+                    fence,
+                    reason,
+                    report,
+                },
+                commands: Vec::new(),
+            },
+        }
+    }
+
+    fn prepare(&mut self, fence: Fence) -> Result<(), Reason> {
+        if fence < self.promised {
+            return Err(Reason::Token);
+        }
+        self.promised = fence;
+        Ok(())
+    }
+
+    /// Staging changes no step, but a leader that was replaced must not load
+    /// the weight store.
+    fn stage(&self, fence: Fence, map: Map) -> Result<Vec<Command>, Reason> {
+        if fence != self.promised {
+            return Err(Reason::Token);
+        }
+        let staged = self.staged.contains(&map);
+        Ok((!staged)
+            .then_some(Command::Stage(map))
+            .into_iter()
+            .collect())
+    }
+
+    fn check(
+        &self,
+        fence: Fence,
+        incarnations: &[Incarnation],
+        windows: &[Window],
+    ) -> Result<(), Reason> {
+        if self.guard.token && fence != self.promised {
+            return Err(Reason::Token);
+        }
+        let listed = incarnations.get(self.rank as usize);
+        if self.guard.incarnation && listed != Some(&self.incarnation) {
+            return Err(Reason::Incarnation);
+        }
+        if !contiguous(windows) {
+            return Err(Reason::Malformed);
+        }
+        let end = self.running_to();
+        let ahead = windows.iter().filter(|window| window.to > end);
+        if self.guard.staging
+            && !ahead
+                .clone()
+                .all(|window| self.staged.contains(&window.map))
+        {
+            return Err(Reason::Staging);
+        }
+        // An engine that never ran joins the group at its present step.
+        let joins = self.running.is_empty() && self.step == 0;
+        if !joins && windows.first().is_some_and(|first| first.from > end) {
+            return Err(Reason::Conflict);
+        }
+        if windows.iter().any(|window| self.contradicts(window)) {
+            return Err(Reason::Conflict);
+        }
+        Ok(())
+    }
+
+    /// Accepts the windows and returns commands for those that may run.
+    fn grant(&mut self, fence: Fence, windows: &[Window], confirmed: Step) -> Vec<Command> {
+        // Under one token a plan only grows, so an older copy of a grant adds
+        // nothing; a new token replaces what was accepted and may not yet run.
+        if self.accepted_under != fence {
+            self.accepted.clear();
+            self.accepted_under = fence;
+        }
+        for window in windows {
+            let end = self.accepted_to();
+            let joins = self.running.is_empty() && self.accepted.is_empty() && self.step == 0;
+            let from = if joins {
+                window.from
+            } else {
+                window.from.max(end)
+            };
+            if window.to > from {
+                self.accepted.push(Window { from, ..*window });
+            }
+        }
+        let confirmed = if self.guard.confirmation {
+            confirmed
+        } else {
+            Step::MAX
+        };
+        self.release(confirmed)
+    }
+
+    /// Lets the engine run what is accepted below a step.
+    fn release(&mut self, confirmed: Step) -> Vec<Command> {
+        let mut commands = Vec::new();
+        let mut kept = Vec::new();
+        for window in self.accepted.drain(..) {
+            let split = window.to.min(confirmed.max(window.from));
+            let ready = Window {
+                to: split,
+                ..window
+            };
+            let rest = Window {
+                from: split,
+                ..window
+            };
+            if ready.from < ready.to {
+                self.running.push(ready);
+                commands.push(Command::Run(ready));
+            }
+            if rest.from < rest.to {
+                kept.push(rest);
+            }
+        }
+        self.accepted = kept;
+        commands
+    }
+
+    fn running_to(&self) -> Step {
+        self.running.last().map_or(self.step, |last| last.to)
+    }
+
+    fn accepted_to(&self) -> Step {
+        let last = self.accepted.last();
+        last.map_or_else(|| self.running_to(), |last| last.to)
+    }
+
+    fn contradicts(&self, window: &Window) -> bool {
+        self.running
+            .iter()
+            .any(|own| own.from < window.to && window.from < own.to && own.map != window.map)
+    }
+}
+
+fn contiguous(windows: &[Window]) -> bool {
+    let joined = windows.windows(2).all(|pair| pair[0].to == pair[1].from);
+    joined && windows.iter().all(|window| window.from < window.to)
+}
--- /dev/null
+++ b/crates/group/src/pace/mod.rs
@@ -0,0 +1,85 @@
+//! Length of windows and how far ahead they are granted.
+//!
+//! A map takes effect only after the steps granted before, so long windows
+//! delay a switch; windows that end before the next one is confirmed stall the
+//! group. The pace keeps as many steps granted as the slowest recent
+//! confirmation took, with a margin, and no more.
+
+use std::time::Duration;
+
+/// Bounds of the pace.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Settings {
+    /// Shortest window, in steps.
+    pub shortest: u64,
+    /// Longest window, in steps; bounds the delay of a switch.
+    pub longest: u64,
+    /// Confirmations for which steps are granted in advance. Two cover one
+    /// lost message that is sent again.
+    pub margin: u32,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            shortest: 1,
+            longest: 256,
+            margin: 2,
+        }
+    }
+}
+
+/// Learns the time of a confirmation and of a step.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Pace {
+    settings: Settings,
+    confirmation: Duration,
+    step: Duration,
+}
+
+impl Pace {
+    /// Makes a pace that has seen nothing.
+    pub const fn new(settings: Settings) -> Self {
+        Self {
+            settings,
+            confirmation: Duration::ZERO,
+            step: Duration::ZERO,
+        }
+    }
+
+    /// Takes in the time between the first sending of a window and the moment
+    /// at which every rank may run it.
+    pub fn confirmed(&mut self, took: Duration) {
+        // A peak counts at once and is forgotten slowly: a window too short
+        // stalls all ranks, one too long only delays the next switch.
+        self.confirmation = took.max((self.confirmation * 15 + took) / 16);
+    }
+
+    /// Takes in the time of a step.
+    pub fn stepped(&mut self, took: Duration) {
+        self.step = if self.step.is_zero() {
+            took
+        } else {
+            (self.step * 7 + took) / 8
+        };
+    }
+
+    /// Returns the length of the next window, in steps.
+    pub fn window(&self) -> u64 {
+        let needed = self.steps(self.confirmation * self.settings.margin);
+        needed.clamp(self.settings.shortest, self.settings.longest)
+    }
+
+    /// Returns how many steps are to be granted in advance: one window that
+    /// runs while the next one is confirmed.
+    pub fn ahead(&self) -> u64 {
+        2 * self.window()
+    }
+
+    fn steps(&self, time: Duration) -> u64 {
+        if self.step.is_zero() {
+            return self.settings.shortest;
+        }
+        time.as_nanos().div_ceil(self.step.as_nanos()) as u64
+    }
+}
