Explore the group protocol and run it under faults

Cause: the design's rule, by which a member runs a grant as soon as it accepts it, allows a mixed step: a member that restarts forgets its promise, and an older leader that got promises from the others beforehand can then be served by the new incarnation. Change: exhaustive exploration of 2 and 3 ranks, a mutation check of the six rules, and seeded schedules of 8 and 64 ranks in virtual time. The schedules found a leader that took an engine which had joined at a later step for one at step 0 and planned over granted steps; members now report their first window as their step, and a merge with a gap is an error (tests/plan.rs). Conclusion: no mixed step with all rules on; each rule is needed.

--- a/crates/group/src/guard/mod.rs
+++ b/crates/group/src/guard/mod.rs
@@ -9,9 +9,11 @@
     reason = "each rule is switched on its own"
 )]
 pub struct Guard {
-    /// A member accepts a grant only under the token it promised last.
+    /// A member accepts a grant only under the token it promised last, and a
+    /// leader counts no answer of a member that promised a higher one.
     pub token: bool,
-    /// A member accepts a grant only if it lists the member's incarnation.
+    /// A member accepts a grant only if it lists the member's incarnation, and a
+    /// leader counts answers of the listed incarnations only.
     pub incarnation: bool,
     /// A new leader keeps to what any rank was granted before.
     pub learning: bool,
--- a/crates/group/src/leader/mod.rs
+++ b/crates/group/src/leader/mod.rs
@@ -17,6 +17,9 @@
 use crate::plan::{self, Conflict};
 pub use settings::Settings;
 
+/// Shortest time between messages to a rank that has all it needs.
+const SHORTEST_INTERVAL: Duration = Duration::from_millis(1);
+
 /// What a leader does at present.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Role {
@@ -68,9 +71,9 @@
     target: Option<Map>,
     /// When this rank proposes itself unless it hears of a leader.
     deadline: Moment,
-    /// When the last window was added, until it is confirmed.
-    added: Option<Moment>,
-    /// Step and moment of the last sample of the step time.
+    /// End and moment of a window that is being confirmed.
+    added: Option<(Step, Moment)>,
+    /// Highest step reported, and when.
     sample: (Step, Moment),
     pace: Pace,
     guard: Guard,
@@ -119,6 +122,11 @@
         self.role
     }
 
+    /// Returns its settings.
+    pub const fn settings(&self) -> &Settings {
+        &self.settings
+    }
+
     /// Returns its token.
     pub const fn fence(&self) -> Fence {
         self.fence
@@ -202,6 +210,7 @@
         if self.role == Role::Following && now >= self.deadline {
             self.propose(now);
         }
+        self.extend(now);
         let mut requests = Vec::new();
         for to in 0..self.settings.ranks {
             if now < self.peers[to as usize].due {
@@ -211,7 +220,7 @@
             let interval = if self.behind(to) {
                 self.settings.retry
             } else {
-                self.settings.heartbeat
+                self.interval()
             };
             self.peers[to as usize].due = now + interval;
             requests.extend(messages.into_iter().map(|message| Request { to, message }));
@@ -282,13 +291,14 @@
         if self.role == Role::Following || reply.fence() != self.fence {
             return Ok(());
         }
-        if report.promised > self.fence {
+        if self.guard.token && report.promised > self.fence {
             self.step_back(now, rng);
             return Ok(());
         }
         self.peers[from as usize].heard = now;
         let known = self.peers[from as usize].report.as_ref();
-        if known.is_some_and(|known| known.incarnation != report.incarnation) {
+        let other = known.is_some_and(|known| known.incarnation != report.incarnation);
+        if self.guard.incarnation && other {
             // The member forgot what it promised and accepted.
             self.propose(now);
             return Ok(());
@@ -365,7 +375,7 @@
         self.extend(now);
         self.trim();
         if behind && !self.behind(from) {
-            self.peers[from as usize].due = now + self.settings.heartbeat;
+            self.peers[from as usize].due = now + self.interval();
         }
     }
 
@@ -377,10 +387,11 @@
             self.hurry(now);
         }
         let running = self.peers.iter().map(|peer| peer.running_to).min();
-        if running.is_some_and(|running| running >= self.end)
-            && let Some(added) = self.added.take()
+        if let Some((end, at)) = self.added
+            && running.is_some_and(|running| running >= end)
         {
-            self.pace.confirmed(now.since(added));
+            self.pace.confirmed(now.since(at));
+            self.added = None;
         }
     }
 
@@ -389,8 +400,7 @@
         if self.role != Role::Leading {
             return;
         }
-        let step = self.step();
-        self.measure(now, step);
+        let step = self.expected_step(now);
         while self.end < step + self.pace.ahead() {
             let Some(map) = self.next_map() else { return };
             let from = self.end;
@@ -403,18 +413,26 @@
             }
             self.end = to;
             self.current = Some(map);
-            self.added.get_or_insert(now);
+            self.added.get_or_insert((to, now));
             self.hurry(now);
         }
     }
 
-    fn measure(&mut self, now: Moment, step: Step) {
-        let (before, at) = self.sample;
-        if step > before {
-            let took = now.since(at) / (step - before).min(u64::from(u32::MAX)) as u32;
-            self.pace.stepped(took.max(Duration::from_nanos(1)));
+    /// Returns the step that the group has reached by now, as far as can be
+    /// told from reports that lag.
+    fn expected_step(&mut self, now: Moment) -> Step {
+        let step = self.step();
+        let slowest = self.reports().map(|report| report.step_us).max();
+        if let Some(slowest) = slowest {
+            self.pace.stepped(Duration::from_micros(u64::from(slowest)));
+        }
+        if step > self.sample.0 {
             self.sample = (step, now);
         }
+        let since = now.since(self.sample.1);
+        // The engines wait at the end of what they may run.
+        let limit = self.confirmed.max(step);
+        (step + self.pace.steps_in(since)).min(limit)
     }
 
     fn next_map(&self) -> Option<Map> {
@@ -465,6 +483,17 @@
         !(staged && granted)
     }
 
+    /// Returns the time between messages to a rank that has all it needs: short
+    /// enough that the next window is added in time.
+    fn interval(&self) -> Duration {
+        let half = self.pace.window_time() / 2;
+        let heartbeat = self.settings.heartbeat;
+        if half.is_zero() {
+            return heartbeat;
+        }
+        half.clamp(SHORTEST_INTERVAL.min(heartbeat), heartbeat)
+    }
+
     fn hurry(&mut self, now: Moment) {
         for peer in &mut self.peers {
             peer.due = now;
--- a/crates/group/src/member/mod.rs
+++ b/crates/group/src/member/mod.rs
@@ -14,6 +14,8 @@
 pub struct Engine {
     /// Next step.
     pub step: Step,
+    /// Duration of a step, in microseconds, or 0.
+    pub step_us: u32,
     /// Maps staged.
     pub staged: Vec<Map>,
     /// Windows it may run, ascending; those that ended may be missing.
@@ -49,6 +51,7 @@
     accepted: Vec<Window>,
     running: Vec<Window>,
     step: Step,
+    step_us: u32,
     staged: BTreeSet<Map>,
     guard: Guard,
 }
@@ -65,6 +68,7 @@
             accepted: Vec::new(),
             running: engine.windows.clone(),
             step: 0,
+            step_us: 0,
             staged: BTreeSet::new(),
             guard: Guard::default(),
         };
@@ -83,11 +87,20 @@
     /// Takes in a later report of the engine.
     pub fn observe(&mut self, engine: &Engine) {
         self.step = self.step.max(engine.step);
+        self.step_us = engine.step_us;
         self.staged = engine.staged.iter().copied().collect();
         // The window that ended last stays, since another rank may be one step
         // behind and a new leader must learn its map from someone.
         let step = self.step;
         self.running.retain(|window| window.to + 1 > step);
+        self.join();
+    }
+
+    /// An engine that joined a running group goes on at its first window; its
+    /// own count of steps does not show that before it ran one.
+    fn join(&mut self) {
+        let first = self.running.first();
+        self.step = first.map_or(self.step, |first| self.step.max(first.from));
     }
 
     /// Returns the windows that the engine does not report although it may run
@@ -128,6 +141,7 @@
             incarnation: self.incarnation,
             promised: self.promised,
             step: self.step,
+            step_us: self.step_us,
             staged: self.staged.iter().copied().collect(),
             held: running.chain(accepted).collect(),
         }
@@ -278,6 +292,7 @@
             }
         }
         self.accepted = kept;
+        self.join();
         commands
     }
 
--- a/crates/group/src/message/mod.rs
+++ b/crates/group/src/message/mod.rs
@@ -67,6 +67,9 @@
     pub promised: Fence,
     /// Next step of its engine, in so far as the member knows.
     pub step: Step,
+    /// Duration of its engine's steps, in microseconds, without waiting for
+    /// grants; 0 if it has run none.
+    pub step_us: u32,
     /// Maps staged in its engine, ascending.
     pub staged: Vec<Map>,
     /// Windows not yet run, ascending and without gaps.
--- a/crates/group/src/pace/mod.rs
+++ b/crates/group/src/pace/mod.rs
@@ -55,13 +55,21 @@
         self.confirmation = took.max((self.confirmation * 15 + took) / 16);
     }
 
-    /// Takes in the time of a step.
-    pub fn stepped(&mut self, took: Duration) {
-        self.step = if self.step.is_zero() {
-            took
-        } else {
-            (self.step * 7 + took) / 8
-        };
+    /// Takes in the time of a step of the slowest rank.
+    pub const fn stepped(&mut self, took: Duration) {
+        self.step = took;
+    }
+
+    /// Returns how many steps a time is enough for; none before the time of a
+    /// step is known.
+    pub fn steps_in(&self, time: Duration) -> u64 {
+        let step = self.step.as_nanos();
+        time.as_nanos().checked_div(step).unwrap_or(0) as u64
+    }
+
+    /// Returns the time that a window takes.
+    pub fn window_time(&self) -> Duration {
+        self.step * self.window() as u32
     }
 
     /// Returns the length of the next window, in steps.
@@ -77,9 +85,6 @@
     }
 
     fn steps(&self, time: Duration) -> u64 {
-        if self.step.is_zero() {
-            return self.settings.shortest;
-        }
-        time.as_nanos().div_ceil(self.step.as_nanos()) as u64
+        self.steps_in(time) + 1
     }
 }
--- a/crates/group/src/plan/mod.rs
+++ b/crates/group/src/plan/mod.rs
@@ -2,8 +2,9 @@
 
 use crate::message::{Fence, Held, Map, Report, Step, Window};
 
-/// Two engines may run one step with different maps, which no sequence of
-/// messages can lead to.
+/// What the ranks hold contradicts itself: two engines may run one step with
+/// different maps, or a step between two granted ones is held by no rank. No
+/// sequence of messages can lead to either.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Conflict {
     /// The step.
@@ -35,7 +36,8 @@
 /// rank accepts without gaps.
 ///
 /// # Errors
-/// Returns the first step with two maps.
+/// Returns the first step with two maps, or with none before one that an engine
+/// may run.
 pub fn merge(reports: &[&Report], start: Step) -> Result<Vec<Window>, Conflict> {
     let held: Vec<&Held> = reports.iter().flat_map(|report| &report.held).collect();
     let mut plan: Vec<Window> = Vec::new();
@@ -47,6 +49,10 @@
             _ => plan.push(next),
         }
     }
+    let beyond = |held: &&Held| held.accepted.is_none() && held.window.to > from;
+    if held.into_iter().any(|held| beyond(&held)) {
+        return Err(Conflict { step: from });
+    }
     Ok(plan)
 }
 
--- /dev/null
+++ b/crates/group/tests/explore.rs
@@ -0,0 +1,257 @@
+//! Exhaustive exploration of small groups, and the mutation check.
+
+mod world;
+
+use std::collections::VecDeque;
+use std::collections::hash_map::Entry;
+use std::time::Instant;
+
+use sesamerock_group::guard::Guard;
+use world::{Action, Mixed, Plan, Shared, World};
+
+const GUARD: Guard = Guard {
+    token: true,
+    incarnation: true,
+    learning: true,
+    unanimity: true,
+    staging: true,
+    confirmation: true,
+};
+
+/// Two ranks, two leaders and two maps.
+const PAIR: Plan = Plan {
+    ranks: 2,
+    proposals: &[1, 1],
+    restarts: 2,
+    crashes: 0,
+    switches: 0,
+    steps: 0,
+    longest: 1,
+    staging: false,
+    late_replies: false,
+    guard: GUARD,
+};
+
+const TRIO: Plan = Plan {
+    ranks: 3,
+    restarts: 1,
+    ..PAIR
+};
+
+/// More states than any complete exploration here has.
+const ALL: usize = 1 << 20;
+
+/// What an exploration saw.
+#[derive(Debug, Default)]
+struct Outcome {
+    states: usize,
+    /// Longest sequence of actions whose states were all visited.
+    depth: usize,
+    complete: bool,
+    /// States in which the group may run its next step.
+    may_step: usize,
+    violation: Option<&'static str>,
+}
+
+/// Visits every state breadth first, up to a number of states.
+fn explore(name: &str, plan: &Plan, limit: usize) -> Outcome {
+    let start = Instant::now();
+    let mut shared = Shared::default();
+    let first = World::new(plan, &mut shared);
+    let mut parents = Mixed::default();
+    parents.insert(first.fingerprint(), None);
+    let mut queue = VecDeque::from([(first, 0)]);
+    let mut outcome = Outcome::default();
+    while let Some((world, depth)) = queue.pop_front() {
+        outcome.depth = depth;
+        outcome.may_step += usize::from(world.may_step(&shared));
+        outcome.violation = world.violation();
+        if outcome.violation.is_some() {
+            show(&parents, world.fingerprint(), &shared);
+        }
+        if outcome.violation.is_some() || parents.len() >= limit {
+            break;
+        }
+        for action in world.actions(plan, &shared) {
+            let mut next = world.clone();
+            next.perform(action, plan, &mut shared);
+            if let Entry::Vacant(slot) = parents.entry(next.fingerprint()) {
+                slot.insert(Some((world.fingerprint(), action)));
+                queue.push_back((next, depth + 1));
+            }
+        }
+    }
+    outcome.complete = queue.is_empty() && outcome.violation.is_none();
+    outcome.states = parents.len();
+    let [letters, ranks, leaders] = shared.sizes();
+    println!(
+        "{name}: {outcome:?} messages={letters} rank_states={ranks} leader_states={leaders} \
+         took={:?}",
+        start.elapsed()
+    );
+    outcome
+}
+
+/// Prints the actions that led to a state.
+fn show(parents: &Mixed<u64, Option<(u64, Action)>>, end: u64, shared: &Shared) {
+    let mut lines = Vec::new();
+    let mut at = end;
+    while let Some(Some((before, action))) = parents.get(&at) {
+        lines.push(shared.show(*action));
+        at = *before;
+    }
+    for line in lines.iter().rev() {
+        println!("  {line}");
+    }
+}
+
+/// Explores a plan to its end and checks that it was worth it.
+fn exhaust(name: &str, plan: &Plan) {
+    let outcome = explore(name, plan, ALL);
+    assert_eq!(outcome.violation, None);
+    assert!(outcome.complete, "{name} is too large");
+    assert!(outcome.may_step > 0, "{name} never runs a step");
+}
+
+/// Guards against mixed steps of two ranks under agent restarts.
+#[test]
+fn two_ranks_with_restarts() {
+    exhaust("two_ranks_with_restarts", &PAIR);
+}
+
+/// Guards against mixed steps when an engine loses what it was granted.
+#[test]
+fn two_ranks_with_crashes() {
+    let plan = Plan {
+        restarts: 0,
+        crashes: 2,
+        ..PAIR
+    };
+    exhaust("two_ranks_with_crashes", &plan);
+}
+
+/// Guards against mixed steps when leaders propose again.
+#[test]
+fn two_ranks_with_repeated_proposals() {
+    let plan = Plan {
+        proposals: &[2, 2],
+        restarts: 0,
+        ..PAIR
+    };
+    exhaust("two_ranks_with_repeated_proposals", &plan);
+}
+
+/// Guards against a rank that may run a map it has not staged.
+#[test]
+fn two_ranks_that_stage() {
+    let plan = Plan {
+        staging: true,
+        restarts: 1,
+        ..PAIR
+    };
+    exhaust("two_ranks_that_stage", &plan);
+}
+
+/// Guards against a switch of one leader that takes effect inside a window.
+#[test]
+fn two_ranks_with_switches() {
+    let plan = Plan {
+        proposals: &[1],
+        restarts: 1,
+        switches: 1,
+        steps: 2,
+        ..PAIR
+    };
+    exhaust("two_ranks_with_switches", &plan);
+}
+
+/// Guards against mixed steps of three ranks, where two can agree without the
+/// third.
+#[test]
+fn three_ranks_with_a_restart() {
+    exhaust("three_ranks_with_a_restart", &TRIO);
+}
+
+/// Guards against an effect of late replies, which the others leave out.
+#[test]
+fn two_ranks_with_late_replies() {
+    let single = Plan {
+        proposals: &[1],
+        restarts: 1,
+        late_replies: true,
+        ..PAIR
+    };
+    exhaust("one_leader_with_late_replies", &single);
+    let plan = Plan {
+        restarts: 1,
+        late_replies: true,
+        ..PAIR
+    };
+    let outcome = explore("two_leaders_with_late_replies", &plan, 150_000);
+    assert_eq!(outcome.violation, None);
+    // All sequences of fourteen actions.
+    assert!(outcome.depth >= 15, "{outcome:?}");
+}
+
+/// Guards against an exploration that would not notice the absence of a rule.
+#[test]
+fn each_missing_rule_is_noticed() {
+    let staging = Plan {
+        staging: true,
+        ..PAIR
+    };
+    let mutants = [
+        (
+            "token",
+            PAIR,
+            Guard {
+                token: false,
+                ..GUARD
+            },
+        ),
+        (
+            "incarnation",
+            PAIR,
+            Guard {
+                incarnation: false,
+                ..GUARD
+            },
+        ),
+        (
+            "learning",
+            PAIR,
+            Guard {
+                learning: false,
+                ..GUARD
+            },
+        ),
+        (
+            "unanimity",
+            PAIR,
+            Guard {
+                unanimity: false,
+                ..GUARD
+            },
+        ),
+        (
+            "staging",
+            staging,
+            Guard {
+                staging: false,
+                ..GUARD
+            },
+        ),
+        (
+            "confirmation",
+            PAIR,
+            Guard {
+                confirmation: false,
+                ..GUARD
+            },
+        ),
+    ];
+    for (name, plan, guard) in mutants {
+        let outcome = explore(name, &Plan { guard, ..plan }, ALL);
+        assert!(outcome.violation.is_some(), "{name} is not noticed");
+    }
+}
--- /dev/null
+++ b/crates/group/tests/live.rs
@@ -0,0 +1,79 @@
+//! Seeded schedules of larger groups in virtual time: no mixed step under
+//! faults, and steps again soon after the faults end.
+
+mod group;
+
+use std::time::Duration;
+
+use group::{Faults, Group, STAGING};
+
+/// Time of a retry, the unit in which the time to resume is counted.
+const ROUND: Duration = Duration::from_millis(20);
+
+/// A round trip of the simulated network, and one for the confirmation.
+const EXCHANGES: u32 = 4;
+
+/// Rounds within which the group runs steps again after the last fault. Ranks
+/// wait out one silence with their turns; two that propose at once cost a
+/// second wait; staging on the new engine and the exchanges of the new leader
+/// follow.
+fn rounds(group: &Group) -> u32 {
+    let settings = group.settings();
+    let wait = settings.silence + settings.stagger * settings.ranks;
+    (wait * 2 + STAGING).div_duration_f64(ROUND).ceil() as u32 + EXCHANGES
+}
+
+fn run(ranks: u32, seed: u64, faults: Faults) -> (u64, u32) {
+    let mut group = Group::new(ranks, seed, faults);
+    group.run(Duration::from_secs(4));
+    group.strike();
+    group.heal();
+    let bound = rounds(&group);
+    let before = group.steps();
+    let took = group.run_until_step(ROUND * bound);
+    let took = took.unwrap_or_else(|| {
+        panic!("ranks={ranks} seed={seed} no step in {bound} rounds after {before}: {group:?}")
+    });
+    group.run(Duration::from_secs(2));
+    (before, took.div_duration_f64(ROUND).ceil() as u32)
+}
+
+fn runs(ranks: u32, seeds: u64, faults: Faults) {
+    let mut steps = 0;
+    let mut longest = 0;
+    for seed in 0..seeds {
+        let (ran, rounds) = run(ranks, seed, faults);
+        steps += ran;
+        longest = longest.max(rounds);
+    }
+    println!("ranks={ranks} seeds={seeds} steps_under_faults={steps} rounds_to_resume={longest}");
+    assert!(steps > 0, "the faults let no step through");
+}
+
+/// Guards against mixed steps and against a group that stays stopped, with
+/// every fault at a size beyond the exhaustive exploration.
+#[test]
+fn eight_ranks_with_all_faults() {
+    runs(8, 40, Faults::ALL);
+}
+
+/// Guards against a protocol that does not scale to the target size.
+#[test]
+fn sixty_four_ranks_with_loss() {
+    runs(64, 2, Faults::LOSS);
+}
+
+/// Guards against a fault-free group that stalls or switches late.
+#[test]
+fn a_quiet_group_switches_without_a_stall() {
+    let mut group = Group::new(8, 1, Faults::NONE);
+    group.run(Duration::from_secs(2));
+    let (steps, stalled) = (group.steps(), group.stalled());
+    group.run(Duration::from_secs(4));
+    let ran = group.steps() - steps;
+    let lost = group.stalled().saturating_sub(stalled);
+    let delays = group.switch_delays();
+    println!("steps={ran} stalled={lost:?} switch_delays={delays:?}");
+    assert!(delays.len() >= 3, "{delays:?}");
+    assert!(lost < Duration::from_millis(1), "stalled {lost:?}");
+}
--- /dev/null
+++ b/crates/group/tests/plan.rs
@@ -0,0 +1,88 @@
+//! What a new leader makes of the reports.
+
+use sesamerock_group::member::{Engine, Member};
+use sesamerock_group::message::{Fence, Held, Message, Report, Window};
+use sesamerock_group::plan::{Conflict, merge, start};
+
+const WINDOW: Window = Window {
+    from: 211,
+    to: 298,
+    map: 4,
+};
+
+fn fence(counter: u64) -> Fence {
+    Fence {
+        counter,
+        ..Fence::default()
+    }
+}
+
+/// Makes a member whose engine joined a running group at [`WINDOW`].
+fn joined() -> Member {
+    let engine = Engine {
+        staged: vec![4],
+        ..Engine::default()
+    };
+    let mut member = Member::new(0, 7, &engine);
+    member.receive(&Message::Prepare { fence: fence(1) });
+    let grant = Message::Grant {
+        fence: fence(1),
+        incarnations: vec![7],
+        windows: vec![WINDOW],
+        confirmed: WINDOW.to,
+    };
+    let answer = member.receive(&grant);
+    assert_eq!(answer.commands.len(), 1, "{answer:?}");
+    member
+}
+
+/// Guards against a plan that begins at step 0 again, since an engine that
+/// joined at step 211 had run none yet.
+#[test]
+fn an_engine_that_joined_is_at_its_first_window() {
+    let report = joined().report();
+    assert_eq!(report.step, WINDOW.from);
+    assert_eq!(start(&[&report]), WINDOW.from);
+    assert_eq!(merge(&[&report], WINDOW.from), Ok(vec![WINDOW]));
+}
+
+/// Guards against the same after a restart of the agent alone.
+#[test]
+fn a_new_member_of_an_engine_that_joined_is_there_too() {
+    let engine = Engine {
+        windows: vec![WINDOW],
+        ..Engine::default()
+    };
+    assert_eq!(Member::new(0, 8, &engine).report().step, WINDOW.from);
+}
+
+/// Guards against a leader that plans over steps granted beyond a gap.
+#[test]
+fn a_gap_before_a_granted_step_is_an_error() {
+    let report = joined().report();
+    assert_eq!(merge(&[&report], 0), Err(Conflict { step: 0 }));
+}
+
+fn report(windows: &[(Window, Option<Fence>)]) -> Report {
+    let held = windows.iter().map(|(window, accepted)| Held {
+        window: *window,
+        accepted: *accepted,
+    });
+    Report {
+        held: held.collect(),
+        ..Report::default()
+    }
+}
+
+/// Guards against an accepted window that displaces one that may run, and
+/// against a lower token that displaces a higher one.
+#[test]
+fn granted_windows_decide_before_accepted_ones() {
+    let window = |from, to, map| Window { from, to, map };
+    let one = report(&[(window(0, 4, 1), None), (window(4, 8, 2), Some(fence(2)))]);
+    let two = report(&[(window(0, 10, 3), Some(fence(3)))]);
+    let three = report(&[(window(0, 12, 5), Some(fence(1)))]);
+    let plan = merge(&[&one, &two, &three], 0);
+    let expected = vec![window(0, 4, 1), window(4, 10, 3), window(10, 12, 5)];
+    assert_eq!(plan, Ok(expected));
+}
