Run the group protocol in the agent

Cause: the state machines need a daemon that carries their messages and commands the engine. Change: a `Group` call of the relay service, since the control state gives the address of each rank's relay and no other; a task per agent that owns the member and the leader; `/group` for operators. The engine's report carries its windows and its highest token, so that a restarted agent can learn what the engine may run. A `Fence` command makes an engine refuse what an earlier agent still has on its way. The stand-in engine gets a group that steps together and records each step's maps.

--- a/crates/group/src/leader/mod.rs
+++ b/crates/group/src/leader/mod.rs
@@ -253,7 +253,7 @@
             (Role::Preparing | Role::Leading, None) => vec![Message::Prepare { fence }],
             (Role::Leading, Some(report)) => {
                 let planned = self.plan.iter().map(|window| window.map);
-                let maps = planned.chain(self.target.or(self.current));
+                let maps = planned.chain([self.target.unwrap_or(self.kept())]);
                 let mut missing: Vec<_> = maps.filter(|map| !report.staged.contains(map)).collect();
                 missing.sort_unstable();
                 missing.dedup();
@@ -437,7 +437,12 @@
 
     fn next_map(&self) -> Option<Map> {
         let usable = |map: &Map| !self.guard.staging || self.staged_by_all(*map);
-        self.target.filter(usable).or(self.current.filter(usable))
+        self.target.filter(usable).or(Some(self.kept()).filter(usable))
+    }
+
+    /// Returns the map to go on with if there is none to switch to.
+    fn kept(&self) -> Map {
+        self.current.unwrap_or(self.settings.first)
     }
 
     fn staged_by_all(&self, map: Map) -> bool {
--- a/crates/group/src/leader/settings/mod.rs
+++ b/crates/group/src/leader/settings/mod.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use crate::message::Map;
 use crate::pace;
 
 /// Place of a rank in its group, and times.
@@ -24,6 +25,8 @@
     /// Time without a reply of some rank after which a leader steps back, since
     /// another rank may reach it.
     pub patience: Duration,
+    /// Map of a group that never ran a step and is to switch to none.
+    pub first: Map,
     /// Bounds of the windows.
     pub pace: pace::Settings,
 }
@@ -38,6 +41,7 @@
             silence: Duration::from_millis(500),
             stagger: Duration::from_millis(20),
             patience: Duration::from_secs(2),
+            first: 0,
             pace: pace::Settings::default(),
         }
     }
--- a/crates/platform/src/engine/mod.rs
+++ b/crates/platform/src/engine/mod.rs
@@ -38,6 +38,24 @@
     /// Expert maps staged.
     #[serde(default)]
     pub staged: Vec<u64>,
+    /// Windows of steps granted, ascending; those that ended before the last
+    /// step may be missing.
+    #[serde(default)]
+    pub windows: Vec<Window>,
+    /// Highest fencing token seen.
+    #[serde(default)]
+    pub fence: u64,
+}
+
+/// Steps `from..to` that an engine may run with one expert map.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Window {
+    /// First step.
+    pub from: u64,
+    /// Step after the last.
+    pub to: u64,
+    /// Map number.
+    pub map: u64,
 }
 
 /// A command to an engine.
@@ -73,7 +91,11 @@
         /// Map number.
         map: u64,
     },
-    /// Run steps `from..to` with a staged map.
+    /// Do nothing but refuse lower fencing tokens from now on.
+    Fence,
+    /// Run steps `from..to` with a staged map. A window granted before changes
+    /// nothing; a gap before the window is refused, except by an engine that
+    /// has not run yet, which joins its group at the first step.
     RunSteps {
         /// First step.
         from: u64,
--- a/crates/sesamerock/src/agent/carry/mod.rs
+++ b/crates/sesamerock/src/agent/carry/mod.rs
@@ -30,7 +30,8 @@
             continue;
         };
         let order = Order {
-            fence: view.version().0,
+            // The engine may hold a token of its group, which is higher.
+            fence: view.version().0.max(load.fence),
             sender: context.settings.node.name.clone(),
             command,
         };
--- /dev/null
+++ b/crates/sesamerock/src/agent/group/rank/mod.rs
@@ -0,0 +1,140 @@
+//! This agent's member, together with the engine it commands.
+
+use std::time::Duration;
+
+use sesamerock_group::member::{self, Member};
+use sesamerock_group::message::{Fence, Incarnation, Message, Window};
+use sesamerock_platform::engine::{self, Engine, Load, Order};
+
+/// Time for one command or report of the engine.
+const ENGINE_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// The member and what is known of its engine.
+#[derive(Debug)]
+pub(super) struct Rank<E> {
+    engine: E,
+    sender: String,
+    index: u32,
+    checks_fencing: bool,
+    member: Option<Live>,
+}
+
+#[derive(Debug)]
+struct Live {
+    member: Member,
+    /// Incarnation of the engine that the member speaks for.
+    engine: u64,
+}
+
+impl<E: Engine> Rank<E> {
+    pub(super) fn new(engine: E, sender: String, index: u32, checks_fencing: bool) -> Self {
+        Self {
+            engine,
+            sender,
+            index,
+            checks_fencing,
+            member: None,
+        }
+    }
+
+    /// Handles a request of a leader; `None` if the engine does not answer.
+    pub(super) async fn receive(&mut self, request: &Message) -> Option<Message> {
+        let load = self.refresh(request.fence()).await?;
+        let live = self.member.as_mut()?;
+        live.member.observe(&report(&load));
+        let mut commands = live.member.missing(&report(&load));
+        let answer = live.member.receive(request);
+        let fence = live.member.promised();
+        commands.extend(answer.commands);
+        for command in commands {
+            // A command that is lost is sent again with the next request.
+            if !self.command(fence, &load, command_of(command)).await {
+                break;
+            }
+        }
+        Some(answer.reply)
+    }
+
+    /// Reads the engine's report, and makes a new member for a new engine.
+    async fn refresh(&mut self, fence: Fence) -> Option<Load> {
+        let load = self.load().await?;
+        let known = self.member.as_ref().map(|live| live.engine);
+        if known == Some(load.incarnation) {
+            return Some(load);
+        }
+        // Commands of an earlier agent may still be on their way. An engine
+        // that checks tokens refuses them once it has seen a higher one, and
+        // only then its report tells for good what it may run.
+        let load = if self.checks_fencing {
+            if !self.command(fence, &load, engine::Command::Fence).await {
+                return None;
+            }
+            self.load().await?
+        } else {
+            load
+        };
+        let incarnation: Incarnation = rand::random();
+        log::info!(
+            "event=group_member_started rank={} incarnation={incarnation} engine={} step={} \
+             granted_to={}",
+            self.index,
+            load.incarnation,
+            load.step,
+            load.granted_to
+        );
+        self.member = Some(Live {
+            member: Member::new(self.index, incarnation, &report(&load)),
+            engine: load.incarnation,
+        });
+        Some(load)
+    }
+
+    async fn load(&self) -> Option<Load> {
+        let read = tokio::time::timeout(ENGINE_TIMEOUT, self.engine.load()).await;
+        read.ok()?.ok()
+    }
+
+    async fn command(&self, fence: Fence, load: &Load, command: engine::Command) -> bool {
+        let order = Order {
+            // Other commands of this agent carry tokens of the control state.
+            fence: fence.number().max(load.fence),
+            sender: self.sender.clone(),
+            command,
+        };
+        let sent = tokio::time::timeout(ENGINE_TIMEOUT, self.engine.command(&order)).await;
+        let failure = match sent {
+            Ok(Ok(())) => return true,
+            Ok(Err(error)) => error.to_string(),
+            Err(_) => "no answer in time".to_owned(),
+        };
+        log::warn!(
+            "event=group_command_failed rank={} command={:?} error={failure}",
+            self.index,
+            order.command
+        );
+        false
+    }
+}
+
+fn report(load: &Load) -> member::Engine {
+    let windows = load.windows.iter().map(|window| Window {
+        from: window.from,
+        to: window.to,
+        map: window.map,
+    });
+    member::Engine {
+        step: load.step,
+        step_us: load.step_us,
+        staged: load.staged.clone(),
+        windows: windows.collect(),
+    }
+}
+
+fn command_of(command: member::Command) -> engine::Command {
+    match command {
+        member::Command::Stage(map) => engine::Command::StageMap { map },
+        member::Command::Run(Window { from, to, map }) => {
+            engine::Command::RunSteps { from, to, map }
+        }
+    }
+}
--- a/crates/sesamerock/src/agent/mod.rs
+++ b/crates/sesamerock/src/agent/mod.rs
@@ -4,6 +4,7 @@
 mod carry;
 mod execute;
 mod gate;
+pub mod group;
 mod keyed;
 mod operator;
 mod probe;
@@ -45,6 +46,7 @@
     probe: Probe,
     manifest: Manifest,
     keyed: Keyed,
+    group: group::Handle,
     metrics: Metrics,
     tasks: TaskTracker,
 }
@@ -105,8 +107,21 @@
 /// # Errors
 /// Fails if a thread cannot be started.
 pub async fn serve(
+    settings: settings::Agent,
+    listeners: Listeners,
+    stop: CancellationToken,
+) -> eyre::Result<()> {
+    serve_with(settings, listeners, group::Planned::default(), stop).await
+}
+
+/// Runs an agent whose group switches to the maps that `planned` names.
+///
+/// # Errors
+/// Fails if a thread cannot be started.
+pub async fn serve_with(
     mut settings: settings::Agent,
     listeners: Listeners,
+    planned: group::Planned,
     stop: CancellationToken,
 ) -> eyre::Result<()> {
     let Listeners {
@@ -119,11 +134,13 @@
     let engine = engine::Remote::new(Client::default(), authority);
     let control = Control::start(settings.node.clone())?;
     let crash_list = Suspects::new(control.clone());
+    let (group, inbox) = group::Handle::new();
     let context = Arc::new(Context {
         gate: Gate::new(sesamerock_limit::gate::Settings::default()),
         probe: Probe::default(),
         manifest: Manifest::new(crash_list.clone(), &settings.upstream.name),
         keyed: Keyed::new(&settings),
+        group,
         metrics: Metrics::new("agent")?,
         tasks: TaskTracker::new(),
         engine,
@@ -140,6 +157,12 @@
     );
     let ended = CancellationToken::new();
     spawn_tasks(&context, &crash_list, &ended);
+    let shared = Arc::clone(&context);
+    let stepping = ended.clone();
+    tokio::spawn(async move {
+        let running = group::run(&shared, inbox, planned);
+        stepping.run_until_cancelled(running).await;
+    });
     tokio::spawn(peer::server::serve(peers, control.clone(), ended.clone()));
     let handler = Arc::new(operator::Operator::new(Arc::clone(&context)));
     tokio::spawn(server::serve(
--- a/crates/sesamerock/src/agent/operator/mod.rs
+++ b/crates/sesamerock/src/agent/operator/mod.rs
@@ -11,9 +11,9 @@
 
 use super::Context;
 use super::probe::Sight;
-use crate::entry::operator::{not_found, text};
+use crate::entry::operator::{json, not_found, text};
 
-/// Serves `/healthz`, `/readyz` and `/metrics`.
+/// Serves `/healthz`, `/readyz`, `/group` and `/metrics`.
 #[derive(Debug)]
 pub struct Operator<E> {
     context: Arc<Context<E>>,
@@ -41,6 +41,7 @@
         match request.uri().path() {
             "/healthz" => text(StatusCode::OK, "ok\n"),
             "/readyz" => self.ready(),
+            "/group" => json(StatusCode::OK, &self.context.group.status()),
             "/metrics" => text(StatusCode::OK, self.context.metrics.render()),
             _ => not_found(),
         }
--- a/crates/sesamerock/src/agent/relay/mod.rs
+++ b/crates/sesamerock/src/agent/relay/mod.rs
@@ -4,7 +4,7 @@
 
 use sesamerock_platform::engine::Engine;
 use sesamerock_wire::relay::relay_server::Relay;
-use sesamerock_wire::relay::{Down, MintReply, MintRequest, Up};
+use sesamerock_wire::relay::{Down, GroupMessage, MintReply, MintRequest, Up};
 use tokio::sync::mpsc;
 use tokio_stream::wrappers::ReceiverStream;
 use tonic::{Request, Response, Status, Streaming};
@@ -55,4 +55,15 @@
         }
         Ok(Response::new(self.context.keyed.mint()))
     }
+
+    async fn group(
+        &self,
+        request: Request<GroupMessage>,
+    ) -> Result<Response<GroupMessage>, Status> {
+        self.context
+            .group
+            .answer(request.into_inner())
+            .await
+            .map(Response::new)
+    }
 }
--- a/crates/sesamerock/src/entry/mod.rs
+++ b/crates/sesamerock/src/entry/mod.rs
@@ -4,7 +4,7 @@
 mod dispatch;
 pub mod entries;
 pub mod operator;
-mod relay;
+pub(crate) mod relay;
 mod server;
 mod table;
 
--- a/crates/sesamerock/src/entry/relay/mod.rs
+++ b/crates/sesamerock/src/entry/relay/mod.rs
@@ -10,7 +10,7 @@
 
 use bytes::Bytes;
 use sesamerock_wire::relay::relay_client::RelayClient;
-use sesamerock_wire::relay::{Down, Head, MintRequest, Up, down, up};
+use sesamerock_wire::relay::{Down, GroupMessage, Head, MintRequest, Up, down, up};
 use tokio::sync::mpsc;
 use tokio_stream::wrappers::ReceiverStream;
 use tonic::Streaming;
@@ -156,6 +156,28 @@
         }
     }
 
+    /// Carries a message of the group protocol to an agent.
+    ///
+    /// # Errors
+    /// Returns why there is no reply.
+    pub async fn group(
+        &self,
+        agent: SocketAddr,
+        message: GroupMessage,
+    ) -> Result<GroupMessage, String> {
+        let channel = self
+            .channel(agent)
+            .await
+            .map_err(|failure| format!("{failure:?}"))?;
+        match RelayClient::new(channel).group(message).await {
+            Ok(reply) => Ok(reply.into_inner()),
+            Err(status) => {
+                self.forget(agent);
+                Err(status.to_string())
+            }
+        }
+    }
+
     /// Drops the connection to an agent that did not answer.
     pub fn forget(&self, agent: SocketAddr) {
         self.lock().remove(&agent);
--- /dev/null
+++ b/crates/sesamerock/tests/lockstep/mod.rs
@@ -0,0 +1,295 @@
+//! Four agents of one group with stand-in engines that step together.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use sesamerock::agent::group::{Planned, Status};
+use sesamerock::entry::operator::{Published, Verdict};
+use sesamerock::{agent, entry, settings};
+use sesamerock_note::note::{Entries, Kind, Model, Note, Role, Served, Upstream};
+use sesamerock_platform::http::client::Client;
+use sesamerock_platform::vms::Vm;
+use sesamerock_standin::engine::group::{Group, Step};
+use sesamerock_standin::engine::{self, Engine};
+use sesamerock_standin::platform::{self, Platform};
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+use tokio_util::sync::CancellationToken;
+
+const MODEL: &str = "chalk-7b";
+/// Time after which a wait counts as failed.
+const LIMIT: Duration = Duration::from_secs(20);
+
+/// One agent that can be stopped and started again.
+#[derive(Debug)]
+pub struct Agent {
+    settings: settings::Agent,
+    running: Option<(CancellationToken, JoinHandle<eyre::Result<()>>)>,
+}
+
+/// The group with all that it needs.
+#[derive(Debug)]
+pub struct Lockstep {
+    /// Engines by rank.
+    pub engines: Vec<Engine>,
+    /// The group that the engines step in.
+    pub group: Group,
+    /// Agents by rank.
+    pub agents: Vec<Agent>,
+    /// Map that the group is to switch to.
+    pub map: watch::Sender<Option<u64>>,
+    platform: Platform,
+    operator: SocketAddr,
+    stop: CancellationToken,
+}
+
+fn node(name: &str, platform: &Platform, seeds: &[SocketAddr]) -> settings::Node {
+    settings::Node {
+        name: name.to_owned(),
+        vm: format!("vm-{name}"),
+        seeds: seeds.to_vec(),
+        platform: platform.address(),
+        ..settings::Node::default()
+    }
+}
+
+impl Agent {
+    /// Starts the agent, on the addresses it had before if it ran before.
+    async fn start(&mut self, map: &watch::Sender<Option<u64>>) {
+        // The tasks of a stopped agent close its listeners after it has ended.
+        let bind = async {
+            loop {
+                match agent::Listeners::bind(&self.settings).await {
+                    Ok(listeners) => return listeners,
+                    Err(_) => tokio::task::yield_now().await,
+                }
+            }
+        };
+        let listeners = within("addresses", bind).await;
+        self.settings.relay = listeners.relay.local_addr().expect("relay");
+        self.settings.node.peer = listeners.peer.local_addr().expect("peer");
+        self.settings.operator = listeners.operator.local_addr().expect("operator");
+        let stop = CancellationToken::new();
+        let planned = Planned::new(map.subscribe());
+        let settings = self.settings.clone();
+        let serving = agent::serve_with(settings, listeners, planned, stop.clone());
+        self.running = Some((stop, tokio::spawn(serving)));
+    }
+
+    async fn stop(&mut self) {
+        if let Some((stop, serving)) = self.running.take() {
+            stop.cancel();
+            serving.await.expect("no panic").expect("a clean end");
+        }
+    }
+}
+
+impl Lockstep {
+    /// Starts everything and publishes the note that names the group.
+    pub async fn start(ranks: usize) -> Self {
+        let stop = CancellationToken::new();
+        let platform = Platform::start(platform::Settings::default(), stop.clone())
+            .await
+            .expect("a platform");
+        let (map, _) = watch::channel(None);
+        let mut engines = Vec::new();
+        let mut agents = Vec::new();
+        let mut seeds = Vec::new();
+        for rank in 0..ranks {
+            let engine = Engine::start(engine::Settings::default(), stop.clone())
+                .await
+                .expect("an engine");
+            let name = format!("rank-{rank}");
+            let mut agent = Agent {
+                settings: settings::Agent {
+                    node: node(&name, &platform, &seeds),
+                    upstream: settings::Upstream {
+                        name,
+                        address: engine.address(),
+                        ..settings::Upstream::default()
+                    },
+                    ..settings::Agent::default()
+                },
+                running: None,
+            };
+            agent.start(&map).await;
+            seeds.push(agent.settings.node.peer);
+            agents.push(agent);
+            engines.push(engine);
+        }
+        let group = Group::start(engines.clone(), stop.clone());
+        let mut settings = settings::Entry {
+            node: node("entry", &platform, &seeds),
+            ..settings::Entry::default()
+        };
+        let listeners = entry::Listeners {
+            caller: TcpListener::bind(settings::loopback())
+                .await
+                .expect("caller"),
+            operator: TcpListener::bind(settings::loopback())
+                .await
+                .expect("operator"),
+            peer: TcpListener::bind(settings::loopback()).await.expect("peer"),
+        };
+        settings.node.peer = listeners.peer.local_addr().expect("peer");
+        let operator = listeners.operator.local_addr().expect("operator");
+        seeds.push(settings.node.peer);
+        tokio::spawn(entry::serve(settings, listeners, stop.clone()));
+        let vms = seeds.iter().enumerate().map(|(index, peer)| Vm {
+            name: format!("vm-{index}"),
+            peer: *peer,
+            zone: "a".to_owned(),
+            region: "local".to_owned(),
+            leaving: false,
+        });
+        platform.set_vms(vms.collect());
+        let lockstep = Self {
+            engines,
+            group,
+            agents,
+            map,
+            platform,
+            operator,
+            stop,
+        };
+        lockstep.publish().await;
+        lockstep
+    }
+
+    fn note(&self) -> Note {
+        let upstreams = self.agents.iter().zip(0..).map(|(agent, rank)| Upstream {
+            name: agent.settings.upstream.name.clone(),
+            kind: Kind::Engine,
+            agent: agent.settings.relay,
+            zone: "a".to_owned(),
+            vm: agent.settings.node.vm.clone(),
+            models: vec![Served {
+                name: MODEL.to_owned(),
+                version: None,
+                adapters: Vec::new(),
+            }],
+            role: Role::Mixed,
+            group: Some("g".to_owned()),
+            rank: Some(rank),
+            service: None,
+            checks_fencing: true,
+            checks_sender: false,
+            not_repeatable: Vec::new(),
+        });
+        Note {
+            id: "first".to_owned(),
+            author: "test".to_owned(),
+            add: Entries {
+                upstreams: upstreams.collect(),
+                models: vec![Model {
+                    name: MODEL.to_owned(),
+                    version: 1,
+                }],
+                ..Entries::default()
+            },
+            ..Note::default()
+        }
+    }
+
+    async fn publish(&self) {
+        let client = Client::default();
+        let uri = format!("http://{}/operator/notes", self.operator);
+        let publish = async {
+            // The entry takes no note before it knows the control state.
+            loop {
+                let answer = client.post::<Published>(&uri, &self.note()).await;
+                match answer {
+                    Ok(answer) if answer.outcome == Verdict::Accepted => return,
+                    _ => tokio::task::yield_now().await,
+                }
+            }
+        };
+        within("publish", publish).await;
+    }
+
+    /// Waits until the steps run so far fulfil a condition.
+    pub async fn wait(&self, what: &str, condition: impl FnMut(&[Step]) -> bool) {
+        within(what, self.group.wait(condition)).await;
+    }
+
+    /// Waits until some further steps have run.
+    pub async fn wait_steps(&self, further: usize) {
+        let target = self.group.steps().len() + further;
+        self.wait("further steps", |steps| steps.len() >= target)
+            .await;
+    }
+
+    /// Switches to a map and waits until a step has run with it.
+    pub async fn switch(&self, map: u64) {
+        self.map.send_replace(Some(map));
+        self.wait_map(map).await;
+    }
+
+    /// Waits until a step has run with a map.
+    pub async fn wait_map(&self, map: u64) {
+        let used = |steps: &[Step]| steps.last().is_some_and(|step| step.maps[0] == map);
+        self.wait("the map", used).await;
+    }
+
+    /// Returns the rank that leads.
+    pub async fn leader(&self) -> usize {
+        let client = Client::default();
+        let find = async {
+            loop {
+                for (rank, agent) in self.agents.iter().enumerate() {
+                    let uri = format!("http://{}/group", agent.settings.operator);
+                    let status = client.get::<Status>(&uri, Duration::ZERO).await;
+                    if status.is_ok_and(|status| status.leads) {
+                        return rank;
+                    }
+                }
+            }
+        };
+        within("a leader", find).await
+    }
+
+    /// Stops an agent and waits for its end.
+    pub async fn stop_agent(&mut self, rank: usize) {
+        within("the agent's end", self.agents[rank].stop()).await;
+    }
+
+    /// Starts an agent that was stopped.
+    pub async fn start_agent(&mut self, rank: usize) {
+        self.agents[rank].start(&self.map).await;
+    }
+
+    /// Takes the platform, and with it the log, down or up.
+    pub fn set_platform_down(&self, down: bool) {
+        self.platform.configure(|settings| settings.down = down);
+    }
+
+    /// Checks that no step was mixed, and that none is missing or doubled.
+    pub fn check(&self) {
+        let steps = self.group.steps();
+        let mixed: Vec<_> = steps.iter().filter(|step| step.mixed()).collect();
+        assert_eq!(mixed, Vec::<&Step>::new());
+        assert!(
+            steps
+                .iter()
+                .map(|step| step.number)
+                .eq(0..steps.len() as u64)
+        );
+    }
+}
+
+impl Drop for Lockstep {
+    fn drop(&mut self) {
+        self.stop.cancel();
+        for agent in &self.agents {
+            if let Some((stop, _)) = &agent.running {
+                stop.cancel();
+            }
+        }
+    }
+}
+
+async fn within<T>(what: &str, future: impl Future<Output = T>) -> T {
+    let outcome = tokio::time::timeout(LIMIT, future).await;
+    outcome.unwrap_or_else(|_| panic!("no {what} within {LIMIT:?}"))
+}
--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -4,6 +4,7 @@
 //! position, so that a caller can tell a lost, doubled or foreign token.
 
 mod batch;
+pub mod group;
 
 use std::io;
 use std::net::SocketAddr;
@@ -14,7 +15,7 @@
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 use serde::Deserialize;
-use sesamerock_platform::engine::{Command, Load, Order};
+use sesamerock_platform::engine::{Command, Load, Order, Window};
 use sesamerock_platform::http::body::{self, Body, Chunk};
 use sesamerock_platform::http::server::{self, Handler};
 use tokio::net::TcpListener;
@@ -48,6 +49,8 @@
     pub collapse: usize,
     /// Models loaded, as `name@version`.
     pub models: Vec<String>,
+    /// Time to stage an expert map.
+    pub staging: Duration,
     /// Whether an order with an old fencing token is refused.
     pub checks_fencing: bool,
 }
@@ -62,6 +65,7 @@
             cold_tokens: 200,
             collapse: 4,
             models: vec!["chalk-7b@1".to_owned()],
+            staging: Duration::from_millis(20),
             checks_fencing: true,
         }
     }
@@ -91,6 +95,8 @@
     warm_at: u64,
     highest_fence: u64,
     commands: Vec<Order>,
+    /// Set if the engine is part of a group.
+    rank: Option<group::Rank>,
 }
 
 impl State {
@@ -111,6 +117,12 @@
         self.incarnation += 1;
         self.record.crashes += 1;
         self.warm_at = self.record.tokens + self.settings.cold_tokens;
+        self.highest_fence = 0;
+        self.rank = self.rank.as_ref().map(|_| group::Rank::default());
+    }
+
+    fn step_time(&self) -> Duration {
+        self.settings.step + self.settings.step_per_call * self.batch.running() as u32
     }
 }
 
@@ -120,6 +132,7 @@
     address: SocketAddr,
     state: Arc<Mutex<State>>,
     arrived: Arc<Notify>,
+    granted: Arc<Notify>,
 }
 
 #[derive(Debug, Deserialize)]
@@ -168,11 +181,13 @@
             warm_at,
             highest_fence: 0,
             commands: Vec::new(),
+            rank: None,
         };
         let engine = Self {
             address: listener.local_addr()?,
             state: Arc::new(Mutex::new(state)),
             arrived: Arc::new(Notify::new()),
+            granted: Arc::new(Notify::new()),
         };
         let handler = Arc::new(engine.clone());
         tokio::spawn(server::serve(
@@ -222,42 +237,55 @@
     }
 
     /// Steps the batch for ever; each step gives each running call one token.
+    /// The ranks of a group are stepped by the group.
     async fn run(self) {
         loop {
             let pause = {
-                let mut state = self.lock();
-                let capacity = state.capacity();
-                state.batch.admit(capacity);
-                let running = state.batch.running();
-                (running > 0)
-                    .then(|| state.settings.step + state.settings.step_per_call * running as u32)
+                self.admit();
+                let state = self.lock();
+                let steps = state.batch.running() > 0 && state.rank.is_none();
+                steps.then(|| state.step_time())
             };
             let Some(pause) = pause else {
                 self.arrived.notified().await;
                 continue;
             };
             tokio::time::sleep(pause).await;
-            let mut state = self.lock();
-            let step = state.batch.step();
-            state.record.tokens += step.tokens;
-            if step.poisoned {
-                state.crash();
-            }
+            self.advance();
+        }
+    }
+
+    fn admit(&self) {
+        let mut state = self.lock();
+        let capacity = state.capacity();
+        state.batch.admit(capacity);
+    }
+
+    fn advance(&self) {
+        let mut state = self.lock();
+        let step = state.batch.step();
+        state.record.tokens += step.tokens;
+        if step.poisoned {
+            state.crash();
         }
     }
 
     fn load(&self) -> Load {
         let state = self.lock();
         let running = state.batch.running();
-        let step = state.settings.step + state.settings.step_per_call * running as u32;
-        Load {
+        let mut load = Load {
             incarnation: state.incarnation,
             running: running as u32,
             waiting: state.batch.waiting() as u32,
-            step_us: step.as_micros() as u32,
+            step_us: state.step_time().as_micros() as u32,
             models: state.settings.models.clone(),
+            fence: state.highest_fence,
             ..Load::default()
+        };
+        if let Some(rank) = &state.rank {
+            rank.report(&mut load);
         }
+        load
     }
 
     fn complete(&self, request: &Completion) -> Response<Body> {
@@ -326,13 +354,45 @@
                 let name = format!("{model}@{version}");
                 state.settings.models.retain(|loaded| *loaded != name);
             }
-            _ => {}
+            Command::StageMap { map } => {
+                self.stage(*map, state.incarnation, state.settings.staging);
+            }
+            Command::RunSteps { from, to, map } => {
+                let window = Window {
+                    from: *from,
+                    to: *to,
+                    map: *map,
+                };
+                let granted = state.rank.as_mut().map(|rank| rank.grant(window));
+                if let Some(Err(reason)) = granted {
+                    return reply::text(StatusCode::CONFLICT, reason);
+                }
+                self.granted.notify_one();
+            }
+            Command::LoadAdapter { .. } | Command::DropAdapter { .. } | Command::Fence => {}
         }
         state.commands.push(order);
         reply::json(StatusCode::OK, &serde_json::json!({}))
     }
 }
 
+impl Engine {
+    /// Fetches an expert map, unless the engine dies in the meantime.
+    fn stage(&self, map: u64, incarnation: u64, time: Duration) {
+        let engine = self.clone();
+        tokio::spawn(async move {
+            tokio::time::sleep(time).await;
+            let mut state = engine.lock();
+            let same = state.incarnation == incarnation;
+            if let Some(rank) = state.rank.as_mut().filter(|_| same)
+                && !rank.staged.contains(&map)
+            {
+                rank.staged.push(map);
+            }
+        });
+    }
+}
+
 impl Handler for Engine {
     async fn handle(&self, _peer: SocketAddr, request: Request<Incoming>) -> Response<Body> {
         let (parts, content) = request.into_parts();
