Bound the messages of a group and the wait after a refusal

Cause: windows as short as a confirmation cost 64 ranks several messages a second each, and a rank that restarted, knows no token and is refused waited a whole second silence for a leader that was gone. Change: the pace grants steps for as long as a switch may take (`map_switch_ms`, default 1 s); a grant names the receiver's incarnation only; an engine is told to stage a map once, not with each retry; after a refusal a rank waits for its turn only, unless it heard of a leader itself.

--- a/crates/group/src/leader/mod.rs
+++ b/crates/group/src/leader/mod.rs
@@ -69,6 +69,8 @@
     confirmed: Step,
     /// Map to switch to.
     target: Option<Map>,
+    /// When a message of a live leader last arrived.
+    heard: Moment,
     /// When this rank proposes itself unless it hears of a leader.
     deadline: Moment,
     /// End and moment of a window that is being confirmed.
@@ -99,6 +101,7 @@
             current: None,
             confirmed: 0,
             target: None,
+            heard: now,
             deadline: now,
             added: None,
             sample: (0, now),
@@ -169,10 +172,10 @@
     /// back.
     pub fn heard(&mut self, now: Moment, fence: Fence, rng: &mut impl Rng) {
         self.highest = self.highest.max(fence.counter);
-        if fence > self.fence {
+        let newest = fence.counter == self.highest;
+        if fence > self.fence && newest {
+            self.heard = now;
             self.step_back(now, rng);
-        } else if self.role == Role::Following && fence.counter == self.highest {
-            self.wait(now, rng);
         }
     }
 
@@ -203,9 +206,9 @@
     /// To be called after every input and at [`Leader::next`].
     pub fn tick(&mut self, now: Moment, rng: &mut impl Rng) -> Vec<Request> {
         if self.role != Role::Following && now >= self.patience() {
-            // Another rank may reach the silent one.
+            // Another rank may reach the silent one, so it goes first.
+            self.heard = now + self.settings.silence;
             self.step_back(now, rng);
-            self.deadline = self.deadline + self.settings.silence;
         }
         if self.role == Role::Following && now >= self.deadline {
             self.propose(now);
@@ -260,7 +263,7 @@
                 let stage = missing.into_iter().map(|map| Message::Stage { fence, map });
                 let grant = Message::Grant {
                     fence,
-                    incarnations: self.incarnations(),
+                    incarnation: report.incarnation,
                     windows: self.plan.clone(),
                     confirmed: self.confirmed,
                 };
@@ -437,7 +440,9 @@
 
     fn next_map(&self) -> Option<Map> {
         let usable = |map: &Map| !self.guard.staging || self.staged_by_all(*map);
-        self.target.filter(usable).or(Some(self.kept()).filter(usable))
+        self.target
+            .filter(usable)
+            .or(Some(self.kept()).filter(usable))
     }
 
     /// Returns the map to go on with if there is none to switch to.
@@ -471,21 +476,10 @@
         self.peers.iter().filter_map(|peer| peer.report.as_ref())
     }
 
-    fn incarnations(&self) -> Vec<Incarnation> {
-        let reports = self.peers.iter().map(|peer| peer.report.as_ref());
-        reports
-            .map(|report| report.map_or(0, |report| report.incarnation))
-            .collect()
-    }
-
     fn behind(&self, rank: u32) -> bool {
         let peer = &self.peers[rank as usize];
-        let Some(report) = &peer.report else {
-            return true;
-        };
-        let staged = self.target.is_none_or(|map| report.staged.contains(&map));
-        let granted = peer.accepted_to >= self.end && peer.running_to >= self.confirmed;
-        !(staged && granted)
+        // Staging may take minutes and is asked for at the slower pace.
+        peer.report.is_none() || peer.accepted_to < self.end || peer.running_to < self.confirmed
     }
 
     /// Returns the time between messages to a rank that has all it needs: short
@@ -511,9 +505,13 @@
     }
 
     /// Waits longer the higher the rank, so that the lowest live one proposes.
+    ///
+    /// A refusal alone does not show that a leader lives: a restarted rank
+    /// knows no token and proposes one below that of a leader that is gone.
     fn wait(&mut self, now: Moment, rng: &mut impl Rng) {
         let turn = self.settings.stagger * self.settings.rank;
         let jitter = self.settings.stagger.mul_f64(rng.random::<f64>() / 2.0);
-        self.deadline = now + self.settings.silence + turn + jitter;
+        let silence = self.heard + self.settings.silence;
+        self.deadline = silence.max(now + self.settings.stagger) + turn + jitter;
     }
 }
--- a/crates/group/src/leader/settings/mod.rs
+++ b/crates/group/src/leader/settings/mod.rs
@@ -37,10 +37,10 @@
             rank: 0,
             ranks: 1,
             retry: Duration::from_millis(20),
-            heartbeat: Duration::from_millis(100),
-            silence: Duration::from_millis(500),
+            heartbeat: Duration::from_millis(250),
+            silence: Duration::from_secs(1),
             stagger: Duration::from_millis(20),
-            patience: Duration::from_secs(2),
+            patience: Duration::from_secs(4),
             first: 0,
             pace: pace::Settings::default(),
         }
--- a/crates/group/src/member/mod.rs
+++ b/crates/group/src/member/mod.rs
@@ -2,7 +2,8 @@
 //!
 //! A member keeps nothing across a restart. What the engine may run survives in
 //! the engine; a promise or an accepted window may be lost, which is safe since
-//! nothing runs before all ranks have accepted it in their listed incarnations.
+//! nothing runs before all ranks have accepted it in the incarnations that
+//! promised.
 
 use std::collections::BTreeSet;
 
@@ -43,7 +44,6 @@
 /// The member of one rank.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Member {
-    rank: u32,
     incarnation: Incarnation,
     promised: Fence,
     /// Token under which `accepted` was accepted.
@@ -57,11 +57,10 @@
 }
 
 impl Member {
-    /// Makes the member of a rank from a report that the engine gave after the
+    /// Makes a member from a report that the engine gave after the
     /// agent started.
-    pub fn new(rank: u32, incarnation: Incarnation, engine: &Engine) -> Self {
+    pub fn new(incarnation: Incarnation, engine: &Engine) -> Self {
         let mut member = Self {
-            rank,
             incarnation,
             promised: Fence::default(),
             accepted_under: Fence::default(),
@@ -154,11 +153,11 @@
             Message::Stage { fence, map } => self.stage(*fence, *map),
             Message::Grant {
                 fence,
-                incarnations,
+                incarnation,
                 windows,
                 confirmed,
             } => self
-                .check(*fence, incarnations, windows)
+                .check(*fence, *incarnation, windows)
                 .map(|()| self.grant(*fence, windows, *confirmed)),
             _ => Err(Reason::Malformed),
         };
@@ -208,14 +207,13 @@
     fn check(
         &self,
         fence: Fence,
-        incarnations: &[Incarnation],
+        incarnation: Incarnation,
         windows: &[Window],
     ) -> Result<(), Reason> {
         if self.guard.token && fence != self.promised {
             return Err(Reason::Token);
         }
-        let listed = incarnations.get(self.rank as usize);
-        if self.guard.incarnation && listed != Some(&self.incarnation) {
+        if self.guard.incarnation && incarnation != self.incarnation {
             return Err(Reason::Incarnation);
         }
         if !contiguous(windows) {
--- a/crates/group/src/message/mod.rs
+++ b/crates/group/src/message/mod.rs
@@ -146,8 +146,9 @@
     Grant {
         /// Token of the leader.
         fence: Fence,
-        /// Incarnations of all ranks that promised.
-        incarnations: Vec<Incarnation>,
+        /// Incarnation of the member that promised. A member has no use for
+        /// those of the others, which would be most of the message at 64 ranks.
+        incarnation: Incarnation,
         /// Windows to accept, ascending and without gaps.
         windows: Vec<Window>,
         /// Step up to which all ranks have accepted, so that all may run.
--- a/crates/group/src/pace/mod.rs
+++ b/crates/group/src/pace/mod.rs
@@ -2,14 +2,22 @@
 //!
 //! A map takes effect only after the steps granted before, so long windows
 //! delay a switch; windows that end before the next one is confirmed stall the
-//! group. The pace keeps as many steps granted as the slowest recent
-//! confirmation took, with a margin, and no more.
+//! group. The pace keeps as many steps granted as the time allowed for a switch
+//! holds, and more if the slowest recent confirmation needs it.
 
 use std::time::Duration;
 
+/// Windows that a switch may have to wait for: the two granted in advance and
+/// the one that was just added.
+const SPAN: u32 = 3;
+
 /// Bounds of the pace.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Settings {
+    /// Time within which a staged map is to be in use. Steps are granted for
+    /// as long in advance, so a longer one costs fewer messages and lets the
+    /// group run on for longer while a leader is replaced.
+    pub switch: Duration,
     /// Shortest window, in steps.
     pub shortest: u64,
     /// Longest window, in steps; bounds the delay of a switch.
@@ -22,8 +30,9 @@
 impl Default for Settings {
     fn default() -> Self {
         Self {
+            switch: Duration::from_secs(1),
             shortest: 1,
-            longest: 256,
+            longest: 4_096,
             margin: 2,
         }
     }
@@ -74,8 +83,11 @@
 
     /// Returns the length of the next window, in steps.
     pub fn window(&self) -> u64 {
-        let needed = self.steps(self.confirmation * self.settings.margin);
-        needed.clamp(self.settings.shortest, self.settings.longest)
+        let needed = self.steps_in(self.confirmation * self.settings.margin) + 1;
+        let wanted = self.steps_in(self.settings.switch / SPAN);
+        needed
+            .max(wanted)
+            .clamp(self.settings.shortest, self.settings.longest)
     }
 
     /// Returns how many steps are to be granted in advance: one window that
@@ -83,8 +95,4 @@
     pub fn ahead(&self) -> u64 {
         2 * self.window()
     }
-
-    fn steps(&self, time: Duration) -> u64 {
-        self.steps_in(time) + 1
-    }
 }
--- a/crates/sesamerock/src/agent/group/mod.rs
+++ b/crates/sesamerock/src/agent/group/mod.rs
@@ -16,6 +16,7 @@
 use sesamerock_base::time::Moment;
 use sesamerock_group::leader::{Leader, Request, Role, Settings};
 use sesamerock_group::message::Message;
+use sesamerock_group::pace;
 use sesamerock_platform::engine::Engine;
 use sesamerock_wire::relay::GroupMessage;
 use tokio::sync::{mpsc, oneshot, watch};
@@ -219,6 +220,10 @@
             rank: ranks.own,
             ranks: ranks.agents.len() as u32,
             first: FIRST_MAP,
+            pace: pace::Settings {
+                switch: self.context.settings.map_switch,
+                ..pace::Settings::default()
+            },
             ..Settings::default()
         };
         let sender = self.context.settings.node.name.clone();
--- a/crates/sesamerock/src/agent/group/rank/mod.rs
+++ b/crates/sesamerock/src/agent/group/rank/mod.rs
@@ -1,13 +1,19 @@
 //! This agent's member, together with the engine it commands.
 
+use std::collections::HashMap;
 use std::time::Duration;
 
+use sesamerock_base::time::Moment;
 use sesamerock_group::member::{self, Member};
-use sesamerock_group::message::{Fence, Incarnation, Message, Window};
+use sesamerock_group::message::{Fence, Incarnation, Map, Message, Window};
 use sesamerock_platform::engine::{self, Engine, Load, Order};
 
+use crate::clock;
+
 /// Time for one command or report of the engine.
 const ENGINE_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time after which an engine that has not staged a map is told again.
+const RESTAGE: Duration = Duration::from_secs(5);
 
 /// The member and what is known of its engine.
 #[derive(Debug)]
@@ -17,6 +23,8 @@
     index: u32,
     checks_fencing: bool,
     member: Option<Live>,
+    /// When the engine was last told to stage a map that it has not staged.
+    staging: HashMap<Map, Moment>,
 }
 
 #[derive(Debug)]
@@ -34,6 +42,7 @@
             index,
             checks_fencing,
             member: None,
+            staging: HashMap::new(),
         }
     }
 
@@ -46,9 +55,11 @@
         let answer = live.member.receive(request);
         let fence = live.member.promised();
         commands.extend(answer.commands);
+        self.keep_new(&mut commands);
         for command in commands {
             // A command that is lost is sent again with the next request.
             if !self.command(fence, &load, command_of(command)).await {
+                self.staging.clear();
                 break;
             }
         }
@@ -82,13 +93,29 @@
             load.step,
             load.granted_to
         );
+        self.staging.clear();
         self.member = Some(Live {
-            member: Member::new(self.index, incarnation, &report(&load)),
+            member: Member::new(incarnation, &report(&load)),
             engine: load.incarnation,
         });
         Some(load)
     }
 
+    /// Drops commands to stage a map that the engine is staging already; the
+    /// leader asks until it is staged.
+    fn keep_new(&mut self, commands: &mut Vec<member::Command>) {
+        let now = clock::now();
+        self.staging.retain(|_, at| now.since(*at) < RESTAGE);
+        commands.retain(|command| match command {
+            member::Command::Stage(map) => {
+                let asked = self.staging.contains_key(map);
+                self.staging.entry(*map).or_insert(now);
+                !asked
+            }
+            member::Command::Run(_) => true,
+        });
+    }
+
     async fn load(&self) -> Option<Load> {
         let read = tokio::time::timeout(ENGINE_TIMEOUT, self.engine.load()).await;
         read.ok()?.ok()
