Show that late commands of a dead agent need a fence

Cause: an engine may get a command of an earlier agent after the new one has read what it may run. Change: the exploration delays commands past the death of their agent. A member whose engine may run a step it did not allow is replaced by a new incarnation, and the fence is above every token the engine has seen. Conclusion: engines that ignore tokens keep the narrow case.

--- a/crates/group/src/member/mod.rs
+++ b/crates/group/src/member/mod.rs
@@ -110,6 +110,17 @@
         missing.copied().map(Command::Run).collect()
     }
 
+    /// Returns whether the engine may run a step that this member has not let it
+    /// run, by a command of an earlier agent that arrived late. The member is
+    /// then to be replaced by one of a new incarnation.
+    pub fn outdated(&self, engine: &Engine) -> bool {
+        let known = |window: &Window| {
+            let mut steps = window.from.max(engine.step)..window.to;
+            steps.all(|step| self.map_of(step) == Some(window.map))
+        };
+        !engine.windows.iter().all(known)
+    }
+
     /// Returns the incarnation.
     pub const fn incarnation(&self) -> Incarnation {
         self.incarnation
--- a/crates/group/tests/explore.rs
+++ b/crates/group/tests/explore.rs
@@ -7,7 +7,7 @@
 use std::time::Instant;
 
 use sesamerock_group::guard::Guard;
-use world::{Action, Mixed, Plan, Shared, World};
+use world::{Action, Commands, Mixed, Plan, Shared, World};
 
 const GUARD: Guard = Guard {
     token: true,
@@ -29,6 +29,7 @@
     longest: 1,
     staging: false,
     late_replies: false,
+    commands: Commands::Prompt,
     guard: GUARD,
 };
 
@@ -193,6 +194,29 @@
     assert!(outcome.depth >= 15, "{outcome:?}");
 }
 
+/// Guards against a command of a dead agent that reaches the engine after the
+/// new agent has read what the engine may run. Only a fence prevents that; an
+/// engine without it mixes a step if the agents of all ranks restart.
+#[test]
+fn late_commands_need_a_fence() {
+    let fenced = Plan {
+        commands: Commands::Fenced,
+        ..PAIR
+    };
+    exhaust("late_commands_with_a_fence", &fenced);
+    let late = Plan {
+        commands: Commands::Late,
+        ..PAIR
+    };
+    let outcome = explore("late_commands_without_a_fence", &late, ALL);
+    assert!(outcome.violation.is_some());
+    let one = Plan {
+        restarts: 1,
+        ..late
+    };
+    exhaust("late_commands_without_a_fence_one_restart", &one);
+}
+
 /// Guards against an exploration that would not notice the absence of a rule.
 #[test]
 fn each_missing_rule_is_noticed() {
--- a/crates/group/tests/plan.rs
+++ b/crates/group/tests/plan.rs
@@ -56,6 +56,26 @@
     assert_eq!(Member::new(8, &engine).report().step, WINDOW.from);
 }
 
+/// Guards against a member that does not see what an earlier agent's late
+/// command let its engine run, and against one that is replaced for no reason.
+#[test]
+fn a_window_of_an_earlier_agent_makes_the_member_outdated() {
+    let member = joined();
+    let mut engine = Engine {
+        step: 230,
+        windows: vec![WINDOW],
+        ..Engine::default()
+    };
+    assert!(!member.outdated(&Engine::default()));
+    assert!(!member.outdated(&engine));
+    engine.windows.push(Window {
+        from: 298,
+        to: 300,
+        map: 4,
+    });
+    assert!(member.outdated(&engine));
+}
+
 /// Guards against a leader that plans over steps granted beyond a gap.
 #[test]
 fn a_gap_before_a_granted_step_is_an_error() {
--- a/crates/group/tests/world/mod.rs
+++ b/crates/group/tests/world/mod.rs
@@ -41,10 +41,25 @@
     /// never; that leaves out only late ones, and a leader that gets a reply
     /// early sends its next requests early, which may be delayed instead.
     pub late_replies: bool,
+    /// How commands reach the engine.
+    pub commands: Commands,
     /// Safety rules in force.
     pub guard: Guard,
 }
 
+/// How commands reach the engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Commands {
+    /// At once.
+    Prompt,
+    /// Late, even after the agent that sent them has died. The engine ignores
+    /// tokens.
+    Late,
+    /// Late, but a new agent's first command is a fence, after which the engine
+    /// refuses those of the agent before it.
+    Fenced,
+}
+
 /// One thing that may happen next.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Action {
@@ -59,6 +74,8 @@
     },
     /// A leader is to switch to the next map.
     Switch(usize),
+    /// The oldest command on its way arrives at an engine.
+    Arrive(usize),
     /// An engine has fetched a map.
     Staged(usize, Map),
     /// An agent restarts.
@@ -82,6 +99,30 @@
     member: Member,
     engine: Engine,
     fetching: Vec<Map>,
+    /// Windows on their way to the engine.
+    late: Vec<Window>,
+    /// Whether the present member has fenced the engine.
+    fenced: bool,
+}
+
+impl Rank {
+    /// Fences the engine for a new member, which then reads what it may run.
+    fn fence(&mut self, guard: Guard) {
+        self.fenced = true;
+        self.late.clear();
+        let incarnation = self.member.incarnation();
+        self.member = Member::new(incarnation, &self.engine).with_guard(guard);
+    }
+
+    /// Passes a window to the engine, which takes what is beyond its end.
+    fn arrive(&mut self, window: Window) {
+        let last = self.engine.windows.last();
+        let end = last.map_or(self.engine.step, |last| last.to);
+        let from = window.from.max(end);
+        if from < window.to {
+            self.engine.windows.push(Window { from, ..window });
+        }
+    }
 }
 
 /// Values by number, so that a state of the world is a few numbers.
@@ -162,12 +203,19 @@
         ]
     }
 
-    fn handle(&mut self, rank: u32, letter: u32) -> Handled {
+    fn handle(&mut self, rank: u32, letter: u32, plan: &Plan) -> Handled {
         if let Some(known) = self.handled.get(&(rank, letter)) {
             return *known;
         }
         let request = self.letters.get(letter).clone();
         let mut after = self.ranks.get(rank).clone();
+        if !after.fenced && plan.commands == Commands::Fenced {
+            after.fence(plan.guard);
+        }
+        if after.member.outdated(&after.engine) {
+            let incarnation = after.member.incarnation() + 10;
+            after.member = Member::new(incarnation, &after.engine).with_guard(plan.guard);
+        }
         let answer = after.member.receive(&request.message);
         let mut unstaged = false;
         for command in answer.commands {
@@ -179,7 +227,10 @@
                 Command::Stage(_) => {}
                 Command::Run(window) => {
                     unstaged |= !after.engine.staged.contains(&window.map);
-                    after.engine.windows.push(window);
+                    match plan.commands {
+                        Commands::Prompt => after.engine.windows.push(window),
+                        Commands::Late | Commands::Fenced => after.late.push(window),
+                    }
                 }
             }
         }
@@ -341,6 +392,8 @@
                 member: Member::new(1, &engine).with_guard(plan.guard),
                 engine: engine.clone(),
                 fetching: Vec::new(),
+                late: Vec::new(),
+                fenced: true,
             })
         });
         let ranks = ranks.collect();
@@ -418,6 +471,9 @@
         for (index, rank) in self.ranks.iter().enumerate() {
             let fetching = &shared.ranks.get(*rank).fetching;
             actions.extend(fetching.iter().map(|map| Action::Staged(index, *map)));
+            if !shared.ranks.get(*rank).late.is_empty() {
+                actions.push(Action::Arrive(index));
+            }
             if self.restarts > 0 {
                 actions.push(Action::Restart(index));
             }
@@ -473,6 +529,13 @@
                     self.request(rank, letter, lost, plan, shared);
                 }
             }
+            Action::Arrive(index) => {
+                let mut rank = shared.ranks.get(self.ranks[index]).clone();
+                let window = rank.late.remove(0);
+                rank.arrive(window);
+                self.ranks[index] = shared.ranks.number(rank);
+                self.check(shared);
+            }
             Action::Staged(index, map) => {
                 let mut rank = shared.ranks.get(self.ranks[index]).clone();
                 rank.fetching.retain(|other| *other != map);
@@ -494,6 +557,7 @@
                     ..Engine::default()
                 };
                 rank.fetching.clear();
+                rank.late.clear();
                 self.restart(index, rank, plan, shared);
             }
             Action::Step => self.run_step(shared),
@@ -501,6 +565,7 @@
     }
 
     fn restart(&mut self, index: usize, mut rank: Rank, plan: &Plan, shared: &mut Shared) {
+        rank.fenced = false;
         let incarnation = rank.member.incarnation() + 1;
         let member = Member::new(incarnation, &rank.engine);
         rank.member = member.with_guard(plan.guard);
@@ -520,7 +585,7 @@
     }
 
     fn request(&mut self, index: usize, letter: u32, lost: bool, plan: &Plan, shared: &mut Shared) {
-        let handled = shared.handle(self.ranks[index], letter);
+        let handled = shared.handle(self.ranks[index], letter, plan);
         if self.ranks[index] != handled.rank {
             self.ranks[index] = handled.rank;
             self.check(shared);
--- a/crates/sesamerock/src/agent/group/rank/mod.rs
+++ b/crates/sesamerock/src/agent/group/rank/mod.rs
@@ -58,7 +58,7 @@
         self.keep_new(&mut commands);
         for command in commands {
             // A command that is lost is sent again with the next request.
-            if !self.command(fence, &load, command_of(command)).await {
+            if !self.command(fence, load.fence, command_of(command)).await {
                 self.staging.clear();
                 break;
             }
@@ -69,15 +69,19 @@
     /// Reads the engine's report, and makes a new member for a new engine.
     async fn refresh(&mut self, fence: Fence) -> Option<Load> {
         let load = self.load().await?;
-        let known = self.member.as_ref().map(|live| live.engine);
-        if known == Some(load.incarnation) {
+        let fits =
+            |live: &Live| live.engine == load.incarnation && !live.member.outdated(&report(&load));
+        if self.member.as_ref().is_some_and(fits) {
             return Some(load);
         }
         // Commands of an earlier agent may still be on their way. An engine
         // that checks tokens refuses them once it has seen a higher one, and
         // only then its report tells for good what it may run.
         let load = if self.checks_fencing {
-            if !self.command(fence, &load, engine::Command::Fence).await {
+            if !self
+                .command(fence, load.fence + 1, engine::Command::Fence)
+                .await
+            {
                 return None;
             }
             self.load().await?
@@ -121,10 +125,11 @@
         read.ok()?.ok()
     }
 
-    async fn command(&self, fence: Fence, load: &Load, command: engine::Command) -> bool {
+    /// Gives a command under a leader's token, or under `least` if that is
+    /// higher, since other commands carry versions of the control state.
+    async fn command(&self, fence: Fence, least: u64, command: engine::Command) -> bool {
         let order = Order {
-            // Other commands of this agent carry tokens of the control state.
-            fence: fence.number().max(load.fence),
+            fence: fence.number().max(least),
             sender: self.sender.clone(),
             command,
         };
