--- a/crates/sesamerock/src/cli/command/mod.rs
+++ b/crates/sesamerock/src/cli/command/mod.rs
@@ -41,6 +41,10 @@
         Command::Entry { settings } => start_entry(&settings),
         Command::Agent { settings } => start_agent(&settings),
         Command::Check { file } => check(&file),
+        Command::Reference => {
+            print!("{}", settings::check::reference());
+            Ok(0)
+        }
         command => operate(command),
     });
     match outcome {
@@ -53,7 +57,7 @@
 }
 
 fn start_entry(file: &Path) -> eyre::Result<u8> {
-    let Some(settings) = load::<settings::Entry>(file)? else {
+    let Some(settings) = load::<settings::Entry>(file, settings::check::entry_faults)? else {
         return Ok(FAULTY);
     };
     serve(settings.node.threads, |stop| async move {
@@ -62,7 +66,7 @@
 }
 
 fn start_agent(file: &Path) -> eyre::Result<u8> {
-    let Some(settings) = load::<settings::Agent>(file)? else {
+    let Some(settings) = load::<settings::Agent>(file, settings::check::agent_faults)? else {
         return Ok(FAULTY);
     };
     serve(settings.node.threads, |stop| async move {
@@ -72,9 +76,12 @@
 
 /// Reads a settings file; reports every fault of it and returns `None` if there
 /// is one.
-fn load<T: DeserializeOwned>(file: &Path) -> eyre::Result<Option<T>> {
+fn load<T: DeserializeOwned>(
+    file: &Path,
+    check: impl FnOnce(&str) -> Vec<String>,
+) -> eyre::Result<Option<T>> {
     let text = read(file)?;
-    let faults = settings::check::faults(&text);
+    let faults = check(&text);
     if !faults.is_empty() {
         report(file, &faults);
         return Ok(None);
@@ -165,6 +172,7 @@
             }
             Command::Status { operator, json } => status(operator, json).await,
             Command::Dev
+            | Command::Reference
             | Command::Entry { .. }
             | Command::Agent { .. }
             | Command::Check { .. } => Err(eyre!("this command does not ask an entry")),
--- a/crates/sesamerock/src/cli/mod.rs
+++ b/crates/sesamerock/src/cli/mod.rs
@@ -38,6 +38,8 @@
         /// File to check.
         file: PathBuf,
     },
+    /// Print the reference of all settings.
+    Reference,
     /// Publish a release note.
     Publish {
         /// Operator address of an entry.
@@ -180,9 +182,14 @@
     };
     let check = {
         let file = positional("FILE").help("Settings file or release note");
-        construct!(Command::Check { file })
+        let file = construct!(Command::Check { file });
+        let reference = long("reference")
+            .help("Print the reference of all settings instead")
+            .req_flag(Command::Reference);
+        construct!([reference, file])
             .to_options()
             .descr("Report every fault of a settings file or release note; exits with 2 if any")
+            .footer("Example: sesamerock check docs/examples/note.yaml")
             .command("check")
     };
     let zone = {
--- a/crates/sesamerock/src/settings/check/mod.rs
+++ b/crates/sesamerock/src/settings/check/mod.rs
@@ -1,24 +1,75 @@
-//! Checks of settings files and release notes: every fault at once.
+//! Checks of settings files and release notes: every fault at once, with path,
+//! line and what was expected.
+//!
+//! The tables here are also the reference for operators, `docs/settings.md`.
+
+mod tables;
+
+use sesamerock_note::check;
+use sesamerock_note::schema::{self, Schema};
+
+pub use tables::{AGENT, ENTRY};
+
+/// What a file is, as its keys tell.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum File {
+    Entry,
+    Agent,
+    Note,
+}
 
 /// Returns the faults of a settings file or a release note.
 pub fn faults(text: &str) -> Vec<String> {
-    let keys = serde_yaml_ng::from_str::<serde_yaml_ng::Mapping>(text);
-    match keys {
-        Err(error) => vec![error.to_string()],
-        Ok(keys) if keys.contains_key("upstream") => parse::<super::Agent>(text),
-        Ok(keys) if keys.contains_key("node") => parse::<super::Entry>(text),
-        Ok(_) => note_faults(text),
+    match kind(text) {
+        File::Entry => against(text, &ENTRY),
+        File::Agent => against(text, &AGENT),
+        File::Note => note_faults(text),
     }
 }
 
+/// Returns the faults of the settings file of an entry.
+pub fn entry_faults(text: &str) -> Vec<String> {
+    against(text, &ENTRY)
+}
+
+/// Returns the faults of the settings file of an agent.
+pub fn agent_faults(text: &str) -> Vec<String> {
+    against(text, &AGENT)
+}
+
 /// Returns the faults of a release note.
 pub fn note_faults(text: &str) -> Vec<String> {
-    parse::<sesamerock_note::note::Note>(text)
+    match check::note(text) {
+        Ok(_) => Vec::new(),
+        Err(faults) => faults.iter().map(ToString::to_string).collect(),
+    }
 }
 
-fn parse<T: serde::de::DeserializeOwned>(text: &str) -> Vec<String> {
-    match serde_yaml_ng::from_str::<T>(text) {
-        Ok(_) => Vec::new(),
-        Err(error) => vec![error.to_string()],
+/// Returns the reference of all settings in Markdown.
+pub fn reference() -> String {
+    format!(
+        "# Settings\n\nThis page is printed by `sesamerock check --reference`.\n\n{}\n{}",
+        schema::markdown(&ENTRY),
+        schema::markdown(&AGENT)
+    )
+}
+
+fn against(text: &str, schema: &'static Schema) -> Vec<String> {
+    schema::check(text, schema)
+        .iter()
+        .map(ToString::to_string)
+        .collect()
+}
+
+/// Guesses from the top-level keys what a file is, so that even a faulty one is
+/// checked against the right table.
+fn kind(text: &str) -> File {
+    let has = |key: &str| text.lines().any(|line| line.starts_with(key));
+    if has("upstream:") || has("relay:") {
+        File::Agent
+    } else if has("node:") || has("caller:") {
+        File::Entry
+    } else {
+        File::Note
     }
 }
