Restrict record ids and print the reference of release notes

Cause: an id with a line break could pass for another field of a log line, and operators had no page that lists the keys of a note.

Change: ids are printable ASCII without spaces, in the check and in the decoder. docs/release-note.md is printed from the schema by an example program; a test fails if the page is out of date.

--- a/crates/note/src/check/fields/mod.rs
+++ b/crates/note/src/check/fields/mod.rs
@@ -3,6 +3,7 @@
 use crate::bound;
 use crate::call;
 use crate::fold::{CALL_RULE, NAME_RULE, is_name};
+use crate::record::{ID_RULE, is_id};
 use crate::schema::tree::Node;
 use crate::schema::{Field, Kind, Need, Rule, Schema, Unique};
 
@@ -64,9 +65,9 @@
     fields: &[
         required(
             "id",
-            Kind::Text {
-                min: 1,
-                max: bound::ID,
+            Kind::Form {
+                expected: ID_RULE,
+                accepts: is_id,
             },
             "Identifies the note; publishing the same id again changes nothing.",
         ),
--- a/crates/note/src/record/mod.rs
+++ b/crates/note/src/record/mod.rs
@@ -18,6 +18,16 @@
 /// Format that this program writes and the newest one that it reads.
 pub const FORMAT: u32 = 1;
 
+/// What an id must look like.
+pub(crate) const ID_RULE: &str = "an id of 1 to 128 printable ASCII characters without spaces";
+
+/// Returns whether a text can be an id. Ids appear in log lines and status
+/// pages, where a space or line break could pass for another field.
+pub(crate) fn is_id(text: &str) -> bool {
+    let fits = (1..=bound::ID).contains(&text.len());
+    fits && text.bytes().all(|byte| byte.is_ascii_graphic())
+}
+
 /// Kinds of records that this program reads.
 const KINDS: [&str; 4] = ["note", "zone", "vm", "snapshot"];
 
@@ -169,8 +179,8 @@
                 format: wire.format,
             });
         }
-        if wire.id.is_empty() || wire.id.len() > bound::ID {
-            let fault = format!("expected an id of 1 to {} bytes", bound::ID);
+        if !is_id(&wire.id) {
+            let fault = format!("expected {ID_RULE}");
             return Err(Skip::Malformed { fault });
         }
         let mut body = wire.body;
--- a/crates/note/src/schema/reference/mod.rs
+++ b/crates/note/src/schema/reference/mod.rs
@@ -42,7 +42,8 @@
 fn row(field: &Field) -> String {
     let absent = match field.need {
         Need::Required => "a fault".to_owned(),
-        Need::Optional => "see meaning".to_owned(),
+        Need::Optional => "allowed".to_owned(),
+        Need::Default("") => "empty".to_owned(),
         Need::Default(value) => format!("`{value}`"),
     };
     let kind = describe(&field.kind);
--- a/crates/note/tests/check.rs
+++ b/crates/note/tests/check.rs
@@ -106,6 +106,8 @@
     assert!(line(&deep).contains("levels of nesting"));
     let deeper = "[".repeat(100_000);
     assert_eq!(faults(&deeper).len(), 1);
+    let two_lines = "id: \"a\\nb\"\n";
+    assert!(line(two_lines).starts_with("id:1: expected an id of 1 to 128 printable"));
     let control = "id: a\u{7f}\n";
     assert_eq!(
         line(control),
@@ -304,6 +306,11 @@
 #[test]
 fn reference_names_every_key() {
     let text = schema::markdown(SCHEMA);
+    let page = include_str!("../../../docs/release-note.md");
+    assert!(
+        page.ends_with(&text),
+        "run `cargo run -p sesamerock-note --example reference > docs/release-note.md`"
+    );
     for key in [
         "`id`",
         "`not_repeatable`",
--- a/crates/note/tests/fold.rs
+++ b/crates/note/tests/fold.rs
@@ -259,7 +259,12 @@
     let newer = br#"{"format":2,"id":"x","extra":[],"body":{"note":{}}}"#;
     let outcome = state.apply(2, newer);
     assert_eq!(outcome, Outcome::Skipped(Skip::Newer { format: 2 }));
-    assert_eq!(state.version(), Version(3));
+    let forged = br#"{"format":1,"id":"a b\nc","body":{"zone":{"name":"a","to":"out"}}}"#;
+    assert!(matches!(
+        state.apply(3, forged),
+        Outcome::Skipped(Skip::Malformed { .. })
+    ));
+    assert_eq!(state.version(), Version(4));
 }
 
 /// Guards against folding past a missing record.
