--- a/crates/measure/src/zone/mod.rs
+++ b/crates/measure/src/zone/mod.rs
@@ -41,8 +41,8 @@
     runtime.block_on(measure(report));
 }
 
-async fn measure(report: &mut Report) {
-    let stop = CancellationToken::new();
+/// Starts the cluster and brings it out of cold start.
+async fn start(stop: &CancellationToken) -> Cluster {
     let settings = Settings {
         engines_per_zone: ENGINES,
         engine: engine::Settings {
@@ -53,13 +53,18 @@
         },
         ..Settings::default()
     };
-    let cluster = Cluster::start(settings, &stop)
+    let cluster = Cluster::start(settings, stop)
         .await
         .expect("the cluster starts");
     cluster.publish().await.expect("the note is accepted");
     cluster.wait_ready().await.expect("the entries are ready");
     warm_up(&cluster).await;
+    cluster
+}
 
+async fn measure(report: &mut Report) {
+    let stop = CancellationToken::new();
+    let cluster = start(&stop).await;
     let full = STEP + STEP_PER_CALL * CAPACITY as u32;
     let call_seconds = full.as_secs_f64() * TOKENS as f64;
     let capacity = (3 * ENGINES * CAPACITY) as f64 / call_seconds;
--- a/crates/sesamerock/src/agent/execute/mod.rs
+++ b/crates/sesamerock/src/agent/execute/mod.rs
@@ -13,6 +13,7 @@
 use tokio::time::Instant;
 use tonic::{Status, Streaming};
 
+use super::gate::Permit;
 use super::probe::Sight;
 use super::suspects::Verdict;
 use super::{Context, keyed};
@@ -118,13 +119,35 @@
 ) -> Result<(), Stop> {
     let deadline = Instant::now() + Duration::from_millis(head.timeout_ms);
     check(context, head)?;
+    if !head.idempotency_key.is_empty() && !head.repeatable {
+        // The log may take long to decide, and a call that waits for it must
+        // not hold a place at the upstream; the gate comes after.
+        let body = receive(context, head, frames, deadline, sender).await?;
+        return keyed::run(context, head, body, deadline, sender).await;
+    }
+    let permit = admit(context, head, deadline).await?;
+    let body = receive(context, head, frames, deadline, sender).await?;
+    pass::run(context, head, body, permit, deadline, sender).await
+}
+
+/// Waits for admission by the gate.
+pub(super) async fn admit<E>(
+    context: &Context<E>,
+    head: &Head,
+    deadline: Instant,
+) -> Result<Permit, Stop> {
     let permit = context
         .gate
         .admit(head, deadline)
         .await
         .map_err(Stop::Refused)?;
-    // The state may have changed while the call was queued.
-    check(context, head)?;
+    // The state may have changed while the call was queued; its own queueing
+    // must not make it exceed the ceiling.
+    let unbounded = Head {
+        ceiling_percent: 0,
+        ..head.clone()
+    };
+    check(context, &unbounded)?;
     log::info!(
         "event=call_admitted request={} attempt={} upstream={} workspace={} waited_us={} in_flight={}",
         head.request_id,
@@ -134,22 +157,26 @@
         clock::now().since(permit.offered()).as_micros(),
         permit.in_flight()
     );
+    Ok(permit)
+}
+
+/// Asks for the body where it was held back, and reads it.
+async fn receive<E>(
+    context: &Context<E>,
+    head: &Head,
+    frames: &mut Streaming<Up>,
+    deadline: Instant,
+    sender: &Sender,
+) -> Result<Bytes, Stop> {
     if head.await_ready {
         send(sender, down::Kind::Ready(Ready {})).await?;
     }
-    let body = match tokio::time::timeout_at(deadline, read(context, head, frames)).await {
-        Ok(body) => body?,
-        Err(_) => {
-            return Err(Stop::Refused(refusal(
-                Reason::Deadline,
-                "the body did not arrive",
-            )));
-        }
-    };
-    if head.idempotency_key.is_empty() || head.repeatable {
-        pass::run(context, head, body, permit, deadline, sender).await
-    } else {
-        keyed::run(context, head, body, permit, deadline, sender).await
+    match tokio::time::timeout_at(deadline, read(context, head, frames)).await {
+        Ok(body) => body,
+        Err(_) => Err(Stop::Refused(refusal(
+            Reason::Deadline,
+            "the body did not arrive",
+        ))),
     }
 }
 
@@ -181,12 +208,29 @@
             "the engine has not loaded the model",
         );
     }
+    if over_ceiling(context, head) {
+        return refuse(
+            Reason::OverCeiling,
+            "the sender knows upstreams with less load",
+        );
+    }
     match context.manifest.check(head) {
         Verdict::Clean => Ok(()),
         verdict => Err(Stop::Refused(suspected(verdict))),
     }
 }
 
+/// Returns whether the load is above the share at which the sender would rather
+/// go elsewhere.
+fn over_ceiling<E>(context: &Context<E>, head: &Head) -> bool {
+    if head.ceiling_percent == 0 {
+        return false;
+    }
+    let snapshot = context.gate.snapshot();
+    let load = u64::from(snapshot.in_flight.calls + snapshot.queued.calls) * 100;
+    load > u64::from(snapshot.limit.calls) * u64::from(head.ceiling_percent)
+}
+
 /// Returns whether the engine reports the model of a call as loaded; a plain
 /// service loads nothing.
 fn loaded<E>(context: &Context<E>, head: &Head) -> bool {
--- a/crates/sesamerock/src/agent/keyed/answer/mod.rs
+++ b/crates/sesamerock/src/agent/keyed/answer/mod.rs
@@ -41,6 +41,7 @@
     sender: &Sender,
 ) -> Result<(), Stop> {
     match end {
+        End::Stopped(stop) => Err(stop),
         End::Refused(reason, detail) => Err(Stop::Refused(refusal(reason, detail))),
         End::Unknown(detail) => Ok(tail(
             context,
--- a/crates/sesamerock/src/agent/keyed/mod.rs
+++ b/crates/sesamerock/src/agent/keyed/mod.rs
@@ -23,7 +23,7 @@
 use tokio::time::Instant;
 
 use super::Context;
-use super::execute::{Sender, Stop};
+use super::execute::{Sender, Stop, admit};
 use super::gate::Permit;
 use crate::clock;
 use crate::settings::{self, Kind};
@@ -55,6 +55,8 @@
     },
     /// The call was not executed.
     Refused(Reason, String),
+    /// The call was not executed, since the gate refused it.
+    Stopped(Stop),
     /// The call may have been executed.
     Unknown(&'static str),
 }
@@ -112,7 +114,6 @@
     context: &Arc<Context<E>>,
     head: &Head,
     body: Bytes,
-    permit: Permit,
     deadline: Instant,
     sender: &Sender,
 ) -> Result<(), Stop> {
@@ -120,7 +121,7 @@
     let owned = head.clone();
     let work = context
         .tasks
-        .spawn(async move { decide(&shared, &owned, body, permit, deadline).await });
+        .spawn(async move { decide(&shared, &owned, body, deadline).await });
     let end = work.await.unwrap_or(End::Unknown("the task ended early"));
     answer::send(context, head, end, sender).await
 }
@@ -129,7 +130,6 @@
     context: &Context<E>,
     head: &Head,
     body: Bytes,
-    permit: Permit,
     deadline: Instant,
 ) -> End {
     let request = Request::new(&head.method, &head.path, &body);
@@ -138,7 +138,7 @@
         .lock()
         .take(&head.idempotency_key, request, clock::now());
     match take {
-        Take::Run(grant) => minted(context, head, body, permit, grant, deadline).await,
+        Take::Run(grant) => minted(context, head, body, grant, deadline).await,
         Take::Replay(outcome) => End::Response {
             outcome,
             body: None,
@@ -153,7 +153,7 @@
             End::Refused(Reason::WrongUpstream, format!("the key belongs to {name}"))
         }
         Take::Expired => End::Unknown("the key has expired"),
-        Take::Invalid => logged(context, head, body, request, permit, deadline).await,
+        Take::Invalid => logged(context, head, body, request, deadline).await,
     }
 }
 
@@ -166,10 +166,16 @@
     context: &Context<E>,
     head: &Head,
     body: Bytes,
-    permit: Permit,
     grant: mint::Permit,
     deadline: Instant,
 ) -> End {
+    let permit = match admit(context, head, deadline).await {
+        Ok(permit) => permit,
+        Err(stop) => {
+            context.keyed.lock().decline(grant);
+            return End::Stopped(stop);
+        }
+    };
     let link = match context.engine.connect().await {
         Ok(link) => link,
         Err(error) => {
@@ -188,7 +194,6 @@
     head: &Head,
     body: Bytes,
     request: Request,
-    permit: Permit,
     deadline: Instant,
 ) -> End {
     let shard = context.keyed.ledger.shard(head);
@@ -196,6 +201,11 @@
         shard::Decision::Run(grant) => grant,
         shard::Decision::Answer(answer) => return answered(answer),
     };
+    // Dropping the grant gives the key back.
+    let permit = match admit(context, head, deadline).await {
+        Ok(permit) => permit,
+        Err(stop) => return End::Stopped(stop),
+    };
     // Connecting first keeps the key free for others if the service is down.
     let link = match context.engine.connect().await {
         Ok(link) => link,
--- a/crates/sesamerock/src/agent/keyed/shard/mod.rs
+++ b/crates/sesamerock/src/agent/keyed/shard/mod.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use sesamerock_ledger::attempt::{Answer, Call, Finish, Permit, Receipt, Ticket};
-use sesamerock_ledger::batch::Author;
+use sesamerock_ledger::batch::{self, Author};
 use sesamerock_ledger::fold::Page;
 use sesamerock_ledger::id::Request;
 use sesamerock_ledger::record::Entry;
@@ -20,6 +20,9 @@
 use super::ledger;
 use crate::clock;
 
+/// Appends a second for the keyed calls of one service. The log takes several
+/// hundred for all uses together.
+const APPENDS_PER_SECOND: f64 = 200.0;
 /// Records per read.
 const PAGE_RECORDS: usize = 1_000;
 /// Longest time that the log holds back an answer without records.
@@ -75,7 +78,14 @@
 
 impl Shard {
     pub(super) fn start(stream: String, log: Remote, author: Author) -> Arc<Self> {
-        let machine = machine::Shard::new(machine::Config::default(), author);
+        let config = machine::Config {
+            batch: batch::Config {
+                appends_per_second: APPENDS_PER_SECOND / f64::from(ledger::SHARDS),
+                ..batch::Config::default()
+            },
+            ..machine::Config::default()
+        };
+        let machine = machine::Shard::new(config, author);
         let inner = Mutex::new(Inner {
             machine,
             waiting: HashMap::new(),
--- a/crates/sesamerock/src/control/driver/apply/mod.rs
+++ b/crates/sesamerock/src/control/driver/apply/mod.rs
@@ -21,22 +21,23 @@
             Err(error) => log::debug!("event=log_read_failed from={} error={error}", read.from),
         }
         // The reader waits for a new offset after every read.
-        let position = self.fold.position();
         let reads = self.exchange.reads_log() || !self.whole;
-        self.asked.send_replace(reads.then_some(position));
+        self.asked.send_replace(reads.then(|| self.fold.position()));
     }
 
     fn page(&mut self, now: Moment, sent: Moment, from: u64, page: &Page) {
-        if from != self.fold.position() {
-            // Peers were faster than the log.
-            return self.caught_up(now, sent, page);
-        }
-        if page.head < from || page.first > from {
+        // Peers may have moved the fold on while the read was under way, so
+        // the head is compared with the position at its start.
+        if page.head < from || page.first > self.fold.position() {
             self.restart(now, page);
         }
         for entry in &page.entries {
             let outcome = self.fold.apply(entry.offset, &entry.content);
             self.folded(entry.offset, &outcome);
+            if outcome == Outcome::Rewritten {
+                // The next read begins with the new history.
+                return self.restart(now, page);
+            }
             let version = self.fold.log().version();
             let record = Record {
                 version,
--- a/crates/sesamerock/src/control/reader/mod.rs
+++ b/crates/sesamerock/src/control/reader/mod.rs
@@ -23,12 +23,28 @@
 pub(super) struct Read {
     /// When it was sent.
     pub(super) sent: Moment,
-    /// Offset it began at.
+    /// Position of the fold when it was sent.
     pub(super) from: u64,
     /// Its answer.
     pub(super) page: Result<Page, Error>,
 }
 
+/// Waits for records from a position on, and reads them with the record before,
+/// which shows whether the log still has the same history.
+async fn read(log: &impl Log, position: u64) -> Result<Page, Error> {
+    let news = log.read(STREAM, position, 1, WAIT).await?;
+    if position == 0 || news.head < position {
+        return if news.entries.is_empty() {
+            Ok(news)
+        } else {
+            log.read(STREAM, position, PAGE_RECORDS, Duration::ZERO)
+                .await
+        };
+    }
+    log.read(STREAM, position - 1, PAGE_RECORDS, Duration::ZERO)
+        .await
+}
+
 /// Reads from the offset asked for, again and again, until either channel
 /// closes. It reads nothing while `None` is asked for.
 pub(super) async fn run(
@@ -45,7 +61,7 @@
             return;
         };
         let sent = clock::now();
-        let page = log.read(STREAM, from, PAGE_RECORDS, WAIT).await;
+        let page = read(&log, from).await;
         let failed = page.is_err();
         asked.mark_unchanged();
         if reads.send(Read { sent, from, page }).await.is_err() {
--- a/crates/sesamerock/src/entry/dispatch/attempt/mod.rs
+++ b/crates/sesamerock/src/entry/dispatch/attempt/mod.rs
@@ -36,6 +36,21 @@
     context: Arc<Context>,
 }
 
+/// What may bring an answer after a failed attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Remedy {
+    /// Another attempt, as far as the rules of retries allow.
+    Retry,
+    /// Nothing: no other attempt can do better.
+    None,
+    /// Room at an upstream; the call may wait and ask again.
+    Room,
+    /// An upstream with less load, which the agent sent the call on to.
+    Elsewhere,
+    /// An upstream where no other suspect runs, since one died under the call.
+    Isolation,
+}
+
 /// An attempt that brought no answer.
 #[derive(Debug)]
 pub(super) struct Failure {
@@ -48,12 +63,8 @@
     pub(super) retry_after: Option<Duration>,
     /// The upstream, if another one may do better.
     pub(super) upstream: Option<Upstream>,
-    /// Whether no other attempt can do better.
-    pub(super) last: bool,
-    /// Whether the upstream died under the call.
-    pub(super) crashed: bool,
-    /// Whether the call only lacks room, so that it may wait and ask again.
-    pub(super) waits: bool,
+    /// What may bring an answer.
+    pub(super) remedy: Remedy,
 }
 
 impl Open {
@@ -91,9 +102,7 @@
             sent: true,
             retry_after: None,
             upstream: Some(self.target.choice.upstream),
-            last: false,
-            waits: false,
-            crashed: false,
+            remedy: Remedy::Retry,
         }
     }
 
@@ -116,7 +125,11 @@
         };
         Err(Failure {
             executed,
-            crashed: tail.crashed,
+            remedy: if tail.crashed {
+                Remedy::Isolation
+            } else {
+                Remedy::Retry
+            },
             ..self.broken(tail.detail.clone())
         })
     }
@@ -137,7 +150,7 @@
             kind: self.kind,
             detail: self.detail.clone(),
             executed: told(executed),
-            retry_after: self.retry_after.filter(|_| !self.last),
+            retry_after: self.retry_after.filter(|_| self.remedy != Remedy::None),
         }
     }
 
@@ -150,9 +163,7 @@
             sent: false,
             retry_after: Some(Duration::ZERO),
             upstream: None,
-            last: false,
-            waits: false,
-            crashed: false,
+            remedy: Remedy::Retry,
         }
     }
 }
@@ -206,20 +217,20 @@
                 kind: "unknown-target",
                 status: StatusCode::NOT_FOUND,
                 retry_after: None,
-                last: true,
+                remedy: Remedy::None,
                 ..failure
             },
             Cause::Excluded => {
                 // Each was tried once; the next attempt may try them again.
                 self.excluded.clear();
                 Failure {
-                    waits: true,
+                    remedy: Remedy::Room,
                     ..failure
                 }
             }
             _ => Failure {
                 retry_after: refusal.retry_after,
-                waits: true,
+                remedy: Remedy::Room,
                 ..failure
             },
         }
@@ -370,15 +381,19 @@
         match refusal.reason() {
             Reason::Overloaded | Reason::Cold => Failure {
                 kind: "overloaded",
-                waits: true,
+                remedy: Remedy::Room,
                 ..failure
             },
             Reason::Suspect | Reason::Leaving | Reason::OutOfContact | Reason::ModelNotLoaded => {
                 Failure {
-                    waits: true,
+                    remedy: Remedy::Room,
                     ..failure
                 }
             }
+            Reason::OverCeiling => Failure {
+                remedy: Remedy::Elsewhere,
+                ..failure
+            },
             Reason::Deadline => Failure {
                 kind: "overloaded",
                 ..failure
@@ -386,14 +401,14 @@
             Reason::Convicted => Failure {
                 kind: "convicted",
                 retry_after: None,
-                last: true,
+                remedy: Remedy::None,
                 status: StatusCode::UNPROCESSABLE_ENTITY,
                 ..failure
             },
             Reason::KeyConflict => Failure {
                 kind: "key-conflict",
                 retry_after: None,
-                last: true,
+                remedy: Remedy::None,
                 status: StatusCode::UNPROCESSABLE_ENTITY,
                 ..failure
             },
--- a/crates/sesamerock/src/entry/dispatch/head/mod.rs
+++ b/crates/sesamerock/src/entry/dispatch/head/mod.rs
@@ -46,6 +46,11 @@
     }
 }
 
+/// Returns a share in percent, and 0 for none.
+fn percent(share: Option<f64>) -> u32 {
+    share.map_or(0, |share| (share * 100.0).round().max(1.0) as u32)
+}
+
 impl Run {
     /// Makes the head of an attempt.
     pub(super) fn head(&self, attempt: u64, target: &table::Target) -> Head {
@@ -81,6 +86,7 @@
             await_ready: !self.repeatable,
             model: self.pool().to_owned(),
             suspect: self.isolated(),
+            ceiling_percent: percent(target.choice.ceiling),
         }
     }
 
--- a/crates/sesamerock/src/entry/dispatch/mod.rs
+++ b/crates/sesamerock/src/entry/dispatch/mod.rs
@@ -27,7 +27,7 @@
 use crate::clock;
 use crate::problem::{self, Problem};
 use crate::suspects::{fingerprint, stamp};
-use attempt::Failure;
+use attempt::{Failure, Remedy};
 
 /// Bytes of prompt that make one block of the prefix index.
 const BLOCK_BYTES: usize = 256;
@@ -191,7 +191,11 @@
     /// Decides what follows a failed attempt, and waits where it says so.
     async fn after(&mut self, failure: &Failure, phase: Phase) -> Next {
         let attempt = Attempt {
-            phase,
+            phase: if failure.remedy == Remedy::Elsewhere && phase == Phase::Silent {
+                Phase::Bounced
+            } else {
+                phase
+            },
             executed: failure.executed,
             earlier: self.earlier,
             repeatable: self.repeatable,
@@ -206,14 +210,14 @@
             ..Settings::default()
         };
         let now = clock::now();
-        if failure.crashed {
+        if failure.remedy == Remedy::Isolation {
             self.crashed = Some(clock::now());
         }
         let jitter = rand::random();
-        if let (true, Phase::Silent) = (failure.last, phase) {
+        if (failure.remedy, phase) == (Remedy::None, Phase::Silent) {
             return Next::Fail(failure.problem(self.earlier.max(failure.executed)));
         }
-        if failure.waits {
+        if failure.remedy == Remedy::Room {
             match self.wait(failure).await {
                 Wait::Over => return Next::Again,
                 Wait::Full | Wait::Late => {}
--- a/crates/sesamerock/src/entry/table/mod.rs
+++ b/crates/sesamerock/src/entry/table/mod.rs
@@ -271,29 +271,25 @@
         let now = clock::now();
         let empty = Group::default();
         let group = self.pools.get(&pool).unwrap_or(&empty);
-        let choice = match &wish.key {
-            Some(key) => {
-                let members: Vec<_> = group.members.iter().map(|member| member.upstream).collect();
-                self.picker
-                    .keyed(&[shard_of(key)], &request, &members, now)?
-            }
-            None => {
-                let pool = group.subset.members();
-                self.picker
-                    .pick(&request, pool, now, &mut self.rng)
-                    .or_else(|refusal| {
-                        // Where the only fault is a full upstream, the call waits
-                        // in an agent's queue, which is fair between workspaces.
-                        if !matches!(refusal.cause, Cause::Cold | Cause::Credits) {
-                            return Err(refusal);
-                        }
-                        let request = Request {
-                            queues: true,
-                            ..request
-                        };
-                        self.picker.pick(&request, pool, now, &mut self.rng)
-                    })?
-            }
+        let choice = if let Some(key) = &wish.key {
+            let members: Vec<_> = group.members.iter().map(|member| member.upstream).collect();
+            let shard = [shard_of(key)];
+            self.picker.keyed(&shard, &request, &members, now)?
+        } else {
+            let pool = group.subset.members();
+            let chosen = self.picker.pick(&request, pool, now, &mut self.rng);
+            chosen.or_else(|refusal| {
+                // Where the only fault is a full upstream, the call waits in an
+                // agent's queue, which is fair between workspaces.
+                if !matches!(refusal.cause, Cause::Cold | Cause::Credits) {
+                    return Err(refusal);
+                }
+                let request = Request {
+                    queues: true,
+                    ..request
+                };
+                self.picker.pick(&request, pool, now, &mut self.rng)
+            })?
         };
         self.picker.sent(&choice, wish.prefix, now);
         Ok(self.target(choice, wish))
--- a/crates/sesamerock/tests/support/world/mod.rs
+++ b/crates/sesamerock/tests/support/world/mod.rs
@@ -86,7 +86,10 @@
             ("terminate", [node]) => self.with_node(node, Node::terminate),
             ("pause", [node]) => self.with_node(node, |node| node.signal(libc::SIGSTOP)),
             ("resume", [node]) => self.with_node(node, |node| node.signal(libc::SIGCONT)),
-            ("replace", ["all"]) => self.replace_all(),
+            ("replace", ["all"]) => {
+                self.replace_all();
+                Ok(())
+            }
             ("platform", words) => self.change_platform(words, &options),
             ("link", [node, link, fault]) => self.set_link(node, link, fault),
             ("engine", [index, change]) => self.change_engine(index, change),
@@ -258,10 +261,9 @@
 
     /// Kills every process and starts each anew. The versions that callers saw
     /// before count as acknowledged and must not go back.
-    fn replace_all(&mut self) -> Result<(), String> {
+    fn replace_all(&mut self) {
         self.nodes.values_mut().for_each(Node::kill);
         self.nodes.values_mut().for_each(Node::spawn);
-        Ok(())
     }
 
     fn change_platform(&mut self, words: &[&str], options: &Options<'_>) -> Result<(), String> {
--- a/crates/sesamerock/tests/support/world/setup/mod.rs
+++ b/crates/sesamerock/tests/support/world/setup/mod.rs
@@ -23,7 +23,7 @@
 use crate::support::node::{Node, free_address};
 
 /// Time for all processes to become ready.
-const READY_TIMEOUT: Duration = Duration::from_secs(60);
+const READY_TIMEOUT: Duration = Duration::from_mins(1);
 
 /// Size of a system.
 #[derive(Clone, Debug)]
