Bound messages by group size, drop maps on command, measure lock-step

Cause: a leader of 64 ranks sent 51 KB/s, far above the control-plane budget, and reports grew with every map ever staged. Change: heartbeats, silence and the time for a switch grow with the ranks; members decide which maps the engine drops (`DropMap`); a rank is granted the windows whose maps it has staged; the simulated group moves to the stand-ins, and the measure `lockstep` runs it.

--- a/crates/group/src/guard/mod.rs
+++ b/crates/group/src/guard/mod.rs
@@ -25,15 +25,20 @@
     pub confirmation: bool,
 }
 
+impl Guard {
+    /// All rules.
+    pub const ALL: Self = Self {
+        token: true,
+        incarnation: true,
+        learning: true,
+        unanimity: true,
+        staging: true,
+        confirmation: true,
+    };
+}
+
 impl Default for Guard {
     fn default() -> Self {
-        Self {
-            token: true,
-            incarnation: true,
-            learning: true,
-            unanimity: true,
-            staging: true,
-            confirmation: true,
-        }
+        Self::ALL
     }
 }
--- a/crates/group/src/leader/mod.rs
+++ b/crates/group/src/leader/mod.rs
@@ -17,6 +17,8 @@
 use crate::plan::{self, Conflict};
 pub use settings::Settings;
 
+/// Maps that a rank is asked to stage at once; members keep a few more.
+const STAGED_AT_ONCE: usize = 3;
 /// Shortest time between messages to a rank that has all it needs.
 const SHORTEST_INTERVAL: Duration = Duration::from_millis(1);
 
@@ -109,6 +111,10 @@
             guard: Guard::default(),
         };
         leader.wait(now, rng);
+        // A live leader would be heard within a heartbeat, so a rank that just
+        // started need not wait out a silence.
+        let wait = settings.silence.saturating_sub(settings.heartbeat * 2);
+        leader.deadline = leader.deadline - wait;
         leader
     }
 
@@ -255,23 +261,42 @@
             (Role::Following, _) | (Role::Preparing, Some(_)) => Vec::new(),
             (Role::Preparing | Role::Leading, None) => vec![Message::Prepare { fence }],
             (Role::Leading, Some(report)) => {
-                let planned = self.plan.iter().map(|window| window.map);
-                let maps = planned.chain([self.target.unwrap_or(self.kept())]);
-                let mut missing: Vec<_> = maps.filter(|map| !report.staged.contains(map)).collect();
-                missing.sort_unstable();
-                missing.dedup();
-                let stage = missing.into_iter().map(|map| Message::Stage { fence, map });
                 let grant = Message::Grant {
                     fence,
                     incarnation: report.incarnation,
-                    windows: self.plan.clone(),
+                    windows: self.grantable(report).to_vec(),
                     confirmed: self.confirmed,
                 };
+                let missing = self.missing(report);
+                let stage = missing.into_iter().map(|map| Message::Stage { fence, map });
                 stage.chain([grant]).collect()
             }
         }
     }
 
+    /// Returns the windows up to the first whose map a rank has not staged.
+    fn grantable(&self, report: &Report) -> &[Window] {
+        let end = report.running_to();
+        // Maps of windows that ended may be dropped.
+        let usable = |window: &&Window| {
+            !self.guard.staging || window.to <= end || report.staged.contains(&window.map)
+        };
+        let count = self.plan.iter().take_while(usable).count();
+        &self.plan[..count]
+    }
+
+    /// Returns the maps that a rank needs first and has not staged. An engine
+    /// that joins may not have room for all maps of the plan at once.
+    fn missing(&self, report: &Report) -> Vec<Map> {
+        let planned = self.plan.iter().skip(self.grantable(report).len());
+        let wanted = self.target.unwrap_or(self.kept());
+        let maps = planned.map(|window| window.map).chain([wanted]);
+        let mut missing: Vec<_> = maps.filter(|map| !report.staged.contains(map)).collect();
+        missing.dedup();
+        missing.truncate(STAGED_AT_ONCE);
+        missing
+    }
+
     /// Takes in a member's reply.
     ///
     /// # Errors
@@ -389,9 +414,8 @@
             self.confirmed = accepted;
             self.hurry(now);
         }
-        let running = self.peers.iter().map(|peer| peer.running_to).min();
         if let Some((end, at)) = self.added
-            && running.is_some_and(|running| running >= end)
+            && accepted >= end
         {
             self.pace.confirmed(now.since(at));
             self.added = None;
@@ -478,19 +502,23 @@
 
     fn behind(&self, rank: u32) -> bool {
         let peer = &self.peers[rank as usize];
+        let Some(report) = &peer.report else {
+            return true;
+        };
         // Staging may take minutes and is asked for at the slower pace.
-        peer.report.is_none() || peer.accepted_to < self.end || peer.running_to < self.confirmed
+        let end = self.grantable(report).last().map_or(0, |last| last.to);
+        peer.accepted_to < end || peer.running_to < self.confirmed.min(end)
     }
 
     /// Returns the time between messages to a rank that has all it needs: short
     /// enough that the next window is added in time.
     fn interval(&self) -> Duration {
-        let half = self.pace.window_time() / 2;
+        let window = self.pace.window_time();
         let heartbeat = self.settings.heartbeat;
-        if half.is_zero() {
+        if window.is_zero() {
             return heartbeat;
         }
-        half.clamp(SHORTEST_INTERVAL.min(heartbeat), heartbeat)
+        window.clamp(SHORTEST_INTERVAL.min(heartbeat), heartbeat)
     }
 
     fn hurry(&mut self, now: Moment) {
--- a/crates/group/src/leader/settings/mod.rs
+++ b/crates/group/src/leader/settings/mod.rs
@@ -31,16 +31,45 @@
     pub pace: pace::Settings,
 }
 
+/// Shortest time between messages to a rank that has all it needs.
+const HEARTBEAT: Duration = Duration::from_millis(250);
+/// Time per rank between two messages of a leader, on average. At 150 bytes a
+/// message it keeps a leader of any size within the control-plane budget of
+/// 6 KB/s.
+const MESSAGE_INTERVAL: Duration = Duration::from_millis(32);
+
+impl Settings {
+    /// Makes the settings of one rank. Larger groups hear of their leader less
+    /// often and get longer windows.
+    pub fn of(rank: u32, ranks: u32) -> Self {
+        let heartbeat = HEARTBEAT.max(MESSAGE_INTERVAL * ranks);
+        let silence = heartbeat * 4;
+        let default = pace::Settings::default();
+        Self {
+            rank,
+            ranks,
+            heartbeat,
+            silence,
+            patience: silence * 4,
+            pace: pace::Settings {
+                switch: default.switch.max(heartbeat * 3),
+                ..default
+            },
+            ..Self::default()
+        }
+    }
+}
+
 impl Default for Settings {
     fn default() -> Self {
         Self {
             rank: 0,
             ranks: 1,
             retry: Duration::from_millis(20),
-            heartbeat: Duration::from_millis(250),
-            silence: Duration::from_secs(1),
+            heartbeat: HEARTBEAT,
+            silence: HEARTBEAT * 4,
             stagger: Duration::from_millis(20),
-            patience: Duration::from_secs(4),
+            patience: HEARTBEAT * 16,
             first: 0,
             pace: pace::Settings::default(),
         }
--- a/crates/group/src/member/mod.rs
+++ b/crates/group/src/member/mod.rs
@@ -10,6 +10,10 @@
 use crate::guard::Guard;
 use crate::message::{Fence, Held, Incarnation, Map, Message, Reason, Report, Step, Window};
 
+/// Maps kept staged beside those of windows, the last ones that leaders asked
+/// for.
+const KEPT: usize = 4;
+
 /// What the engine says of itself.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct Engine {
@@ -28,6 +32,9 @@
 pub enum Command {
     /// Fetch a map without using it.
     Stage(Map),
+    /// Free the memory of a map. Engines drop none by themselves, since only
+    /// the member knows what it has accepted.
+    Drop(Map),
     /// Run a window; the same window may be sent again.
     Run(Window),
 }
@@ -53,6 +60,8 @@
     step: Step,
     step_us: u32,
     staged: BTreeSet<Map>,
+    /// Maps that a leader asked for, the last one at the end.
+    wanted: Vec<Map>,
     guard: Guard,
 }
 
@@ -69,6 +78,7 @@
             step: 0,
             step_us: 0,
             staged: BTreeSet::new(),
+            wanted: Vec::new(),
             guard: Guard::default(),
         };
         member.observe(engine);
@@ -107,7 +117,14 @@
     pub fn missing(&self, engine: &Engine) -> Vec<Command> {
         let end = engine.windows.last().map_or(engine.step, |last| last.to);
         let missing = self.running.iter().filter(|window| window.to > end);
-        missing.copied().map(Command::Run).collect()
+        let command = |window: &Window| {
+            if engine.staged.contains(&window.map) {
+                Command::Run(*window)
+            } else {
+                Command::Stage(window.map)
+            }
+        };
+        missing.map(command).collect()
     }
 
     /// Returns whether the engine may run a step that this member has not let it
@@ -204,15 +221,31 @@
 
     /// Staging changes no step, but a leader that was replaced must not load
     /// the weight store.
-    fn stage(&self, fence: Fence, map: Map) -> Result<Vec<Command>, Reason> {
+    fn stage(&mut self, fence: Fence, map: Map) -> Result<Vec<Command>, Reason> {
         if fence != self.promised {
             return Err(Reason::Token);
         }
-        let staged = self.staged.contains(&map);
-        Ok((!staged)
-            .then_some(Command::Stage(map))
-            .into_iter()
-            .collect())
+        self.wanted.retain(|other| *other != map);
+        self.wanted.push(map);
+        let old = self.wanted.len().saturating_sub(KEPT);
+        self.wanted.drain(..old);
+        let mut commands = self.drop_maps();
+        if !self.staged.contains(&map) {
+            commands.push(Command::Stage(map));
+        }
+        Ok(commands)
+    }
+
+    /// Drops maps that no window needs and no leader asked for lately.
+    fn drop_maps(&mut self) -> Vec<Command> {
+        let windows = self.running.iter().chain(&self.accepted);
+        let needed: BTreeSet<Map> = windows
+            .map(|window| window.map)
+            .chain(self.wanted.iter().copied())
+            .collect();
+        let spare: Vec<Map> = self.staged.difference(&needed).copied().collect();
+        self.staged.retain(|map| needed.contains(map));
+        spare.into_iter().map(Command::Drop).collect()
     }
 
     fn check(
--- a/crates/group/src/pace/mod.rs
+++ b/crates/group/src/pace/mod.rs
@@ -11,6 +11,9 @@
 /// the one that was just added.
 const SPAN: u32 = 3;
 
+/// Longest window, as a multiple of the one that the time for a switch allows.
+const MOST: u64 = 4;
+
 /// Bounds of the pace.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Settings {
@@ -22,8 +25,8 @@
     pub shortest: u64,
     /// Longest window, in steps; bounds the delay of a switch.
     pub longest: u64,
-    /// Confirmations for which steps are granted in advance. Two cover one
-    /// lost message that is sent again.
+    /// Times of an acceptance that a window lasts: two for the acceptance and
+    /// the confirmation, and as many for a lost message that is sent again.
     pub margin: u32,
 }
 
@@ -33,7 +36,7 @@
             switch: Duration::from_secs(1),
             shortest: 1,
             longest: 4_096,
-            margin: 2,
+            margin: 4,
         }
     }
 }
@@ -57,7 +60,8 @@
     }
 
     /// Takes in the time between the first sending of a window and the moment
-    /// at which every rank may run it.
+    /// at which every rank has accepted it. Confirming it takes as long again,
+    /// which the margin covers.
     pub fn confirmed(&mut self, took: Duration) {
         // A peak counts at once and is forgotten slowly: a window too short
         // stalls all ranks, one too long only delays the next switch.
@@ -84,8 +88,10 @@
     /// Returns the length of the next window, in steps.
     pub fn window(&self) -> u64 {
         let needed = self.steps_in(self.confirmation * self.settings.margin) + 1;
-        let wanted = self.steps_in(self.settings.switch / SPAN);
+        let wanted = self.steps_in(self.settings.switch / SPAN).max(1);
+        // A rank that was paused must not delay switches for long afterwards.
         needed
+            .min(wanted * MOST)
             .max(wanted)
             .clamp(self.settings.shortest, self.settings.longest)
     }
--- a/crates/group/tests/plan.rs
+++ b/crates/group/tests/plan.rs
@@ -1,6 +1,6 @@
 //! What a new leader makes of the reports.
 
-use sesamerock_group::member::{Engine, Member};
+use sesamerock_group::member::{Command, Engine, Member};
 use sesamerock_group::message::{Fence, Held, Message, Report, Window};
 use sesamerock_group::plan::{Conflict, merge, start};
 
@@ -76,6 +76,41 @@
     assert!(member.outdated(&engine));
 }
 
+/// Guards against an accepted window whose map is gone when it is confirmed:
+/// the engine would refuse to run it, and the group would stand still.
+#[test]
+fn a_map_is_kept_while_an_accepted_window_needs_it() {
+    let engine = Engine {
+        staged: vec![4, 5],
+        ..Engine::default()
+    };
+    let mut member = Member::new(7, &engine);
+    member.receive(&Message::Prepare { fence: fence(1) });
+    let grant = |confirmed| Message::Grant {
+        fence: fence(1),
+        incarnation: 7,
+        windows: vec![WINDOW],
+        confirmed,
+    };
+    member.receive(&grant(0));
+    let mut dropped = Vec::new();
+    for map in 6..12 {
+        let stage = Message::Stage {
+            fence: fence(1),
+            map,
+        };
+        let commands = member.receive(&stage).commands;
+        dropped.extend(
+            commands
+                .into_iter()
+                .filter(|command| *command == Command::Drop(4)),
+        );
+    }
+    assert_eq!(dropped, Vec::new());
+    let commands = member.receive(&grant(WINDOW.to)).commands;
+    assert_eq!(commands, vec![Command::Run(WINDOW)]);
+}
+
 /// Guards against a leader that plans over steps granted beyond a gap.
 #[test]
 fn a_gap_before_a_granted_step_is_an_error() {
--- a/crates/group/tests/world/mod.rs
+++ b/crates/group/tests/world/mod.rs
@@ -225,6 +225,7 @@
                     after.fetching.sort_unstable();
                 }
                 Command::Stage(_) => {}
+                Command::Drop(map) => after.engine.staged.retain(|other| *other != map),
                 Command::Run(window) => {
                     unstaged |= !after.engine.staged.contains(&window.map);
                     match plan.commands {
--- a/crates/platform/src/engine/mod.rs
+++ b/crates/platform/src/engine/mod.rs
@@ -35,7 +35,7 @@
     /// Step up to which the engine may run, for ranks of a group.
     #[serde(default)]
     pub granted_to: u64,
-    /// Expert maps staged.
+    /// Expert maps staged; the engine drops none by itself.
     #[serde(default)]
     pub staged: Vec<u64>,
     /// Windows of steps granted, ascending; those that ended before the last
@@ -91,6 +91,11 @@
         /// Map number.
         map: u64,
     },
+    /// Free the memory of an expert map.
+    DropMap {
+        /// Map number.
+        map: u64,
+    },
     /// Do nothing but refuse lower fencing tokens from now on.
     Fence,
     /// Run steps `from..to` with a staged map. A window granted before changes
--- a/crates/sesamerock/src/agent/group/mod.rs
+++ b/crates/sesamerock/src/agent/group/mod.rs
@@ -16,7 +16,6 @@
 use sesamerock_base::time::Moment;
 use sesamerock_group::leader::{Leader, Request, Role, Settings};
 use sesamerock_group::message::Message;
-use sesamerock_group::pace;
 use sesamerock_platform::engine::Engine;
 use sesamerock_wire::relay::GroupMessage;
 use tokio::sync::{mpsc, oneshot, watch};
@@ -216,16 +215,11 @@
     }
 
     fn join(&mut self, ranks: Ranks) -> Present<E> {
-        let settings = Settings {
-            rank: ranks.own,
-            ranks: ranks.agents.len() as u32,
-            first: FIRST_MAP,
-            pace: pace::Settings {
-                switch: self.context.settings.map_switch,
-                ..pace::Settings::default()
-            },
-            ..Settings::default()
-        };
+        let mut settings = Settings::of(ranks.own, ranks.agents.len() as u32);
+        settings.first = FIRST_MAP;
+        if let Some(time) = self.context.settings.map_switch {
+            settings.pace.switch = time;
+        }
         let sender = self.context.settings.node.name.clone();
         let engine = self.context.engine.clone();
         let incarnation = rand::random();
--- a/crates/sesamerock/src/agent/group/rank/mod.rs
+++ b/crates/sesamerock/src/agent/group/rank/mod.rs
@@ -116,7 +116,7 @@
                 self.staging.entry(*map).or_insert(now);
                 !asked
             }
-            member::Command::Run(_) => true,
+            member::Command::Drop(_) | member::Command::Run(_) => true,
         });
     }
 
@@ -165,6 +165,7 @@
 fn command_of(command: member::Command) -> engine::Command {
     match command {
         member::Command::Stage(map) => engine::Command::StageMap { map },
+        member::Command::Drop(map) => engine::Command::DropMap { map },
         member::Command::Run(Window { from, to, map }) => {
             engine::Command::RunSteps { from, to, map }
         }
--- a/crates/sesamerock/src/settings/mod.rs
+++ b/crates/sesamerock/src/settings/mod.rs
@@ -161,10 +161,11 @@
     pub drain_timeout: Duration,
     /// Time within which a staged expert map is to be in use, for a rank of a
     /// group. A longer one costs fewer messages, and the group runs on for
-    /// longer while its leader is replaced.
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    /// longer while its leader is replaced. By default 1 s, and more for a group
+    /// of over ten ranks.
+    #[serde_as(as = "Option<DurationMilliSeconds<u64>>")]
     #[serde(rename = "map_switch_ms")]
-    pub map_switch: Duration,
+    pub map_switch: Option<Duration>,
 }
 
 impl Default for Agent {
@@ -176,7 +177,7 @@
             upstream: Upstream::default(),
             body_bytes: 4 << 20,
             drain_timeout: Duration::from_mins(2),
-            map_switch: Duration::from_secs(1),
+            map_switch: None,
         }
     }
 }
--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -357,6 +357,11 @@
             Command::StageMap { map } => {
                 self.stage(*map, state.incarnation, state.settings.staging);
             }
+            Command::DropMap { map } => {
+                if let Some(rank) = &mut state.rank {
+                    rank.staged.retain(|staged| staged != map);
+                }
+            }
             Command::RunSteps { from, to, map } => {
                 let window = Window {
                     from: *from,
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -6,6 +6,7 @@
 //! crate; `dev`, the tests and the measures do.
 
 pub mod engine;
+pub mod lockstep;
 pub mod platform;
 pub mod proxy;
 mod reply;
