Test the group over connections that lose answers or are cut

Cause: a rank that acts on a request whose reply is lost makes leaders replace each other, which no test over real connections covered.

--- a/crates/sesamerock/tests/group.rs
+++ b/crates/sesamerock/tests/group.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use lockstep::Lockstep;
+use sesamerock_standin::proxy::Fault;
 
 const RANKS: usize = 4;
 /// Steps between two faults or switches.
@@ -60,6 +61,28 @@
     group.check();
 }
 
+/// Guards against mixed steps when a rank does what a leader asks and no reply
+/// gets back, so that leaders replace each other, and when it is cut off.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_rank_out_of_reach_stops_the_group_and_no_step_is_mixed() {
+    let group = Lockstep::start(RANKS).await;
+    group.switch(1).await;
+    for (map, fault) in [(2, Fault::DropAnswers), (3, Fault::Cut)] {
+        group.wait_steps(STEPS).await;
+        let rank = (group.leader().await + 1) % RANKS;
+        group.proxies[rank].set(fault);
+        group.map.send_replace(Some(map));
+        group.wait_leaderless().await;
+        let start = Instant::now();
+        group.proxies[rank].set(Fault::Pass);
+        group.wait_map(map).await;
+        println!("fault={fault:?} resumed={:?}", start.elapsed());
+        assert!(start.elapsed() < RESUME, "{:?}", start.elapsed());
+    }
+    group.wait_steps(STEPS).await;
+    group.check();
+}
+
 /// Guards against a switch that needs the log.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn maps_switch_while_the_log_is_down() {
--- a/crates/sesamerock/tests/lockstep/mod.rs
+++ b/crates/sesamerock/tests/lockstep/mod.rs
@@ -12,6 +12,7 @@
 use sesamerock_standin::engine::group::{Group, Step};
 use sesamerock_standin::engine::{self, Engine};
 use sesamerock_standin::platform::{self, Platform};
+use sesamerock_standin::proxy::Proxy;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
@@ -37,6 +38,8 @@
     pub group: Group,
     /// Agents by rank.
     pub agents: Vec<Agent>,
+    /// What stands between the relay of each agent and the other ranks.
+    pub proxies: Vec<Proxy>,
     /// Map that the group is to switch to.
     pub map: watch::Sender<Option<u64>>,
     platform: Platform,
@@ -95,6 +98,7 @@
         let (map, _) = watch::channel(None);
         let mut engines = Vec::new();
         let mut agents = Vec::new();
+        let mut proxies = Vec::new();
         let mut seeds = Vec::new();
         for rank in 0..ranks {
             let engine = Engine::start(engine::Settings::default(), stop.clone())
@@ -115,6 +119,8 @@
                 running: None,
             };
             agent.start(&map).await;
+            let proxy = Proxy::start(agent.settings.relay, stop.clone()).await;
+            proxies.push(proxy.expect("a proxy"));
             seeds.push(agent.settings.node.peer);
             agents.push(agent);
             engines.push(engine);
@@ -149,6 +155,7 @@
             engines,
             group,
             agents,
+            proxies,
             map,
             platform,
             operator,
@@ -159,10 +166,11 @@
     }
 
     fn note(&self) -> Note {
-        let upstreams = self.agents.iter().zip(0..).map(|(agent, rank)| Upstream {
+        let ranks = self.agents.iter().zip(&self.proxies).zip(0..);
+        let upstreams = ranks.map(|((agent, proxy), rank)| Upstream {
             name: agent.settings.upstream.name.clone(),
             kind: Kind::Engine,
-            agent: agent.settings.relay,
+            agent: proxy.address(),
             zone: "a".to_owned(),
             vm: agent.settings.node.vm.clone(),
             models: vec![Served {
@@ -235,21 +243,34 @@
 
     /// Returns the rank that leads.
     pub async fn leader(&self) -> usize {
-        let client = Client::default();
         let find = async {
             loop {
-                for (rank, agent) in self.agents.iter().enumerate() {
-                    let uri = format!("http://{}/group", agent.settings.operator);
-                    let status = client.get::<Status>(&uri, Duration::ZERO).await;
-                    if status.is_ok_and(|status| status.leads) {
-                        return rank;
-                    }
+                if let Some(rank) = self.leading().await {
+                    return rank;
                 }
             }
         };
         within("a leader", find).await
     }
 
+    /// Waits until no rank has the promises of all.
+    pub async fn wait_leaderless(&self) {
+        let gone = async { while self.leading().await.is_some() {} };
+        within("loss of the leader", gone).await;
+    }
+
+    async fn leading(&self) -> Option<usize> {
+        let client = Client::default();
+        for (rank, agent) in self.agents.iter().enumerate() {
+            let uri = format!("http://{}/group", agent.settings.operator);
+            let status = client.get::<Status>(&uri, Duration::ZERO).await;
+            if status.is_ok_and(|status| status.leads) {
+                return Some(rank);
+            }
+        }
+        None
+    }
+
     /// Stops an agent and waits for its end.
     pub async fn stop_agent(&mut self, rank: usize) {
         within("the agent's end", self.agents[rank].stop()).await;
