--- a/crates/group/src/leader/mod.rs
+++ b/crates/group/src/leader/mod.rs
@@ -4,6 +4,7 @@
 //! silent for a while. Two leaders at once are safe, and the one with the lower
 //! token steps back when it meets the higher one.
 
+mod outgoing;
 mod settings;
 
 use std::time::Duration;
@@ -17,9 +18,6 @@
 use crate::plan::{self, Conflict};
 pub use settings::Settings;
 
-/// Shortest time between messages to a rank that has all it needs.
-const SHORTEST_INTERVAL: Duration = Duration::from_millis(1);
-
 /// What a leader does at present.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Role {
@@ -109,6 +107,10 @@
             guard: Guard::default(),
         };
         leader.wait(now, rng);
+        // A live leader would be heard within a heartbeat, so a rank that just
+        // started need not wait out a silence.
+        let wait = settings.silence.saturating_sub(settings.heartbeat * 2);
+        leader.deadline = leader.deadline - wait;
         leader
     }
 
@@ -247,31 +249,6 @@
         heard.unwrap_or(self.deadline) + self.settings.patience
     }
 
-    /// Returns what a rank is to be told at present, due or not.
-    pub fn messages(&self, to: u32) -> Vec<Message> {
-        let fence = self.fence;
-        let report = &self.peers[to as usize].report;
-        match (self.role, report) {
-            (Role::Following, _) | (Role::Preparing, Some(_)) => Vec::new(),
-            (Role::Preparing | Role::Leading, None) => vec![Message::Prepare { fence }],
-            (Role::Leading, Some(report)) => {
-                let planned = self.plan.iter().map(|window| window.map);
-                let maps = planned.chain([self.target.unwrap_or(self.kept())]);
-                let mut missing: Vec<_> = maps.filter(|map| !report.staged.contains(map)).collect();
-                missing.sort_unstable();
-                missing.dedup();
-                let stage = missing.into_iter().map(|map| Message::Stage { fence, map });
-                let grant = Message::Grant {
-                    fence,
-                    incarnation: report.incarnation,
-                    windows: self.plan.clone(),
-                    confirmed: self.confirmed,
-                };
-                stage.chain([grant]).collect()
-            }
-        }
-    }
-
     /// Takes in a member's reply.
     ///
     /// # Errors
@@ -389,9 +366,8 @@
             self.confirmed = accepted;
             self.hurry(now);
         }
-        let running = self.peers.iter().map(|peer| peer.running_to).min();
         if let Some((end, at)) = self.added
-            && running.is_some_and(|running| running >= end)
+            && accepted >= end
         {
             self.pace.confirmed(now.since(at));
             self.added = None;
@@ -476,23 +452,6 @@
         self.peers.iter().filter_map(|peer| peer.report.as_ref())
     }
 
-    fn behind(&self, rank: u32) -> bool {
-        let peer = &self.peers[rank as usize];
-        // Staging may take minutes and is asked for at the slower pace.
-        peer.report.is_none() || peer.accepted_to < self.end || peer.running_to < self.confirmed
-    }
-
-    /// Returns the time between messages to a rank that has all it needs: short
-    /// enough that the next window is added in time.
-    fn interval(&self) -> Duration {
-        let half = self.pace.window_time() / 2;
-        let heartbeat = self.settings.heartbeat;
-        if half.is_zero() {
-            return heartbeat;
-        }
-        half.clamp(SHORTEST_INTERVAL.min(heartbeat), heartbeat)
-    }
-
     fn hurry(&mut self, now: Moment) {
         for peer in &mut self.peers {
             peer.due = now;
--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -12,6 +12,8 @@
 mod orders;
 mod overhead;
 mod poison;
+mod lockstep;
+#[allow(dead_code, reason = "not every kind of target is in use yet")]
 mod report;
 mod spread;
 mod state;
@@ -49,6 +51,7 @@
 
 #[global_allocator]
 static ALLOCATOR: alloc::Counting = alloc::Counting;
+const MEASURES: &[Measure] = &[("lockstep", lockstep::run)];
 
 fn options() -> bpaf::OptionParser<Options> {
     let seed = long("seed")
