Send a call with an issued key to its issuer

Cause: the entry looked for hexadecimal fields in issued keys, which are in another alphabet, so that such keys went by the shard of their hash and only reached their issuer by chance. Change: the ledger crate tells the issuer of a key; the entry uses it. Figures: the test an_issued_key_names_its_issuer fails with the old form.

--- a/crates/ledger/src/mint/mod.rs
+++ b/crates/ledger/src/mint/mod.rs
@@ -41,6 +41,18 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Full;
 
+/// Returns the name of the upstream that issued a key, if the text has the form
+/// of one; whether it is genuine only its issuer can tell.
+pub fn issuer(key: &str) -> Option<&str> {
+    let mut fields = key.rsplitn(4, '.');
+    let (mac, sequence, incarnation) = (fields.next()?, fields.next()?, fields.next()?);
+    let upstream = fields.next()?;
+    let formed = id::decode(mac).is_ok_and(|mac| mac.len() == MAC_BYTES)
+        && sequence.parse::<u64>().is_ok()
+        && incarnation.parse::<Incarnation>().is_ok();
+    (formed && !upstream.is_empty()).then_some(upstream)
+}
+
 /// Permission to run the call of one issued key, once.
 #[derive(Debug, PartialEq, Eq)]
 #[must_use = "a dropped permit leaves its key in progress until it expires"]
--- a/crates/ledger/tests/mint.rs
+++ b/crates/ledger/tests/mint.rs
@@ -6,7 +6,7 @@
 use sesamerock_ledger::attempt::Finish;
 use sesamerock_ledger::batch::Author;
 use sesamerock_ledger::id::{Incarnation, Request};
-use sesamerock_ledger::mint::{Config, Full, Mint, Permit, Take};
+use sesamerock_ledger::mint::{Config, Full, Mint, Permit, Take, issuer};
 use sesamerock_ledger::record::Outcome;
 
 const REQUEST: Request = Request([1; 8]);
@@ -126,3 +126,22 @@
     }
     let _genuine = run(mint.take(&key, REQUEST, at(0)));
 }
+
+/// Guards against entries that send an issued key to another upstream than its
+/// issuer, or take a caller's own key for an issued one.
+#[test]
+fn an_issued_key_names_its_issuer() {
+    let key = mint("orders.eu-1", 7)
+        .issue(Moment(1))
+        .expect("there is room");
+    assert_eq!(issuer(&key), Some("orders.eu-1"));
+    for other in [
+        "",
+        "order-1",
+        "a.b.c.d",
+        "2026.12.04.1",
+        &key[..key.len() - 1],
+    ] {
+        assert_eq!(issuer(other), None, "{other}");
+    }
+}
--- a/crates/sesamerock/src/entry/dispatch/head/mod.rs
+++ b/crates/sesamerock/src/entry/dispatch/head/mod.rs
@@ -8,25 +8,6 @@
 use crate::entry::ask::{Ask, Target};
 use crate::entry::table;
 
-/// Length of an incarnation in a key that an agent issued.
-const INCARNATION_LENGTH: usize = 16;
-/// Length of the MAC in a key that an agent issued.
-const MAC_LENGTH: usize = 32;
-
-/// Returns the upstream named in a key that has the form of an issued one.
-pub(super) fn minted_by(key: &str) -> Option<&str> {
-    let mut fields = key.rsplitn(4, '.');
-    let (mac, sequence, incarnation) = (fields.next()?, fields.next()?, fields.next()?);
-    let upstream = fields.next()?;
-    let hex = |text: &str, length: usize| {
-        text.len() == length && text.bytes().all(|byte| byte.is_ascii_hexdigit())
-    };
-    let issued = hex(mac, MAC_LENGTH)
-        && hex(incarnation, INCARNATION_LENGTH)
-        && sequence.parse::<u64>().is_ok();
-    issued.then_some(upstream)
-}
-
 /// Returns whether a call may run more than once as far as its method tells.
 ///
 /// A completion changes nothing outside the engine. Of the methods of a plain
--- a/crates/sesamerock/src/entry/dispatch/mod.rs
+++ b/crates/sesamerock/src/entry/dispatch/mod.rs
@@ -16,6 +16,7 @@
 use sesamerock_base::key::Upstream;
 use sesamerock_base::time::Moment;
 use sesamerock_ledger::id::Key;
+use sesamerock_ledger::mint;
 use sesamerock_platform::http::body::Body;
 use sesamerock_retry::attempt::{Attempt, Decision, Executed, Phase, Settings, decide};
 use sesamerock_retry::suspect::Verdict;
@@ -137,7 +138,7 @@
             Target::Service { .. } => Vec::new(),
         };
         let minted = match (&ask.target, &ask.key) {
-            (Target::Service { .. }, Some(key)) => head::minted_by(key).map(str::to_owned),
+            (Target::Service { .. }, Some(key)) => mint::issuer(key).map(str::to_owned),
             _ => None,
         };
         Ok(Self {
@@ -327,7 +328,7 @@
 }
 
 /// Issues a key for a later call to a service, by one of its agents.
-pub(super) async fn mint(context: &Context, id: &str, query: &str) -> Response<Body> {
+pub(super) async fn issue(context: &Context, id: &str, query: &str) -> Response<Body> {
     let Some(service) = query
         .split('&')
         .find_map(|pair| pair.strip_prefix("service="))
--- a/crates/sesamerock/src/entry/server/mod.rs
+++ b/crates/sesamerock/src/entry/server/mod.rs
@@ -69,7 +69,7 @@
                 self.call(&id, &parts, content).await
             }
             (&Method::POST, "/v1/keys") => {
-                dispatch::mint(&self.context, &id, parts.uri.query().unwrap_or_default()).await
+                dispatch::issue(&self.context, &id, parts.uri.query().unwrap_or_default()).await
             }
             (_, path) if path.starts_with("/services/") => self.call(&id, &parts, content).await,
             _ => {
