--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -9,11 +9,11 @@
 mod clock;
 mod fairness;
 mod limits;
+mod lockstep;
 mod orders;
 mod overhead;
 mod poison;
-mod lockstep;
-#[allow(dead_code, reason = "not every kind of target is in use yet")]
+mod recover;
 mod report;
 mod spread;
 mod state;
@@ -40,9 +40,11 @@
     ("balance", balance::run),
     ("fairness", fairness::run),
     ("limits", limits::run),
+    ("lockstep", lockstep::run),
     ("orders", orders::run),
     ("overhead", overhead::run),
     ("poison", poison::run),
+    ("recover", recover::run),
     ("spread", spread::run),
     ("state", state::run),
     ("stream", stream::run),
@@ -51,7 +53,6 @@
 
 #[global_allocator]
 static ALLOCATOR: alloc::Counting = alloc::Counting;
-const MEASURES: &[Measure] = &[("lockstep", lockstep::run)];
 
 fn options() -> bpaf::OptionParser<Options> {
     let seed = long("seed")
