--- a/crates/measure/src/limits/mod.rs
+++ b/crates/measure/src/limits/mod.rs
@@ -9,6 +9,7 @@
 mod outcome;
 mod policy;
 mod rival;
+mod traffic;
 mod world;
 
 use engine::Kind;
--- a/crates/measure/src/limits/world/mod.rs
+++ b/crates/measure/src/limits/world/mod.rs
@@ -6,7 +6,7 @@
 
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use sesamerock_base::key::{Vm, Workspace};
+use sesamerock_base::key::Vm;
 use sesamerock_base::time::Moment;
 use sesamerock_limit::gate::{Decision, Gate, Offer, Sample, Verdict};
 use sesamerock_limit::learn::{Load, Outcome, Report};
@@ -15,11 +15,9 @@
 use super::outcome::Outcomes;
 use super::policy::{Policy, View, pinned};
 use super::rival::Rival;
+use super::traffic::{CallState, ENTRIES, MEAN_OUTPUT, MEAN_PROMPT, SECOND, Traffic};
 
 const ENGINES: usize = 12;
-const ENTRIES: usize = 4;
-const WORKSPACES: u32 = 10;
-const SECOND: u64 = 1_000_000;
 /// Length of the run, and the moment at which one engine turns cold.
 const RUN_US: u64 = 600 * SECOND;
 const COLD_US: u64 = 300 * SECOND;
@@ -30,18 +28,6 @@
 const REPORT_LAG_US: u64 = 250_000;
 /// Upstreams an entry tries for one call.
 const ATTEMPTS: u32 = 3;
-/// Means of the prompt and completion lengths drawn below.
-const MEAN_PROMPT: f64 = 800.0;
-const MEAN_OUTPUT: f64 = 220.0;
-/// Load over the throughput of all engines warm and without drift: mean,
-/// swing, and period. Load ramps up over the first minute, as all are cold.
-const LOAD: f64 = 0.85;
-const LOAD_SWING: f64 = 0.2;
-const LOAD_PERIOD: f64 = 240.0;
-const RAMP_SECONDS: f64 = 60.0;
-/// A caller waits this long plus this much per token of the completion.
-const PATIENCE_US: u64 = 5 * SECOND;
-const PATIENCE_TOKEN_US: u64 = 80_000;
 /// Time per token that entries expect when they state the service time.
 const EXPECTED_TOKEN_US: u64 = 50_000;
 
@@ -67,22 +53,6 @@
     step_us: u64,
 }
 
-#[derive(Clone, Copy, Debug)]
-struct CallState {
-    entry: usize,
-    workspace: Workspace,
-    arrived: u64,
-    deadline: u64,
-    prompt: u64,
-    output: u32,
-    attempts: u32,
-    tried: u32,
-    engine: Option<usize>,
-    /// When it was sent to the engine.
-    sent: u64,
-    over: bool,
-}
-
 pub struct World {
     policy: Policy,
     now: u64,
@@ -96,10 +66,8 @@
     wakes: [u64; ENGINES],
     turns: [usize; ENTRIES],
     calls: Vec<CallState>,
-    arrivals: ChaCha8Rng,
+    traffic: Traffic,
     choices: ChaCha8Rng,
-    /// Calls per second at a load of 1.
-    rate: f64,
     tokens: Vec<Token>,
     out: Outcomes,
 }
@@ -132,9 +100,8 @@
             wakes: [0; ENGINES],
             turns: [0; ENTRIES],
             calls: Vec::new(),
-            arrivals: ChaCha8Rng::seed_from_u64(seed + 1),
+            traffic: Traffic::new(seed + 1, rate),
             choices: ChaCha8Rng::seed_from_u64(seed + 2),
-            rate,
             tokens: Vec::new(),
             out: Outcomes::default(),
         };
@@ -184,36 +151,14 @@
         Moment(self.now)
     }
 
-    fn load(&self) -> f64 {
-        let seconds = self.now as f64 / 1e6;
-        let wave = (std::f64::consts::TAU * seconds / LOAD_PERIOD).sin();
-        (LOAD + LOAD_SWING * wave) * (seconds / RAMP_SECONDS).clamp(0.02, 1.0)
-    }
-
     fn arrive(&mut self) {
-        let rng = &mut self.arrivals;
-        let gap = -(1.0 - rng.random::<f64>()).ln();
-        let prompt = draw(rng, MEAN_PROMPT, 4000.0);
-        let output = draw(rng, MEAN_OUTPUT, 1000.0) as u32;
         let call = self.calls.len() as u64;
-        let patience = PATIENCE_US + PATIENCE_TOKEN_US * u64::from(output);
-        self.calls.push(CallState {
-            entry: self.arrivals.random_range(0..ENTRIES),
-            workspace: Workspace(self.arrivals.random_range(0..WORKSPACES)),
-            arrived: self.now,
-            deadline: self.now + patience,
-            prompt,
-            output,
-            attempts: 0,
-            tried: 0,
-            engine: None,
-            sent: 0,
-            over: false,
-        });
+        let state = self.traffic.call(self.now);
+        self.calls.push(state);
         self.out.offered += 1;
-        self.at(self.now + patience, Event::Deadline { call });
+        self.at(state.deadline, Event::Deadline { call });
         self.route(call);
-        let next = self.now + (gap / (self.rate * self.load()) * 1e6) as u64;
+        let next = self.now + self.traffic.gap(self.now);
         if next < RUN_US {
             self.at(next, Event::Arrive);
         }
@@ -518,9 +463,3 @@
         self.poll(engine);
     }
 }
-
-/// Draws a length: exponential with a floor of a quarter of the mean.
-fn draw(rng: &mut ChaCha8Rng, mean: f64, most: f64) -> u64 {
-    let tail = -(1.0 - rng.random::<f64>()).ln();
-    (mean * (0.25 + 0.75 * tail)).min(most) as u64
-}
