--- a/crates/exchange/src/pace/mod.rs
+++ b/crates/exchange/src/pace/mod.rs
@@ -43,18 +43,6 @@
     }
 }
 
-impl Windows {
-    /// No coalescing: every piece of news is pushed at once.
-    pub const OFF: Self = Self {
-        quiet: Duration::ZERO,
-        longest: Duration::ZERO,
-        leading: true,
-        interval: Duration::ZERO,
-        burst: 1,
-        echo: Duration::ZERO,
-    };
-}
-
 /// What a push is for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Push {
