--- a/crates/sesamerock/src/settings/mod.rs
+++ b/crates/sesamerock/src/settings/mod.rs
@@ -27,6 +27,7 @@
     /// Address of the peer service.
     pub peer: SocketAddr,
     /// Address at which other nodes reach the peer service, if it differs.
+    #[serde(skip_serializing_if = "Option::is_none")]
     pub advertised_peer: Option<SocketAddr>,
     /// Peer addresses to begin with.
     pub seeds: Vec<SocketAddr>,
@@ -177,7 +178,7 @@
     /// longer while its leader is replaced. By default 1 s, and more for a group
     /// of over ten ranks.
     #[serde_as(as = "Option<DurationMilliSeconds<u64>>")]
-    #[serde(rename = "map_switch_ms")]
+    #[serde(rename = "map_switch_ms", skip_serializing_if = "Option::is_none")]
     pub map_switch: Option<Duration>,
 }
 
