Test a paused node and the expiry of facts

Cause: of eight guards removed one at a time, the margin before a fact's expiry was the one no test missed, and the rule for replies after a pause was tested on the contact alone.

Change: a_paused_node_needs_a_new_exchange drives two nodes over a pause of a minute; an_expiring_fact_is_not_kept_alive hands a fact back and forth over its expiry. It fails without the margin.

--- a/crates/exchange/tests/contact.rs
+++ b/crates/exchange/tests/contact.rs
@@ -4,13 +4,15 @@
 
 use std::time::Duration;
 
-use net::{Net, place, record};
+use net::{Net, address, place, record};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
 use sesamerock_base::time::Moment;
 use sesamerock_base::version::Version;
 use sesamerock_exchange::contact::Contact;
 use sesamerock_exchange::message::Standing;
-use sesamerock_exchange::node::Settings;
-use sesamerock_exchange::peer::Place;
+use sesamerock_exchange::node::{Node, Settings};
+use sesamerock_exchange::peer::{Peer, Place};
 
 const SECOND: Duration = Duration::from_secs(1);
 const V: Version = Version(1);
@@ -92,6 +94,31 @@
     assert!(contact.holds(at(70_010)));
 }
 
+/// Guards against the same in the node: after a pause, what waited in buffers
+/// is no contact, whether a reply or a request; the next exchange is.
+#[test]
+fn a_paused_node_needs_a_new_exchange() {
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let peers = [(0, 0), (0, 1)].map(|(region, zone)| place(region, zone));
+    let [me, other] = [0, 1].map(|i| Peer::new(address(i), peers[i]));
+    let mut paused = Node::new(at(1_000), me, Settings::default(), [other]);
+    let mut outside = Node::new(at(1_000), other, Settings::default(), [me]);
+    paused.tick(at(1_000), &mut rng);
+    let held = paused.requests().remove(0);
+    let reply = outside.receive(at(1_001), &held.message, &mut rng);
+    outside.tick(at(1_001), &mut rng);
+    let request = outside.requests().remove(0);
+    let resumed = at(61_000);
+    paused.reply(resumed, &held.ticket, &reply, &mut rng);
+    paused.receive(resumed, &request.message, &mut rng);
+    assert!(!paused.in_contact(resumed));
+    paused.tick(resumed, &mut rng);
+    let fresh = paused.requests().remove(0);
+    let reply = outside.receive(resumed, &fresh.message, &mut rng);
+    paused.reply(at(61_002), &fresh.ticket, &reply, &mut rng);
+    assert!(paused.in_contact(at(61_002)));
+}
+
 /// Guards against an age from before this process's time being cut to zero,
 /// which would make old evidence fresh.
 #[test]
--- a/crates/exchange/tests/parts.rs
+++ b/crates/exchange/tests/parts.rs
@@ -219,6 +219,31 @@
     assert!(!one.merge(now, address(999), &facts), "nothing is new");
 }
 
+/// Guards against a fact that two nodes hand to each other for ever, since its
+/// time in transit does not count against its expiry.
+#[test]
+fn an_expiring_fact_is_not_kept_alive() {
+    let mut rng = ChaCha8Rng::seed_from_u64(9);
+    let transit = Duration::from_millis(80);
+    let mut now = Moment::from_millis(5_000);
+    let end = now + 7 * SECOND;
+    let mut boards = [(); 2].map(|()| Board::new(fact::Limits::default(), 0));
+    boards[0].merge(now, address(9), &[fact(1, 1, 1, 5_000)]);
+    while now < end {
+        for (from, to) in [(0, 1), (1, 0)] {
+            for board in &mut boards {
+                board.expire(now);
+            }
+            let theirs = boards[to].digest();
+            let facts = boards[from].select(now, Some(&theirs), &mut rng);
+            now = now + transit;
+            boards[to].expire(now);
+            boards[to].merge(now, address(9), &facts);
+        }
+    }
+    assert!(boards.iter().all(Board::is_empty));
+}
+
 /// Guards against a restarted node whose facts lose to its own old ones.
 #[test]
 fn a_restarted_origin_wins_over_its_past() {
