Keep the growth at p99 a target of spread

Cause: moved the growth target to the median of 50 and 300 changes and left the ratio at p99 as a printed figure only. The requirement does not exempt the slowest changes.

Change: the ratios at p99 of the paced changes and of the burst are targets again.

--- a/crates/measure/src/spread/mod.rs
+++ b/crates/measure/src/spread/mod.rs
@@ -96,9 +96,8 @@
     let growth = (full as f64).ln() / (middle as f64).ln() * 1.2;
     for name in ["paced", "burst"] {
         let ratio = |quantile| find(name, full).last(quantile) / find(name, middle).last(quantile);
-        let p99 = format!("{:.3}", ratio(0.99));
-        report.line(&[("growth_of", &name), ("p99_ratio", &p99)]);
         report.at_most(&format!("{name}_growth_p50"), growth, ratio(0.5));
+        report.at_most(&format!("{name}_growth_p99"), growth, ratio(0.99));
     }
 }
 
