Leave agents that do not answer alone for a while

Cause: in platform_down one agent had not started (its port was taken between the reservation and the bind). A dead agent reports no load, so the picker preferred it to full ones, and its failures used up the retry budget; so did keyed calls that were asked again at once while the log was down. Change: after a failure an agent is left alone for 0.2 s, doubling to 5 s; an unavailable ledger is told to the caller at once; streams are read to their end instead of reset; the test world takes ports below the ephemeral range.

--- a/crates/sesamerock/src/entry/dispatch/attempt/mod.rs
+++ b/crates/sesamerock/src/entry/dispatch/attempt/mod.rs
@@ -19,6 +19,9 @@
 use crate::entry::table::{Table, Target, Wish};
 use crate::problem::Problem;
 
+/// Time after which a caller may ask again while the log does not answer.
+const LEDGER_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// An attempt whose answer has begun.
 #[derive(Debug)]
 pub(super) struct Open {
@@ -150,7 +153,7 @@
             kind: self.kind,
             detail: self.detail.clone(),
             executed: told(executed),
-            retry_after: self.retry_after.filter(|_| self.remedy != Remedy::None),
+            retry_after: self.retry_after,
         }
     }
 
@@ -307,9 +310,10 @@
             .call(agent, head, &self.ask.body)
             .await
             .map_err(|failure| {
-                self.context
-                    .table()
-                    .observed(&flight.target, Outcome::Failed);
+                let mut table = self.context.table();
+                table.observed(&flight.target, Outcome::Failed);
+                table.unanswered(&flight.target);
+                drop(table);
                 relay_failure(failure, &flight.target.choice)
             })?;
         let mut body_sent = !held_back;
@@ -341,6 +345,7 @@
                 Ok(None) => return Err(cut(&flight, body_sent, "the agent ended the call")),
                 Err(detail) => {
                     self.context.relays.forget(agent);
+                    self.context.table().unanswered(&flight.target);
                     return Err(cut(&flight, body_sent, &detail));
                 }
             }
@@ -414,6 +419,10 @@
             },
             Reason::LedgerUnavailable => Failure {
                 kind: "ledger-unavailable",
+                // The same agent decides again; asking it at once would only
+                // use up the budget of calls that a retry helps.
+                retry_after: Some(LEDGER_RETRY_AFTER),
+                remedy: Remedy::None,
                 ..failure
             },
             _ => failure,
--- a/crates/sesamerock/src/entry/relay/mod.rs
+++ b/crates/sesamerock/src/entry/relay/mod.rs
@@ -27,6 +27,8 @@
 const STREAM_WINDOW: u32 = 256 << 10;
 /// Window of a connection, in bytes.
 const CONNECTION_WINDOW: u32 = 16 << 20;
+/// Time for a stream to end after its last frame.
+const END_TIMEOUT: Duration = Duration::from_secs(1);
 /// Body bytes per message; tonic refuses messages over 4 MiB.
 const CHUNK_BYTES: usize = 1 << 20;
 
@@ -42,7 +44,7 @@
 /// An open call: the frames that come down.
 #[derive(Debug)]
 pub struct Call {
-    frames: Streaming<Down>,
+    frames: Option<Streaming<Down>>,
     // Keeps the upward half open; an agent takes a closed half for the end of
     // the body, not for a cancellation.
     body: Option<mpsc::Sender<Up>>,
@@ -54,13 +56,29 @@
     /// # Errors
     /// Returns the text of the transport's error.
     pub async fn next(&mut self) -> Result<Option<down::Kind>, String> {
-        match self.frames.message().await {
-            Ok(Some(Down { kind })) => Ok(kind),
+        let Some(frames) = self.frames.as_mut() else {
+            return Ok(None);
+        };
+        match frames.message().await {
+            Ok(Some(Down { kind })) => {
+                if matches!(kind, Some(down::Kind::Tail(_) | down::Kind::Refused(_))) {
+                    self.end();
+                }
+                Ok(kind)
+            }
             Ok(None) => Ok(None),
             Err(status) => Err(status.to_string()),
         }
     }
 
+    /// Reads the end of the stream, which follows the last frame. Dropping the
+    /// stream before it would reset it, which costs the agent a look.
+    fn end(&mut self) {
+        if let Some(mut frames) = self.frames.take() {
+            tokio::spawn(async move { tokio::time::timeout(END_TIMEOUT, frames.message()).await });
+        }
+    }
+
     /// Sends the body that was kept back until now, and closes the upward half.
     pub async fn send_body(&mut self, body: &Bytes) -> bool {
         let Some(sender) = self.body.take() else {
@@ -113,7 +131,7 @@
         let mut client = RelayClient::new(channel);
         match client.call(ReceiverStream::new(receiver)).await {
             Ok(response) => Ok(Call {
-                frames: response.into_inner(),
+                frames: Some(response.into_inner()),
                 body: sender,
             }),
             Err(status) => {
--- a/crates/sesamerock/src/entry/table/mod.rs
+++ b/crates/sesamerock/src/entry/table/mod.rs
@@ -1,5 +1,7 @@
 //! The routing table: what the control state says, as the picker needs it.
 
+mod outage;
+
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -26,6 +28,7 @@
 use crate::clock;
 use crate::control::view::View;
 use crate::settings::Node;
+use outage::Outages;
 
 /// An upstream to send a call to.
 #[derive(Clone, Debug)]
@@ -85,6 +88,7 @@
     adapters: Names<Model>,
     rows: HashMap<Upstream, Row>,
     pools: HashMap<String, Group>,
+    outages: Outages,
 }
 
 impl Table {
@@ -107,6 +111,7 @@
             adapters: Names::default(),
             rows: HashMap::new(),
             pools: HashMap::new(),
+            outages: Outages::default(),
         }
     }
 
@@ -248,6 +253,24 @@
 
     /// Chooses an upstream and counts the call as sent to it.
     pub(super) fn choose(&mut self, wish: &Wish<'_>) -> Result<Target, Refusal> {
+        let mut excluded = wish.excluded.to_vec();
+        excluded.extend(self.outages.now(clock::now()));
+        let careful = Wish {
+            excluded: &excluded,
+            ..wish.clone()
+        };
+        self.choose_among(&careful).or_else(|refusal| {
+            // An upstream that did not answer is better than none.
+            let out = refusal.cause == Cause::Excluded && excluded.len() > wish.excluded.len();
+            if out {
+                self.choose_among(wish)
+            } else {
+                Err(refusal)
+            }
+        })
+    }
+
+    fn choose_among(&mut self, wish: &Wish<'_>) -> Result<Target, Refusal> {
         let pool = if wish.service {
             pool_of_service(wish.pool)
         } else {
@@ -331,8 +354,14 @@
         }
     }
 
+    /// Takes in that the agent of a call did not answer.
+    pub(super) fn unanswered(&mut self, target: &Target) {
+        self.outages.failed(target.choice.upstream, clock::now());
+    }
+
     /// Takes in a report that came with an answer.
     pub(super) fn report(&mut self, target: &Target, report: &Report) {
+        self.outages.answered(target.choice.upstream);
         let report = load::Report {
             calls: report.calls_in_flight,
             tokens: report.tokens_in_flight,
--- /dev/null
+++ b/crates/sesamerock/src/entry/table/outage/mod.rs
@@ -0,0 +1,58 @@
+//! Upstreams whose agents did not answer, and are left alone for a while.
+//!
+//! A dead agent reports no load, so it looks idle; without this it would be
+//! preferred to live ones that are full, and use up the retry budget.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use sesamerock_base::key::Upstream;
+use sesamerock_base::time::Moment;
+
+/// Time for which an upstream is left alone after its first failure; it doubles
+/// with each further one.
+const FIRST: Duration = Duration::from_millis(200);
+/// Longest time for which an upstream is left alone.
+const LONGEST: Duration = Duration::from_secs(5);
+/// Most doublings.
+const DOUBLINGS: u32 = 5;
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Outage {
+    failures: u32,
+    until: Moment,
+}
+
+/// The outages an entry knows of.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Outages {
+    known: HashMap<Upstream, Outage>,
+}
+
+impl Outages {
+    /// Notes that an agent did not answer.
+    pub(super) fn failed(&mut self, upstream: Upstream, now: Moment) {
+        let outage = self.known.entry(upstream).or_default();
+        if now < outage.until {
+            // Calls that were on their way together are one failure.
+            return;
+        }
+        let pause = FIRST * (1 << outage.failures.min(DOUBLINGS));
+        outage.failures += 1;
+        outage.until = now + pause.min(LONGEST);
+    }
+
+    /// Notes that an agent answered.
+    pub(super) fn answered(&mut self, upstream: Upstream) {
+        self.known.remove(&upstream);
+    }
+
+    /// Yields the upstreams to leave alone now.
+    pub(super) fn now(&self, now: Moment) -> impl Iterator<Item = Upstream> {
+        let out = self
+            .known
+            .iter()
+            .filter(move |(_, outage)| now < outage.until);
+        out.map(|(upstream, _)| *upstream)
+    }
+}
--- a/crates/sesamerock/tests/support/node/mod.rs
+++ b/crates/sesamerock/tests/support/node/mod.rs
@@ -4,9 +4,17 @@
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU16, Ordering};
 
 use serde::Serialize;
 
+/// Lowest port given to a process under test.
+const LOWEST_PORT: u16 = 10_000;
+/// Ports that one test process gives out.
+const PORTS_PER_PROCESS: u16 = 1_000;
+/// Test processes with ports of their own.
+const PROCESSES: u32 = 20;
+
 /// A node: its command, its settings file and its process.
 #[derive(Debug)]
 pub struct Node {
@@ -97,10 +105,19 @@
     }
 }
 
-/// Returns an address on loopback whose port was free just now.
+/// Returns an address on loopback whose port is free and below those that the
+/// system gives to outgoing connections, so that nothing takes it before the
+/// process under test binds it. An agent once failed to start for this reason.
 pub fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind(("127.0.0.1", 0)).expect("a port is free");
-    listener
-        .local_addr()
-        .expect("a bound listener has an address")
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    // Test processes that run at the same time begin at different ports.
+    let first = LOWEST_PORT + (std::process::id() % PROCESSES) as u16 * PORTS_PER_PROCESS;
+    for _ in 0..PORTS_PER_PROCESS {
+        let port = first + NEXT.fetch_add(1, Ordering::Relaxed) % PORTS_PER_PROCESS;
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
+    panic!("no port is free");
 }
