cli: exit with 2 on wrong use; accept map_switch_ms

Cause: docs/operators.md promises exit code 2 for wrong use, but the argument parser's own exit code is 1, that of a failed command.

Change: run() maps the parser's failure to 2.

--- a/crates/sesamerock/src/cli/command/mod.rs
+++ b/crates/sesamerock/src/cli/command/mod.rs
@@ -23,8 +23,8 @@
 
 /// Exit code for a failure.
 const FAILED: u8 = 1;
-/// Exit code for a faulty file.
-const FAULTY: u8 = 2;
+/// Exit code for wrong use or a faulty file.
+pub(super) const FAULTY: u8 = 2;
 /// Exit code for an unknown outcome.
 const UNKNOWN: u8 = 3;
 /// Longest answer read from an entry, in bytes.
--- a/crates/sesamerock/src/cli/mod.rs
+++ b/crates/sesamerock/src/cli/mod.rs
@@ -6,9 +6,12 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
-use bpaf::{OptionParser, Parser, construct, long, positional};
+use bpaf::{Args, OptionParser, Parser, construct, long, positional};
 use log::LevelFilter;
 
+/// Width of help and error texts, in columns.
+const HELP_COLUMNS: usize = 100;
+
 /// What the user asked for.
 #[derive(Clone, Debug)]
 pub struct Options {
@@ -240,5 +243,15 @@
 /// success, 1 for a failure, 2 for wrong use or a faulty file, 3 for an unknown
 /// outcome.
 pub fn run() -> ExitCode {
-    command::run(options().run())
+    match options().run_inner(Args::current_args()) {
+        Ok(options) => command::run(options),
+        Err(failure) => {
+            failure.print_message(HELP_COLUMNS);
+            // The library's own exit code for wrong use is that of a failure.
+            match failure.exit_code() {
+                0 => ExitCode::SUCCESS,
+                _ => ExitCode::from(command::FAULTY),
+            }
+        }
+    }
 }
--- a/crates/sesamerock/src/settings/check/tables/mod.rs
+++ b/crates/sesamerock/src/settings/check/tables/mod.rs
@@ -236,6 +236,12 @@
             Need::Default("120000"),
             "Time for running calls to finish after a stop.",
         ),
+        field(
+            "map_switch_ms",
+            MILLIS,
+            Need::Optional,
+            "Time within which a staged expert map is to be in use, for a rank of a group; 1000 when absent, and more for a group of over ten ranks.",
+        ),
     ],
     rules: &[],
 };
