platform: enforce the bound of a request header exactly

Cause: the read buffer's bound let a header of 68 KiB pass where 64 KiB are allowed, since a whole header is parsed before the buffer is measured. Change: the bound is set as the header size too, so that the caller gets 431. Test: long_and_malformed_headers_get_an_error_of_their_own in crates/sesamerock/tests/callers.rs got no 431 before, and does now.

--- a/crates/platform/src/http/server/mod.rs
+++ b/crates/platform/src/http/server/mod.rs
@@ -81,6 +81,9 @@
                 .timer(TokioTimer::new())
                 .header_read_timeout(settings.header_timeout)
                 .max_buf_size(settings.header_bytes)
+                // The buffer alone lets a header pass that comes in one piece
+                // with its last read.
+                .max_header_size(settings.header_bytes)
                 .max_headers(settings.header_fields)
                 .serve_connection(TokioIo::new(stream), service);
             tokio::pin!(connection);
