platform: discard some of a body that is too long

Cause: a caller that sent its whole body before it read found its connection reset, with EPIPE in place of the 413. Test: a_caller_that_sends_a_long_body_first_sees_the_refusal failed with EPIPE at a bound of 4 MiB and a body of just under 8 MiB, and passes now.

--- a/crates/platform/src/http/body/mod.rs
+++ b/crates/platform/src/http/body/mod.rs
@@ -114,16 +114,34 @@
 
 /// Reads an incoming body whole, up to a bound in bytes.
 ///
+/// Of a longer body, as many bytes again are read and discarded: a client that
+/// sends its whole body first would otherwise find its connection reset and
+/// never read the answer.
+///
 /// # Errors
 /// Returns a [`Fault`] if the body is longer than `limit` or breaks off.
-pub async fn collect(body: Incoming, limit: usize) -> Result<Bytes, Fault> {
-    match Limited::new(body, limit).collect().await {
+pub async fn collect(mut body: Incoming, limit: usize) -> Result<Bytes, Fault> {
+    match Limited::new(&mut body, limit).collect().await {
         Ok(content) => Ok(content.to_bytes()),
-        Err(error) if error.downcast_ref::<LengthLimitError>().is_some() => Err(Fault::TooLong),
+        Err(error) if error.downcast_ref::<LengthLimitError>().is_some() => {
+            discard(body, limit).await;
+            Err(Fault::TooLong)
+        }
         Err(error) => Err(Fault::Broken(error.to_string())),
     }
 }
 
+/// Reads and drops the rest of a body, up to about a bound in bytes.
+async fn discard(mut body: Incoming, limit: usize) {
+    let mut read = 0;
+    while let Some(Ok(frame)) = body.frame().await {
+        read += frame.data_ref().map_or(0, Bytes::len);
+        if read > limit {
+            return;
+        }
+    }
+}
+
 impl From<Infallible> for Aborted {
     fn from(never: Infallible) -> Self {
         match never {}
