entry: refuse a call whose deadline passed before it was sent

Cause: such a call went on to an agent with no time left and was answered with executed=unknown, so that its caller had to look whether it ran. Change: an attempt with no time left is not made; it says executed=no, and the whole call says what earlier attempts left open. Test: refusals_are_problem_documents_with_the_request_id saw executed=unknown before, and executed=no now.

--- a/crates/sesamerock/src/entry/dispatch/attempt/mod.rs
+++ b/crates/sesamerock/src/entry/dispatch/attempt/mod.rs
@@ -181,6 +181,15 @@
         point: Option<Point>,
     ) -> Result<Open, Failure> {
         self.hold().await;
+        if self.ask.remaining().is_zero() {
+            // Nothing has been sent, so this attempt leaves nothing unknown.
+            return Err(Failure {
+                status: StatusCode::GATEWAY_TIMEOUT,
+                remedy: Remedy::None,
+                retry_after: None,
+                ..Failure::refused("deadline", "the deadline passed before the call was sent")
+            });
+        }
         self.made += 1;
         let target = self.choose(attempt)?;
         // What the release notes forbid to repeat is known once the upstream
