telemetry: count streams as in progress, and calls at the agent

Cause: sesamerock_in_flight of an entry fell when the head of a stream was sent, so that it read 0 with a stream open. An agent had no such figure. Change: the count lives as long as the run, which the task of the stream owns. An agent records sesamerock_calls with each look at its upstream, beside sesamerock_limit. dev::Cluster names the agents' operator addresses.

--- a/crates/sesamerock/src/agent/mod.rs
+++ b/crates/sesamerock/src/agent/mod.rs
@@ -250,8 +250,11 @@
             context.manifest.crashed(incarnation).await;
         }
         context.gate.observe(&seen);
-        let limit = context.gate.snapshot().limit.calls;
-        context.metrics.limit.record(u64::from(limit), &[]);
+        let gate = context.gate.snapshot();
+        let calls = u64::from(gate.in_flight.calls);
+        context.metrics.calls.record(calls, &[]);
+        let limit = u64::from(gate.limit.calls);
+        context.metrics.limit.record(limit, &[]);
         context
             .metrics
             .version
--- a/crates/sesamerock/src/dev/cluster/mod.rs
+++ b/crates/sesamerock/src/dev/cluster/mod.rs
@@ -72,6 +72,8 @@
     pub callers: Vec<SocketAddr>,
     /// Addresses of the entries for operators.
     pub operators: Vec<SocketAddr>,
+    /// Addresses of the agents for health and metrics.
+    pub agents: Vec<SocketAddr>,
     upstreams: Vec<Upstream>,
     vms: Vec<Vm>,
     roles: JoinSet<eyre::Result<()>>,
@@ -92,6 +94,7 @@
             services: Vec::new(),
             callers: Vec::new(),
             operators: Vec::new(),
+            agents: Vec::new(),
             upstreams: Vec::new(),
             vms: Vec::new(),
             roles: JoinSet::new(),
@@ -176,6 +179,7 @@
         let listeners = agent::Listeners::bind(&agent).await?;
         let relay = listeners.relay.local_addr()?;
         let peer = listeners.peer.local_addr()?;
+        self.agents.push(listeners.operator.local_addr()?);
         self.add_vm(&agent.node, peer);
         let models = match kind {
             Kind::Engine => {
--- a/crates/sesamerock/src/entry/dispatch/mod.rs
+++ b/crates/sesamerock/src/entry/dispatch/mod.rs
@@ -47,6 +47,8 @@
 #[derive(Debug)]
 struct Run {
     context: Arc<Context>,
+    /// Counts the request until the last of its answer is handed over.
+    _present: Present,
     ask: Ask,
     /// Whether the call may run more than once.
     repeatable: bool,
@@ -84,8 +86,6 @@
 /// Runs a request and returns the answer for the caller.
 pub(super) async fn run(context: Arc<Context>, ask: Ask) -> Response<Body> {
     let id = ask.id.clone();
-    context.metrics.in_flight.add(1, &[]);
-    let _present = Present(Arc::clone(&context));
     let response = match Run::new(Arc::clone(&context), ask) {
         Ok(run) => run.finish().await,
         Err(problem) => {
@@ -102,8 +102,16 @@
 }
 
 /// Counts a request as present until it is dropped.
+#[derive(Debug)]
 struct Present(Arc<Context>);
 
+impl Present {
+    fn new(context: Arc<Context>) -> Self {
+        context.metrics.in_flight.add(1, &[]);
+        Self(context)
+    }
+}
+
 impl Drop for Present {
     fn drop(&mut self) {
         self.0.metrics.in_flight.add(-1, &[]);
@@ -151,6 +159,7 @@
             crashed: None,
             earlier: Executed::No,
             minted,
+            _present: Present::new(Arc::clone(&context)),
             context,
             ask,
         })
--- a/crates/sesamerock/src/telemetry/mod.rs
+++ b/crates/sesamerock/src/telemetry/mod.rs
@@ -55,6 +55,8 @@
     pub first_byte: Histogram<f64>,
     /// Control version in force.
     pub version: opentelemetry::metrics::Gauge<u64>,
+    /// Calls that the agent counts as in flight at its upstream.
+    pub calls: opentelemetry::metrics::Gauge<u64>,
     /// Limit of calls in flight that the agent has learnt.
     pub limit: opentelemetry::metrics::Gauge<u64>,
 }
@@ -82,6 +84,7 @@
                 .with_unit("s")
                 .build(),
             version: meter.u64_gauge("sesamerock_version").build(),
+            calls: meter.u64_gauge("sesamerock_calls").build(),
             limit: meter.u64_gauge("sesamerock_limit").build(),
             registry,
             _provider: provider,
