entry: count the deadline from the header; 404 for keys of unknown services

Cause: x-request-timeout-ms began when the body had come, so a slow body gave its caller up to the body timeout on top. POST /v1/keys for a service that no note names was answered with 503 and Retry-After, though no retry can help. An unserved service gets 404 unknown-target, as calls to it do. Tests: the_deadline_counts_from_the_header saw 200 for a body that came 50 ms after its deadline, and refusals_are_problem_documents_with_the_request_id saw 503; both pass now.

--- a/crates/sesamerock/src/entry/ask/mod.rs
+++ b/crates/sesamerock/src/entry/ask/mod.rs
@@ -112,12 +112,16 @@
 impl Ask {
     /// Reads a request whose body has arrived.
     ///
+    /// The deadline counts from `arrived`, when the header was there: the time
+    /// in which the body came is part of the caller's wait.
+    ///
     /// # Errors
     /// Returns the [`Problem`] to answer with if the request is not well formed.
     pub fn read(
         id: String,
         parts: &Parts,
         body: Bytes,
+        arrived: Instant,
         default_timeout: Duration,
     ) -> Result<Self, Problem> {
         let workspace = text(&parts.headers, WORKSPACE).unwrap_or("default");
@@ -151,7 +155,7 @@
             path,
             headers: passed_on(&parts.headers),
             body,
-            deadline: Instant::now() + timeout,
+            deadline: arrived + timeout,
             urgency: urgency(&parts.headers),
             key,
             tokens,
--- a/crates/sesamerock/src/entry/dispatch/attempt/mod.rs
+++ b/crates/sesamerock/src/entry/dispatch/attempt/mod.rs
@@ -12,7 +12,7 @@
 use sesamerock_wire::relay::refusal::Reason;
 use sesamerock_wire::relay::{Refused, Reply, Tail, down, tail};
 
-use super::{Run, next_attempt, told};
+use super::{Run, next_attempt, told, unavailable};
 use crate::entry::Context;
 use crate::entry::ask::Target as Asked;
 use crate::entry::relay::{self, Call};
@@ -463,8 +463,20 @@
     }
 }
 
+/// Makes the problem of a key that no agent issues.
+fn no_key(refusal: &Refusal) -> Problem {
+    let detail = format!("no agent issues a key: {}", refusal.cause);
+    match refusal.cause {
+        Cause::Unserved => Problem::refused(StatusCode::NOT_FOUND, "unknown-target", detail),
+        _ => unavailable("no-key", detail, Some(Duration::from_secs(1))),
+    }
+}
+
 /// Asks the agents of a service for a key, one after the other.
-pub(super) async fn mint(context: &Context, service: &str) -> Result<String, String> {
+///
+/// # Errors
+/// Returns the [`Problem`] to answer with if none issues one.
+pub(super) async fn mint(context: &Context, service: &str) -> Result<String, Problem> {
     let mut excluded = Vec::new();
     loop {
         let target = {
@@ -484,8 +496,7 @@
             };
             context.table().choose(&wish)
         };
-        let target =
-            target.map_err(|refusal| format!("no agent issues a key: {}", refusal.cause))?;
+        let target = target.map_err(|refusal| no_key(&refusal))?;
         let minted = context.relays.mint(target.agent, service).await;
         context.table().finished(&target);
         match minted {
--- a/crates/sesamerock/src/entry/dispatch/mod.rs
+++ b/crates/sesamerock/src/entry/dispatch/mod.rs
@@ -347,7 +347,7 @@
     };
     match attempt::mint(context, service).await {
         Ok(key) => json(StatusCode::CREATED, &serde_json::json!({ "key": key })),
-        Err(detail) => unavailable("no-key", detail, Some(Duration::from_secs(1))).respond(id),
+        Err(problem) => problem.respond(id),
     }
 }
 
--- a/crates/sesamerock/src/entry/server/mod.rs
+++ b/crates/sesamerock/src/entry/server/mod.rs
@@ -8,6 +8,7 @@
 use hyper::body::Incoming;
 use sesamerock_platform::http::body::{self, Body, Fault};
 use sesamerock_platform::http::server::Handler;
+use tokio::time::Instant;
 
 use super::ask::{self, Ask};
 use super::operator::{not_found, readiness, text};
@@ -34,6 +35,7 @@
     }
 
     async fn read(&self, id: &str, parts: &Parts, content: Incoming) -> Result<Ask, Problem> {
+        let arrived = Instant::now();
         let settings = &self.context.settings;
         let read = body::collect(content, settings.body_bytes);
         let body = match tokio::time::timeout(settings.body_timeout, read).await {
@@ -52,7 +54,13 @@
                 ));
             }
         };
-        Ask::read(id.to_owned(), parts, body, settings.request_timeout)
+        Ask::read(
+            id.to_owned(),
+            parts,
+            body,
+            arrived,
+            settings.request_timeout,
+        )
     }
 }
 
