Add tests of the callers' edges

tests/callers.rs runs a cluster in one process and speaks to it over raw TCP: bounds of body, header and time, slow and vanished callers, slow readers, deadlines, problem documents, replay and conflict of keys, issued keys through any entry, the list of entries, health and metrics.

--- /dev/null
+++ b/crates/sesamerock/tests/callers.rs
@@ -0,0 +1,519 @@
+//! The edges of the callers' interface: malformed, slow, long and repeated
+//! requests against a cluster in one process, mostly over raw connections.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use sesamerock::dev::{Cluster, MODEL, Settings};
+use sesamerock::settings;
+use sesamerock_standin::engine;
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::net::TcpStream;
+use tokio::time::{Instant, sleep, timeout};
+use tokio_util::sync::CancellationToken;
+
+/// Longest body of the cluster under test, in bytes.
+const BODY_BYTES: usize = 4 << 20;
+/// Time for a body of the cluster under test.
+const BODY_TIMEOUT: Duration = Duration::from_secs(1);
+/// Bound of every wait; a busy machine needs far less.
+const BOUND: Duration = Duration::from_secs(20);
+/// Time between two looks at a condition.
+const POLL: Duration = Duration::from_millis(10);
+
+/// A running cluster of two zones that stops with the test.
+struct World {
+    cluster: Cluster,
+    stop: CancellationToken,
+}
+
+impl World {
+    async fn start(engine: engine::Settings) -> Self {
+        let stop = CancellationToken::new();
+        let settings = Settings {
+            zones: ["a", "b"].map(str::to_owned).to_vec(),
+            engines_per_zone: 1,
+            entries: 4,
+            engine,
+            entry: settings::Entry {
+                body_bytes: BODY_BYTES,
+                body_timeout: BODY_TIMEOUT,
+                entries_max_age: Duration::from_secs(1),
+                ..settings::Entry::default()
+            },
+            ..Settings::default()
+        };
+        let cluster = Cluster::start(settings, &stop)
+            .await
+            .expect("the cluster starts");
+        cluster.publish().await.expect("the note is accepted");
+        cluster.wait_ready().await.expect("the cluster is ready");
+        Self { cluster, stop }
+    }
+
+    fn entry(&self) -> SocketAddr {
+        self.cluster.callers[0]
+    }
+
+    /// Returns the calls that all engines hold.
+    async fn at_engines(&self) -> u64 {
+        let mut calls = 0;
+        for (_, engine) in &self.cluster.engines {
+            let load = json(&get(engine.address(), "/load").await);
+            calls += load["running"].as_u64().expect("a number");
+            calls += load["waiting"].as_u64().expect("a number");
+        }
+        calls
+    }
+
+    /// Returns the calls that all agents count as in flight.
+    async fn at_agents(&self) -> u64 {
+        let mut calls = 0;
+        for agent in &self.cluster.agents {
+            calls += gauge(*agent, "sesamerock_calls").await;
+        }
+        calls
+    }
+
+    fn generated(&self) -> u64 {
+        self.cluster
+            .engines
+            .iter()
+            .map(|(_, engine)| engine.record().tokens)
+            .sum()
+    }
+}
+
+impl Drop for World {
+    fn drop(&mut self) {
+        self.stop.cancel();
+    }
+}
+
+/// An answer as it came over the wire.
+#[derive(Debug)]
+struct Answer {
+    status: u16,
+    head: String,
+    body: String,
+}
+
+impl Answer {
+    fn parse(bytes: &[u8]) -> Self {
+        let text = String::from_utf8_lossy(bytes);
+        let (head, body) = text.split_once("\r\n\r\n").expect("an answer has a head");
+        let head = head.to_ascii_lowercase();
+        let status = head[9..12].parse().expect("a status is a number");
+        let body = if head.contains("transfer-encoding: chunked") {
+            unchunk(body)
+        } else {
+            body.to_owned()
+        };
+        Self { status, head, body }
+    }
+
+    fn has(&self, field: &str) -> bool {
+        self.head.lines().any(|line| line == field)
+    }
+}
+
+/// Joins the chunks of a chunked body; the stand-ins send ASCII only.
+fn unchunk(mut rest: &str) -> String {
+    let mut body = String::new();
+    while let Some((size, after)) = rest.split_once("\r\n") {
+        let size = usize::from_str_radix(size, 16).expect("a chunk has a size");
+        body.push_str(&after[..size]);
+        rest = &after[size + 2..];
+    }
+    body
+}
+
+fn json(answer: &Answer) -> serde_json::Value {
+    serde_json::from_str(&answer.body).expect("the body is JSON")
+}
+
+async fn open(address: SocketAddr, text: &[u8]) -> TcpStream {
+    let mut stream = TcpStream::connect(address)
+        .await
+        .expect("the entry accepts");
+    stream
+        .write_all(text)
+        .await
+        .expect("the request can be sent");
+    stream
+}
+
+/// Reads an answer until the server closes the connection.
+async fn read(mut stream: TcpStream) -> Answer {
+    let mut bytes = Vec::new();
+    let all = timeout(BOUND, stream.read_to_end(&mut bytes)).await;
+    all.expect("the answer ends in time")
+        .expect("the answer is whole");
+    Answer::parse(&bytes)
+}
+
+/// Renders a request that asks for the connection to be closed.
+fn request(line: &str, fields: &str, body: &str) -> String {
+    let length = body.len();
+    format!(
+        "{line} HTTP/1.1\r\nhost: x\r\nconnection: close\r\n{fields}content-length: {length}\r\n\r\n{body}"
+    )
+}
+
+async fn send(address: SocketAddr, line: &str, fields: &str, body: &str) -> Answer {
+    read(open(address, request(line, fields, body).as_bytes()).await).await
+}
+
+async fn get(address: SocketAddr, path: &str) -> Answer {
+    send(address, &format!("GET {path}"), "", "").await
+}
+
+fn completion(tokens: u64, streamed: bool) -> String {
+    format!(
+        r#"{{"model":"{MODEL}","max_tokens":{tokens},"stream":{streamed},"messages":[{{"role":"user","content":"hello"}}]}}"#
+    )
+}
+
+/// Returns the value of a metric, or zero before its first record.
+async fn gauge(address: SocketAddr, name: &str) -> u64 {
+    let metrics = get(address, "/metrics").await.body;
+    let line = metrics.lines().find(|line| line.starts_with(name));
+    line.and_then(|line| line.rsplit(' ').next())
+        .map_or(0, |value| value.parse().expect("a number"))
+}
+
+const CHAT: &str = "POST /v1/chat/completions";
+const ORDER: &str = "POST /services/orders/orders";
+
+/// Waits until a condition holds.
+async fn until(what: &str, mut holds: impl AsyncFnMut() -> bool) {
+    let end = Instant::now() + BOUND;
+    while !holds().await {
+        assert!(Instant::now() < end, "waited in vain until {what}");
+        sleep(POLL).await;
+    }
+}
+
+/// Asserts a problem document with the caller's request id and `executed: no`.
+fn assert_refused(answer: &Answer, status: u16, id: &str) {
+    assert_eq!(answer.status, status, "{answer:?}");
+    assert!(
+        answer.has("content-type: application/problem+json"),
+        "{answer:?}"
+    );
+    let document = json(answer);
+    assert_eq!(document["status"], status, "{document}");
+    assert_eq!(document["executed"], "no", "{document}");
+    assert_eq!(document["request_id"], id, "{document}");
+}
+
+async fn assert_serves(world: &World) {
+    let answer = send(world.entry(), CHAT, "", &completion(2, false)).await;
+    assert_eq!(answer.status, 200, "{answer:?}");
+}
+
+/// Guards against a refusal without a problem document, without the caller's
+/// request id, or that does not say that nothing was executed.
+#[tokio::test(flavor = "multi_thread")]
+async fn refusals_are_problem_documents_with_the_request_id() {
+    let world = World::start(engine::Settings::default()).await;
+    let unknown = completion(2, false).replace(MODEL, "no-such-model");
+    let cases = [
+        (413, CHAT, "", "x".repeat(BODY_BYTES + 1)),
+        (400, CHAT, "", "{\"model\":".to_owned()),
+        (400, CHAT, "", "{}".to_owned()),
+        (404, CHAT, "", unknown),
+        (404, "POST /services/no-such-service/x", "", String::new()),
+        (
+            400,
+            CHAT,
+            "x-request-timeout-ms: soon\r\n",
+            completion(2, false),
+        ),
+        (
+            504,
+            CHAT,
+            "x-request-timeout-ms: 0\r\n",
+            completion(2, false),
+        ),
+        (
+            504,
+            ORDER,
+            "x-request-timeout-ms: 0\r\nidempotency-key: late\r\n",
+            "{}".to_owned(),
+        ),
+        (400, "POST /v1/keys", "", String::new()),
+        (
+            404,
+            "POST /v1/keys?service=no-such-service",
+            "",
+            String::new(),
+        ),
+    ];
+    for (index, (status, line, fields, body)) in cases.iter().enumerate() {
+        let id = format!("edge-{index}");
+        let answer = send(
+            world.entry(),
+            line,
+            &format!("x-request-id: {id}\r\n{fields}"),
+            body,
+        )
+        .await;
+        assert_refused(&answer, *status, &id);
+    }
+    let executed: usize = world
+        .cluster
+        .services
+        .iter()
+        .map(|(_, service)| service.executions().len())
+        .sum();
+    assert_eq!(executed, 0, "a refused order was placed");
+    // A deadline beyond every clock is no reason to fail.
+    let fields = format!("x-request-timeout-ms: {}\r\n", u64::MAX);
+    let answer = send(world.entry(), CHAT, &fields, &completion(2, false)).await;
+    assert_eq!(answer.status, 200, "{answer:?}");
+}
+
+/// Guards against a deadline that starts anew once the body has come.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_deadline_counts_from_the_header() {
+    let world = World::start(engine::Settings::default()).await;
+    let fields = "x-request-id: late\r\nexpect: 100-continue\r\nx-request-timeout-ms: 200\r\n";
+    let body = completion(2, false);
+    let text = request(CHAT, fields, &body);
+    let mut stream = open(world.entry(), &text.as_bytes()[..text.len() - body.len()]).await;
+    // The entry asks for the body after it has read the header.
+    let mut interim = [0; 25];
+    let asked = timeout(BOUND, stream.read_exact(&mut interim)).await;
+    asked.expect("in time").expect("an interim answer");
+    assert_eq!(&interim, b"HTTP/1.1 100 Continue\r\n\r\n");
+    sleep(Duration::from_millis(250)).await;
+    stream
+        .write_all(body.as_bytes())
+        .await
+        .expect("the body can be sent");
+    assert_refused(&read(stream).await, 504, "late");
+}
+
+/// Guards against a 413 that a caller never sees, because the entry resets the
+/// connection while the caller is still sending.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_that_sends_a_long_body_first_sees_the_refusal() {
+    let world = World::start(engine::Settings::default()).await;
+    let body = "x".repeat(2 * BODY_BYTES - 1);
+    for _ in 0..5 {
+        let answer = send(world.entry(), CHAT, "x-request-id: long\r\n", &body).await;
+        assert_refused(&answer, 413, "long");
+    }
+}
+
+/// Guards against slow callers that hold their place for ever or hold others
+/// up: a body that trickles and one that stops.
+#[tokio::test(flavor = "multi_thread")]
+async fn slow_bodies_time_out_while_others_are_served() {
+    let world = World::start(engine::Settings::default()).await;
+    let head = "POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\nx-request-id: slow\r\ncontent-length: 50000\r\n\r\n{";
+    let mut stopped = Vec::new();
+    for _ in 0..50 {
+        stopped.push(open(world.entry(), head.as_bytes()).await);
+    }
+    let (reader, mut writer) = open(world.entry(), head.as_bytes()).await.into_split();
+    let trickle = tokio::spawn(async move {
+        while writer.write_all(b" ").await.is_ok() {
+            sleep(POLL).await;
+        }
+    });
+    assert_serves(&world).await;
+    for stream in stopped {
+        assert_refused(&read(stream).await, 408, "slow");
+    }
+    let mut reader = reader;
+    let mut bytes = [0; 12];
+    timeout(BOUND, reader.read_exact(&mut bytes))
+        .await
+        .expect("in time")
+        .expect("an answer");
+    assert_eq!(&bytes, b"HTTP/1.1 408");
+    drop(reader);
+    timeout(BOUND, trickle)
+        .await
+        .expect("the connection is closed")
+        .expect("no panic");
+}
+
+/// Guards against header fields without a bound, and against one caller's
+/// malformed header that harms another.
+#[tokio::test(flavor = "multi_thread")]
+async fn long_and_malformed_headers_get_an_error_of_their_own() {
+    let world = World::start(engine::Settings::default()).await;
+    let long = format!(
+        "GET /readyz HTTP/1.1\r\nhost: x\r\nx-long: {}\r\n\r\n",
+        "x".repeat(60 << 10)
+    );
+    let many = format!("GET /readyz HTTP/1.1\r\n{}\r\n", "a: b\r\n".repeat(200));
+    let cases: [(&str, u16); 4] = [
+        (
+            &long.replace("x-long: ", &format!("x-long: {}", "x".repeat(8 << 10))),
+            431,
+        ),
+        (&many, 431),
+        ("GET /readyz HTTP/1.1\r\nno colon here\r\n\r\n", 400),
+        ("\u{1}\u{2}\u{3}\r\n\r\n", 400),
+    ];
+    for (text, status) in cases {
+        let answer = read(open(world.entry(), text.as_bytes()).await).await;
+        assert_eq!(answer.status, status, "{answer:?}");
+        assert_serves(&world).await;
+    }
+}
+
+/// Guards against a caller that has gone and still holds its place at the
+/// engine and at the agent's gate.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_disconnected_caller_frees_its_place() {
+    let world = World::start(engine::Settings::default()).await;
+    let text = request(CHAT, "", &completion(1_000_000, true));
+    let mut stream = open(world.entry(), text.as_bytes()).await;
+    let mut first = [0; 512];
+    timeout(BOUND, stream.read_exact(&mut first))
+        .await
+        .expect("in time")
+        .expect("a stream");
+    let entry = world.cluster.operators[0];
+    until("the call is counted", async || world.at_agents().await == 1).await;
+    assert_eq!(world.at_engines().await, 1);
+    assert_eq!(gauge(entry, "sesamerock_in_flight").await, 1);
+    drop(stream);
+    until("the engine is empty", async || {
+        world.at_engines().await == 0
+    })
+    .await;
+    until("the agent is empty", async || world.at_agents().await == 0).await;
+    until("the entry is empty", async || {
+        gauge(entry, "sesamerock_in_flight").await == 0
+    })
+    .await;
+}
+
+/// Guards against a slow reader whose stream is buffered without bound, or that
+/// loses, doubles or reorders tokens.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_slow_reader_holds_the_stream_back_and_gets_every_token() {
+    const TOKENS: u64 = 200_000;
+    let fast = engine::Settings {
+        tokens_per_step: 400,
+        ..engine::Settings::default()
+    };
+    let world = World::start(fast).await;
+    let stream = open(
+        world.entry(),
+        request(CHAT, "", &completion(TOKENS, true)).as_bytes(),
+    )
+    .await;
+    // Held back means that twenty other calls in a row get their tokens in full
+    // while the stream gets none.
+    let mut last = 0;
+    let mut held = 0;
+    until("the stream is held back", async || {
+        assert_serves(&world).await;
+        let now = world.generated();
+        held = if now == last + 2 { held + 1 } else { 0 };
+        last = now;
+        held == 20
+    })
+    .await;
+    assert!(last < TOKENS, "all tokens were buffered");
+    let answer = read(stream).await;
+    let got: String = answer
+        .body
+        .split("\n\n")
+        .filter_map(|event| event.strip_prefix("data: {"))
+        .filter_map(|event| serde_json::from_str::<serde_json::Value>(&format!("{{{event}")).ok())
+        .filter_map(|event| Some(event["choices"][0]["delta"]["content"].as_str()?.to_owned()))
+        .collect();
+    assert!(
+        got == engine::answer("hello", TOKENS),
+        "the text differs, {} bytes",
+        got.len()
+    );
+    assert!(answer.body.ends_with("data: [DONE]\n\n"));
+}
+
+/// Guards against a repeated order that is placed twice, a replay that looks
+/// like a first answer, and a key that stands for two orders.
+#[tokio::test(flavor = "multi_thread")]
+async fn orders_replay_and_refuse_a_key_with_another_body() {
+    let world = World::start(engine::Settings::default()).await;
+    let key = "x-request-id: order\r\nidempotency-key: order-1\r\n";
+    let first = send(world.entry(), ORDER, key, "{\"chalk\":12}").await;
+    assert_eq!(first.status, 201, "{first:?}");
+    assert!(!first.has("idempotency-replayed: true"), "{first:?}");
+    for entry in &world.cluster.callers {
+        let again = send(*entry, ORDER, key, "{\"chalk\":12}").await;
+        assert_eq!((again.status, &again.body), (201, &first.body), "{again:?}");
+        assert!(again.has("idempotency-replayed: true"), "{again:?}");
+    }
+    let other = send(world.entry(), ORDER, key, "{\"chalk\":13}").await;
+    assert_refused(&other, 422, "order");
+    // A key that the system issued names its holder to every entry.
+    for entry in &world.cluster.callers {
+        let issued = send(world.entry(), "POST /v1/keys?service=orders", "", "").await;
+        assert_eq!(issued.status, 201, "{issued:?}");
+        let key = json(&issued)["key"].as_str().expect("a key").to_owned();
+        let fields = format!("idempotency-key: {key}\r\n");
+        let placed = send(*entry, ORDER, &fields, "{\"chalk\":1}").await;
+        assert_eq!(placed.status, 201, "{placed:?}");
+        let again = send(world.entry(), ORDER, &fields, "{\"chalk\":1}").await;
+        assert!(again.has("idempotency-replayed: true"), "{again:?}");
+    }
+    let executed: usize = world
+        .cluster
+        .services
+        .iter()
+        .map(|(_, service)| service.executions().len())
+        .sum();
+    assert_eq!(executed, 1 + world.cluster.callers.len());
+}
+
+/// Guards against callers sent to another zone first, a list that is kept for
+/// ever, and health paths that fail.
+#[tokio::test(flavor = "multi_thread")]
+async fn entries_of_the_own_zone_come_first_and_health_is_told() {
+    let world = World::start(engine::Settings::default()).await;
+    for (index, entry) in world.cluster.callers.iter().enumerate() {
+        let own = ["a", "b"][index % 2];
+        until("the list is whole", async || {
+            json(&get(*entry, "/v1/entries").await)["entries"]
+                .as_array()
+                .is_some_and(|list| list.len() == 4)
+        })
+        .await;
+        for (path, zone) in [
+            ("/v1/entries", own),
+            ("/v1/entries?zone=a", "a"),
+            ("/v1/entries?zone=b", "b"),
+        ] {
+            let answer = get(*entry, path).await;
+            assert!(answer.has("cache-control: max-age=1"), "{answer:?}");
+            let list = json(&answer);
+            let zones: Vec<_> = (0..4)
+                .map(|at| list["entries"][at]["zone"] == zone)
+                .collect();
+            assert_eq!(zones, [true, true, false, false], "{path} at {own}: {list}");
+        }
+        for address in [*entry, world.cluster.operators[index]] {
+            assert_eq!(get(address, "/readyz").await.status, 200);
+            assert_eq!(get(address, "/healthz").await.status, 200);
+        }
+        let metrics = get(world.cluster.operators[index], "/metrics").await;
+        assert!(
+            metrics.body.contains("# TYPE sesamerock_version gauge"),
+            "{metrics:?}"
+        );
+        assert_eq!(
+            get(*entry, "/metrics").await.status,
+            404,
+            "callers reach the metrics"
+        );
+    }
+}
