Add the measure node: control cost of a real entry process

Cause: the control budget per node (1.7 % of a core, 32 MB) was only estimated from the parts. Change: a real entry process with control states of 0 to 10,000 upstreams; processor time idle and under changes, resident memory.

--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -10,6 +10,7 @@
 mod fairness;
 mod limits;
 mod lockstep;
+mod node;
 mod orders;
 mod overhead;
 mod poison;
@@ -19,6 +20,7 @@
 mod state;
 mod stream;
 mod traffic;
+mod usage;
 mod zone;
 
 use bpaf::{Parser, construct, long, positional};
@@ -41,6 +43,7 @@
     ("fairness", fairness::run),
     ("limits", limits::run),
     ("lockstep", lockstep::run),
+    ("node", node::run),
     ("orders", orders::run),
     ("overhead", overhead::run),
     ("poison", poison::run),
--- a/crates/measure/src/overhead/mod.rs
+++ b/crates/measure/src/overhead/mod.rs
@@ -12,6 +12,7 @@
 
 use crate::report::Report;
 use crate::traffic::{closed_loop, completion, lookup, quantile};
+use crate::usage;
 
 /// Requests in flight at once.
 const WIDTH: usize = 64;
@@ -80,12 +81,12 @@
             (&through, &mut far, &mut far_cpu),
         ] {
             let uri = uri.clone();
-            let before = cpu_seconds();
+            let before = usage::seconds("self");
             let (latencies, _, failed) =
                 closed_loop(WIDTH, LOOKUPS, PAUSE, move |_| lookup(&uri)).await;
             if round > 0 {
                 all.extend(latencies);
-                *cpu += cpu_seconds() - before;
+                *cpu += usage::seconds("self") - before;
                 failures += failed;
             }
         }
@@ -115,7 +116,7 @@
         completion(entry, n, 200)
     })
     .await;
-    let before = cpu_seconds();
+    let before = usage::seconds("self");
     let begin = Instant::now();
     let (latencies, bytes, failed) = closed_loop(WIDTH, STREAMS, Duration::ZERO, move |n| {
         completion(entry, n, TOKENS)
@@ -136,7 +137,7 @@
         ),
         (
             "cpu_us_per_token",
-            &format!("{:.2}", (cpu_seconds() - before) / tokens * 1e6),
+            &format!("{:.2}", (usage::seconds("self") - before) / tokens * 1e6),
         ),
     ]);
     // A stream that lost events would be shorter than its tokens.
@@ -148,23 +149,3 @@
     );
     report.at_least("tokens_per_s", 200_000.0, tokens / seconds);
 }
-
-/// Returns the processor time that this process has used, in seconds.
-fn cpu_seconds() -> f64 {
-    let stat = std::fs::read_to_string("/proc/self/stat").unwrap_or_default();
-    // Fields after the command's name, which may hold blanks; user and system
-    // time are the 14th and 15th of all, in ticks of 10 ms.
-    let fields: Vec<_> = stat
-        .rsplit(')')
-        .next()
-        .unwrap_or_default()
-        .split_whitespace()
-        .collect();
-    let ticks = |index: usize| {
-        fields
-            .get(index)
-            .and_then(|t| t.parse::<f64>().ok())
-            .unwrap_or(0.0)
-    };
-    (ticks(11) + ticks(12)) / 100.0
-}
--- a/crates/measure/src/recover/mod.rs
+++ b/crates/measure/src/recover/mod.rs
@@ -69,8 +69,8 @@
     report.at_most("slowest_s", BOUND_S, slowest);
 }
 
-/// Appends notes that add so many upstreams.
-async fn fill(platform: &Platform, size: usize) {
+/// Appends notes that add so many upstreams, 100 a note.
+pub async fn fill(platform: &Platform, size: usize) {
     let log = Remote::new(Client::default(), format!("http://{}", platform.address()));
     for first in (0..size).step_by(PER_NOTE) {
         let mut add = Entries::default();
