Add expert maps, cost model, estimate, search and planner

Cause: the busiest rank of each layer sets the step time of a group. Change: crate place with map, cost, estimate, budget, greedy, local search and planner; measure skew.

--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -13,6 +13,7 @@
 mod overhead;
 mod poison;
 mod report;
+mod skew;
 mod spread;
 mod state;
 mod stream;
@@ -41,6 +42,7 @@
     ("orders", orders::run),
     ("overhead", overhead::run),
     ("poison", poison::run),
+    ("skew", skew::run),
     ("spread", spread::run),
     ("state", state::run),
     ("stream", stream::run),
--- /dev/null
+++ b/crates/place/src/cost/mod.rs
@@ -0,0 +1,65 @@
+//! Predicted step time, and what a move gains and costs.
+
+use std::time::Duration;
+
+use crate::map::{Map, Share};
+
+/// Times and sizes of one model group.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Model {
+    /// Part of a step that does not depend on the map.
+    pub fixed: Duration,
+    /// Time of a token in one expert on a rank of speed 1, in seconds.
+    pub token_time: f64,
+    /// Weights of one expert of one layer, in bytes.
+    pub expert_bytes: u64,
+    /// Time that the group loses per transferred expert, since staging takes
+    /// memory bandwidth from the steps.
+    pub stall: Duration,
+    /// Time that the group loses per transferred expert until caches and
+    /// compiled batches of the new owner are as before.
+    pub cache_loss: Duration,
+    /// How long a map is expected to stay better than the one before.
+    pub lifetime: Duration,
+}
+
+impl Default for Model {
+    fn default() -> Self {
+        Self {
+            fixed: Duration::from_millis(5),
+            token_time: 2e-6,
+            expert_bytes: 44 << 20,
+            stall: Duration::from_millis(4),
+            cache_loss: Duration::from_millis(1),
+            lifetime: Duration::from_mins(10),
+        }
+    }
+}
+
+impl Model {
+    /// Returns the predicted time of a step in seconds.
+    ///
+    /// `loads` holds, per layer, the tokens per expert in one step.
+    pub fn step_time(&self, map: &Map, loads: &[Vec<f64>], speeds: &[f64], share: Share) -> f64 {
+        let mut times = vec![0.0; map.ranks()];
+        let mut sum = 0.0;
+        for (layer, loads) in map.layers.iter().zip(loads) {
+            times.fill(0.0);
+            layer.times(loads, speeds, share, &mut times);
+            sum += times.iter().copied().fold(0.0, f64::max);
+        }
+        self.fixed.as_secs_f64() + self.token_time * sum
+    }
+
+    /// Returns the time that a gain saves over the map's lifetime, in seconds.
+    ///
+    /// `gain` is the share of the step time that is saved.
+    pub fn saving(&self, gain: f64) -> f64 {
+        gain * self.lifetime.as_secs_f64()
+    }
+
+    /// Returns the time that a transfer of one expert costs, in seconds.
+    pub fn transfer_cost(&self) -> f64 {
+        (self.stall + self.cache_loss).as_secs_f64()
+    }
+}
--- /dev/null
+++ b/crates/place/src/greedy/mod.rs
@@ -0,0 +1,66 @@
+//! Placement from scratch, without regard to the current map.
+//!
+//! It makes the first map of a group, and it is the baseline of the measure
+//! `skew`. Most of its experts change ranks when the loads change a little,
+//! which is why [`crate::plan`] does not use it for later maps.
+
+use crate::map::Layer;
+
+/// Places the experts of one layer: spare slots go to the experts with the most
+/// load per replica, then the largest replicas are placed first, each on the
+/// rank that finishes earliest.
+///
+/// Returns `None` if the ranks have fewer slots than there are experts.
+pub fn place(loads: &[f64], speeds: &[f64], slots: &[u16]) -> Option<Layer> {
+    let capacity: usize = slots.iter().map(|slots| usize::from(*slots)).sum();
+    let spare = capacity.checked_sub(loads.len())?;
+    let counts = replicate(loads, slots.len(), spare);
+    let mut items: Vec<_> = (0..loads.len())
+        .flat_map(|expert| (0..counts[expert]).map(move |replica| (expert, replica)))
+        .collect();
+    let load = |expert: usize| loads[expert] / f64::from(counts[expert]);
+    // First replicas come before others, so that an expert always finds a slot.
+    items.sort_by(|a, b| {
+        let by_load = load(b.0).total_cmp(&load(a.0));
+        by_load.then(a.cmp(b))
+    });
+    let mut free = slots.to_vec();
+    let mut work = vec![0.0; slots.len()];
+    let mut hosts = vec![Vec::new(); loads.len()];
+    let mut unplaced = loads.len();
+    let mut left = capacity;
+    for (expert, replica) in items {
+        if replica > 0 && left <= unplaced {
+            continue;
+        }
+        let load = load(expert);
+        let finish = |rank: &usize| (work[*rank] + load) / speeds[*rank];
+        let best = (0..slots.len())
+            .filter(|rank| free[*rank] > 0 && !hosts[expert].contains(&(*rank as u16)))
+            .min_by(|a, b| finish(a).total_cmp(&finish(b)));
+        let Some(rank) = best else {
+            continue;
+        };
+        free[rank] -= 1;
+        left -= 1;
+        unplaced -= usize::from(replica == 0);
+        work[rank] += load;
+        hosts[expert].push(rank as u16);
+    }
+    Some(Layer::new(hosts))
+}
+
+fn replicate(loads: &[f64], ranks: usize, spare: usize) -> Vec<u32> {
+    let mut counts = vec![1_u32; loads.len()];
+    for _ in 0..spare {
+        let load = |expert: &usize| loads[*expert] / f64::from(counts[*expert]);
+        let heaviest = (0..loads.len())
+            .filter(|expert| (counts[*expert] as usize) < ranks)
+            .max_by(|a, b| load(a).total_cmp(&load(b)));
+        let Some(expert) = heaviest else {
+            break;
+        };
+        counts[expert] += 1;
+    }
+    counts
+}
--- /dev/null
+++ b/crates/place/src/map/mod.rs
@@ -0,0 +1,326 @@
+//! The map from experts to ranks, per layer.
+//!
+//! All ranks of a group use the same map in a step, so a map changes only as a
+//! whole: [`Map::apply`] makes the next map out of a list of moves.
+
+use std::collections::BTreeSet;
+
+use serde::{Deserialize, Serialize};
+
+/// How the tokens of an expert with several replicas are split.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Share {
+    /// Every replica gets the same share.
+    Even,
+    /// A replica's share is proportional to the speed of its rank.
+    #[default]
+    Speed,
+}
+
+/// The hosts of the experts of one layer, in one array ordered by expert.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Layer {
+    /// End of each expert's hosts in `hosts`.
+    ends: Vec<u32>,
+    hosts: Vec<u16>,
+}
+
+impl Layer {
+    /// Makes a layer from the hosts of each expert.
+    pub fn new(experts: impl IntoIterator<Item = Vec<u16>>) -> Self {
+        let mut layer = Self::default();
+        for hosts in experts {
+            layer.hosts.extend(hosts);
+            layer.ends.push(layer.hosts.len() as u32);
+        }
+        layer
+    }
+
+    /// Returns the number of experts.
+    pub fn experts(&self) -> u16 {
+        self.ends.len() as u16
+    }
+
+    /// Returns the number of replicas of all experts.
+    pub fn replicas(&self) -> usize {
+        self.hosts.len()
+    }
+
+    /// Returns the ranks that hold an expert, or none for an unknown expert.
+    pub fn hosts(&self, expert: u16) -> &[u16] {
+        let expert = usize::from(expert);
+        let Some(end) = self.ends.get(expert) else {
+            return &[];
+        };
+        let start = expert.checked_sub(1).map_or(0, |before| self.ends[before]);
+        &self.hosts[start as usize..*end as usize]
+    }
+
+    /// Adds the time of each rank to `times`: its load over its speed.
+    ///
+    /// `loads` holds the load per expert, `speeds` and `times` one value per
+    /// rank.
+    pub fn times(&self, loads: &[f64], speeds: &[f64], share: Share, times: &mut [f64]) {
+        for (expert, load) in loads.iter().enumerate() {
+            let hosts = self.hosts(expert as u16);
+            match share {
+                Share::Even => {
+                    for host in hosts {
+                        let host = usize::from(*host);
+                        times[host] += load / hosts.len() as f64 / speeds[host];
+                    }
+                }
+                Share::Speed => {
+                    let speed: f64 = hosts.iter().map(|host| speeds[usize::from(*host)]).sum();
+                    for host in hosts {
+                        times[usize::from(*host)] += load / speed;
+                    }
+                }
+            }
+        }
+    }
+
+    fn insert(&mut self, expert: u16, rank: u16) {
+        let expert = usize::from(expert);
+        self.hosts.insert(self.ends[expert] as usize, rank);
+        for end in &mut self.ends[expert..] {
+            *end += 1;
+        }
+    }
+
+    fn remove(&mut self, expert: u16, rank: u16) -> bool {
+        let hosts = self.hosts(expert);
+        let Some(found) = hosts.iter().position(|host| *host == rank) else {
+            return false;
+        };
+        let start = self.ends[usize::from(expert)] as usize - hosts.len();
+        self.hosts.remove(start + found);
+        for end in &mut self.ends[usize::from(expert)..] {
+            *end -= 1;
+        }
+        true
+    }
+}
+
+/// Where the weights of a new replica come from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Source {
+    /// The weight store.
+    Store,
+    /// Another rank that holds the expert and can export it.
+    Peer(u16),
+}
+
+/// One change of a map.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Move {
+    /// The layer.
+    pub layer: u16,
+    /// The expert of that layer.
+    pub expert: u16,
+    /// What changes.
+    pub change: Change,
+}
+
+/// What a [`Move`] changes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Change {
+    /// A rank gets a replica.
+    Add {
+        /// The rank that loads the expert.
+        to: u16,
+        /// Where it loads it from.
+        source: Source,
+    },
+    /// A replica passes from one rank to another.
+    Shift {
+        /// The rank that gives the expert up.
+        from: u16,
+        /// The rank that loads it.
+        to: u16,
+        /// Where it loads it from.
+        source: Source,
+    },
+    /// A rank gives a replica up.
+    Drop {
+        /// The rank.
+        from: u16,
+    },
+}
+
+impl Move {
+    /// Returns the rank that loads weights and their source.
+    pub const fn transfer(&self) -> Option<(u16, Source)> {
+        match self.change {
+            Change::Add { to, source } | Change::Shift { to, source, .. } => Some((to, source)),
+            Change::Drop { .. } => None,
+        }
+    }
+}
+
+/// Why a map or a list of moves is invalid.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// A layer or expert does not exist.
+    Unknown(Move),
+    /// The rank already holds the expert, or does not hold what it gives up.
+    Mismatch(Move),
+    /// The ranks, layers or experts are not those of the current map.
+    Shape,
+    /// An expert has no replica.
+    Missing {
+        /// The layer.
+        layer: u16,
+        /// The expert.
+        expert: u16,
+    },
+    /// An expert has a host outside the group or the same host twice.
+    Host {
+        /// The layer.
+        layer: u16,
+        /// The expert.
+        expert: u16,
+    },
+    /// A rank holds more experts of a layer than it has slots.
+    Slots {
+        /// The layer.
+        layer: u16,
+        /// The rank.
+        rank: u16,
+    },
+}
+
+/// The placement of all experts of a group.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Map {
+    /// Replicas that each rank has memory for, per layer.
+    pub slots: Vec<u16>,
+    /// The layers.
+    pub layers: Vec<Layer>,
+}
+
+impl Map {
+    /// Makes a map where experts follow each other round the ranks, one
+    /// replica each.
+    ///
+    /// The map is invalid if the ranks have too few slots; see [`Map::check`].
+    pub fn round_robin(slots: Vec<u16>, experts: u16, layers: u16) -> Self {
+        let ranks = slots.len().max(1) as u16;
+        let layer = Layer::new((0..experts).map(|expert| vec![expert % ranks]));
+        Self {
+            slots,
+            layers: vec![layer; usize::from(layers)],
+        }
+    }
+
+    /// Returns the number of ranks.
+    pub fn ranks(&self) -> usize {
+        self.slots.len()
+    }
+
+    /// Checks that each expert has a replica and that no rank exceeds its
+    /// slots.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first fault found.
+    pub fn check(&self) -> Result<(), Fault> {
+        let mut used = vec![0; self.ranks()];
+        for (number, layer) in self.layers.iter().enumerate() {
+            let number = number as u16;
+            used.fill(0);
+            for expert in 0..layer.experts() {
+                let hosts = layer.hosts(expert);
+                let distinct: BTreeSet<_> = hosts.iter().collect();
+                let valid = distinct.len() == hosts.len()
+                    && hosts.iter().all(|host| usize::from(*host) < used.len());
+                if hosts.is_empty() {
+                    return Err(Fault::Missing {
+                        layer: number,
+                        expert,
+                    });
+                }
+                if !valid {
+                    return Err(Fault::Host {
+                        layer: number,
+                        expert,
+                    });
+                }
+                for host in hosts {
+                    used[usize::from(*host)] += 1;
+                }
+            }
+            let over = (0..self.ranks()).find(|rank| used[*rank] > self.slots[*rank]);
+            if let Some(rank) = over {
+                return Err(Fault::Slots {
+                    layer: number,
+                    rank: rank as u16,
+                });
+            }
+        }
+        Ok(())
+    }
+
+    /// Returns the map after all moves, in order.
+    ///
+    /// Slots are checked only at the end, since the ranks switch the map as a
+    /// whole.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first move that does not fit, or the fault of the result.
+    pub fn apply(&self, moves: &[Move]) -> Result<Self, Fault> {
+        let mut next = self.clone();
+        for step in moves {
+            next.change(step)?;
+        }
+        next.check()?;
+        Ok(next)
+    }
+
+    fn change(&mut self, step: &Move) -> Result<(), Fault> {
+        let expert = step.expert;
+        let layer = self
+            .layers
+            .get_mut(usize::from(step.layer))
+            .filter(|layer| expert < layer.experts())
+            .ok_or(Fault::Unknown(*step))?;
+        let (from, to) = match step.change {
+            Change::Add { to, .. } => (None, Some(to)),
+            Change::Shift { from, to, .. } => (Some(from), Some(to)),
+            Change::Drop { from } => (Some(from), None),
+        };
+        if to.is_some_and(|to| layer.hosts(expert).contains(&to)) {
+            return Err(Fault::Mismatch(*step));
+        }
+        if from.is_some_and(|from| !layer.remove(expert, from)) {
+            return Err(Fault::Mismatch(*step));
+        }
+        if let Some(to) = to {
+            layer.insert(expert, to);
+        }
+        Ok(())
+    }
+
+    /// Returns whether another map has the same slots, layers and experts.
+    pub fn same_shape(&self, other: &Self) -> bool {
+        let experts = |map: &Self| map.layers.iter().map(Layer::experts).collect::<Vec<_>>();
+        self.slots == other.slots && experts(self) == experts(other)
+    }
+
+    /// Returns the number of replicas that the next map has and this one lacks,
+    /// which is the number of experts to transfer.
+    pub fn transfers(&self, next: &Self) -> usize {
+        let layers = self.layers.iter().zip(&next.layers);
+        layers
+            .map(|(old, new)| {
+                let added = |expert| {
+                    let old = old.hosts(expert);
+                    let new = new.hosts(expert);
+                    new.iter().filter(|host| !old.contains(host)).count()
+                };
+                (0..new.experts()).map(added).sum::<usize>()
+            })
+            .sum()
+    }
+}
--- /dev/null
+++ b/crates/place/src/plan/speed.rs
@@ -0,0 +1,121 @@
+//! Speeds of ranks, and which of them lag.
+
+use std::time::Duration;
+
+use sesamerock_base::time::Moment;
+
+/// Weight of a new measurement in the smoothed speed.
+const GAIN: f64 = 0.3;
+/// A rank below this part of the median speed is a straggler.
+const SLOW: f64 = 0.9;
+/// A straggler above this part of the median speed has recovered.
+const RECOVERED: f64 = 0.95;
+/// Change of a lasting straggler's speed that makes placement follow.
+const CHANGE: f64 = 0.05;
+/// Lower limit of a speed; a stalled rank is the group protocol's matter.
+const MIN_SPEED: f64 = 0.05;
+
+/// How a slow rank is relieved.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stage {
+    /// Replicas elsewhere get a larger share of the tokens.
+    Routing,
+    /// In addition, experts are placed elsewhere.
+    Placement,
+}
+
+/// A slow rank.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Relief {
+    /// The rank.
+    pub rank: u16,
+    /// Its speed over the median speed.
+    pub speed: f64,
+    /// How it is relieved.
+    pub stage: Stage,
+}
+
+/// Measured speeds, and those that placement assumes.
+#[derive(Debug)]
+pub(super) struct Speeds {
+    measured: Vec<f64>,
+    placement: Vec<f64>,
+    slow_since: Vec<Option<Moment>>,
+    hold: Duration,
+}
+
+impl Speeds {
+    pub(super) fn new(ranks: usize, hold: Duration) -> Self {
+        Self {
+            measured: vec![1.0; ranks],
+            placement: vec![1.0; ranks],
+            slow_since: vec![None; ranks],
+            hold,
+        }
+    }
+
+    pub(super) fn observe(&mut self, now: Moment, rank: u16, speed: f64) {
+        let rank = usize::from(rank);
+        let Some(known) = self.measured.get_mut(rank) else {
+            return;
+        };
+        *known += GAIN * (speed.max(MIN_SPEED) - *known);
+        let relative = self.measured[rank] / self.median();
+        let since = &mut self.slow_since[rank];
+        if relative < SLOW {
+            since.get_or_insert(now);
+        } else if relative > RECOVERED {
+            *since = None;
+        }
+    }
+
+    /// Decides on the speeds that placement assumes; returns whether they
+    /// changed.
+    pub(super) fn settle(&mut self, now: Moment) -> bool {
+        let median = self.median();
+        let mut changed = false;
+        for rank in 0..self.placement.len() {
+            let lasting = self.slow_since[rank].is_some_and(|at| now.since(at) >= self.hold);
+            let speed = if lasting {
+                self.measured[rank] / median
+            } else {
+                1.0
+            };
+            let recovered = !lasting && self.placement[rank] < 1.0;
+            if recovered || (speed - self.placement[rank]).abs() > CHANGE {
+                self.placement[rank] = speed;
+                changed = true;
+            }
+        }
+        changed
+    }
+
+    pub(super) fn measured(&self) -> &[f64] {
+        &self.measured
+    }
+
+    pub(super) fn placement(&self) -> &[f64] {
+        &self.placement
+    }
+
+    pub(super) fn relief(&self) -> Vec<Relief> {
+        let median = self.median();
+        let slow = (0..self.measured.len()).filter(|rank| self.slow_since[*rank].is_some());
+        slow.map(|rank| Relief {
+            rank: rank as u16,
+            speed: self.measured[rank] / median,
+            stage: if self.placement[rank] < 1.0 {
+                Stage::Placement
+            } else {
+                Stage::Routing
+            },
+        })
+        .collect()
+    }
+
+    fn median(&self) -> f64 {
+        let mut sorted = self.measured.clone();
+        sorted.sort_by(f64::total_cmp);
+        sorted.get(sorted.len() / 2).copied().unwrap_or(1.0)
+    }
+}
--- /dev/null
+++ b/crates/place/src/search/mod.rs
@@ -0,0 +1,301 @@
+//! Local search for better placements of one layer.
+//!
+//! The objective is the expected maximum of the ranks' times in a step, where
+//! each rank's time varies because a step samples its tokens. It is smooth, so
+//! that work on the second busiest rank counts too, and it does not reward
+//! differences that the sampling of a step hides.
+
+use crate::map::{Layer, Share};
+
+/// Busiest ranks that are tried for an improvement.
+const HOT_RANKS: usize = 3;
+/// Upper limit of the objective's sharpness; larger values overflow.
+const MAX_SHARPNESS: f64 = 300.0;
+
+/// A change of the hosts of one expert.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+struct Edit {
+    expert: u16,
+    remove: Option<u16>,
+    add: Option<u16>,
+}
+
+/// An indivisible improvement: one edit or two that need each other.
+#[derive(Clone, Copy, Debug)]
+pub struct Op {
+    first: Edit,
+    second: Option<Edit>,
+    /// Part of the layer's balanced time that it saves.
+    pub gain: f64,
+    score: f64,
+}
+
+impl Op {
+    /// Returns the ranks that load an expert.
+    pub fn arrivals(&self) -> impl Iterator<Item = u16> {
+        let second = self.second.and_then(|edit| edit.add);
+        self.first.add.into_iter().chain(second)
+    }
+}
+
+/// Scratch state for the search in one layer; it is reused between layers.
+#[derive(Debug, Default)]
+pub struct Bench {
+    share: Share,
+    sharpness: f64,
+    loads: Vec<f64>,
+    speeds: Vec<f64>,
+    slots: Vec<u16>,
+    hosts: Vec<Vec<u16>>,
+    held: Vec<Vec<u16>>,
+    times: Vec<f64>,
+    terms: Vec<f64>,
+    sum: f64,
+    deltas: Vec<(u16, f64)>,
+}
+
+impl Bench {
+    /// Sets the ranks for all layers of a round.
+    pub fn ranks(&mut self, speeds: &[f64], slots: &[u16], share: Share) {
+        self.share = share;
+        self.speeds.clear();
+        self.speeds.extend_from_slice(speeds);
+        self.slots.clear();
+        self.slots.extend_from_slice(slots);
+    }
+
+    /// Loads one layer with the share of each expert.
+    ///
+    /// Times are relative to those of perfect balance. `step_tokens` is the
+    /// number of tokens in a step, from which the variation of a step follows.
+    pub fn load(&mut self, layer: &Layer, shares: &[f64], step_tokens: f64) {
+        let ranks = self.speeds.len();
+        let total: f64 = self.speeds.iter().sum();
+        // The maximum of n normal variables of deviation s is about
+        // s * sqrt(2 ln n), and 1/b * ln(sum exp(b x)) reproduces it for
+        // b = sqrt(2 ln n) / s.
+        let deviation = (ranks as f64 / step_tokens.max(1.0)).sqrt();
+        let extreme = (2.0 * (ranks.max(2) as f64).ln()).sqrt();
+        self.sharpness = (extreme / deviation).min(MAX_SHARPNESS);
+        self.loads.clear();
+        self.loads.extend(shares.iter().map(|share| share * total));
+        self.hosts.resize_with(shares.len(), Vec::new);
+        self.held.resize_with(ranks, Vec::new);
+        self.held.iter_mut().for_each(Vec::clear);
+        for (expert, hosts) in self.hosts.iter_mut().enumerate() {
+            hosts.clear();
+            hosts.extend_from_slice(layer.hosts(expert as u16));
+            for host in hosts.iter() {
+                self.held[usize::from(*host)].push(expert as u16);
+            }
+        }
+        self.times.clear();
+        self.times.resize(ranks, 0.0);
+        layer.times(&self.loads, &self.speeds, self.share, &mut self.times);
+        self.terms.resize(ranks, 0.0);
+        for rank in 0..ranks {
+            self.terms[rank] = self.term(self.times[rank]);
+        }
+        self.sum = self.terms.iter().sum();
+    }
+
+    /// Returns the expected loss of a step against perfect balance, relative to
+    /// the balanced time. No change can gain more.
+    pub fn loss(&self) -> f64 {
+        (self.sum / self.times.len() as f64).ln() / self.sharpness
+    }
+
+    /// Returns the layer in its present state.
+    pub fn layer(&self) -> Layer {
+        Layer::new(self.hosts.iter().cloned())
+    }
+
+    /// Returns the improvement with the largest gain above `price` per transfer,
+    /// or none. `work` is reduced by the candidates evaluated; the search stops
+    /// when it reaches zero.
+    pub fn improvement(&mut self, price: f64, work: &mut u64) -> Option<Op> {
+        let mut order: Vec<_> = (0..self.times.len() as u16).collect();
+        let time = |rank: &u16| self.times[usize::from(*rank)];
+        order.sort_by(|a, b| time(b).total_cmp(&time(a)));
+        order.truncate(HOT_RANKS);
+        order.into_iter().find_map(|hot| {
+            let mut best = None;
+            let held = self.held[usize::from(hot)].clone();
+            for expert in held {
+                self.relieve(hot, expert, price, work, &mut best);
+            }
+            best
+        })
+    }
+
+    /// Performs an improvement.
+    pub fn perform(&mut self, op: &Op) {
+        self.deltas.clear();
+        self.edit(&op.first);
+        if let Some(second) = &op.second {
+            self.edit(second);
+        }
+        let deltas = std::mem::take(&mut self.deltas);
+        for (rank, delta) in &deltas {
+            let rank = usize::from(*rank);
+            self.times[rank] += delta;
+            self.terms[rank] = self.term(self.times[rank]);
+        }
+        self.deltas = deltas;
+        self.sum = self.terms.iter().sum();
+        self.commit(&op.first);
+        if let Some(second) = &op.second {
+            self.commit(second);
+        }
+    }
+
+    /// Tries all ways to take load of one expert off the rank `hot`.
+    fn relieve(
+        &mut self,
+        hot: u16,
+        expert: u16,
+        price: f64,
+        work: &mut u64,
+        best: &mut Option<Op>,
+    ) {
+        let take = Edit {
+            expert,
+            remove: Some(hot),
+            add: None,
+        };
+        if self.hosts[usize::from(expert)].len() > 1 {
+            self.consider(take, None, price, work, best);
+        }
+        for to in 0..self.times.len() as u16 {
+            let cold = self.times[usize::from(to)] < self.times[usize::from(hot)];
+            if !cold || self.hosts[usize::from(expert)].contains(&to) {
+                continue;
+            }
+            let shift = Edit {
+                add: Some(to),
+                ..take
+            };
+            let add = Edit {
+                remove: None,
+                ..shift
+            };
+            if self.held[usize::from(to)].len() < usize::from(self.slots[usize::from(to)]) {
+                self.consider(shift, None, price, work, best);
+                self.consider(add, None, price, work, best);
+                continue;
+            }
+            for place in 0..self.held[usize::from(to)].len() {
+                let other = self.held[usize::from(to)][place];
+                let give = Edit {
+                    expert: other,
+                    remove: Some(to),
+                    add: None,
+                };
+                let hosts = &self.hosts[usize::from(other)];
+                let replicated = hosts.len() > 1;
+                if !hosts.contains(&hot) {
+                    let swap = Edit {
+                        add: Some(hot),
+                        ..give
+                    };
+                    self.consider(shift, Some(swap), price, work, best);
+                }
+                if replicated {
+                    self.consider(add, Some(give), price, work, best);
+                    self.consider(shift, Some(give), price, work, best);
+                }
+            }
+        }
+    }
+
+    fn consider(
+        &mut self,
+        first: Edit,
+        second: Option<Edit>,
+        price: f64,
+        work: &mut u64,
+        best: &mut Option<Op>,
+    ) {
+        let Some(left) = work.checked_sub(1) else {
+            return;
+        };
+        *work = left;
+        self.deltas.clear();
+        self.edit(&first);
+        if let Some(second) = &second {
+            self.edit(second);
+        }
+        let mut sum = self.sum;
+        for (rank, delta) in &self.deltas {
+            let rank = usize::from(*rank);
+            sum += self.term(self.times[rank] + delta) - self.terms[rank];
+        }
+        if sum >= self.sum {
+            return;
+        }
+        let gain = (self.sum / sum).ln() / self.sharpness;
+        let transfers = u32::from(first.add.is_some())
+            + u32::from(second.is_some_and(|edit| edit.add.is_some()));
+        let score = gain - price * f64::from(transfers.max(1));
+        if score > best.as_ref().map_or(0.0, |best| best.score) {
+            *best = Some(Op {
+                first,
+                second,
+                gain,
+                score,
+            });
+        }
+    }
+
+    /// Adds the changes of the ranks' times that an edit makes.
+    fn edit(&mut self, edit: &Edit) {
+        let expert = usize::from(edit.expert);
+        let load = self.loads[expert];
+        let speed = |rank: u16| self.speeds[usize::from(rank)];
+        let hosts = &self.hosts[expert];
+        let before: f64 = hosts.iter().map(|host| speed(*host)).sum();
+        let after = before + edit.add.map_or(0.0, speed) - edit.remove.map_or(0.0, speed);
+        let count = hosts.len() as f64;
+        let next = count + f64::from(u8::from(edit.add.is_some()))
+            - f64::from(u8::from(edit.remove.is_some()));
+        let part = |rank: u16, count: f64, total: f64| match self.share {
+            Share::Even => load / (count * speed(rank)),
+            Share::Speed => load / total,
+        };
+        for host in hosts {
+            let old = part(*host, count, before);
+            let new = if edit.remove == Some(*host) {
+                0.0
+            } else {
+                part(*host, next, after)
+            };
+            note(&mut self.deltas, *host, new - old);
+        }
+        if let Some(rank) = edit.add {
+            note(&mut self.deltas, rank, part(rank, next, after));
+        }
+    }
+
+    fn commit(&mut self, edit: &Edit) {
+        let hosts = &mut self.hosts[usize::from(edit.expert)];
+        if let Some(rank) = edit.remove {
+            hosts.retain(|host| *host != rank);
+            self.held[usize::from(rank)].retain(|held| *held != edit.expert);
+        }
+        if let Some(rank) = edit.add {
+            hosts.push(rank);
+            self.held[usize::from(rank)].push(edit.expert);
+        }
+    }
+
+    fn term(&self, time: f64) -> f64 {
+        (self.sharpness * (time - 1.0)).min(600.0).exp()
+    }
+}
+
+fn note(deltas: &mut Vec<(u16, f64)>, rank: u16, delta: f64) {
+    match deltas.iter_mut().find(|(known, _)| *known == rank) {
+        Some((_, sum)) => *sum += delta,
+        None => deltas.push((rank, delta)),
+    }
+}
