Assume that a map stays better for half an hour

Change: lifetime 30 minutes, in which the drift changes popularity by about a tenth; measured speeds affect routing only for stragglers.

--- a/crates/place/src/cost/mod.rs
+++ b/crates/place/src/cost/mod.rs
@@ -31,7 +31,7 @@
             expert_bytes: 44 << 20,
             stall: Duration::from_millis(4),
             cache_loss: Duration::from_millis(1),
-            lifetime: Duration::from_mins(10),
+            lifetime: Duration::from_mins(30),
         }
     }
 }
--- a/crates/place/src/plan/mod.rs
+++ b/crates/place/src/plan/mod.rs
@@ -172,7 +172,7 @@
     /// Returns the speed per rank by which tokens of replicated experts are to
     /// be split now.
     pub fn routing(&self) -> &[f64] {
-        self.speeds.measured()
+        self.speeds.routing()
     }
 
     /// Says whether a rank's engine can export its experts to peers.
--- a/crates/place/src/plan/speed.rs
+++ b/crates/place/src/plan/speed.rs
@@ -39,6 +39,9 @@
 #[derive(Debug)]
 pub(super) struct Speeds {
     measured: Vec<f64>,
+    /// Measured speeds of stragglers and 1 for others, so that the errors of
+    /// measurement do not shift tokens between equal ranks.
+    routing: Vec<f64>,
     placement: Vec<f64>,
     slow_since: Vec<Option<Moment>>,
     hold: Duration,
@@ -48,6 +51,7 @@
     pub(super) fn new(ranks: usize, hold: Duration) -> Self {
         Self {
             measured: vec![1.0; ranks],
+            routing: vec![1.0; ranks],
             placement: vec![1.0; ranks],
             slow_since: vec![None; ranks],
             hold,
@@ -67,6 +71,7 @@
         } else if relative > RECOVERED {
             *since = None;
         }
+        self.routing[rank] = if since.is_some() { relative } else { 1.0 };
     }
 
     /// Decides on the speeds that placement assumes; returns whether they
@@ -90,8 +95,8 @@
         changed
     }
 
-    pub(super) fn measured(&self) -> &[f64] {
-        &self.measured
+    pub(super) fn routing(&self) -> &[f64] {
+        &self.routing
     }
 
     pub(super) fn placement(&self) -> &[f64] {
