Bound a planning round by predicted rank times; add measure plan

Cause: a round at 64x256x60 took up to 42.9 ms, since each improvement made a new layer and its moves; at 32x256x20 up to 28.1 ms, since a candidate with many replicas counted as much as one with two. Change: the difference is made once per layer, the search ends when no byte is left, and work counts the ranks whose times are predicted.

--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -11,6 +11,7 @@
 mod limits;
 mod orders;
 mod overhead;
+mod plan;
 mod poison;
 mod report;
 mod skew;
@@ -41,6 +42,7 @@
     ("limits", limits::run),
     ("orders", orders::run),
     ("overhead", overhead::run),
+    ("plan", plan::run),
     ("poison", poison::run),
     ("skew", skew::run),
     ("spread", spread::run),
--- a/crates/measure/src/skew/mod.rs
+++ b/crates/measure/src/skew/mod.rs
@@ -4,8 +4,8 @@
 //! alike. Popularity is sampled anew for each report and each step; reports are
 //! late and some are lost. All policies see the same samples.
 
-mod policy;
-mod trace;
+pub mod policy;
+pub mod trace;
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -84,7 +84,7 @@
     Model {
         // The rest of a step of 50 ms, including the layers that are not
         // simulated.
-        fixed: Duration::from_millis(50) - layer * LAYERS as u32,
+        fixed: Duration::from_millis(50).saturating_sub(layer * LAYERS as u32),
         token_time: layer.as_secs_f64() / RANK_TOKENS,
         ..Model::default()
     }
@@ -225,7 +225,7 @@
             ("net_gain", &format!("{gain:.4}")),
         ]);
     }
-    let [_, greedy, _, _, ours] = &figures[..] else {
+    let [_, greedy, _, _, ours] = &*figures else {
         return;
     };
     match kind {
--- a/crates/measure/src/skew/trace.rs
+++ b/crates/measure/src/skew/trace.rs
@@ -58,7 +58,7 @@
             (0..layers).map(&mut layer).collect()
         };
         let base = table(|rng| SPREAD * normal(rng));
-        let phase = table(|rng| rng.random::<f64>());
+        let phase = table(RngExt::random::<f64>);
         Self {
             kind,
             seconds,
@@ -97,7 +97,9 @@
                 };
                 let mut shares: Vec<f64> = base.iter().zip(phase).map(weight).collect();
                 let total: f64 = shares.iter().sum();
-                shares.iter_mut().for_each(|share| *share /= total);
+                for share in &mut shares {
+                    *share /= total;
+                }
                 shares
             })
             .collect()
--- a/crates/place/src/plan/mod.rs
+++ b/crates/place/src/plan/mod.rs
@@ -14,7 +14,7 @@
 use crate::cost::Model;
 use crate::estimate::Estimate;
 use crate::map::{Change, Fault, Layer, Map, Move, Share, Source};
-use crate::search::Bench;
+use crate::search::{Bench, Op};
 
 use speed::Speeds;
 pub use speed::{Relief, Stage};
@@ -42,7 +42,8 @@
     pub margin: f64,
     /// Standard errors of a rank's load that are added to the smallest gain.
     pub certainty: f64,
-    /// Candidates that a round evaluates at most.
+    /// Times of ranks that a round predicts at most. An expert with many
+    /// replicas takes more of it, since a change affects all its ranks.
     pub work: u64,
     /// How long a rank must be slow before experts are moved away from it.
     pub straggler_hold: Duration,
@@ -60,7 +61,7 @@
             min_gain: 0.005,
             margin: 0.5,
             certainty: 2.0,
-            work: 50_000,
+            work: 200_000,
             straggler_hold: Duration::from_secs(30),
         }
     }
@@ -85,7 +86,7 @@
     pub relief: Vec<Relief>,
     /// Layers that were searched.
     pub searched: usize,
-    /// Candidates that were evaluated.
+    /// Times of ranks that were predicted; see [`Settings::work`].
     pub work: u64,
 }
 
@@ -247,7 +248,7 @@
         let mut layers = Vec::new();
         let layer_share = self.layer_share();
         for candidate in self.candidates(now) {
-            if allowance.work == 0 {
+            if allowance.work == 0 || !self.can_load(&allowance) {
                 break;
             }
             plan.searched += 1;
@@ -269,6 +270,13 @@
         plan
     }
 
+    /// Returns whether the bytes left allow the transfer of an expert.
+    fn can_load(&self, allowance: &Allowance) -> bool {
+        let bytes = self.settings.model.expert_bytes;
+        let peer = self.exports.contains(&true) && allowance.peer >= bytes;
+        peer || allowance.store >= bytes
+    }
+
     /// Returns the layers worth a search, worst first.
     fn candidates(&mut self, now: Moment) -> Vec<Candidate> {
         let mut found = Vec::new();
@@ -312,53 +320,82 @@
         let current = &self.map.layers[layer];
         self.bench.load(current, &shares, estimate.step_tokens());
         let price = self.price(candidate.error, layer_share);
+        let threshold = self.threshold(candidate.error);
+        let whole = allowance.work == self.settings.work;
         let mut ops = Vec::new();
+        let mut gain = 0.0;
+        let mut loads = 0;
         while let Some(op) = self.bench.improvement(price, &mut allowance.work) {
             self.bench.perform(&op);
+            gain += op.gain;
+            loads += op.loads().count() as u64;
             ops.push(op);
+            // The rest of a worthwhile chain is found again in a later round.
+            let bytes = loads * self.settings.model.expert_bytes;
+            if gain >= threshold && bytes > allowance.store + allowance.peer {
+                break;
+            }
         }
-        let gain: f64 = ops.iter().map(|op| op.gain).sum();
-        if gain < self.threshold(candidate.error) {
-            if allowance.work > 0 {
+        if gain < threshold {
+            // A layer that a whole round's work does not improve would otherwise
+            // keep the others from being searched.
+            if allowance.work > 0 || whole {
                 self.settled[layer] = Some(candidate.loss);
             } else {
                 self.changed[layer] = true;
             }
             return None;
         }
-        self.bench.load(current, &shares, estimate.step_tokens());
         self.changed[layer] = true;
-        let mut next = None;
-        let mut moves = Vec::new();
-        let mut spent = (0, 0);
-        let mut gain = 0.0;
-        for op in &ops {
-            let fits = op
-                .arrivals()
-                .all(|rank| allowance.arrivals[usize::from(rank)] < self.settings.staging);
-            if !fits {
-                break;
-            }
+        self.bench.load(current, &shares, estimate.step_tokens());
+        let affordable = self.affordable(layer, &ops, allowance);
+        let ops = &ops[..affordable];
+        for op in ops {
             self.bench.perform(op);
-            let changed = self.bench.layer();
-            let diff = self.diff(layer, current, &changed);
-            let bytes = self.bytes(&diff);
-            if bytes.0 > allowance.store || bytes.1 > allowance.peer {
-                break;
-            }
-            for rank in op.arrivals() {
-                allowance.arrivals[usize::from(rank)] += 1;
-            }
-            (next, moves, spent) = (Some(changed), diff, bytes);
-            gain += op.gain;
         }
-        allowance.store -= spent.0;
-        allowance.peer -= spent.1;
-        plan.store_bytes += spent.0;
-        plan.peer_bytes += spent.1;
-        plan.gain += gain * layer_share;
+        let next = self.bench.layer();
+        let moves = self.diff(layer, &self.map.layers[layer], &next);
+        let (store, peer) = self.bytes(&moves);
+        plan.store_bytes += store;
+        plan.peer_bytes += peer;
+        plan.gain += ops.iter().map(|op| op.gain).sum::<f64>() * layer_share;
+        let worth = !moves.is_empty();
         plan.moves.extend(moves);
-        next
+        worth.then_some(next)
+    }
+
+    /// Returns how many of the improvements, from the first, the allowance
+    /// permits, and takes them out of it.
+    ///
+    /// An expert that several of them move counts each time, so the moves of
+    /// the final difference never take more.
+    fn affordable(&self, layer: usize, ops: &[Op], allowance: &mut Allowance) -> usize {
+        let bytes = self.settings.model.expert_bytes;
+        let layer = &self.map.layers[layer];
+        let source = |expert| self.source(layer.hosts(expert), expert);
+        ops.iter()
+            .take_while(|op| {
+                let stores = op
+                    .loads()
+                    .filter(|(expert, _)| source(*expert) == Source::Store);
+                let stores = stores.count() as u64 * bytes;
+                let peers = op.loads().count() as u64 * bytes - stores;
+                let staged = |rank: u16| allowance.arrivals[usize::from(rank)];
+                let fits = op
+                    .loads()
+                    .all(|(_, rank)| staged(rank) < self.settings.staging)
+                    && stores <= allowance.store
+                    && peers <= allowance.peer;
+                if fits {
+                    allowance.store -= stores;
+                    allowance.peer -= peers;
+                    for (_, rank) in op.loads() {
+                        allowance.arrivals[usize::from(rank)] += 1;
+                    }
+                }
+                fits
+            })
+            .count()
     }
 
     /// Returns the gain, as a part of the layer's time, that starts a
--- a/crates/place/src/search/mod.rs
+++ b/crates/place/src/search/mod.rs
@@ -31,10 +31,10 @@
 }
 
 impl Op {
-    /// Returns the ranks that load an expert.
-    pub fn arrivals(&self) -> impl Iterator<Item = u16> {
-        let second = self.second.and_then(|edit| edit.add);
-        self.first.add.into_iter().chain(second)
+    /// Returns the experts that are loaded, each with the rank that loads it.
+    pub fn loads(&self) -> impl Iterator<Item = (u16, u16)> {
+        let edits = [Some(self.first), self.second].into_iter().flatten();
+        edits.filter_map(|edit| edit.add.map(|rank| (edit.expert, rank)))
     }
 }
 
@@ -111,7 +111,7 @@
     }
 
     /// Returns the improvement with the largest gain above `price` per transfer,
-    /// or none. `work` is reduced by the candidates evaluated; the search stops
+    /// or none. `work` is reduced by the ranks whose times are predicted; the search stops
     /// when it reaches zero.
     pub fn improvement(&mut self, price: f64, work: &mut u64) -> Option<Op> {
         let mut order: Vec<_> = (0..self.times.len() as u16).collect();
@@ -203,7 +203,7 @@
         best: &mut Option<Op>,
     ) {
         let free_to = self.free(to);
-        let free_hot = self.free(hot) + i32::from(first.remove.is_some());
+        let free_hot = self.free(hot) + usize::from(first.remove.is_some());
         for place in 0..self.held[usize::from(to)].len() {
             let expert = self.held[usize::from(to)][place];
             let hosts = &self.hosts[usize::from(expert)];
@@ -234,9 +234,9 @@
         }
     }
 
-    fn free(&self, rank: u16) -> i32 {
+    fn free(&self, rank: u16) -> usize {
         let rank = usize::from(rank);
-        i32::from(self.slots[rank]) - self.held[rank].len() as i32
+        usize::from(self.slots[rank]).saturating_sub(self.held[rank].len())
     }
 
     fn consider(
@@ -247,15 +247,15 @@
         work: &mut u64,
         best: &mut Option<Op>,
     ) {
-        let Some(left) = work.checked_sub(1) else {
+        if *work == 0 {
             return;
-        };
-        *work = left;
+        }
         self.deltas.clear();
         self.edit(&first);
         if let Some(second) = &second {
             self.edit(second);
         }
+        *work = work.saturating_sub(self.deltas.len() as u64);
         let mut sum = self.sum;
         for (rank, delta) in &self.deltas {
             let rank = usize::from(*rank);
--- a/crates/place/tests/plan.rs
+++ b/crates/place/tests/plan.rs
@@ -8,7 +8,7 @@
 use sesamerock_base::time::Moment;
 use sesamerock_place::cost::Model;
 use sesamerock_place::greedy;
-use sesamerock_place::map::{Change, Map, Move, Share, Source};
+use sesamerock_place::map::{Change, Fault, Map, Move, Share, Source};
 use sesamerock_place::plan::{Plan, Planner, Settings, Stage};
 
 const STEPS: u32 = 20;
@@ -359,12 +359,24 @@
 fn a_map_of_another_shape_is_refused() {
     let mut planner =
         Planner::new(Map::round_robin(vec![2; 4], 8, 2), settings(), second(0)).unwrap();
-    assert!(planner.adopt(Map::round_robin(vec![2; 4], 8, 1)).is_err());
-    assert!(planner.adopt(Map::round_robin(vec![1; 4], 8, 2)).is_err());
+    assert_eq!(
+        planner.adopt(Map::round_robin(vec![2; 4], 8, 1)),
+        Err(Fault::Shape)
+    );
+    assert_eq!(
+        planner.adopt(Map::round_robin(vec![3; 4], 8, 2)),
+        Err(Fault::Shape)
+    );
     let step = Move {
         layer: 0,
         expert: 0,
         change: Change::Drop { from: 0 },
     };
-    assert!(planner.map().apply(&[step]).is_err());
+    assert_eq!(
+        planner.map().apply(&[step]),
+        Err(Fault::Missing {
+            layer: 0,
+            expert: 0
+        })
+    );
 }
