--- a/crates/place/src/budget/mod.rs
+++ b/crates/place/src/budget/mod.rs
@@ -13,8 +13,8 @@
 
 /// A token bucket that halves its rate when the store answers 429.
 ///
-/// Every group halves and regains by itself, so that the groups converge to
-/// fair shares of the store's limit without a coordinator.
+/// Every group halves and regains by itself, so that the store's limit needs
+/// no coordinator.
 #[derive(Clone, Debug)]
 pub struct Budget {
     rate: f64,
