--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -13,9 +13,11 @@
 mod node;
 mod orders;
 mod overhead;
+mod plan;
 mod poison;
 mod recover;
 mod report;
+mod skew;
 mod spread;
 mod state;
 mod stream;
@@ -46,8 +48,10 @@
     ("node", node::run),
     ("orders", orders::run),
     ("overhead", overhead::run),
+    ("plan", plan::run),
     ("poison", poison::run),
     ("recover", recover::run),
+    ("skew", skew::run),
     ("spread", spread::run),
     ("state", state::run),
     ("stream", stream::run),
