settings: accept port 0 where the reference gives it as the default

Cause: the reference names 127.0.0.1:0 as the default of the addresses to listen on, and the check refused it when it was written out. Change: addresses to listen on have a form of their own that allows port 0; addresses of others still need a port. Test: every_key_of_the_reference_is_accepted_and_none_misspelt writes these defaults out; it failed with four refusals in an entry's file, of which platform remains refused on purpose, and passes now.

--- a/crates/sesamerock/src/settings/check/tables/mod.rs
+++ b/crates/sesamerock/src/settings/check/tables/mod.rs
@@ -1,5 +1,7 @@
 //! The keys of the settings files.
 
+use std::net::SocketAddr;
+
 use sesamerock_note::schema::{Field, Kind, Need, Schema, Unique};
 
 /// Longest name, in bytes.
@@ -10,6 +12,13 @@
     max: 3_600_000,
 };
 
+/// Addresses to listen on. Port 0, which stands for one that the system chooses,
+/// is the default and so must be accepted where it is written out.
+const LISTEN: Kind = Kind::Form {
+    expected: "a local address such as 10.0.0.1:7000, or with port 0 for a free port",
+    accepts: |text| text.parse::<SocketAddr>().is_ok(),
+};
+
 const fn field(name: &'static str, kind: Kind, need: Need, about: &'static str) -> Field {
     Field {
         name,
@@ -39,7 +48,7 @@
         field("region", NAME, Need::Default("local"), "Region."),
         field(
             "peer",
-            Kind::Address,
+            LISTEN,
             Need::Default("127.0.0.1:0"),
             "Address of the peer service, by which nodes exchange control records.",
         ),
@@ -121,13 +130,13 @@
         ),
         field(
             "caller",
-            Kind::Address,
+            LISTEN,
             Need::Default("127.0.0.1:0"),
             "Address for callers.",
         ),
         field(
             "operator",
-            Kind::Address,
+            LISTEN,
             Need::Default("127.0.0.1:0"),
             "Address for operators, health and metrics; callers must not reach it.",
         ),
@@ -205,13 +214,13 @@
         ),
         field(
             "relay",
-            Kind::Address,
+            LISTEN,
             Need::Default("127.0.0.1:0"),
             "Address of the relay service, as release notes name it.",
         ),
         field(
             "operator",
-            Kind::Address,
+            LISTEN,
             Need::Default("127.0.0.1:0"),
             "Address for health and metrics.",
         ),
