--- a/crates/sesamerock/tests/callers.rs
+++ b/crates/sesamerock/tests/callers.rs
@@ -374,27 +374,26 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_disconnected_caller_frees_its_place() {
     let world = World::start(engine::Settings::default()).await;
-    let text = request(CHAT, "", &completion(1_000_000, true));
-    let mut stream = open(world.entry(), text.as_bytes()).await;
-    let mut first = [0; 512];
-    timeout(BOUND, stream.read_exact(&mut first))
-        .await
-        .expect("in time")
-        .expect("a stream");
     let entry = world.cluster.operators[0];
-    until("the call is counted", async || world.at_agents().await == 1).await;
-    assert_eq!(world.at_engines().await, 1);
-    assert_eq!(gauge(entry, "sesamerock_in_flight").await, 1);
-    drop(stream);
-    until("the engine is empty", async || {
-        world.at_engines().await == 0
-    })
-    .await;
-    until("the agent is empty", async || world.at_agents().await == 0).await;
-    until("the entry is empty", async || {
-        gauge(entry, "sesamerock_in_flight").await == 0
-    })
-    .await;
+    for streamed in [true, false] {
+        let text = request(CHAT, "", &completion(1_000_000, streamed));
+        let mut stream = open(world.entry(), text.as_bytes()).await;
+        if streamed {
+            let read = timeout(BOUND, stream.read_exact(&mut [0; 512])).await;
+            read.expect("in time").expect("a stream");
+        }
+        until("the call is counted", async || world.at_agents().await == 1).await;
+        assert_eq!(world.at_engines().await, 1);
+        assert_eq!(gauge(entry, "sesamerock_in_flight").await, 1);
+        drop(stream);
+        until("the engine is empty", async || {
+            world.at_engines().await == 0
+        })
+        .await;
+        until("the agent is empty", async || world.at_agents().await == 0).await;
+        let entry_empty = async || gauge(entry, "sesamerock_in_flight").await == 0;
+        until("the entry is empty", entry_empty).await;
+    }
 }
 
 /// Guards against a slow reader whose stream is buffered without bound, or that
