--- a/crates/sesamerock/src/settings/check/tables/mod.rs
+++ b/crates/sesamerock/src/settings/check/tables/mod.rs
@@ -1,7 +1,5 @@
 //! The keys of the settings files.
 
-use std::net::SocketAddr;
-
 use sesamerock_note::schema::{Field, Kind, Need, Schema, Unique};
 
 /// Longest name, in bytes.
@@ -12,13 +10,6 @@
     max: 3_600_000,
 };
 
-/// Addresses to listen on. Port 0, which stands for one that the system chooses,
-/// is the default and so must be accepted where it is written out.
-const LISTEN: Kind = Kind::Form {
-    expected: "a local address such as 10.0.0.1:7000, or with port 0 for a free port",
-    accepts: |text| text.parse::<SocketAddr>().is_ok(),
-};
-
 const fn field(name: &'static str, kind: Kind, need: Need, about: &'static str) -> Field {
     Field {
         name,
@@ -48,7 +39,7 @@
         field("region", NAME, Need::Default("local"), "Region."),
         field(
             "peer",
-            LISTEN,
+            Kind::Address,
             Need::Default("127.0.0.1:0"),
             "Address of the peer service, by which nodes exchange control records.",
         ),
@@ -130,13 +121,13 @@
         ),
         field(
             "caller",
-            LISTEN,
+            Kind::Address,
             Need::Default("127.0.0.1:0"),
             "Address for callers.",
         ),
         field(
             "operator",
-            LISTEN,
+            Kind::Address,
             Need::Default("127.0.0.1:0"),
             "Address for operators, health and metrics; callers must not reach it.",
         ),
@@ -214,13 +205,13 @@
         ),
         field(
             "relay",
-            LISTEN,
+            Kind::Address,
             Need::Default("127.0.0.1:0"),
             "Address of the relay service, as release notes name it.",
         ),
         field(
             "operator",
-            LISTEN,
+            Kind::Address,
             Need::Default("127.0.0.1:0"),
             "Address for health and metrics.",
         ),
--- a/crates/sesamerock/tests/cli.rs
+++ b/crates/sesamerock/tests/cli.rs
@@ -69,7 +69,7 @@
         }
         let value = match (cells[2], cells[3]) {
             (kind, "allowed") if kind.starts_with("a list") => "[127.0.0.1:7000]",
-            // Addresses of others: the default stands for one that is not set.
+            // The default, port 0, stands for one that is not set.
             (kind, _) if kind.starts_with("an address") => "127.0.0.1:7000",
             (kind, "allowed") if kind.starts_with("a whole number") => "1000",
             (_, default) => default,
