--- a/crates/exchange/src/node/mod.rs
+++ b/crates/exchange/src/node/mod.rs
@@ -204,9 +204,18 @@
     /// is about to fall out of the window.
     pub fn snapshot_due(&self) -> bool {
         let base = self.window.base();
-        let margin = self.settings.window_records as u64 / 4;
-        let limit = Version(base.0 + margin).min(self.version());
-        base > Version(0) && self.shelf.version().is_none_or(|at| at < limit)
+        if base == Version(0) {
+            return false;
+        }
+        let Some(at) = self.shelf.version() else {
+            return true;
+        };
+        // A window that is not full drops nothing yet. Without this, a node
+        // that had just restored a snapshot made a new one for every record.
+        let held = self.version().0 - base.0;
+        let records = self.settings.window_records as u64;
+        let full = held >= records - records / 4;
+        at < base || full && at < Version(base.0 + records / 4)
     }
 
     /// States a fact of this node under a key for a time and returns whether
