--- a/crates/sesamerock/src/entry/dispatch/attempt/mod.rs
+++ b/crates/sesamerock/src/entry/dispatch/attempt/mod.rs
@@ -1,6 +1,7 @@
 //! One attempt: choice of the upstream, and the way to its answer's head.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
@@ -37,6 +38,7 @@
 pub(super) struct Flight {
     pub(super) target: Target,
     context: Arc<Context>,
+    observed: AtomicBool,
 }
 
 /// What may bring an answer after a failed attempt.
@@ -94,9 +96,25 @@
 }
 
 impl Flight {
+    fn new(target: Target, context: Arc<Context>) -> Self {
+        Self {
+            target,
+            context,
+            observed: AtomicBool::new(false),
+        }
+    }
+
+    /// Tells the table how the call began. The first statement counts: the
+    /// table takes the prompt of a call for waiting until there is one.
+    fn observe(&self, table: &mut Table, outcome: Outcome) {
+        if !self.observed.swap(true, Ordering::Relaxed) {
+            table.observed(&self.target, outcome);
+        }
+    }
+
     /// Makes the failure of an attempt whose answer broke off.
     pub(super) fn broken(&self, detail: String) -> Failure {
-        self.context.table().observed(&self.target, Outcome::Failed);
+        self.observe(&mut self.context.table(), Outcome::Failed);
         Failure {
             kind: "upstream-failed",
             detail,
@@ -146,7 +164,9 @@
 
 impl Drop for Flight {
     fn drop(&mut self) {
-        self.context.table().finished(&self.target);
+        let mut table = self.context.table();
+        self.observe(&mut table, Outcome::Neutral);
+        table.finished(&self.target);
     }
 }
 
@@ -209,10 +229,7 @@
             head.delivered_tokens = point.tokens;
             head.delivered_text = point.text;
         }
-        let flight = Flight {
-            target,
-            context: Arc::clone(&self.context),
-        };
+        let flight = Flight::new(target, Arc::clone(&self.context));
         let left = self.ask.remaining();
         match tokio::time::timeout(left, self.open(attempt, head, flight)).await {
             Ok(opened) => opened,
@@ -328,7 +345,7 @@
             .await
             .map_err(|failure| {
                 let mut table = self.context.table();
-                table.observed(&flight.target, Outcome::Failed);
+                flight.observe(&mut table, Outcome::Failed);
                 table.unanswered(&flight.target);
                 drop(table);
                 relay_failure(failure, &flight.target.choice)
@@ -374,7 +391,7 @@
         if let Some(report) = &reply.report {
             table.report(&flight.target, report);
         }
-        table.observed(&flight.target, Outcome::First(waited));
+        flight.observe(&mut table, Outcome::First(waited));
         self.context
             .metrics
             .first_byte
@@ -386,7 +403,7 @@
         if let Some(report) = &refused.report {
             table.report(&flight.target, report);
         }
-        table.observed(&flight.target, Outcome::Neutral);
+        flight.observe(&mut table, Outcome::Neutral);
         drop(table);
         self.context.metrics.refusals.add(1, &[]);
         let Some(refusal) = &refused.refusal else {
@@ -515,7 +532,10 @@
         };
         let target = target.map_err(|refusal| no_key(&refusal))?;
         let minted = context.relays.mint(target.agent, service).await;
-        context.table().finished(&target);
+        let mut table = context.table();
+        table.observed(&target, Outcome::Neutral);
+        table.finished(&target);
+        drop(table);
         match minted {
             Ok(key) => return Ok(key),
             Err(detail) => log::info!(
--- a/crates/sesamerock/src/entry/dispatch/mod.rs
+++ b/crates/sesamerock/src/entry/dispatch/mod.rs
@@ -248,9 +248,13 @@
             self.excluded.extend(failure.upstream);
         }
         log::info!(
-            "event=attempt_failed request={} attempt={} executed={:?} kind={} decision={decision:?} detail={:?}",
+            "event=attempt_failed request={} attempt={} upstream={} executed={:?} kind={} decision={decision:?} detail={:?}",
             self.ask.id,
             self.made,
+            failure.upstream.map_or_else(
+                || "-".to_owned(),
+                |upstream| { self.context.table().name(upstream).to_owned() }
+            ),
             failure.executed,
             failure.kind,
             failure.detail
