--- a/crates/measure/src/node/mod.rs
+++ b/crates/measure/src/node/mod.rs
@@ -15,7 +15,7 @@
 use sesamerock::settings;
 use sesamerock_base::version::Version;
 use sesamerock_note::record::{Record, Service};
-use sesamerock_platform::http::client::Client;
+use sesamerock_platform::http::client::{Client, Site};
 use sesamerock_platform::log::{Log as _, Remote};
 use sesamerock_standin::platform::{self, Platform};
 use tokio_util::sync::CancellationToken;
@@ -95,7 +95,10 @@
 
 /// Takes a VM out and in at the rate of [`CHANGES_PER_S`] for the window.
 async fn change(platform: &Platform) {
-    let log = Remote::new(Client::default(), format!("http://{}", platform.address()));
+    let log = Remote(Site::new(
+        Client::default(),
+        format!("http://{}", platform.address()),
+    ));
     let count = (WINDOW.as_secs_f64() * CHANGES_PER_S) as usize;
     for number in 0..count {
         let to = if number % 2 == 0 {
--- a/crates/measure/src/overhead/mod.rs
+++ b/crates/measure/src/overhead/mod.rs
@@ -7,6 +7,8 @@
 use std::time::{Duration, Instant};
 
 use sesamerock::dev::{Cluster, SERVICE, Settings};
+use sesamerock::entry::operator::Status;
+use sesamerock_platform::http::client::Client;
 use sesamerock_standin::engine;
 use tokio_util::sync::CancellationToken;
 
@@ -140,6 +142,7 @@
             &format!("{:.2}", (usage::seconds("self") - before) / tokens * 1e6),
         ),
     ]);
+    report.line(&[("kind", &"limits"), ("calls", &limits(cluster).await)]);
     // A stream that lost events would be shorter than its tokens.
     let whole = bytes >= latencies.len() * TOKENS as usize * EVENT_BYTES;
     report.at_most(
@@ -149,3 +152,20 @@
     );
     report.at_least("tokens_per_s", 200_000.0, tokens / seconds);
 }
+
+/// Returns the learnt limits of the engines, which bound the streams at once.
+async fn limits(cluster: &Cluster) -> String {
+    let uri = format!("http://{}/operator/status", cluster.operators[0]);
+    let status: Status = Client::default()
+        .get(&uri, Duration::ZERO)
+        .await
+        .expect("the entry answers");
+    let engines = status
+        .upstreams
+        .iter()
+        .filter(|(name, _)| name.starts_with("engine"));
+    let limits: Vec<_> = engines
+        .map(|(_, upstream)| upstream.limit.to_string())
+        .collect();
+    limits.join(",")
+}
--- a/crates/measure/src/recover/mod.rs
+++ b/crates/measure/src/recover/mod.rs
@@ -9,7 +9,7 @@
 use sesamerock::{peer, settings};
 use sesamerock_note::note::{Entries, Kind, Model, Note, Role, Served, Upstream};
 use sesamerock_note::record::Record;
-use sesamerock_platform::http::client::Client;
+use sesamerock_platform::http::client::{Client, Site};
 use sesamerock_platform::log::{Log as _, Remote};
 use sesamerock_standin::platform::{self, Platform};
 use tokio::net::TcpListener;
@@ -71,7 +71,10 @@
 
 /// Appends notes that add so many upstreams, 100 a note.
 pub async fn fill(platform: &Platform, size: usize) {
-    let log = Remote::new(Client::default(), format!("http://{}", platform.address()));
+    let log = Remote(Site::new(
+        Client::default(),
+        format!("http://{}", platform.address()),
+    ));
     for first in (0..size).step_by(PER_NOTE) {
         let mut add = Entries::default();
         if first == 0 {
--- a/crates/platform/src/http/client/mod.rs
+++ b/crates/platform/src/http/client/mod.rs
@@ -165,6 +165,45 @@
     }
 }
 
+/// A service of the platform: a client and the address it is reached at.
+#[derive(Clone, Debug)]
+pub struct Site {
+    client: Client,
+    base: String,
+}
+
+impl Site {
+    /// Makes the site at `base`, such as `http://127.0.0.1:80`.
+    pub fn new(client: Client, base: impl Into<String>) -> Self {
+        Self {
+            client,
+            base: base.into(),
+        }
+    }
+
+    /// Gets a JSON document; the service may hold its answer back for `wait`.
+    ///
+    /// # Errors
+    /// As [`Client::get`].
+    pub async fn get<T: DeserializeOwned>(&self, path: &str, wait: Duration) -> Result<T, Error> {
+        self.client.get(&format!("{}{path}", self.base), wait).await
+    }
+
+    /// Posts a JSON document and reads a JSON answer.
+    ///
+    /// # Errors
+    /// As [`Client::post`].
+    pub async fn post<T: DeserializeOwned>(
+        &self,
+        path: &str,
+        content: &impl Serialize,
+    ) -> Result<T, Error> {
+        self.client
+            .post(&format!("{}{path}", self.base), content)
+            .await
+    }
+}
+
 /// An open connection that carries one request.
 #[derive(Debug)]
 pub struct Link {
--- a/crates/platform/src/log/mod.rs
+++ b/crates/platform/src/log/mod.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::error::Error;
-use crate::http::client::Client;
+use crate::http::client::Site;
 
 /// One record and its place in the stream.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -88,20 +88,7 @@
 
 /// The log service over HTTP and JSON.
 #[derive(Clone, Debug)]
-pub struct Remote {
-    client: Client,
-    base: String,
-}
-
-impl Remote {
-    /// Makes an adapter for the service at `base`, such as `http://127.0.0.1:80`.
-    pub fn new(client: Client, base: impl Into<String>) -> Self {
-        Self {
-            client,
-            base: base.into(),
-        }
-    }
-}
+pub struct Remote(pub Site);
 
 impl Log for Remote {
     async fn append(&self, stream: &str, records: Vec<Bytes>) -> Result<u64, Error> {
@@ -109,8 +96,8 @@
             .iter()
             .map(|record| STANDARD.encode(record))
             .collect();
-        let uri = format!("{}/log/{stream}", self.base);
-        let answer: Appended = self.client.post(&uri, &Append { records }).await?;
+        let path = format!("/log/{stream}");
+        let answer: Appended = self.0.post(&path, &Append { records }).await?;
         Ok(answer.first_offset)
     }
 
@@ -122,11 +109,8 @@
         wait: Duration,
     ) -> Result<Page, Error> {
         let wait_ms = wait.as_millis();
-        let uri = format!(
-            "{}/log/{stream}?from={from}&max={max}&wait_ms={wait_ms}",
-            self.base
-        );
-        let answer: Items = self.client.get(&uri, wait).await?;
+        let path = format!("/log/{stream}?from={from}&max={max}&wait_ms={wait_ms}");
+        let answer: Items = self.0.get(&path, wait).await?;
         let entries: Result<Vec<_>, _> = answer.records.into_iter().map(entry).collect();
         Ok(Page {
             first: answer.first,
--- a/crates/platform/src/vms/mod.rs
+++ b/crates/platform/src/vms/mod.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::error::Error;
-use crate::http::client::Client;
+use crate::http::client::Site;
 
 /// A VM of the list.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -32,25 +32,10 @@
 
 /// The list over HTTP and JSON.
 #[derive(Clone, Debug)]
-pub struct Remote {
-    client: Client,
-    base: String,
-}
-
-impl Remote {
-    /// Makes an adapter for the service at `base`.
-    pub fn new(client: Client, base: impl Into<String>) -> Self {
-        Self {
-            client,
-            base: base.into(),
-        }
-    }
-}
+pub struct Remote(pub Site);
 
 impl List for Remote {
     async fn vms(&self) -> Result<Vec<Vm>, Error> {
-        self.client
-            .get(&format!("{}/vms", self.base), Duration::ZERO)
-            .await
+        self.0.get("/vms", Duration::ZERO).await
     }
 }
--- a/crates/platform/src/weights/mod.rs
+++ b/crates/platform/src/weights/mod.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::error::Error;
-use crate::http::client::Client;
+use crate::http::client::Site;
 
 /// Request for a share of the store's rate.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -28,26 +28,12 @@
 
 /// The store over HTTP and JSON.
 #[derive(Clone, Debug)]
-pub struct Remote {
-    client: Client,
-    base: String,
-}
-
-impl Remote {
-    /// Makes an adapter for the service at `base`.
-    pub fn new(client: Client, base: impl Into<String>) -> Self {
-        Self {
-            client,
-            base: base.into(),
-        }
-    }
-}
+pub struct Remote(pub Site);
 
 impl Store for Remote {
     async fn reserve(&self, transfer: &Transfer) -> Result<(), Error> {
-        let uri = format!("{}/weights/transfers", self.base);
-        self.client
-            .post::<serde_json::Value>(&uri, transfer)
+        self.0
+            .post::<serde_json::Value>("/weights/transfers", transfer)
             .await
             .map(drop)
     }
--- a/crates/sesamerock/src/agent/keyed/mod.rs
+++ b/crates/sesamerock/src/agent/keyed/mod.rs
@@ -16,7 +16,7 @@
 use sesamerock_ledger::mint::{self, Mint, Take};
 use sesamerock_ledger::record::Outcome;
 use sesamerock_platform::engine::Engine;
-use sesamerock_platform::http::client::Client;
+use sesamerock_platform::http::client::{Client, Site};
 use sesamerock_platform::{error::Error, log};
 use sesamerock_wire::relay::refusal::Reason;
 use sesamerock_wire::relay::{Head, MintReply};
@@ -72,7 +72,7 @@
         let base = format!("http://{}", settings.node.platform);
         Self {
             mint: Arc::new(Mutex::new(mint)),
-            ledger: Ledger::new(log::Remote::new(Client::default(), base), author),
+            ledger: Ledger::new(log::Remote(Site::new(Client::default(), base)), author),
             kind: settings.upstream.kind,
         }
     }
--- a/crates/sesamerock/src/control/publish/mod.rs
+++ b/crates/sesamerock/src/control/publish/mod.rs
@@ -10,7 +10,7 @@
 use sesamerock_note::fold::outcome::Verdict as Folded;
 use sesamerock_note::note::Note;
 use sesamerock_note::record::{Record, Service};
-use sesamerock_platform::http::client::Client;
+use sesamerock_platform::http::client::{Client, Site};
 use sesamerock_platform::log::Log as _;
 use sesamerock_platform::vms::{self, List as _};
 use tokio::time::Instant;
@@ -146,7 +146,10 @@
     /// no new work until it has caught up.
     async fn wait_everywhere(&self, version: Version) -> Vec<String> {
         let deadline = Instant::now() + EVERYWHERE;
-        let list = vms::Remote::new(Client::default(), format!("http://{}", self.node.platform));
+        let list = vms::Remote(Site::new(
+            Client::default(),
+            format!("http://{}", self.node.platform),
+        ));
         let Ok(list) = list.vms().await else {
             return vec!["the VM list did not answer".to_owned()];
         };
--- a/crates/sesamerock/src/entry/dispatch/attempt/mod.rs
+++ b/crates/sesamerock/src/entry/dispatch/attempt/mod.rs
@@ -5,18 +5,18 @@
 use std::time::{Duration, Instant};
 
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
-use sesamerock_base::key::Upstream;
 use sesamerock_retry::attempt::Executed;
 use sesamerock_retry::resume::Point;
-use sesamerock_route::choice::{Cause, Choice, Loser, Refusal};
+use sesamerock_route::choice::{Cause, Loser, Refusal};
 use sesamerock_route::pick::Outcome;
 use sesamerock_wire::relay::refusal::Reason;
 use sesamerock_wire::relay::{Refused, Reply, Tail, down, tail};
 
-use super::{Run, next_attempt, told, unavailable};
+use super::failure::{Failure, Remedy, relay_failure};
+use super::{Run, next_attempt, unavailable};
 use crate::entry::Context;
 use crate::entry::ask::Target as Asked;
-use crate::entry::relay::{self, Call};
+use crate::entry::relay::Call;
 use crate::entry::table::{Table, Target, Wish};
 use crate::problem::Problem;
 
@@ -41,37 +41,6 @@
     observed: AtomicBool,
 }
 
-/// What may bring an answer after a failed attempt.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Remedy {
-    /// Another attempt, as far as the rules of retries allow.
-    Retry,
-    /// Nothing: no other attempt can do better.
-    None,
-    /// Room at an upstream; the call may wait and ask again.
-    Room,
-    /// An upstream with less load, which the agent sent the call on to.
-    Elsewhere,
-    /// An upstream where no other suspect runs, since one died under the call.
-    Isolation,
-}
-
-/// An attempt that brought no answer.
-#[derive(Debug)]
-pub(super) struct Failure {
-    pub(super) kind: &'static str,
-    pub(super) detail: String,
-    pub(super) status: StatusCode,
-    pub(super) executed: Executed,
-    /// Whether a byte of the call may have left this process.
-    pub(super) sent: bool,
-    pub(super) retry_after: Option<Duration>,
-    /// The upstream, if another one may do better.
-    pub(super) upstream: Option<Upstream>,
-    /// What may bring an answer.
-    pub(super) remedy: Remedy,
-}
-
 impl Open {
     /// Returns the status of the answer.
     pub(super) fn status(&self) -> StatusCode {
@@ -170,33 +139,6 @@
     }
 }
 
-impl Failure {
-    /// Makes the problem to tell the caller, where `executed` covers all
-    /// attempts.
-    pub(super) fn problem(&self, executed: Executed) -> Problem {
-        Problem {
-            status: self.status,
-            kind: self.kind,
-            detail: self.detail.clone(),
-            executed: told(executed),
-            retry_after: self.retry_after,
-        }
-    }
-
-    fn refused(kind: &'static str, detail: impl Into<String>) -> Self {
-        Self {
-            kind,
-            detail: detail.into(),
-            status: StatusCode::SERVICE_UNAVAILABLE,
-            executed: Executed::No,
-            sent: false,
-            retry_after: Some(Duration::ZERO),
-            upstream: None,
-            remedy: Remedy::Retry,
-        }
-    }
-}
-
 impl Run {
     /// Makes one attempt, up to the head of the answer.
     pub(super) async fn attempt(&mut self) -> Result<Open, Failure> {
@@ -478,25 +420,6 @@
     }
 }
 
-fn relay_failure(failure: relay::Failure, choice: &Choice) -> Failure {
-    let upstream = Some(choice.upstream);
-    match failure {
-        relay::Failure::NotSent(detail) => Failure {
-            upstream,
-            retry_after: None,
-            ..Failure::refused("agent-unreachable", detail)
-        },
-        relay::Failure::Unknown(detail) => Failure {
-            upstream,
-            status: StatusCode::BAD_GATEWAY,
-            executed: Executed::Unknown,
-            sent: true,
-            retry_after: None,
-            ..Failure::refused("agent-failed", detail)
-        },
-    }
-}
-
 /// Makes the problem of a key that no agent issues.
 fn no_key(refusal: &Refusal) -> Problem {
     let detail = format!("no agent issues a key: {}", refusal.cause);
--- a/crates/sesamerock/src/entry/dispatch/mod.rs
+++ b/crates/sesamerock/src/entry/dispatch/mod.rs
@@ -4,6 +4,7 @@
 //! this module applies them to what the relay reports.
 
 mod attempt;
+mod failure;
 mod head;
 mod stream;
 mod whole;
@@ -28,7 +29,7 @@
 use crate::clock;
 use crate::problem::{self, Problem};
 use crate::suspects::{fingerprint, stamp};
-use attempt::{Failure, Remedy};
+use failure::{Failure, Remedy};
 
 /// Bytes of prompt that make one block of the prefix index.
 const BLOCK_BYTES: usize = 256;
--- a/crates/sesamerock/src/entry/dispatch/stream/mod.rs
+++ b/crates/sesamerock/src/entry/dispatch/stream/mod.rs
@@ -8,7 +8,8 @@
 use sesamerock_wire::relay::down;
 use tokio::sync::mpsc;
 
-use super::attempt::{Failure, Open};
+use super::attempt::Open;
+use super::failure::Failure;
 use super::whole::response;
 use super::{Next, Run, next_attempt};
 use crate::clock;
--- a/crates/sesamerock/src/entry/dispatch/whole/mod.rs
+++ b/crates/sesamerock/src/entry/dispatch/whole/mod.rs
@@ -10,7 +10,8 @@
 use tokio::sync::mpsc;
 
 use super::Run;
-use super::attempt::{Failure, Open};
+use super::attempt::Open;
+use super::failure::Failure;
 use crate::clock;
 
 /// Bytes of an answer that are collected.
