Count arrivals against their usual size as steps of the engine

Ruled out: processor time (0.6 of a core was used) and admission credits. Change: events that arrive together count as steps by the usual number of events in an arrival.

--- a/crates/sesamerock/src/agent/gate/mod.rs
+++ b/crates/sesamerock/src/agent/gate/mod.rs
@@ -18,6 +18,8 @@
 use super::probe::Sight;
 use crate::clock;
 
+/// Weight of one arrival in the usual number of events.
+const BURST_WEIGHT: f64 = 1.0 / 32.0;
 /// Shortest life of a credit that is worth telling an entry.
 const CREDIT_LIFE: Duration = Duration::from_millis(1);
 
@@ -28,6 +30,8 @@
     waiting: HashMap<Call, oneshot::Sender<Result<(), Refusal>>>,
     workspaces: Names<Workspace>,
     entries: Names<Vm>,
+    /// Usual number of events that arrive together; 0 before the first.
+    burst: f64,
 }
 
 /// The gate of one upstream.
@@ -57,6 +61,7 @@
             waiting: HashMap::new(),
             workspaces: Names::default(),
             entries: Names::default(),
+            burst: 0.0,
         };
         Self {
             inner: Arc::new(Mutex::new(inner)),
@@ -238,6 +243,22 @@
     }
 }
 
+impl Inner {
+    /// Returns how many steps of the engine some events stand for.
+    ///
+    /// Engines may deliver several tokens a step, and the network may deliver
+    /// several steps together. The gate learns from steps; taken for one step
+    /// each, the tokens of a burst made fast engines look overloaded.
+    fn steps(&mut self, events: u64) -> u64 {
+        let events = events as f64;
+        if self.burst == 0.0 {
+            self.burst = events;
+        }
+        self.burst += (events - self.burst) * BURST_WEIGHT;
+        (events / self.burst).round().max(1.0) as u64
+    }
+}
+
 impl Permit {
     /// Returns when the call was offered.
     pub fn offered(&self) -> Moment {
@@ -249,16 +270,17 @@
         self.gate.snapshot().in_flight.calls
     }
 
-    /// Notes tokens that the upstream delivered; the first note is that of the
-    /// first token.
-    pub fn progress(&mut self, tokens: u64) {
-        if tokens == 0 {
+    /// Notes events that arrived together; the first are those of the first
+    /// token.
+    pub fn progress(&mut self, events: u64) {
+        if events == 0 {
             return;
         }
         let now = clock::now();
         let mut inner = self.gate.lock();
+        let steps = inner.steps(events);
         if self.started {
-            inner.gate.progress(now, self.call, tokens);
+            inner.gate.progress(now, self.call, steps);
         } else {
             self.started = true;
             inner.gate.first_token(now, self.call);
