--- a/crates/measure/src/lockstep/mod.rs
+++ b/crates/measure/src/lockstep/mod.rs
@@ -85,10 +85,10 @@
     let mut steps = 0;
     let mut longest = Duration::ZERO;
     let settings = Settings::of(0, 8);
-    // One silence, two turns of every rank, the staging of maps on an engine
-    // that joins, and the heartbeat by which the leader hears of it.
+    // One silence, two turns of every rank, and the staging of maps on an
+    // engine that joins.
     let turns = settings.stagger * settings.ranks * 2;
-    let bound = settings.silence + turns + STAGING + settings.heartbeat;
+    let bound = settings.silence + turns + STAGING;
     for seed in seed..seed + SEEDS {
         let mut group = Group::with(settings, seed, Faults::ALL);
         group.run(Duration::from_secs(8));
--- a/crates/measure/src/plan/mod.rs
+++ b/crates/measure/src/plan/mod.rs
@@ -21,10 +21,6 @@
 const SIZES: [(usize, usize, usize); 3] = [(8, 64, 4), (32, 256, 20), (64, 256, 60)];
 /// Rounds, one a second.
 const ROUNDS: u32 = 90;
-/// Runs of the same rounds. A round does the same work each time, so the least
-/// time of each is its cost; on a shared machine single rounds of one run took
-/// up to eight times as long, each time other ones.
-const REPEATS: usize = 5;
 /// Tokens per rank and layer in one step.
 const RANK_TOKENS: f64 = 512.0;
 /// Steps per second.
@@ -88,27 +84,19 @@
             trace.sample(&shares, tokens)
         })
         .collect();
-    let mut rounds = vec![f64::INFINITY; reports.len()];
-    let mut raw_max: f64 = 0.0;
-    let mut peak = 0;
+    let mut rounds = Vec::with_capacity(reports.len());
     let mut moves = 0;
-    for _ in 0..REPEATS {
-        let ((), kept, most) = measured(|| {
-            moves = 0;
-            // The planner holds its own copy of the first map.
-            let planner = Planner::new(map.clone(), Settings::default(), Moment::default());
-            let mut planner = planner.expect("the first map is valid");
-            for (second, counts) in reports.iter().enumerate() {
-                let start = cpu();
-                moves += round(&mut planner, second as u64, counts);
-                let time = millis(cpu().saturating_sub(start));
-                rounds[second] = rounds[second].min(time);
-                raw_max = raw_max.max(time);
-            }
-        });
-        debug_assert_eq!(kept, 0, "the planner was dropped");
-        peak = peak.max(most);
-    }
+    let ((), kept, peak) = measured(|| {
+        // The planner holds its own copy of the first map.
+        let planner = Planner::new(map.clone(), Settings::default(), Moment::default());
+        let mut planner = planner.expect("the first map is valid");
+        for (second, counts) in reports.iter().enumerate() {
+            let start = cpu();
+            moves += round(&mut planner, second as u64, counts);
+            rounds.push(millis(cpu().saturating_sub(start)));
+        }
+    });
+    debug_assert_eq!(kept, 0, "the planner was dropped");
     let by_time = |a: &usize, b: &usize| rounds[*a].total_cmp(&rounds[*b]);
     let longest = (0..rounds.len()).max_by(by_time).unwrap_or_default();
     let mean_ms = rounds.iter().sum::<f64>() / rounds.len() as f64;
@@ -131,7 +119,6 @@
         ),
         ("round_ms_max", &format!("{:.3}", figures.max_ms)),
         ("longest_round", &longest),
-        ("unrepeated_ms_max", &format!("{raw_max:.3}")),
         ("peak_mb", &format!("{:.3}", figures.peak_mb)),
         ("greedy_ms", &format!("{greedy:.3}")),
     ]);
--- a/crates/measure/src/spread/mod.rs
+++ b/crates/measure/src/spread/mod.rs
@@ -88,13 +88,14 @@
         report.at_most(&format!("{name}_last_p99_s"), 7.0, tally.last(0.99));
         let bytes = tally.traffic.bytes();
         report.at_most(&format!("{name}_bytes_average"), 6_000.0, bytes.average);
-        report.at_most(&format!("{name}_bytes_busiest"), 6_000.0, bytes.busiest);
+        // The budget is that of a node, so a node that joins is not left out.
+        report.at_most(&format!("{name}_bytes_busiest"), 6_000.0, bytes.joining);
     }
     let day = find("day", full);
     report.at_least("day_reached_share", 1.0, 1.0 - day.unreached());
     report.at_most("day_cpu_percent", 1.7, day.cpu * 100.0);
     let growth = (full as f64).ln() / (middle as f64).ln() * 1.2;
-    for name in ["paced", "burst"] {
+    for name in ["day", "paced", "burst"] {
         let ratio = |quantile| find(name, full).last(quantile) / find(name, middle).last(quantile);
         report.at_most(&format!("{name}_growth_p50"), growth, ratio(0.5));
         report.at_most(&format!("{name}_growth_p99"), growth, ratio(0.99));
--- a/crates/note/tests/converge.rs
+++ b/crates/note/tests/converge.rs
@@ -84,7 +84,7 @@
         state.hash() == whole.hash() && verdicts(&state) == verdicts(&whole)
     }
     QuickCheck::new()
-        .tests(100)
+        .tests(300)
         .quickcheck(holds as fn(u64) -> bool);
 }
 
@@ -110,7 +110,7 @@
             && snapshot::encode(&started) == snapshot::encode(&whole)
     }
     QuickCheck::new()
-        .tests(100)
+        .tests(300)
         .quickcheck(holds as fn(u64, usize) -> bool);
 }
 
@@ -167,7 +167,7 @@
         TestResult::from_bool(before == state.rows_text())
     }
     QuickCheck::new()
-        .tests(2_000)
+        .tests(5_000)
         .quickcheck(holds as fn(Vec<u8>, usize, usize) -> TestResult);
 }
 
@@ -193,7 +193,7 @@
         started.hash() == whole.hash()
     }
     QuickCheck::new()
-        .tests(150)
+        .tests(500)
         .quickcheck(holds as fn(u64) -> bool);
 }
 
@@ -207,7 +207,7 @@
         restore(&state).hash() == state.hash()
     }
     QuickCheck::new()
-        .tests(50)
+        .tests(200)
         .quickcheck(holds as fn(u64) -> bool);
 }
 
@@ -288,7 +288,7 @@
             .all(|node| node.control.compare(version, hash) == Relation::Same)
     }
     QuickCheck::new()
-        .tests(100)
+        .tests(300)
         .quickcheck(holds as fn(u64) -> bool);
 }
 
