Count a long answer as in flight until its end

Cause: an answer over 1 MiB that is not streamed is passed on by a task of its own, while the guard that counts the request was dropped with the run. Change: the task holds the guard as well. Before: the new test fails, the gauge no longer counts the request while its caller still reads. After: it passes. Conclusion: sesamerock_in_flight covers streams and long answers alike.

--- a/crates/sesamerock/src/entry/dispatch/mod.rs
+++ b/crates/sesamerock/src/entry/dispatch/mod.rs
@@ -49,7 +49,7 @@
 struct Run {
     context: Arc<Context>,
     /// Counts the request until the last of its answer is handed over.
-    _present: Present,
+    present: Arc<Present>,
     ask: Ask,
     /// Whether the call may run more than once.
     repeatable: bool,
@@ -163,7 +163,7 @@
             crashed: None,
             earlier: Executed::No,
             minted,
-            _present: Present::new(Arc::clone(&context)),
+            present: Arc::new(Present::new(Arc::clone(&context))),
             context,
             ask,
         })
--- a/crates/sesamerock/src/entry/dispatch/whole/mod.rs
+++ b/crates/sesamerock/src/entry/dispatch/whole/mod.rs
@@ -3,6 +3,8 @@
 //! An answer that breaks off can then be fetched anew where the call may
 //! repeat. Longer ones than the bound are passed on as they come.
 
+use std::sync::Arc;
+
 use bytes::{Bytes, BytesMut};
 use http::Response;
 use sesamerock_platform::http::body::{Body, Chunk};
@@ -33,7 +35,12 @@
             let (sender, body) = Body::stream();
             let headers = open.headers();
             let status = open.status();
-            run.context.tasks.spawn(pass_on(open, start, sender));
+            // The request is in progress until the last of its answer is passed on.
+            let present = Arc::clone(&run.present);
+            run.context.tasks.spawn(async move {
+                pass_on(open, start, sender).await;
+                drop(present);
+            });
             return Ok(response(status, headers, body, &run.ask.id));
         }
         Ok(Err(failure)) => return Err(failure),
--- a/crates/sesamerock/tests/callers.rs
+++ b/crates/sesamerock/tests/callers.rs
@@ -396,6 +396,31 @@
     }
 }
 
+/// Guards against a whole answer that is longer than the entry collects and no
+/// longer counts as in progress while its caller still reads it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_long_answer_counts_as_in_flight_until_its_end() {
+    // The answer is longer than what the buffers on the way hold together.
+    const TOKENS: u64 = 6_000_000;
+    let fast = engine::Settings {
+        tokens_per_step: 50_000,
+        ..engine::Settings::default()
+    };
+    let world = World::start(fast).await;
+    let entry = world.cluster.operators[0];
+    let text = request(CHAT, "", &completion(TOKENS, false));
+    let mut stream = open(world.entry(), text.as_bytes()).await;
+    let read = timeout(BOUND, stream.read_exact(&mut [0; 512])).await;
+    read.expect("in time").expect("the answer begins");
+    assert_eq!(gauge(entry, "sesamerock_in_flight").await, 1);
+    let mut rest = Vec::new();
+    let read = timeout(BOUND, stream.read_to_end(&mut rest)).await;
+    read.expect("in time").expect("the answer ends");
+    assert!(rest.len() > TOKENS as usize, "{} bytes", rest.len());
+    let entry_empty = async || gauge(entry, "sesamerock_in_flight").await == 0;
+    until("the entry is empty", entry_empty).await;
+}
+
 /// Guards against a slow reader whose stream is buffered without bound, or that
 /// loses, doubles or reorders tokens.
 #[tokio::test(flavor = "multi_thread")]
