Send look-ups elsewhere only from a full upstream

Cause: agents refused calls above the mean load of the pool. Change: for plain services the ceiling is at least the whole limit, so that an agent refuses only a call that would have to queue. No test guards it: the share of refusals depends on timing.

--- a/crates/sesamerock/src/entry/dispatch/head/mod.rs
+++ b/crates/sesamerock/src/entry/dispatch/head/mod.rs
@@ -67,7 +67,21 @@
             await_ready: !self.repeatable,
             model: self.pool().to_owned(),
             suspect: self.isolated(),
-            ceiling_percent: percent(target.choice.ceiling),
+            ceiling_percent: self.ceiling(target),
+        }
+    }
+
+    /// Returns the load, in percent of the limit, above which the agent should
+    /// send the call elsewhere, and 0 for none.
+    ///
+    /// A refusal costs a round trip, which is about what a call to a plain
+    /// service takes, so such a call goes elsewhere only if it would have to
+    /// queue.
+    fn ceiling(&self, target: &table::Target) -> u32 {
+        let share = target.choice.ceiling;
+        match self.ask.target {
+            Target::Model { .. } => percent(share),
+            Target::Service { .. } => percent(share.map(|share| share.max(1.0))),
         }
     }
 
