Send the head of a relayed answer with its first frame

Cause: the agent sent the head of the response by itself, and the entry started a task with a timer to read the end of every call. Change: the agent waits for the first frame; the entry reads an end that is there without a task. Tried and not taken: hyper's sender in place of tonic's channel, 4 and 16 connections an agent, short answers read whole by the agent.

--- a/crates/sesamerock/src/agent/relay/mod.rs
+++ b/crates/sesamerock/src/agent/relay/mod.rs
@@ -2,6 +2,8 @@
 
 use std::sync::Arc;
 
+use futures::StreamExt as _;
+use futures::stream::{self, Chain};
 use sesamerock_platform::engine::Engine;
 use sesamerock_wire::relay::relay_server::Relay;
 use sesamerock_wire::relay::{Down, GroupMessage, MintReply, MintRequest, Up};
@@ -28,20 +30,28 @@
     }
 }
 
+/// A frame of an answer as tonic takes it.
+type Frame = Result<Down, Status>;
+
 #[tonic::async_trait]
 impl<E: Engine> Relay for Service<E> {
-    type CallStream = ReceiverStream<Result<Down, Status>>;
+    type CallStream = Chain<stream::Iter<std::option::IntoIter<Frame>>, ReceiverStream<Frame>>;
 
     async fn call(
         &self,
         request: Request<Streaming<Up>>,
     ) -> Result<Response<Self::CallStream>, Status> {
-        let (sender, receiver) = mpsc::channel(FRAMES);
+        let (sender, mut receiver) = mpsc::channel(FRAMES);
         let context = Arc::clone(&self.context);
         let frames = request.into_inner();
         let tasks = context.tasks.clone();
         tasks.spawn(async move { execute::run(&context, frames, &sender).await });
-        Ok(Response::new(ReceiverStream::new(receiver)))
+        // The head of the response goes out with the first frame; by itself it
+        // costs a write here and a wake-up of the entry, and tells nothing.
+        let first = receiver.recv().await;
+        Ok(Response::new(
+            stream::iter(first).chain(ReceiverStream::new(receiver)),
+        ))
     }
 
     async fn mint(&self, _: Request<MintRequest>) -> Result<Response<MintReply>, Status> {
--- a/crates/sesamerock/src/entry/relay/mod.rs
+++ b/crates/sesamerock/src/entry/relay/mod.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures::FutureExt as _;
 use sesamerock_wire::relay::relay_client::RelayClient;
 use sesamerock_wire::relay::{Down, GroupMessage, Head, MintRequest, Up, down, up};
 use tokio::sync::mpsc;
@@ -75,6 +76,11 @@
     /// stream before it would reset it, which costs the agent a look.
     fn end(&mut self) {
         if let Some(mut frames) = self.frames.take() {
+            // The end mostly comes together with the last frame, so that few
+            // calls need a task and a timer for it.
+            if frames.message().now_or_never().is_some() {
+                return;
+            }
             tokio::spawn(async move { tokio::time::timeout(END_TIMEOUT, frames.message()).await });
         }
     }
