--- a/crates/exchange/src/node/mod.rs
+++ b/crates/exchange/src/node/mod.rs
@@ -5,6 +5,7 @@
 //! [`Node::deliveries`] after each call. Records come out in order, without
 //! gap or repetition; a snapshot replaces everything before it.
 
+mod order;
 mod pull;
 mod push;
 mod round;
@@ -22,7 +23,7 @@
 use crate::allowance::Allowance;
 use crate::blob::Blob;
 use crate::contact::Contact;
-use crate::fact::{Board, Fact, Name};
+use crate::fact::{Board, Name};
 use crate::message::{Message, Record, Request, Ticket};
 use crate::pace::{Pace, Push};
 use crate::peer::{Distance, Peer, View};
@@ -33,10 +34,6 @@
 /// Highest version a snapshot may have, far below overflow.
 const HIGHEST: Version = Version(1 << 62);
 
-/// Time for which an order is passed on. A node has the record itself within
-/// 7 s unless it is cut off.
-const ORDER_TTL: Duration = Duration::from_secs(30);
-
 /// Something for the owner to apply.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Delivery {
@@ -184,20 +181,6 @@
         Outcome::Applied
     }
 
-    /// Announces a record to all nodes ahead of its turn and returns whether
-    /// it was new and taken. It neither waits for records before it nor for the
-    /// allowance of pushes.
-    pub fn order(&mut self, now: Moment, version: Version, bytes: Blob) -> bool {
-        if version > HIGHEST {
-            return false;
-        }
-        let taken = self.board.order(now, version, bytes, ORDER_TTL);
-        if taken {
-            self.rush.news(now);
-        }
-        taken
-    }
-
     /// Notes a read of the log sent at a moment that found the head at a
     /// version; call it after the records of that read were learned.
     pub fn log_read(&mut self, sent: Moment, head: Version) {
@@ -328,32 +311,6 @@
         }
     }
 
-    /// Takes facts of a message in. Orders that are new are delivered and
-    /// passed on at once.
-    fn merge_facts(&mut self, now: Moment, facts: &[Fact]) {
-        let me = self.view.me().address;
-        let unknown = |fact: &&Fact| fact.name.ordered().is_some() && !self.board.holds(fact.name);
-        let mut orders: Vec<_> = facts.iter().filter(unknown).collect();
-        let changed = self.board.merge(now, me, facts);
-        orders.retain(|fact| self.board.holds(fact.name));
-        if orders.is_empty() {
-            if changed {
-                self.pace.news(now);
-            }
-            return;
-        }
-        self.rush.news(now);
-        let own = self.version();
-        for fact in orders {
-            let version = fact.name.ordered().unwrap_or_default();
-            if version > own && version <= HIGHEST {
-                let bytes = fact.value.clone();
-                let record = Record { version, bytes };
-                self.deliveries.push(Delivery::Order(record));
-            }
-        }
-    }
-
     fn apply(&mut self, now: Moment, record: Record) {
         if self.window.push(record.clone()) {
             self.allowance.take_in(now, pull::size(&record));
@@ -388,11 +345,14 @@
 
     /// Makes a request that also takes records, unless they may arrive from
     /// elsewhere meanwhile: a round trip to another region is long enough that
-    /// a quarter of the records of a burst arrived twice.
+    /// a quarter of the records of a burst arrived twice. A node that holds
+    /// nothing asks several peers at once, and each sent it the first part of
+    /// its snapshot; it learns only their versions and then pulls from one.
     fn request(&self, now: Moment, peer: &Peer) -> Message {
         let near = self.view.distance(peer.place) != Distance::World;
         let mut message = self.message(now);
-        message.wants = near && !self.pull.busy();
+        let started = self.version() > Version(0);
+        message.wants = near && started && !self.pull.busy();
         message.urgent = self.pull.urgent(now);
         message
     }
--- a/crates/exchange/src/node/pull.rs
+++ b/crates/exchange/src/node/pull.rs
@@ -56,6 +56,10 @@
     /// The newest version known, and since when this node is behind it.
     newest: Version,
     behind: Option<Moment>,
+    /// Whether all peers known to be ahead declined to hand out a snapshot.
+    declined: bool,
+    /// When this node last began to hand out a snapshot unasked for urgently.
+    handed: Option<Moment>,
 }
 
 impl Pull {
@@ -91,9 +95,10 @@
         source.or(self.ahead.last()).map(|(to, _)| *to)
     }
 
-    /// Returns whether this node has been behind for long.
+    /// Returns whether this node has been behind for long or has nobody left
+    /// to ask for a snapshot.
     pub(super) fn urgent(&self, now: Moment) -> bool {
-        self.behind.is_some_and(|since| now.since(since) >= URGENT)
+        self.declined || self.behind.is_some_and(|since| now.since(since) >= URGENT)
     }
 
     /// Notes that the node's version advanced.
@@ -149,11 +154,21 @@
         }
         self.pull.end(ticket);
         let useful = progress || !ticket.pull;
-        if theirs > self.version() && useful {
+        let ahead = theirs > self.version();
+        if ahead && useful {
             self.pull.remember(now, ticket.to, theirs);
         } else {
             self.pull.forget(ticket.to);
         }
+        // A node that just started is not to wait for its next round because
+        // the only peers it knows have handed out a snapshot lately.
+        let declined = ahead && !useful && self.version() == Version(0);
+        if declined && !self.pull.declined && self.pull.candidate().is_none() {
+            self.pull.declined = true;
+            self.pull.remember(now, ticket.to, theirs);
+        } else if progress {
+            self.pull.declined = false;
+        }
         self.pull_next(now);
     }
 
@@ -220,7 +235,9 @@
     fn supply(&mut self, now: Moment, request: &Message, reply: &mut Message) {
         let behind = self.window.base() > request.version;
         if behind || request.part.is_some() {
-            reply.chunk = self.shelf.chunk(request.part, self.settings.payload);
+            if self.hands_out_snapshot(now, request) {
+                reply.chunk = self.shelf.chunk(request.part, self.settings.payload);
+            }
         } else if request.urgent || self.allowance.open(now) {
             let records = self.records_after(request.version).unwrap_or_default();
             self.hand_out(now, &records);
@@ -228,6 +245,23 @@
         }
     }
 
+    /// Returns whether to hand out a part of a snapshot. A snapshot takes a
+    /// third of the budget of 100 s, so a node begins a second one within that
+    /// time only for a peer that is urgent; others find another peer. What was
+    /// begun is completed.
+    fn hands_out_snapshot(&mut self, now: Moment, request: &Message) -> bool {
+        if request.part.is_some() || request.urgent {
+            return true;
+        }
+        let spacing = self.settings.snapshot_spacing;
+        let lately = self.pull.handed.is_some_and(|at| now.since(at) < spacing);
+        if lately || self.shelf.version().is_none() {
+            return false;
+        }
+        self.pull.handed = Some(now);
+        true
+    }
+
     /// Counts records handed out.
     pub(super) fn hand_out(&mut self, now: Moment, records: &[Record]) {
         let bytes = records.iter().map(size).sum();
--- a/crates/exchange/src/node/push.rs
+++ b/crates/exchange/src/node/push.rs
@@ -5,7 +5,6 @@
 
 use super::Node;
 use crate::message::Record;
-use crate::pace::Push;
 use crate::peer::{Distance, Peer};
 
 impl Node {
@@ -44,25 +43,7 @@
         }
     }
 
-    /// Tells a few peers of orders, whatever waits for the allowance. The
-    /// message asks for no records, so it stays small in a burst.
-    pub(super) fn push_orders(&mut self, now: Moment, push: Push, rng: &mut impl Rng) {
-        let fanout = self.settings.fanout;
-        let mut targets = self.targets(now, Distance::Zone, fanout.zone, rng);
-        if push == Push::News {
-            targets.extend(self.targets(now, Distance::Region, fanout.region, rng));
-            if self.reads_log() && fanout.world > 0.0 || rng.random_bool(fanout.world) {
-                targets.extend(self.targets(now, Distance::World, 1, rng));
-            }
-        }
-        for peer in targets {
-            let mut message = self.message(now);
-            message.facts = self.board.select(now, None, None, rng);
-            self.send(now, peer.address, false, message);
-        }
-    }
-
-    fn targets(
+    pub(super) fn targets(
         &self,
         now: Moment,
         distance: Distance,
--- a/crates/exchange/src/node/round.rs
+++ b/crates/exchange/src/node/round.rs
@@ -88,11 +88,27 @@
         let peer = peer.or_else(|| self.partner(now, rng));
         if let Some(peer) = peer {
             self.exchange(now, &peer, rng);
+            // An exchange with another region takes up to half a second to
+            // bring a record, and nodes missed by pushes wait for it. The last
+            // of 11,000 nodes were those whose next exchange was such a one.
+            if self.view.distance(peer.place) == Distance::World {
+                self.ask_near(now, rng);
+            }
             let due = now + self.settings.patience(self.view.distance(peer.place));
             self.round.awaited = Some((peer.address, due));
         }
     }
 
+    /// Asks a near peer for records in a small message.
+    fn ask_near(&mut self, now: Moment, rng: &mut impl Rng) {
+        let zone = self.candidate(now, Distance::Zone, rng);
+        let near = zone.or_else(|| self.candidate(now, Distance::Region, rng));
+        if let Some(peer) = near {
+            let message = self.request(now, &peer);
+            self.send(now, peer.address, false, message);
+        }
+    }
+
     /// Asks a seed of each distance that has not answered for long, so that a
     /// node or a group of nodes with a dead sample finds the others again.
     fn escape(&mut self, now: Moment, rng: &mut impl Rng) {
--- a/crates/exchange/src/node/settings.rs
+++ b/crates/exchange/src/node/settings.rs
@@ -80,6 +80,8 @@
     pub payload: usize,
     /// Largest snapshot accepted in bytes.
     pub snapshot: usize,
+    /// Time between snapshots that a node hands out, unless urgently asked.
+    pub snapshot_spacing: Duration,
     /// Entries of each distance in a periodic message.
     pub shuffle: usize,
     /// Bounds of the view.
@@ -132,6 +134,7 @@
             window_bytes: 1 << 20,
             payload: 48 << 10,
             snapshot: 8 << 20,
+            snapshot_spacing: Duration::from_secs(100),
             shuffle: 1,
             view: peer::Limits::default(),
             readers: Rule::default(),
--- /dev/null
+++ b/crates/exchange/tests/join.rs
@@ -0,0 +1,99 @@
+//! Nodes that start with nothing and fetch a snapshot.
+
+mod net;
+
+use std::time::Duration;
+
+use net::{Net, address, place, snapshot};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use sesamerock_base::time::Moment;
+use sesamerock_base::version::Version;
+use sesamerock_exchange::message::{Message, Standing};
+use sesamerock_exchange::node::{Node, Settings};
+use sesamerock_exchange::peer::{Peer, Place};
+use sesamerock_exchange::transfer::{Chunk, Part};
+
+const SECOND: Duration = Duration::from_secs(1);
+const VERSION: u64 = 5_000;
+const BYTES: usize = 240_000;
+
+fn places(count: usize) -> Vec<Place> {
+    (0..count).map(|index| place(0, index % 3)).collect()
+}
+
+/// A node with a snapshot, and what it answers to a peer without one.
+fn serve(node: &mut Node, now: Moment, part: Option<Part>, urgent: bool) -> Option<Chunk> {
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let peer = Peer::new(address(2), place(0, 0));
+    let mut request = Message::new(peer, Version(0), Standing::default());
+    request.wants = true;
+    request.urgent = urgent;
+    request.part = part;
+    node.receive(now, &request, &mut rng).chunk
+}
+
+/// Guards against a node that hands out several snapshots at its own expense
+/// (it took 6.5 KB/s of 6 over a day's rate), and against one that leaves a
+/// transfer incomplete or declines a peer that has nobody else.
+#[test]
+fn a_node_spaces_the_snapshots_it_hands_out() {
+    let now = Moment::from_millis(5_000);
+    let me = Peer::new(address(1), place(0, 0));
+    let mut node = Node::new(now, me, Settings::default(), []);
+    assert!(serve(&mut node, now, None, false).is_none(), "it has none");
+    node.restore(now, snapshot(VERSION, BYTES));
+    let first = serve(&mut node, now, None, false).expect("the first is served");
+    let next = Part {
+        version: first.version,
+        offset: first.bytes.len() as u32,
+    };
+    let later = now + 10 * SECOND;
+    assert!(
+        serve(&mut node, later, None, false).is_none(),
+        "a second one"
+    );
+    assert!(
+        serve(&mut node, later, Some(next), false).is_some(),
+        "the rest"
+    );
+    assert!(serve(&mut node, later, None, true).is_some(), "urgent");
+    let much_later = now + Settings::default().snapshot_spacing;
+    assert!(serve(&mut node, much_later, None, false).is_some());
+}
+
+/// Guards against parts that arrive more than once since several peers are
+/// asked at the start: it was a quarter of the bytes of a joining node.
+#[test]
+fn a_starting_node_fetches_each_part_once() {
+    for seed in 0..10 {
+        let mut net = Net::new(seed, &places(12), &Settings::default());
+        let now = net.now;
+        for index in 0..11 {
+            net.node(index).restore(now, snapshot(VERSION, BYTES));
+            net.flush(index);
+        }
+        net.stop(11);
+        net.run(10 * SECOND);
+        net.fetched = 0;
+        net.start(11);
+        net.run(3 * SECOND);
+        assert_eq!(net.applied[11], Version(VERSION), "seed {seed}");
+        assert_eq!(net.fetched, BYTES, "bytes of parts with seed {seed}");
+    }
+}
+
+/// Guards against a start that waits because the few peers there are have
+/// handed out a snapshot lately: many starts one after another at one peer.
+#[test]
+fn starts_in_a_row_do_not_wait() {
+    let mut net = Net::new(3, &places(2), &Settings::default());
+    let now = net.now;
+    net.node(0).restore(now, snapshot(VERSION, BYTES));
+    net.flush(0);
+    for start in 0..5 {
+        net.start(1);
+        net.run(SECOND / 2);
+        assert_eq!(net.applied[1], Version(VERSION), "start {start}");
+    }
+}
--- a/crates/exchange/tests/net/mod.rs
+++ b/crates/exchange/tests/net/mod.rs
@@ -47,6 +47,8 @@
     /// Nodes of different numbers cannot reach each other.
     pub side: Vec<u8>,
     pub largest: u64,
+    /// Bytes of snapshot parts sent.
+    pub fetched: usize,
     pub messages: u64,
     pub rng: ChaCha8Rng,
     pub settings: Settings,
@@ -100,6 +102,7 @@
             duplication: 0.0,
             delay: Duration::from_millis(20),
             largest: 0,
+            fetched: 0,
             messages: 0,
             rng: ChaCha8Rng::seed_from_u64(seed),
             settings: *settings,
@@ -293,6 +296,8 @@
         let size = size.expect("messages are encodable");
         assert!(size <= MESSAGE_LIMIT, "a message of {size} bytes");
         self.largest = self.largest.max(size);
+        let part = message.chunk.as_ref();
+        self.fetched += part.map_or(0, |chunk| chunk.bytes.len());
         self.messages += 1;
     }
 
--- a/crates/exchange/tests/order.rs
+++ b/crates/exchange/tests/order.rs
@@ -90,25 +90,33 @@
 #[test]
 fn an_order_is_delivered_once_and_passed_on_at_once() {
     let mut rng = ChaCha8Rng::seed_from_u64(5);
-    let now = Moment::from_millis(5_000);
+    let mut now = Moment::from_millis(5_000);
     let mut node = node(now);
-    node.tick(now, &mut rng);
-    node.requests();
-    node.receive(now, &ordering(7, 0), &mut rng);
-    assert_eq!(orders(&mut node), [7]);
-    assert_eq!(node.version(), Version(0));
+    node.receive(now, &ordering(1, 0), &mut rng);
+    node.deliveries();
+    for version in 1..=6 {
+        now = now + Duration::from_millis(250);
+        node.learn(now, record(version, 8));
+        node.tick(now, &mut rng);
+        node.requests();
+    }
+    node.learn(now, record(7, 8));
+    node.deliveries();
+    assert!(node.next(now) > now, "the allowance of pushes is spent");
+    node.receive(now, &ordering(9, 7), &mut rng);
+    assert_eq!(orders(&mut node), [9]);
+    assert_eq!(node.version(), Version(7));
     assert_eq!(node.next(now), now, "the push is due");
     node.tick(now, &mut rng);
     let requests = node.requests();
     let carried = |message: &Message| message.facts.iter().any(|f| f.name.ordered().is_some());
     let pushed = requests.iter().filter(|r| carried(&r.message)).count();
     assert!(pushed >= 2, "{pushed} pushes carry the order");
-    node.receive(now, &ordering(7, 0), &mut rng);
+    node.receive(now, &ordering(9, 7), &mut rng);
     assert_eq!(orders(&mut node), [] as [u64; 0], "a repeated order");
-    for version in 1..=8 {
-        node.learn(now, record(version, 8));
-    }
-    node.receive(now, &ordering(8, 0), &mut rng);
+    node.learn(now, record(8, 8));
+    node.learn(now, record(9, 8));
+    node.receive(now, &ordering(8, 7), &mut rng);
     assert_eq!(orders(&mut node), [] as [u64; 0], "an order already folded");
 }
 
--- a/crates/measure/src/spread/mod.rs
+++ b/crates/measure/src/spread/mod.rs
@@ -7,8 +7,11 @@
 
 mod meter;
 mod queue;
+mod scenario;
+mod state;
 mod tally;
 mod topology;
+mod variant;
 mod wire;
 mod world;
 
@@ -20,22 +23,19 @@
 use sesamerock_base::time::Moment;
 use sesamerock_exchange::fact::Fact;
 use sesamerock_exchange::message::Record;
-use sesamerock_exchange::node::{Fanout, Node, Settings};
-use sesamerock_exchange::pace::Windows;
+use sesamerock_exchange::node::{Node, Settings};
 use sesamerock_exchange::peer::Peer;
 
 use crate::report::Report;
 use meter::Span;
+use scenario::{Cut, Origin, Scenario};
 use tally::Tally;
-use world::{Cut, Origin, Scenario};
+use variant::{eager, no_coalescing, no_leading, pull_only, push_only, unspaced, windows_only};
 
 /// Scenarios run at the same time. More would need more memory and disturb
 /// other users of the machine.
 const THREADS: usize = 5;
 
-/// Never, as far as a run is concerned.
-const NEVER: Duration = Duration::from_hours(24);
-
 /// Spans in which changes are appended.
 const DAY: Span = (Moment::from_millis(10_000), Moment::from_millis(110_000));
 const BURST: Span = (Moment::from_millis(10_000), Moment::from_millis(20_000));
@@ -45,7 +45,14 @@
 
 /// Runs all scenarios and prints figures and targets.
 pub fn run(seed: u64, report: &mut Report) {
-    let scenarios = scenarios(seed);
+    let sizes = state::sizes(seed);
+    report.line(&[
+        ("snapshot_upstreams", &state::UPSTREAMS),
+        ("snapshot_json_bytes", &sizes.json),
+        ("snapshot_deflated_bytes", &sizes.deflated),
+        ("snapshot_packed_bytes", &sizes.packed),
+    ]);
+    let scenarios = scenarios(seed, sizes);
     let tallies = run_all(&scenarios, seed);
     for (scenario, tally) in scenarios.iter().zip(&tallies) {
         print(report, scenario, tally);
@@ -109,8 +116,8 @@
     }
 }
 
-fn scenarios(seed: u64) -> Vec<Scenario> {
-    let plan = Plan::new(seed);
+fn scenarios(seed: u64, sizes: state::Sizes) -> Vec<Scenario> {
+    let plan = Plan::new(seed, sizes.packed);
     let ours = Settings::default();
     let [small, middle, full] = SIZES;
     let one = Scenario {
@@ -130,6 +137,11 @@
     }
     list.push(plan.orders("zone_order", full, true));
     list.push(plan.orders("zone_order_in_turn", full, false));
+    list.push(Scenario {
+        state: sizes.deflated,
+        ..plan.day("deflated_rows", middle, &ours)
+    });
+    list.push(plan.day("snapshots_unspaced", full, &unspaced()));
     list.push(plan.cut("region_cut", &ours));
     list.push(plan.day("eager_push", middle, &eager()));
     list.push(plan.burst("eager_push_burst", middle, &eager()));
@@ -145,85 +157,20 @@
     list
 }
 
-/// Pushes alone: no periodic exchange, so nothing repairs what they miss but
-/// the next push.
-fn push_only() -> Settings {
-    let fanout = Fanout {
-        eager: true,
-        ..Fanout::default()
-    };
-    Settings {
-        round: NEVER,
-        contact_retry: NEVER,
-        isolation: NEVER,
-        fanout,
-        ..Settings::default()
-    }
-}
-
-/// Periodic exchanges alone.
-fn pull_only() -> Settings {
-    let fanout = Fanout {
-        zone: 0,
-        region: 0,
-        world: 0.0,
-        ..Fanout::default()
-    };
-    Settings {
-        fanout,
-        ..Settings::default()
-    }
-}
-
-/// Pushes within the region carry the records.
-fn eager() -> Settings {
-    let fanout = Fanout {
-        eager: true,
-        ..Fanout::default()
-    };
-    Settings {
-        fanout,
-        ..Settings::default()
-    }
-}
-
-/// The windows without the allowance of pushes in long bursts.
-fn windows_only() -> Windows {
-    Windows {
-        interval: Duration::ZERO,
-        ..Windows::default()
-    }
-}
-
-/// Every piece of news is pushed at once.
-fn no_coalescing() -> Windows {
-    Windows {
-        quiet: Duration::ZERO,
-        longest: Duration::ZERO,
-        ..windows_only()
-    }
-}
-
-/// Coalescing that also delays the first news after a quiet time.
-fn no_leading() -> Windows {
-    Windows {
-        leading: false,
-        ..Windows::default()
-    }
-}
-
 /// The moments of changes, the same for all scenarios of a kind.
 #[derive(Debug)]
 struct Plan {
+    state: usize,
     day: Vec<Moment>,
     burst: Vec<Moment>,
     cut: Vec<Moment>,
 }
 
 impl Plan {
-    fn new(seed: u64) -> Self {
+    fn new(seed: u64, state: usize) -> Self {
         let mut rng = ChaCha8Rng::seed_from_u64(seed ^ 0x5eed);
         Self {
+            state,
             day: moments(DAY, 17_000.0 / 86_400.0, &mut rng),
             burst: moments(BURST, 20.0, &mut rng),
             cut: moments(HOUR, 17_000.0 / 86_400.0, &mut rng),
@@ -236,6 +183,7 @@
             name,
             nodes,
             settings: *settings,
+            state: self.state,
             origin: Origin::Readers,
             changes: self.day.clone(),
             end: DAY.1 + Duration::from_secs(8),
--- a/crates/measure/src/spread/world.rs
+++ b/crates/measure/src/spread/world.rs
@@ -8,12 +8,12 @@
 use sesamerock_base::version::Version;
 use sesamerock_exchange::blob::Blob;
 use sesamerock_exchange::message::{Message, Record, Request, Standing, Ticket};
-use sesamerock_exchange::node::{Delivery, Node, Settings};
+use sesamerock_exchange::node::{Delivery, Node};
 use sesamerock_exchange::peer::Peer;
 use sesamerock_exchange::transfer::Snapshot;
 
-use super::meter::Span;
 use super::queue::{Event, Queue};
+use super::scenario::{Origin, Scenario};
 use super::tally::Tally;
 use super::topology::{ZONES, index_of, latency, peer, region_of};
 use super::wire::{coded, size};
@@ -27,9 +27,8 @@
 /// Entries of the VM list a node is given, a random part of the whole.
 const LISTED: usize = 150;
 
-/// Version and size of the state that all nodes start from.
+/// Version of the state that all nodes start from.
 const START: u64 = 10_000;
-const STATE: usize = 200 << 10;
 
 /// Content of one record in bytes.
 const RECORD: usize = 300;
@@ -38,55 +37,6 @@
 /// and a name of ordinary length.
 const ORDER: usize = 150;
 
-/// Who learns of a change first.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Origin {
-    /// The nodes that read the log, which is in the first region.
-    Readers,
-    /// One random node, as if only it could read the log.
-    One,
-}
-
-/// A region that is cut off from all others for a while.
-#[derive(Clone, Copy, Debug)]
-pub struct Cut {
-    /// Its number.
-    pub region: usize,
-    /// When the cut begins and ends.
-    pub from: Moment,
-    /// When it ends.
-    pub to: Moment,
-}
-
-/// What a scenario is made of.
-#[derive(Clone, Debug)]
-pub struct Scenario {
-    /// Its name in the report.
-    pub name: &'static str,
-    /// Number of nodes.
-    pub nodes: usize,
-    /// Settings of all nodes.
-    pub settings: Settings,
-    /// Who learns first.
-    pub origin: Origin,
-    /// Moments at which changes are appended.
-    pub changes: Vec<Moment>,
-    /// End of the run.
-    pub end: Moment,
-    /// The span in which bytes are counted against the budget.
-    pub counted: Span,
-    /// The span in which changes are appended.
-    pub busy: Span,
-    /// When a rack fails.
-    pub rack: Option<Moment>,
-    /// A cut between regions.
-    pub cut: Option<Cut>,
-    /// Numbers of the changes that take a zone out of service.
-    pub orders: Vec<u64>,
-    /// Whether orders are announced ahead of their records.
-    pub ahead: bool,
-}
-
 /// One VM.
 #[derive(Debug)]
 struct Slot {
@@ -132,7 +82,7 @@
             queue: Queue::default(),
             now: Moment::default(),
             rng: ChaCha8Rng::seed_from_u64(seed),
-            state: Blob::from(vec![7; STATE]),
+            state: Blob::from(vec![7; scenario.state]),
             content: Blob::from(vec![9; RECORD]),
             appended: START,
             tally: Tally::new(scenario.nodes, START, scenario.counted, scenario.busy),
--- a/crates/measure/src/state/mod.rs
+++ b/crates/measure/src/state/mod.rs
@@ -3,7 +3,7 @@
 //! The baseline is what a node would do without shared tables: keep the notes'
 //! own entries in a vector and copy it for every published change.
 
-mod fleet;
+pub mod fleet;
 
 use std::hint::black_box;
 use std::sync::Arc;
--- a/crates/sesamerock/src/control/driver/apply/mod.rs
+++ b/crates/sesamerock/src/control/driver/apply/mod.rs
@@ -1,10 +1,5 @@
 //! Folds what the log and the peers deliver.
 
-use std::io::Read as _;
-
-use flate2::Compression;
-use flate2::read::DeflateDecoder;
-use flate2::write::DeflateEncoder;
 use sesamerock_base::time::Moment;
 use sesamerock_base::version::Version;
 use sesamerock_exchange::message::Record;
@@ -12,10 +7,11 @@
 use sesamerock_exchange::transfer::Snapshot;
 use sesamerock_note::fold::State;
 use sesamerock_note::fold::outcome::Outcome;
-use sesamerock_note::snapshot::{self, Part};
+use sesamerock_note::snapshot;
 use sesamerock_platform::log::Page;
 
 use super::{Driver, Read};
+use crate::control::pack;
 
 impl Driver {
     /// Takes in a read of the log.
@@ -126,14 +122,8 @@
         if snapshot.version <= self.fold.log().version() {
             return;
         }
-        let restored = inflate(&snapshot.bytes)
-            .and_then(|parts| {
-                serde_json::from_slice::<Vec<Part>>(&parts).map_err(|error| error.to_string())
-            })
-            .and_then(|parts| {
-                let parts: Vec<_> = parts.into_iter().map(std::sync::Arc::new).collect();
-                snapshot::restore(&parts).map_err(|fault| fault.to_string())
-            });
+        let restored = pack::unpack(&snapshot.bytes)
+            .and_then(|parts| snapshot::restore(&parts).map_err(|fault| fault.to_string()));
         match restored {
             Ok(state) => {
                 let version = state.version();
@@ -191,30 +181,10 @@
                 _ => None,
             })
             .collect();
-        let bytes = deflate(&parts);
+        let bytes = pack::pack(&parts);
         Snapshot {
             version: Version(state.version().0),
             bytes: bytes.into(),
         }
     }
 }
-
-/// Longest snapshot that is taken from a peer, inflated, in bytes.
-const SNAPSHOT_BYTES: u64 = 64 << 20;
-
-/// Encodes the parts of a snapshot in small space: each node keeps one for its
-/// peers, and ten thousand upstreams take 6 MB as plain JSON.
-fn deflate(parts: &[Part]) -> Vec<u8> {
-    let mut encoder = DeflateEncoder::new(Vec::new(), Compression::fast());
-    let written = serde_json::to_writer(&mut encoder, parts).map_err(std::io::Error::from);
-    written.and_then(|()| encoder.finish()).unwrap_or_default()
-}
-
-fn inflate(bytes: &[u8]) -> Result<Vec<u8>, String> {
-    let mut parts = Vec::new();
-    let mut decoder = DeflateDecoder::new(bytes).take(SNAPSHOT_BYTES);
-    decoder
-        .read_to_end(&mut parts)
-        .map_err(|error| error.to_string())?;
-    Ok(parts)
-}
--- a/crates/sesamerock/src/control/driver/mod.rs
+++ b/crates/sesamerock/src/control/driver/mod.rs
@@ -324,6 +324,8 @@
             .exchange
             .facts()
             .iter()
+            // Orders are the control thread's own concern.
+            .filter(|(name, _)| name.ordered().is_none())
             .map(|(name, value)| Fact {
                 origin: name.origin,
                 key: name.key,
--- a/crates/sesamerock/src/control/mod.rs
+++ b/crates/sesamerock/src/control/mod.rs
@@ -5,6 +5,7 @@
 //! view without waiting. See `docs/design.md`, sections 6 and 7.
 
 mod driver;
+pub mod pack;
 mod publish;
 mod reader;
 pub mod view;
