--- a/crates/exchange/src/node/mod.rs
+++ b/crates/exchange/src/node/mod.rs
@@ -5,6 +5,7 @@
 //! [`Node::deliveries`] after each call. Records come out in order, without
 //! gap or repetition; a snapshot replaces everything before it.
 
+mod order;
 mod pull;
 mod push;
 mod round;
@@ -40,6 +41,10 @@
     Record(Record),
     /// The whole state at a later version.
     Snapshot(Snapshot),
+    /// A record whose turn has not come yet. The owner may act on it only in
+    /// ways that the record's fold will confirm or that do no harm; the record
+    /// is delivered again in its turn.
+    Order(Record),
 }
 
 /// What became of a record of the log.
@@ -67,6 +72,7 @@
     shelf: Shelf,
     board: Board,
     pace: Pace,
+    rush: Pace,
     pushed: Version,
     allowance: Allowance,
     pull: pull::Pull,
@@ -95,6 +101,7 @@
             shelf: Shelf::default(),
             board: Board::new(settings.facts, settings.incarnation),
             pace: Pace::new(settings.windows),
+            rush: Pace::new(settings.rush),
             pushed: Version(0),
             allowance: Allowance::new(now, settings.serve),
             pull: pull::Pull::default(),
@@ -117,6 +124,9 @@
             Some(Push::Echo) => self.echo(now, rng),
             None => {}
         }
+        if let Some(push) = self.rush.take(now) {
+            self.push_orders(now, push, rng);
+        }
         self.run_rounds(now, rng);
     }
 
@@ -124,7 +134,7 @@
     pub fn next(&self, now: Moment) -> Moment {
         let round = self.next_round(now);
         let pull = self.pull.deadline();
-        let others = [pull, self.pace.due()];
+        let others = [pull, self.pace.due(), self.rush.due()];
         others.into_iter().flatten().fold(round, Moment::min)
     }
 
@@ -147,6 +157,7 @@
         self.note_contact(ticket, reply);
         let progress = more || self.version() > before;
         self.pull_done(now, ticket, reply.version, progress);
+        self.seek_source(now, rng);
     }
 
     /// Notes that a request got no reply.
@@ -293,9 +304,7 @@
             self.ranking.heard(now, &message.from);
             self.ranking.merge(now, &me, &message.readers);
         }
-        if self.board.merge(now, me.address, &message.facts) {
-            self.pace.news(now);
-        }
+        self.merge_facts(now, &message.facts);
         for record in &message.records {
             if record.version == self.version().next() {
                 self.apply(now, record.clone());
@@ -337,11 +346,14 @@
 
     /// Makes a request that also takes records, unless they may arrive from
     /// elsewhere meanwhile: a round trip to another region is long enough that
-    /// a quarter of the records of a burst arrived twice.
+    /// a quarter of the records of a burst arrived twice. A node that holds
+    /// nothing asks several peers at once, and each sent it the first part of
+    /// its snapshot; it learns only their versions and then pulls from one.
     fn request(&self, now: Moment, peer: &Peer) -> Message {
         let near = self.view.distance(peer.place) != Distance::World;
         let mut message = self.message(now);
-        message.wants = near && !self.pull.busy();
+        let started = self.version() > Version(0);
+        message.wants = near && started && !self.pull.busy();
         message.urgent = self.pull.urgent(now);
         message
     }
--- a/crates/exchange/src/node/pull.rs
+++ b/crates/exchange/src/node/pull.rs
@@ -12,6 +12,9 @@
 use crate::peer::Distance;
 use crate::transfer::Intake;
 
+/// Peers that may decline to hand out a snapshot before one is asked urgently.
+const DECLINES: u32 = 3;
+
 /// Bytes a record takes on the wire besides its content, rounded up.
 const RECORD_OVERHEAD: usize = 16;
 
@@ -56,6 +59,12 @@
     /// The newest version known, and since when this node is behind it.
     newest: Version,
     behind: Option<Moment>,
+    /// Peers in a row that declined to hand out a snapshot.
+    declines: u32,
+    /// Whether another peer is to be asked instead of one that declined.
+    seek: bool,
+    /// When this node last began to hand out a snapshot, or fetched one.
+    handed: Option<Moment>,
 }
 
 impl Pull {
@@ -91,9 +100,10 @@
         source.or(self.ahead.last()).map(|(to, _)| *to)
     }
 
-    /// Returns whether this node has been behind for long.
+    /// Returns whether this node has been behind for long or has nobody left
+    /// to ask for a snapshot.
     pub(super) fn urgent(&self, now: Moment) -> bool {
-        self.behind.is_some_and(|since| now.since(since) >= URGENT)
+        self.declines >= DECLINES || self.behind.is_some_and(|since| now.since(since) >= URGENT)
     }
 
     /// Notes that the node's version advanced.
@@ -149,11 +159,24 @@
         }
         self.pull.end(ticket);
         let useful = progress || !ticket.pull;
-        if theirs > self.version() && useful {
+        let ahead = theirs > self.version();
+        if ahead && useful {
             self.pull.remember(now, ticket.to, theirs);
         } else {
             self.pull.forget(ticket.to);
         }
+        // A node that just started is not to wait for its next round because
+        // the only peers it knows have handed out a snapshot lately.
+        let declined = ahead && !useful && self.version() == Version(0);
+        if progress {
+            self.pull.declines = 0;
+        } else if declined && self.pull.declines < DECLINES {
+            self.pull.declines += 1;
+            if self.pull.declines == DECLINES {
+                self.pull.remember(now, ticket.to, theirs);
+            }
+            self.pull.seek = self.pull.candidate().is_none();
+        }
         self.pull_next(now);
     }
 
@@ -163,6 +186,13 @@
         self.pull_next(now);
     }
 
+    /// Asks another near peer if the one asked declined.
+    pub(super) fn seek_source(&mut self, now: Moment, rng: &mut impl Rng) {
+        if std::mem::take(&mut self.pull.seek) {
+            self.ask_near(now, rng);
+        }
+    }
+
     /// Takes the chunk of a reply and returns whether the transfer goes on.
     pub(super) fn take_chunk(&mut self, now: Moment, ticket: &Ticket, reply: &Message) -> bool {
         let Some(chunk) = &reply.chunk else {
@@ -178,6 +208,8 @@
         let complete = self.pull.intake.add(chunk, self.settings.snapshot);
         if let Some(snapshot) = complete {
             self.restore(now, snapshot);
+            // What it fetched counts against the same budget.
+            self.pull.handed = Some(now);
             return true;
         }
         self.pull.intake.next() != before
@@ -199,7 +231,8 @@
             reply.digest = self.board.digest();
         }
         let theirs = request.sync.then_some(request.digest.as_slice());
-        reply.facts = self.board.select(now, theirs, rng);
+        let behind = lacks.then_some(request.version);
+        reply.facts = self.board.select(now, theirs, behind, rng);
         reply
     }
 
@@ -219,7 +252,9 @@
     fn supply(&mut self, now: Moment, request: &Message, reply: &mut Message) {
         let behind = self.window.base() > request.version;
         if behind || request.part.is_some() {
-            reply.chunk = self.shelf.chunk(request.part, self.settings.payload);
+            if self.hands_out_snapshot(now, request) {
+                reply.chunk = self.shelf.chunk(request.part, self.settings.payload);
+            }
         } else if request.urgent || self.allowance.open(now) {
             let records = self.records_after(request.version).unwrap_or_default();
             self.hand_out(now, &records);
@@ -227,6 +262,23 @@
         }
     }
 
+    /// Returns whether to hand out a part of a snapshot. A snapshot takes a
+    /// third of the budget of 100 s, so a node begins a second one within that
+    /// time only for a peer that is urgent; others find another peer. What was
+    /// begun is completed.
+    fn hands_out_snapshot(&mut self, now: Moment, request: &Message) -> bool {
+        if request.part.is_some() || request.urgent {
+            return true;
+        }
+        let spacing = self.settings.snapshot_spacing;
+        let lately = self.pull.handed.is_some_and(|at| now.since(at) < spacing);
+        if lately || self.shelf.version().is_none() {
+            return false;
+        }
+        self.pull.handed = Some(now);
+        true
+    }
+
     /// Counts records handed out.
     pub(super) fn hand_out(&mut self, now: Moment, records: &[Record]) {
         let bytes = records.iter().map(size).sum();
--- a/crates/exchange/src/node/push.rs
+++ b/crates/exchange/src/node/push.rs
@@ -43,7 +43,7 @@
         }
     }
 
-    fn targets(
+    pub(super) fn targets(
         &self,
         now: Moment,
         distance: Distance,
@@ -67,7 +67,7 @@
             self.hand_out(now, records);
             message.records = records.to_vec();
         }
-        message.facts = self.board.select(now, None, rng);
+        message.facts = self.board.select(now, None, None, rng);
         self.send(now, peer.address, false, message);
     }
 }
--- a/crates/exchange/src/node/settings.rs
+++ b/crates/exchange/src/node/settings.rs
@@ -69,6 +69,8 @@
     pub serve: Share,
     /// Coalescing of pushes.
     pub windows: Windows,
+    /// Coalescing of pushes of orders.
+    pub rush: Windows,
     /// Records kept for peers that lag.
     pub window_records: usize,
     /// Bytes of records kept.
@@ -78,6 +80,8 @@
     pub payload: usize,
     /// Largest snapshot accepted in bytes.
     pub snapshot: usize,
+    /// Time between snapshots that a node hands out, unless urgently asked.
+    pub snapshot_spacing: Duration,
     /// Entries of each distance in a periodic message.
     pub shuffle: usize,
     /// Bounds of the view.
@@ -120,10 +124,17 @@
                 burst: 8_192.0,
             },
             windows: Windows::default(),
+            rush: Windows {
+                quiet: Duration::from_millis(20),
+                longest: Duration::from_millis(50),
+                interval: Duration::from_millis(500),
+                ..Windows::default()
+            },
             window_records: 1_024,
             window_bytes: 1 << 20,
             payload: 48 << 10,
             snapshot: 8 << 20,
+            snapshot_spacing: Duration::from_secs(100),
             shuffle: 1,
             view: peer::Limits::default(),
             readers: Rule::default(),
--- a/crates/exchange/tests/net/mod.rs
+++ b/crates/exchange/tests/net/mod.rs
@@ -38,6 +38,8 @@
     pub peers: Vec<Peer>,
     /// What each node's owner has applied.
     pub applied: Vec<Version>,
+    /// Orders each node's owner got ahead of its turn.
+    pub orders: Vec<Vec<Version>>,
     pub loss: f64,
     pub duplication: f64,
     /// Longest one-way delay; the shortest is a millisecond.
@@ -45,6 +47,8 @@
     /// Nodes of different numbers cannot reach each other.
     pub side: Vec<u8>,
     pub largest: u64,
+    /// Bytes of snapshot parts sent.
+    pub fetched: usize,
     pub messages: u64,
     pub rng: ChaCha8Rng,
     pub settings: Settings,
@@ -91,12 +95,14 @@
             now: Moment::from_millis(1_000),
             nodes: Vec::new(),
             applied: vec![Version(0); peers.len()],
+            orders: vec![Vec::new(); peers.len()],
             side: vec![0; peers.len()],
             peers,
             loss: 0.0,
             duplication: 0.0,
             delay: Duration::from_millis(20),
             largest: 0,
+            fetched: 0,
             messages: 0,
             rng: ChaCha8Rng::seed_from_u64(seed),
             settings: *settings,
@@ -138,6 +144,13 @@
         self.flush(index);
     }
 
+    /// Announces a record ahead of its turn.
+    pub fn order(&mut self, index: usize, record: Record) {
+        let now = self.now;
+        self.node(index).order(now, record.version, record.bytes);
+        self.flush(index);
+    }
+
     /// Counts a read of the log, which is up to date by construction.
     pub fn log_read(&mut self, index: usize) {
         let now = self.now;
@@ -189,6 +202,12 @@
 
     fn apply(&mut self, index: usize, delivery: &Delivery) {
         let (version, bytes) = match delivery {
+            Delivery::Order(order) => {
+                let known = &mut self.orders[index];
+                assert!(!known.contains(&order.version), "an order came twice");
+                known.push(order.version);
+                return;
+            }
             Delivery::Record(record) => {
                 let expected = self.applied[index].next();
                 assert_eq!(record.version, expected, "gap or repetition");
@@ -277,6 +296,8 @@
         let size = size.expect("messages are encodable");
         assert!(size <= MESSAGE_LIMIT, "a message of {size} bytes");
         self.largest = self.largest.max(size);
+        let part = message.chunk.as_ref();
+        self.fetched += part.map_or(0, |chunk| chunk.bytes.len());
         self.messages += 1;
     }
 
--- a/crates/measure/src/spread/world.rs
+++ b/crates/measure/src/spread/world.rs
@@ -8,12 +8,12 @@
 use sesamerock_base::version::Version;
 use sesamerock_exchange::blob::Blob;
 use sesamerock_exchange::message::{Message, Record, Request, Standing, Ticket};
-use sesamerock_exchange::node::{Delivery, Node, Settings};
+use sesamerock_exchange::node::{Delivery, Node};
 use sesamerock_exchange::peer::Peer;
 use sesamerock_exchange::transfer::Snapshot;
 
-use super::meter::Span;
 use super::queue::{Event, Queue};
+use super::scenario::{Origin, Scenario};
 use super::tally::Tally;
 use super::topology::{ZONES, index_of, latency, peer, region_of};
 use super::wire::{coded, size};
@@ -27,57 +27,15 @@
 /// Entries of the VM list a node is given, a random part of the whole.
 const LISTED: usize = 150;
 
-/// Version and size of the state that all nodes start from.
+/// Version of the state that all nodes start from.
 const START: u64 = 10_000;
-const STATE: usize = 200 << 10;
 
 /// Content of one record in bytes.
 const RECORD: usize = 300;
 
-/// Who learns of a change first.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Origin {
-    /// The nodes that read the log, which is in the first region.
-    Readers,
-    /// One random node, as if only it could read the log.
-    One,
-}
-
-/// A region that is cut off from all others for a while.
-#[derive(Clone, Copy, Debug)]
-pub struct Cut {
-    /// Its number.
-    pub region: usize,
-    /// When the cut begins and ends.
-    pub from: Moment,
-    /// When it ends.
-    pub to: Moment,
-}
-
-/// What a scenario is made of.
-#[derive(Clone, Debug)]
-pub struct Scenario {
-    /// Its name in the report.
-    pub name: &'static str,
-    /// Number of nodes.
-    pub nodes: usize,
-    /// Settings of all nodes.
-    pub settings: Settings,
-    /// Who learns first.
-    pub origin: Origin,
-    /// Moments at which changes are appended.
-    pub changes: Vec<Moment>,
-    /// End of the run.
-    pub end: Moment,
-    /// The span in which bytes are counted against the budget.
-    pub counted: Span,
-    /// The span in which changes are appended.
-    pub busy: Span,
-    /// When a rack fails.
-    pub rack: Option<Moment>,
-    /// A cut between regions.
-    pub cut: Option<Cut>,
-}
+/// Content of an order in bytes: the record that takes a zone out, with an id
+/// and a name of ordinary length.
+const ORDER: usize = 150;
 
 /// One VM.
 #[derive(Debug)]
@@ -124,7 +82,7 @@
             queue: Queue::default(),
             now: Moment::default(),
             rng: ChaCha8Rng::seed_from_u64(seed),
-            state: Blob::from(vec![7; STATE]),
+            state: Blob::from(vec![7; scenario.state]),
             content: Blob::from(vec![9; RECORD]),
             appended: START,
             tally: Tally::new(scenario.nodes, START, scenario.counted, scenario.busy),
@@ -203,6 +161,10 @@
             let version = match delivery {
                 Delivery::Record(record) => record.version,
                 Delivery::Snapshot(snapshot) => snapshot.version,
+                Delivery::Order(order) => {
+                    self.tally.order_known(now, index, order.version.0);
+                    continue;
+                }
             };
             self.tally.applied(now, index, version.0);
         }
@@ -308,6 +270,9 @@
         self.appended += 1;
         let version = self.appended;
         self.tally.appended(self.now);
+        if self.is_order(version) {
+            self.tally.ordered(self.now, version);
+        }
         if self.scenario.origin == Origin::One {
             let index = self.rng.random_range(0..self.peers.len());
             self.queue.push(self.now, Event::Log(index as u32, version));
@@ -328,12 +293,17 @@
     /// Gives a node the records of the log that it lacks.
     fn read_log(&mut self, index: usize, version: u64) {
         let content = self.content.clone();
+        let orders: Vec<_> = (START..=version).filter(|v| self.is_order(*v)).collect();
+        let ahead = self.scenario.ahead;
         self.with(index, |node, now, _| {
             let from = node.version().next().0;
             if from <= START {
                 return;
             }
             for version in from..=version {
+                if ahead && orders.contains(&version) {
+                    node.order(now, Version(version), Blob::from(vec![5; ORDER]));
+                }
                 let record = Record {
                     version: Version(version),
                     bytes: content.clone(),
@@ -343,6 +313,10 @@
         });
     }
 
+    fn is_order(&self, version: u64) -> bool {
+        self.scenario.orders.contains(&(version - START))
+    }
+
     /// Returns whether one of two nodes was started within the last 10 s, so
     /// that it fetches state and recent records.
     fn joining(&self, one: usize, other: usize) -> bool {
