Plan expert placement in the leader of a group

Cause: the planner was measured alone, and a group's leader switched only to maps named from outside. Change: engines report tokens per expert and the time of their experts at /load/experts. The leader collects the reports over the group's rpc, runs the planner on a blocking thread that rests a hundred times as long as a round took, reserves the transfers at the weight store and names the map to the protocol. The number of a map is a hash of its content, and ranks fetch a content that they lack from the leader, so a number stands for one content whatever leaders do. Plans name the layers they rejected. Settings have a section `placement`; the test that misspells every key covers it. No change of map in 500 steps of noise and no mixed step.

--- a/crates/group/src/leader/mod.rs
+++ b/crates/group/src/leader/mod.rs
@@ -169,6 +169,16 @@
         }
     }
 
+    /// Gives up a switch that has not begun; the group keeps its map.
+    pub fn stay(&mut self) {
+        self.target = None;
+    }
+
+    /// Returns the map of the last step planned.
+    pub fn map(&self) -> Map {
+        self.kept()
+    }
+
     /// Takes note of a token in a message to this rank's member. A live leader
     /// keeps this rank from proposing itself; a higher token makes it step
     /// back.
--- a/crates/place/src/budget/mod.rs
+++ b/crates/place/src/budget/mod.rs
@@ -50,6 +50,12 @@
         self.bytes as u64
     }
 
+    /// Changes the fair share; what was saved up stays.
+    pub fn set_rate(&mut self, now: Moment, rate: u64) {
+        self.available(now);
+        self.rate = rate as f64;
+    }
+
     /// Takes bytes that are requested.
     pub fn take(&mut self, bytes: u64) {
         self.bytes -= bytes as f64;
--- a/crates/place/src/plan/mod.rs
+++ b/crates/place/src/plan/mod.rs
@@ -84,12 +84,26 @@
     pub peer_bytes: u64,
     /// Ranks that are slow, and how they are relieved.
     pub relief: Vec<Relief>,
+    /// Layers that were searched and left as they are, since the best chain of
+    /// moves gains too little.
+    pub rejected: Vec<Rejected>,
     /// Layers that were searched.
     pub searched: usize,
     /// Times of ranks that were predicted; see [`Settings::work`].
     pub work: u64,
 }
 
+/// Moves of a layer that are not worth their cost.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Rejected {
+    /// The layer.
+    pub layer: u16,
+    /// Predicted gain as a part of the layer's time.
+    pub gain: f64,
+    /// Gain that would be worth the moves.
+    pub needed: f64,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Candidate {
     layer: usize,
@@ -188,6 +202,11 @@
         self.store.refused(now);
     }
 
+    /// Sets the group's fair share of the store's rate, in bytes per second.
+    pub fn share(&mut self, now: Moment, rate: u64) {
+        self.store.set_rate(now, rate);
+    }
+
     /// Returns the current map.
     pub fn map(&self) -> &Map {
         &self.map
@@ -344,6 +363,11 @@
             } else {
                 self.changed[layer] = true;
             }
+            plan.rejected.push(Rejected {
+                layer: layer as u16,
+                gain,
+                needed: threshold,
+            });
             return None;
         }
         self.changed[layer] = true;
--- a/crates/platform/src/engine/mod.rs
+++ b/crates/platform/src/engine/mod.rs
@@ -1,5 +1,7 @@
 //! A model engine or plain service behind an agent.
 
+mod experts;
+
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -11,6 +13,7 @@
 
 use crate::error::Error;
 use crate::http::client::{Client, Link};
+pub use experts::{Experts, Placement};
 
 /// What an engine reports of itself, with a lag.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -88,8 +91,11 @@
     },
     /// Fetch an expert map without using it.
     StageMap {
-        /// Map number.
+        /// Map number. A number stands for one content for ever.
         map: u64,
+        /// Content; absent for a map that the engine knows by its number.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        placement: Option<Placement>,
     },
     /// Free the memory of an expert map.
     DropMap {
@@ -156,6 +162,12 @@
     /// Reads the engine's report.
     fn load(&self) -> impl Future<Output = Result<Load, Error>> + Send;
 
+    /// Reads what the engine says of its experts.
+    fn experts(&self) -> impl Future<Output = Result<Experts, Error>> + Send;
+
+    /// Reads the content of a map that the engine has staged.
+    fn placement(&self, map: u64) -> impl Future<Output = Result<Placement, Error>> + Send;
+
     /// Gives a command.
     fn command(&self, order: &Order) -> impl Future<Output = Result<(), Error>> + Send;
 }
@@ -210,6 +222,16 @@
             .await
     }
 
+    async fn experts(&self) -> Result<Experts, Error> {
+        let uri = format!("http://{}/load/experts", self.authority);
+        self.client.get(&uri, Duration::ZERO).await
+    }
+
+    async fn placement(&self, map: u64) -> Result<Placement, Error> {
+        let uri = format!("http://{}/maps/{map}", self.authority);
+        self.client.get(&uri, Duration::ZERO).await
+    }
+
     async fn command(&self, order: &Order) -> Result<(), Error> {
         let uri = format!("http://{}/commands", self.authority);
         self.client
--- a/crates/sesamerock/src/agent/group/mod.rs
+++ b/crates/sesamerock/src/agent/group/mod.rs
@@ -4,8 +4,11 @@
 //! which reach it over the relay service, sends what its own leader asks of the
 //! ranks, and gives the engine its commands one at a time.
 
+mod content;
+mod placement;
 mod rank;
 mod ranks;
+mod report;
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -32,6 +35,8 @@
 const TIMEOUT: Duration = Duration::from_millis(500);
 /// Messages to one rank that may wait for their replies.
 const IN_FLIGHT: usize = 4;
+/// Requests for contents of maps that wait for the placement task.
+const WANTS: usize = 8;
 /// Map that every engine has staged when it starts.
 const FIRST_MAP: u64 = 0;
 
@@ -73,9 +78,42 @@
     Reply { from: u32, message: Message },
 }
 
-/// Messages for the group's task.
+/// Messages for the group's tasks.
 #[derive(Debug)]
-pub struct Inbox(mpsc::Receiver<Arrival>);
+pub struct Inbox {
+    arrivals: mpsc::Receiver<Arrival>,
+    wants: mpsc::Receiver<Want>,
+}
+
+/// A map whose content this agent lacks.
+#[derive(Clone, Copy, Debug)]
+struct Want {
+    map: u64,
+    /// Rank of the leader that asked to stage it.
+    leader: u32,
+}
+
+/// What the placement task needs to know of the leader.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct Lead {
+    /// Whether this agent leads.
+    leads: bool,
+    /// Whether maps are named from outside.
+    named: bool,
+    /// Map of the last step planned.
+    map: u64,
+}
+
+/// What the group's task and the placement task share.
+#[derive(Debug)]
+struct Shared {
+    contents: content::Contents,
+    reader: report::Reader,
+    wants: mpsc::Sender<Want>,
+    lead: watch::Sender<Lead>,
+    /// Map that the placement task planned.
+    target: watch::Sender<Option<u64>>,
+}
 
 /// What an agent does in its group, for operators.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -99,17 +137,30 @@
 pub struct Handle {
     inbox: mpsc::Sender<Arrival>,
     status: watch::Sender<Status>,
+    shared: Arc<Shared>,
 }
 
 impl Handle {
     /// Makes a handle and the inbox of the task.
     pub fn new() -> (Self, Inbox) {
-        let (sender, receiver) = mpsc::channel(INBOX);
+        let (sender, arrivals) = mpsc::channel(INBOX);
+        let (wants, wanted) = mpsc::channel(WANTS);
         let handle = Self {
             inbox: sender,
             status: watch::Sender::default(),
+            shared: Arc::new(Shared {
+                contents: content::Contents::default(),
+                reader: report::Reader::default(),
+                wants,
+                lead: watch::Sender::default(),
+                target: watch::Sender::default(),
+            }),
         };
-        (handle, Inbox(receiver))
+        let inbox = Inbox {
+            arrivals,
+            wants: wanted,
+        };
+        (handle, inbox)
     }
 
     /// Returns what the agent does in its group.
@@ -148,8 +199,35 @@
     bincode::serialize(message).unwrap_or_default().into()
 }
 
+/// Answers a message of another rank's agent.
+///
+/// # Errors
+/// Returns the status for a message that cannot be read or answered.
+pub(super) async fn answer<E: Engine>(
+    context: &Context<E>,
+    request: GroupMessage,
+) -> Result<GroupMessage, tonic::Status> {
+    if report::marked(&request.message) {
+        report::answer(context, request).await
+    } else {
+        context.group.answer(request).await
+    }
+}
+
 /// Runs the group of the agent's upstream until the task is dropped.
-pub async fn run<E: Engine>(context: &Context<E>, mut inbox: Inbox, mut planned: Planned) {
+pub async fn run<E: Engine>(context: &Context<E>, inbox: Inbox, planned: Planned) {
+    let Inbox { arrivals, wants } = inbox;
+    // The planner makes the second future large.
+    let placement = Box::pin(placement::run(context, wants));
+    tokio::join!(run_protocol(context, arrivals, planned), placement);
+}
+
+async fn run_protocol<E: Engine>(
+    context: &Context<E>,
+    mut arrivals: mpsc::Receiver<Arrival>,
+    mut planned: Planned,
+) {
+    let mut target = context.group.shared.target.subscribe();
     let mut changes = context.control.changes();
     let mut task = Task {
         context,
@@ -159,12 +237,13 @@
     };
     loop {
         task.follow_state();
-        let map = *planned.0.borrow();
+        let named = *planned.0.borrow();
+        let map = named.or(*target.borrow_and_update());
         task.send(map).await;
-        task.state();
+        task.state(named.is_some());
         let next = task.next();
         tokio::select! {
-            arrival = inbox.0.recv() => match arrival {
+            arrival = arrivals.recv() => match arrival {
                 Some(arrival) => task.handle(arrival).await,
                 None => return,
             },
@@ -172,6 +251,8 @@
                 return;
             },
             () = planned.changed() => {}
+            // The sender lives as long as the agent.
+            _ = target.changed() => {}
             () = until(next) => {}
         }
     }
@@ -229,7 +310,12 @@
             .iter()
             .map(|_| Arc::new(tokio::sync::Semaphore::new(IN_FLIGHT)));
         Present {
-            rank: Rank::new(engine, sender, ranks.own, ranks.checks_fencing),
+            rank: Rank::new(
+                engine,
+                sender,
+                &ranks,
+                Arc::clone(&self.context.group.shared),
+            ),
             role: leader.role(),
             leader,
             slots: slots.collect(),
@@ -238,7 +324,16 @@
     }
 
     /// States what this agent does in its group.
-    fn state(&self) {
+    fn state(&self, named: bool) {
+        let lead = self.present.as_ref().map(|present| Lead {
+            leads: present.leader.role() == Role::Leading,
+            named,
+            map: present.leader.map(),
+        });
+        self.context.group.shared.lead.send_if_modified(|last| {
+            let lead = lead.unwrap_or_default();
+            std::mem::replace(last, lead) != lead
+        });
         let status = self.present.as_ref().map(Present::status);
         self.context.group.status.send_if_modified(|last| {
             let status = status.unwrap_or_default();
@@ -284,8 +379,9 @@
         let Some(present) = &mut self.present else {
             return;
         };
-        if let Some(map) = planned {
-            present.leader.switch(clock::now(), map);
+        match planned {
+            Some(map) => present.leader.switch(clock::now(), map),
+            None => present.leader.stay(),
         }
         let requests = present.leader.tick(clock::now(), &mut self.rng);
         for request in requests {
--- /dev/null
+++ b/crates/sesamerock/src/agent/group/placement/collect/mod.rs
@@ -0,0 +1,153 @@
+//! Collects reports from the ranks, and contents of maps.
+
+use std::time::Duration;
+
+use futures::future::join_all;
+use sesamerock_platform::engine::Engine;
+use sesamerock_wire::relay::GroupMessage;
+
+use super::Planning;
+use crate::agent::Context;
+use crate::agent::group::ranks::Ranks;
+use crate::agent::group::report::{self, Reply, Request, Sample};
+use crate::clock;
+use crate::entry::relay::Pool;
+
+/// Time for one message to a rank and its reply.
+const TIMEOUT: Duration = Duration::from_millis(500);
+/// Counts that the ranks send in one collection. With 2 to 3 bytes each and a
+/// collection every 32 s at 64 ranks this is a quarter of the byte budget.
+const COUNTS: usize = 16_384;
+/// Ranks asked for a content before its next request.
+const ASKED: usize = 4;
+
+/// Collects the work of all ranks and passes it to the planner.
+///
+/// Every rank's calls use all experts, so the counts of a few ranks tell the
+/// popularity; large groups take each layer from some ranks in turn.
+pub(super) async fn run<E: Engine>(
+    context: &Context<E>,
+    pool: &Pool,
+    ranks: &Ranks,
+    round: u32,
+    planning: &mut Planning,
+) {
+    let count = ranks.agents.len();
+    let layers = planning.planner.map().layers.iter();
+    let counts: usize = layers.map(|layer| usize::from(layer.experts())).sum();
+    let stride = (counts * count).div_ceil(COUNTS).clamp(1, count) as u16;
+    let asked = (0..count as u32).map(|rank| {
+        let offset = (rank.wrapping_add(round) % u32::from(stride)) as u16;
+        sample(
+            context,
+            pool,
+            ranks,
+            rank,
+            Request::Collect { offset, stride },
+        )
+    });
+    let samples: Vec<_> = join_all(asked).await;
+    feed(planning, &samples);
+}
+
+async fn sample<E: Engine>(
+    context: &Context<E>,
+    pool: &Pool,
+    ranks: &Ranks,
+    rank: u32,
+    request: Request,
+) -> Option<Sample> {
+    if let (true, Request::Collect { offset, stride }) = (rank == ranks.own, request) {
+        let reader = &context.group.shared.reader;
+        return reader.sample(&context.engine, offset, stride).await;
+    }
+    match ask(pool, ranks, rank, request).await? {
+        Reply::Sample(sample) => sample,
+        Reply::Content(_) => None,
+    }
+}
+
+async fn ask(pool: &Pool, ranks: &Ranks, rank: u32, request: Request) -> Option<Reply> {
+    let agent = *ranks.agents.get(rank as usize)?;
+    let message = GroupMessage {
+        group: ranks.group.clone(),
+        rank,
+        message: report::encode(&request),
+    };
+    let reply = tokio::time::timeout(TIMEOUT, pool.group(agent, message)).await;
+    let Ok(Ok(reply)) = reply else {
+        log::debug!("event=placement_no_reply rank={rank} agent={agent} request={request:?}");
+        return None;
+    };
+    report::decode(&reply.message)
+}
+
+/// Passes samples to the planner; `None` is a rank that reported nothing.
+fn feed(planning: &mut Planning, samples: &[Option<Sample>]) {
+    let now = clock::now();
+    let planner = &mut planning.planner;
+    let layers = planner.map().layers.len();
+    for layer in 0..layers as u16 {
+        let mut sum: Vec<u32> = Vec::new();
+        let mut steps = 0;
+        let mut sources = 0;
+        for sample in samples.iter().flatten() {
+            let found = sample.layers.iter().find(|(number, _)| *number == layer);
+            let Some((_, counts)) = found else { continue };
+            sum.resize(counts.len(), 0);
+            for (sum, count) in sum.iter_mut().zip(counts) {
+                *sum = sum.saturating_add(*count);
+            }
+            steps += sample.steps;
+            sources += 1;
+        }
+        if sources > 0 {
+            // Ranks that sent nothing have as many tokens as the others, so the
+            // tokens seen are those of all ranks in fewer steps.
+            let steps = (steps / samples.len() as u64).max(1);
+            planner.observe(now, layer, &sum, steps as u32);
+        }
+    }
+    let rates = samples.iter().map(|sample| {
+        let sample = sample.as_ref().filter(|sample| sample.busy_us > 0)?;
+        Some(sample.handled as f64 / sample.busy_us as f64)
+    });
+    let rates: Vec<_> = rates.collect();
+    let mut sorted: Vec<_> = rates.iter().flatten().copied().collect();
+    sorted.sort_by(f64::total_cmp);
+    let median = sorted.get(sorted.len() / 2).copied().unwrap_or_default();
+    for (rank, (rate, sample)) in (0..).zip(rates.iter().zip(samples)) {
+        if let Some(rate) = rate.filter(|_| median > 0.0) {
+            planner.speed(now, rank, rate / median);
+        }
+        if let Some(sample) = sample {
+            planner.exports(rank, sample.exports);
+        }
+    }
+}
+
+/// Fetches the content of a map, from `first` or else from a few ranks after
+/// this one.
+pub(super) async fn fetch<E: Engine>(
+    context: &Context<E>,
+    pool: &Pool,
+    ranks: &Ranks,
+    map: u64,
+    first: u32,
+) {
+    let count = ranks.agents.len() as u32;
+    let others = (1..count).map(|step| (ranks.own + step) % count);
+    let others = others.filter(|rank| *rank != first);
+    let asked = [first].into_iter().chain(others);
+    for rank in asked.filter(|rank| *rank != ranks.own).take(ASKED) {
+        let reply = ask(pool, ranks, rank, Request::Fetch { map }).await;
+        let Some(Reply::Content(Some(placement))) = reply else {
+            continue;
+        };
+        if context.group.shared.contents.insert(map, placement) {
+            log::info!("event=placement_content_fetched map={map} from={rank}");
+            return;
+        }
+        log::error!("event=placement_content_mismatch map={map} from={rank}");
+    }
+}
--- /dev/null
+++ b/crates/sesamerock/src/agent/group/placement/decision/mod.rs
@@ -0,0 +1,98 @@
+//! The log line of each placement decision.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use sesamerock_place::map::{Move, Source};
+use sesamerock_place::plan::{Plan, Rejected, Stage};
+use sesamerock_platform::error::Error;
+
+use crate::settings::placement::Placement;
+
+/// Moves and rejected layers named in a log line.
+const NAMED: usize = 8;
+
+/// What became of a round.
+#[derive(Debug)]
+pub(super) enum Outcome {
+    /// No moves are worth their cost.
+    Keep,
+    /// The group is to switch to this map.
+    Switch(u64),
+    /// The weight store did not permit the transfers.
+    Reserve(Error),
+}
+
+/// Returns the experts that each rank loads from the weight store.
+pub(super) fn loads(plan: &Plan) -> BTreeMap<u16, u64> {
+    let transfers = plan.moves.iter().filter_map(Move::transfer);
+    let mut loads = BTreeMap::new();
+    for (rank, source) in transfers {
+        if source == Source::Store {
+            *loads.entry(rank).or_default() += 1;
+        }
+    }
+    loads
+}
+
+/// Writes the line. A round that searched nothing decided nothing.
+pub(super) fn log(
+    group: &str,
+    map: u64,
+    plan: &Plan,
+    outcome: &Outcome,
+    took: Duration,
+    settings: &Placement,
+) {
+    let transfers = plan.moves.iter().filter(|step| step.transfer().is_some());
+    let cost = settings.transfer_cost * transfers.count() as u32;
+    let saving = settings.lifetime.mul_f64(plan.gain.max(0.0));
+    let named: Vec<_> = plan.moves.iter().take(NAMED).map(describe).collect();
+    let (decision, next, reason) = match outcome {
+        Outcome::Keep => ("keep", None, "not_worth_the_cost".to_owned()),
+        Outcome::Switch(next) => ("switch", Some(*next), cause(plan).to_owned()),
+        Outcome::Reserve(error) => ("keep", None, format!("weight store: {error}")),
+    };
+    let level = if plan.searched > 0 {
+        log::Level::Info
+    } else {
+        log::Level::Debug
+    };
+    log::log!(
+        level,
+        "event=placement_decision group={group} decision={decision} map={map} next={next:?} \
+         reason={reason:?} gain={:.4} saving_ms={} cost_ms={} moves={} named={named:?} \
+         store_bytes={} peer_bytes={} searched={} rejected={:?} relief={:?} work={} took_us={}",
+        plan.gain,
+        saving.as_millis(),
+        cost.as_millis(),
+        plan.moves.len(),
+        plan.store_bytes,
+        plan.peer_bytes,
+        plan.searched,
+        rejected(&plan.rejected),
+        plan.relief,
+        plan.work,
+        took.as_micros()
+    );
+}
+
+fn cause(plan: &Plan) -> &'static str {
+    let moved_away = |relief: &sesamerock_place::plan::Relief| relief.stage == Stage::Placement;
+    if plan.relief.iter().any(moved_away) {
+        "slow_rank"
+    } else {
+        "popularity"
+    }
+}
+
+fn describe(step: &Move) -> String {
+    format!("{}/{}:{:?}", step.layer, step.expert, step.change)
+}
+
+fn rejected(layers: &[Rejected]) -> Vec<String> {
+    let named = layers.iter().take(NAMED);
+    named
+        .map(|layer| format!("{}:{:.4}<{:.4}", layer.layer, layer.gain, layer.needed))
+        .collect()
+}
--- a/crates/sesamerock/src/agent/group/rank/mod.rs
+++ b/crates/sesamerock/src/agent/group/rank/mod.rs
@@ -1,6 +1,7 @@
 //! This agent's member, together with the engine it commands.
 
 use std::collections::HashMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 use sesamerock_base::time::Moment;
@@ -8,6 +9,9 @@
 use sesamerock_group::message::{Fence, Incarnation, Map, Message, Window};
 use sesamerock_platform::engine::{self, Engine, Load, Order};
 
+use super::content::planned;
+use super::ranks::Ranks;
+use super::{Shared, Want};
 use crate::clock;
 
 /// Time for one command or report of the engine.
@@ -22,6 +26,7 @@
     sender: String,
     index: u32,
     checks_fencing: bool,
+    shared: Arc<Shared>,
     member: Option<Live>,
     /// When the engine was last told to stage a map that it has not staged.
     staging: HashMap<Map, Moment>,
@@ -35,12 +40,13 @@
 }
 
 impl<E: Engine> Rank<E> {
-    pub(super) fn new(engine: E, sender: String, index: u32, checks_fencing: bool) -> Self {
+    pub(super) fn new(engine: E, sender: String, ranks: &Ranks, shared: Arc<Shared>) -> Self {
         Self {
             engine,
             sender,
-            index,
-            checks_fencing,
+            index: ranks.own,
+            checks_fencing: ranks.checks_fencing,
+            shared,
             member: None,
             staging: HashMap::new(),
         }
@@ -57,8 +63,11 @@
         commands.extend(answer.commands);
         self.keep_new(&mut commands);
         for command in commands {
+            let Some(command) = self.command_of(command, request.fence().rank) else {
+                continue;
+            };
             // A command that is lost is sent again with the next request.
-            if !self.command(fence, load.fence, command_of(command)).await {
+            if !self.command(fence, load.fence, command).await {
                 self.staging.clear();
                 break;
             }
@@ -120,6 +129,28 @@
         });
     }
 
+    /// Adds the content to a command to stage a planned map. If it is not known
+    /// here, it is asked for, and the leader's next request tries again.
+    fn command_of(&mut self, command: member::Command, leader: u32) -> Option<engine::Command> {
+        match command {
+            member::Command::Stage(map) => {
+                let content = self.shared.contents.get(map);
+                if content.is_none() && planned(map) {
+                    self.staging.remove(&map);
+                    // A full channel loses the request, which is repeated.
+                    let _ = self.shared.wants.try_send(Want { map, leader });
+                    return None;
+                }
+                let placement = content.map(|content| (*content).clone());
+                Some(engine::Command::StageMap { map, placement })
+            }
+            member::Command::Drop(map) => Some(engine::Command::DropMap { map }),
+            member::Command::Run(Window { from, to, map }) => {
+                Some(engine::Command::RunSteps { from, to, map })
+            }
+        }
+    }
+
     async fn load(&self) -> Option<Load> {
         let read = tokio::time::timeout(ENGINE_TIMEOUT, self.engine.load()).await;
         read.ok()?.ok()
@@ -161,13 +192,3 @@
         windows: windows.collect(),
     }
 }
-
-fn command_of(command: member::Command) -> engine::Command {
-    match command {
-        member::Command::Stage(map) => engine::Command::StageMap { map },
-        member::Command::Drop(map) => engine::Command::DropMap { map },
-        member::Command::Run(Window { from, to, map }) => {
-            engine::Command::RunSteps { from, to, map }
-        }
-    }
-}
--- /dev/null
+++ b/crates/sesamerock/src/agent/group/report/mod.rs
@@ -0,0 +1,179 @@
+//! What a rank tells its leader of its experts, and how maps' contents travel.
+//!
+//! These messages use the rpc of the group protocol. They begin with a mark
+//! that no protocol message begins with, so that an agent of an older version
+//! refuses them.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bincode::Options as _;
+use bytes::Bytes;
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use sesamerock_platform::engine::{Engine, Experts, Placement};
+use sesamerock_wire::relay::GroupMessage;
+use tokio::sync::Mutex;
+
+use super::content::{Contents, planned};
+use super::ranks::Ranks;
+use crate::agent::Context;
+
+/// First bytes of each message.
+const MARK: &[u8] = b"plc1";
+/// Time for a read of the engine's report.
+const ENGINE_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// A request to a rank's agent.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub(super) enum Request {
+    /// Asks for the work since the last request, with the counts of the layers
+    /// whose number leaves the rest `offset` when divided by `stride`.
+    Collect { offset: u16, stride: u16 },
+    /// Asks for the content of a map.
+    Fetch { map: u64 },
+}
+
+/// The answer of a rank's agent.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(super) enum Reply {
+    /// The work; `None` if the engine reported nothing new.
+    Sample(Option<Sample>),
+    /// The content; `None` if it is not known here.
+    Content(Option<Placement>),
+}
+
+/// Work of a rank's experts between two reports of its engine.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub(super) struct Sample {
+    /// Steps covered.
+    pub(super) steps: u64,
+    /// Time of computation, in microseconds.
+    pub(super) busy_us: u64,
+    /// Tokens computed.
+    pub(super) handled: u64,
+    /// Whether the engine can export experts.
+    pub(super) exports: bool,
+    /// Layers with the tokens that the rank's calls sent to each expert.
+    pub(super) layers: Vec<(u16, Vec<u32>)>,
+}
+
+/// Encodes a message.
+pub(super) fn encode(message: &impl Serialize) -> Bytes {
+    let mut bytes = MARK.to_vec();
+    // Writing to memory cannot fail for these types.
+    drop(bincode::DefaultOptions::new().serialize_into(&mut bytes, message));
+    bytes.into()
+}
+
+/// Decodes a message; `None` if it is another kind of message.
+pub(super) fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Option<T> {
+    let content = bytes.strip_prefix(MARK)?;
+    bincode::DefaultOptions::new().deserialize(content).ok()
+}
+
+/// Returns whether a message belongs to placement.
+pub(super) fn marked(bytes: &[u8]) -> bool {
+    bytes.starts_with(MARK)
+}
+
+/// The engine's report as last passed on.
+#[derive(Debug, Default)]
+pub(super) struct Reader(Mutex<Experts>);
+
+impl Reader {
+    /// Returns the work since the last call.
+    pub(super) async fn sample(
+        &self,
+        engine: &impl Engine,
+        offset: u16,
+        stride: u16,
+    ) -> Option<Sample> {
+        let mut last = self.0.lock().await;
+        let read = tokio::time::timeout(ENGINE_TIMEOUT, engine.experts()).await;
+        let next = read.ok()?.ok()?;
+        let sample = between(&last, &next, offset, stride);
+        if next.incarnation != last.incarnation || next.step > last.step {
+            *last = next;
+        }
+        sample
+    }
+}
+
+fn between(last: &Experts, next: &Experts, offset: u16, stride: u16) -> Option<Sample> {
+    if next.incarnation != last.incarnation || next.step <= last.step {
+        return None;
+    }
+    let layers = last.counts.iter().zip(&next.counts);
+    let layers = (0..).zip(layers);
+    let asked = layers.filter(|(layer, _)| layer % stride.max(1) == offset);
+    let counts = asked.map(|(layer, (last, next))| {
+        let pairs = last.iter().zip(next);
+        let counts = pairs.map(|(last, next)| next.saturating_sub(*last));
+        let capped = counts.map(|count| u32::try_from(count).unwrap_or(u32::MAX));
+        (layer, capped.collect())
+    });
+    Some(Sample {
+        steps: next.step - last.step,
+        busy_us: next.busy_us.saturating_sub(last.busy_us),
+        handled: next.handled.saturating_sub(last.handled),
+        exports: next.exports,
+        layers: counts.collect(),
+    })
+}
+
+/// Returns the content of a map that this agent or its engine holds.
+pub(super) async fn content(
+    contents: &Contents,
+    engine: &impl Engine,
+    map: u64,
+) -> Option<Arc<Placement>> {
+    if let Some(known) = contents.get(map) {
+        return Some(known);
+    }
+    let read = tokio::time::timeout(ENGINE_TIMEOUT, engine.placement(map)).await;
+    let placement = read.ok()?.ok()?;
+    if !contents.insert(map, placement) {
+        log::error!(
+            "event=placement_content_mismatch map={map} planned={}",
+            planned(map)
+        );
+        return None;
+    }
+    contents.get(map)
+}
+
+/// Answers a leader, or a rank that lacks a content.
+///
+/// # Errors
+/// Returns the status for a message that cannot be read or is for another rank.
+pub(super) async fn answer<E: Engine>(
+    context: &Context<E>,
+    message: GroupMessage,
+) -> Result<GroupMessage, tonic::Status> {
+    let request = decode(&message.message)
+        .ok_or_else(|| tonic::Status::invalid_argument("not a placement message"))?;
+    let ranks = {
+        let view = context.control.view();
+        Ranks::of(&view.state, &context.settings.upstream.name)
+    };
+    let here = ranks.is_some_and(|ranks| ranks.group == message.group && ranks.own == message.rank);
+    if !here {
+        return Err(tonic::Status::failed_precondition("not this rank"));
+    }
+    let shared = &context.group.shared;
+    let reply = match request {
+        Request::Collect { offset, stride } => {
+            let sample = shared.reader.sample(&context.engine, offset, stride).await;
+            Reply::Sample(sample)
+        }
+        Request::Fetch { map } => {
+            let found = content(&shared.contents, &context.engine, map).await;
+            Reply::Content(found.map(|placement| (*placement).clone()))
+        }
+    };
+    Ok(GroupMessage {
+        message: encode(&reply),
+        ..message
+    })
+}
--- a/crates/sesamerock/src/agent/relay/mod.rs
+++ b/crates/sesamerock/src/agent/relay/mod.rs
@@ -10,7 +10,7 @@
 use tonic::{Request, Response, Status, Streaming};
 
 use super::Context;
-use super::execute;
+use super::{execute, group};
 
 /// Frames of one call that may wait for the transport.
 const FRAMES: usize = 32;
@@ -60,9 +60,7 @@
         &self,
         request: Request<GroupMessage>,
     ) -> Result<Response<GroupMessage>, Status> {
-        self.context
-            .group
-            .answer(request.into_inner())
+        group::answer(&self.context, request.into_inner())
             .await
             .map(Response::new)
     }
--- a/crates/sesamerock/src/settings/check/tables/mod.rs
+++ b/crates/sesamerock/src/settings/check/tables/mod.rs
@@ -1,5 +1,7 @@
 //! The keys of the settings files.
 
+mod placement;
+
 use sesamerock_note::schema::{Field, Kind, Need, Schema, Unique};
 
 /// Longest name, in bytes.
@@ -232,6 +234,12 @@
             Need::Optional,
             "Time within which a staged expert map is to be in use, for a rank of a group; 1000 when absent, and more for a group of over ten ranks.",
         ),
+        field(
+            "placement",
+            Kind::Record(&placement::PLACEMENT),
+            Need::Optional,
+            "Planning of expert placement, for a rank of a group.",
+        ),
     ],
     rules: &[],
 };
--- a/crates/sesamerock/src/settings/mod.rs
+++ b/crates/sesamerock/src/settings/mod.rs
@@ -5,6 +5,7 @@
 //! operators is `docs/settings.md`.
 
 pub mod check;
+pub mod placement;
 
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::time::Duration;
@@ -180,6 +181,8 @@
     #[serde_as(as = "Option<DurationMilliSeconds<u64>>")]
     #[serde(rename = "map_switch_ms", skip_serializing_if = "Option::is_none")]
     pub map_switch: Option<Duration>,
+    /// Planning of expert placement, for a rank of a group.
+    pub placement: placement::Placement,
 }
 
 impl Default for Agent {
@@ -192,6 +195,7 @@
             body_bytes: 4 << 20,
             drain_timeout: Duration::from_mins(2),
             map_switch: None,
+            placement: placement::Placement::default(),
         }
     }
 }
--- a/crates/sesamerock/tests/cli.rs
+++ b/crates/sesamerock/tests/cli.rs
@@ -92,7 +92,7 @@
             .collect()
     };
     let mut file = lines(role, "");
-    for section in ["node", "upstream"] {
+    for section in ["node", "upstream", "placement"] {
         let inner = lines(section, "  ");
         if !inner.is_empty() {
             file.push(format!("{section}:"));
@@ -128,7 +128,7 @@
     let page = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs/settings.md");
     let page = fs::read_to_string(page).expect("the page can be read");
     assert_eq!(reference(), page, "docs/settings.md is out of date");
-    for (role, least) in [("entry", 18), ("agent", 17)] {
+    for (role, least) in [("entry", 18), ("agent", 30)] {
         let mut keys = keys(role);
         assert!(keys.len() >= least, "only {} keys of {role}", keys.len());
         let output = check(role, &render(role, &keys));
--- a/crates/sesamerock/tests/group.rs
+++ b/crates/sesamerock/tests/group.rs
@@ -6,6 +6,9 @@
 use std::time::{Duration, Instant};
 
 use lockstep::Lockstep;
+use sesamerock::settings::placement::Placement;
+use sesamerock_platform::engine;
+use sesamerock_standin::engine::group::Traffic;
 use sesamerock_standin::proxy::Fault;
 
 const RANKS: usize = 4;
@@ -96,3 +99,120 @@
     group.wait_steps(STEPS).await;
     group.check();
 }
+
+const LAYERS: usize = 2;
+const EXPERTS: u16 = 16;
+/// Steps without a change of popularity, in which a planner that follows noise
+/// would have some ten rounds.
+const NOISE_STEPS: usize = 500;
+/// Steps over which a skew is measured.
+const SAMPLE: usize = 50;
+
+/// Returns traffic in which every expert is as popular as the others.
+fn even_traffic() -> Traffic {
+    let hosts = (0..EXPERTS).map(|expert| vec![expert % RANKS as u16]);
+    Traffic {
+        first: engine::Placement {
+            slots: vec![EXPERTS / RANKS as u16 + 2; RANKS],
+            layers: vec![hosts.collect(); LAYERS],
+        },
+        tokens: 4_000.0,
+        token_time: 4e-7,
+        shares: vec![vec![1.0 / f64::from(EXPERTS); usize::from(EXPERTS)]; LAYERS],
+        ..Traffic::default()
+    }
+}
+
+/// Returns a popularity by which the experts of one rank in the first map get
+/// four times the tokens of the others.
+fn shifted_shares(rank: u16) -> Vec<Vec<f64>> {
+    let weight = |expert| {
+        if expert % RANKS as u16 == rank {
+            4.0
+        } else {
+            1.0
+        }
+    };
+    let total: f64 = (0..EXPERTS).map(weight).sum();
+    vec![(0..EXPERTS).map(|expert| weight(expert) / total).collect(); LAYERS]
+}
+
+fn placement() -> Placement {
+    Placement {
+        collect: Some(Duration::from_millis(200)),
+        expert_bytes: 1 << 20,
+        token_ns: 400,
+        fixed_step: Duration::from_millis(2),
+        memory: Duration::from_secs(2),
+        straggler_hold: Duration::from_millis(500),
+        ..Placement::default()
+    }
+}
+
+/// Guards against a planner that no agent runs, that follows noise, or that
+/// names a map of which the ranks hold different contents.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn placement_follows_popularity_and_a_slow_rank_but_not_noise() {
+    let group = Lockstep::start_with(RANKS, even_traffic(), placement()).await;
+    group.wait_steps(NOISE_STEPS).await;
+    assert_eq!(group.last_map(), 0, "the map changed on noise");
+
+    group
+        .group
+        .with_traffic(|traffic| traffic.shares = shifted_shares(0));
+    group.wait_steps(SAMPLE).await;
+    let shifted = group.skew(SAMPLE);
+    let relieved = wait_skew(&group, shifted).await;
+    println!("popularity: skew={shifted:.3} then={relieved:.3}");
+
+    group
+        .group
+        .with_traffic(|traffic| traffic.speeds = vec![1.0, 1.0, 0.5, 1.0]);
+    group.wait_steps(SAMPLE).await;
+    let slowed = group.skew(SAMPLE);
+    let eased = wait_skew(&group, slowed).await;
+    println!("slow rank: skew={slowed:.3} then={eased:.3}");
+    group.check();
+    group.check_contents();
+}
+
+/// Guards against a group that stops, mixes maps or gives one number to two
+/// contents when the leader that planned a map is gone before it is in use.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_leader_that_dies_between_planning_and_switching_is_replaced() {
+    let mut group = Lockstep::start_with(RANKS, even_traffic(), placement()).await;
+    group.wait_steps(STEPS).await;
+    // Staging outlasts the death of the leader.
+    for engine in &group.engines {
+        engine.configure(|settings| settings.staging = Duration::from_secs(2));
+    }
+    group
+        .group
+        .with_traffic(|traffic| traffic.shares = shifted_shares(0));
+    let planned = group.wait_staging().await;
+    group.wait_steps(SAMPLE).await;
+    assert_eq!(group.last_map(), 0);
+    let shifted = group.skew(SAMPLE);
+    let leader = group.leader().await;
+    group.stop_agent(leader).await;
+    group.start_agent(leader).await;
+    let relieved = wait_skew(&group, shifted).await;
+    let used = group.last_map();
+    println!("leader={leader} planned={planned} used={used} skew={shifted:.3} then={relieved:.3}");
+    assert_ne!(used, 0);
+    group.check();
+    group.check_contents();
+}
+
+/// Waits until the excess of the skew over 1 has at least halved, and returns
+/// the skew.
+async fn wait_skew(group: &Lockstep, before: f64) -> f64 {
+    let bound = 1.0 + (before - 1.0) / 2.0;
+    let low = |steps: &[sesamerock_standin::engine::group::Step]| {
+        let last = &steps[steps.len().saturating_sub(SAMPLE)..];
+        let mean = last.iter().map(|step| step.skew).sum::<f64>() / last.len() as f64;
+        mean <= bound
+    };
+    group.wait("lower skew", low).await;
+    group.skew(SAMPLE)
+}
--- a/crates/sesamerock/tests/lockstep/mod.rs
+++ b/crates/sesamerock/tests/lockstep/mod.rs
@@ -5,11 +5,13 @@
 
 use sesamerock::agent::group::{Planned, Status};
 use sesamerock::entry::operator::{Published, Verdict};
+use sesamerock::settings::placement::Placement;
 use sesamerock::{agent, entry, settings};
 use sesamerock_note::note::{Entries, Kind, Model, Note, Role, Served, Upstream};
+use sesamerock_platform::engine::Command;
 use sesamerock_platform::http::client::Client;
 use sesamerock_platform::vms::Vm;
-use sesamerock_standin::engine::group::{Group, Step};
+use sesamerock_standin::engine::group::{Group, Step, Traffic};
 use sesamerock_standin::engine::{self, Engine};
 use sesamerock_standin::platform::{self, Platform};
 use sesamerock_standin::proxy::Proxy;
@@ -91,6 +93,11 @@
 impl Lockstep {
     /// Starts everything and publishes the note that names the group.
     pub async fn start(ranks: usize) -> Self {
+        Self::start_with(ranks, Traffic::default(), Placement::default()).await
+    }
+
+    /// Like [`Lockstep::start`], with work for the experts.
+    pub async fn start_with(ranks: usize, traffic: Traffic, placement: Placement) -> Self {
         let stop = CancellationToken::new();
         let platform = Platform::start(platform::Settings::default(), stop.clone())
             .await
@@ -114,6 +121,7 @@
                         ..settings::Upstream::default()
                     },
                     map_switch: Some(Duration::from_millis(200)),
+                    placement: placement.clone(),
                     ..settings::Agent::default()
                 },
                 running: None,
@@ -125,7 +133,7 @@
             agents.push(agent);
             engines.push(engine);
         }
-        let group = Group::start(engines.clone(), stop.clone());
+        let group = Group::start_with(engines.clone(), traffic, stop.clone());
         let mut settings = settings::Entry {
             node: node("entry", &platform, &seeds),
             ..settings::Entry::default()
@@ -286,6 +294,46 @@
         self.platform.configure(|settings| settings.down = down);
     }
 
+    /// Returns the mean skew of the last steps.
+    pub fn skew(&self, steps: usize) -> f64 {
+        let all = self.group.steps();
+        let last = &all[all.len().saturating_sub(steps)..];
+        last.iter().map(|step| step.skew).sum::<f64>() / last.len() as f64
+    }
+
+    /// Returns the map of the last step.
+    pub fn last_map(&self) -> u64 {
+        self.group.steps().last().map_or(0, |step| step.maps[0])
+    }
+
+    /// Waits until an engine was told to stage a map that was planned, and
+    /// returns the map.
+    pub async fn wait_staging(&self) -> u64 {
+        let find = async {
+            loop {
+                let staged = self.engines.iter().flat_map(Engine::commands);
+                let planned = staged.filter_map(|order| match order.command {
+                    Command::StageMap { map, placement } => placement.map(|_| map),
+                    _ => None,
+                });
+                if let Some(map) = planned.max() {
+                    return map;
+                }
+                tokio::task::yield_now().await;
+            }
+        };
+        within("a planned map", find).await
+    }
+
+    /// Checks that no two ranks were given different contents for one map.
+    pub fn check_contents(&self) {
+        let mut bound = std::collections::BTreeMap::new();
+        for (map, content) in self.group.contents().into_iter().flatten() {
+            let known = bound.entry(map).or_insert_with(|| content.clone());
+            assert_eq!(*known, content, "map {map} has two contents");
+        }
+    }
+
     /// Checks that no step was mixed, and that none is missing or doubled.
     pub fn check(&self) {
         let steps = self.group.steps();
--- a/crates/standin/src/engine/group/mod.rs
+++ b/crates/standin/src/engine/group/mod.rs
@@ -4,24 +4,33 @@
 //! the map of its own window. Nothing here compares the maps: the record shows
 //! from the outside whether the ranks ever used different ones.
 
-use std::sync::Arc;
+mod traffic;
 
-use sesamerock_platform::engine::{Load, Window};
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use sesamerock_platform::engine::{Experts, Load, Placement, Window};
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
 use super::Engine;
+pub use traffic::Traffic;
+use traffic::Work;
 
 /// Map that every engine has staged from the start.
 pub const FIRST_MAP: u64 = 0;
 
 /// One step of a group.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Step {
     /// Number of the step.
     pub number: u64,
     /// Map that each rank used.
     pub maps: Vec<u64>,
+    /// Time of the slowest rank over the mean, of the experts' work; 1 in a
+    /// group without traffic.
+    pub skew: f64,
 }
 
 impl Step {
@@ -37,19 +46,105 @@
     pub(super) step: u64,
     pub(super) windows: Vec<Window>,
     pub(super) staged: Vec<u64>,
+    /// Contents of the maps that it was ever told; they show a number that was
+    /// given to two contents.
+    placements: BTreeMap<u64, Placement>,
+    /// Work up to the step, and as last published.
+    work: Experts,
+    published: Experts,
+    reads: u64,
 }
 
+/// Steps between two publications of the experts' work.
+const PUBLISH: u64 = 20;
+/// One read of the experts' work in so many fails.
+const GAP: u64 = 7;
+
 impl Default for Rank {
     fn default() -> Self {
         Self {
             step: 0,
             windows: Vec::new(),
             staged: vec![FIRST_MAP],
+            placements: BTreeMap::new(),
+            work: Experts::default(),
+            published: Experts::default(),
+            reads: 0,
         }
     }
 }
 
 impl Rank {
+    fn new(first: &Placement) -> Self {
+        let mut rank = Self::default();
+        if !first.layers.is_empty() {
+            rank.placements.insert(FIRST_MAP, first.clone());
+        }
+        rank
+    }
+
+    /// Returns the rank after the engine's restart. Contents stay recorded,
+    /// staged maps do not.
+    pub(super) fn restarted(&self) -> Self {
+        Self {
+            placements: self.placements.clone(),
+            ..Self::default()
+        }
+    }
+
+    /// Records the content of a map.
+    ///
+    /// # Errors
+    /// Returns why the content is refused.
+    pub(super) fn bind(
+        &mut self,
+        map: u64,
+        placement: Option<&Placement>,
+    ) -> Result<(), &'static str> {
+        let Some(placement) = placement else {
+            return Ok(());
+        };
+        let known = self
+            .placements
+            .entry(map)
+            .or_insert_with(|| placement.clone());
+        if known == placement {
+            Ok(())
+        } else {
+            Err("the map number stands for another content")
+        }
+    }
+
+    /// Returns the content of a staged map.
+    pub(super) fn placement(&self, map: u64) -> Option<&Placement> {
+        let staged = self.staged.contains(&map);
+        self.placements.get(&map).filter(|_| staged)
+    }
+
+    /// Returns the experts' work as last published, if there is any.
+    ///
+    /// # Errors
+    /// Returns the reason of a failed read.
+    pub(super) fn experts(&mut self, incarnation: u64) -> Result<Option<Experts>, &'static str> {
+        self.reads += 1;
+        if self.reads.is_multiple_of(GAP) {
+            return Err("the report is not at hand");
+        }
+        let known = !self.published.counts.is_empty();
+        Ok(known.then(|| Experts {
+            incarnation,
+            ..self.published.clone()
+        }))
+    }
+
+    fn worked(&mut self, step: u64, work: &Work) {
+        work.add_to(&mut self.work);
+        self.work.step += 1;
+        if step.is_multiple_of(PUBLISH) {
+            self.published = self.work.clone();
+        }
+    }
+
     /// Grants a window.
     ///
     /// # Errors
@@ -98,24 +193,48 @@
 pub struct Group {
     engines: Arc<[Engine]>,
     steps: watch::Sender<Vec<Step>>,
+    traffic: Arc<Mutex<Traffic>>,
 }
 
 impl Group {
     /// Makes engines the ranks of a group, in order, and steps them until
     /// `stop` is cancelled.
     pub fn start(engines: Vec<Engine>, stop: CancellationToken) -> Self {
+        Self::start_with(engines, Traffic::default(), stop)
+    }
+
+    /// Like [`Group::start`], with tokens for the experts in every step.
+    pub fn start_with(engines: Vec<Engine>, traffic: Traffic, stop: CancellationToken) -> Self {
         let group = Self {
             engines: engines.into(),
             steps: watch::Sender::default(),
+            traffic: Arc::new(Mutex::new(traffic)),
         };
         for engine in &*group.engines {
-            engine.lock().rank = Some(Rank::default());
+            let rank = group.with_traffic(|traffic| Rank::new(&traffic.first));
+            engine.lock().rank = Some(rank);
         }
         let stepping = group.clone();
         tokio::spawn(async move { stop.run_until_cancelled(stepping.run()).await });
         group
     }
 
+    /// Reads or changes the traffic.
+    pub fn with_traffic<T>(&self, change: impl FnOnce(&mut Traffic) -> T) -> T {
+        let mut traffic = self.traffic.lock().unwrap_or_else(PoisonError::into_inner);
+        change(&mut traffic)
+    }
+
+    /// Returns the contents that each rank was ever told, by map number.
+    pub fn contents(&self) -> Vec<BTreeMap<u64, Placement>> {
+        let ranks = self.engines.iter().map(|engine| {
+            let state = engine.lock();
+            let rank = state.rank.as_ref();
+            rank.map(|rank| rank.placements.clone()).unwrap_or_default()
+        });
+        ranks.collect()
+    }
+
     /// Returns the steps run so far.
     pub fn steps(&self) -> Vec<Step> {
         self.steps.borrow().clone()
@@ -139,25 +258,44 @@
             for engine in &*self.engines {
                 engine.admit();
             }
+            let work = self.work(&started.0);
             let pause = self.engines.iter().map(|engine| engine.lock().step_time());
-            tokio::time::sleep(pause.max().unwrap_or_default()).await;
+            let pause = pause.max().unwrap_or_default();
+            tokio::time::sleep(pause + Duration::from_secs_f64(work.longest)).await;
             if self.ready(number).is_none_or(|now| now.1 != started.1) {
                 // An engine died during the step, which is void.
                 continue;
             }
-            for engine in &*self.engines {
+            for (index, engine) in self.engines.iter().enumerate() {
                 engine.advance();
                 if let Some(rank) = &mut engine.lock().rank {
                     rank.ran(number);
+                    if let Some(work) = work.ranks.get(index) {
+                        rank.worked(number, work);
+                    }
                 }
             }
-            let maps = started.0;
-            self.steps
-                .send_modify(|steps| steps.push(Step { number, maps }));
+            let step = Step {
+                number,
+                maps: started.0,
+                skew: work.skew,
+            };
+            self.steps.send_modify(|steps| steps.push(step));
             number += 1;
         }
     }
 
+    /// Draws the tokens of a step, placed by the map that each rank uses.
+    fn work(&self, maps: &[u64]) -> traffic::Drawn {
+        let placements = self.engines.iter().zip(maps).map(|(engine, map)| {
+            let state = engine.lock();
+            let rank = state.rank.as_ref()?;
+            rank.placements.get(map).cloned()
+        });
+        let placements: Vec<_> = placements.collect();
+        self.with_traffic(|traffic| traffic.draw(&placements))
+    }
+
     async fn granted(&self) {
         let waits = self
             .engines
--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -123,7 +123,7 @@
         self.record.crashes += 1;
         self.warm_at = self.record.tokens + self.settings.cold_tokens;
         self.highest_fence = 0;
-        self.rank = self.rank.as_ref().map(|_| group::Rank::default());
+        self.rank = self.rank.as_ref().map(group::Rank::restarted);
     }
 
     fn step_time(&self) -> Duration {
@@ -361,7 +361,12 @@
                 let name = format!("{model}@{version}");
                 state.settings.models.retain(|loaded| *loaded != name);
             }
-            Command::StageMap { map } => {
+            Command::StageMap { map, placement } => {
+                let placement = placement.as_ref();
+                let bound = state.rank.as_mut().map(|rank| rank.bind(*map, placement));
+                if let Some(Err(reason)) = bound {
+                    return reply::text(StatusCode::CONFLICT, reason);
+                }
                 self.stage(*map, state.incarnation, state.settings.staging);
             }
             Command::DropMap { map } => {
@@ -405,12 +410,38 @@
     }
 }
 
+impl Engine {
+    /// Answers a read of the experts' work or of a map's content.
+    fn read_experts(&self, path: &str) -> Option<Response<Body>> {
+        let mut state = self.lock();
+        let incarnation = state.incarnation;
+        let none = || reply::text(StatusCode::NOT_FOUND, "nothing known");
+        if path == "/load/experts" {
+            let Some(rank) = &mut state.rank else {
+                return Some(none());
+            };
+            return Some(match rank.experts(incarnation) {
+                Ok(Some(experts)) => reply::json(StatusCode::OK, &experts),
+                Ok(None) => none(),
+                Err(reason) => reply::text(StatusCode::SERVICE_UNAVAILABLE, reason),
+            });
+        }
+        let map = path.strip_prefix("/maps/")?.parse().ok()?;
+        let rank = state.rank.as_ref();
+        let placement = rank.and_then(|rank| rank.placement(map));
+        Some(placement.map_or_else(none, |placement| reply::json(StatusCode::OK, placement)))
+    }
+}
+
 impl Handler for Engine {
     async fn handle(&self, _peer: SocketAddr, request: Request<Incoming>) -> Response<Body> {
         let (parts, content) = request.into_parts();
         if parts.uri.path() == "/load" {
             return reply::json(StatusCode::OK, &self.load());
         }
+        if let Some(answer) = self.read_experts(parts.uri.path()) {
+            return answer;
+        }
         let Ok(content) = body::collect(content, BODY_BYTES).await else {
             return reply::text(StatusCode::BAD_REQUEST, "the body broke off or is too long");
         };
