Split the group's leader and the agent's group task

Change: replies and windows of the leader, and handle and present group of the agent, are modules of their own; behaviour unchanged.

--- a/crates/group/src/leader/mod.rs
+++ b/crates/group/src/leader/mod.rs
@@ -5,9 +5,9 @@
 //! token steps back when it meets the higher one.
 
 mod outgoing;
+mod replies;
 mod settings;
-
-use std::time::Duration;
+mod windows;
 
 use rand::{Rng, RngExt as _};
 use sesamerock_base::time::Moment;
@@ -15,7 +15,6 @@
 use crate::guard::Guard;
 use crate::message::{Fence, Incarnation, Map, Message, Report, Step, Window};
 use crate::pace::Pace;
-use crate::plan::{self, Conflict};
 pub use settings::Settings;
 
 /// What a leader does at present.
@@ -259,209 +258,6 @@
         heard.unwrap_or(self.deadline) + self.settings.patience
     }
 
-    /// Takes in a member's reply.
-    ///
-    /// # Errors
-    /// Returns a conflict if two engines may run one step with different maps,
-    /// which is a broken invariant; the leader then steps back.
-    pub fn receive(
-        &mut self,
-        now: Moment,
-        from: u32,
-        reply: &Message,
-        rng: &mut impl Rng,
-    ) -> Result<(), Conflict> {
-        let Some(report) = reply.report() else {
-            return Ok(());
-        };
-        if from >= self.settings.ranks {
-            return Ok(());
-        }
-        self.highest = self.highest.max(report.promised.counter);
-        if self.role == Role::Following || reply.fence() != self.fence {
-            return Ok(());
-        }
-        if self.guard.token && report.promised > self.fence {
-            self.step_back(now, rng);
-            return Ok(());
-        }
-        self.peers[from as usize].heard = now;
-        let known = self.peers[from as usize].report.as_ref();
-        let other = known.is_some_and(|known| known.incarnation != report.incarnation);
-        if self.guard.incarnation && other {
-            // The member forgot what it promised and accepted.
-            self.propose(now);
-            return Ok(());
-        }
-        let outcome = match (self.role, reply) {
-            (_, Message::Refused { report, .. }) => {
-                if let Some(known) = &mut self.peers[from as usize].report {
-                    known.staged.clone_from(&report.staged);
-                }
-                Ok(())
-            }
-            (Role::Preparing, Message::Promise { report, .. }) => self.promised(now, from, report),
-            (Role::Leading, _) => {
-                self.update(now, from, report);
-                Ok(())
-            }
-            _ => Ok(()),
-        };
-        if outcome.is_err() {
-            self.step_back(now, rng);
-        }
-        outcome
-    }
-
-    fn promised(&mut self, now: Moment, from: u32, report: &Report) -> Result<(), Conflict> {
-        self.peers[from as usize].report = Some(report.clone());
-        let missing = self.silent().count();
-        let allowed = usize::from(!self.guard.unanimity);
-        if missing > allowed {
-            return Ok(());
-        }
-        let reports: Vec<_> = self
-            .peers
-            .iter()
-            .filter_map(|peer| peer.report.as_ref())
-            .collect();
-        let start = plan::start(&reports);
-        if self.guard.learning {
-            self.plan = plan::merge(&reports, start)?;
-            self.current = plan::current(&reports);
-        }
-        if let Some(last) = self.plan.last() {
-            self.current = Some(last.map);
-        }
-        self.end = self.plan.last().map_or(start, |last| last.to);
-        self.role = Role::Leading;
-        self.confirmed = start;
-        self.sample = (start, now);
-        let fence = self.fence;
-        for peer in &mut self.peers {
-            if let Some(report) = &peer.report {
-                peer.accepted_to = report.accepted_to(fence);
-                peer.running_to = report.running_to();
-            }
-        }
-        self.extend(now);
-        self.hurry(now);
-        Ok(())
-    }
-
-    /// Takes in the state of a rank; replies may arrive in any order, so the
-    /// marks only rise.
-    fn update(&mut self, now: Moment, from: u32, report: &Report) {
-        let fence = self.fence;
-        let behind = self.behind(from);
-        let peer = &mut self.peers[from as usize];
-        peer.accepted_to = peer.accepted_to.max(report.accepted_to(fence));
-        peer.running_to = peer.running_to.max(report.running_to());
-        let known = peer.report.get_or_insert_with(|| report.clone());
-        if known.step <= report.step {
-            known.clone_from(report);
-        }
-        self.confirm(now);
-        self.extend(now);
-        self.trim();
-        if behind && !self.behind(from) {
-            self.peers[from as usize].due = now + self.interval();
-        }
-    }
-
-    fn confirm(&mut self, now: Moment) {
-        let heard = self.peers.iter().filter(|peer| peer.report.is_some());
-        let accepted = heard.map(|peer| peer.accepted_to).min().unwrap_or(0);
-        if accepted > self.confirmed {
-            self.confirmed = accepted;
-            self.hurry(now);
-        }
-        if let Some((end, at)) = self.added
-            && accepted >= end
-        {
-            self.pace.confirmed(now.since(at));
-            self.added = None;
-        }
-    }
-
-    /// Adds windows ahead of need. A switch begins with a new window.
-    fn extend(&mut self, now: Moment) {
-        if self.role != Role::Leading {
-            return;
-        }
-        let step = self.expected_step(now);
-        while self.end < step + self.pace.ahead() {
-            let Some(map) = self.next_map() else { return };
-            let from = self.end;
-            let to = from + self.pace.window();
-            match self.plan.last_mut() {
-                // Sent windows may grow, since members take what is beyond
-                // their end as a window of its own.
-                Some(last) if last.map == map => last.to = to,
-                _ => self.plan.push(Window { from, to, map }),
-            }
-            self.end = to;
-            self.current = Some(map);
-            self.added.get_or_insert((to, now));
-            self.hurry(now);
-        }
-    }
-
-    /// Returns the step that the group has reached by now, as far as can be
-    /// told from reports that lag.
-    fn expected_step(&mut self, now: Moment) -> Step {
-        let step = self.step();
-        let slowest = self.reports().map(|report| report.step_us).max();
-        if let Some(slowest) = slowest {
-            self.pace.stepped(Duration::from_micros(u64::from(slowest)));
-        }
-        if step > self.sample.0 {
-            self.sample = (step, now);
-        }
-        let since = now.since(self.sample.1);
-        // The engines wait at the end of what they may run.
-        let limit = self.confirmed.max(step);
-        (step + self.pace.steps_in(since)).min(limit)
-    }
-
-    fn next_map(&self) -> Option<Map> {
-        let usable = |map: &Map| !self.guard.staging || self.staged_by_all(*map);
-        self.target
-            .filter(usable)
-            .or(Some(self.kept()).filter(usable))
-    }
-
-    /// Returns the map to go on with if there is none to switch to.
-    fn kept(&self) -> Map {
-        self.current.unwrap_or(self.settings.first)
-    }
-
-    fn staged_by_all(&self, map: Map) -> bool {
-        self.peers.iter().all(|peer| {
-            let report = peer.report.as_ref();
-            report.is_some_and(|report| report.staged.contains(&map))
-        })
-    }
-
-    /// Forgets what every rank has run.
-    fn trim(&mut self) {
-        let reports: Vec<_> = self.reports().collect();
-        let start = plan::start(&reports);
-        self.plan.retain(|window| window.to > start);
-        if let Some(first) = self.plan.first_mut() {
-            first.from = first.from.max(start);
-        }
-    }
-
-    /// Returns the highest next step of any rank.
-    fn step(&self) -> Step {
-        self.reports().map(|report| report.step).max().unwrap_or(0)
-    }
-
-    fn reports(&self) -> impl Iterator<Item = &Report> {
-        self.peers.iter().filter_map(|peer| peer.report.as_ref())
-    }
-
     fn hurry(&mut self, now: Moment) {
         for peer in &mut self.peers {
             peer.due = now;
