Run planning rounds in slices

Change: Planner::begin, advance and finish divide a round; a search for one improvement stays whole. A map adopted meanwhile makes the round void. The leader runs slices of 20,000 predicted times on a blocking thread and rests a hundred times as long after each. The measure plan reports the slices beside the rounds; its bounds are unchanged. A slice is bounded; an outlier of the machine may still make a round of the measure miss 17 ms.

--- a/crates/measure/src/plan/mod.rs
+++ b/crates/measure/src/plan/mod.rs
@@ -21,6 +21,8 @@
 const SIZES: [(usize, usize, usize); 3] = [(8, 64, 4), (32, 256, 20), (64, 256, 60)];
 /// Rounds, one a second.
 const ROUNDS: u32 = 90;
+/// Times of ranks that one slice of a round predicts, as in the agent.
+const SLICE: u64 = 20_000;
 /// Tokens per rank and layer in one step.
 const RANK_TOKENS: f64 = 512.0;
 /// Steps per second.
@@ -85,6 +87,7 @@
         })
         .collect();
     let mut rounds = Vec::with_capacity(reports.len());
+    let mut slices = Vec::with_capacity(reports.len() * 16);
     let mut moves = 0;
     let ((), kept, peak) = measured(|| {
         // The planner holds its own copy of the first map.
@@ -92,7 +95,7 @@
         let mut planner = planner.expect("the first map is valid");
         for (second, counts) in reports.iter().enumerate() {
             let start = cpu();
-            moves += round(&mut planner, second as u64, counts);
+            moves += round(&mut planner, second as u64, counts, &mut slices);
             rounds.push(millis(cpu().saturating_sub(start)));
         }
     });
@@ -119,19 +122,45 @@
         ),
         ("round_ms_max", &format!("{:.3}", figures.max_ms)),
         ("longest_round", &longest),
+        ("slices", &slices.len()),
+        (
+            "slice_ms_p50",
+            &format!("{:.3}", percentile(&mut slices, 0.50)),
+        ),
+        (
+            "slice_ms_p99",
+            &format!("{:.3}", percentile(&mut slices, 0.99)),
+        ),
+        (
+            "slice_ms_max",
+            &format!("{:.3}", percentile(&mut slices, 1.0)),
+        ),
         ("peak_mb", &format!("{:.3}", figures.peak_mb)),
         ("greedy_ms", &format!("{greedy:.3}")),
     ]);
     figures
 }
 
-/// Runs one round with its reports; returns the number of moves.
-fn round(planner: &mut Planner, second: u64, counts: &[Vec<u32>]) -> usize {
+/// Runs one round with its reports; returns the number of moves, and adds the
+/// time of each slice in milliseconds.
+fn round(planner: &mut Planner, second: u64, counts: &[Vec<u32>], slices: &mut Vec<f64>) -> usize {
     let now = Moment::default() + Duration::from_secs(second);
     for (layer, counts) in counts.iter().enumerate() {
         planner.observe(now, layer as u16, counts, STEPS);
     }
-    let plan = planner.round(now);
+    let mut start = cpu();
+    let mut round = planner.begin(now);
+    let mut slice_ends = || {
+        let end = cpu();
+        slices.push(millis(end.saturating_sub(start)));
+        start = end;
+    };
+    slice_ends();
+    while !planner.advance(&mut round, SLICE) {
+        slice_ends();
+    }
+    slice_ends();
+    let plan = planner.finish(round);
     if let Some(next) = plan.next {
         planner.adopt(next).expect("a planned map is valid");
     }
--- /dev/null
+++ b/crates/place/src/plan/round/mod.rs
@@ -0,0 +1,331 @@
+//! One planning round, which may be run in slices.
+//!
+//! A slice ends after a number of predicted times, so that the thread that
+//! plans can rest in between. Slices lead to the same plan as a whole round.
+
+use sesamerock_base::time::Moment;
+
+use super::{Plan, Planner, Rejected};
+use crate::estimate::Estimate;
+use crate::map::{Layer, Source};
+use crate::search::Op;
+
+#[derive(Clone, Copy, Debug)]
+struct Candidate {
+    layer: usize,
+    loss: f64,
+    error: f64,
+}
+
+/// What a round may still spend.
+#[derive(Debug)]
+struct Allowance {
+    work: u64,
+    store: u64,
+    peer: u64,
+    arrivals: Vec<u16>,
+}
+
+/// The search in one layer, between two slices.
+#[derive(Debug)]
+struct Search {
+    candidate: Candidate,
+    shares: Vec<f64>,
+    step_tokens: f64,
+    price: f64,
+    threshold: f64,
+    /// Whether the round had all of its work left.
+    whole: bool,
+    ops: Vec<Op>,
+    gain: f64,
+    loads: u64,
+}
+
+/// A round that has begun. Reports may be taken in between its slices; a map
+/// that is adopted meanwhile makes it void.
+#[derive(Debug)]
+pub struct Round {
+    allowance: Allowance,
+    layer_share: f64,
+    /// Layers to search, worst last.
+    candidates: Vec<Candidate>,
+    search: Option<Search>,
+    layers: Vec<(usize, Layer)>,
+    plan: Plan,
+    /// Number of maps adopted when the round began.
+    adopted: u64,
+}
+
+impl Planner {
+    /// Begins a round. It has nothing to do while a plan is neither adopted nor
+    /// abandoned.
+    pub fn begin(&mut self, now: Moment) -> Round {
+        if self.speeds.settle(now) {
+            self.settled.fill(None);
+            self.changed.fill(true);
+        }
+        let allowance = Allowance {
+            work: self.settings.work,
+            store: self.store.available(now),
+            peer: self.peer.available(now),
+            arrivals: vec![0; self.map.ranks()],
+        };
+        self.bench.ranks(
+            self.speeds.placement(),
+            &self.map.slots,
+            self.settings.share,
+        );
+        let mut candidates = if self.pending {
+            Vec::new()
+        } else {
+            self.candidates(now)
+        };
+        candidates.reverse();
+        Round {
+            allowance,
+            layer_share: self.layer_share(),
+            candidates,
+            search: None,
+            layers: Vec::new(),
+            plan: Plan {
+                relief: self.speeds.relief(),
+                ..Plan::default()
+            },
+            adopted: self.adopted,
+        }
+    }
+
+    /// Goes on with a round until it is complete or has predicted `slice` times
+    /// of ranks, and returns whether it is complete. A search for one
+    /// improvement is not divided.
+    pub fn advance(&mut self, round: &mut Round, slice: u64) -> bool {
+        if round.adopted != self.adopted {
+            return true;
+        }
+        let end = round.allowance.work.saturating_sub(slice);
+        loop {
+            if round.search.is_none() && !self.search_next(round) {
+                return true;
+            }
+            self.search_on(round);
+            if round.allowance.work <= end {
+                // The last layer is completed by the next call.
+                return round.search.is_none() && round.allowance.work == 0;
+            }
+        }
+    }
+
+    /// Returns the outcome of a round.
+    pub fn finish(&mut self, round: Round) -> Plan {
+        let mut plan = round.plan;
+        plan.work = self.settings.work - round.allowance.work;
+        if round.adopted != self.adopted {
+            return Plan {
+                relief: plan.relief,
+                work: plan.work,
+                ..Plan::default()
+            };
+        }
+        self.store.take(plan.store_bytes);
+        self.peer.take(plan.peer_bytes);
+        if !round.layers.is_empty() {
+            let mut next = self.map.clone();
+            for (number, layer) in round.layers {
+                next.layers[number] = layer;
+            }
+            plan.next = Some(next);
+            self.pending = true;
+        }
+        plan
+    }
+
+    /// Begins the search in the next layer, if there is one and the allowance
+    /// permits it.
+    fn search_next(&mut self, round: &mut Round) -> bool {
+        if round.allowance.work == 0 || !self.can_load(&round.allowance) {
+            return false;
+        }
+        let Some(candidate) = round.candidates.pop() else {
+            return false;
+        };
+        round.plan.searched += 1;
+        self.changed[candidate.layer] = false;
+        let mut shares = Vec::new();
+        let estimate = &self.estimates[candidate.layer];
+        estimate.shares(&mut shares);
+        let step_tokens = estimate.step_tokens();
+        let current = &self.map.layers[candidate.layer];
+        self.bench.load(current, &shares, step_tokens);
+        round.search = Some(Search {
+            price: self.price(candidate.error, round.layer_share),
+            threshold: self.threshold(candidate.error),
+            whole: round.allowance.work == self.settings.work,
+            candidate,
+            shares,
+            step_tokens,
+            ops: Vec::new(),
+            gain: 0.0,
+            loads: 0,
+        });
+        true
+    }
+
+    /// Looks for one more improvement of the layer, and completes the layer if
+    /// there is none.
+    fn search_on(&mut self, round: &mut Round) {
+        let Some(mut search) = round.search.take() else {
+            return;
+        };
+        let allowance = &mut round.allowance;
+        if let Some(op) = self.bench.improvement(search.price, &mut allowance.work) {
+            self.bench.perform(&op);
+            search.gain += op.gain;
+            search.loads += op.loads().count() as u64;
+            search.ops.push(op);
+            // The rest of a worthwhile chain is found again in a later round.
+            let bytes = search.loads * self.settings.model.expert_bytes;
+            let most = allowance.store + allowance.peer;
+            if search.gain < search.threshold || bytes <= most {
+                round.search = Some(search);
+                return;
+            }
+        }
+        let layer = search.candidate.layer;
+        if let Some(next) = self.complete(&search, round) {
+            round.layers.push((layer, next));
+        }
+    }
+
+    /// Returns the layer's next state, if its improvements are worth it.
+    fn complete(&mut self, search: &Search, round: &mut Round) -> Option<Layer> {
+        let layer = search.candidate.layer;
+        let Round {
+            allowance, plan, ..
+        } = round;
+        if search.gain < search.threshold {
+            // A layer that a whole round's work does not improve would otherwise
+            // keep the others from being searched.
+            if allowance.work > 0 || search.whole {
+                self.settled[layer] = Some(search.candidate.loss);
+            } else {
+                self.changed[layer] = true;
+            }
+            plan.rejected.push(Rejected {
+                layer: layer as u16,
+                gain: search.gain,
+                needed: search.threshold,
+            });
+            return None;
+        }
+        self.changed[layer] = true;
+        let current = &self.map.layers[layer];
+        self.bench.load(current, &search.shares, search.step_tokens);
+        let affordable = self.affordable(layer, &search.ops, allowance);
+        let ops = &search.ops[..affordable];
+        for op in ops {
+            self.bench.perform(op);
+        }
+        let next = self.bench.layer();
+        let moves = self.diff(layer, &self.map.layers[layer], &next);
+        let (store, peer) = self.bytes(&moves);
+        plan.store_bytes += store;
+        plan.peer_bytes += peer;
+        plan.gain += ops.iter().map(|op| op.gain).sum::<f64>() * round.layer_share;
+        let worth = !moves.is_empty();
+        plan.moves.extend(moves);
+        worth.then_some(next)
+    }
+
+    /// Returns whether the bytes left allow the transfer of an expert.
+    fn can_load(&self, allowance: &Allowance) -> bool {
+        let bytes = self.settings.model.expert_bytes;
+        let peer = self.exports.contains(&true) && allowance.peer >= bytes;
+        peer || allowance.store >= bytes
+    }
+
+    /// Returns the layers worth a search, worst first.
+    fn candidates(&mut self, now: Moment) -> Vec<Candidate> {
+        let mut found = Vec::new();
+        let mut shares = Vec::new();
+        for layer in 0..self.estimates.len() {
+            let estimate = &self.estimates[layer];
+            let error = estimate.error(now, self.map.ranks(), self.settings.memory);
+            let Some(error) = error.filter(|_| self.changed[layer]) else {
+                continue;
+            };
+            estimate.shares(&mut shares);
+            self.bench
+                .load(&self.map.layers[layer], &shares, estimate.step_tokens());
+            let loss = self.bench.loss();
+            let threshold = self.threshold(error);
+            // No search can gain more than the loss.
+            let hopeless = loss < threshold;
+            let known = self.settled[layer].is_some_and(|old| (loss - old).abs() < threshold / 4.0);
+            if hopeless || known {
+                self.changed[layer] = false;
+                continue;
+            }
+            found.push(Candidate { layer, loss, error });
+        }
+        found.sort_by(|a, b| b.loss.total_cmp(&a.loss));
+        found
+    }
+
+    /// Returns how many of the improvements, from the first, the allowance
+    /// permits, and takes them out of it.
+    ///
+    /// An expert that several of them move counts each time, so the moves of
+    /// the final difference never take more.
+    fn affordable(&self, layer: usize, ops: &[Op], allowance: &mut Allowance) -> usize {
+        let bytes = self.settings.model.expert_bytes;
+        let layer = &self.map.layers[layer];
+        let source = |expert| self.source(layer.hosts(expert), expert);
+        ops.iter()
+            .take_while(|op| {
+                let stores = op
+                    .loads()
+                    .filter(|(expert, _)| source(*expert) == Source::Store);
+                let stores = stores.count() as u64 * bytes;
+                let peers = op.loads().count() as u64 * bytes - stores;
+                let staged = |rank: u16| allowance.arrivals[usize::from(rank)];
+                let fits = op
+                    .loads()
+                    .all(|(_, rank)| staged(rank) < self.settings.staging)
+                    && stores <= allowance.store
+                    && peers <= allowance.peer;
+                if fits {
+                    allowance.store -= stores;
+                    allowance.peer -= peers;
+                    for (_, rank) in op.loads() {
+                        allowance.arrivals[usize::from(rank)] += 1;
+                    }
+                }
+                fits
+            })
+            .count()
+    }
+
+    /// Returns the gain, as a part of the layer's time, that starts a
+    /// replanning.
+    fn threshold(&self, error: f64) -> f64 {
+        self.settings.min_gain + self.settings.certainty * error
+    }
+
+    /// Returns the gain, as a part of the layer's time, that a transfer must
+    /// exceed.
+    fn price(&self, error: f64, layer_share: f64) -> f64 {
+        let settings = &self.settings;
+        let margin = settings.margin + settings.certainty * error / settings.min_gain.max(1e-9);
+        let worth = settings.model.saving(layer_share).max(f64::MIN_POSITIVE);
+        settings.model.transfer_cost() * (1.0 + margin) / worth
+    }
+
+    /// Returns the part of the step time that one balanced layer takes.
+    fn layer_share(&self) -> f64 {
+        let speed: f64 = self.speeds.placement().iter().sum();
+        let tokens: f64 = self.estimates.iter().map(Estimate::step_tokens).sum();
+        let experts = self.settings.model.token_time * tokens / speed.max(f64::MIN_POSITIVE);
+        let step = self.settings.model.fixed.as_secs_f64() + experts;
+        experts / step / self.estimates.len().max(1) as f64
+    }
+}
--- a/crates/place/tests/plan.rs
+++ b/crates/place/tests/plan.rs
@@ -402,3 +402,58 @@
     }
     assert_eq!(budget.available(second(60)), 1_000);
 }
+
+/// Guards against slices that lead to another plan than a whole round, or that
+/// take much more than their share of the work.
+#[test]
+fn slices_lead_to_the_plan_of_a_whole_round() {
+    const SLICE: u64 = 500;
+    let mut pauses = 0;
+    let mut moves = 0;
+    for seed in 0..100 {
+        let mut world = World::new(seed);
+        let planner = || Planner::new(world.map.clone(), settings(), second(0)).unwrap();
+        let (mut whole, mut sliced) = (planner(), planner());
+        for now in 1..20 {
+            let mut twin = World {
+                rng: world.rng.clone(),
+                map: world.map.clone(),
+                shares: world.shares.clone(),
+                tokens: world.tokens,
+            };
+            twin.report(&mut sliced, second(now));
+            world.report(&mut whole, second(now));
+            let expected = whole.round(second(now));
+            let mut round = sliced.begin(second(now));
+            while !sliced.advance(&mut round, SLICE) {
+                pauses += 1;
+            }
+            let plan = sliced.finish(round);
+            assert_eq!(plan.next, expected.next, "seed {seed}");
+            assert_eq!(plan.moves, expected.moves, "seed {seed}");
+            assert_eq!(plan.rejected, expected.rejected, "seed {seed}");
+            assert_eq!(plan.work, expected.work, "seed {seed}");
+            moves += plan.moves.len();
+            if let Some(next) = plan.next {
+                whole.adopt(next.clone()).unwrap();
+                sliced.adopt(next).unwrap();
+            }
+        }
+    }
+    assert!(pauses > 1_000, "{pauses} pauses");
+    assert!(moves > 100, "{moves} moves");
+}
+
+/// Guards against a plan for a map that is no longer the current one.
+#[test]
+fn a_map_adopted_during_a_round_makes_it_void() {
+    let mut world = World::new(3);
+    let mut planner = Planner::new(world.map.clone(), settings(), second(0)).unwrap();
+    world.report(&mut planner, second(1));
+    let mut round = planner.begin(second(1));
+    let next = planner.map().clone();
+    planner.adopt(next).unwrap();
+    assert!(planner.advance(&mut round, u64::MAX));
+    let plan = planner.finish(round);
+    assert_eq!((plan.next, plan.moves), (None, Vec::new()));
+}
--- a/crates/sesamerock/src/agent/group/placement/mod.rs
+++ b/crates/sesamerock/src/agent/group/placement/mod.rs
@@ -13,7 +13,7 @@
 use sesamerock_base::time::Moment;
 use sesamerock_place::cost::Model;
 use sesamerock_place::map::{Map, Share};
-use sesamerock_place::plan::{Plan, Planner, Settings};
+use sesamerock_place::plan::{Plan, Planner, Round, Settings};
 use sesamerock_platform::engine::Engine;
 use sesamerock_platform::error::Error;
 use sesamerock_platform::http::client::{Client, Site};
@@ -33,7 +33,9 @@
 const COLLECT: Duration = Duration::from_secs(1);
 /// Time between two collections per rank, which bounds a leader's bytes.
 const COLLECT_PER_RANK: Duration = Duration::from_millis(500);
-/// Rest after a round as a multiple of the round's time. It keeps planning
+/// Times of ranks that a slice of a round predicts, a tenth of a round.
+const SLICE: u64 = 20_000;
+/// Rest after a slice as a multiple of the slice's time. It keeps planning
 /// below 1 % of a core, of the control-plane budget of 1.7 %.
 const REST: u32 = 100;
 /// Status by which the weight store says that it is at its limit.
@@ -58,7 +60,7 @@
             },
             // The sender lives as long as the agent.
             _ = lead.changed() => {}
-            () = tokio::time::sleep(task.due.since(clock::now())) => task.step().await,
+            () = tokio::time::sleep(task.next().since(clock::now())) => task.step().await,
         }
         let now = *lead.borrow_and_update();
         task.follow(now).await;
@@ -86,7 +88,10 @@
     /// Map that the planner takes for the current one.
     map: u64,
     pending: Option<Pending>,
-    /// Time before which no round begins.
+    round: Option<Round>,
+    /// Time of the slices of the round.
+    took: Duration,
+    /// Time before which no slice runs.
     rest: Moment,
 }
 
@@ -96,6 +101,31 @@
     since: Moment,
 }
 
+impl Planning {
+    /// Runs a slice; returns the plan if the round is complete.
+    fn slice(mut self) -> (Self, Option<Plan>) {
+        let start = clock::now();
+        let plan = match self.round.take() {
+            None => {
+                self.round = Some(self.planner.begin(start));
+                None
+            }
+            Some(mut round) => {
+                if self.planner.advance(&mut round, SLICE) {
+                    Some(self.planner.finish(round))
+                } else {
+                    self.round = Some(round);
+                    None
+                }
+            }
+        };
+        let took = clock::now().since(start);
+        self.took += took;
+        self.rest = clock::now() + took * REST;
+        (self, plan)
+    }
+}
+
 impl<E: Engine> Task<'_, E> {
     fn settings(&self) -> &settings::placement::Placement {
         &self.context.settings.placement
@@ -156,25 +186,35 @@
         }
     }
 
-    /// Collects the reports and plans, if this agent leads.
+    /// Returns when the reports are collected or the next slice runs.
+    fn next(&self) -> Moment {
+        let planning = self.planning.as_ref();
+        let slice = planning.filter(|planning| planning.round.is_some());
+        slice.map_or(self.due, |planning| self.due.min(planning.rest))
+    }
+
+    /// Collects the reports if that is due, and plans, if this agent leads.
     async fn step(&mut self) {
-        let ranks = self.ranks();
-        let count = ranks.as_ref().map_or(1, |ranks| ranks.agents.len() as u32);
-        let interval = COLLECT.max(COLLECT_PER_RANK * count);
-        self.due = clock::now() + self.settings().collect.unwrap_or(interval);
         let lead = *self.context.group.shared.lead.borrow();
-        let Some(ranks) = ranks.filter(|_| self.plans(lead)) else {
-            return;
-        };
+        let ranks = self.ranks().filter(|_| self.plans(lead));
+        let collects = clock::now() >= self.due;
+        if collects {
+            let count = ranks.as_ref().map_or(1, |ranks| ranks.agents.len() as u32);
+            let interval = COLLECT.max(COLLECT_PER_RANK * count);
+            self.due = clock::now() + self.settings().collect.unwrap_or(interval);
+        }
+        let Some(ranks) = ranks else { return };
         let planning = match self.planning.take() {
             Some(planning) => Some(planning),
             None => self.begin(lead.map).await,
         };
         let Some(mut planning) = planning else { return };
-        self.round = self.round.wrapping_add(1);
-        let share = self.store_share();
-        planning.planner.share(clock::now(), share);
-        collect::run(self.context, &self.pool, &ranks, self.round, &mut planning).await;
+        if collects {
+            self.round = self.round.wrapping_add(1);
+            let share = self.store_share();
+            planning.planner.share(clock::now(), share);
+            collect::run(self.context, &self.pool, &ranks, self.round, &mut planning).await;
+        }
         self.planning = self.plan(&ranks, planning).await;
     }
 
@@ -189,6 +229,8 @@
             planner: planner.ok()?,
             map,
             pending: None,
+            round: None,
+            took: Duration::ZERO,
             rest: now,
         })
     }
@@ -223,8 +265,8 @@
         self.settings().store_bytes_per_s / groups.max(1) as u64
     }
 
-    /// Runs a round, unless a map is still on its way or the last round took
-    /// its share of the processor.
+    /// Runs a slice of a round, unless a map is still on its way or the last
+    /// slice took its share of the processor.
     async fn plan(&self, ranks: &Ranks, mut planning: Planning) -> Option<Planning> {
         let now = clock::now();
         if let Some(pending) = &planning.pending {
@@ -237,26 +279,13 @@
         if now < planning.rest {
             return Some(planning);
         }
-        let Planning {
-            mut planner,
-            map,
-            pending,
-            ..
-        } = planning;
-        // A round takes milliseconds, which would hold up calls on this thread.
-        let round = tokio::task::spawn_blocking(move || {
-            let start = clock::now();
-            let plan = planner.round(start);
-            (planner, plan, clock::now().since(start))
-        });
-        let (planner, plan, took) = round.await.ok()?;
-        let mut planning = Planning {
-            planner,
-            map,
-            pending,
-            rest: clock::now() + took * REST,
-        };
-        self.decide(ranks, &mut planning, &plan, took).await;
+        // A slice takes a millisecond, which would hold up calls on this thread.
+        let slice = tokio::task::spawn_blocking(move || planning.slice());
+        let (mut planning, plan) = slice.await.ok()?;
+        if let Some(plan) = plan {
+            let took = std::mem::take(&mut planning.took);
+            self.decide(ranks, &mut planning, &plan, took).await;
+        }
         Some(planning)
     }
 
