Test that transfers wait for the weight store

Cause: nothing showed that a switch needs the store's permission, or that a group backs off after a 429. Change: a test with the store down, then with a sixty-fourth of the rate that the settings name. The stand-in store counts refusals; the stand-in engine's expert part is a module of its own.

--- a/crates/sesamerock/tests/group.rs
+++ b/crates/sesamerock/tests/group.rs
@@ -204,6 +204,29 @@
     group.check_contents();
 }
 
+/// Guards against a switch whose transfers the weight store has not permitted,
+/// and against a group that asks on at the same rate after a refusal.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn transfers_wait_for_the_weight_store() {
+    let group = Lockstep::start_with(RANKS, even_traffic(), placement()).await;
+    group.wait_steps(STEPS).await;
+    group.set_platform_down(true);
+    group
+        .group
+        .with_traffic(|traffic| traffic.shares = shifted_shares(0));
+    group.wait_steps(NOISE_STEPS).await;
+    assert_eq!(group.last_map(), 0, "the store permitted nothing");
+    let shifted = group.skew(SAMPLE);
+    // A sixty-fourth of what the settings name as the store's limit.
+    group.set_weight_rate(4 << 20);
+    group.set_platform_down(false);
+    let relieved = wait_skew(&group, shifted).await;
+    let refused = group.weights_refused();
+    println!("refused={refused} skew={shifted:.3} then={relieved:.3}");
+    assert!(refused > 0, "the store was never at its limit");
+    group.check();
+}
+
 /// Waits until the excess of the skew over 1 has at least halved, and returns
 /// the skew.
 async fn wait_skew(group: &Lockstep, before: f64) -> f64 {
--- a/crates/sesamerock/tests/lockstep/mod.rs
+++ b/crates/sesamerock/tests/lockstep/mod.rs
@@ -294,6 +294,17 @@
         self.platform.configure(|settings| settings.down = down);
     }
 
+    /// Sets the bytes that the weight store gives out in a second.
+    pub fn set_weight_rate(&self, rate: u64) {
+        self.platform
+            .configure(|settings| settings.weight_rate = rate);
+    }
+
+    /// Returns how many transfers the weight store refused.
+    pub fn weights_refused(&self) -> u64 {
+        self.platform.weights_refused()
+    }
+
     /// Returns the mean skew of the last steps.
     pub fn skew(&self, steps: usize) -> f64 {
         let all = self.group.steps();
--- /dev/null
+++ b/crates/standin/src/engine/experts/mod.rs
@@ -0,0 +1,47 @@
+//! What the stand-in answers and does about its experts.
+
+use std::time::Duration;
+
+use http::{Response, StatusCode};
+use sesamerock_platform::http::body::Body;
+
+use super::Engine;
+use crate::reply;
+
+impl Engine {
+    /// Answers a read of the experts' work or of a map's content.
+    pub(super) fn read_experts(&self, path: &str) -> Option<Response<Body>> {
+        let mut state = self.lock();
+        let incarnation = state.incarnation;
+        let none = || reply::text(StatusCode::NOT_FOUND, "nothing known");
+        if path == "/load/experts" {
+            let Some(rank) = &mut state.rank else {
+                return Some(none());
+            };
+            return Some(match rank.experts(incarnation) {
+                Ok(Some(experts)) => reply::json(StatusCode::OK, &experts),
+                Ok(None) => none(),
+                Err(reason) => reply::text(StatusCode::SERVICE_UNAVAILABLE, reason),
+            });
+        }
+        let map = path.strip_prefix("/maps/")?.parse().ok()?;
+        let rank = state.rank.as_ref();
+        let placement = rank.and_then(|rank| rank.placement(map));
+        Some(placement.map_or_else(none, |placement| reply::json(StatusCode::OK, placement)))
+    }
+
+    /// Fetches an expert map, unless the engine dies in the meantime.
+    pub(super) fn stage(&self, map: u64, incarnation: u64, time: Duration) {
+        let engine = self.clone();
+        tokio::spawn(async move {
+            tokio::time::sleep(time).await;
+            let mut state = engine.lock();
+            let same = state.incarnation == incarnation;
+            if let Some(rank) = state.rank.as_mut().filter(|_| same)
+                && !rank.staged.contains(&map)
+            {
+                rank.staged.push(map);
+            }
+        });
+    }
+}
--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -4,6 +4,7 @@
 //! position, so that a caller can tell a lost, doubled or foreign token.
 
 mod batch;
+mod experts;
 pub mod group;
 
 use std::io;
@@ -393,46 +394,6 @@
     }
 }
 
-impl Engine {
-    /// Fetches an expert map, unless the engine dies in the meantime.
-    fn stage(&self, map: u64, incarnation: u64, time: Duration) {
-        let engine = self.clone();
-        tokio::spawn(async move {
-            tokio::time::sleep(time).await;
-            let mut state = engine.lock();
-            let same = state.incarnation == incarnation;
-            if let Some(rank) = state.rank.as_mut().filter(|_| same)
-                && !rank.staged.contains(&map)
-            {
-                rank.staged.push(map);
-            }
-        });
-    }
-}
-
-impl Engine {
-    /// Answers a read of the experts' work or of a map's content.
-    fn read_experts(&self, path: &str) -> Option<Response<Body>> {
-        let mut state = self.lock();
-        let incarnation = state.incarnation;
-        let none = || reply::text(StatusCode::NOT_FOUND, "nothing known");
-        if path == "/load/experts" {
-            let Some(rank) = &mut state.rank else {
-                return Some(none());
-            };
-            return Some(match rank.experts(incarnation) {
-                Ok(Some(experts)) => reply::json(StatusCode::OK, &experts),
-                Ok(None) => none(),
-                Err(reason) => reply::text(StatusCode::SERVICE_UNAVAILABLE, reason),
-            });
-        }
-        let map = path.strip_prefix("/maps/")?.parse().ok()?;
-        let rank = state.rank.as_ref();
-        let placement = rank.and_then(|rank| rank.placement(map));
-        Some(placement.map_or_else(none, |placement| reply::json(StatusCode::OK, placement)))
-    }
-}
-
 impl Handler for Engine {
     async fn handle(&self, _peer: SocketAddr, request: Request<Incoming>) -> Response<Body> {
         let (parts, content) = request.into_parts();
--- a/crates/standin/src/platform/mod.rs
+++ b/crates/standin/src/platform/mod.rs
@@ -76,6 +76,7 @@
     vms: Vec<Vm>,
     appends: u64,
     weights_free_at: Instant,
+    weights_refused: u64,
 }
 
 /// A running stand-in platform.
@@ -101,6 +102,7 @@
                 vms: Vec::new(),
                 appends: 0,
                 weights_free_at: Instant::now(),
+                weights_refused: 0,
             })),
             changed: watch::Sender::new(0),
         };
@@ -119,6 +121,11 @@
         self.address
     }
 
+    /// Returns how many transfers the weight store refused.
+    pub fn weights_refused(&self) -> u64 {
+        self.lock().weights_refused
+    }
+
     /// Changes its behaviour.
     pub fn configure(&self, change: impl FnOnce(&mut Settings)) {
         let mut state = self.lock();
@@ -251,6 +258,7 @@
         let start = state.weights_free_at.max(now);
         // A second of backlog is granted, as a burst allowance.
         if start - now > Duration::from_secs(1) {
+            state.weights_refused += 1;
             return reply::text(
                 StatusCode::TOO_MANY_REQUESTS,
                 "the weight store is at its limit",
