Send a map's content as the difference to a known one

Cause: a content at 64x256x60 is tens of kilobytes, times 63 ranks per switch. Change: a rank names the maps it knows and gets the hosts that differ; the hash of the result is checked as before, and a whole content is sent if no map is shared. The test of a leader's death now changes the popularity meanwhile, so that its successor needs another content, and an engine crashes under a planned map in the other test. Bytes were not measured.

--- a/crates/sesamerock/src/agent/group/content/mod.rs
+++ b/crates/sesamerock/src/agent/group/content/mod.rs
@@ -7,6 +7,7 @@
 use std::collections::VecDeque;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+use serde::{Deserialize, Serialize};
 use sesamerock_place::map::{Layer, Map};
 use sesamerock_platform::engine::Placement;
 
@@ -54,6 +55,48 @@
     }
 }
 
+/// A content as the difference to another one, which is a hundredth of it for
+/// a map of the planner.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(super) struct Difference {
+    /// Number of the other map.
+    base: u64,
+    /// Hosts that differ, with their layer and expert.
+    hosts: Vec<(u16, u16, Vec<u16>)>,
+}
+
+impl Difference {
+    /// Returns the hosts of `placement` that differ from `base`, or `None` if
+    /// the maps differ in shape.
+    fn of(placement: &Placement, number: u64, base: &Placement) -> Option<Self> {
+        let shape = |of: &Placement| of.layers.iter().map(Vec::len).collect::<Vec<_>>();
+        if placement.slots != base.slots || shape(placement) != shape(base) {
+            return None;
+        }
+        let mut hosts = Vec::new();
+        for (layer, (new, old)) in (0..).zip(placement.layers.iter().zip(&base.layers)) {
+            for (expert, (new, old)) in (0..).zip(new.iter().zip(old)) {
+                if new != old {
+                    hosts.push((layer, expert, new.clone()));
+                }
+            }
+        }
+        Some(Self {
+            base: number,
+            hosts,
+        })
+    }
+
+    fn apply(self, base: &Placement) -> Option<Placement> {
+        let mut placement = base.clone();
+        for (layer, expert, hosts) in self.hosts {
+            let layer = placement.layers.get_mut(usize::from(layer))?;
+            *layer.get_mut(usize::from(expert))? = hosts;
+        }
+        Some(placement)
+    }
+}
+
 /// Contents that this agent knows, those used last at the end.
 #[derive(Debug, Default)]
 pub(super) struct Contents(Mutex<VecDeque<(u64, Arc<Placement>)>>);
@@ -84,6 +127,30 @@
         true
     }
 
+    /// Returns the numbers of the maps whose contents are known.
+    pub(super) fn numbers(&self) -> Vec<u64> {
+        self.lock().iter().map(|(number, _)| *number).collect()
+    }
+
+    /// Returns a content as the difference to the last of the `known` maps that
+    /// is known here too.
+    pub(super) fn difference(&self, placement: &Placement, known: &[u64]) -> Option<Difference> {
+        let shared = known.iter().rev().find_map(|number| {
+            let base = self.get(*number)?;
+            Some((*number, base))
+        });
+        let (number, base) = shared?;
+        Difference::of(placement, number, &base)
+    }
+
+    /// Keeps the content of a planned map that arrived as a difference, unless
+    /// it is not that of the number.
+    pub(super) fn insert_difference(&self, map: u64, difference: Difference) -> bool {
+        let base = self.get(difference.base);
+        let placement = base.and_then(|base| difference.apply(&base));
+        placement.is_some_and(|placement| planned(map) && self.insert(map, placement))
+    }
+
     fn lock(&self) -> MutexGuard<'_, VecDeque<(u64, Arc<Placement>)>> {
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/sesamerock/src/agent/group/placement/collect/mod.rs
+++ b/crates/sesamerock/src/agent/group/placement/collect/mod.rs
@@ -38,13 +38,7 @@
     let stride = (counts * count).div_ceil(COUNTS).clamp(1, count) as u16;
     let asked = (0..count as u32).map(|rank| {
         let offset = (rank.wrapping_add(round) % u32::from(stride)) as u16;
-        sample(
-            context,
-            pool,
-            ranks,
-            rank,
-            Request::Collect { offset, stride },
-        )
+        sample(context, pool, ranks, rank, (offset, stride))
     });
     let samples: Vec<_> = join_all(asked).await;
     feed(planning, &samples);
@@ -55,24 +49,24 @@
     pool: &Pool,
     ranks: &Ranks,
     rank: u32,
-    request: Request,
+    (offset, stride): (u16, u16),
 ) -> Option<Sample> {
-    if let (true, Request::Collect { offset, stride }) = (rank == ranks.own, request) {
+    if rank == ranks.own {
         let reader = &context.group.shared.reader;
         return reader.sample(&context.engine, offset, stride).await;
     }
-    match ask(pool, ranks, rank, request).await? {
+    match ask(pool, ranks, rank, &Request::Collect { offset, stride }).await? {
         Reply::Sample(sample) => sample,
-        Reply::Content(_) => None,
+        Reply::Content(_) | Reply::Difference(_) => None,
     }
 }
 
-async fn ask(pool: &Pool, ranks: &Ranks, rank: u32, request: Request) -> Option<Reply> {
+async fn ask(pool: &Pool, ranks: &Ranks, rank: u32, request: &Request) -> Option<Reply> {
     let agent = *ranks.agents.get(rank as usize)?;
     let message = GroupMessage {
         group: ranks.group.clone(),
         rank,
-        message: report::encode(&request),
+        message: report::encode(request),
     };
     let reply = tokio::time::timeout(TIMEOUT, pool.group(agent, message)).await;
     let Ok(Ok(reply)) = reply else {
@@ -139,12 +133,18 @@
     let others = (1..count).map(|step| (ranks.own + step) % count);
     let others = others.filter(|rank| *rank != first);
     let asked = [first].into_iter().chain(others);
+    let contents = &context.group.shared.contents;
+    let request = Request::Fetch {
+        map,
+        known: contents.numbers(),
+    };
     for rank in asked.filter(|rank| *rank != ranks.own).take(ASKED) {
-        let reply = ask(pool, ranks, rank, Request::Fetch { map }).await;
-        let Some(Reply::Content(Some(placement))) = reply else {
-            continue;
+        let fits = match ask(pool, ranks, rank, &request).await {
+            Some(Reply::Content(Some(placement))) => contents.insert(map, placement),
+            Some(Reply::Difference(difference)) => contents.insert_difference(map, difference),
+            _ => continue,
         };
-        if context.group.shared.contents.insert(map, placement) {
+        if fits {
             log::info!("event=placement_content_fetched map={map} from={rank}");
             return;
         }
--- a/crates/sesamerock/src/agent/group/placement/mod.rs
+++ b/crates/sesamerock/src/agent/group/placement/mod.rs
@@ -361,6 +361,9 @@
         let Some(ranks) = self.ranks().filter(|_| !known) else {
             return;
         };
+        // The map in use is the base of the difference that is sent.
+        let contents = &self.context.group.shared.contents;
+        report::learn_current(contents, &self.context.engine).await;
         collect::fetch(self.context, &self.pool, &ranks, want.map, want.leader).await;
     }
 }
--- a/crates/sesamerock/src/agent/group/report/mod.rs
+++ b/crates/sesamerock/src/agent/group/report/mod.rs
@@ -15,7 +15,7 @@
 use sesamerock_wire::relay::GroupMessage;
 use tokio::sync::Mutex;
 
-use super::content::{Contents, planned};
+use super::content::{Contents, Difference, planned};
 use super::ranks::Ranks;
 use crate::agent::Context;
 
@@ -25,13 +25,14 @@
 const ENGINE_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// A request to a rank's agent.
-#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub(super) enum Request {
     /// Asks for the work since the last request, with the counts of the layers
     /// whose number leaves the rest `offset` when divided by `stride`.
     Collect { offset: u16, stride: u16 },
-    /// Asks for the content of a map.
-    Fetch { map: u64 },
+    /// Asks for the content of a map, if possible as the difference to one of
+    /// the maps that the asking rank knows.
+    Fetch { map: u64, known: Vec<u64> },
 }
 
 /// The answer of a rank's agent.
@@ -41,6 +42,8 @@
     Sample(Option<Sample>),
     /// The content; `None` if it is not known here.
     Content(Option<Placement>),
+    /// The content, as the difference to a known one.
+    Difference(Difference),
 }
 
 /// Work of a rank's experts between two reports of its engine.
@@ -143,6 +146,15 @@
     contents.get(map)
 }
 
+/// Keeps the content of the map that the engine runs with.
+pub(super) async fn learn_current(contents: &Contents, engine: &impl Engine) {
+    let read = tokio::time::timeout(ENGINE_TIMEOUT, engine.load()).await;
+    let Ok(Ok(load)) = read else { return };
+    if let Some(window) = load.windows.last() {
+        content(contents, engine, window.map).await;
+    }
+}
+
 /// Answers a leader, or a rank that lacks a content.
 ///
 /// # Errors
@@ -167,9 +179,15 @@
             let sample = shared.reader.sample(&context.engine, offset, stride).await;
             Reply::Sample(sample)
         }
-        Request::Fetch { map } => {
+        Request::Fetch { map, known } => {
             let found = content(&shared.contents, &context.engine, map).await;
-            Reply::Content(found.map(|placement| (*placement).clone()))
+            let difference = found
+                .as_ref()
+                .and_then(|found| shared.contents.difference(found, &known));
+            difference.map_or_else(
+                || Reply::Content(found.map(|placement| (*placement).clone())),
+                Reply::Difference,
+            )
         }
     };
     Ok(GroupMessage {
--- a/crates/sesamerock/tests/group.rs
+++ b/crates/sesamerock/tests/group.rs
@@ -165,6 +165,11 @@
     let relieved = wait_skew(&group, shifted).await;
     println!("popularity: skew={shifted:.3} then={relieved:.3}");
 
+    // A new engine is given the content of the planned map.
+    group.engines[1].crash();
+    group.wait_steps(SAMPLE).await;
+    assert_ne!(group.last_map(), 0);
+
     group
         .group
         .with_traffic(|traffic| traffic.speeds = vec![1.0, 1.0, 0.5, 1.0]);
@@ -195,11 +200,16 @@
     let shifted = group.skew(SAMPLE);
     let leader = group.leader().await;
     group.stop_agent(leader).await;
+    // The next leader has to plan another content.
+    group
+        .group
+        .with_traffic(|traffic| traffic.shares = shifted_shares(1));
     group.start_agent(leader).await;
     let relieved = wait_skew(&group, shifted).await;
     let used = group.last_map();
     println!("leader={leader} planned={planned} used={used} skew={shifted:.3} then={relieved:.3}");
     assert_ne!(used, 0);
+    assert_ne!(used, planned);
     group.check();
     group.check_contents();
 }
