--- a/crates/sesamerock/src/agent/group/mod.rs
+++ b/crates/sesamerock/src/agent/group/mod.rs
@@ -4,32 +4,33 @@
 //! which reach it over the relay service, sends what its own leader asks of the
 //! ranks, and gives the engine its commands one at a time.
 
+mod content;
+mod handle;
+mod placement;
+mod present;
 mod rank;
 mod ranks;
+mod report;
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use rand::SeedableRng as _;
 use rand::rngs::SmallRng;
-use serde::{Deserialize, Serialize};
 use sesamerock_base::time::Moment;
-use sesamerock_group::leader::{Leader, Request, Role, Settings};
-use sesamerock_group::message::Message;
+use sesamerock_group::leader::{Leader, Role, Settings};
 use sesamerock_platform::engine::Engine;
 use sesamerock_wire::relay::GroupMessage;
-use tokio::sync::{mpsc, oneshot, watch};
+use tokio::sync::{mpsc, watch};
 
 use super::Context;
 use crate::clock;
 use crate::entry::relay::Pool;
+use handle::{Arrival, Lead, Shared, Want};
+pub use handle::{Handle, Inbox, Status};
+use present::Present;
 use rank::Rank;
 use ranks::Ranks;
 
-/// Messages that wait for the group's task.
-const INBOX: usize = 256;
-/// Time for one message to a rank and its reply.
-const TIMEOUT: Duration = Duration::from_millis(500);
 /// Messages to one rank that may wait for their replies.
 const IN_FLIGHT: usize = 4;
 /// Map that every engine has staged when it starts.
@@ -59,97 +60,35 @@
     }
 }
 
-/// What arrives for the group's task.
-#[derive(Debug)]
-enum Arrival {
-    /// A request of some rank's leader.
-    Request {
-        group: String,
-        rank: u32,
-        message: Message,
-        reply: oneshot::Sender<Message>,
-    },
-    /// A reply to this rank's leader.
-    Reply { from: u32, message: Message },
-}
-
-/// Messages for the group's task.
-#[derive(Debug)]
-pub struct Inbox(mpsc::Receiver<Arrival>);
-
-/// What an agent does in its group, for operators.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Status {
-    /// Name of the group; empty if the upstream is in none that is whole.
-    pub group: String,
-    /// Rank of this agent.
-    pub rank: u32,
-    /// Whether this agent leads and has the promise of every rank.
-    pub leads: bool,
-    /// Counter of its last token.
-    pub counter: u64,
-    /// Step up to which the windows of this leader are confirmed.
-    pub confirmed: u64,
-    /// Ranks whose promise this leader waits for.
-    pub silent: Vec<u32>,
-}
-
-/// The group's task, for the other tasks of the agent.
-#[derive(Clone, Debug)]
-pub struct Handle {
-    inbox: mpsc::Sender<Arrival>,
-    status: watch::Sender<Status>,
-}
-
-impl Handle {
-    /// Makes a handle and the inbox of the task.
-    pub fn new() -> (Self, Inbox) {
-        let (sender, receiver) = mpsc::channel(INBOX);
-        let handle = Self {
-            inbox: sender,
-            status: watch::Sender::default(),
-        };
-        (handle, Inbox(receiver))
-    }
-
-    /// Returns what the agent does in its group.
-    pub fn status(&self) -> Status {
-        self.status.borrow().clone()
-    }
-
-    /// Answers a message of a leader.
-    ///
-    /// # Errors
-    /// Returns the status for a message that cannot be read or answered.
-    pub async fn answer(&self, request: GroupMessage) -> Result<GroupMessage, tonic::Status> {
-        let message = bincode::deserialize(&request.message)
-            .map_err(|error| tonic::Status::invalid_argument(error.to_string()))?;
-        let (reply, answer) = oneshot::channel();
-        let arrival = Arrival::Request {
-            group: request.group.clone(),
-            rank: request.rank,
-            message,
-            reply,
-        };
-        let busy = |_| tonic::Status::unavailable("the group's task takes no message");
-        self.inbox.try_send(arrival).map_err(busy)?;
-        let unknown =
-            |_| tonic::Status::failed_precondition("not this rank, or its engine is silent");
-        let answer = answer.await.map_err(unknown)?;
-        Ok(GroupMessage {
-            message: encode(&answer),
-            ..request
-        })
+/// Answers a message of another rank's agent.
+///
+/// # Errors
+/// Returns the status for a message that cannot be read or answered.
+pub(super) async fn answer<E: Engine>(
+    context: &Context<E>,
+    request: GroupMessage,
+) -> Result<GroupMessage, tonic::Status> {
+    if report::marked(&request.message) {
+        report::answer(context, request).await
+    } else {
+        context.group.answer(request).await
     }
 }
 
-/// Returns a message in bincode, which cannot fail for these types.
-fn encode(message: &Message) -> bytes::Bytes {
-    bincode::serialize(message).unwrap_or_default().into()
+/// Runs the group of the agent's upstream until the task is dropped.
+pub async fn run<E: Engine>(context: &Context<E>, inbox: Inbox, planned: Planned) {
+    let Inbox { arrivals, wants } = inbox;
+    // The planner makes the second future large.
+    let placement = Box::pin(placement::run(context, wants));
+    tokio::join!(run_protocol(context, arrivals, planned), placement);
 }
 
-/// Runs the group of the agent's upstream until the task is dropped.
-pub async fn run<E: Engine>(context: &Context<E>, mut inbox: Inbox, mut planned: Planned) {
+async fn run_protocol<E: Engine>(
+    context: &Context<E>,
+    mut arrivals: mpsc::Receiver<Arrival>,
+    mut planned: Planned,
+) {
+    let mut target = context.group.shared.target.subscribe();
     let mut changes = context.control.changes();
     let mut task = Task {
         context,
@@ -159,12 +98,13 @@
     };
     loop {
         task.follow_state();
-        let map = *planned.0.borrow();
+        let named = *planned.0.borrow();
+        let map = named.or(*target.borrow_and_update());
         task.send(map).await;
-        task.state();
+        task.state(named.is_some());
         let next = task.next();
         tokio::select! {
-            arrival = inbox.0.recv() => match arrival {
+            arrival = arrivals.recv() => match arrival {
                 Some(arrival) => task.handle(arrival).await,
                 None => return,
             },
@@ -172,6 +112,8 @@
                 return;
             },
             () = planned.changed() => {}
+            // The sender lives as long as the agent.
+            _ = target.changed() => {}
             () = until(next) => {}
         }
     }
@@ -191,15 +133,6 @@
     rng: SmallRng,
 }
 
-/// The group that the upstream is part of at present.
-struct Present<E> {
-    ranks: Ranks,
-    rank: Rank<E>,
-    leader: Leader,
-    role: Role,
-    slots: Vec<Arc<tokio::sync::Semaphore>>,
-}
-
 impl<E: Engine> Task<'_, E> {
     /// Takes over what the control state says of the group. A change of ranks
     /// makes a new member and a new leader.
@@ -229,7 +162,12 @@
             .iter()
             .map(|_| Arc::new(tokio::sync::Semaphore::new(IN_FLIGHT)));
         Present {
-            rank: Rank::new(engine, sender, ranks.own, ranks.checks_fencing),
+            rank: Rank::new(
+                engine,
+                sender,
+                &ranks,
+                Arc::clone(&self.context.group.shared),
+            ),
             role: leader.role(),
             leader,
             slots: slots.collect(),
@@ -238,7 +176,16 @@
     }
 
     /// States what this agent does in its group.
-    fn state(&self) {
+    fn state(&self, named: bool) {
+        let lead = self.present.as_ref().map(|present| Lead {
+            leads: present.leader.role() == Role::Leading,
+            named,
+            map: present.leader.map(),
+        });
+        self.context.group.shared.lead.send_if_modified(|last| {
+            let lead = lead.unwrap_or_default();
+            std::mem::replace(last, lead) != lead
+        });
         let status = self.present.as_ref().map(Present::status);
         self.context.group.status.send_if_modified(|last| {
             let status = status.unwrap_or_default();
@@ -284,8 +231,9 @@
         let Some(present) = &mut self.present else {
             return;
         };
-        if let Some(map) = planned {
-            present.leader.switch(clock::now(), map);
+        match planned {
+            Some(map) => present.leader.switch(clock::now(), map),
+            None => present.leader.stay(),
         }
         let requests = present.leader.tick(clock::now(), &mut self.rng);
         for request in requests {
@@ -300,83 +248,3 @@
         present.note_role();
     }
 }
-
-impl<E> Present<E> {
-    fn receive(&mut self, from: u32, reply: &Message, rng: &mut SmallRng) {
-        if let Message::Refused { reason, report, .. } = reply {
-            log::debug!(
-                "event=group_refused group={} rank={from} reason={reason:?} report={report:?}",
-                self.ranks.group
-            );
-        }
-        if let Err(conflict) = self.leader.receive(clock::now(), from, reply, rng) {
-            log::error!(
-                "event=group_conflict group={} step={} rank={from}",
-                self.ranks.group,
-                conflict.step
-            );
-        }
-        self.note_role();
-    }
-
-    /// Sends a message without waiting for the reply, which arrives in the
-    /// inbox. A rank that answers nothing gets no more than a few at once.
-    fn post(&self, request: &Request, pool: &Arc<Pool>, inbox: &Handle) {
-        let slot = Arc::clone(&self.slots[request.to as usize]);
-        let Ok(slot) = slot.try_acquire_owned() else {
-            return;
-        };
-        let agent = self.ranks.agents[request.to as usize];
-        let message = GroupMessage {
-            group: self.ranks.group.clone(),
-            rank: request.to,
-            message: encode(&request.message),
-        };
-        let pool = Arc::clone(pool);
-        let inbox = inbox.clone();
-        let from = request.to;
-        tokio::spawn(async move {
-            let reply = tokio::time::timeout(TIMEOUT, pool.group(agent, message)).await;
-            drop(slot);
-            let Ok(Ok(reply)) = reply else {
-                log::debug!("event=group_no_reply rank={from} agent={agent}");
-                return;
-            };
-            if let Ok(message) = bincode::deserialize(&reply.message) {
-                let arrival = Arrival::Reply { from, message };
-                // A full inbox loses the reply; the leader asks again.
-                drop(inbox.inbox.try_send(arrival));
-            }
-        });
-    }
-
-    fn status(&self) -> Status {
-        let silent = match self.leader.role() {
-            Role::Following => Vec::new(),
-            Role::Preparing | Role::Leading => self.leader.silent().collect(),
-        };
-        Status {
-            group: self.ranks.group.clone(),
-            rank: self.ranks.own,
-            leads: self.leader.role() == Role::Leading,
-            counter: self.leader.fence().counter,
-            confirmed: self.leader.confirmed(),
-            silent,
-        }
-    }
-
-    fn note_role(&mut self) {
-        let role = self.leader.role();
-        if std::mem::replace(&mut self.role, role) == role {
-            return;
-        }
-        log::info!(
-            "event=group_role group={} rank={} role={role:?} counter={} confirmed={} silent={:?}",
-            self.ranks.group,
-            self.ranks.own,
-            self.leader.fence().counter,
-            self.leader.confirmed(),
-            self.leader.silent().collect::<Vec<_>>()
-        );
-    }
-}
--- a/crates/sesamerock/src/agent/relay/mod.rs
+++ b/crates/sesamerock/src/agent/relay/mod.rs
@@ -12,7 +12,7 @@
 use tonic::{Request, Response, Status, Streaming};
 
 use super::Context;
-use super::execute;
+use super::{execute, group};
 
 /// Frames of one call that may wait for the transport.
 const FRAMES: usize = 32;
@@ -70,9 +70,7 @@
         &self,
         request: Request<GroupMessage>,
     ) -> Result<Response<GroupMessage>, Status> {
-        self.context
-            .group
-            .answer(request.into_inner())
+        group::answer(&self.context, request.into_inner())
             .await
             .map(Response::new)
     }
--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -4,6 +4,7 @@
 //! position, so that a caller can tell a lost, doubled or foreign token.
 
 mod batch;
+mod experts;
 pub mod group;
 
 use std::io;
@@ -123,7 +124,7 @@
         self.record.crashes += 1;
         self.warm_at = self.record.tokens + self.settings.cold_tokens;
         self.highest_fence = 0;
-        self.rank = self.rank.as_ref().map(|_| group::Rank::default());
+        self.rank = self.rank.as_ref().map(group::Rank::restarted);
     }
 
     fn step_time(&self) -> Duration {
@@ -361,7 +362,12 @@
                 let name = format!("{model}@{version}");
                 state.settings.models.retain(|loaded| *loaded != name);
             }
-            Command::StageMap { map } => {
+            Command::StageMap { map, placement } => {
+                let placement = placement.as_ref();
+                let bound = state.rank.as_mut().map(|rank| rank.bind(*map, placement));
+                if let Some(Err(reason)) = bound {
+                    return reply::text(StatusCode::CONFLICT, reason);
+                }
                 self.stage(*map, state.incarnation, state.settings.staging);
             }
             Command::DropMap { map } => {
@@ -388,29 +394,15 @@
     }
 }
 
-impl Engine {
-    /// Fetches an expert map, unless the engine dies in the meantime.
-    fn stage(&self, map: u64, incarnation: u64, time: Duration) {
-        let engine = self.clone();
-        tokio::spawn(async move {
-            tokio::time::sleep(time).await;
-            let mut state = engine.lock();
-            let same = state.incarnation == incarnation;
-            if let Some(rank) = state.rank.as_mut().filter(|_| same)
-                && !rank.staged.contains(&map)
-            {
-                rank.staged.push(map);
-            }
-        });
-    }
-}
-
 impl Handler for Engine {
     async fn handle(&self, _peer: SocketAddr, request: Request<Incoming>) -> Response<Body> {
         let (parts, content) = request.into_parts();
         if parts.uri.path() == "/load" {
             return reply::json(StatusCode::OK, &self.load());
         }
+        if let Some(answer) = self.read_experts(parts.uri.path()) {
+            return answer;
+        }
         let Ok(content) = body::collect(content, BODY_BYTES).await else {
             return reply::text(StatusCode::BAD_REQUEST, "the body broke off or is too long");
         };
