Carry release notes out by the rollout plan

Cause: each agent compared wanted with loaded by itself and loaded before it dropped, so all upstreams of a model changed at once, the weight store was not asked, and `progress` of `status` was always empty. `rollout::Plan` existed and was not used.

Change: an agent computes the plan for its cohort, at most 8 units of a model in the order that all nodes share, from what the agents of the cohort answer to Relay.Held, at most 8 questions a second and only while it has something to do. Calls present are waited for before a version is given up. A load first reserves its transfer at the weight store and backs off on a refusal. Stand-in engines load in time, have bounded room and refuse calls for a model they do not hold; the stand-in weight store can refuse.

--- a/crates/note/src/rollout/mod.rs
+++ b/crates/note/src/rollout/mod.rs
@@ -7,6 +7,7 @@
 //! it warm and has confirmed that it will keep it. `docs/notes/control-state.md`
 //! weighs this against a coordinator.
 
+pub mod cohort;
 mod planner;
 mod report;
 mod turn;
@@ -214,10 +215,19 @@
 impl Plan {
     /// Computes the steps for a state and reports.
     pub fn new(input: &Input<'_>) -> Self {
-        let units = unit::units(input);
-        let targets = unit::targets(input, &units);
-        let turns = Turns::new(input, &units, &targets);
-        Planner::plan(input, &units, &targets, &turns)
+        Self::of(input, &unit::units(input))
+    }
+
+    /// Computes the steps for some upstreams as if there were no others, such
+    /// as those of one [`cohort`]. Shares and turns then count among them.
+    pub fn among(input: &Input<'_>, members: &[key::Upstream]) -> Self {
+        Self::of(input, &unit::units_among(input, members))
+    }
+
+    fn of(input: &Input<'_>, units: &[unit::Unit]) -> Self {
+        let targets = unit::targets(input, units);
+        let turns = Turns::new(input, units, &targets);
+        Planner::plan(input, units, &targets, &turns)
     }
 
     /// Yields the commands of one upstream.
--- a/crates/note/src/rollout/turn/mod.rs
+++ b/crates/note/src/rollout/turn/mod.rs
@@ -8,7 +8,7 @@
 
 use sesamerock_base::key;
 
-use super::unit::{Target, Unit, fnv};
+use super::unit::{Target, Unit, place};
 use super::{Input, Settings};
 
 /// Turns of all units for their models.
@@ -74,8 +74,7 @@
         }
         for (model, mut list) in by_model {
             let name = input.state.models().name(model);
-            let salt = fnv(&[name]);
-            list.sort_by_key(|target| (units[target.unit].hash ^ salt).wrapping_mul(SPREAD));
+            list.sort_by_key(|target| place(units[target.unit].hash, name));
             turns.line_up(&list);
         }
         turns.queue_loads(input, units, targets);
@@ -117,10 +116,9 @@
         let open = targets.iter().filter(|target| target.live);
         let mut open: Vec<_> = open.filter(|t| t.missing || t.loading).collect();
         open.sort_by_key(|target| {
-            let salt = fnv(&[input.state.models().name(target.model)]);
-            let hash = (units[target.unit].hash ^ salt).wrapping_mul(SPREAD);
+            let name = input.state.models().name(target.model);
             // Running loads go first, whatever their hash.
-            (!target.loading, hash)
+            (!target.loading, place(units[target.unit].hash, name))
         });
         for (index, target) in open.iter().enumerate() {
             let place = self.places.entry((target.model, target.unit)).or_default();
@@ -195,7 +193,3 @@
         ((wanted as f64 * settings.share) as usize).max(1)
     }
 }
-
-/// Odd factor that spreads the xor of two hashes over all bits, so that each
-/// model has its own order of units.
-const SPREAD: u64 = 0x9e37_79b9_7f4a_7c15;
--- a/crates/note/src/rollout/unit/mod.rs
+++ b/crates/note/src/rollout/unit/mod.rs
@@ -74,6 +74,41 @@
     groups.chain(engines).chain(leaving).collect()
 }
 
+/// Collects the units of some upstreams.
+pub(super) fn units_among(input: &Input<'_>, members: &[key::Upstream]) -> Vec<Unit> {
+    let mut groups = BTreeMap::new();
+    let mut units = Vec::new();
+    for key in members {
+        let state = input.state;
+        let name = state.upstreams().name(*key);
+        let entry = state.upstreams().get(*key);
+        if let Some(rank) = entry.and_then(|upstream| upstream.rank) {
+            groups.entry(rank.group).or_insert_with(Vec::new).push(*key);
+            continue;
+        }
+        units.push(Unit {
+            hash: fnv(&[name]),
+            members: vec![*key],
+            leaving: entry.is_none(),
+        });
+    }
+    let groups = groups.into_iter().map(|(key, members)| Unit {
+        hash: fnv(&[input.state.groups().name(key), "/group"]),
+        members,
+        leaving: false,
+    });
+    groups.chain(units).collect()
+}
+
+/// Returns the place of a unit in the order of a model, which all nodes share.
+pub(super) fn place(unit: u64, model: &str) -> u64 {
+    (unit ^ fnv(&[model])).wrapping_mul(SPREAD)
+}
+
+/// Odd factor that spreads the xor of two hashes over all bits, so that each
+/// model has its own order of units.
+const SPREAD: u64 = 0x9e37_79b9_7f4a_7c15;
+
 /// Assesses every model of every unit that is not leaving.
 pub(super) fn targets(input: &Input<'_>, units: &[Unit]) -> Vec<Target> {
     let mut targets = Vec::new();
--- a/crates/platform/src/engine/mod.rs
+++ b/crates/platform/src/engine/mod.rs
@@ -23,10 +23,16 @@
     pub waiting: u32,
     /// Duration of the last steps, in microseconds.
     pub step_us: u32,
-    /// Models loaded, as `name@version`.
+    /// Models loaded and warmed up, as `name@version`.
     #[serde(default)]
     pub models: Vec<String>,
-    /// Adapters loaded.
+    /// Models being fetched or warmed up, as `name@version`.
+    #[serde(default)]
+    pub loading: Vec<String>,
+    /// Models that fit beside those in memory, if the engine says so.
+    #[serde(default)]
+    pub room: Option<u32>,
+    /// Adapters loaded, as `name@version`.
     #[serde(default)]
     pub adapters: Vec<String>,
     /// Number of the last step, for ranks of a group.
--- a/crates/sesamerock/src/agent/execute/mod.rs
+++ b/crates/sesamerock/src/agent/execute/mod.rs
@@ -47,6 +47,8 @@
     else {
         return;
     };
+    // Held until the call has ended: a model is unloaded only after that.
+    let _stay = context.carry.enter();
     let outcome = tokio::select! {
         outcome = steps(context, &head, &mut frames, sender) => outcome,
         // Dropping the steps cancels the call towards the engine as well.
@@ -240,6 +242,9 @@
     let Sight::Alive(load) = context.probe.sight() else {
         return false;
     };
+    if context.carry.closed(&head.model) {
+        return false;
+    }
     load.models.iter().any(|loaded| {
         loaded
             .split_once('@')
--- a/crates/sesamerock/src/agent/mod.rs
+++ b/crates/sesamerock/src/agent/mod.rs
@@ -47,6 +47,7 @@
     manifest: Manifest,
     keyed: Keyed,
     group: group::Handle,
+    carry: carry::Handle,
     metrics: Metrics,
     tasks: TaskTracker,
 }
@@ -141,6 +142,7 @@
         manifest: Manifest::new(crash_list.clone(), &settings.upstream.name),
         keyed: Keyed::new(&settings),
         group,
+        carry: carry::Handle::default(),
         metrics: Metrics::new("agent")?,
         tasks: TaskTracker::new(),
         engine,
--- a/crates/sesamerock/src/agent/relay/mod.rs
+++ b/crates/sesamerock/src/agent/relay/mod.rs
@@ -4,7 +4,9 @@
 
 use sesamerock_platform::engine::Engine;
 use sesamerock_wire::relay::relay_server::Relay;
-use sesamerock_wire::relay::{Down, GroupMessage, MintReply, MintRequest, Up};
+use sesamerock_wire::relay::{
+    Down, GroupMessage, HeldReply, HeldRequest, MintReply, MintRequest, Up,
+};
 use tokio::sync::mpsc;
 use tokio_stream::wrappers::ReceiverStream;
 use tonic::{Request, Response, Status, Streaming};
@@ -66,4 +68,15 @@
             .await
             .map(Response::new)
     }
+
+    async fn held(&self, request: Request<HeldRequest>) -> Result<Response<HeldReply>, Status> {
+        let upstream = &self.context.settings.upstream;
+        if request.into_inner().upstream != upstream.name {
+            return Err(Status::not_found("this agent serves another upstream"));
+        }
+        let sight = self.context.probe.sight();
+        Ok(Response::new(
+            self.context.carry.held(&upstream.name, &sight),
+        ))
+    }
 }
--- a/crates/sesamerock/src/cli/command/mod.rs
+++ b/crates/sesamerock/src/cli/command/mod.rs
@@ -187,6 +187,11 @@
         report(file, &faults);
         return Ok(FAULTY);
     }
+    if wait {
+        eprintln!(
+            "waiting until every VM has the note in effect, at most 7 s; the loads go on after that, see `sesamerock status`"
+        );
+    }
     let path = if wait {
         "/operator/notes?wait=1"
     } else {
@@ -211,7 +216,7 @@
 }
 
 async fn status(operator: SocketAddr, json: bool) -> eyre::Result<u8> {
-    let status: Status = get(operator, "/operator/status").await?;
+    let status: Status = get(operator, "/operator/status?progress=1").await?;
     if json {
         println!("{}", serde_json::to_string_pretty(&status)?);
     } else {
--- a/crates/sesamerock/src/control/publish/mod.rs
+++ b/crates/sesamerock/src/control/publish/mod.rs
@@ -131,6 +131,7 @@
                 version,
                 reasons: Vec::new(),
                 missing: None,
+                progress: Vec::new(),
             },
             Folded::Rejected(conflicts) => {
                 let reasons = conflicts.iter().map(ToString::to_string).collect();
--- a/crates/sesamerock/src/dev/cluster/mod.rs
+++ b/crates/sesamerock/src/dev/cluster/mod.rs
@@ -5,6 +5,7 @@
 
 use eyre::{WrapErr as _, ensure};
 use sesamerock_note::note::{Entries, Kind, Model, Note, Served, Service as NoteService, Upstream};
+use sesamerock_note::rollout;
 use sesamerock_platform::http::client::Client;
 use sesamerock_platform::vms::Vm;
 use sesamerock_standin::engine::{self, Engine};
@@ -41,6 +42,8 @@
     pub engine: engine::Settings,
     /// Behaviour of the platform.
     pub platform: platform::Settings,
+    /// Bounds of rollouts.
+    pub rollout: rollout::Settings,
     /// Settings of each entry beside names and addresses.
     pub entry: settings::Entry,
 }
@@ -54,6 +57,7 @@
             entries: 4,
             engine: engine::Settings::default(),
             platform: platform::Settings::default(),
+            rollout: rollout::Settings::default(),
             entry: settings::Entry::default(),
         }
     }
@@ -76,6 +80,7 @@
     pub agents: Vec<SocketAddr>,
     upstreams: Vec<Upstream>,
     vms: Vec<Vm>,
+    rollout: rollout::Settings,
     roles: JoinSet<eyre::Result<()>>,
 }
 
@@ -97,6 +102,7 @@
             agents: Vec::new(),
             upstreams: Vec::new(),
             vms: Vec::new(),
+            rollout: settings.rollout,
             roles: JoinSet::new(),
         };
         for zone in &settings.zones {
@@ -174,6 +180,7 @@
                 kind: role,
                 ..settings::Upstream::default()
             },
+            rollout: self.rollout,
             ..settings::Agent::default()
         };
         let listeners = agent::Listeners::bind(&agent).await?;
@@ -265,11 +272,19 @@
     /// # Errors
     /// Fails if the note is not accepted.
     pub async fn publish(&self) -> eyre::Result<()> {
+        self.publish_note(&self.note()).await
+    }
+
+    /// Publishes a release note through the first entry.
+    ///
+    /// # Errors
+    /// Fails if the note is not accepted.
+    pub async fn publish_note(&self, note: &Note) -> eyre::Result<()> {
         self.wait_contact().await?;
         let uri = format!("http://{}/operator/notes", self.operators[0]);
         // JSON is YAML as well.
         let published: Published = Client::default()
-            .post(&uri, &self.note())
+            .post(&uri, note)
             .await
             .wrap_err("cannot publish")?;
         ensure!(
--- a/crates/sesamerock/src/entry/mod.rs
+++ b/crates/sesamerock/src/entry/mod.rs
@@ -4,6 +4,7 @@
 mod dispatch;
 pub mod entries;
 pub mod operator;
+mod progress;
 pub(crate) mod relay;
 mod server;
 mod table;
@@ -77,6 +78,12 @@
         }
     }
 
+    /// Returns a line for each change that is not carried out yet.
+    async fn progress(&self) -> Vec<String> {
+        let state = self.control.view().state.clone();
+        progress::lines(&state, &self.relays).await
+    }
+
     fn announcement(&self, leaving: bool) -> Announcement {
         let node = &self.settings.node;
         Announcement {
--- a/crates/sesamerock/src/entry/operator/mod.rs
+++ b/crates/sesamerock/src/entry/operator/mod.rs
@@ -53,6 +53,10 @@
     /// Nodes that have not confirmed the version, if waiting was asked for.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub missing: Option<Vec<String>>,
+    /// What the rollout still has to do, if waiting was asked for. It goes on
+    /// after the note is in effect, which is what waiting waits for.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub progress: Vec<String>,
 }
 
 impl Published {
@@ -64,6 +68,7 @@
             version: Version::default(),
             reasons: vec![reason.into()],
             missing: None,
+            progress: Vec::new(),
         }
     }
 
@@ -75,6 +80,7 @@
             version,
             reasons,
             missing: None,
+            progress: Vec::new(),
         }
     }
 }
@@ -162,7 +168,13 @@
         let segments: Vec<_> = path.split('/').skip(2).collect();
         let wait = parts.uri.query() == Some("wait=1");
         let published = match segments[..] {
-            ["notes"] => self.publish(content, wait).await,
+            ["notes"] => {
+                let mut published = self.publish(content, wait).await;
+                if published.missing.is_some() {
+                    published.progress = self.context.progress().await;
+                }
+                published
+            }
             ["zones", name, word] => match service(word) {
                 Some(to) => self.context.control.zone(name, to).await,
                 None => return not_found(),
@@ -210,7 +222,14 @@
             (&Method::GET, "/operator/notes") => {
                 json(StatusCode::OK, &self.context.control.view().summary())
             }
-            (&Method::GET, "/operator/status") => json(StatusCode::OK, &self.context.status()),
+            (&Method::GET, "/operator/status") => {
+                let mut status = self.context.status();
+                // Only on demand, since it asks every agent.
+                if parts.uri.query() == Some("progress=1") {
+                    status.progress = self.context.progress().await;
+                }
+                json(StatusCode::OK, &status)
+            }
             (&Method::GET, "/metrics") => text(StatusCode::OK, self.context.metrics.render()),
             (&Method::GET, "/healthz") => text(StatusCode::OK, "ok\n"),
             (&Method::GET, "/readyz") => readiness(&self.context),
--- a/crates/sesamerock/src/entry/relay/mod.rs
+++ b/crates/sesamerock/src/entry/relay/mod.rs
@@ -10,7 +10,9 @@
 
 use bytes::Bytes;
 use sesamerock_wire::relay::relay_client::RelayClient;
-use sesamerock_wire::relay::{Down, GroupMessage, Head, MintRequest, Up, down, up};
+use sesamerock_wire::relay::{
+    Down, GroupMessage, Head, HeldReply, HeldRequest, MintRequest, Up, down, up,
+};
 use tokio::sync::mpsc;
 use tokio_stream::wrappers::ReceiverStream;
 use tonic::Streaming;
@@ -196,6 +198,27 @@
         }
     }
 
+    /// Asks an agent what its engine holds.
+    ///
+    /// # Errors
+    /// Returns why there is no reply.
+    pub async fn held(&self, agent: SocketAddr, upstream: &str) -> Result<HeldReply, String> {
+        let channel = self
+            .channel(agent)
+            .await
+            .map_err(|failure| format!("{failure:?}"))?;
+        let request = HeldRequest {
+            upstream: upstream.to_owned(),
+        };
+        match RelayClient::new(channel).held(request).await {
+            Ok(reply) => Ok(reply.into_inner()),
+            Err(status) => {
+                self.forget(agent);
+                Err(status.to_string())
+            }
+        }
+    }
+
     /// Drops the connection to an agent that did not answer.
     pub fn forget(&self, agent: SocketAddr) {
         self.lock().remove(&agent);
--- a/crates/sesamerock/src/settings/mod.rs
+++ b/crates/sesamerock/src/settings/mod.rs
@@ -11,6 +11,7 @@
 
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, serde_as};
+use sesamerock_note::rollout;
 
 /// What every process is told about itself and its surroundings.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -180,6 +181,9 @@
     #[serde_as(as = "Option<DurationMilliSeconds<u64>>")]
     #[serde(rename = "map_switch_ms", skip_serializing_if = "Option::is_none")]
     pub map_switch: Option<Duration>,
+    /// Bounds of rollouts, not read from the file.
+    #[serde(skip)]
+    pub rollout: rollout::Settings,
 }
 
 impl Default for Agent {
@@ -192,6 +196,7 @@
             body_bytes: 4 << 20,
             drain_timeout: Duration::from_mins(2),
             map_switch: None,
+            rollout: rollout::Settings::default(),
         }
     }
 }
--- a/crates/sesamerock/tests/scenarios.rs
+++ b/crates/sesamerock/tests/scenarios.rs
@@ -62,4 +62,14 @@
     all_replaced,
     /// Guards against two faults at once.
     two_faults,
+    /// Guards against all engines of a model loading a version at once.
+    rollout,
+    /// Guards against a rollout that never ends where only one version fits, and
+    /// against one that gives up the last warm engine.
+    rollout_no_room,
+    /// Guards against transfers beyond the limit of the weight store, and a
+    /// rollout that does not come back from its refusals.
+    rollout_store_refuses,
+    /// Guards against a rollout that goes on as if a dead agent were done.
+    rollout_agent_killed,
 }
--- a/crates/sesamerock/tests/support/world/mod.rs
+++ b/crates/sesamerock/tests/support/world/mod.rs
@@ -1,5 +1,6 @@
 //! The world that scenarios act on.
 
+mod rollout;
 mod setup;
 
 use std::collections::HashMap;
@@ -9,6 +10,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
+use sesamerock::dev::MODEL;
 use sesamerock::entry::operator::{Published, Status, Verdict};
 use sesamerock_note::note::Note;
 use sesamerock_platform::error::Error;
@@ -63,6 +65,7 @@
     verdicts: Vec<Verdict>,
     highest: HashMap<SocketAddr, u64>,
     versions_back: u64,
+    least_warm: Arc<AtomicU64>,
 }
 
 impl run::World for ProcessWorld {
@@ -93,6 +96,8 @@
             ("platform", words) => self.change_platform(words, &options),
             ("link", [node, link, fault]) => self.set_link(node, link, fault),
             ("engine", [index, change]) => self.change_engine(index, change),
+            ("engines", []) => self.configure_engines(&options),
+            ("upgrade", [version]) => self.upgrade(version).await,
             ("service", ["lose_answers"]) => self.lose_answers(&options),
             ("order", ["everywhere"]) => self.order_everywhere(&options).await,
             ("poison", []) => self.poison(&options).await,
@@ -105,12 +110,21 @@
             let calls: u64 = self.in_zone(zone).map(|engine| engine.record().calls).sum();
             return Some(calls as f64);
         }
+        if let Some(version) = name.strip_prefix("on_version.") {
+            let wanted = vec![format!("{MODEL}@{version}")];
+            let on = |(_, engine): &&(String, Engine)| engine.models() == wanted;
+            return Some(self.engines.iter().filter(on).count() as f64);
+        }
         match name {
             "versions_back" => {
                 self.look_at_versions().await;
                 Some(self.versions_back as f64)
             }
             "zones_out" => Some(self.fewest(|status| status.zones_out.len()).await),
+            "least_warm" => Some(self.least_warm.load(Ordering::Relaxed) as f64),
+            "warm" => Some(rollout::warm(&self.engines) as f64),
+            "progress" => Some(self.progress("").await),
+            "store_stalls" => Some(self.progress("store_refused").await),
             "upstreams" => Some(self.most(|status| status.upstreams.len()).await),
             "stopped" => {
                 let ended = self.nodes.values_mut().all(Node::ended);
@@ -155,6 +169,7 @@
             "accepted" => self.verdicts(Verdict::Accepted),
             "rejected" => self.verdicts(Verdict::Rejected),
             "unknown" => self.verdicts(Verdict::Unknown),
+            "transfers_refused" => self.platform.transfers_refused() as f64,
             _ => return None,
         })
     }
@@ -269,6 +284,11 @@
     fn change_platform(&mut self, words: &[&str], options: &Options<'_>) -> Result<(), String> {
         match words {
             ["down"] => self.platform.configure(|settings| settings.down = true),
+            ["weights", word @ ("refuse" | "grant")] => {
+                let refused = *word == "refuse";
+                self.platform
+                    .configure(|settings| settings.weights_refused = refused);
+            }
             ["up"] => self.platform.configure(|settings| settings.down = false),
             ["lose_answers"] => {
                 let count = options.number("count")? as usize;
--- a/crates/sesamerock/tests/support/world/setup/mod.rs
+++ b/crates/sesamerock/tests/support/world/setup/mod.rs
@@ -82,6 +82,7 @@
             verdicts: Vec::new(),
             highest: HashMap::new(),
             versions_back: 0,
+            least_warm: Arc::default(),
             stop,
         };
         let mut vms = Vec::new();
--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -51,6 +51,13 @@
     pub collapse: usize,
     /// Models loaded, as `name@version`.
     pub models: Vec<String>,
+    /// Models that fit in memory.
+    pub room: usize,
+    /// Time to fetch a model and warm it up.
+    pub load_time: Duration,
+    /// Calls that run at once while a model loads, if fewer than otherwise:
+    /// weights on their way take bandwidth and memory from running calls.
+    pub loading_capacity: usize,
     /// Time to stage an expert map.
     pub staging: Duration,
     /// Whether an order with an old fencing token is refused.
@@ -68,6 +75,9 @@
             cold_tokens: 200,
             collapse: 4,
             models: vec!["chalk-7b@1".to_owned()],
+            room: 2,
+            load_time: Duration::ZERO,
+            loading_capacity: usize::MAX,
             staging: Duration::from_millis(20),
             checks_fencing: true,
         }
@@ -100,6 +110,9 @@
     warm_at: u64,
     highest_fence: u64,
     commands: Vec<Order>,
+    /// Models on their way into memory, as `name@version`.
+    loading: Vec<String>,
+    adapters: Vec<String>,
     /// Set if the engine is part of a group.
     rank: Option<group::Rank>,
 }
@@ -110,19 +123,38 @@
     }
 
     fn capacity(&self) -> usize {
-        if self.cold() {
+        let capacity = if self.cold() {
             self.settings.cold_capacity
         } else {
             self.settings.capacity
+        };
+        if self.loading.is_empty() {
+            capacity
+        } else {
+            capacity.min(self.settings.loading_capacity)
         }
     }
 
+    /// Returns whether some version of a model is in memory; a call that names
+    /// no model runs on any.
+    fn holds(&self, model: &str) -> bool {
+        let names = |loaded: &String| loaded.split('@').next() == Some(model);
+        model.is_empty() || self.settings.models.iter().any(names)
+    }
+
+    /// Returns the models that fit beside those in memory.
+    fn room(&self) -> usize {
+        let held = self.settings.models.len() + self.loading.len();
+        self.settings.room.saturating_sub(held)
+    }
+
     fn crash(&mut self) {
         self.batch.abort();
         self.incarnation += 1;
         self.record.crashes += 1;
         self.warm_at = self.record.tokens + self.settings.cold_tokens;
         self.highest_fence = 0;
+        self.loading.clear();
         self.rank = self.rank.as_ref().map(|_| group::Rank::default());
     }
 
@@ -142,6 +174,8 @@
 
 #[derive(Debug, Deserialize)]
 struct Completion {
+    #[serde(default)]
+    model: String,
     #[serde(default)]
     messages: Vec<Message>,
     #[serde(default)]
@@ -186,6 +220,8 @@
             warm_at,
             highest_fence: 0,
             commands: Vec::new(),
+            loading: Vec::new(),
+            adapters: Vec::new(),
             rank: None,
         };
         let engine = Self {
@@ -211,6 +247,18 @@
         self.address
     }
 
+    /// Returns whether it serves a model at its full rate: it holds a version,
+    /// and none is on its way.
+    pub fn serves(&self, model: &str) -> bool {
+        let state = self.lock();
+        state.holds(model) && state.loading.is_empty()
+    }
+
+    /// Returns the models in memory, as `name@version`.
+    pub fn models(&self) -> Vec<String> {
+        self.lock().settings.models.clone()
+    }
+
     /// Changes its behaviour.
     pub fn configure(&self, change: impl FnOnce(&mut Settings)) {
         change(&mut self.lock().settings);
@@ -285,6 +333,9 @@
             waiting: state.batch.waiting() as u32,
             step_us: state.step_time().as_micros() as u32,
             models: state.settings.models.clone(),
+            loading: state.loading.clone(),
+            room: Some(state.room() as u32),
+            adapters: state.adapters.clone(),
             fence: state.highest_fence,
             ..Load::default()
         };
@@ -323,6 +374,9 @@
             text: String::new(),
         };
         let mut state = self.lock();
+        if !state.holds(&request.model) {
+            return reply::text(StatusCode::NOT_FOUND, "the model is not loaded");
+        }
         state.record.calls += 1;
         state.record.last_call = Some(Instant::now());
         state.batch.push(sequence);
@@ -353,8 +407,12 @@
         match &order.command {
             Command::LoadModel { model, version } => {
                 let name = format!("{model}@{version}");
-                if !state.settings.models.contains(&name) {
-                    state.settings.models.push(name);
+                let held = state.settings.models.contains(&name) || state.loading.contains(&name);
+                if !held && state.room() == 0 {
+                    return reply::text(StatusCode::INSUFFICIENT_STORAGE, "no room for the model");
+                }
+                if !held {
+                    self.fetch(&mut state, name);
                 }
             }
             Command::DropModel { model, version } => {
@@ -381,7 +439,13 @@
                 }
                 self.granted.notify_one();
             }
-            Command::LoadAdapter { .. } | Command::DropAdapter { .. } | Command::Fence => {}
+            Command::LoadAdapter { adapter } => {
+                if !state.adapters.contains(adapter) {
+                    state.adapters.push(adapter.clone());
+                }
+            }
+            Command::DropAdapter { adapter } => state.adapters.retain(|other| other != adapter),
+            Command::Fence => {}
         }
         state.commands.push(order);
         reply::json(StatusCode::OK, &serde_json::json!({}))
@@ -389,6 +453,28 @@
 }
 
 impl Engine {
+    /// Fetches a model, unless the engine dies in the meantime.
+    fn fetch(&self, state: &mut State, name: String) {
+        let time = state.settings.load_time;
+        if time.is_zero() {
+            state.settings.models.push(name);
+            return;
+        }
+        state.loading.push(name.clone());
+        let incarnation = state.incarnation;
+        let engine = self.clone();
+        tokio::spawn(async move {
+            tokio::time::sleep(time).await;
+            let mut state = engine.lock();
+            if state.incarnation == incarnation {
+                state.loading.retain(|other| *other != name);
+                state.settings.models.push(name);
+            }
+            drop(state);
+            engine.arrived.notify_one();
+        });
+    }
+
     /// Fetches an expert map, unless the engine dies in the meantime.
     fn stage(&self, map: u64, incarnation: u64, time: Duration) {
         let engine = self.clone();
--- a/crates/standin/src/platform/mod.rs
+++ b/crates/standin/src/platform/mod.rs
@@ -37,6 +37,8 @@
     pub retain: usize,
     /// Bytes a second that the weight store gives out.
     pub weight_rate: u64,
+    /// Whether the weight store refuses every transfer.
+    pub weights_refused: bool,
 }
 
 impl Default for Settings {
@@ -47,6 +49,7 @@
             lost_appends: 0,
             retain: usize::MAX,
             weight_rate: u64::MAX,
+            weights_refused: false,
         }
     }
 }
@@ -76,6 +79,7 @@
     vms: Vec<Vm>,
     appends: u64,
     weights_free_at: Instant,
+    transfers_refused: u64,
 }
 
 /// A running stand-in platform.
@@ -101,6 +105,7 @@
                 vms: Vec::new(),
                 appends: 0,
                 weights_free_at: Instant::now(),
+                transfers_refused: 0,
             })),
             changed: watch::Sender::new(0),
         };
@@ -141,6 +146,11 @@
         self.lock().appends
     }
 
+    /// Returns the number of transfers that the weight store refused.
+    pub fn transfers_refused(&self) -> u64 {
+        self.lock().transfers_refused
+    }
+
     /// Returns the records of a stream with their offsets.
     pub fn records(&self, stream: &str) -> Vec<(u64, Vec<u8>)> {
         let state = self.lock();
@@ -250,7 +260,8 @@
         let now = Instant::now();
         let start = state.weights_free_at.max(now);
         // A second of backlog is granted, as a burst allowance.
-        if start - now > Duration::from_secs(1) {
+        if state.settings.weights_refused || start - now > Duration::from_secs(1) {
+            state.transfers_refused += 1;
             return reply::text(
                 StatusCode::TOO_MANY_REQUESTS,
                 "the weight store is at its limit",
