Test cohorts, and a rollout whose agent is paused

Cause: the plan's tests cover one plan for all units; agents now plan for cohorts, cut by the version that each sees.

Change: `cohort::members` takes the size, so that tests can use small cohorts. Three tests of cohorts in crates/note/tests/rollout.rs; its `settle` now waits for all plans and not for the last one (stricter).

Seen: without the check that a unit confirmed the version, `cohorts_keep_the_last_warm_upstream` fails ("the last warm copy was given up"); with one more unit at once, `cohorts_stay_within_their_shares_and_finish` fails ("too many at once").

--- a/crates/note/src/rollout/cohort/mod.rs
+++ b/crates/note/src/rollout/cohort/mod.rs
@@ -19,12 +19,18 @@
 pub const UNITS: usize = 8;
 
 /// Returns the upstreams of the cohort to which an upstream belongs for a
-/// model, itself included even if it is no longer to serve the model.
+/// model, itself included even if it is no longer to serve the model. A cohort
+/// has at most `most` units, usually [`UNITS`].
 ///
 /// Nodes with different versions of the control state may cut differently. The
 /// share that changes at once then adds up over the two cuts, until both have
 /// the same version.
-pub fn members(state: &State, model: key::Model, upstream: key::Upstream) -> Vec<key::Upstream> {
+pub fn members(
+    state: &State,
+    model: key::Model,
+    upstream: key::Upstream,
+    most: usize,
+) -> Vec<key::Upstream> {
     let name = state.models().name(model);
     let mut units: BTreeMap<(u64, u64), Vec<key::Upstream>> = BTreeMap::new();
     for (key, entry) in state.upstreams().iter() {
@@ -40,7 +46,7 @@
         .range(..mine)
         .count()
         .min(units.len().saturating_sub(1));
-    let cohorts = units.len().div_ceil(UNITS).max(1);
+    let cohorts = units.len().div_ceil(most.max(1)).max(1);
     // Balanced, so that no cohort has a single unit while others are full.
     let of = |index: usize| index * cohorts / units.len().max(1);
     let cohort = of(index);
--- a/crates/note/tests/rollout.rs
+++ b/crates/note/tests/rollout.rs
@@ -12,7 +12,7 @@
 use sesamerock_note::fold::State;
 use sesamerock_note::note::{Note, Role};
 use sesamerock_note::rollout::{
-    Command, Hold, Input, Loaded, Phase, Plan, Reason, Report, Reports, Settings, Step,
+    Command, Hold, Input, Loaded, Phase, Plan, Reason, Report, Reports, Settings, Step, cohort,
 };
 use support::{accept, adapter, engine, model, note, release};
 
@@ -78,6 +78,8 @@
     seen: Vec<(usize, Reports)>,
     mail: VecDeque<(usize, usize, Report)>,
     settings: Settings,
+    /// Most units of a cohort, if each agent plans for its cohort alone.
+    cohort: Option<usize>,
 }
 
 impl World {
@@ -102,6 +104,7 @@
             seen,
             mail: VecDeque::new(),
             settings,
+            cohort: None,
         }
     }
 
@@ -162,13 +165,19 @@
         let state = &self.states[*index];
         self.engines[engine].report.version = state.version();
         reports.set(key, self.engines[engine].report.clone());
-        let plan = Plan::new(&Input {
+        let input = Input {
             state,
             reports,
             settings: self.settings,
             now: Moment(0),
             store_refused_until: None,
-        });
+        };
+        let plan = if let Some(most) = self.cohort {
+            let model = state.models().key("chat").expect("the model");
+            Plan::among(&input, &cohort::members(state, model, key, most))
+        } else {
+            Plan::new(&input)
+        };
         for command in plan.commands(key) {
             self.engines[engine].carry_out(command);
         }
@@ -192,13 +201,15 @@
             while !self.mail.is_empty() {
                 self.deliver(0, true);
             }
+            let mut done = true;
             for engine in 0..self.engines.len() {
                 last = self.act(engine);
+                done &= last.progress.done() && last.steps.is_empty();
             }
             for engine in &mut self.engines {
                 engine.warm_up();
             }
-            if last.progress.done() && last.steps.is_empty() {
+            if done {
                 break;
             }
         }
@@ -300,6 +311,99 @@
         .quickcheck(holds as fn(u64) -> bool);
 }
 
+/// Guards against the last warm copy being given up where agents plan for
+/// cohorts and cut them differently, since each sees another version.
+#[test]
+fn cohorts_keep_the_last_warm_upstream() {
+    fn holds(seed: u64) -> bool {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let count = rng.random_range(3..8);
+        let settings = Settings {
+            share: rng.random_range(0.0..1.0),
+            store_loads: rng.random_range(1..5),
+        };
+        let mut world = World::new(fleet(count), 1, settings);
+        world.cohort = Some(rng.random_range(2..5));
+        world.settle();
+        assert_eq!(world.warm("chat"), count);
+        for round in 0..12 {
+            let mut state = world.state().clone();
+            let mut change = note(&format!("n{round}"), state.version().0);
+            if rng.random_range(0..3) > 0 {
+                change.change.models.push(model("chat", 4 + round));
+            } else {
+                move_model(&mut change, &mut rng, count);
+            }
+            accept(&mut state, change);
+            world.publish(state, 1);
+            let steps = rng.random_range(10..120);
+            wander(&mut world, &mut rng, steps, |world| {
+                assert!(world.warm("chat") > 0, "the last warm copy was given up");
+            });
+        }
+        true
+    }
+    QuickCheck::new()
+        .tests(400)
+        .quickcheck(holds as fn(u64) -> bool);
+}
+
+/// Guards against more units than the share of each cohort giving up service at
+/// once, and against a rollout by cohorts that never ends.
+#[test]
+fn cohorts_stay_within_their_shares_and_finish() {
+    fn holds(seed: u64) -> bool {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let count = rng.random_range(9..25);
+        let settings = seeded_settings(&mut rng);
+        let mut world = World::new(fleet(count), 1, settings);
+        world.cohort = Some(cohort::UNITS);
+        world.settle();
+        let state = raise(world.state());
+        let chat = state.models().key("chat").expect("the model");
+        let sizes: Vec<_> = state
+            .upstreams()
+            .iter()
+            .map(|(key, _)| cohort::members(&state, chat, key, cohort::UNITS).len())
+            .collect();
+        // Each member counts a part of its cohort's share.
+        let share = |size: &usize| ((*size as f64 * settings.share) as usize).max(1) as f64;
+        let limit: f64 = sizes.iter().map(|size| share(size) / *size as f64).sum();
+        world.publish(state, 1);
+        wander(&mut world, &mut rng, 1_500, |world| {
+            let out = count - world.warm("chat");
+            assert!(out as f64 <= limit + 1e-9, "too many at once");
+        });
+        world.settle();
+        let ready = |engine: &Engine| engine.report.find(chat, 4).is_some();
+        world.engines.iter().all(ready)
+    }
+    QuickCheck::new()
+        .tests(60)
+        .quickcheck(holds as fn(u64) -> bool);
+}
+
+/// Guards against an upstream in no cohort or in two, cohorts whose size grows
+/// with the model, and a unit that is alone in its cohort and cannot change.
+#[test]
+fn cohorts_are_bounded_and_disjoint() {
+    for count in [1, 2, 7, 8, 9, 16, 17, 100, 588] {
+        let state = fleet(count);
+        let chat = state.models().key("chat").expect("the model");
+        let mut seen = BTreeMap::new();
+        for (key, _) in state.upstreams().iter() {
+            let members = cohort::members(&state, chat, key, cohort::UNITS);
+            assert!(members.contains(&key) && members.len() <= cohort::UNITS);
+            assert!(members.len() > 1 || count == 1);
+            for member in &members {
+                let known = seen.entry(*member).or_insert_with(|| members.clone());
+                assert_eq!(*known, members, "two cohorts of one upstream");
+            }
+        }
+        assert_eq!(seen.len(), count);
+    }
+}
+
 /// Lets one engine and a random share of the others serve the model.
 fn move_model(change: &mut Note, rng: &mut ChaCha8Rng, count: usize) {
     let stay = rng.random_range(0..count);
--- a/crates/sesamerock/src/agent/carry/plan/mod.rs
+++ b/crates/sesamerock/src/agent/carry/plan/mod.rs
@@ -52,7 +52,7 @@
 ) -> Vec<(key::Model, Vec<key::Upstream>)> {
     let models = models.iter();
     models
-        .map(|model| (*model, cohort::members(state, *model, me)))
+        .map(|model| (*model, cohort::members(state, *model, me, cohort::UNITS)))
         .collect()
 }
 
--- a/crates/sesamerock/tests/scenarios.rs
+++ b/crates/sesamerock/tests/scenarios.rs
@@ -72,4 +72,7 @@
     rollout_store_refuses,
     /// Guards against a rollout that goes on as if a dead agent were done.
     rollout_agent_killed,
+    /// Guards against agents that change beside one that is paused, and against
+    /// one that acts on what it knew before a pause.
+    rollout_agent_paused,
 }
--- a/crates/sesamerock/tests/support/world/mod.rs
+++ b/crates/sesamerock/tests/support/world/mod.rs
@@ -110,6 +110,9 @@
             let calls: u64 = self.in_zone(zone).map(|engine| engine.record().calls).sum();
             return Some(calls as f64);
         }
+        if let Some(text) = name.strip_prefix("progress.") {
+            return Some(self.progress(text).await);
+        }
         if let Some(version) = name.strip_prefix("on_version.") {
             let wanted = vec![format!("{MODEL}@{version}")];
             let on = |(_, engine): &&(String, Engine)| engine.models() == wanted;
@@ -124,7 +127,6 @@
             "least_warm" => Some(self.least_warm.load(Ordering::Relaxed) as f64),
             "warm" => Some(rollout::warm(&self.engines) as f64),
             "progress" => Some(self.progress("").await),
-            "store_stalls" => Some(self.progress("store_refused").await),
             "upstreams" => Some(self.most(|status| status.upstreams.len()).await),
             "stopped" => {
                 let ended = self.nodes.values_mut().all(Node::ended);
