Wait for the calls of every earlier epoch before a model is unloaded

Cause: a decision to unload that was taken back, or replaced by another one, forgot the calls that had begun before it, so that a later unload did not wait for them. A load that the engine refused was named in the log only. A grant of the weight store served a second load of the same version.

Change: epochs with calls present are kept until those have ended. `status` names `command_failed`. A grant ends with its load.

--- a/crates/sesamerock/src/agent/carry/handle/mod.rs
+++ b/crates/sesamerock/src/agent/carry/handle/mod.rs
@@ -46,6 +46,9 @@
     leaving: Option<Leaving>,
     /// Cloned by the calls that began since something was last given up.
     epoch: Stay,
+    /// Epochs before, as long as calls of them are present. A decision to give
+    /// something up may be taken back or change while they run.
+    older: Vec<Stay>,
     stalls: Vec<Stall>,
 }
 
@@ -54,8 +57,6 @@
     release: Release,
     /// Whether new calls for the model are refused.
     closes: bool,
-    /// Cloned by the calls that began before.
-    before: Stay,
 }
 
 impl Handle {
@@ -77,15 +78,15 @@
         let mut shared = self.lock();
         let known = shared.leaving.as_ref();
         if known.is_none_or(|known| known.release != *release || known.closes != closes) {
-            let before = std::mem::take(&mut shared.epoch);
+            let epoch = std::mem::take(&mut shared.epoch);
+            shared.older.push(epoch);
             shared.leaving = Some(Leaving {
                 release: release.clone(),
                 closes,
-                before,
             });
         }
-        let leaving = shared.leaving.as_ref();
-        leaving.is_some_and(|leaving| Arc::strong_count(&leaving.before) == 1)
+        shared.older.retain(|epoch| Arc::strong_count(epoch) > 1);
+        shared.older.is_empty()
     }
 
     /// Takes in what the carrier does from now on. Only after this do others
--- a/crates/sesamerock/src/agent/carry/mod.rs
+++ b/crates/sesamerock/src/agent/carry/mod.rs
@@ -20,6 +20,7 @@
 use sesamerock_platform::engine::{Command, Engine, Load, Order};
 use sesamerock_platform::http::client::{Client, Site};
 use sesamerock_platform::weights::{Remote, Store};
+use sesamerock_wire::relay::Stall;
 
 use super::Context;
 use super::probe::Sight;
@@ -51,6 +52,7 @@
         pacer: Pacer::new(store),
         decided: Moment::default(),
         last: String::new(),
+        refusal: None,
     };
     let mut sight = context.probe.subscribe();
     while sight.changed().await.is_ok() {
@@ -72,6 +74,8 @@
     decided: Moment,
     /// The last decision as logged, so that each is logged once.
     last: String,
+    /// Why the engine last refused a command.
+    refusal: Option<Stall>,
 }
 
 impl<E: Engine, S: Store> Carrier<'_, E, S> {
@@ -109,6 +113,7 @@
         self.neighbours.clear();
         self.pacer.done();
         self.last.clear();
+        self.refusal = None;
         self.context
             .carry
             .acts_on(view.version(), Vec::new(), false);
@@ -170,7 +175,9 @@
             Some(Step::Unload { release, closes }) => carry.give_up(release, *closes),
             _ => true,
         };
-        carry.acts_on(view.version(), decision.stalls, gives_up);
+        let mut stalls = decision.stalls;
+        stalls.extend(self.refusal.clone());
+        carry.acts_on(view.version(), stalls, gives_up);
         let name = &self.context.settings.upstream.name;
         let command = match decision.step {
             Some(Step::Load(release)) if self.pacer.reserve(name, &release).await => {
@@ -194,7 +201,7 @@
         self.give(view, load, command).await;
     }
 
-    async fn give(&self, view: &View, load: &Load, command: Command) {
+    async fn give(&mut self, view: &View, load: &Load, command: Command) {
         let context = self.context;
         let name = &context.settings.upstream.name;
         let order = Order {
@@ -204,17 +211,23 @@
             command,
         };
         match context.engine.command(&order).await {
-            Ok(()) => log::info!(
-                "event=command_given upstream={name} fence={} command={:?}",
-                order.fence,
-                order.command
-            ),
+            Ok(()) => {
+                log::info!(
+                    "event=command_given upstream={name} fence={} command={:?}",
+                    order.fence,
+                    order.command
+                );
+                self.refusal = None;
+                // A later load of the same version is another transfer.
+                self.pacer.done();
+            }
             Err(error) => {
                 log::warn!(
                     "event=command_failed upstream={name} fence={} command={:?} error={error}",
                     order.fence,
                     order.command
                 );
+                self.refusal = refused(&order.command);
                 tokio::time::sleep(PAUSE).await;
             }
         }
@@ -222,6 +235,18 @@
     }
 }
 
+/// Returns what waits since the engine refused a command about a model.
+fn refused(command: &Command) -> Option<Stall> {
+    let (Command::LoadModel { model, version } | Command::DropModel { model, version }) = command
+    else {
+        return None;
+    };
+    Some(Stall {
+        model: format!("{model}@{version}"),
+        reason: "command_failed".to_owned(),
+    })
+}
+
 /// Returns the step that gives up a model of which the state has never heard;
 /// no plan covers it.
 fn unknown(state: &State, load: &Load) -> Option<Step> {
--- a/crates/sesamerock/src/agent/carry/plan/mod.rs
+++ b/crates/sesamerock/src/agent/carry/plan/mod.rs
@@ -80,7 +80,11 @@
         ))
     });
     let adapters: BTreeSet<_> = adapters.collect();
-    let loaded: BTreeSet<_> = load.adapters.iter().cloned().collect();
+    // Adapters of which the state has never heard are left alone.
+    let known = |name: &&String| {
+        Release::parse(name).is_some_and(|held| state.adapters().key(&held.model).is_some())
+    };
+    let loaded: BTreeSet<_> = load.adapters.iter().filter(known).cloned().collect();
     load.loading.is_empty() && wanted == held && adapters == loaded
 }
 
--- a/crates/sesamerock/tests/support/world/mod.rs
+++ b/crates/sesamerock/tests/support/world/mod.rs
@@ -167,6 +167,7 @@
             "false_refusals" => record.false_refusals(&self.executions()) as f64,
             "lost_orders" => record.lost(&self.executions()) as f64,
             "crashes" => self.sum(|record| record.crashes),
+            "cut" => self.sum(|record| record.cut),
             "over_capacity" => self.sum(|record| record.over_capacity),
             "accepted" => self.verdicts(Verdict::Accepted),
             "rejected" => self.verdicts(Verdict::Rejected),
--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -97,6 +97,8 @@
     pub crashes: u64,
     /// Tokens generated.
     pub tokens: u64,
+    /// Calls that broke off since the last version of their model was dropped.
+    pub cut: u64,
     /// When the last call arrived.
     pub last_call: Option<Instant>,
 }
@@ -418,6 +420,11 @@
             Command::DropModel { model, version } => {
                 let name = format!("{model}@{version}");
                 state.settings.models.retain(|loaded| *loaded != name);
+                if state.settings.models.is_empty() {
+                    let present = state.batch.running() + state.batch.waiting();
+                    state.record.cut += present as u64;
+                    state.batch.abort();
+                }
             }
             Command::StageMap { map } => {
                 self.stage(*map, state.incarnation, state.settings.staging);
