Return an agent's limit to its first value before a load

Cause: an engine that loads a model has less room for calls, and the agent went on sending up to the limit learned before.

Change: a load counts as a start for the gate, so that the limit is learned anew.

--- a/crates/sesamerock/src/agent/carry/mod.rs
+++ b/crates/sesamerock/src/agent/carry/mod.rs
@@ -181,6 +181,7 @@
         let name = &self.context.settings.upstream.name;
         let command = match decision.step {
             Some(Step::Load(release)) if self.pacer.reserve(name, &release).await => {
+                self.context.gate.loads();
                 Command::LoadModel {
                     model: release.model,
                     version: u64::from(release.version),
--- a/crates/sesamerock/src/agent/gate/mod.rs
+++ b/crates/sesamerock/src/agent/gate/mod.rs
@@ -160,6 +160,13 @@
         self.changed.notify_one();
     }
 
+    /// Takes in that a model is about to be loaded: the engine has less room
+    /// for calls until it is done, so that the limit is learned anew.
+    pub fn loads(&self) {
+        self.lock().gate.reset(clock::now(), Cause::Start);
+        self.changed.notify_one();
+    }
+
     /// Takes no new work from now on.
     pub fn drain(&self) {
         self.lock().gate.drain(clock::now());
