--- a/crates/sesamerock/src/settings/mod.rs
+++ b/crates/sesamerock/src/settings/mod.rs
@@ -12,6 +12,7 @@
 
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, serde_as};
+use sesamerock_note::rollout;
 
 /// What every process is told about itself and its surroundings.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -183,6 +184,9 @@
     pub map_switch: Option<Duration>,
     /// Planning of expert placement, for a rank of a group.
     pub placement: placement::Placement,
+    /// Bounds of rollouts, not read from the file.
+    #[serde(skip)]
+    pub rollout: rollout::Settings,
 }
 
 impl Default for Agent {
@@ -196,6 +200,7 @@
             drain_timeout: Duration::from_mins(2),
             map_switch: None,
             placement: placement::Placement::default(),
+            rollout: rollout::Settings::default(),
         }
     }
 }
--- a/crates/sesamerock/tests/lockstep/mod.rs
+++ b/crates/sesamerock/tests/lockstep/mod.rs
@@ -302,7 +302,7 @@
 
     /// Returns how many transfers the weight store refused.
     pub fn weights_refused(&self) -> u64 {
-        self.platform.weights_refused()
+        self.platform.transfers_refused()
     }
 
     /// Returns the mean skew of the last steps.
