--- a/crates/sesamerock/src/control/pack/mod.rs
+++ b/crates/sesamerock/src/control/pack/mod.rs
@@ -5,8 +5,8 @@
 //! put one after another before they are deflated, which halves what a joining
 //! node fetches. The log keeps plain records, which any build can read.
 //!
-//! A packed snapshot is [`MARK`] and a deflated text. Its first line is a
-//! [`Head`]; then, for each kind of row and each column, one line follows per
+//! A packed snapshot is `MARK` and a deflated text. Its first line is a
+//! `Head`; then, for each kind of row and each column, one line follows per
 //! row: the value in JSON, or nothing if the row has no such field.
 
 use std::io::{Read as _, Write as _};
