Judge silent upstreams by the mean share, not the mean calls

Cause: the load assumed of an upstream without a fresh report was the mean number of calls of the others, divided by the upstream's own last limit. Change: the mean share is assumed instead, old reports weigh a tenth in the means, and the request itself is charged by the mean limit as far as the report is old. Figures: regression test old_small_limit_does_not_keep_calls_away 0 of 200 calls before, passes with at least 20 now.

--- a/crates/route/src/pick/choose/mod.rs
+++ b/crates/route/src/pick/choose/mod.rs
@@ -41,7 +41,10 @@
         if eligible.is_empty() {
             return Err(self.refusal(losers));
         }
-        let loads = eligible.iter().filter_map(|upstream| self.load(*upstream));
+        let loads = eligible
+            .iter()
+            .filter_map(|upstream| self.load(*upstream))
+            .map(|load| (load, load.known(now, &self.settings.load)));
         let paces = eligible
             .iter()
             .filter_map(|upstream| self.slowness(*upstream, now));
@@ -241,7 +244,8 @@
         let mut all = 0.0;
         for load in eligible.iter().filter_map(|upstream| self.load(*upstream)) {
             own += f64::from(load.own_calls());
-            all += load.estimate(now, &prior.load, &self.settings.load).calls;
+            let assumed = prior.estimate(load);
+            all += load.estimate(now, &assumed, &self.settings.load).calls;
         }
         own / f64::max(all, 1.0)
     }
@@ -256,7 +260,8 @@
         rng: &mut impl Rng,
     ) -> Option<Scored> {
         let state = self.state(upstream)?;
-        let estimate = state.load.estimate(now, &prior.load, &self.settings.load);
+        let assumed = prior.estimate(&state.load);
+        let estimate = state.load.estimate(now, &assumed, &self.settings.load);
         let share = f64::from(state.load.own_calls() + 1) / (estimate.calls + 1.0);
         let ranks = state.profile.ranks;
         let placement = rank::place(
--- a/crates/route/src/score/mod.rs
+++ b/crates/route/src/score/mod.rs
@@ -49,8 +49,10 @@
 /// What is assumed where an upstream has not reported.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Prior {
-    /// Mean load of the candidates with a report.
-    pub load: Estimate,
+    /// Mean tokens in flight of the candidates with a report.
+    pub held: f64,
+    /// Mean number of calls queued.
+    pub queued: f64,
     /// Mean limit of calls.
     pub calls: f64,
     /// Mean limit of tokens; infinite if none is known.
@@ -63,35 +65,55 @@
     pub pace: f64,
 }
 
-/// Returns what to assume from the candidates that have reported; `paces` are
-/// the slownesses of all.
+impl Prior {
+    /// Returns the load to assume of an upstream whose report is old: the mean
+    /// share of its own limit, since the mean number of calls would overload an
+    /// upstream with a smaller limit on paper and keep all new calls away.
+    pub fn estimate(&self, load: &Load) -> Estimate {
+        let limit = call_limit(load, self);
+        let scale = limit / self.calls;
+        Estimate {
+            calls: self.used * limit,
+            tokens: self.held * scale,
+            queued: self.queued * scale,
+            known: 0.0,
+        }
+    }
+}
+
+/// Weight of an old report in the means, relative to a fresh one. An upstream
+/// that was full when it fell silent must not raise the load assumed of itself;
+/// where nearly all reports are old, many of them say more than one fresh one.
+const OLD_WEIGHT: f64 = 0.1;
+
+/// Returns what to assume from the candidates that have reported, each with the
+/// weight of its report from [`Load::known`]; `paces` are the slownesses of all.
 pub fn prior<'a>(
-    loads: impl Iterator<Item = &'a Load>,
+    loads: impl Iterator<Item = (&'a Load, f64)>,
     paces: impl Iterator<Item = f64>,
     settings: &Settings,
 ) -> Prior {
     let mut mean = Means::default();
-    for report in loads.filter_map(Load::last) {
-        mean.calls.add(f64::from(report.calls));
-        mean.tokens.add(report.tokens as f64);
-        mean.queued.add(f64::from(report.queued));
+    for (load, known) in loads {
+        let Some(report) = load.last() else {
+            continue;
+        };
+        let weight = known.max(OLD_WEIGHT);
+        mean.tokens.add(report.tokens as f64, weight);
+        mean.queued.add(f64::from(report.queued), weight);
         if report.call_limit > 0 {
             let limit = f64::from(report.call_limit);
-            mean.limit.add(limit);
-            mean.used.add(f64::from(report.calls) / limit);
+            mean.limit.add(limit, weight);
+            mean.used.add(f64::from(report.calls) / limit, weight);
         }
         if report.step > Duration::ZERO {
-            mean.step.add(report.step.as_secs_f64());
+            mean.step.add(report.step.as_secs_f64(), weight);
         }
     }
-    paces.for_each(|pace| mean.pace.add(pace));
+    paces.for_each(|pace| mean.pace.add(pace, 1.0));
     Prior {
-        load: Estimate {
-            calls: mean.calls.or(0.0),
-            tokens: mean.tokens.or(0.0),
-            queued: mean.queued.or(0.0),
-            known: 0.0,
-        },
+        held: mean.tokens.or(0.0),
+        queued: mean.queued.or(0.0),
         calls: mean.limit.or(settings.calls),
         tokens: f64::INFINITY,
         step: mean.step.or(settings.step.as_secs_f64()),
@@ -103,7 +125,6 @@
 /// Sums of what the candidates reported.
 #[derive(Clone, Copy, Debug, Default)]
 struct Means {
-    calls: Mean,
     tokens: Mean,
     queued: Mean,
     limit: Mean,
@@ -115,18 +136,18 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct Mean {
     sum: f64,
-    count: f64,
+    weight: f64,
 }
 
 impl Mean {
-    fn add(&mut self, value: f64) {
-        self.sum += value;
-        self.count += 1.0;
+    fn add(&mut self, value: f64, weight: f64) {
+        self.sum += weight * value;
+        self.weight += weight;
     }
 
     fn or(self, default: f64) -> f64 {
-        if self.count > 0.0 {
-            self.sum / self.count
+        if self.weight > 0.0 {
+            self.sum / self.weight
         } else {
             default
         }
@@ -216,16 +237,26 @@
 
 /// Returns the used share of the scarcer limit, the request included.
 fn utilisation(of: &Candidate<'_>, request: &Request<'_>, prior: &Prior) -> f64 {
-    let report = of.load.last();
-    let calls = report
-        .map(|report| f64::from(report.call_limit))
-        .filter(|limit| *limit > 0.0)
-        .unwrap_or(prior.calls);
-    let tokens = report
+    let own = call_limit(of.load, prior);
+    let tokens = of
+        .load
+        .last()
         .map(|report| report.token_limit as f64)
         .filter(|limit| *limit > 0.0)
         .unwrap_or(prior.tokens);
-    let by_calls = (of.estimate.calls + of.estimate.queued + 1.0) / calls;
+    // A limit is learnt from calls. That of an upstream without calls is as old
+    // as its report, so the request is charged by the mean of the others.
+    let known = of.estimate.known;
+    let limit = known * own + (1.0 - known) * prior.calls;
+    let by_calls = (of.estimate.calls + of.estimate.queued) / own + 1.0 / limit;
     let by_tokens = (of.estimate.tokens + request.tokens as f64) / tokens;
     by_calls.max(by_tokens)
 }
+
+/// Returns the call limit of the last report, or the mean of the others.
+fn call_limit(load: &Load, prior: &Prior) -> f64 {
+    load.last()
+        .map(|report| f64::from(report.call_limit))
+        .filter(|limit| *limit > 0.0)
+        .unwrap_or(prior.calls)
+}
--- a/crates/route/tests/pick.rs
+++ b/crates/route/tests/pick.rs
@@ -437,6 +437,29 @@
 
 /// Many entries with the same stale report must not all choose the upstream
 /// that it shows as least loaded.
+/// Guards against an upstream that gets no calls after it returns: its last
+/// report shows it full with a small limit, and only calls can renew that.
+#[test]
+fn old_small_limit_does_not_keep_calls_away() {
+    let (mut picker, pool) = pool(3);
+    let small = Report {
+        call_limit: 2,
+        ..report(2)
+    };
+    picker.report(pool[2], small, NOW);
+    let later = NOW + Duration::from_secs(30);
+    let mut rng = rng();
+    let mut to_returned = 0;
+    for turn in 0..200 {
+        // The loads of the other two go up and down around half their limit.
+        picker.report(pool[0], report(12 + turn % 9), later);
+        picker.report(pool[1], report(20 - turn % 9), later);
+        let choice = picker.pick(&request(), &pool, later, &mut rng).unwrap();
+        to_returned += u32::from(choice.upstream == pool[2]);
+    }
+    assert!(to_returned >= 20, "{to_returned} of 200 calls");
+}
+
 #[test]
 fn stale_reports_do_not_herd() {
     let (mut picker, pool) = pool(12);
