Admit a call to an empty engine whatever pause is on

Steps are counted by tokens of running calls. Change: the pause holds only while calls are in flight.

--- a/crates/limit/src/learn/hold/mod.rs
+++ b/crates/limit/src/learn/hold/mod.rs
@@ -54,7 +54,9 @@
         let probes = flight.oldest.is_some_and(probe) || flight.second.is_some_and(probe);
         let beyond = !self.proven().covers(flight.admitted);
         let waits = probes || (beyond && (pending > 0 || self.latency.known()));
-        let paused = self.steps < self.resume;
+        // Steps are counted by the tokens of running calls, so that without any
+        // a pause would never end.
+        let paused = flight.admitted.calls > 0 && self.steps < self.resume;
         if self.down || (unproven && (waits || reported || paused)) {
             return true;
         }
--- a/crates/limit/tests/gate.rs
+++ b/crates/limit/tests/gate.rs
@@ -278,6 +278,39 @@
         .quickcheck(run as fn(Vec<Op>, Vec<u8>) -> TestResult);
 }
 
+/// Guards against an upstream that gets no calls any more: without calls there
+/// are no tokens, so nothing that tokens end may hold back the only call.
+#[test]
+fn an_idle_upstream_takes_a_call() {
+    fn run(ops: Vec<Op>, tokens: u16) -> TestResult {
+        let mut model = Model::new();
+        for op in ops.into_iter().filter(|op| !matches!(op, Op::Drain)) {
+            model.apply(op);
+            model.poll();
+        }
+        while !model.running.is_empty() || !model.queued.is_empty() {
+            model.cancel(0);
+            model.poll();
+        }
+        model.apply(Op::Observe {
+            running: 0,
+            waiting: 0,
+            restarted: false,
+        });
+        let offer = Offer {
+            tokens: u64::from(tokens).max(1),
+            ..model.offer(model.next)
+        };
+        let verdict = model.gate.offer(model.now, offer);
+        assert_eq!(verdict, Verdict::Admitted, "{tokens} tokens");
+        TestResult::passed()
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(400, 11))
+        .tests(3000)
+        .quickcheck(run as fn(Vec<Op>, u16) -> TestResult);
+}
+
 /// Fails if a refusal says nothing about a retry or a leaving gate still takes,
 /// keeps or admits work.
 #[test]
