--- a/crates/sesamerock/tests/callers.rs
+++ b/crates/sesamerock/tests/callers.rs
@@ -297,6 +297,32 @@
     assert_refused(&read(stream).await, 504, "late");
 }
 
+/// Guards against a call that waits for room until its deadline and whose
+/// caller is told that it may have run.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_call_that_only_waited_is_told_so() {
+    let engine = engine::Settings {
+        capacity: 2,
+        ..engine::Settings::default()
+    };
+    let world = World::start(engine).await;
+    let long = request(CHAT, "", &completion(1_000_000, true));
+    let mut streams = Vec::new();
+    // More calls than both engines take; the others wait before the next ones.
+    for _ in 0..24 {
+        streams.push(open(world.entry(), long.as_bytes()).await);
+    }
+    until("the agents are full", async || world.at_agents().await >= 4).await;
+    for turn in 0..5 {
+        let fields = format!("x-request-id: wait-{turn}\r\nx-request-timeout-ms: 400\r\n");
+        let answer = send(world.entry(), CHAT, &fields, &completion(2, false)).await;
+        let document = json(&answer);
+        assert!([503, 504].contains(&answer.status), "{document}");
+        assert_eq!(document["executed"], "no", "{document}");
+    }
+    drop(streams);
+}
+
 /// Guards against a 413 that a caller never sees, because the entry resets the
 /// connection while the caller is still sending.
 #[tokio::test(flavor = "multi_thread")]
