Start stopped nodes last in random scenarios

Change: starts of stopped nodes follow the ends of all other faults; the scenario is printed before it runs. Conclusion: a fault of the test, not of the product.

--- a/crates/scenario/src/chaos/mod.rs
+++ b/crates/scenario/src/chaos/mod.rs
@@ -9,7 +9,7 @@
 use std::fmt::Write as _;
 use std::time::Duration;
 
-use rand::seq::IndexedRandom as _;
+use rand::seq::{IndexedRandom as _, SliceRandom as _};
 use rand::{Rng, RngExt as _};
 
 /// What a world has that can fail.
@@ -125,11 +125,12 @@
     let (shortest, longest) = settings.lasts;
     let lasts = rng.random_range(shortest..=longest);
     line(text, &format!("pass {}ms", lasts.as_millis()));
-    while !active.is_empty() {
-        let fault = active.swap_remove(rng.random_range(0..active.len()));
-        if let Some(end) = &fault.end {
-            line(text, end);
-        }
+    active.shuffle(rng);
+    // A node that was asked to stop may wait for another fault to end, such as an
+    // outage of the log, and starts only once it has stopped.
+    active.sort_by_key(|fault| fault.begin.starts_with("terminate"));
+    for end in active.iter().filter_map(|fault| fault.end.as_ref()) {
+        line(text, end);
     }
     line(text, &format!("pass {}ms", settings.rest.as_millis()));
 }
--- a/crates/scenario/tests/chaos.rs
+++ b/crates/scenario/tests/chaos.rs
@@ -95,3 +95,26 @@
         _ => None,
     }
 }
+
+/// Guards against a scenario that waits for itself: a node that was asked to stop
+/// waited for the log, whose outage was to end after the node's new start.
+#[test]
+fn stopped_nodes_start_after_other_faults_end() {
+    for seed in 0..SEEDS {
+        let text = scenario(seed);
+        let mut stopping: Vec<&str> = Vec::new();
+        let mut last_start = false;
+        for line in text.lines() {
+            let words: Vec<_> = line.split(' ').collect();
+            match words.as_slice() {
+                ["terminate", node] => stopping.push(node),
+                ["start", node] if stopping.contains(node) => {
+                    stopping.retain(|other| other != node);
+                    last_start = true;
+                }
+                ["pass", _] => last_start = false,
+                _ => assert!(!last_start, "seed {seed}, {line}\n{text}"),
+            }
+        }
+    }
+}
--- a/crates/sesamerock/tests/chaos/mod.rs
+++ b/crates/sesamerock/tests/chaos/mod.rs
@@ -86,8 +86,9 @@
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let text = generate(&inventory, &settings, &mut rng);
         let script = Script::parse(&text).unwrap_or_else(|faults| panic!("{faults:?}\n{text}"));
+        println!("seed {seed}\n{text}");
         if let Err(failure) = run(&script, &mut world).await {
-            panic!("seed {seed}, {failure}\n{text}\n{}", world.explain());
+            panic!("seed {seed}, {failure}\n{}", world.explain());
         }
     }
 }
