--- a/crates/sesamerock/src/agent/gate/mod.rs
+++ b/crates/sesamerock/src/agent/gate/mod.rs
@@ -52,11 +52,6 @@
     ended: bool,
 }
 
-/// Time before a call's deadline at which it leaves the queue, so that the
-/// refusal reaches the entry before the deadline does. Otherwise the entry could
-/// only tell its caller that the call may have run.
-const ANSWER_TIME: Duration = Duration::from_millis(25);
-
 impl Gate {
     /// Makes a gate that knows nothing of its upstream.
     pub fn new(settings: gate::Settings) -> Self {
@@ -116,7 +111,6 @@
     ) -> (Permit, Verdict, oneshot::Receiver<Result<(), Refusal>>) {
         let now = clock::now();
         let left = deadline.saturating_duration_since(Instant::now());
-        let left = left.saturating_sub(ANSWER_TIME);
         let mut inner = self.lock();
         let call = inner.next;
         inner.next += 1;
--- a/crates/sesamerock/src/entry/dispatch/attempt/mod.rs
+++ b/crates/sesamerock/src/entry/dispatch/attempt/mod.rs
@@ -23,6 +23,11 @@
 /// Time after which a caller may ask again while the log does not answer.
 const LEDGER_RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// Time after a call's deadline in which the agent may still say that the call
+/// was not run. The agent refuses a call in its queue at the deadline, and without
+/// that word the caller could only be told that the call may have run.
+const ANSWER_GRACE: Duration = Duration::from_millis(250);
+
 /// An attempt whose answer has begun.
 #[derive(Debug)]
 pub(super) struct Open {
@@ -172,8 +177,8 @@
             head.delivered_text = point.text;
         }
         let flight = Flight::new(target, Arc::clone(&self.context));
-        let left = self.ask.remaining();
-        match tokio::time::timeout(left, self.open(attempt, head, flight)).await {
+        let patience = self.ask.remaining() + ANSWER_GRACE;
+        match tokio::time::timeout(patience, self.open(attempt, head, flight)).await {
             Ok(opened) => opened,
             Err(_) => Err(Failure {
                 kind: "deadline",
