--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -8,6 +8,7 @@
 mod balance;
 mod clock;
 mod fairness;
+mod hedge;
 mod limits;
 mod lockstep;
 mod node;
@@ -44,6 +45,7 @@
 const MEASURES: &[Measure] = &[
     ("balance", balance::run),
     ("fairness", fairness::run),
+    ("hedge", hedge::run),
     ("limits", limits::run),
     ("lockstep", lockstep::run),
     ("node", node::run),
--- a/crates/retry/src/budget/mod.rs
+++ b/crates/retry/src/budget/mod.rs
@@ -68,11 +68,23 @@
         self.add(self.settings.share);
     }
 
-    /// Takes a retry or a hedge from the budget, if it allows one.
+    /// Takes a retry from the budget, if it allows one.
     pub fn may_retry(&mut self, now: Moment) -> Verdict {
         self.take(now, 0.0)
     }
 
+    /// Takes a hedge from the budget, if it allows one and `reserve` retries
+    /// are left.
+    pub fn may_hedge(&mut self, now: Moment, reserve: f64) -> Verdict {
+        self.take(now, reserve)
+    }
+
+    /// Takes back an attempt that was granted and not sent.
+    pub fn unsent(&mut self, now: Moment) {
+        self.refill(now);
+        self.add(1.0);
+    }
+
     /// Takes the resumption of a stream from the budget, if it allows one.
     pub fn may_resume(&mut self, now: Moment) -> Verdict {
         self.take(now, -self.settings.overdraft)
--- a/crates/retry/src/hedge/mod.rs
+++ b/crates/retry/src/hedge/mod.rs
@@ -1,53 +1,34 @@
 //! Hedging: sending a look-up to a second upstream when the first is slow.
+//!
+//! [`latency`] learns when a look-up is slow, [`due`] and [`decide`] tell
+//! whether a second attempt may be sent, and [`race`] which one answers. See
+//! `docs/notes/hedging.md`.
+
+pub mod latency;
+pub mod race;
 
-use std::collections::VecDeque;
 use std::time::Duration;
 
 use sesamerock_base::time::Moment;
 
 use crate::budget::{Budget, Verdict};
 
-/// Number of recent latencies kept.
-const KEPT: usize = 256;
-
-/// Fewest latencies that give a percentile; with fewer, nothing is hedged.
-const LEAST: usize = 32;
-
-/// The percentile is computed anew after this many latencies, since sorting
-/// costs more than adding.
-const INTERVAL: u32 = 32;
-
-/// Recent latencies of a method's successful look-ups.
-#[derive(Clone, Debug, Default)]
-pub struct Latency {
-    recent: VecDeque<Duration>,
-    since: u32,
-    p95: Option<Duration>,
+/// Bounds of hedging.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Settings {
+    /// Least time before a second attempt.
+    pub least_delay: Duration,
+    /// Retries of the budget that hedges leave for retries, since a retry saves
+    /// a call and a hedge only time.
+    pub reserve: f64,
 }
 
-impl Latency {
-    /// Takes in the latency of a look-up that was not hedged or won the race.
-    pub fn observe(&mut self, latency: Duration) {
-        if self.recent.len() >= KEPT {
-            self.recent.pop_front();
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            least_delay: Duration::from_millis(10),
+            reserve: 50.0,
         }
-        self.recent.push_back(latency);
-        self.since += 1;
-        if self.recent.len() >= LEAST && (self.p95.is_none() || self.since >= INTERVAL) {
-            self.since = 0;
-            self.p95 = Some(self.percentile());
-        }
-    }
-
-    /// Returns the 95th percentile, if enough latencies are known.
-    pub fn p95(&self) -> Option<Duration> {
-        self.p95
-    }
-
-    fn percentile(&self) -> Duration {
-        let mut sorted: Vec<_> = self.recent.iter().copied().collect();
-        let index = sorted.len() * 95 / 100;
-        *sorted.select_nth_unstable(index).1
     }
 }
 
@@ -59,7 +40,22 @@
     /// Ask again after this time, unless the response has come.
     Wait(Duration),
     /// Do not hedge this call.
-    Never,
+    Never(Why),
+}
+
+/// Why a call is not hedged.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Why {
+    /// It is no look-up.
+    Method,
+    /// It was hedged already.
+    Hedged,
+    /// Too few latencies of the service are known.
+    Unlearned,
+    /// The second attempt would be due after the deadline.
+    Deadline,
+    /// The budget does not allow it.
+    Budget,
 }
 
 /// A look-up in flight.
@@ -75,20 +71,45 @@
     pub hedged: bool,
 }
 
+/// Returns when a second attempt is due, or why there is none.
+///
+/// # Errors
+/// Returns why the call is not hedged.
+pub fn due(call: &Call, p95: Option<Duration>, settings: &Settings) -> Result<Moment, Why> {
+    if !call.lookup {
+        return Err(Why::Method);
+    }
+    if call.hedged {
+        return Err(Why::Hedged);
+    }
+    let p95 = p95.ok_or(Why::Unlearned)?;
+    let due = call.sent + p95.max(settings.least_delay);
+    if due >= call.deadline {
+        return Err(Why::Deadline);
+    }
+    Ok(due)
+}
+
 /// Decides whether to hedge a call, and takes the hedge from the budget.
-pub fn decide(call: &Call, latency: &Latency, budget: &mut Budget, now: Moment) -> Decision {
-    let Some(p95) = latency.p95() else {
-        return Decision::Never;
+pub fn decide(
+    call: &Call,
+    p95: Option<Duration>,
+    budget: &mut Budget,
+    now: Moment,
+    settings: &Settings,
+) -> Decision {
+    let due = match due(call, p95, settings) {
+        Ok(due) => due,
+        Err(why) => return Decision::Never(why),
     };
-    let due = call.sent + p95;
-    if !call.lookup || call.hedged || due >= call.deadline || now >= call.deadline {
-        return Decision::Never;
+    if now >= call.deadline {
+        return Decision::Never(Why::Deadline);
     }
     if now < due {
         return Decision::Wait(due.since(now));
     }
-    match budget.may_retry(now) {
+    match budget.may_hedge(now, settings.reserve) {
         Verdict::Granted => Decision::Now,
-        Verdict::Exhausted(_) => Decision::Never,
+        Verdict::Exhausted(_) => Decision::Never(Why::Budget),
     }
 }
--- a/crates/retry/tests/attempt.rs
+++ b/crates/retry/tests/attempt.rs
@@ -5,7 +5,6 @@
 use sesamerock_base::time::Moment;
 use sesamerock_retry::attempt::{Attempt, Decision, Executed, Phase, Settings, Why, decide, told};
 use sesamerock_retry::budget::{self, Budget, Verdict};
-use sesamerock_retry::hedge::{self, Latency};
 
 const NOW: Moment = Moment::from_millis(5_000);
 
@@ -267,58 +266,3 @@
         .count();
     assert!((14..=15).contains(&granted), "{granted}");
 }
-
-/// Hedges must wait for the 95th percentile, happen once, and only for
-/// look-ups.
-#[test]
-fn hedges_only_slow_lookups() {
-    let mut latency = Latency::default();
-    let call = hedge::Call {
-        lookup: true,
-        sent: NOW,
-        deadline: NOW + Duration::from_secs(1),
-        hedged: false,
-    };
-    let mut budget = budget();
-    let mut ask = |call: &hedge::Call, latency: &Latency, millis| {
-        hedge::decide(
-            call,
-            latency,
-            &mut budget,
-            NOW + Duration::from_millis(millis),
-        )
-    };
-    assert_eq!(ask(&call, &latency, 500), hedge::Decision::Never);
-    for millis in 1..=100 {
-        latency.observe(Duration::from_millis(millis));
-    }
-    assert_eq!(latency.p95(), Some(Duration::from_millis(92)));
-    assert_eq!(
-        ask(&call, &latency, 60),
-        hedge::Decision::Wait(Duration::from_millis(32))
-    );
-    assert_eq!(ask(&call, &latency, 92), hedge::Decision::Now);
-    assert_eq!(
-        ask(
-            &hedge::Call {
-                hedged: true,
-                ..call
-            },
-            &latency,
-            92
-        ),
-        hedge::Decision::Never
-    );
-    assert_eq!(
-        ask(
-            &hedge::Call {
-                lookup: false,
-                ..call
-            },
-            &latency,
-            92
-        ),
-        hedge::Decision::Never
-    );
-    assert_eq!(ask(&call, &latency, 1_000), hedge::Decision::Never);
-}
--- a/crates/route/src/load/mod.rs
+++ b/crates/route/src/load/mod.rs
@@ -206,6 +206,14 @@
         self.change(-1, -tokens.cast_signed(), now);
     }
 
+    /// Takes back the credit of a call that was cancelled before its upstream
+    /// answered: such a call brings no report that would renew the credits, and
+    /// its place is free. If a report came since it was sent, this gives one
+    /// credit too many until the next report; the agent's gate decides anyway.
+    pub fn cancelled(&mut self) {
+        self.spent = self.spent.saturating_sub(1);
+    }
+
     /// Returns the last report, however old.
     pub fn last(&self) -> Option<&Report> {
         self.report.as_ref().map(|(report, _)| report)
--- a/crates/route/src/pick/mod.rs
+++ b/crates/route/src/pick/mod.rs
@@ -73,8 +73,11 @@
     First(Duration),
     /// The call failed in the upstream or on the way to it.
     Failed,
-    /// The call tells nothing: it was refused, or its caller went away.
+    /// The call tells nothing: it was refused.
     Neutral,
+    /// The call tells nothing: this entry cancelled it before an answer began,
+    /// since its caller went away or another attempt answered.
+    Cancelled,
 }
 
 /// What is known about one upstream.
@@ -162,6 +165,7 @@
                 Outcome::First(seen) => state.pace.observe(seen, choice.expected, now, half_life),
                 Outcome::Failed => state.pace.failed(now, half_life),
                 Outcome::Neutral => (),
+                Outcome::Cancelled => state.load.cancelled(),
             }
         }
     }
--- a/crates/route/tests/load.rs
+++ b/crates/route/tests/load.rs
@@ -96,6 +96,23 @@
     assert_eq!(load.credit(at(2_100), &SETTINGS), Credit::Unknown(1));
 }
 
+/// A cancelled call brings no report, so its credit must come back; without
+/// that, cancelled second attempts made idle upstreams look full.
+#[test]
+fn a_cancelled_call_gives_its_credit_back() {
+    let mut load = Load::default();
+    load.report(report(0, 2), at(1_000), &SETTINGS);
+    for _ in 0..5 {
+        load.sent(WORK, None, at(1_010));
+        assert_eq!(load.credit(at(1_010), &SETTINGS), Credit::Some(1));
+        load.cancelled();
+        load.finished(100, None, at(1_020));
+    }
+    load.cancelled();
+    assert_eq!(load.credit(at(1_020), &SETTINGS), Credit::Some(2));
+    assert_eq!(load.own_calls(), 0);
+}
+
 /// The record of changes since a report must stay bounded at an upstream that
 /// never reports, and still be right.
 #[test]
--- /dev/null
+++ b/crates/sesamerock/src/entry/dispatch/attempt/refused/mod.rs
@@ -0,0 +1,83 @@
+//! What a refusal by an agent means for the call.
+
+use std::time::Duration;
+
+use http::StatusCode;
+use sesamerock_route::pick::Outcome;
+use sesamerock_wire::relay::Refused;
+use sesamerock_wire::relay::refusal::Reason;
+
+use super::flight::Flight;
+use crate::entry::dispatch::Run;
+use crate::entry::dispatch::failure::{Failure, Remedy};
+
+/// Time after which a caller may ask again while the log does not answer.
+const LEDGER_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+impl Run {
+    /// Takes in the refusal of an attempt and returns its failure.
+    pub(super) fn refused(&self, flight: &Flight, refused: &Refused) -> Failure {
+        let mut table = self.context.table();
+        if let Some(report) = &refused.report {
+            table.report(&flight.target, report);
+        }
+        flight.observe(&mut table, Outcome::Neutral);
+        drop(table);
+        self.context.metrics.refusals.add(1, &[]);
+        let Some(refusal) = &refused.refusal else {
+            return Failure::refused("refused", "the agent gave no reason");
+        };
+        let detail = format!("{}: {}", refusal.reason().as_str_name(), refusal.detail);
+        let retry_after = Some(Duration::from_millis(refusal.retry_after_ms));
+        let failure = Failure {
+            // Another upstream may have room at once.
+            retry_after: if self.keyed() { retry_after } else { None },
+            upstream: Some(flight.target.choice.upstream),
+            ..Failure::refused("refused", detail)
+        };
+        match refusal.reason() {
+            Reason::Overloaded | Reason::Cold => Failure {
+                kind: "overloaded",
+                remedy: Remedy::Room,
+                ..failure
+            },
+            Reason::Suspect | Reason::Leaving | Reason::OutOfContact | Reason::ModelNotLoaded => {
+                Failure {
+                    remedy: Remedy::Room,
+                    ..failure
+                }
+            }
+            Reason::OverCeiling => Failure {
+                remedy: Remedy::Elsewhere,
+                ..failure
+            },
+            Reason::Deadline => Failure {
+                kind: "overloaded",
+                ..failure
+            },
+            Reason::Convicted => Failure {
+                kind: "convicted",
+                retry_after: None,
+                remedy: Remedy::None,
+                status: StatusCode::UNPROCESSABLE_ENTITY,
+                ..failure
+            },
+            Reason::KeyConflict => Failure {
+                kind: "key-conflict",
+                retry_after: None,
+                remedy: Remedy::None,
+                status: StatusCode::UNPROCESSABLE_ENTITY,
+                ..failure
+            },
+            Reason::LedgerUnavailable => Failure {
+                kind: "ledger-unavailable",
+                // The same agent decides again; asking it at once would only
+                // use up the budget of calls that a retry helps.
+                retry_after: Some(LEDGER_RETRY_AFTER),
+                remedy: Remedy::None,
+                ..failure
+            },
+            _ => failure,
+        }
+    }
+}
--- /dev/null
+++ b/crates/sesamerock/src/entry/dispatch/mint/mod.rs
@@ -0,0 +1,79 @@
+//! Keys that the agents of a service issue.
+
+use std::time::Duration;
+
+use http::{Response, StatusCode};
+use sesamerock_platform::http::body::Body;
+use sesamerock_route::choice::{Cause, Refusal};
+use sesamerock_route::pick::Outcome;
+
+use super::unavailable;
+use crate::entry::Context;
+use crate::entry::operator::json;
+use crate::entry::table::Wish;
+use crate::problem::Problem;
+
+/// Issues a key for a later call to a service, by one of its agents.
+pub(in crate::entry) async fn issue(context: &Context, id: &str, query: &str) -> Response<Body> {
+    let Some(service) = query
+        .split('&')
+        .find_map(|pair| pair.strip_prefix("service="))
+    else {
+        let detail = "expected ?service=NAME";
+        return Problem::refused(StatusCode::BAD_REQUEST, "invalid-request", detail).respond(id);
+    };
+    match mint(context, service).await {
+        Ok(key) => json(StatusCode::CREATED, &serde_json::json!({ "key": key })),
+        Err(problem) => problem.respond(id),
+    }
+}
+
+/// Makes the problem of a key that no agent issues.
+fn no_key(refusal: &Refusal) -> Problem {
+    let detail = format!("no agent issues a key: {}", refusal.cause);
+    match refusal.cause {
+        Cause::Unserved => Problem::refused(StatusCode::NOT_FOUND, "unknown-target", detail),
+        _ => unavailable("no-key", detail, Some(Duration::from_secs(1))),
+    }
+}
+
+/// Asks the agents of a service for a key, one after the other.
+///
+/// # Errors
+/// Returns the [`Problem`] to answer with if none issues one.
+async fn mint(context: &Context, service: &str) -> Result<String, Problem> {
+    let mut excluded = Vec::new();
+    loop {
+        let target = {
+            let wish = Wish {
+                pool: service,
+                service: true,
+                workspace: "",
+                tokens: 1,
+                urgency: 0,
+                prefix: &[],
+                excluded: &excluded,
+                isolated: false,
+                once: false,
+                key: None,
+                method: "POST",
+                path: "/",
+            };
+            context.table().choose(&wish)
+        };
+        let target = target.map_err(|refusal| no_key(&refusal))?;
+        let minted = context.relays.mint(target.agent, service).await;
+        let mut table = context.table();
+        table.observed(&target, Outcome::Neutral);
+        table.finished(&target);
+        drop(table);
+        match minted {
+            Ok(key) => return Ok(key),
+            Err(detail) => log::info!(
+                "event=key_not_issued service={service} upstream={} detail={detail:?}",
+                target.name
+            ),
+        }
+        excluded.push(target.choice.upstream);
+    }
+}
--- a/crates/sesamerock/src/entry/dispatch/mod.rs
+++ b/crates/sesamerock/src/entry/dispatch/mod.rs
@@ -6,7 +6,10 @@
 mod attempt;
 mod failure;
 mod head;
+mod mint;
+mod race;
 mod stream;
+mod wait;
 mod whole;
 
 use std::sync::Arc;
@@ -17,7 +20,7 @@
 use sesamerock_base::key::Upstream;
 use sesamerock_base::time::Moment;
 use sesamerock_ledger::id::Key;
-use sesamerock_ledger::mint;
+use sesamerock_ledger::mint::issuer;
 use sesamerock_platform::http::body::Body;
 use sesamerock_retry::attempt::{Attempt, Decision, Executed, Phase, Settings, decide};
 use sesamerock_retry::suspect::Verdict;
@@ -25,25 +28,18 @@
 
 use super::Context;
 use super::ask::{Ask, Target};
-use super::operator::json;
 use crate::clock;
 use crate::problem::{self, Problem};
 use crate::suspects::{fingerprint, stamp};
 use failure::{Failure, Remedy};
+use wait::Wait;
+
+pub(super) use mint::issue;
 
 /// Bytes of prompt that make one block of the prefix index.
 const BLOCK_BYTES: usize = 256;
 /// Most blocks of a prompt that are compared.
 const BLOCKS: usize = 64;
-/// Pause of a call that waits for room; it doubles with each refusal.
-const WAIT_FIRST: Duration = Duration::from_millis(5);
-/// Most doublings of the pause.
-const WAIT_DOUBLINGS: u32 = 6;
-/// Longest pause.
-const WAIT_LONGEST: Duration = Duration::from_millis(250);
-/// Time before the deadline in which a call no longer waits.
-const WAIT_MARGIN: Duration = Duration::from_millis(10);
-
 /// A request on its way, with what its attempts have shown so far.
 #[derive(Debug)]
 struct Run {
@@ -61,20 +57,20 @@
     refusals: u32,
     /// When an upstream died under this call.
     crashed: Option<Moment>,
+    /// Whether a second attempt was sent beside one; there is one at most.
+    hedged: bool,
     earlier: Executed,
     deadline: Moment,
     minted: Option<String>,
 }
 
-/// How a wait for room ended.
-#[derive(Debug, PartialEq, Eq)]
-enum Wait {
-    /// The call may ask again.
-    Over,
-    /// Too many calls wait.
-    Full,
-    /// The deadline is too near.
-    Late,
+/// What an attempt brought.
+#[derive(Debug)]
+enum Reached {
+    /// The answer for the caller.
+    Answer(Response<Body>),
+    /// The head of a stream.
+    Stream(Box<attempt::Open>),
 }
 
 /// What follows a failed attempt.
@@ -149,7 +145,7 @@
             Target::Service { .. } => Vec::new(),
         };
         let minted = match (&ask.target, &ask.key) {
-            (Target::Service { .. }, Some(key)) => mint::issuer(key).map(str::to_owned),
+            (Target::Service { .. }, Some(key)) => issuer(key).map(str::to_owned),
             _ => None,
         };
         Ok(Self {
@@ -161,6 +157,7 @@
             made: 0,
             refusals: 0,
             crashed: None,
+            hedged: false,
             earlier: Executed::No,
             minted,
             present: Arc::new(Present::new(Arc::clone(&context))),
@@ -173,12 +170,9 @@
     async fn finish(mut self) -> Response<Body> {
         let id = self.ask.id.clone();
         loop {
-            let failure = match self.attempt().await {
-                Ok(open) if self.streams(&open) => return stream::respond(self, open),
-                Ok(open) => match whole::respond(&mut self, open).await {
-                    Ok(response) => return response,
-                    Err(failure) => failure,
-                },
+            let failure = match self.once().await {
+                Ok(Reached::Answer(response)) => return response,
+                Ok(Reached::Stream(open)) => return stream::respond(self, *open),
                 Err(failure) => failure,
             };
             match self.after(&failure, Phase::Silent).await {
@@ -197,11 +191,34 @@
         }
     }
 
+    /// Makes one attempt, or a race of two.
+    async fn once(&mut self) -> Result<Reached, Failure> {
+        if race::suits(self) {
+            return race::respond(self).await.map(Reached::Answer);
+        }
+        let open = self.attempt().await?;
+        if self.streams(&open) {
+            return Ok(Reached::Stream(Box::new(open)));
+        }
+        whole::respond(self, open).await.map(Reached::Answer)
+    }
+
     fn streams(&self, open: &attempt::Open) -> bool {
         let streamed = matches!(self.ask.target, Target::Model { streamed: true, .. });
         streamed && open.status() == StatusCode::OK
     }
 
+    /// Takes in the failure of an attempt that ran beside another one.
+    fn note(&mut self, failure: &Failure) {
+        if failure.sent {
+            self.earlier = self.earlier.max(failure.executed);
+        }
+        if failure.remedy == Remedy::Isolation {
+            self.crashed = Some(clock::now());
+        }
+        self.excluded.extend(failure.upstream);
+    }
+
     /// Decides what follows a failed attempt, and waits where it says so.
     async fn after(&mut self, failure: &Failure, phase: Phase) -> Next {
         let attempt = Attempt {
@@ -279,39 +296,6 @@
         }
     }
 
-    /// Waits until a call that was refused for want of room may ask again.
-    ///
-    /// Asking again costs the upstreams nothing, so it is bounded by the
-    /// deadline and by the number of calls that wait, and not by the retry
-    /// budget: at a cold system nothing would refill it.
-    async fn wait(&mut self, failure: &Failure) -> Wait {
-        let Ok(_slot) = Arc::clone(&self.context.waiting).try_acquire_owned() else {
-            return Wait::Full;
-        };
-        self.refusals += 1;
-        let doublings = self.refusals.min(WAIT_DOUBLINGS);
-        let full = (WAIT_FIRST * (1 << doublings)).min(WAIT_LONGEST);
-        let asked = failure.retry_after.unwrap_or_default().min(WAIT_LONGEST);
-        let pause = asked.max(full.mul_f64(rand::random_range(0.5..1.0)));
-        if self.ask.remaining() <= pause + WAIT_MARGIN {
-            return Wait::Late;
-        }
-        log::info!(
-            "event=call_waits request={} refusals={} pause_us={} kind={} detail={:?}",
-            self.ask.id,
-            self.refusals,
-            pause.as_micros(),
-            failure.kind,
-            failure.detail
-        );
-        self.excluded.clear();
-        self.bounced.clear();
-        tokio::time::sleep(pause).await;
-        // It was no attempt: no upstream began it.
-        self.made -= 1;
-        Wait::Over
-    }
-
     /// Returns whether the ledger decides about this call.
     fn keyed(&self) -> bool {
         self.ask.key.is_some() && !self.repeatable
@@ -354,21 +338,6 @@
     }
 }
 
-/// Issues a key for a later call to a service, by one of its agents.
-pub(super) async fn issue(context: &Context, id: &str, query: &str) -> Response<Body> {
-    let Some(service) = query
-        .split('&')
-        .find_map(|pair| pair.strip_prefix("service="))
-    else {
-        let detail = "expected ?service=NAME";
-        return Problem::refused(StatusCode::BAD_REQUEST, "invalid-request", detail).respond(id);
-    };
-    match attempt::mint(context, service).await {
-        Ok(key) => json(StatusCode::CREATED, &serde_json::json!({ "key": key })),
-        Err(problem) => problem.respond(id),
-    }
-}
-
 /// Makes the problem of a call that nothing can serve now.
 fn unavailable(
     kind: &'static str,
--- /dev/null
+++ b/crates/sesamerock/src/entry/dispatch/race/mod.rs
@@ -0,0 +1,289 @@
+//! Look-ups that are sent to a second upstream when the first is slow.
+//!
+//! Both attempts run in the caller's task, so that the end of one drops the
+//! other: its stream to the agent is reset, the agent drops the call to its
+//! upstream, and [`super::attempt`] takes its load off the books. A caller who
+//! leaves ends both. See `docs/notes/hedging.md`.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::StreamExt as _;
+use futures::stream::FuturesUnordered;
+use http::{Method, Response};
+use sesamerock_base::key::Upstream;
+use sesamerock_base::time::Moment;
+use sesamerock_platform::http::body::Body;
+use sesamerock_retry::hedge::race::{End, Race, Verdict};
+use sesamerock_retry::hedge::{self, Decision};
+
+use super::attempt::{Open, Prepared};
+use super::failure::Failure;
+use super::whole::{self, Collected};
+use super::{Run, next_attempt};
+use crate::clock;
+use crate::entry::ask::Target;
+
+/// Methods that read only (RFC 9110, section 9.2.1). PUT and DELETE may be
+/// repeated after a failure; sent twice at once, the later one could overwrite
+/// what another caller wrote after the earlier one was answered.
+const LOOKUPS: [Method; 3] = [Method::GET, Method::HEAD, Method::OPTIONS];
+
+/// An attempt with its whole answer.
+#[derive(Debug)]
+struct Answer {
+    open: Open,
+    content: Collected,
+}
+
+/// The end of one attempt.
+#[derive(Debug)]
+struct Ended {
+    attempt: u64,
+    took: Duration,
+    result: Result<Answer, Failure>,
+}
+
+impl Ended {
+    fn end(&self) -> End {
+        match &self.result {
+            Ok(answer) if answer.open.status().is_server_error() => End::Error,
+            Ok(_) => End::Whole,
+            Err(_) => End::Failed,
+        }
+    }
+}
+
+/// The first attempt, as the decision on a second one needs it.
+#[derive(Debug)]
+struct First {
+    attempt: u64,
+    upstream: Upstream,
+    name: Arc<str>,
+    sent: Moment,
+}
+
+/// What follows a pause without an answer.
+#[derive(Debug)]
+enum Step {
+    /// The first attempt goes on alone.
+    Alone,
+    /// It is not late yet; the decision is due again after this time.
+    Wait(Duration),
+    /// A second attempt is sent.
+    Send(Box<Prepared>),
+}
+
+/// How a race ended.
+#[derive(Debug)]
+struct Finish {
+    hedged: bool,
+    /// The answer, or the failures of all attempts, that of the first one last.
+    result: Result<(Answer, Duration), Vec<Failure>>,
+}
+
+/// Returns whether a call may be sent to two upstreams at once, as far as it is
+/// known before an upstream is chosen.
+pub(super) fn suits(run: &Run) -> bool {
+    let settings = &run.context.settings.hedge;
+    settings.enabled
+        && run.repeatable
+        && matches!(run.ask.target, Target::Service { .. })
+        && LOOKUPS.contains(&run.ask.method)
+        && run.ask.key.is_none()
+        && run.ask.body.len() <= settings.body_bytes
+        && !run.isolated()
+}
+
+/// Makes an attempt, and a second one beside it if the first is slow.
+///
+/// # Errors
+/// Returns the failure of the first attempt if none brought an answer.
+pub(super) async fn respond(run: &mut Run) -> Result<Response<Body>, Failure> {
+    let first = run.prepare(next_attempt()).await?;
+    // The release notes and the suspects are known anew since the first check.
+    if !suits(run) {
+        let open = run.begin(first).await?;
+        return whole::respond(run, open).await;
+    }
+    let Finish { hedged, result } = contest(run, first).await;
+    run.hedged |= hedged;
+    match result {
+        Ok((answer, took)) => Ok(deliver(run, answer, took)),
+        Err(mut failures) => {
+            let last = failures.pop();
+            for failure in &failures {
+                run.note(failure);
+            }
+            Err(last.unwrap_or_else(|| Failure::refused("no-answer", "no attempt was made")))
+        }
+    }
+}
+
+/// Hands the answer over and learns its latency.
+fn deliver(run: &Run, answer: Answer, took: Duration) -> Response<Body> {
+    let whole = matches!(answer.content, Collected::Whole(_));
+    if whole && !answer.open.status().is_server_error() {
+        let mut latencies = run.context.latencies();
+        latencies.observe(run.pool(), took, clock::now());
+    }
+    whole::deliver(run, answer.open, answer.content)
+}
+
+/// Runs the attempts of a race until one answers or none is left.
+async fn contest(run: &Run, prepared: Prepared) -> Finish {
+    let first = First {
+        attempt: prepared.attempt,
+        upstream: prepared.flight.target.choice.upstream,
+        name: Arc::clone(&prepared.flight.target.name),
+        sent: clock::now(),
+    };
+    let mut race = Race::new(first.attempt);
+    let mut running = FuturesUnordered::new();
+    running.push(fetch(run, prepared));
+    let mut next = None;
+    let mut hedged = false;
+    let mut pause = run.hedge_pause(&first);
+    while let Some(length) = pause.take() {
+        if let Ok(ended) = tokio::time::timeout(length, running.next()).await {
+            next = ended;
+            break;
+        }
+        match run.hedge(&first) {
+            Step::Alone => {}
+            Step::Wait(longer) => pause = Some(longer),
+            Step::Send(second) => {
+                hedged = true;
+                race.join(second.attempt);
+                running.push(fetch(run, *second));
+            }
+        }
+    }
+    let mut held = None;
+    let mut failures = Vec::new();
+    let result = loop {
+        let ended = match next.take() {
+            Some(ended) => Some(ended),
+            None => running.next().await,
+        };
+        let Some(ended) = ended else {
+            break Err(failures);
+        };
+        let verdict = race.ended(ended.attempt, ended.end());
+        if hedged {
+            run.log_end(&first, &ended, verdict);
+        }
+        match (verdict, ended.result) {
+            (Verdict::Deliver, Ok(answer)) => break Ok((answer, ended.took)),
+            (Verdict::Wait, Ok(answer)) => held = Some((answer, ended.took)),
+            (Verdict::Fallback(_), Err(failure)) => {
+                break held.ok_or_else(|| vec![failure]);
+            }
+            (_, Err(failure)) if ended.attempt == first.attempt => failures.push(failure),
+            (_, Err(failure)) => failures.insert(0, failure),
+            (_, Ok(_)) => {}
+        }
+    };
+    Finish { hedged, result }
+}
+
+/// Makes an attempt up to the end of its answer.
+async fn fetch(run: &Run, prepared: Prepared) -> Ended {
+    let attempt = prepared.attempt;
+    let begun = clock::now();
+    let result = async {
+        let mut open = run.begin(prepared).await?;
+        let content = whole::collect(run, &mut open).await?;
+        Ok(Answer { open, content })
+    };
+    let result = result.await;
+    Ended {
+        attempt,
+        took: clock::now().since(begun),
+        result,
+    }
+}
+
+impl Run {
+    fn hedge_call(&self, first: &First) -> hedge::Call {
+        hedge::Call {
+            lookup: true,
+            sent: first.sent,
+            deadline: self.deadline,
+            hedged: self.hedged,
+        }
+    }
+
+    fn p95(&self) -> Option<Duration> {
+        self.context.latencies().p95(self.pool())
+    }
+
+    /// Returns the time until a second attempt is due, if one is allowed.
+    fn hedge_pause(&self, first: &First) -> Option<Duration> {
+        let settings = self.context.settings.hedge.bounds();
+        let due = hedge::due(&self.hedge_call(first), self.p95(), &settings).ok()?;
+        Some(due.since(clock::now()))
+    }
+
+    /// Decides on a second attempt beside a slow one, and prepares it.
+    fn hedge(&self, first: &First) -> Step {
+        let context = &self.context;
+        let now = clock::now();
+        let call = self.hedge_call(first);
+        let settings = context.settings.hedge.bounds();
+        let p95 = self.p95();
+        let decision = hedge::decide(&call, p95, &mut context.budget(), now, &settings);
+        let prepared = match decision {
+            Decision::Now => self.prepare_hedge(next_attempt(), first.upstream),
+            // The service has become slower since the pause began.
+            Decision::Wait(longer) => return Step::Wait(longer),
+            Decision::Never(why) => {
+                self.log_hedge(first, "-", &format!("{why:?}"), now);
+                return Step::Alone;
+            }
+        };
+        match prepared {
+            Ok(second) => {
+                context.metrics.hedges.add(1, &[]);
+                let name = Arc::clone(&second.flight.target.name);
+                self.log_hedge(first, &name, "Sent", now);
+                Step::Send(Box::new(second))
+            }
+            Err(cause) => {
+                context.budget().unsent(now);
+                self.log_hedge(first, "-", &format!("NoRoom({cause})"), now);
+                Step::Alone
+            }
+        }
+    }
+
+    fn log_hedge(&self, first: &First, second: &str, decision: &str, now: Moment) {
+        log::info!(
+            "event=hedge_decision request={} attempt={} service={} upstream={} waited_us={} decision={decision} second={second}",
+            self.ask.id,
+            first.attempt,
+            self.pool(),
+            first.name,
+            now.since(first.sent).as_micros(),
+        );
+    }
+
+    /// Logs the end of one of two attempts.
+    fn log_end(&self, first: &First, ended: &Ended, verdict: Verdict) {
+        let won = verdict == Verdict::Deliver;
+        let second = ended.attempt != first.attempt;
+        if won && second {
+            self.context.metrics.hedges_won.add(1, &[]);
+        }
+        let detail = match &ended.result {
+            Ok(answer) => format!("status {}", answer.open.status().as_u16()),
+            Err(failure) => format!("{}: {}", failure.kind, failure.detail),
+        };
+        log::info!(
+            "event=hedge_ended request={} attempt={} second={second} verdict={verdict:?} took_us={} detail={detail:?}",
+            self.ask.id,
+            ended.attempt,
+            ended.took.as_micros(),
+        );
+    }
+}
--- a/crates/sesamerock/src/entry/dispatch/whole/mod.rs
+++ b/crates/sesamerock/src/entry/dispatch/whole/mod.rs
@@ -19,49 +19,65 @@
 /// Bytes of an answer that are collected.
 const WHOLE_BYTES: usize = 1 << 20;
 
-/// Collects the answer of an attempt.
+/// An answer as far as it was collected.
+#[derive(Debug)]
+pub(super) enum Collected {
+    /// All of it.
+    Whole(Bytes),
+    /// The start of a longer one.
+    Long(Bytes),
+}
+
+/// Collects the answer of an attempt and makes it the caller's.
+///
+/// # Errors
+/// Returns the failure if it broke off while the caller had nothing of it.
+pub(super) async fn respond(run: &Run, mut open: Open) -> Result<Response<Body>, Failure> {
+    let content = collect(run, &mut open).await?;
+    Ok(deliver(run, open, content))
+}
+
+/// Collects the answer of an attempt until the deadline.
 ///
 /// # Errors
 /// Returns the failure if it broke off while the caller had nothing of it.
-pub(super) async fn respond(run: &mut Run, mut open: Open) -> Result<Response<Body>, Failure> {
-    let left = run.ask.remaining();
-    let collected = tokio::time::timeout(left, collect(&mut open)).await;
-    let body = match collected {
-        Ok(Ok(Collected::Whole(content))) => {
+pub(super) async fn collect(run: &Run, open: &mut Open) -> Result<Collected, Failure> {
+    match tokio::time::timeout(run.ask.remaining(), read(open)).await {
+        Ok(collected) => collected,
+        Err(_) => Err(open.flight.broken("the deadline passed".to_owned())),
+    }
+}
+
+/// Makes an answer the caller's; a task passes the rest of a long one on.
+pub(super) fn deliver(run: &Run, open: Open, content: Collected) -> Response<Body> {
+    let (status, headers) = (open.status(), open.headers());
+    let body = match content {
+        Collected::Whole(content) => {
             run.context.budget().success(clock::now());
+            log::info!(
+                "event=answered request={} attempt={} upstream={} status={}",
+                run.ask.id,
+                open.attempt,
+                open.flight.target.name,
+                open.reply.status
+            );
             Body::full(content)
         }
-        Ok(Ok(Collected::Long(start))) => {
+        Collected::Long(start) => {
             let (sender, body) = Body::stream();
-            let headers = open.headers();
-            let status = open.status();
             // The request is in progress until the last of its answer is passed on.
             let present = Arc::clone(&run.present);
             run.context.tasks.spawn(async move {
                 pass_on(open, start, sender).await;
                 drop(present);
             });
-            return Ok(response(status, headers, body, &run.ask.id));
+            body
         }
-        Ok(Err(failure)) => return Err(failure),
-        Err(_) => return Err(open.flight.broken("the deadline passed".to_owned())),
     };
-    log::info!(
-        "event=answered request={} attempt={} upstream={} status={}",
-        run.ask.id,
-        open.attempt,
-        open.flight.target.name,
-        open.reply.status
-    );
-    Ok(response(open.status(), open.headers(), body, &run.ask.id))
-}
-
-enum Collected {
-    Whole(Bytes),
-    Long(Bytes),
+    response(status, headers, body, &run.ask.id)
 }
 
-async fn collect(open: &mut Open) -> Result<Collected, Failure> {
+async fn read(open: &mut Open) -> Result<Collected, Failure> {
     let mut content = BytesMut::new();
     loop {
         match open.call.next().await {
--- a/crates/sesamerock/src/entry/mod.rs
+++ b/crates/sesamerock/src/entry/mod.rs
@@ -15,6 +15,7 @@
 use eyre::WrapErr as _;
 use sesamerock_platform::http::server as http_server;
 use sesamerock_retry::budget::{self, Budget};
+use sesamerock_retry::hedge::latency::Book;
 use tokio::net::TcpListener;
 use tokio::sync::Semaphore;
 use tokio_util::sync::CancellationToken;
@@ -46,6 +47,8 @@
     relays: Pool,
     table: Mutex<Table>,
     budget: Mutex<Budget>,
+    /// Latencies of look-ups by service, from which hedges take their delay.
+    latencies: Mutex<Book>,
     suspects: Suspects,
     metrics: Metrics,
     tasks: TaskTracker,
@@ -62,6 +65,12 @@
         self.budget.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn latencies(&self) -> MutexGuard<'_, Book> {
+        self.latencies
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn status(&self) -> Status {
         let view = self.control.view();
         Status {
@@ -166,6 +175,7 @@
         relays: Pool::default(),
         table: Mutex::new(Table::new(&settings.node)),
         budget: Mutex::new(Budget::new(budget::Settings::default(), clock::now())),
+        latencies: Mutex::new(Book::default()),
         suspects: Suspects::new(control.clone()),
         metrics: Metrics::new("entry")?,
         waiting: Arc::new(Semaphore::new(settings.waiting)),
--- a/crates/sesamerock/src/entry/table/mod.rs
+++ b/crates/sesamerock/src/entry/table/mod.rs
@@ -165,18 +165,34 @@
             excluded: &excluded,
             ..wish.clone()
         };
-        self.choose_among(&careful).or_else(|refusal| {
+        self.choose_among(&careful, true).or_else(|refusal| {
             // An upstream that did not answer is better than none.
             let out = refusal.cause == Cause::Excluded && excluded.len() > wish.excluded.len();
             if out {
-                self.choose_among(wish)
+                self.choose_among(wish, true)
             } else {
                 Err(refusal)
             }
         })
     }
 
-    fn choose_among(&mut self, wish: &Wish<'_>) -> Result<Target, Refusal> {
+    /// Chooses an upstream that has room now and whose agent answers, and counts
+    /// the call as sent to it.
+    ///
+    /// # Errors
+    /// Returns why there is none.
+    pub fn spare(&mut self, wish: &Wish<'_>) -> Result<Target, Refusal> {
+        let mut excluded = wish.excluded.to_vec();
+        excluded.extend(self.outages.now(clock::now()));
+        let careful = Wish {
+            excluded: &excluded,
+            ..wish.clone()
+        };
+        self.choose_among(&careful, false)
+    }
+
+    /// Chooses an upstream, one where the call has to queue only if it `queues`.
+    fn choose_among(&mut self, wish: &Wish<'_>, queues: bool) -> Result<Target, Refusal> {
         let pool = if wish.service {
             pools::of_service(wish.pool)
         } else {
@@ -209,7 +225,7 @@
             chosen.or_else(|refusal| {
                 // Where the only fault is a full upstream, the call waits in an
                 // agent's queue, which is fair between workspaces.
-                if !matches!(refusal.cause, Cause::Cold | Cause::Credits) {
+                if !queues || !matches!(refusal.cause, Cause::Cold | Cause::Credits) {
                     return Err(refusal);
                 }
                 let request = Request {
--- a/crates/sesamerock/src/settings/check/tables/mod.rs
+++ b/crates/sesamerock/src/settings/check/tables/mod.rs
@@ -1,5 +1,6 @@
 //! The keys of the settings files.
 
+mod hedge;
 mod placement;
 
 use sesamerock_note::schema::{Field, Kind, Need, Schema, Unique};
@@ -180,6 +181,12 @@
             Need::Default("4096"),
             "Requests that may wait for room at an upstream; more are refused.",
         ),
+        field(
+            "hedge",
+            Kind::Record(&hedge::HEDGE),
+            Need::Optional,
+            "When a slow look-up is sent to a second upstream.",
+        ),
     ],
     rules: &[],
 };
--- a/crates/sesamerock/src/settings/mod.rs
+++ b/crates/sesamerock/src/settings/mod.rs
@@ -5,6 +5,7 @@
 //! operators is `docs/settings.md`.
 
 pub mod check;
+pub mod hedge;
 pub mod placement;
 
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
@@ -97,6 +98,8 @@
     pub attempts: u32,
     /// Requests that may wait for room at an upstream; more are refused.
     pub waiting: usize,
+    /// When a slow look-up is sent to a second upstream.
+    pub hedge: hedge::Hedge,
 }
 
 impl Default for Entry {
@@ -113,6 +116,7 @@
             entries_max_age: Duration::from_secs(5),
             attempts: 4,
             waiting: 4_096,
+            hedge: hedge::Hedge::default(),
         }
     }
 }
--- a/crates/sesamerock/src/telemetry/mod.rs
+++ b/crates/sesamerock/src/telemetry/mod.rs
@@ -47,6 +47,10 @@
     pub refusals: Counter<u64>,
     /// Attempts after the first.
     pub retries: Counter<u64>,
+    /// Second attempts sent beside a slow look-up.
+    pub hedges: Counter<u64>,
+    /// Those that brought the answer.
+    pub hedges_won: Counter<u64>,
     /// Streams that moved to another upstream.
     pub resumes: Counter<u64>,
     /// Requests in progress.
@@ -77,6 +81,8 @@
             requests: meter.u64_counter("sesamerock_requests").build(),
             refusals: meter.u64_counter("sesamerock_refusals").build(),
             retries: meter.u64_counter("sesamerock_retries").build(),
+            hedges: meter.u64_counter("sesamerock_hedges").build(),
+            hedges_won: meter.u64_counter("sesamerock_hedges_won").build(),
             resumes: meter.u64_counter("sesamerock_resumes").build(),
             in_flight: meter.i64_up_down_counter("sesamerock_in_flight").build(),
             first_byte: meter
--- /dev/null
+++ b/crates/sesamerock/tests/hedge.rs
@@ -0,0 +1,377 @@
+//! Look-ups that are sent to a second upstream, against a cluster in one
+//! process whose services pause when a test says so.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Request;
+use http_body_util::{BodyExt as _, Full};
+use sesamerock::dev::{Cluster, SERVICE, Settings};
+use sesamerock::settings::Entry;
+use sesamerock::settings::hedge::Hedge;
+use sesamerock_platform::http::client::Client;
+use sesamerock_standin::service::Service;
+use tokio::task::JoinSet;
+use tokio::time::{Instant, sleep};
+use tokio_util::sync::CancellationToken;
+
+/// Bound of every wait; a busy machine needs far less.
+const BOUND: Duration = Duration::from_secs(20);
+/// Time between two looks at a condition.
+const POLL: Duration = Duration::from_millis(10);
+/// Look-ups that teach the entry the latency of the service.
+const LESSONS: usize = 64;
+/// Least time before a second attempt, above the noise of a busy machine.
+const LEAST_DELAY: Duration = Duration::from_millis(50);
+/// Time in which a second attempt would have been sent: ten times the least
+/// delay, and more than the percentile that [`World::start`] teaches.
+const HEDGE_TIME: Duration = Duration::from_millis(500);
+
+struct World {
+    cluster: Cluster,
+    stop: CancellationToken,
+    client: Client,
+    /// Second attempts that noise on the machine caused during the lessons.
+    early: u64,
+}
+
+impl Drop for World {
+    fn drop(&mut self) {
+        self.stop.cancel();
+    }
+}
+
+impl World {
+    /// Starts two entries and three servers of one service, and teaches the first entry
+    /// how long a look-up takes.
+    async fn start(hedge: Hedge) -> Arc<Self> {
+        let hedge = Hedge {
+            least_delay: LEAST_DELAY,
+            ..hedge
+        };
+        let stop = CancellationToken::new();
+        let settings = Settings {
+            engines_per_zone: 0,
+            entries: 2,
+            entry: Entry {
+                hedge,
+                entries_max_age: Duration::from_millis(100),
+                ..Entry::default()
+            },
+            ..Settings::default()
+        };
+        let cluster = Cluster::start(settings, &stop).await;
+        let cluster = cluster.expect("the cluster starts");
+        let mut note = cluster.note();
+        let forbidden = "GET /once".to_owned();
+        note.add.services[0].not_repeatable.push(forbidden);
+        let published = cluster.publish_note(&note).await;
+        published.expect("the note is accepted");
+        cluster.wait_ready().await.expect("the cluster is ready");
+        let mut world = Self {
+            cluster,
+            stop,
+            client: Client::default(),
+            early: 0,
+        };
+        for lesson in 0..LESSONS {
+            let (status, _) = world.get(&format!("/stock/{lesson}"), None).await;
+            assert_eq!(status, 200);
+        }
+        world.early = world.hedges().await;
+        Arc::new(world)
+    }
+
+    async fn send(&self, method: &str, path: &str, key: Option<&str>) -> (u16, String) {
+        self.send_to(0, method, path, key).await
+    }
+
+    async fn send_to(
+        &self,
+        entry: usize,
+        method: &str,
+        path: &str,
+        key: Option<&str>,
+    ) -> (u16, String) {
+        let uri = format!(
+            "http://{}/services/{SERVICE}{path}",
+            self.cluster.callers[entry]
+        );
+        let mut request = Request::builder().method(method).uri(uri);
+        if let Some(key) = key {
+            request = request.header("idempotency-key", key);
+        }
+        let request = request.body(Full::<Bytes>::default());
+        let request = request.expect("the request is well formed");
+        let response = self.client.send(request).await.expect("the entry answers");
+        let status = response.status().as_u16();
+        let body = response.into_body().collect().await;
+        let body = body.expect("the answer is whole").to_bytes();
+        (status, String::from_utf8_lossy(&body).into_owned())
+    }
+
+    async fn get(&self, path: &str, key: Option<&str>) -> (u16, String) {
+        self.send("GET", path, key).await
+    }
+
+    fn services(&self) -> impl Iterator<Item = &Service> {
+        self.cluster.services.iter().map(|(_, service)| service)
+    }
+
+    fn pause(&self, paused: bool) {
+        self.services().for_each(|service| service.pause(paused));
+    }
+
+    /// Returns the calls that all servers received.
+    fn received(&self) -> u64 {
+        self.services().map(Service::received).sum()
+    }
+
+    /// Returns the look-ups that all servers finished.
+    fn finished(&self) -> u64 {
+        self.services().map(Service::lookups).sum()
+    }
+
+    async fn metric(&self, address: SocketAddr, name: &str) -> u64 {
+        let uri = format!("http://{address}/metrics");
+        let request = Request::get(uri).body(Full::<Bytes>::default());
+        let request = request.expect("the request is well formed");
+        let response = self.client.send(request).await.expect("it answers");
+        let body = response.into_body().collect().await.expect("whole");
+        let text = String::from_utf8_lossy(&body.to_bytes()).into_owned();
+        let line = text.lines().find(|line| line.starts_with(name));
+        line.and_then(|line| line.rsplit(' ').next())
+            .map_or(0, |value| value.parse().expect("a number"))
+    }
+
+    async fn hedges(&self) -> u64 {
+        let entry = self.cluster.operators[0];
+        self.metric(entry, "sesamerock_hedges_total").await - self.early
+    }
+
+    async fn of_agents(&self, name: &str) -> u64 {
+        let mut sum = 0;
+        for agent in &self.cluster.agents {
+            sum += self.metric(*agent, name).await;
+        }
+        sum
+    }
+
+    async fn no_call_is_left(&self) {
+        until("the agents hold no call", async || {
+            self.of_agents("sesamerock_calls").await == 0
+        })
+        .await;
+        let entry = self.cluster.operators[0];
+        until("the entry holds no call", async || {
+            self.metric(entry, "sesamerock_in_flight").await == 0
+        })
+        .await;
+    }
+}
+
+async fn until(what: &str, mut holds: impl AsyncFnMut() -> bool) {
+    let end = Instant::now() + BOUND;
+    while !holds().await {
+        assert!(Instant::now() < end, "waited in vain until {what}");
+        sleep(POLL).await;
+    }
+}
+
+/// Guards against a look-up that waits for a stalled server, and against a
+/// loser that keeps its place at the agent and its call at the server.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stalled_server_is_overtaken_and_its_calls_are_cancelled() {
+    let world = World::start(Hedge::default()).await;
+    let stalled = world.services().next().expect("a server").clone();
+    let (received, finished) = (world.received(), world.finished());
+    let before = stalled.lookups();
+    stalled.pause(true);
+    for call in 0..30 {
+        let path = format!("/stock/stalled-{call}");
+        let (status, body) = world.get(&path, None).await;
+        assert_eq!(status, 200, "{body}");
+        assert!(body.contains(&path), "another call's answer: {body}");
+    }
+    // The server is still paused, so its calls can only have been cancelled.
+    world.no_call_is_left().await;
+    let hedges = world.hedges().await;
+    assert!(hedges > 0, "no look-up met the stalled server");
+    assert_eq!(world.received() - received, 30 + hedges);
+    assert_eq!(world.finished() - finished, 30);
+    let entry = world.cluster.operators[0];
+    let won = world.metric(entry, "sesamerock_hedges_won_total").await;
+    assert!(won > 0 && won <= hedges, "{won} of {hedges}");
+    stalled.pause(false);
+    sleep(HEDGE_TIME).await;
+    assert_eq!(stalled.lookups(), before, "a cancelled call went on");
+}
+
+/// Guards against two answers for one caller, or the answer to another call,
+/// where both attempts end at once.
+#[tokio::test(flavor = "multi_thread")]
+async fn both_answers_at_once_give_one_answer() {
+    let world = World::start(Hedge::default()).await;
+    for round in 0..20 {
+        let (received, hedges) = (world.received(), world.hedges().await);
+        world.pause(true);
+        let path = format!("/stock/round-{round}");
+        let (shared, asked) = (Arc::clone(&world), path.clone());
+        let call = tokio::spawn(async move { shared.get(&asked, None).await });
+        until("both attempts have arrived", async || {
+            world.received() - received == 2
+        })
+        .await;
+        world.pause(false);
+        let (status, body) = call.await.expect("no panic");
+        assert_eq!(status, 200, "{body}");
+        assert_eq!(body.matches(&path).count(), 1, "{body}");
+        world.no_call_is_left().await;
+        assert_eq!(world.received() - received, 2, "more than two attempts");
+        assert_eq!(world.hedges().await - hedges, 1);
+    }
+}
+
+/// Guards against an error of the second server that reaches the caller while
+/// the first would still answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_error_of_the_second_server_does_not_win() {
+    let world = World::start(Hedge::default()).await;
+    let slow = world.services().next().expect("a server").clone();
+    for other in world.services().skip(1) {
+        other.configure(|settings| {
+            settings.lookup_status = Some(http::StatusCode::INTERNAL_SERVER_ERROR);
+        });
+    }
+    let received = slow.received();
+    slow.pause(true);
+    let mut calls = JoinSet::new();
+    for call in 0..12 {
+        let world = Arc::clone(&world);
+        calls.spawn(async move { world.get(&format!("/stock/{call}"), None).await.0 });
+    }
+    sleep(HEDGE_TIME).await;
+    slow.pause(false);
+    let statuses = calls.join_all().await;
+    let good = statuses.iter().filter(|status| **status == 200).count() as u64;
+    assert!(world.hedges().await > 0, "no call was hedged");
+    assert_eq!(good, slow.received() - received, "{statuses:?}");
+    assert!(statuses.iter().all(|status| [200, 500].contains(status)));
+    world.no_call_is_left().await;
+}
+
+/// Guards against attempts that go on without a caller.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_who_leaves_ends_both_attempts() {
+    let world = World::start(Hedge::default()).await;
+    let (received, finished) = (world.received(), world.finished());
+    world.pause(true);
+    let shared = Arc::clone(&world);
+    let caller = tokio::spawn(async move { shared.get("/stock/left", None).await });
+    until("both attempts have arrived", async || {
+        world.received() - received == 2
+    })
+    .await;
+    caller.abort();
+    world.no_call_is_left().await;
+    world.pause(false);
+    sleep(HEDGE_TIME).await;
+    assert_eq!(world.finished(), finished, "an attempt without a caller");
+}
+
+/// Guards against hedges that load an upstream above its ceiling, and against a
+/// refusal by the agent that fails the call or reaches the server.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_agent_above_the_ceiling_refuses_the_second_attempt() {
+    let hedge = Hedge {
+        ceiling_percent: 1,
+        ..Hedge::default()
+    };
+    let world = World::start(hedge).await;
+    world.pause(true);
+    let mut calls = JoinSet::new();
+    let mut orders = 0;
+    // Every server holds at least one call, which is above one percent. The
+    // calls come from another entry, so that this one knows of no full server.
+    let end = Instant::now() + BOUND;
+    let counts = |world: &World| world.services().map(Service::received).collect::<Vec<_>>();
+    let before = counts(&world);
+    while counts(&world)
+        .iter()
+        .zip(&before)
+        .any(|(now, before)| now == before)
+    {
+        assert!(Instant::now() < end, "the servers do not fill");
+        let world = Arc::clone(&world);
+        calls.spawn(async move { world.send_to(1, "POST", "/orders", None).await.0 });
+        orders += 1;
+        sleep(POLL).await;
+    }
+    let refusals = world.of_agents("sesamerock_refusals_total").await;
+    let shared = Arc::clone(&world);
+    let lookup = tokio::spawn(async move { shared.get("/stock/full", None).await.0 });
+    until("an agent has refused the second attempt", async || {
+        world.hedges().await == 1 && world.of_agents("sesamerock_refusals_total").await > refusals
+    })
+    .await;
+    assert!(!lookup.is_finished(), "the refusal ended the call");
+    world.pause(false);
+    assert_eq!(lookup.await.expect("no panic"), 200);
+    assert!(calls.join_all().await.iter().all(|status| *status == 201));
+    let before: u64 = before.iter().sum();
+    assert_eq!(world.received(), before + orders + 1, "it reached a server");
+}
+
+/// Guards against hedges beyond the budget.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_empty_budget_sends_no_second_attempt() {
+    let hedge = Hedge {
+        reserve: 100,
+        ..Hedge::default()
+    };
+    assert_sent_once(hedge, "GET", "/stock/poor", None).await;
+}
+
+/// Guards against a second attempt of a call with a key, of one that changes
+/// something, of one that the release notes forbid to repeat, and where
+/// operators switched hedging off.
+#[tokio::test(flavor = "multi_thread")]
+async fn calls_that_may_not_be_hedged_are_sent_once() {
+    let off = Hedge {
+        enabled: false,
+        ..Hedge::default()
+    };
+    tokio::join!(
+        assert_sent_once(Hedge::default(), "GET", "/stock/keyed", Some("key-1")),
+        assert_sent_once(Hedge::default(), "POST", "/orders", None),
+        assert_sent_once(Hedge::default(), "POST", "/orders", Some("key-2")),
+        assert_sent_once(Hedge::default(), "PUT", "/stock/put", None),
+        assert_sent_once(Hedge::default(), "GET", "/once", None),
+        assert_sent_once(off, "GET", "/stock/off", None),
+    );
+}
+
+/// Sends one call to paused servers and asserts that one of them receives it,
+/// and once.
+async fn assert_sent_once(
+    hedge: Hedge,
+    method: &'static str,
+    path: &'static str,
+    key: Option<&'static str>,
+) {
+    let world = World::start(hedge).await;
+    let received = world.received();
+    world.pause(true);
+    let shared = Arc::clone(&world);
+    let call = tokio::spawn(async move { shared.send(method, path, key).await.0 });
+    until("the call has arrived", async || world.received() > received).await;
+    sleep(HEDGE_TIME).await;
+    assert_eq!(world.received(), received + 1, "{method} {path} {key:?}");
+    assert_eq!(world.hedges().await, 0, "{method} {path} {key:?}");
+    world.pause(false);
+    let status = call.await.expect("no panic");
+    assert!((200..300).contains(&status), "{method} {path}: {status}");
+    assert_eq!(world.received(), received + 1, "{method} {path} {key:?}");
+}
--- a/crates/sesamerock/tests/table.rs
+++ b/crates/sesamerock/tests/table.rs
@@ -297,6 +297,34 @@
     assert_eq!(world.own_calls("engine-1"), Some(1));
 }
 
+/// Guards against a second attempt that queues at a full upstream, or goes to
+/// one whose agent does not answer; other calls may do both.
+#[test]
+fn a_spare_upstream_has_room_and_answers() {
+    let mut world = World::new(2, 1);
+    let first = world.choose(MODEL).expect("it serves");
+    let excluded = [first.choice.upstream];
+    let plain = Wish {
+        excluded: &excluded,
+        ..wish(MODEL)
+    };
+    let second = world.table.spare(&plain).expect("it has room");
+    assert_ne!(second.choice.upstream, first.choice.upstream);
+    let full = Report {
+        call_limit: 1,
+        calls_in_flight: 1,
+        credits: 0,
+        credits_ms: 60_000,
+        ..Report::default()
+    };
+    world.table.report(&second, &full);
+    world.table.spare(&plain).expect_err("it is full");
+    world.table.choose(&plain).expect("it has a queue");
+    world.table.unanswered(&second);
+    world.table.spare(&plain).expect_err("it does not answer");
+    world.table.choose(&plain).expect("it is better than none");
+}
+
 /// Guards against work for a VM that is out of service, and against an upstream
 /// that stays out after its VM is back.
 #[test]
--- a/crates/standin/src/service/mod.rs
+++ b/crates/standin/src/service/mod.rs
@@ -13,6 +13,7 @@
 use sesamerock_platform::http::body::{self, Body};
 use sesamerock_platform::http::server::{self, Handler};
 use tokio::net::TcpListener;
+use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
 use crate::reply;
@@ -38,6 +39,8 @@
     pub delay: Duration,
     /// Calls to come that are executed but whose answer breaks off.
     pub lost_answers: usize,
+    /// Status that look-ups are answered with, in place of 200.
+    pub lookup_status: Option<StatusCode>,
 }
 
 impl Default for Settings {
@@ -45,6 +48,7 @@
         Self {
             delay: Duration::from_millis(1),
             lost_answers: 0,
+            lookup_status: None,
         }
     }
 }
@@ -54,6 +58,8 @@
     settings: Settings,
     executions: Vec<Execution>,
     lookups: u64,
+    received: u64,
+    paused: watch::Sender<bool>,
 }
 
 /// A running stand-in service. It executes every call it gets, so that a
@@ -75,6 +81,8 @@
             settings,
             executions: Vec::new(),
             lookups: 0,
+            received: 0,
+            paused: watch::Sender::new(false),
         };
         let service = Self {
             address: listener.local_addr()?,
@@ -110,6 +118,17 @@
         self.lock().lookups
     }
 
+    /// Returns the number of calls that arrived, finished or not.
+    pub fn received(&self) -> u64 {
+        self.lock().received
+    }
+
+    /// Pauses all calls, those that arrive later too, or lets them go on. Load
+    /// reports are given meanwhile.
+    pub fn pause(&self, paused: bool) {
+        self.lock().paused.send_replace(paused);
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -149,18 +168,26 @@
                 },
             );
         }
-        let delay = self.lock().settings.delay;
+        let (delay, mut paused) = {
+            let mut state = self.lock();
+            state.received += 1;
+            (state.settings.delay, state.paused.subscribe())
+        };
+        if paused.wait_for(|paused| !paused).await.is_err() {
+            return reply::text(StatusCode::SERVICE_UNAVAILABLE, "the service has stopped");
+        }
         // A timer takes a millisecond even for no time at all.
         if !delay.is_zero() {
             tokio::time::sleep(delay).await;
         }
         if parts.method == Method::GET {
-            self.lock().lookups += 1;
+            let status = {
+                let mut state = self.lock();
+                state.lookups += 1;
+                state.settings.lookup_status.unwrap_or(StatusCode::OK)
+            };
             let path = parts.uri.path();
-            return reply::json(
-                StatusCode::OK,
-                &serde_json::json!({ "path": path, "stock": 42 }),
-            );
+            return reply::json(status, &serde_json::json!({ "path": path, "stock": 42 }));
         }
         let key = parts
             .headers
