Test that a second attempt never goes to the server of the first

Cause: with the exclusion of the first server removed, the seven tests of hedged look-ups still passed, since the router prefers idle servers.

Change: with one server a late look-up must stay alone. The test fails without the exclusion (66 calls received, 65 expected) and passes with it.

--- a/crates/sesamerock/tests/hedge.rs
+++ b/crates/sesamerock/tests/hedge.rs
@@ -47,12 +47,18 @@
     /// Starts two entries and three servers of one service, and teaches the first entry
     /// how long a look-up takes.
     async fn start(hedge: Hedge) -> Arc<Self> {
+        Self::with_zones(hedge, &["a", "b", "c"]).await
+    }
+
+    /// Does the same with one server in each of these zones.
+    async fn with_zones(hedge: Hedge, zones: &[&str]) -> Arc<Self> {
         let hedge = Hedge {
             least_delay: LEAST_DELAY,
             ..hedge
         };
         let stop = CancellationToken::new();
         let settings = Settings {
+            zones: zones.iter().map(|zone| (*zone).to_owned()).collect(),
             engines_per_zone: 0,
             entries: 2,
             entry: Entry {
@@ -324,6 +330,13 @@
     assert_eq!(world.received(), before + orders + 1, "it reached a server");
 }
 
+/// Guards against a second attempt at the server of the first.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_only_server_gets_no_second_attempt() {
+    let world = World::with_zones(Hedge::default(), &["a"]).await;
+    assert_once(world, "GET", "/stock/alone", None).await;
+}
+
 /// Guards against hedges beyond the budget.
 #[tokio::test(flavor = "multi_thread")]
 async fn an_empty_budget_sends_no_second_attempt() {
@@ -362,6 +375,15 @@
     key: Option<&'static str>,
 ) {
     let world = World::start(hedge).await;
+    assert_once(world, method, path, key).await;
+}
+
+async fn assert_once(
+    world: Arc<World>,
+    method: &'static str,
+    path: &'static str,
+    key: Option<&'static str>,
+) {
     let received = world.received();
     world.pause(true);
     let shared = Arc::clone(&world);
