--- a/crates/sesamerock/tests/table.rs
+++ b/crates/sesamerock/tests/table.rs
@@ -297,6 +297,74 @@
     assert_eq!(world.own_calls("engine-1"), Some(1));
 }
 
+/// Guards against a second attempt that queues at a full upstream, or goes to
+/// one whose agent does not answer; other calls may do both.
+#[test]
+fn a_spare_upstream_has_room_and_answers() {
+    let mut world = World::new(2, 1);
+    let first = world.choose(MODEL).expect("it serves");
+    let excluded = [first.choice.upstream];
+    let plain = Wish {
+        excluded: &excluded,
+        ..wish(MODEL)
+    };
+    let second = world.table.spare(&plain).expect("it has room");
+    assert_ne!(second.choice.upstream, first.choice.upstream);
+    let full = Report {
+        call_limit: 1,
+        calls_in_flight: 1,
+        credits: 0,
+        credits_ms: 60_000,
+        ..Report::default()
+    };
+    world.table.report(&second, &full);
+    world.table.spare(&plain).expect_err("it is full");
+    world.table.choose(&plain).expect("it has a queue");
+    world.table.unanswered(&second);
+    world.table.spare(&plain).expect_err("it does not answer");
+    world.table.choose(&plain).expect("it is better than none");
+}
+
+/// Guards against a stalled server that draws look-up after look-up because
+/// each is cancelled once its second attempt has answered, and against one that
+/// is avoided after a single slow call.
+#[test]
+fn an_upstream_overtaken_three_times_in_a_row_is_left_alone() {
+    let mut world = World::new(2, 1);
+    let slow = world.choose(MODEL).expect("it serves");
+    let fast = [1 - slow.choice.upstream.0].map(sesamerock_base::key::Upstream);
+    let only_slow = Wish {
+        excluded: &fast,
+        ..wish(MODEL)
+    };
+    let usable = |world: &mut World| match world.table.spare(&only_slow) {
+        Ok(target) => {
+            world.table.finished(&target);
+            true
+        }
+        Err(_) => false,
+    };
+    for row in 0..2 {
+        world.table.overtaken(&slow);
+        world.table.overtaken(&slow);
+        assert!(usable(&mut world), "after two, row {row}");
+        world.table.report(&slow, &Report::default());
+    }
+    for _ in 0..3 {
+        world.table.overtaken(&slow);
+    }
+    assert!(!usable(&mut world), "after three");
+    world.table.report(
+        &slow,
+        &Report {
+            credits: 8,
+            credits_ms: 60_000,
+            ..Report::default()
+        },
+    );
+    assert!(usable(&mut world), "after an answer");
+}
+
 /// Guards against work for a VM that is out of service, and against an upstream
 /// that stays out after its VM is back.
 #[test]
