--- a/crates/platform/src/engine/mod.rs
+++ b/crates/platform/src/engine/mod.rs
@@ -1,6 +1,8 @@
 //! A model engine or plain service behind an agent.
 
+pub mod cache;
 mod experts;
+pub mod prompt;
 
 use std::time::Duration;
 
@@ -174,6 +176,10 @@
     /// Reads the content of a map that the engine has staged.
     fn placement(&self, map: u64) -> impl Future<Output = Result<Placement, Error>> + Send;
 
+    /// Reads the events of the prefix cache after a sequence number.
+    fn cache_events(&self, after: u64)
+    -> impl Future<Output = Result<cache::Events, Error>> + Send;
+
     /// Gives a command.
     fn command(&self, order: &Order) -> impl Future<Output = Result<(), Error>> + Send;
 }
@@ -238,6 +244,11 @@
         self.client.get(&uri, Duration::ZERO).await
     }
 
+    async fn cache_events(&self, after: u64) -> Result<cache::Events, Error> {
+        let uri = format!("http://{}/cache/events?after={after}", self.authority);
+        self.client.get(&uri, Duration::ZERO).await
+    }
+
     async fn command(&self, order: &Order) -> Result<(), Error> {
         let uri = format!("http://{}/commands", self.authority);
         self.client
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -8,6 +8,7 @@
 //! See `docs/design.md`, section 7, and `docs/notes/routing.md`.
 
 pub mod choice;
+pub mod digest;
 pub mod hash;
 pub mod load;
 pub mod pace;
--- a/crates/route/src/pick/mod.rs
+++ b/crates/route/src/pick/mod.rs
@@ -15,6 +15,7 @@
 use sesamerock_base::time::Moment;
 
 use crate::choice::Choice;
+use crate::digest::{Cursor, Digest};
 use crate::load::{self, Load, Report, Work};
 use crate::pace::Pace;
 use crate::prefix;
@@ -137,6 +138,19 @@
         self.index.event(upstream, event)
     }
 
+    /// Returns how far the cache of an upstream is known from digests.
+    pub fn cursor(&self, upstream: Upstream) -> Cursor {
+        self.index.cursor(upstream)
+    }
+
+    /// Takes in a digest of a cache, unless the upstream is not known.
+    pub fn learn(&mut self, upstream: Upstream, digest: &Digest, now: Moment) -> prefix::Learned {
+        if self.state(upstream).is_none() {
+            return prefix::Learned::Ignored;
+        }
+        self.index.learn(upstream, digest, now)
+    }
+
     /// Counts a request as sent to its choice.
     pub fn sent(&mut self, choice: &Choice, prefix: &[u64], now: Moment) {
         if let Some(Some(state)) = self.states.get_mut(choice.upstream) {
--- a/crates/route/src/prefix/mod.rs
+++ b/crates/route/src/prefix/mod.rs
@@ -5,12 +5,20 @@
 //! presence says that the whole prefix was there. After a gap in the sequence
 //! numbers nothing is known about the upstream but what it publishes from then
 //! on: a wrong hit would send a request to a busy upstream for no benefit.
+//!
+//! An entry gets digests of the events, which name only some blocks of a prompt
+//! (see [`crate::digest`]).
+
+mod generations;
 
-use std::collections::HashSet;
-use std::hash::{BuildHasherDefault, Hasher};
+use std::time::Duration;
 
 use sesamerock_base::arena::Arena;
 use sesamerock_base::key::Upstream;
+use sesamerock_base::time::Moment;
+
+use crate::digest::{self, Cursor, Digest};
+use generations::Generations;
 
 /// Bounds of an index.
 #[derive(Clone, Copy, Debug)]
@@ -20,6 +28,15 @@
     pub blocks: usize,
     /// Tokens in a block.
     pub block_tokens: u32,
+    /// Most anchors kept for all upstreams together, and a quarter as many of
+    /// prompts just sent. One takes 6 to 11 bytes.
+    pub anchors: usize,
+    /// Whether only the anchors of a prompt just sent are kept, since digests
+    /// tell of no other blocks.
+    pub sparse: bool,
+    /// Time for which at least a prompt just sent is counted on while digests
+    /// arrive; after twice this time only they count.
+    pub confirm: Duration,
 }
 
 impl Default for Settings {
@@ -27,6 +44,9 @@
         Self {
             blocks: 1 << 18,
             block_tokens: 16,
+            anchors: 1 << 19,
+            sparse: false,
+            confirm: Duration::from_secs(10),
         }
     }
 }
@@ -65,37 +85,45 @@
     Gap(u64),
 }
 
-/// Passes hashes through, since the keys are hashes already.
-#[derive(Clone, Copy, Debug, Default)]
-struct Through(u64);
-
-impl Hasher for Through {
-    fn finish(&self) -> u64 {
-        self.0
-    }
-
-    fn write(&mut self, bytes: &[u8]) {
-        for byte in bytes {
-            self.0 = self.0.rotate_left(8) ^ u64::from(*byte);
-        }
-    }
-
-    fn write_u64(&mut self, i: u64) {
-        self.0 = i;
-    }
+/// What became of a digest.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Learned {
+    /// It followed what was known.
+    Applied,
+    /// It replaced what was known, if anything was.
+    Replaced,
+    /// It was known already, or does not follow what is known.
+    Ignored,
 }
 
-type Blocks = HashSet<u64, BuildHasherDefault<Through>>;
+/// Positions before the end of a prompt where the end of the turn before is
+/// looked for: an answer and a new message rarely have more than 12 KB of text.
+const RECENT: usize = 48;
 
-/// Blocks of one upstream in two generations: when the young one has half of
-/// the upstream's share, it replaces the old one. Blocks that are not stored or
-/// expected again are thus dropped without a list of uses.
+/// Blocks of one upstream.
 #[derive(Clone, Debug, Default)]
 struct Cache {
     incarnation: u64,
     next: Option<u64>,
-    young: Blocks,
-    old: Blocks,
+    blocks: Generations<u64>,
+    cursor: Cursor,
+    anchors: Generations<u32>,
+    expected: Generations<u32>,
+    /// When the expected ones were last made a generation older.
+    aged: Option<Moment>,
+}
+
+/// Shares of one upstream in the bounds.
+#[derive(Clone, Copy, Debug)]
+struct Share {
+    blocks: usize,
+    anchors: usize,
+}
+
+impl Share {
+    fn expected(self) -> usize {
+        self.anchors / 4
+    }
 }
 
 /// The index of one entry.
@@ -145,12 +173,35 @@
     /// Counts on the blocks of a prompt that this entry just sent, since the
     /// event that confirms them comes late.
     pub fn expect(&mut self, upstream: Upstream, hashes: &[u64]) {
+        let sparse = self.settings.sparse;
         let (cache, share) = self.cache(upstream);
+        if sparse {
+            for anchor in digest::anchors(0, hashes) {
+                cache.expected.insert(anchor, share.expected());
+            }
+            return;
+        }
         for hash in hashes {
-            cache.insert(*hash, share);
+            cache.blocks.insert(*hash, share.blocks);
         }
     }
 
+    /// Returns how far the cache of an upstream is known from digests.
+    pub fn cursor(&self, upstream: Upstream) -> Cursor {
+        match self.caches.get(upstream) {
+            Some(Some(cache)) => cache.cursor,
+            _ => Cursor::default(),
+        }
+    }
+
+    /// Takes in a digest of the cache of an upstream.
+    pub fn learn(&mut self, upstream: Upstream, digest: &Digest, now: Moment) -> Learned {
+        let confirm = self.settings.confirm;
+        let (cache, share) = self.cache(upstream);
+        cache.age(now, confirm);
+        cache.learn(digest, share)
+    }
+
     /// Forgets an upstream that left or restarted.
     pub fn forget(&mut self, upstream: Upstream) {
         let known = self.caches.get_mut(upstream).and_then(Option::take);
@@ -165,8 +216,9 @@
         };
         let blocks = hashes
             .iter()
-            .take_while(|hash| cache.contains(**hash))
+            .take_while(|hash| cache.blocks.contains(**hash))
             .count();
+        let blocks = blocks.max(cache.anchored(hashes));
         blocks as u64 * u64::from(self.settings.block_tokens)
     }
 
@@ -186,10 +238,10 @@
 
     /// Returns the cache of an upstream and its share in the bound. When a new
     /// upstream makes the shares smaller, caches that exceed theirs are cut.
-    fn cache(&mut self, upstream: Upstream) -> (&mut Cache, usize) {
+    fn cache(&mut self, upstream: Upstream) -> (&mut Cache, Share) {
         if self.caches.entry(upstream).is_none() {
             self.count += 1;
-            let share = self.settings.blocks / self.count;
+            let share = self.share();
             let keys: Vec<_> = self.caches.iter().map(|(key, _)| key).collect();
             for key in keys {
                 if let Some(cache) = self.caches.entry(key) {
@@ -197,9 +249,16 @@
                 }
             }
         }
-        let share = self.settings.blocks / self.count;
+        let share = self.share();
         (self.caches.entry(upstream).get_or_insert_default(), share)
     }
+
+    fn share(&self) -> Share {
+        Share {
+            blocks: self.settings.blocks / self.count,
+            anchors: self.settings.anchors / self.count,
+        }
+    }
 }
 
 impl Cache {
@@ -210,49 +269,84 @@
     }
 
     fn clear(&mut self) {
-        self.young = Blocks::default();
-        self.old = Blocks::default();
+        self.blocks.clear();
     }
 
-    fn apply(&mut self, action: Action, share: usize) {
+    fn apply(&mut self, action: Action, share: Share) {
         match action {
             Action::Stored(blocks) => blocks
                 .into_iter()
-                .for_each(|block| self.insert(block, share)),
-            Action::Evicted(blocks) => blocks.iter().for_each(|block| self.remove(*block)),
+                .for_each(|block| self.blocks.insert(block, share.blocks)),
+            Action::Evicted(blocks) => blocks.iter().for_each(|block| self.blocks.remove(*block)),
             Action::Cleared => self.clear(),
         }
     }
 
-    fn insert(&mut self, block: u64, share: usize) {
-        if share < 2 {
-            return;
+    fn learn(&mut self, digest: &Digest, share: Share) -> Learned {
+        let first = self.cursor.epoch == 0;
+        let same = self.cursor.epoch == digest.epoch;
+        let named = digest.stored.len() + digest.evicted.len();
+        let whole = digest.from == 0;
+        let old = same && digest.to <= self.cursor.seen;
+        let follows = same && digest.from <= self.cursor.seen;
+        let sound = digest.epoch != 0 && digest.from <= digest.to && named <= digest::DIGEST_MOST;
+        if !sound || old || !(whole || follows) {
+            return Learned::Ignored;
+        }
+        if whole {
+            self.anchors.clear();
+            // On first contact nothing that was expected has been disproved.
+            if !first {
+                self.expected.clear();
+            }
+        }
+        for anchor in &digest.evicted {
+            self.anchors.remove(*anchor);
+            self.expected.remove(*anchor);
+        }
+        for anchor in &digest.stored {
+            self.anchors.insert(*anchor, share.anchors);
         }
-        if self.young.len() >= share / 2 {
-            self.old = std::mem::take(&mut self.young);
+        self.cursor = Cursor {
+            epoch: digest.epoch,
+            seen: digest.to,
+        };
+        if whole {
+            Learned::Replaced
+        } else {
+            Learned::Applied
         }
-        self.young.insert(block);
     }
 
-    fn remove(&mut self, block: u64) {
-        self.young.remove(&block);
-        self.old.remove(&block);
+    /// Drops what was expected long ago and not confirmed: an engine that has
+    /// all of a prompt publishes nothing about it, and after a gap its agent
+    /// cannot tell of the eviction either.
+    fn age(&mut self, now: Moment, confirm: Duration) {
+        let aged = *self.aged.get_or_insert(now);
+        if now.since(aged) >= confirm {
+            self.expected.age();
+            self.aged = Some(now);
+        }
     }
 
-    fn contains(&self, block: u64) -> bool {
-        self.young.contains(&block) || self.old.contains(&block)
+    /// Returns the blocks of a prompt up to the last one that is an anchor.
+    fn anchored(&self, hashes: &[u64]) -> usize {
+        let recent = hashes.len().saturating_sub(RECENT);
+        let position = (1..=hashes.len()).rev().find(|position| {
+            let looked_for = *position > recent || position.is_power_of_two();
+            let anchor = digest::anchor(hashes[*position - 1]);
+            looked_for && (self.anchors.contains(anchor) || self.expected.contains(anchor))
+        });
+        position.unwrap_or(0)
     }
 
     fn len(&self) -> usize {
-        self.young.len() + self.old.len()
+        self.blocks.len() + self.anchors.len() + self.expected.len()
     }
 
-    fn cut(&mut self, share: usize) {
-        if self.old.len() > share / 2 {
-            self.old = Blocks::default();
-        }
-        if self.young.len() > share / 2 {
-            self.young = Blocks::default();
-        }
+    fn cut(&mut self, share: Share) {
+        self.blocks.cut(share.blocks);
+        self.anchors.cut(share.anchors);
+        self.expected.cut(share.expected());
     }
 }
--- /dev/null
+++ b/crates/route/tests/digest.rs
@@ -0,0 +1,253 @@
+//! Guards what entries are told of an engine's prefix cache.
+
+use std::collections::{BTreeSet, HashSet};
+
+use quickcheck::QuickCheck;
+use sesamerock_base::key::Upstream;
+use sesamerock_base::time::Moment;
+use sesamerock_route::digest::{Action, Cursor, DIGEST_MOST, Digest, Settings, Summary, Unknown};
+use sesamerock_route::digest::{anchor, anchors};
+use sesamerock_route::prefix::{self, Index, Learned};
+
+const UP: Upstream = Upstream(3);
+const NOW: Moment = Moment(0);
+
+fn summary() -> Summary {
+    let mut summary = Summary::new(Settings::default(), 7);
+    assert_eq!(summary.incarnation(1), None);
+    summary
+}
+
+fn stored(blocks: &[u64]) -> Action {
+    Action::Stored {
+        depth: 0,
+        blocks: blocks.to_vec(),
+    }
+}
+
+fn index() -> Index {
+    Index::new(prefix::Settings {
+        block_tokens: 1,
+        sparse: true,
+        ..prefix::Settings::default()
+    })
+}
+
+/// Tells an index what it does not know yet.
+fn tell(summary: &Summary, index: &mut Index) -> Option<Learned> {
+    let digest = summary.digest(index.cursor(UP))?;
+    Some(index.learn(UP, &digest, NOW))
+}
+
+/// The next turn of a conversation must find the whole turn before it, and
+/// another conversation with the same beginning that beginning.
+#[test]
+fn anchors_find_the_turn_before() {
+    let (mut summary, mut index) = (summary(), index());
+    let prompt: Vec<u64> = (100..111).collect();
+    summary.event(1, &stored(&prompt));
+    assert_eq!(tell(&summary, &mut index), Some(Learned::Replaced));
+    let next: Vec<u64> = (100..117).collect();
+    assert_eq!(index.matched(UP, &next), 11);
+    let other: Vec<u64> = (100..108).chain(500..505).collect();
+    assert_eq!(index.matched(UP, &other), 8);
+    assert_eq!(index.matched(UP, &[500, 501]), 0);
+    assert_eq!(tell(&summary, &mut index), None, "nothing is told twice");
+}
+
+/// A digest must hold few of the blocks, or it would not be small.
+#[test]
+fn few_blocks_are_anchors() {
+    let blocks: Vec<u64> = (0..1_000).collect();
+    assert_eq!(anchors(0, &blocks).count(), 11);
+    assert_eq!(anchors(600, &blocks[600..620]).count(), 1);
+}
+
+/// An evicted block must not match, whether it was told of or only expected.
+#[test]
+fn eviction_ends_a_match() {
+    let (mut summary, mut index) = (summary(), index());
+    tell(&summary, &mut index);
+    index.expect(UP, &[1, 2, 3]);
+    assert_eq!(index.matched(UP, &[1, 2, 3]), 3);
+    summary.event(1, &stored(&[1, 2, 3]));
+    summary.event(2, &Action::Evicted(vec![3]));
+    assert_eq!(tell(&summary, &mut index), Some(Learned::Applied));
+    assert_eq!(index.matched(UP, &[1, 2, 3]), 2);
+}
+
+/// After a gap, a restart, an event that cannot be read, silence or a cleared
+/// cache, nothing told before may match; what comes after does.
+#[test]
+fn lost_certainty_replaces_what_was_told() {
+    let faults: [fn(&mut Summary) -> Option<Unknown>; 5] = [
+        |summary| summary.event(5, &stored(&[9])),
+        |summary| {
+            let why = summary.incarnation(2);
+            summary.event(1, &stored(&[9]));
+            why
+        },
+        |summary| {
+            let why = summary.malformed(None);
+            summary.event(3, &stored(&[9]));
+            why
+        },
+        |summary| {
+            let why = summary.forget(Unknown::Silent);
+            summary.event(2, &stored(&[9]));
+            Some(why)
+        },
+        |summary| {
+            let why = summary.event(2, &Action::Cleared);
+            summary.event(3, &stored(&[9]));
+            why
+        },
+    ];
+    let reasons = faults.map(|fault| {
+        let (mut summary, mut index) = (summary(), index());
+        summary.event(1, &stored(&[1, 2]));
+        tell(&summary, &mut index);
+        index.expect(UP, &[7]);
+        let why = fault(&mut summary).expect("certainty is lost");
+        assert_eq!(tell(&summary, &mut index), Some(Learned::Replaced));
+        let matched = [1, 2, 7, 9].map(|block| index.matched(UP, &[block]));
+        assert_eq!(matched, [0, 0, 0, 1], "{why:?}");
+        why.as_str()
+    });
+    assert_eq!(
+        reasons,
+        ["gap", "restart", "malformed", "silent", "cleared"]
+    );
+}
+
+/// Events that come twice or late after a gap must change nothing.
+#[test]
+fn old_events_are_ignored() {
+    let mut summary = summary();
+    summary.event(3, &stored(&[1]));
+    assert_eq!(summary.event(2, &Action::Evicted(vec![1])), None);
+    assert_eq!(summary.malformed(Some(3)), None);
+    assert_eq!((summary.len(), summary.after()), (1, 3));
+}
+
+/// Digests that overtake each other, come from a replaced agent or are not
+/// sound must not lead back to what no longer holds.
+#[test]
+fn late_and_unsound_digests_are_ignored() {
+    let (mut summary, mut index) = (summary(), index());
+    summary.event(1, &stored(&[1]));
+    let early = summary.digest(Cursor::default()).expect("news");
+    summary.event(2, &Action::Evicted(vec![1]));
+    tell(&summary, &mut index);
+    assert_eq!(index.learn(UP, &early, NOW), Learned::Ignored);
+    let other = Digest {
+        epoch: 99,
+        from: 1,
+        to: 9,
+        ..Digest::default()
+    };
+    let reversed = Digest {
+        epoch: 7,
+        from: 9,
+        ..Digest::default()
+    };
+    let huge = Digest {
+        epoch: 99,
+        to: 1,
+        stored: vec![0; DIGEST_MOST + 1],
+        ..Digest::default()
+    };
+    for unsound in [other, reversed, huge, Digest::default()] {
+        assert_eq!(index.learn(UP, &unsound, NOW), Learned::Ignored);
+    }
+    assert_eq!(index.matched(UP, &[1]), 0);
+    let replaced = Summary::new(Settings::default(), 1_000);
+    assert_eq!(tell(&replaced, &mut index), Some(Learned::Replaced));
+}
+
+/// An expected prompt that no event confirms must be forgotten while digests
+/// arrive: the engine may have evicted it in a gap.
+#[test]
+fn unconfirmed_prompts_are_forgotten() {
+    let (mut summary, mut index) = (summary(), index());
+    tell(&summary, &mut index);
+    index.expect(UP, &[1]);
+    for (sequence, second) in [(1, 1), (2, 12), (3, 24)] {
+        assert_eq!(index.matched(UP, &[1]), 1, "before second {second}");
+        summary.event(sequence, &stored(&[100 + sequence]));
+        let digest = summary.digest(index.cursor(UP)).expect("news");
+        let learned = index.learn(UP, &digest, Moment::from_millis(second * 1_000));
+        assert_eq!(learned, Learned::Applied);
+    }
+    assert_eq!(index.matched(UP, &[1]), 0);
+}
+
+/// Whatever events come and however seldom an entry hears, what it was told last
+/// must be in the cache, and digests and memory must stay within their bounds.
+#[test]
+fn an_entry_never_knows_more_than_the_cache_holds() {
+    #[expect(
+        clippy::needless_pass_by_value,
+        reason = "quickcheck passes owned values"
+    )]
+    fn holds(steps: Vec<(u8, u8)>) -> bool {
+        let settings = Settings {
+            anchors: 12,
+            digest: 5,
+        };
+        let mut summary = Summary::new(settings, 1);
+        summary.incarnation(1);
+        let mut held = BTreeSet::new();
+        let mut indexes = [index(), index()];
+        let mut sequence = 0;
+        for (kind, block) in steps {
+            let block = u64::from(block % 32);
+            sequence += 1;
+            match kind % 8 {
+                0..=3 => {
+                    held.insert(block);
+                    summary.event(sequence, &stored(&[block]));
+                }
+                4 | 5 => {
+                    held.remove(&block);
+                    summary.event(sequence, &Action::Evicted(vec![block]));
+                }
+                // This event is lost.
+                6 if block < 4 => {
+                    held.remove(&block);
+                }
+                _ => {
+                    sequence -= 1;
+                    let index = &mut indexes[usize::from(block % 2 == 0)];
+                    let digest = summary.digest(index.cursor(UP));
+                    let size = digest.as_ref().map_or(0, |digest| {
+                        index.learn(UP, digest, NOW);
+                        digest.stored.len() + digest.evicted.len()
+                    });
+                    let told = (0..32).filter(|block| index.matched(UP, &[*block]) > 0);
+                    let wrong = told.filter(|block| !held.contains(block)).count();
+                    // A loss shows with the next event only.
+                    let seen = summary.after() == sequence;
+                    if size > 5 || (seen && wrong > 0) {
+                        return false;
+                    }
+                }
+            }
+            if summary.len() > 12 {
+                return false;
+            }
+        }
+        true
+    }
+    QuickCheck::new()
+        .tests(3_000)
+        .quickcheck(holds as fn(Vec<(u8, u8)>) -> bool);
+}
+
+/// Anchors are cut to 32 bits; they must still tell blocks apart.
+#[test]
+fn anchors_differ() {
+    let blocks = (0..10_000_u64).map(|block| sesamerock_route::hash::mix(block, 1));
+    let distinct: HashSet<_> = blocks.map(anchor).collect();
+    assert!(distinct.len() >= 9_999, "{}", distinct.len());
+}
--- a/crates/route/tests/prefix.rs
+++ b/crates/route/tests/prefix.rs
@@ -96,6 +96,7 @@
         let settings = Settings {
             blocks: 64,
             block_tokens: 16,
+            ..Settings::default()
         };
         let mut index = Index::new(settings);
         let upstreams = u64::from(upstreams % 6) + 1;
--- a/crates/sesamerock/src/agent/execute/pass/mod.rs
+++ b/crates/sesamerock/src/agent/execute/pass/mod.rs
@@ -184,6 +184,7 @@
         status,
         headers,
         report: Some(context.report(&head.entry)),
+        cache: context.cache.digest(head, &context.metrics),
     }
 }
 
--- a/crates/sesamerock/src/agent/keyed/answer/mod.rs
+++ b/crates/sesamerock/src/agent/keyed/answer/mod.rs
@@ -89,6 +89,7 @@
         }
     }
     Reply {
+        cache: None,
         status: u32::from(outcome.status),
         headers,
         report: Some(context.report(&head.entry)),
--- a/crates/sesamerock/src/agent/mod.rs
+++ b/crates/sesamerock/src/agent/mod.rs
@@ -1,6 +1,7 @@
 //! The agent: the last admission point before one upstream, and the only
 //! sender of commands to it.
 
+mod cache;
 mod carry;
 mod execute;
 mod gate;
@@ -44,6 +45,7 @@
     engine: E,
     gate: Gate,
     probe: Probe,
+    cache: cache::Cache,
     manifest: Manifest,
     keyed: Keyed,
     group: group::Handle,
@@ -139,6 +141,7 @@
     let context = Arc::new(Context {
         gate: Gate::new(sesamerock_limit::gate::Settings::default()),
         probe: Probe::default(),
+        cache: cache::Cache::new(&settings.upstream),
         manifest: Manifest::new(crash_list.clone(), &settings.upstream.name),
         keyed: Keyed::new(&settings),
         group,
@@ -211,6 +214,12 @@
             .await;
     }));
     let shared = Arc::clone(context);
+    spawn(Box::pin(async move {
+        let engine = shared.engine.clone();
+        let interval = shared.settings.upstream.poll;
+        shared.cache.run(engine, interval, &shared.metrics).await;
+    }));
+    let shared = Arc::clone(context);
     spawn(Box::pin(async move { shared.gate.run().await }));
     let shared = Arc::clone(context);
     spawn(Box::pin(async move { watch(&shared).await }));
--- a/crates/sesamerock/src/dev/cluster/mod.rs
+++ b/crates/sesamerock/src/dev/cluster/mod.rs
@@ -46,6 +46,8 @@
     pub rollout: rollout::Settings,
     /// Settings of each entry beside names and addresses.
     pub entry: settings::Entry,
+    /// Whether agents read cache events.
+    pub cache_events: bool,
 }
 
 impl Default for Settings {
@@ -59,6 +61,7 @@
             platform: platform::Settings::default(),
             rollout: rollout::Settings::default(),
             entry: settings::Entry::default(),
+            cache_events: true,
         }
     }
 }
@@ -81,6 +84,7 @@
     upstreams: Vec<Upstream>,
     vms: Vec<Vm>,
     rollout: rollout::Settings,
+    cache_events: bool,
     roles: JoinSet<eyre::Result<()>>,
 }
 
@@ -103,6 +107,7 @@
             upstreams: Vec::new(),
             vms: Vec::new(),
             rollout: settings.rollout,
+            cache_events: settings.cache_events,
             roles: JoinSet::new(),
         };
         for zone in &settings.zones {
@@ -178,6 +183,7 @@
                 name: name.clone(),
                 address,
                 kind: role,
+                cache_events: self.cache_events,
                 ..settings::Upstream::default()
             },
             rollout: self.rollout,
--- a/crates/sesamerock/src/entry/ask/mod.rs
+++ b/crates/sesamerock/src/entry/ask/mod.rs
@@ -25,7 +25,7 @@
 /// Tokens assumed for an answer whose length the caller does not bound.
 const DEFAULT_TOKENS: u64 = 256;
 /// Bytes of text that make one token, on average over common languages.
-const BYTES_PER_TOKEN: u64 = 4;
+pub(super) const BYTES_PER_TOKEN: u64 = 4;
 /// Default urgency of RFC 9218.
 const DEFAULT_URGENCY: u8 = 3;
 /// Longest name or key taken from a caller, in bytes.
--- a/crates/sesamerock/src/entry/dispatch/attempt/mod.rs
+++ b/crates/sesamerock/src/entry/dispatch/attempt/mod.rs
@@ -333,6 +333,18 @@
         if let Some(report) = &reply.report {
             table.report(&flight.target, report);
         }
+        if let Some(digest) = &reply.cache {
+            let learned = table.learn(&flight.target, digest);
+            log::debug!(
+                "event=cache_learned upstream={} outcome={learned:?} epoch={:016x} from={} to={} stored={} evicted={}",
+                flight.target.name,
+                digest.epoch,
+                digest.from,
+                digest.to,
+                digest.stored.len(),
+                digest.evicted.len()
+            );
+        }
         flight.observe(&mut table, Outcome::First(waited));
         self.context
             .metrics
--- a/crates/sesamerock/src/entry/dispatch/head/mod.rs
+++ b/crates/sesamerock/src/entry/dispatch/head/mod.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use http::Method;
-use sesamerock_wire::relay::{Head, Header};
+use sesamerock_wire::relay::{CacheCursor, Head, Header};
 
 use super::Run;
 use crate::entry::ask::{Ask, Target};
@@ -68,6 +68,7 @@
             model: self.pool().to_owned(),
             suspect: self.isolated(),
             ceiling_percent: self.ceiling(target),
+            cache: self.cursor(target),
         }
     }
 
@@ -85,6 +86,15 @@
         }
     }
 
+    /// Returns what the agent of a model is told of this entry's knowledge.
+    fn cursor(&self, target: &table::Target) -> Option<CacheCursor> {
+        let model = matches!(self.ask.target, Target::Model { .. });
+        model.then_some(CacheCursor {
+            epoch: target.cursor.epoch,
+            seen: target.cursor.seen,
+        })
+    }
+
     /// Returns the model or service that the request names.
     pub(super) fn pool(&self) -> &str {
         match &self.ask.target {
--- a/crates/sesamerock/src/entry/dispatch/mod.rs
+++ b/crates/sesamerock/src/entry/dispatch/mod.rs
@@ -18,10 +18,10 @@
 use sesamerock_base::time::Moment;
 use sesamerock_ledger::id::Key;
 use sesamerock_ledger::mint;
+use sesamerock_platform::engine::prompt::Prompt;
 use sesamerock_platform::http::body::Body;
 use sesamerock_retry::attempt::{Attempt, Decision, Executed, Phase, Settings, decide};
 use sesamerock_retry::suspect::Verdict;
-use sesamerock_route::hash;
 
 use super::Context;
 use super::ask::{Ask, Target};
@@ -31,10 +31,8 @@
 use crate::suspects::{fingerprint, stamp};
 use failure::{Failure, Remedy};
 
-/// Bytes of prompt that make one block of the prefix index.
-const BLOCK_BYTES: usize = 256;
 /// Most blocks of a prompt that are compared.
-const BLOCKS: usize = 64;
+const BLOCKS: usize = 256;
 /// Pause of a call that waits for room; it doubles with each refusal.
 const WAIT_FIRST: Duration = Duration::from_millis(5);
 /// Most doublings of the pause.
@@ -142,9 +140,7 @@
         }
         let prefix = match &ask.target {
             Target::Model { .. } => {
-                let mut chain = hash::chain(&ask.body, BLOCK_BYTES);
-                chain.truncate(BLOCKS);
-                chain
+                Prompt::read(&ask.body).map_or_else(Vec::new, |prompt| prompt.blocks(BLOCKS))
             }
             Target::Service { .. } => Vec::new(),
         };
--- a/crates/sesamerock/src/entry/table/mod.rs
+++ b/crates/sesamerock/src/entry/table/mod.rs
@@ -17,13 +17,17 @@
 use sesamerock_base::arena::Names;
 use sesamerock_base::key::Upstream;
 use sesamerock_note::fold::State;
+use sesamerock_platform::engine::prompt;
 use sesamerock_route::choice::{Cause, Choice, Reason, Refusal, Request};
+use sesamerock_route::digest::Digest;
 use sesamerock_route::hash;
 use sesamerock_route::load;
 use sesamerock_route::pick::{self, Outcome, Picker};
+use sesamerock_route::prefix::{self, Learned};
 use sesamerock_route::profile::Need;
-use sesamerock_wire::relay::Report;
+use sesamerock_wire::relay::{CacheDigest, Report};
 
+use super::ask::BYTES_PER_TOKEN;
 use super::operator;
 use crate::agent::shard_of;
 use crate::clock;
@@ -35,6 +39,9 @@
 
 pub use wish::{Target, Wish};
 
+/// Tokens that a block of a prompt counts as.
+const BLOCK_TOKENS: u32 = prompt::BLOCK_BYTES as u32 / BYTES_PER_TOKEN as u32;
+
 /// A pool by the keys of the rows.
 #[derive(Clone, Debug, Default)]
 struct Group {
@@ -66,6 +73,11 @@
             entry: node.name.clone(),
             picker: Picker::new(pick::Settings {
                 zone,
+                prefix: prefix::Settings {
+                    block_tokens: BLOCK_TOKENS,
+                    sparse: true,
+                    ..prefix::Settings::default()
+                },
                 ..pick::Settings::default()
             }),
             rng: SmallRng::from_rng(&mut rand::rng()),
@@ -265,6 +277,7 @@
             name: Arc::clone(&row.name),
             agent: row.agent,
             not_repeatable,
+            cursor: self.picker.cursor(choice.upstream),
             choice,
         })
     }
@@ -299,6 +312,19 @@
             .report(target.choice.upstream, report, clock::now());
     }
 
+    /// Takes in what an agent told of its engine's prefix cache.
+    pub fn learn(&mut self, target: &Target, digest: &CacheDigest) -> Learned {
+        let digest = Digest {
+            epoch: digest.epoch,
+            from: digest.from,
+            to: digest.to,
+            stored: digest.stored.clone(),
+            evicted: digest.evicted.clone(),
+        };
+        let upstream = target.choice.upstream;
+        self.picker.learn(upstream, &digest, clock::now())
+    }
+
     /// Takes in how a call began.
     pub fn observed(&mut self, target: &Target, outcome: Outcome) {
         self.picker.observed(&target.choice, outcome, clock::now());
--- a/crates/sesamerock/src/entry/table/wish/mod.rs
+++ b/crates/sesamerock/src/entry/table/wish/mod.rs
@@ -6,6 +6,7 @@
 use sesamerock_base::key::Upstream;
 use sesamerock_ledger::id::Key;
 use sesamerock_route::choice::Choice;
+use sesamerock_route::digest::Cursor;
 
 /// An upstream to send a call to.
 #[derive(Clone, Debug)]
@@ -18,6 +19,8 @@
     pub agent: SocketAddr,
     /// Whether a call of the asked method and path must not be repeated.
     pub not_repeatable: bool,
+    /// How far the entry knows the cache of the upstream.
+    pub cursor: Cursor,
 }
 
 /// What a call needs.
--- a/crates/sesamerock/src/settings/mod.rs
+++ b/crates/sesamerock/src/settings/mod.rs
@@ -143,6 +143,8 @@
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(rename = "poll_ms")]
     pub poll: Duration,
+    /// Whether an engine publishes events of its prefix cache.
+    pub cache_events: bool,
 }
 
 impl Default for Upstream {
@@ -152,6 +154,7 @@
             address: loopback(),
             kind: Kind::Engine,
             poll: Duration::from_millis(100),
+            cache_events: true,
         }
     }
 }
--- a/crates/sesamerock/src/telemetry/mod.rs
+++ b/crates/sesamerock/src/telemetry/mod.rs
@@ -59,6 +59,10 @@
     pub calls: opentelemetry::metrics::Gauge<u64>,
     /// Limit of calls in flight that the agent has learnt.
     pub limit: opentelemetry::metrics::Gauge<u64>,
+    /// Anchors of the engine's prefix cache that the agent knows.
+    pub cache_anchors: opentelemetry::metrics::Gauge<u64>,
+    /// Anchors that the agent has told entries of, four bytes each.
+    pub cache_told: Counter<u64>,
 }
 
 impl Metrics {
@@ -86,6 +90,8 @@
             version: meter.u64_gauge("sesamerock_version").build(),
             calls: meter.u64_gauge("sesamerock_calls").build(),
             limit: meter.u64_gauge("sesamerock_limit").build(),
+            cache_anchors: meter.u64_gauge("sesamerock_cache_anchors").build(),
+            cache_told: meter.u64_counter("sesamerock_cache_told").build(),
             registry,
             _provider: provider,
         })
--- /dev/null
+++ b/crates/sesamerock/tests/prefix.rs
@@ -0,0 +1,306 @@
+//! Cache events from stand-in engines over agents to entries, in a cluster of
+//! tasks in one process.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use sesamerock::dev::{Cluster, MODEL, Settings};
+use sesamerock_base::key::Upstream;
+use sesamerock_base::time::Moment;
+use sesamerock_platform::engine::prompt::Prompt;
+use sesamerock_platform::http::client::Client;
+use sesamerock_route::digest::{Cursor, Digest};
+use sesamerock_route::prefix::{self, Index};
+use sesamerock_standin::engine::{self, Engine};
+use sesamerock_wire::relay::relay_client::RelayClient;
+use sesamerock_wire::relay::{CacheCursor, Head, Header, Up, down, up};
+use tokio::time::{Instant, sleep};
+use tokio_util::sync::CancellationToken;
+
+const UP: Upstream = Upstream(0);
+/// Bound of every wait; a busy machine needs far less.
+const BOUND: Duration = Duration::from_secs(20);
+/// Time between two looks at a condition.
+const POLL: Duration = Duration::from_millis(20);
+/// Blocks of each prompt.
+const BLOCKS: usize = 12;
+
+/// A running cluster, and what a peer of its entries would know of the first
+/// engine.
+struct World {
+    cluster: Cluster,
+    stop: CancellationToken,
+    index: Index,
+}
+
+fn body(name: &str) -> String {
+    let content = format!("{name} ").repeat(BLOCKS * 256 / (name.len() + 1) + 1);
+    let content = &content[..BLOCKS * 256];
+    let message = serde_json::json!({ "role": "user", "content": content });
+    serde_json::json!({ "model": MODEL, "max_tokens": 1, "messages": [message] }).to_string()
+}
+
+fn blocks(name: &str) -> Vec<u64> {
+    let prompt = Prompt::read(body(name).as_bytes()).expect("the prompt is well formed");
+    prompt.blocks(BLOCKS)
+}
+
+impl World {
+    async fn start(engine: engine::Settings, engines: usize, cache_events: bool) -> Self {
+        let stop = CancellationToken::new();
+        let settings = Settings {
+            zones: ["a", "b"].map(str::to_owned).to_vec(),
+            engines_per_zone: engines,
+            services_per_zone: 0,
+            entries: 2,
+            cache_events,
+            engine: engine::Settings {
+                cold_tokens: 0,
+                ..engine
+            },
+            ..Settings::default()
+        };
+        let cluster = Cluster::start(settings, &stop)
+            .await
+            .expect("the cluster starts");
+        cluster.publish().await.expect("the note is accepted");
+        cluster.wait_ready().await.expect("the cluster is ready");
+        let index = Index::new(prefix::Settings {
+            block_tokens: 1,
+            sparse: true,
+            ..prefix::Settings::default()
+        });
+        Self {
+            cluster,
+            stop,
+            index,
+        }
+    }
+
+    fn engine(&self) -> &Engine {
+        &self.cluster.engines[0].1
+    }
+
+    /// Calls the first engine through its agent, as an entry does, and takes in
+    /// what the agent tells. Returns whether it told anything.
+    async fn call(&mut self, name: &str) -> bool {
+        let deadline = Instant::now() + BOUND;
+        loop {
+            let reply = self.try_call(name).await;
+            if let Some(told) = reply {
+                return told;
+            }
+            assert!(Instant::now() < deadline, "the agent does not answer");
+            sleep(POLL).await;
+        }
+    }
+
+    async fn try_call(&mut self, name: &str) -> Option<bool> {
+        let upstream = self.cluster.note().add.upstreams.remove(0);
+        let body = Bytes::from(body(name));
+        let Cursor { epoch, seen } = self.index.cursor(UP);
+        let head = Head {
+            request_id: name.to_owned(),
+            workspace: "test".to_owned(),
+            upstream: upstream.name,
+            method: "POST".to_owned(),
+            path: "/v1/chat/completions".to_owned(),
+            headers: vec![Header {
+                name: "content-type".to_owned(),
+                value: Bytes::from_static(b"application/json"),
+            }],
+            timeout_ms: 10_000,
+            tokens: 1,
+            fingerprint: Bytes::from_static(&[7; 8]),
+            repeatable: true,
+            entry: "test".to_owned(),
+            body_bytes: body.len() as u64,
+            model: MODEL.to_owned(),
+            cache: Some(CacheCursor { epoch, seen }),
+            ..Head::default()
+        };
+        let kinds = [up::Kind::Head(head), up::Kind::Body(body)];
+        let frames = kinds.map(|kind| Up { kind: Some(kind) });
+        let uri = format!("http://{}", upstream.agent);
+        let mut client = RelayClient::connect(uri).await.ok()?;
+        let call = client.call(tokio_stream::iter(frames)).await.ok()?;
+        let mut down = call.into_inner();
+        let mut told = None;
+        while let Ok(Some(frame)) = down.message().await {
+            match frame.kind? {
+                down::Kind::Reply(reply) => {
+                    let digest = reply.cache.map(|digest| Digest {
+                        epoch: digest.epoch,
+                        from: digest.from,
+                        to: digest.to,
+                        stored: digest.stored,
+                        evicted: digest.evicted,
+                    });
+                    told = Some(digest.is_some());
+                    if let Some(digest) = digest {
+                        self.index.learn(UP, &digest, Moment(0));
+                    }
+                }
+                down::Kind::Refused(_) => return None,
+                _ => {}
+            }
+        }
+        told
+    }
+
+    fn matched(&self, name: &str) -> u64 {
+        self.index.matched(UP, &blocks(name))
+    }
+
+    /// Repeats a call until so much of a prompt is known.
+    async fn until(&mut self, name: &str, matched: u64) {
+        let deadline = Instant::now() + BOUND;
+        while self.matched(name) != matched {
+            self.call("idle").await;
+            let got = self.matched(name);
+            assert!(Instant::now() < deadline, "{got} blocks of {name} known");
+            sleep(POLL).await;
+        }
+    }
+}
+
+impl Drop for World {
+    fn drop(&mut self) {
+        self.stop.cancel();
+    }
+}
+
+const ALL: u64 = BLOCKS as u64;
+
+/// Guards against events that do not reach entries, and against an entry that
+/// goes on believing in blocks that a small cache has evicted.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn stored_and_evicted_blocks_are_told() {
+    let small = engine::Settings {
+        cache_blocks: 3 * BLOCKS,
+        ..engine::Settings::default()
+    };
+    let mut world = World::start(small, 1, true).await;
+    world.call("first").await;
+    world.until("first", ALL).await;
+    for other in ["second", "third", "fourth"] {
+        world.call(other).await;
+    }
+    world.until("first", 0).await;
+    world.until("fourth", ALL).await;
+    assert!(world.engine().cached() <= 3 * BLOCKS);
+}
+
+/// Guards against knowledge that outlives a restart of the engine.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn engine_restart_makes_the_cache_unknown() {
+    let mut world = World::start(engine::Settings::default(), 1, true).await;
+    world.call("first").await;
+    world.until("first", ALL).await;
+    world.engine().crash();
+    world.until("first", 0).await;
+    world.call("first").await;
+    world.until("first", ALL).await;
+}
+
+/// Guards against knowledge that outlives lost events: an eviction may have been
+/// among them.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn gap_makes_the_cache_unknown() {
+    let mut world = World::start(engine::Settings::default(), 1, true).await;
+    world.call("first").await;
+    world.until("first", ALL).await;
+    world.engine().lose_events(1);
+    world.call("lost").await;
+    world.call("next").await;
+    world.until("next", ALL).await;
+    assert_eq!((world.matched("first"), world.matched("lost")), (0, 0));
+}
+
+/// Guards against an agent that stops at an event that it cannot read, or goes
+/// on as if it had not been there.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn malformed_event_makes_the_cache_unknown() {
+    let mut world = World::start(engine::Settings::default(), 1, true).await;
+    world.call("first").await;
+    world.until("first", ALL).await;
+    world.engine().break_events(1);
+    world.call("broken").await;
+    world.until("first", 0).await;
+    world.call("next").await;
+    world.until("next", ALL).await;
+    assert_eq!(world.matched("broken"), 0);
+}
+
+/// Guards against late events that are lost or taken for a gap.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn late_events_are_told_when_they_come() {
+    let late = engine::Settings {
+        event_lag: Duration::from_secs(1),
+        ..engine::Settings::default()
+    };
+    let mut world = World::start(late, 1, true).await;
+    let begin = Instant::now();
+    world.call("first").await;
+    world.until("first", ALL).await;
+    assert!(begin.elapsed() >= Duration::from_secs(1));
+    world.call("second").await;
+    world.until("second", ALL).await;
+    assert_eq!(world.matched("first"), ALL);
+}
+
+/// Guards against digests of an engine that publishes nothing, or of which the
+/// settings say so: entries would drop what they expect for no reason.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn engine_without_events_is_told_nothing_of() {
+    let silent = engine::Settings {
+        publishes: false,
+        ..engine::Settings::default()
+    };
+    let mut world = World::start(silent, 1, true).await;
+    assert!(!world.call("first").await);
+    let mut world = World::start(engine::Settings::default(), 1, false).await;
+    assert!(!world.call("first").await);
+}
+
+async fn ask(entry: SocketAddr, name: &str) {
+    let uri = format!("http://{entry}/v1/chat/completions");
+    let body: serde_json::Value = serde_json::from_str(&body(name)).expect("it is JSON");
+    let answer: Result<serde_json::Value, _> = Client::default().post(&uri, &body).await;
+    answer.expect("the entry answers");
+}
+
+/// Guards against entries that do not use what they are told: prompts that one
+/// entry sent must be found by the other one.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn another_entry_finds_the_prefix() {
+    let world = World::start(engine::Settings::default(), 3, true).await;
+    let entries = &world.cluster.callers;
+    let names: Vec<_> = (0..8).map(|number| format!("session-{number}")).collect();
+    for name in &names {
+        ask(entries[0], name).await;
+    }
+    let cached = || -> u64 {
+        let engines = world.cluster.engines.iter();
+        engines
+            .map(|(_, engine)| engine.record().cached_blocks)
+            .sum()
+    };
+    let deadline = Instant::now() + BOUND;
+    loop {
+        // Calls that have no prefix go to all engines and bring their news.
+        for _ in 0..8 {
+            ask(entries[1], &format!("news-{}", rand::random::<u32>())).await;
+        }
+        let before = cached();
+        for name in &names {
+            ask(entries[1], name).await;
+        }
+        let found = cached() - before;
+        if found == ALL * names.len() as u64 {
+            return;
+        }
+        assert!(Instant::now() < deadline, "{found} blocks were cached");
+    }
+}
--- a/crates/standin/src/engine/batch/mod.rs
+++ b/crates/standin/src/engine/batch/mod.rs
@@ -19,6 +19,9 @@
     pub(super) streamed: bool,
     pub(super) poisoned: bool,
     pub(super) text: String,
+    /// Blocks of the prompt, and how many of them are computed.
+    pub(super) blocks: Vec<u64>,
+    pub(super) computed: usize,
 }
 
 /// What one step did.
@@ -48,16 +51,39 @@
         self.waiting.len()
     }
 
-    /// Moves waiting calls into the batch up to the capacity.
-    pub(super) fn admit(&mut self, capacity: usize) {
+    /// Moves waiting calls into the batch up to the capacity; `matched` tells
+    /// how much of a prompt is cached.
+    pub(super) fn admit(&mut self, capacity: usize, mut matched: impl FnMut(&[u64]) -> usize) {
         while self.running.len() < capacity {
-            let Some(sequence) = self.waiting.pop_front() else {
+            let Some(mut sequence) = self.waiting.pop_front() else {
                 break;
             };
+            sequence.computed = matched(&sequence.blocks);
             self.running.push(sequence);
         }
     }
 
+    /// Returns the blocks of prompts that the next step computes.
+    pub(super) fn prefill(&self, most: usize) -> usize {
+        let left = self.running.iter().map(Sequence::uncomputed);
+        left.sum::<usize>().min(most)
+    }
+
+    /// Computes blocks of prompts, the earliest calls first; `store` gets the
+    /// blocks of each prompt that is whole then.
+    pub(super) fn compute(&mut self, most: usize, mut store: impl FnMut(&[u64])) {
+        let mut left = most;
+        for sequence in &mut self.running {
+            let missing = sequence.uncomputed();
+            let now = missing.min(left);
+            left -= now;
+            sequence.computed += now;
+            if now > 0 && now == missing {
+                store(&sequence.blocks);
+            }
+        }
+    }
+
     /// Breaks off every call.
     pub(super) fn abort(&mut self) {
         for sequence in self.running.drain(..).chain(self.waiting.drain(..)) {
@@ -88,6 +114,10 @@
 }
 
 impl Sequence {
+    fn uncomputed(&self) -> usize {
+        self.blocks.len() - self.computed
+    }
+
     fn advance(&mut self, burst: u64) -> Outcome {
         let idle = |ended| Outcome {
             generated: 0,
@@ -96,6 +126,9 @@
         if self.sender.is_closed() {
             return idle(true);
         }
+        if self.uncomputed() > 0 {
+            return idle(false);
+        }
         if self.next >= self.end {
             return idle(self.finish());
         }
--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -4,6 +4,7 @@
 //! position, so that a caller can tell a lost, doubled or foreign token.
 
 mod batch;
+mod cache;
 mod experts;
 pub mod group;
 
@@ -15,6 +16,7 @@
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 use serde::Deserialize;
+use sesamerock_platform::engine::prompt::Prompt;
 use sesamerock_platform::engine::{Command, Load, Order, Window};
 use sesamerock_platform::http::body::{self, Body};
 use sesamerock_platform::http::server::{self, Handler};
@@ -24,9 +26,12 @@
 
 use crate::reply;
 use batch::{Batch, Sequence};
+use cache::Cache;
 
 /// Longest request body, in bytes.
 const BODY_BYTES: usize = 4 << 20;
+/// Most blocks of a prompt that are cached.
+const PROMPT_BLOCKS: usize = 1_024;
 
 /// A prompt with this word kills the engine that runs it.
 pub const POISON: &str = "poison-pill";
@@ -63,6 +68,16 @@
     pub staging: Duration,
     /// Whether an order with an old fencing token is refused.
     pub checks_fencing: bool,
+    /// Blocks of prompts that fit in the prefix cache.
+    pub cache_blocks: usize,
+    /// Addition to a step for each block of a prompt that it computes.
+    pub prefill_per_block: Duration,
+    /// Most blocks of prompts that one step computes.
+    pub prefill_blocks: usize,
+    /// Whether cache events are published.
+    pub publishes: bool,
+    /// Time after which a cache event can be read.
+    pub event_lag: Duration,
 }
 
 impl Default for Settings {
@@ -81,6 +96,11 @@
             loading_capacity: usize::MAX,
             staging: Duration::from_millis(20),
             checks_fencing: true,
+            cache_blocks: 4_096,
+            prefill_per_block: Duration::from_millis(1),
+            prefill_blocks: 16,
+            publishes: true,
+            event_lag: Duration::ZERO,
         }
     }
 }
@@ -102,12 +122,17 @@
     pub cut: u64,
     /// When the last call arrived.
     pub last_call: Option<Instant>,
+    /// Blocks of the prompts that began to run.
+    pub prompt_blocks: u64,
+    /// Those of them that were in the prefix cache.
+    pub cached_blocks: u64,
 }
 
 #[derive(Debug)]
 struct State {
     settings: Settings,
     batch: Batch,
+    cache: Cache,
     record: Record,
     incarnation: u64,
     warm_at: u64,
@@ -158,11 +183,14 @@
         self.warm_at = self.record.tokens + self.settings.cold_tokens;
         self.highest_fence = 0;
         self.loading.clear();
+        self.cache.restart();
         self.rank = self.rank.as_ref().map(group::Rank::restarted);
     }
 
     fn step_time(&self) -> Duration {
-        self.settings.step + self.settings.step_per_call * self.batch.running() as u32
+        let computed = self.batch.prefill(self.settings.prefill_blocks) as u32;
+        let prefill = self.settings.prefill_per_block * computed;
+        self.settings.step + self.settings.step_per_call * self.batch.running() as u32 + prefill
     }
 }
 
@@ -218,6 +246,7 @@
         let state = State {
             settings,
             batch: Batch::default(),
+            cache: Cache::default(),
             record: Record::default(),
             incarnation: 1,
             warm_at,
@@ -278,6 +307,21 @@
         self.lock().crash();
     }
 
+    /// Loses the next cache events, so that readers see a gap.
+    pub fn lose_events(&self, events: u64) {
+        self.lock().cache.lose(events);
+    }
+
+    /// Publishes the next cache events in a form that cannot be read.
+    pub fn break_events(&self, events: u64) {
+        self.lock().cache.break_events(events);
+    }
+
+    /// Returns the number of blocks in the prefix cache.
+    pub fn cached(&self) -> usize {
+        self.lock().cache.len()
+    }
+
     /// Returns its counters.
     pub fn record(&self) -> Record {
         self.lock().record
@@ -314,13 +358,33 @@
     fn admit(&self) {
         let mut state = self.lock();
         let capacity = state.capacity();
-        state.batch.admit(capacity);
+        let State {
+            batch,
+            cache,
+            record,
+            ..
+        } = &mut *state;
+        batch.admit(capacity, |blocks| {
+            let matched = cache.matched(blocks);
+            record.prompt_blocks += blocks.len() as u64;
+            record.cached_blocks += matched as u64;
+            matched
+        });
     }
 
     fn advance(&self) {
         let mut state = self.lock();
         let burst = state.settings.tokens_per_step;
-        let step = state.batch.step(burst);
+        let State {
+            batch,
+            cache,
+            settings,
+            ..
+        } = &mut *state;
+        batch.compute(settings.prefill_blocks, |blocks| {
+            cache.store(blocks, settings.cache_blocks);
+        });
+        let step = batch.step(burst);
         state.record.tokens += step.tokens;
         if step.poisoned {
             state.crash();
@@ -348,7 +412,7 @@
         load
     }
 
-    fn complete(&self, request: &Completion) -> Response<Body> {
+    fn complete(&self, request: &Completion, blocks: Vec<u64>) -> Response<Body> {
         let prompt = request
             .messages
             .iter()
@@ -375,6 +439,8 @@
             streamed: request.stream,
             poisoned: prompt.contains(POISON),
             text: String::new(),
+            blocks,
+            computed: 0,
         };
         let mut state = self.lock();
         if !state.holds(&request.model) {
@@ -421,6 +487,8 @@
             Command::DropModel { model, version } => {
                 let name = format!("{model}@{version}");
                 state.settings.models.retain(|loaded| *loaded != name);
+                // Blocks of two versions have the same names.
+                state.cache.drop_all();
                 if state.settings.models.is_empty() {
                     let present = state.batch.running() + state.batch.waiting();
                     state.record.cut += present as u64;
@@ -466,6 +534,21 @@
 }
 
 impl Engine {
+    /// Answers `/cache/events?after=SEQUENCE`.
+    fn cache_events(&self, query: &str) -> Response<Body> {
+        let state = self.lock();
+        if !state.settings.publishes {
+            return reply::text(StatusCode::NOT_FOUND, "no events are published");
+        }
+        let after = query.strip_prefix("after=");
+        let Some(after) = after.and_then(|after| after.parse().ok()) else {
+            return reply::text(StatusCode::BAD_REQUEST, "expected ?after=SEQUENCE");
+        };
+        let lag = state.settings.event_lag;
+        let events = state.cache.events(after, lag, state.incarnation);
+        reply::json(StatusCode::OK, &events)
+    }
+
     /// Fetches a model, unless the engine dies in the meantime.
     fn fetch(&self, state: &mut State, name: String) {
         let time = state.settings.load_time;
@@ -495,6 +578,9 @@
         if parts.uri.path() == "/load" {
             return reply::json(StatusCode::OK, &self.load());
         }
+        if parts.uri.path() == "/cache/events" {
+            return self.cache_events(parts.uri.query().unwrap_or_default());
+        }
         if let Some(answer) = self.read_experts(parts.uri.path()) {
             return answer;
         }
@@ -503,7 +589,10 @@
         };
         match parts.uri.path() {
             "/v1/chat/completions" | "/v1/completions" => match serde_json::from_slice(&content) {
-                Ok(request) => self.complete(&request),
+                Ok(request) => {
+                    let prompt = Prompt::read(&content).unwrap_or_default();
+                    self.complete(&request, prompt.blocks(PROMPT_BLOCKS))
+                }
                 Err(_) => reply::text(StatusCode::BAD_REQUEST, "expected a completion request"),
             },
             "/commands" => match serde_json::from_slice(&content) {
