--- a/crates/platform/src/engine/prompt/mod.rs
+++ b/crates/platform/src/engine/prompt/mod.rs
@@ -31,8 +31,8 @@
     model: String,
     #[serde(default)]
     messages: Vec<Message>,
-    #[serde(default)]
-    prompt: Option<Content>,
+    #[serde(default, rename = "prompt")]
+    plain: Option<Content>,
 }
 
 #[derive(Debug, Deserialize)]
@@ -71,8 +71,8 @@
             }
             text.push(RECORD);
         }
-        if let Some(Content::Text(prompt)) = &self.prompt {
-            text.push_str(prompt);
+        if let Some(Content::Text(plain)) = &self.plain {
+            text.push_str(plain);
         }
         text
     }
