--- a/crates/route/src/prefix/mod.rs
+++ b/crates/route/src/prefix/mod.rs
@@ -29,7 +29,7 @@
     /// Tokens in a block.
     pub block_tokens: u32,
     /// Most anchors kept for all upstreams together, and a quarter as many of
-    /// prompts just sent. One takes 6 to 11 bytes.
+    /// prompts just sent. One takes about 13 bytes.
     pub anchors: usize,
     /// Whether only the anchors of a prompt just sent are kept, since digests
     /// tell of no other blocks.
