--- a/crates/sesamerock/src/entry/dispatch/mod.rs
+++ b/crates/sesamerock/src/entry/dispatch/mod.rs
@@ -21,10 +21,10 @@
 use sesamerock_base::time::Moment;
 use sesamerock_ledger::id::Key;
 use sesamerock_ledger::mint::issuer;
+use sesamerock_platform::engine::prompt::Prompt;
 use sesamerock_platform::http::body::Body;
 use sesamerock_retry::attempt::{Attempt, Decision, Executed, Phase, Settings, decide};
 use sesamerock_retry::suspect::Verdict;
-use sesamerock_route::hash;
 
 use super::Context;
 use super::ask::{Ask, Target};
@@ -36,10 +36,9 @@
 
 pub(super) use mint::issue;
 
-/// Bytes of prompt that make one block of the prefix index.
-const BLOCK_BYTES: usize = 256;
 /// Most blocks of a prompt that are compared.
-const BLOCKS: usize = 64;
+const BLOCKS: usize = 256;
+
 /// A request on its way, with what its attempts have shown so far.
 #[derive(Debug)]
 struct Run {
@@ -138,9 +137,7 @@
         }
         let prefix = match &ask.target {
             Target::Model { .. } => {
-                let mut chain = hash::chain(&ask.body, BLOCK_BYTES);
-                chain.truncate(BLOCKS);
-                chain
+                Prompt::read(&ask.body).map_or_else(Vec::new, |prompt| prompt.blocks(BLOCKS))
             }
             Target::Service { .. } => Vec::new(),
         };
