Keep the proven load as the ceiling after a failed probe

A failed probe set the ceiling to the calls that had a first token at that moment. Of short calls several wait for theirs at any time, so that an engine of 16 calls got a ceiling of 11. What was tried beyond the proof does not refute the proof, so the ceiling is now at least the proven load.

The new test fails on the old code with a ceiling of 11 of 16.

The measure zone now prints the waits in gates and entries, refusals, calls in each engine and tokens a second, which showed the limits at 10 to 15 of 16 during the outage.

--- a/crates/limit/src/learn/grow/mod.rs
+++ b/crates/limit/src/learn/grow/mod.rs
@@ -47,6 +47,10 @@
     /// Backs off after `tried` turned out too much and only `held` ran. The
     /// quantity beyond its proof is blamed, and both if both are. If neither is,
     /// capacity has shrunk below the proof, and the one closer to it is blamed.
+    ///
+    /// Trouble beyond the proof does not refute the proof. `held` counts calls
+    /// with a first token only, and of short calls several wait for theirs at any
+    /// time: an engine that holds 16 calls got a ceiling of 11.
     pub(super) fn back_off(&mut self, tried: Load, held: Load) {
         let calls = f64::from(tried.calls) / self.calls.proven.max(1.0);
         let tokens = tried.tokens as f64 / self.tokens.proven.max(1.0);
@@ -57,10 +61,16 @@
             Blame::Sole
         };
         if blame == Blame::Shared || calls >= tokens {
-            self.calls.back_off(f64::from(held.calls), blame);
+            let proof = if calls > 1.0 { self.calls.proven } else { 0.0 };
+            self.calls.back_off(f64::from(held.calls).max(proof), blame);
         }
         if blame == Blame::Shared || tokens > calls {
-            self.tokens.back_off(held.tokens as f64, blame);
+            let proof = if tokens > 1.0 {
+                self.tokens.proven
+            } else {
+                0.0
+            };
+            self.tokens.back_off((held.tokens as f64).max(proof), blame);
         }
     }
 
--- a/crates/limit/tests/learn.rs
+++ b/crates/limit/tests/learn.rs
@@ -225,6 +225,24 @@
     assert!(bench.limit() >= 36, "limit {}", bench.limit());
 }
 
+/// Fails if a failed probe lowers the ceiling below the load that was proven
+/// before it: of short calls some always wait for the next step, and what had
+/// started was taken for all that the engine holds.
+#[test]
+fn a_failed_probe_keeps_the_proven_load() {
+    for output in [5, 10, 20] {
+        let mut bench = Bench::new(16);
+        bench.output = output;
+        bench.run(3000, 60);
+        assert!(bench.most <= 17, "{} calls of {output}", bench.most);
+        let ceiling = bench.gate.report().ceiling.expect("a probe failed");
+        assert!(
+            ceiling.calls >= 16,
+            "{ceiling:?} with {output} tokens a call"
+        );
+    }
+}
+
 /// Fails if a shrinking token capacity is blamed on the number of calls, so that
 /// small calls get a fraction of what the engine holds.
 #[test]
--- a/crates/measure/src/zone/mod.rs
+++ b/crates/measure/src/zone/mod.rs
@@ -1,6 +1,8 @@
 //! Service while an availability zone leaves and returns, over real
 //! connections.
 
+mod trace;
+
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
@@ -72,6 +74,8 @@
     let ended = Arc::new(AtomicBool::new(false));
     let load = open_loop(cluster.callers.clone(), rate, TOKENS, Arc::clone(&ended));
     let load = tokio::spawn(load);
+    let engines = cluster.engines.iter().map(|(_, engine)| engine.clone());
+    let trace = trace::Trace::start(engines.collect());
     tokio::time::sleep(SETTLE).await;
     let began = Instant::now();
     tokio::time::sleep(PHASE).await;
@@ -116,6 +120,12 @@
             ("p99_ms", &format!("{:.1}", p99[index])),
         ]);
     }
+    let phases = [
+        ("before", began, out, serving(&cluster, false)),
+        ("during", out, back, serving(&cluster, true)),
+        ("after", back, done, serving(&cluster, false)),
+    ];
+    trace.report(&phases, CAPACITY, report).await;
     let failed = samples.iter().filter(|sample| !sample.ok).count();
     let records: Vec<_> = cluster
         .engines
@@ -152,6 +162,14 @@
     stop.cancel();
 }
 
+/// Returns the engines that serve, while the zone is out or in.
+fn serving(cluster: &Cluster, out: bool) -> Vec<usize> {
+    let all = cluster.engines.iter().enumerate();
+    all.filter(|(_, (zone, _))| !out || zone != ZONE)
+        .map(|(index, _)| index)
+        .collect()
+}
+
 /// Brings all engines out of cold start with a closed loop.
 async fn warm_up(cluster: &Cluster) {
     let client = Client::default();
--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -283,6 +283,12 @@
         self.lock().record
     }
 
+    /// Returns the calls that run and those that wait for room inside.
+    pub fn occupancy(&self) -> (usize, usize) {
+        let state = self.lock();
+        (state.batch.running(), state.batch.waiting())
+    }
+
     /// Returns the orders it accepted, in order.
     pub fn commands(&self) -> Vec<Order> {
         self.lock().commands.clone()
