--- a/crates/sesamerock/src/control/pack/cursor/mod.rs
+++ b/crates/sesamerock/src/control/pack/cursor/mod.rs
@@ -7,7 +7,7 @@
 
 /// Values in one column at most, which bounds the memory that damaged bytes can
 /// ask for. 10,000 upstreams have 28,000 names of adapters.
-const VALUES: u64 = 1 << 21;
+pub(super) const VALUES: u64 = 1 << 21;
 
 /// Bytes from which a block is worth codes of its own.
 const BLOCK: u64 = 512;
--- a/crates/sesamerock/src/control/pack/mod.rs
+++ b/crates/sesamerock/src/control/pack/mod.rs
@@ -9,7 +9,7 @@
 //! any build can read.
 //!
 //! A packed snapshot is `MARK` and deflated blocks: the head, which is a part
-//! without rows in JSON, and one [`tree::Tree`] of all rows.
+//! without rows in JSON, and one `tree::Tree` of all rows.
 
 mod cursor;
 pub mod former;
@@ -48,6 +48,9 @@
     for row in parts.iter().flat_map(|part| &part.rows) {
         tree.push(serde_json::to_value(row).unwrap_or_default());
     }
+    if tree.longest() as u64 > cursor::VALUES {
+        return former::pack(parts);
+    }
     let mut blocks = Blocks::new(MARK);
     blocks.text(&serde_json::to_string(&head).unwrap_or_default());
     blocks.number(tree.rows() as u64);
--- a/crates/sesamerock/src/control/pack/number/mod.rs
+++ b/crates/sesamerock/src/control/pack/number/mod.rs
@@ -204,7 +204,9 @@
             .collect();
         blocks.column(&plane);
         numbers.retain(|number| *number >= 0x80);
-        numbers.iter_mut().for_each(|number| *number >>= 7);
+        for number in &mut numbers {
+            *number >>= 7;
+        }
     }
 }
 
@@ -230,8 +232,8 @@
 
 /// Maps small differences of either sign to small numbers.
 const fn zigzag(difference: u64) -> u64 {
-    let difference = difference as i64;
-    ((difference << 1) ^ (difference >> 63)) as u64
+    let difference = difference.cast_signed();
+    ((difference << 1) ^ (difference >> 63)).cast_unsigned()
 }
 
 const fn unzigzag(number: u64) -> u64 {
--- a/crates/sesamerock/src/control/pack/tree/mod.rs
+++ b/crates/sesamerock/src/control/pack/tree/mod.rs
@@ -47,6 +47,13 @@
         self.kinds.len()
     }
 
+    /// Returns the length of the longest column.
+    pub(super) fn longest(&self) -> usize {
+        let items = self.items.as_deref().map(Self::longest);
+        let fields = self.fields.values().map(Self::longest);
+        fields.chain(items).fold(self.rows(), usize::max)
+    }
+
     /// Adds a row. A null is like a field that is not there, since only
     /// optional fields are null.
     pub(super) fn push(&mut self, value: Value) {
@@ -73,7 +80,9 @@
                 self.lengths.resize(row, None);
                 self.lengths.push(Some(items.len() as u64));
                 let tree = self.items.get_or_insert_default();
-                items.into_iter().for_each(|item| tree.push(item));
+                for item in items {
+                    tree.push(item);
+                }
                 LIST
             }
         };
