--- a/crates/limit/src/learn/input/mod.rs
+++ b/crates/limit/src/learn/input/mod.rs
@@ -189,4 +189,7 @@
     pub waiting: u32,
     /// Time of a step; zero if unknown.
     pub step: Duration,
+    /// Time that the engine itself needed of a step, before it waited for the
+    /// other ranks of its group; zero if unknown or not in a group.
+    pub own: Duration,
 }
--- a/crates/limit/src/learn/mod.rs
+++ b/crates/limit/src/learn/mod.rs
@@ -38,6 +38,9 @@
 const DRIFT_NOISE: f64 = 0.02;
 /// Step time over the usual one that counts as a turn to cold.
 const SLOW: f64 = 1.8;
+/// Least part of a step that counts as the engine's own, so that a wrong report
+/// cannot hide all slowness.
+const LEAST_PART: f64 = 0.1;
 /// Steps after which the proof of a load expires unless it ran again.
 const PROOF_STEPS: f64 = 256.0;
 /// Reports in a row with waiting calls that count as trouble.
@@ -65,6 +68,9 @@
     /// Reports in a row with calls waiting in the engine, and the last report.
     waiting: u32,
     reported: Moment,
+    /// Part of a step that the engine itself needs; the rest it waits for the
+    /// other ranks of its group, which tells nothing about its own capacity.
+    part: f64,
     incarnation: Option<u64>,
     /// Whether the upstream crashed and has shown no life since.
     down: bool,
@@ -91,6 +97,7 @@
             failures: 0,
             waiting: 0,
             reported: Moment::default(),
+            part: 1.0,
             incarnation: None,
             down: false,
             resets: 0,
@@ -105,6 +112,7 @@
             window: self.steps,
             last_token: self.last_token,
             incarnation: self.incarnation,
+            part: self.part,
             down: cause == Cause::Crash,
             resets: self.resets + 1,
             ..Self::new(self.settings)
@@ -215,7 +223,8 @@
         let steps = tokens as f64 * share;
         self.last_token = now;
         self.steps += steps;
-        self.record(batch, gap.as_secs_f64() / tokens.max(1) as f64, share);
+        let step = gap.as_secs_f64() / tokens.max(1) as f64;
+        self.record(batch, step * self.part, share);
         if self.on_time(flight) {
             self.grow(flight, steps);
         }
@@ -261,9 +270,13 @@
         }
         self.down = false;
         self.reported = now;
+        if !report.step.is_zero() && !report.own.is_zero() {
+            let part = report.own.as_secs_f64() / report.step.as_secs_f64();
+            self.part = part.clamp(LEAST_PART, 1.0);
+        }
         let streams = self.steps > 0.0;
         if !streams && report.running > 0 && !report.step.is_zero() {
-            self.record(report.running, report.step.as_secs_f64(), 1.0);
+            self.record(report.running, report.step.as_secs_f64() * self.part, 1.0);
         }
         // An engine also counts calls that only wait for the next step; where
         // the first tokens are seen, they tell which it is.
--- a/crates/limit/tests/gate.rs
+++ b/crates/limit/tests/gate.rs
@@ -223,6 +223,7 @@
                     running: running.into(),
                     waiting: waiting.into(),
                     step: Duration::from_millis(20),
+                    own: Duration::ZERO,
                 };
                 self.gate.observe(self.now, &report);
             }
@@ -408,6 +409,7 @@
             running: 0,
             waiting: 0,
             step: Duration::ZERO,
+            own: Duration::ZERO,
         },
     );
     assert_eq!(
--- a/crates/limit/tests/learn.rs
+++ b/crates/limit/tests/learn.rs
@@ -293,6 +293,7 @@
         running: 10,
         waiting: 0,
         step: STEP,
+        own: Duration::ZERO,
     };
     bench.gate.observe(bench.now, &report(1));
     bench.run(1000, 8);
@@ -317,6 +318,7 @@
             running: bench.running.len() as u32,
             waiting: bench.waiting.len() as u32,
             step: STEP,
+            own: Duration::ZERO,
         };
         bench.gate.observe(bench.now, &report);
     }
--- a/crates/measure/src/balance/engine/mod.rs
+++ b/crates/measure/src/balance/engine/mod.rs
@@ -224,6 +224,8 @@
             cold: false,
             leaving: false,
             step: self.published.1,
+            own: Duration::ZERO,
+            stalled: false,
             ranks: self.published.0.clone(),
         }
     }
--- a/crates/measure/src/balance/policy/mod.rs
+++ b/crates/measure/src/balance/policy/mod.rs
@@ -141,6 +141,9 @@
         Ok(Choice {
             upstream: Upstream(upstream as u32),
             rank: Some(rank as u16),
+            place: None,
+            elsewhere: false,
+            slowest: None,
             reason: Reason::Least,
             ceiling: None,
             expected: Duration::ZERO,
@@ -222,6 +225,7 @@
 
 fn member(index: u32) -> Member {
     Member {
+        group: None,
         upstream: Upstream(index),
         name: hash::name(format!("upstream-{index}")),
         zone: Zone(index % world::ZONES),
--- a/crates/measure/src/balance/world/mod.rs
+++ b/crates/measure/src/balance/world/mod.rs
@@ -234,6 +234,7 @@
             prefix: &prefix,
             urgency: 3,
             excluded: &call.excluded,
+            silent: &[],
             isolated: false,
             queues: false,
             once: false,
--- a/crates/measure/src/limits/world/mod.rs
+++ b/crates/measure/src/limits/world/mod.rs
@@ -457,6 +457,7 @@
             running: seen.running,
             waiting: seen.waiting,
             step: Duration::from_micros(seen.step_us),
+            own: Duration::ZERO,
         };
         let now = self.moment();
         self.gates[engine].observe(now, &report);
--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -15,6 +15,7 @@
 mod overhead;
 mod plan;
 mod poison;
+mod ranks;
 mod recover;
 mod report;
 mod rollout;
@@ -51,6 +52,7 @@
     ("overhead", overhead::run),
     ("plan", plan::run),
     ("poison", poison::run),
+    ("ranks", ranks::run),
     ("recover", recover::run),
     ("rollout", rollout::run),
     ("skew", skew::run),
--- a/crates/measure/src/state/table/mod.rs
+++ b/crates/measure/src/state/table/mod.rs
@@ -7,7 +7,7 @@
 use sesamerock::control::view::{ANNOUNCEMENT, Fact, View};
 use sesamerock::entry::entries::Announcement;
 use sesamerock::entry::table::Table;
-use sesamerock::settings::Node;
+use sesamerock::settings::{Entry, Node};
 use sesamerock_base::version::Version;
 use sesamerock_note::fold::State;
 use sesamerock_note::fold::outcome::Outcome;
@@ -39,7 +39,7 @@
     let mut fleet = Fleet::new(seed, upstreams, MODELS);
     let mut state = fold(&fleet.log());
     let (mut table, bytes, peak) = measured(|| {
-        let mut table = Table::new(&Node::default());
+        let mut table = Table::new(&Entry::default());
         table.update(&view(&state, entries));
         table
     });
--- a/crates/platform/src/engine/mod.rs
+++ b/crates/platform/src/engine/mod.rs
@@ -26,6 +26,11 @@
     pub waiting: u32,
     /// Duration of the last steps, in microseconds.
     pub step_us: u32,
+    /// Time that this rank of a group itself needed for a step before it waited
+    /// for the others, in microseconds: the mean over about 20 steps, as is
+    /// `step_us`. 0 if the engine does not tell or is in no group.
+    #[serde(default)]
+    pub own_step_us: u32,
     /// Models loaded and warmed up, as `name@version`.
     #[serde(default)]
     pub models: Vec<String>,
--- a/crates/route/src/choice/mod.rs
+++ b/crates/route/src/choice/mod.rs
@@ -5,7 +5,7 @@
 
 use sesamerock_base::key::Upstream;
 
-use crate::profile::Need;
+use crate::profile::{Need, Place, Unable};
 
 /// A request that needs an upstream.
 #[derive(Clone, Copy, Debug, Default)]
@@ -25,6 +25,8 @@
     pub urgency: u8,
     /// Upstreams that must not be chosen, such as those of failed attempts.
     pub excluded: &'a [Upstream],
+    /// Upstreams whose agents do not answer now; their groups cannot step.
+    pub silent: &'a [Upstream],
     /// Whether the request is a crash suspect, of which an upstream runs at
     /// most one at a time.
     pub isolated: bool,
@@ -41,8 +43,16 @@
 pub struct Choice {
     /// The upstream.
     pub upstream: Upstream,
-    /// Rank of its group, if it has more than one.
+    /// Rank behind its agent, if it has more than one.
     pub rank: Option<u16>,
+    /// Its place in a group whose ranks are upstreams of their own.
+    pub place: Option<Place>,
+    /// Whether an upstream outside of its group could take the request, so that
+    /// an agent should refuse it if the group does not step.
+    pub elsewhere: bool,
+    /// Own step time above which the agent should refuse the call if its rank is
+    /// the slowest, because the others of its group need less.
+    pub slowest: Option<Duration>,
     /// Why it was chosen.
     pub reason: Reason,
     /// Share of its call limit above which the agent should refuse the call,
@@ -78,6 +88,9 @@
     /// It had the least expected cost, as the place for this workspace and
     /// prefix.
     Affinity,
+    /// Another rank was cheaper by itself, but would have made the steps of its
+    /// group longer.
+    Balance,
     /// The key belongs to it.
     Keyed,
 }
@@ -110,8 +123,13 @@
     Cold,
     /// It runs another crash suspect.
     Suspect,
+    /// Its group cannot step, and another upstream can serve.
+    Group(Unable),
     /// Its expected cost was higher by this much.
     Cost(Duration),
+    /// It was cheaper by itself, but the steps of its group would become longer,
+    /// which made its cost higher by this much.
+    Growth(Duration),
     /// It was not among the sampled candidates.
     Unsampled,
 }
@@ -151,7 +169,9 @@
     /// Returns the cause that this reason stands for.
     pub(crate) const fn cause(self) -> Cause {
         match self {
-            Self::Unknown | Self::Unfit | Self::Cost(_) | Self::Unsampled => Cause::Unserved,
+            Self::Unknown | Self::Unfit | Self::Unsampled => Cause::Unserved,
+            // Only candidates beside an eligible one get these.
+            Self::Group(_) | Self::Cost(_) | Self::Growth(_) => Cause::Unserved,
             Self::Leaving => Cause::Leaving,
             Self::Out => Cause::Out,
             Self::Excluded => Cause::Excluded,
@@ -203,6 +223,7 @@
             Self::Least => "least-cost",
             Self::Prefix => "cached-prefix",
             Self::Affinity => "affinity",
+            Self::Balance => "rank-balance",
             Self::Keyed => "keyed",
         })
     }
@@ -219,12 +240,26 @@
             Self::Credits(left) => write!(f, "no-credits/{}ms", left.as_millis()),
             Self::Cold => f.write_str("cold"),
             Self::Suspect => f.write_str("suspect-aboard"),
+            Self::Group(unable) => write!(f, "group-{unable}"),
             Self::Cost(more) => write!(f, "cost+{}us", more.as_micros()),
+            Self::Growth(more) => write!(f, "step+{}us", more.as_micros()),
             Self::Unsampled => f.write_str("unsampled"),
         }
     }
 }
 
+impl Display for Unable {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Silent => "silent",
+            Self::Stalled => "stalled",
+            Self::Leaving => "leaving",
+            Self::Out => "out",
+            Self::Missing => "missing",
+        })
+    }
+}
+
 impl Display for Cause {
     fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
--- a/crates/route/src/load/mod.rs
+++ b/crates/route/src/load/mod.rs
@@ -68,6 +68,11 @@
     pub leaving: bool,
     /// Time of a recent step of the group; zero if unknown.
     pub step: Duration,
+    /// Own time of a rank for a step, before it waited for the other ranks of
+    /// its group; zero if unknown. A mean over the same steps as `step`.
+    pub own: Duration,
+    /// Whether the group has work and does not step.
+    pub stalled: bool,
     /// The ranks, in order; empty if the engine does not tell.
     pub ranks: Vec<Rank>,
 }
@@ -211,6 +216,11 @@
         self.report.as_ref().map(|(report, _)| report)
     }
 
+    /// Returns when the last report arrived.
+    pub fn heard(&self) -> Option<Moment> {
+        self.report.as_ref().map(|(_, at)| *at)
+    }
+
     /// Returns this entry's calls in flight.
     pub fn own_calls(&self) -> u32 {
         self.own_calls
--- a/crates/route/src/pick/choose/mod.rs
+++ b/crates/route/src/pick/choose/mod.rs
@@ -7,21 +7,22 @@
 use sesamerock_base::time::Moment;
 use smallvec::SmallVec;
 
-use super::{Picker, State};
-use crate::choice::{Cause, Choice, LOSERS, Loser, Reason, Refusal, Request, Why};
+use super::Picker;
+use super::answer::choice;
+use super::group::{View, Views};
+use crate::choice::{Choice, LOSERS, Loser, Reason, Refusal, Request, Why};
 use crate::hash;
-use crate::load::Credit;
 use crate::rank::{self, Placement};
 use crate::score::{self, Candidate, Cost, Prior};
 
 /// A candidate with its cost.
 #[derive(Clone, Copy, Debug)]
-struct Scored {
-    upstream: Upstream,
-    placement: Placement,
-    matched: u64,
-    home: bool,
-    cost: Cost,
+pub(super) struct Scored {
+    pub(super) upstream: Upstream,
+    pub(super) placement: Placement,
+    pub(super) matched: u64,
+    pub(super) home: bool,
+    pub(super) cost: Cost,
 }
 
 impl Picker {
@@ -37,7 +38,8 @@
         now: Moment,
         rng: &mut impl Rng,
     ) -> Result<Choice, Refusal> {
-        let (eligible, mut losers) = self.divide(request, pool, now);
+        let mut groups = self.groups(request, pool, now);
+        let (eligible, mut losers) = self.divide(request, pool, &groups, now);
         if eligible.is_empty() {
             return Err(self.refusal(losers));
         }
@@ -49,19 +51,35 @@
             .iter()
             .filter_map(|upstream| self.slowness(*upstream, now));
         let prior = score::prior(loads, paces, &self.settings.score);
+        self.pace_groups(&mut groups, pool, &prior, now);
         let homes = self.homes(request, &eligible);
         let sampled = self.sample(request, &eligible, &homes, &prior, now, rng);
         let mut scored: SmallVec<[Scored; 16]> = sampled
             .iter()
-            .filter_map(|upstream| self.score(*upstream, request, &homes, &prior, now, rng))
+            .filter_map(|upstream| {
+                self.score(*upstream, request, &homes, &prior, &groups, now, rng)
+            })
             .collect();
         scored.sort_by(|left, right| left.cost.total.total_cmp(&right.cost.total));
         let Some(best) = scored.first().copied() else {
             return Err(self.refusal(losers));
         };
-        losers.extend(scored.iter().skip(1).map(|other| Loser {
-            upstream: other.upstream,
-            why: Why::Cost(Duration::from_secs_f64(other.cost.total - best.cost.total)),
+        let alone = |scored: &Scored| scored.cost.total - scored.cost.growth;
+        let balanced = scored
+            .iter()
+            .skip(1)
+            .any(|other| alone(other) < alone(&best));
+        losers.extend(scored.iter().skip(1).map(|other| {
+            let more = Duration::from_secs_f64(other.cost.total - best.cost.total);
+            let why = if alone(other) < alone(&best) {
+                Why::Growth(more)
+            } else {
+                Why::Cost(more)
+            };
+            Loser {
+                upstream: other.upstream,
+                why,
+            }
         }));
         let unsampled = eligible
             .iter()
@@ -71,7 +89,17 @@
             why: Why::Unsampled,
         }));
         let ceiling = self.ceiling(request, eligible.len(), &prior);
-        Ok(choice(&best, request, eligible.len(), ceiling, losers))
+        let state = self.state(best.upstream);
+        let view = state.and_then(|state| groups.of(state));
+        Ok(Choice {
+            place: state.and_then(|state| state.profile.place),
+            elsewhere: self.elsewhere(best.upstream, request, pool, &groups, now),
+            slowest: view
+                .and_then(|view| self.slowest(view))
+                .filter(|_| ceiling.is_some()),
+            ceiling,
+            ..choice(&best, request, eligible.len(), balanced, losers)
+        })
     }
 
     /// Chooses the upstream of a keyed call to a plain service.
@@ -108,6 +136,9 @@
         Ok(Choice {
             upstream,
             rank: None,
+            place: None,
+            elsewhere: false,
+            slowest: None,
             reason: Reason::Keyed,
             ceiling: None,
             expected: Duration::ZERO,
@@ -119,69 +150,6 @@
         })
     }
 
-    /// Divides a pool into those that can take the request and the others.
-    fn divide(
-        &self,
-        request: &Request<'_>,
-        pool: &[Upstream],
-        now: Moment,
-    ) -> (SmallVec<[Upstream; 64]>, Vec<Loser>) {
-        let mut eligible = SmallVec::new();
-        let mut losers = Vec::new();
-        for upstream in pool {
-            match self.eligible(*upstream, request, now) {
-                Ok(()) => eligible.push(*upstream),
-                Err(why) => losers.push(Loser {
-                    upstream: *upstream,
-                    why,
-                }),
-            }
-        }
-        (eligible, losers)
-    }
-
-    /// Returns the state of an upstream if it may run the request at all.
-    fn fit(&self, upstream: Upstream, request: &Request<'_>, now: Moment) -> Result<&State, Why> {
-        let state = self.state(upstream).ok_or(Why::Unknown)?;
-        // An upstream that is leaving gets no calls and so sends no newer
-        // report; after a while a call finds out whether it came back.
-        let believed = state.load.known(now, &self.settings.load) > 0.0;
-        let leaving = believed && state.load.last().is_some_and(|report| report.leaving);
-        if !state.profile.serves(&request.need) {
-            Err(Why::Unfit)
-        } else if state.profile.out {
-            Err(Why::Out)
-        } else if state.profile.leaving || leaving {
-            Err(Why::Leaving)
-        } else if request.excluded.contains(&upstream) {
-            Err(Why::Excluded)
-        } else {
-            Ok(state)
-        }
-    }
-
-    /// Returns whether an upstream can take the request now.
-    fn eligible(&self, upstream: Upstream, request: &Request<'_>, now: Moment) -> Result<(), Why> {
-        let state = self.fit(upstream, request, now)?;
-        let cold = state.load.last().is_some_and(|report| {
-            report.cold && report.call_limit > 0 && state.load.own_calls() >= report.call_limit
-        });
-        if cold && !request.queues {
-            return Err(Why::Cold);
-        }
-        if request.isolated && state.suspects > 0 {
-            return Err(Why::Suspect);
-        }
-        if request.queues {
-            return Ok(());
-        }
-        match state.load.credit(now, &self.settings.load) {
-            Credit::None(left) => Err(Why::Credits(left)),
-            Credit::Unknown(0) => Err(Why::Credits(self.settings.retry_after)),
-            Credit::Some(_) | Credit::Unknown(_) => Ok(()),
-        }
-    }
-
     /// Returns the two places of a workspace and prefix. Two, so that a large
     /// workspace is not bound to the load of one upstream.
     fn homes(&self, request: &Request<'_>, eligible: &[Upstream]) -> SmallVec<[Upstream; 2]> {
@@ -250,12 +218,14 @@
         own / f64::max(all, 1.0)
     }
 
+    #[expect(clippy::too_many_arguments, reason = "one candidate among many inputs")]
     fn score(
         &self,
         upstream: Upstream,
         request: &Request<'_>,
         homes: &[Upstream],
         prior: &Prior,
+        groups: &Views,
         now: Moment,
         rng: &mut impl Rng,
     ) -> Option<Scored> {
@@ -275,12 +245,18 @@
         );
         let matched = self.index.matched(upstream, request.prefix);
         let home = homes.contains(&upstream);
+        let view = groups.of(state);
+        let growth = view.map_or(placement.growth, |view| {
+            self.growth(view, state, request, prior, now)
+        });
         let candidate = Candidate {
             load: &state.load,
             estimate,
             matched,
             home,
-            growth: placement.growth,
+            growth,
+            step: view.and_then(View::step),
+            grouped: view.is_some(),
             slowness: state.pace.ratio(now, self.settings.score.half_life),
             distance: self.distance(state.profile.zone),
         };
@@ -302,19 +278,6 @@
             .map(|state| state.pace.ratio(now, half_life))
     }
 
-    /// Returns the share of the limit above which an upstream should refuse.
-    ///
-    /// Reports of an entry with few requests are too old to tell which upstream
-    /// is loaded now, but their mean is a good estimate of the mean load. The
-    /// agent knows its own load, so it can refuse what exceeds the mean by a
-    /// share, at the price of one round trip.
-    fn ceiling(&self, request: &Request<'_>, eligible: usize, prior: &Prior) -> Option<f64> {
-        let others = eligible > 1 && prior.used > 0.0 && !request.once;
-        let tries = request.excluded.len() < self.settings.bounces;
-        (others && tries)
-            .then(|| score::fair(prior) * self.settings.ceiling + score::SLACK / prior.calls)
-    }
-
     fn distance(&self, zone: Zone) -> Duration {
         if zone == self.settings.zone {
             return Duration::ZERO;
@@ -325,54 +288,4 @@
             .copied()
             .unwrap_or(self.settings.away)
     }
-
-    fn refusal(&self, mut losers: Vec<Loser>) -> Refusal {
-        let cause = losers
-            .iter()
-            .map(|loser| loser.why.cause())
-            .max()
-            .unwrap_or(Cause::Unserved);
-        let credits = losers.iter().filter_map(|loser| match loser.why {
-            Why::Credits(left) => Some(left),
-            _ => None,
-        });
-        let soonest = credits.min().unwrap_or(self.settings.retry_after);
-        losers.truncate(LOSERS);
-        Refusal {
-            cause,
-            retry_after: (cause >= Cause::Cold).then_some(soonest),
-            losers,
-        }
-    }
-}
-
-fn choice(
-    best: &Scored,
-    request: &Request<'_>,
-    eligible: usize,
-    ceiling: Option<f64>,
-    mut losers: Vec<Loser>,
-) -> Choice {
-    let reason = if eligible == 1 {
-        Reason::Only
-    } else if best.matched > 0 {
-        Reason::Prefix
-    } else if best.home {
-        Reason::Affinity
-    } else {
-        Reason::Least
-    };
-    losers.truncate(LOSERS);
-    Choice {
-        upstream: best.upstream,
-        rank: best.placement.rank,
-        reason,
-        ceiling,
-        expected: Duration::from_secs_f64(best.cost.first.max(0.0)),
-        matched: best.matched,
-        fresh: request.prompt.saturating_sub(best.matched),
-        tokens: request.tokens,
-        isolated: request.isolated,
-        losers,
-    }
 }
--- a/crates/route/src/pick/mod.rs
+++ b/crates/route/src/pick/mod.rs
@@ -5,7 +5,10 @@
 //! would overload it together. The sample grows with this entry's share of the
 //! known work. See `docs/notes/routing.md`.
 
+mod answer;
 mod choose;
+mod eligible;
+mod group;
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -42,6 +45,10 @@
     /// Load relative to the mean above which an agent should refuse a call that
     /// has other upstreams to go to.
     pub ceiling: f64,
+    /// Own step time of a rank over the median of its group above which its
+    /// agent should refuse a call that other ranks can take. Means over some
+    /// steps vary by about a tenth with the calls that come and go.
+    pub slowest: f64,
     /// Most upstreams that may refuse a request for this reason.
     pub bounces: usize,
     /// Time after which a request that no upstream can take may be sent again,
@@ -60,6 +67,7 @@
             score: score::Settings::default(),
             rank_share: 0.5,
             ceiling: 1.15,
+            slowest: 1.25,
             bounces: 3,
             retry_after: Duration::from_millis(100),
         }
--- a/crates/route/src/profile/mod.rs
+++ b/crates/route/src/profile/mod.rs
@@ -1,6 +1,6 @@
 //! What an upstream serves and where it is.
 
-use sesamerock_base::key::{Model, Upstream, Zone};
+use sesamerock_base::key::{Group, Model, Upstream, Zone};
 
 /// A low-rank adapter of a model, interned by the embedding program.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -29,6 +29,33 @@
     pub adapters: Vec<Adapter>,
 }
 
+/// Place of an upstream in a group whose ranks step together.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Place {
+    /// The group.
+    pub group: Group,
+    /// Rank within the group, from 0.
+    pub rank: u16,
+    /// Why the group cannot step, as far as the control state and the VM list
+    /// tell.
+    pub unable: Option<Unable>,
+}
+
+/// Why a group cannot step; it waits for all of its ranks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Unable {
+    /// The agent of a rank does not answer.
+    Silent,
+    /// A rank reports that the group has work and does not step.
+    Stalled,
+    /// A rank is leaving.
+    Leaving,
+    /// A rank is out of service.
+    Out,
+    /// The control state lacks a rank.
+    Missing,
+}
+
 /// What the control state and the VM list say about an upstream.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Profile {
@@ -42,8 +69,10 @@
     pub out: bool,
     /// The role of the engine.
     pub role: Role,
-    /// Number of ranks in its group; 0 or 1 if it has no group.
+    /// Number of ranks behind its agent; 0 or 1 if there is but one engine.
     pub ranks: u16,
+    /// Its place in a group whose ranks are upstreams of their own.
+    pub place: Option<Place>,
     /// What it has loaded.
     pub offers: Vec<Offer>,
 }
@@ -88,4 +117,6 @@
     pub name: u64,
     /// Its zone.
     pub zone: Zone,
+    /// [`crate::hash::name`] of its group's name, if it is a rank of one.
+    pub group: Option<u64>,
 }
--- a/crates/route/src/rank/mod.rs
+++ b/crates/route/src/rank/mod.rs
@@ -15,7 +15,7 @@
 /// part is taken to be half of a step at the group's mean load, as no engine
 /// reports it; with a much smaller figure an empty rank would seem slow per
 /// token and get no work.
-const FIXED_TOKENS: f64 = 256.0;
+pub(crate) const FIXED_TOKENS: f64 = 256.0;
 
 /// Fewest ranks compared, as in the power of two choices.
 const LEAST_CHOICES: f64 = 2.0;
--- a/crates/route/src/score/mod.rs
+++ b/crates/route/src/score/mod.rs
@@ -22,6 +22,10 @@
     pub hold: f64,
     /// Steps over which a longer step is charged to the request.
     pub horizon: f64,
+    /// The same for a rank of a group that is an upstream of its own. The steps
+    /// of all calls of the group become longer, so it is a multiple of the
+    /// other.
+    pub group_horizon: f64,
     /// Share of the prefill time credited to the place of a workspace and
     /// prefix without evidence that the prefix is cached there.
     pub affinity: f64,
@@ -39,6 +43,7 @@
             calls: 32.0,
             hold: 20.0,
             horizon: 32.0,
+            group_horizon: 256.0,
             affinity: 0.25,
             excess: 1.6,
             half_life: Duration::from_secs(5),
@@ -161,6 +166,8 @@
     pub first: f64,
     /// All of the cost.
     pub total: f64,
+    /// The part of it for longer steps of the group.
+    pub growth: f64,
 }
 
 /// What is known about one candidate for one request.
@@ -176,6 +183,10 @@
     pub home: bool,
     /// Share by which the step grows, see [`crate::rank::Placement`].
     pub growth: f64,
+    /// Step time of its group in seconds, if it is one rank of several upstreams.
+    pub step: Option<f64>,
+    /// Whether it is one rank of several upstreams.
+    pub grouped: bool,
     /// Recent slowness, see [`crate::pace::Pace`].
     pub slowness: f64,
     /// One-way distance.
@@ -184,7 +195,7 @@
 
 /// Returns the cost of sending a request to a candidate.
 pub fn cost(of: &Candidate<'_>, request: &Request<'_>, prior: &Prior, settings: &Settings) -> Cost {
-    let step = step(of.load, prior);
+    let step = of.step.unwrap_or_else(|| step(of.load, prior));
     let used = utilisation(of, request, prior);
     let over = used / fair(prior);
     let prefill = settings.prefill.as_secs_f64();
@@ -202,10 +213,16 @@
     // one upstream: its entries all see the same events.
     let excess = used / (fair(prior) + SLACK / prior.calls);
     let fade = ((settings.excess - excess) / (settings.excess - 1.0)).clamp(0.0, 1.0);
-    let effect = of.growth * step * settings.horizon;
+    let horizon = if of.grouped {
+        settings.group_horizon
+    } else {
+        settings.horizon
+    };
+    let effect = of.growth * step * horizon;
     Cost {
         first: full - saved + way,
         total: slower(of.slowness, prior) * full + way + effect - drawn * fade,
+        growth: effect,
     }
 }
 
--- a/crates/route/src/subset/mod.rs
+++ b/crates/route/src/subset/mod.rs
@@ -6,6 +6,11 @@
 //! changes little. Each zone gets its share, rounded at random: the expected
 //! share of every upstream is the same, and an entry keeps upstreams in nearly
 //! all zones when one is taken out of service.
+//!
+//! A group of ranks is selected as a whole. Ranks selected one by one would
+//! differ in their number of entries, and with it in their load; the rank with
+//! the most would make the steps of its group longer for good. An entry that
+//! knows all ranks also knows which of them the others wait for.
 
 use sesamerock_base::key::{Upstream, Zone};
 
@@ -22,6 +27,8 @@
     /// The number varies by its square root, so at 32 nearly all upstreams have
     /// between half and one and a half times as many entries.
     pub cover: usize,
+    /// Fewest groups of ranks, so that there is another group if one cannot step.
+    pub groups: usize,
 }
 
 impl Default for Settings {
@@ -29,6 +36,7 @@
         Self {
             least: 32,
             cover: 32,
+            groups: 4,
         }
     }
 }
@@ -65,7 +73,26 @@
         entries: usize,
         settings: Settings,
     ) -> Change {
-        let members = select(seat, pool, size(pool.len(), entries, settings));
+        let singles: Vec<_> = pool
+            .iter()
+            .filter(|member| member.group.is_none())
+            .copied()
+            .collect();
+        let whole = wholes(pool);
+        let least = settings.groups;
+        let groups = size(whole.len(), entries, Settings { least, ..settings });
+        let mut chosen = select(seat, &whole, groups);
+        top_up(seat, &whole, groups.min(LEAST_GROUPS), &mut chosen);
+        let chosen: Vec<_> = chosen
+            .iter()
+            .map(|index| whole[index.0 as usize].name)
+            .collect();
+        let ranks = pool
+            .iter()
+            .filter(|member| member.group.is_some_and(|group| chosen.contains(&group)));
+        let mut members = select(seat, &singles, size(singles.len(), entries, settings));
+        members.extend(ranks.map(|member| member.upstream));
+        members.sort_unstable();
         let change = Change {
             added: difference(&members, &self.members),
             removed: difference(&self.members, &members),
@@ -85,6 +112,45 @@
     covering.max(settings.least).min(pool)
 }
 
+/// Groups that a subset has at least, if the pool has them: the rounding by zone
+/// may leave out all zones of a few.
+const LEAST_GROUPS: usize = 2;
+
+/// Returns the groups of a pool as members. The key of each is its index, its
+/// zone that of its first rank.
+fn wholes(pool: &[Member]) -> Vec<Member> {
+    let mut ranks: Vec<_> = pool
+        .iter()
+        .filter_map(|member| Some((member.group?, member.upstream, member.zone)))
+        .collect();
+    ranks.sort_unstable();
+    let groups = ranks.chunk_by(|left, right| left.0 == right.0);
+    let whole = groups.zip(0..).map(|(ranks, index)| Member {
+        upstream: Upstream(index),
+        name: ranks[0].0,
+        zone: ranks[0].2,
+        group: Some(ranks[0].0),
+    });
+    whole.collect()
+}
+
+/// Adds the members that rank first in all zones until there are `least`.
+fn top_up(seat: u64, pool: &[Member], least: usize, members: &mut Vec<Upstream>) {
+    let mut rest: Vec<_> = pool
+        .iter()
+        .filter(|member| !members.contains(&member.upstream))
+        .map(|member| {
+            (
+                std::cmp::Reverse(hash::mix(seat, member.name)),
+                member.upstream,
+            )
+        })
+        .collect();
+    rest.sort_unstable();
+    let missing = least.saturating_sub(members.len());
+    members.extend(rest.into_iter().take(missing).map(|(_, member)| member));
+}
+
 fn select(seat: u64, pool: &[Member], size: usize) -> Vec<Upstream> {
     let mut ranked: Vec<_> = pool
         .iter()
--- a/crates/route/tests/subset.rs
+++ b/crates/route/tests/subset.rs
@@ -7,6 +7,7 @@
 
 fn pool(count: u32) -> Vec<Member> {
     let member = |index| Member {
+        group: None,
         upstream: Upstream(index),
         name: hash::name(format!("server-{index}")),
         zone: Zone(index % 3),
--- a/crates/sesamerock/src/agent/execute/mod.rs
+++ b/crates/sesamerock/src/agent/execute/mod.rs
@@ -20,6 +20,10 @@
 use crate::clock;
 use crate::settings::Kind;
 
+/// Own time of a rank over the group's step time, in percent, from which the
+/// others wait for it.
+const SLOWEST_PERCENT: u64 = 90;
+
 /// Frames that go down to the entry.
 pub(super) type Sender = mpsc::Sender<Result<Down, Status>>;
 
@@ -138,15 +142,16 @@
     head: &Head,
     deadline: Instant,
 ) -> Result<Permit, Stop> {
-    let permit = context
-        .gate
-        .admit(head, deadline)
-        .await
-        .map_err(Stop::Refused)?;
+    let permit = tokio::select! {
+        admitted = context.gate.admit(head, deadline) => admitted.map_err(Stop::Refused)?,
+        // A call that is queued was not begun and may go where steps are made.
+        () = context.stalled.begun(), if head.elsewhere => return Err(Stop::Refused(stalled())),
+    };
     // The state may have changed while the call was queued; its own queueing
     // must not make it exceed the ceiling.
     let unbounded = Head {
         ceiling_percent: 0,
+        ceiling_step_us: 0,
         ..head.clone()
     };
     check(context, &unbounded)?;
@@ -210,6 +215,15 @@
             "the engine has not loaded the model",
         );
     }
+    if head.elsewhere && context.stalled.get() {
+        return Err(Stop::Refused(stalled()));
+    }
+    if over_step(context, head) {
+        return refuse(
+            Reason::OverCeiling,
+            "the group waits for this rank, and the sender knows faster ones",
+        );
+    }
     if over_ceiling(context, head) {
         return refuse(
             Reason::OverCeiling,
@@ -233,6 +247,27 @@
     load > u64::from(snapshot.limit.calls) * u64::from(head.ceiling_percent)
 }
 
+/// Returns whether the group waits for this rank, and its own step time is above
+/// the one at which the sender would rather use another rank. A rank without
+/// calls takes one, which shows whether it is still slow.
+fn over_step<E>(context: &Context<E>, head: &Head) -> bool {
+    let Sight::Alive(load) = context.probe.sight() else {
+        return false;
+    };
+    let calls = context.gate.snapshot().in_flight.calls;
+    let slowest = u64::from(load.own_step_us) * 100 >= u64::from(load.step_us) * SLOWEST_PERCENT;
+    let bounded = head.ceiling_step_us > 0 && load.own_step_us > head.ceiling_step_us;
+    bounded && slowest && calls > 0
+}
+
+/// Makes the refusal of a call that would wait in a group without steps.
+fn stalled() -> Refusal {
+    refusal(
+        Reason::GroupStalled,
+        "the group does not step, and the sender knows another upstream",
+    )
+}
+
 /// Returns whether the engine reports the model of a call as loaded; a plain
 /// service loads nothing.
 fn loaded<E>(context: &Context<E>, head: &Head) -> bool {
--- a/crates/sesamerock/src/agent/gate/mod.rs
+++ b/crates/sesamerock/src/agent/gate/mod.rs
@@ -153,6 +153,7 @@
                     running: load.running,
                     waiting: load.waiting,
                     step: Duration::from_micros(u64::from(load.step_us)),
+                    own: Duration::from_micros(u64::from(load.own_step_us)),
                 },
             ),
         }
@@ -199,6 +200,8 @@
             leaving: snapshot.leaving,
             step_us: snapshot.step.as_micros() as u32,
             version: 0,
+            own_step_us: 0,
+            stalled: false,
         }
     }
 
--- a/crates/sesamerock/src/agent/mod.rs
+++ b/crates/sesamerock/src/agent/mod.rs
@@ -7,8 +7,9 @@
 pub mod group;
 mod keyed;
 mod operator;
-mod probe;
+pub mod probe;
 mod relay;
+pub mod stall;
 mod suspects;
 
 use std::sync::Arc;
@@ -25,6 +26,7 @@
 use tonic::transport::Server;
 use tonic::transport::server::TcpIncoming;
 
+use crate::clock;
 use crate::control::Control;
 use crate::peer;
 use crate::settings;
@@ -34,6 +36,7 @@
 use keyed::Keyed;
 pub(crate) use keyed::shard_of;
 use probe::{Probe, Sight};
+use stall::Stall;
 use suspects::Manifest;
 
 /// What all tasks of an agent share.
@@ -47,6 +50,7 @@
     manifest: Manifest,
     keyed: Keyed,
     group: group::Handle,
+    stalled: stall::Status,
     carry: carry::Handle,
     metrics: Metrics,
     tasks: TaskTracker,
@@ -59,6 +63,14 @@
         let mut report = self.gate.report(entry);
         report.leaving |= view.leaving();
         report.version = view.version().0;
+        report.stalled = self.stalled.get();
+        if let Sight::Alive(load) = self.probe.sight() {
+            report.own_step_us = load.own_step_us;
+            if load.own_step_us > 0 {
+                // The mean over the same steps as its own.
+                report.step_us = load.step_us;
+            }
+        }
         report
     }
 }
@@ -142,6 +154,7 @@
         manifest: Manifest::new(crash_list.clone(), &settings.upstream.name),
         keyed: Keyed::new(&settings),
         group,
+        stalled: stall::Status::default(),
         carry: carry::Handle::default(),
         metrics: Metrics::new("agent")?,
         tasks: TaskTracker::new(),
@@ -225,6 +238,7 @@
     let mut sight = context.probe.subscribe();
     let mut incarnation = 0;
     let mut dead = false;
+    let mut stall = Stall::new(clock::now());
     while sight.changed().await.is_ok() {
         let seen = sight.borrow_and_update().1.clone();
         let ended = match &seen {
@@ -252,6 +266,7 @@
             context.manifest.crashed(incarnation).await;
         }
         context.gate.observe(&seen);
+        watch_steps(context, &mut stall, &seen);
         let gate = context.gate.snapshot();
         let calls = u64::from(gate.in_flight.calls);
         context.metrics.calls.record(calls, &[]);
@@ -264,6 +279,25 @@
     }
 }
 
+/// Notes whether the group of the engine steps, if it is a rank of one.
+fn watch_steps<E>(context: &Context<E>, stall: &mut Stall, seen: &Sight) {
+    let view = context.control.view();
+    let name = &context.settings.upstream.name;
+    let entry = view.state.upstreams().find(name);
+    let place = entry.and_then(|(_, entry)| entry.rank);
+    let stalled = place.is_some() && stall.observe(seen, clock::now());
+    if !context.stalled.set(stalled) {
+        return;
+    }
+    let group = place.map_or("-", |place| view.state.groups().name(place.group));
+    let rank = place.map_or(0, |place| place.index);
+    if stalled {
+        log::warn!("event=group_stalled group={group} rank={rank} upstream={name}");
+    } else {
+        log::info!("event=group_steps group={group} rank={rank} upstream={name}");
+    }
+}
+
 /// Takes no new work and waits for the running calls.
 async fn drain<E: Engine>(context: &Context<E>) {
     context.control.leave().await;
--- /dev/null
+++ b/crates/sesamerock/src/agent/stall/mod.rs
@@ -0,0 +1,87 @@
+//! Tells whether the group of this agent's engine steps.
+//!
+//! The agent of a rank knows nothing of the other ranks, but a group that waits
+//! for one of them shows at each: there is work, and the number of the last step
+//! does not change. See `docs/notes/ranks.md`.
+
+use std::time::Duration;
+
+use sesamerock_base::time::Moment;
+use sesamerock_platform::engine::Load;
+use tokio::sync::watch;
+
+use super::probe::Sight;
+
+/// Shortest time without a step that counts as a stall. The switch to another
+/// expert map and one void step take less.
+const LEAST: Duration = Duration::from_millis(500);
+/// The same in step times of the group.
+const STEPS: u32 = 10;
+
+/// What is known of the steps.
+#[derive(Debug)]
+pub struct Stall {
+    step: u64,
+    /// When the step changed, or the rank last had nothing to step for.
+    since: Moment,
+}
+
+impl Stall {
+    /// Begins to watch.
+    pub fn new(now: Moment) -> Self {
+        Self {
+            step: 0,
+            since: now,
+        }
+    }
+
+    /// Takes in what was seen of a rank's engine and returns whether its group
+    /// is stalled.
+    pub fn observe(&mut self, sight: &Sight, now: Moment) -> bool {
+        let Sight::Alive(load) = sight else {
+            // A group cannot step without this rank's engine.
+            return *sight == Sight::Dead;
+        };
+        let waits = load.granted_to <= load.step;
+        let idle = load.running == 0 && load.waiting == 0 && !waits;
+        if load.step != self.step || idle {
+            self.step = load.step;
+            self.since = now;
+        }
+        now.since(self.since) > longest(load)
+    }
+}
+
+fn longest(load: &Load) -> Duration {
+    LEAST.max(Duration::from_micros(u64::from(load.step_us)) * STEPS)
+}
+
+/// Whether the group is stalled, for the calls of this agent.
+#[derive(Debug)]
+pub struct Status(watch::Sender<bool>);
+
+impl Default for Status {
+    fn default() -> Self {
+        Self(watch::Sender::new(false))
+    }
+}
+
+impl Status {
+    /// States it; returns whether it changed.
+    pub fn set(&self, stalled: bool) -> bool {
+        self.0
+            .send_if_modified(|last| std::mem::replace(last, stalled) != stalled)
+    }
+
+    /// Returns whether the group is stalled.
+    pub fn get(&self) -> bool {
+        *self.0.borrow()
+    }
+
+    /// Waits until the group is stalled.
+    pub async fn begun(&self) {
+        let mut changes = self.0.subscribe();
+        // The sender lives as long as the agent.
+        let _ = changes.wait_for(|stalled| *stalled).await;
+    }
+}
--- a/crates/sesamerock/src/dev/cluster/mod.rs
+++ b/crates/sesamerock/src/dev/cluster/mod.rs
@@ -8,6 +8,7 @@
 use sesamerock_note::rollout;
 use sesamerock_platform::http::client::Client;
 use sesamerock_platform::vms::Vm;
+use sesamerock_standin::engine::group::Group;
 use sesamerock_standin::engine::{self, Engine};
 use sesamerock_standin::platform::{self, Platform};
 use sesamerock_standin::service::{self, Service};
@@ -34,6 +35,8 @@
     pub zones: Vec<String>,
     /// Engines in each zone.
     pub engines_per_zone: usize,
+    /// Engines that form a group of ranks, within a zone; 0 for none.
+    pub ranks: usize,
     /// Servers of the plain service in each zone.
     pub services_per_zone: usize,
     /// Number of entries, spread over the zones.
@@ -53,6 +56,7 @@
         Self {
             zones: ["a", "b", "c"].map(str::to_owned).to_vec(),
             engines_per_zone: 2,
+            ranks: 0,
             services_per_zone: 1,
             entries: 4,
             engine: engine::Settings::default(),
@@ -70,6 +74,8 @@
     pub platform: Platform,
     /// Engines with their zones.
     pub engines: Vec<(String, Engine)>,
+    /// Groups of engines, in their order.
+    pub groups: Vec<Group>,
     /// Servers of the plain service with their zones.
     pub services: Vec<(String, Service)>,
     /// Addresses of the entries for callers.
@@ -96,6 +102,7 @@
         let mut cluster = Self {
             platform,
             engines: Vec::new(),
+            groups: Vec::new(),
             services: Vec::new(),
             callers: Vec::new(),
             operators: Vec::new(),
@@ -124,6 +131,7 @@
                     .await?;
             }
         }
+        cluster.form_groups(settings.ranks, &standins);
         for index in 0..settings.entries {
             let zone = settings.zones[index % settings.zones.len()].clone();
             cluster
@@ -134,6 +142,26 @@
         Ok(cluster)
     }
 
+    /// Makes groups of the engines, in their order.
+    fn form_groups(&mut self, ranks: usize, standins: &CancellationToken) {
+        if ranks == 0 {
+            return;
+        }
+        for group in self.engines.chunks_exact(ranks) {
+            let engines = group.iter().map(|(_, engine)| engine.clone());
+            let group = Group::start(engines.collect(), standins.clone());
+            self.groups.push(group);
+        }
+        let engines = self.upstreams.iter_mut();
+        let engines = engines.filter(|upstream| upstream.kind == Kind::Engine);
+        for (index, upstream) in engines.enumerate() {
+            if index / ranks < self.groups.len() {
+                upstream.group = Some(format!("group-{}", index / ranks));
+                upstream.rank = Some((index % ranks) as u32);
+            }
+        }
+    }
+
     fn node(&self, name: &str, zone: &str) -> settings::Node {
         settings::Node {
             name: name.to_owned(),
--- a/crates/sesamerock/src/entry/dispatch/attempt/mod.rs
+++ b/crates/sesamerock/src/entry/dispatch/attempt/mod.rs
@@ -244,11 +244,13 @@
         match table.choose(&wish) {
             Ok(target) => {
                 log::info!(
-                    "event=routed request={} attempt={attempt} workspace={} pool={} upstream={} reason={} expected_us={} matched={} losers={}",
+                    "event=routed request={} attempt={attempt} workspace={} pool={} upstream={} group={} rank={} reason={} expected_us={} matched={} losers={}",
                     self.ask.id,
                     self.ask.workspace,
                     wish.pool,
                     target.name,
+                    target.group.as_deref().unwrap_or("-"),
+                    target.rank(),
                     target.choice.reason,
                     target.choice.expected.as_micros(),
                     target.choice.matched,
@@ -371,7 +373,7 @@
                     ..failure
                 }
             }
-            Reason::OverCeiling => Failure {
+            Reason::OverCeiling | Reason::GroupStalled => Failure {
                 remedy: Remedy::Elsewhere,
                 ..failure
             },
--- a/crates/sesamerock/src/entry/dispatch/head/mod.rs
+++ b/crates/sesamerock/src/entry/dispatch/head/mod.rs
@@ -68,6 +68,11 @@
             model: self.pool().to_owned(),
             suspect: self.isolated(),
             ceiling_percent: self.ceiling(target),
+            ceiling_step_us: target
+                .choice
+                .slowest
+                .map_or(0, |slowest| slowest.as_micros() as u32),
+            elsewhere: target.choice.elsewhere && self.repeatable,
         }
     }
 
--- a/crates/sesamerock/src/entry/mod.rs
+++ b/crates/sesamerock/src/entry/mod.rs
@@ -164,7 +164,7 @@
     let control = Control::start(settings.node.clone())?;
     let context = Arc::new(Context {
         relays: Pool::default(),
-        table: Mutex::new(Table::new(&settings.node)),
+        table: Mutex::new(Table::new(&settings)),
         budget: Mutex::new(Budget::new(budget::Settings::default(), clock::now())),
         suspects: Suspects::new(control.clone()),
         metrics: Metrics::new("entry")?,
--- a/crates/sesamerock/src/entry/table/mod.rs
+++ b/crates/sesamerock/src/entry/table/mod.rs
@@ -4,7 +4,9 @@
 //! so that its memory does not grow with theirs. See `docs/notes/routing.md`.
 
 mod outage;
+mod place;
 mod pools;
+mod report;
 mod rows;
 mod wish;
 
@@ -22,13 +24,12 @@
 use sesamerock_route::load;
 use sesamerock_route::pick::{self, Outcome, Picker};
 use sesamerock_route::profile::Need;
-use sesamerock_wire::relay::Report;
 
 use super::operator;
 use crate::agent::shard_of;
 use crate::clock;
 use crate::control::view::View;
-use crate::settings::Node;
+use crate::settings;
 use outage::Outages;
 use pools::Seat;
 use rows::{Rows, Scope, Source};
@@ -59,7 +60,8 @@
 
 impl Table {
     /// Makes the table of a node that knows no upstream.
-    pub fn new(node: &Node) -> Self {
+    pub fn new(settings: &settings::Entry) -> Self {
+        let node = &settings.node;
         let mut zones = Names::default();
         let zone = zones.intern(&node.zone);
         Self {
@@ -72,7 +74,7 @@
             state: State::default(),
             entries: 1,
             leaving: Vec::new(),
-            rows: Rows::new(zones),
+            rows: Rows::new(zones, settings.rank_routing),
             groups: HashMap::new(),
             outages: Outages::default(),
         }
@@ -112,6 +114,7 @@
         let seat = Seat {
             entry: &self.entry,
             entries: self.entries,
+            groups: self.rows.groups(),
         };
         let zone = |name: &str| self.rows.zone(name);
         let selected = pools::select(&self.state, changed, zone, &seat);
@@ -159,24 +162,18 @@
     /// # Errors
     /// Returns why no upstream can take the call.
     pub fn choose(&mut self, wish: &Wish<'_>) -> Result<Target, Refusal> {
-        let mut excluded = wish.excluded.to_vec();
-        excluded.extend(self.outages.now(clock::now()));
-        let careful = Wish {
-            excluded: &excluded,
-            ..wish.clone()
-        };
-        self.choose_among(&careful).or_else(|refusal| {
+        let silent: Vec<_> = self.outages.now(clock::now()).collect();
+        self.choose_among(wish, &silent).or_else(|refusal| {
             // An upstream that did not answer is better than none.
-            let out = refusal.cause == Cause::Excluded && excluded.len() > wish.excluded.len();
-            if out {
-                self.choose_among(wish)
+            if refusal.cause == Cause::Excluded && !silent.is_empty() {
+                self.choose_among(wish, &[])
             } else {
                 Err(refusal)
             }
         })
     }
 
-    fn choose_among(&mut self, wish: &Wish<'_>) -> Result<Target, Refusal> {
+    fn choose_among(&mut self, wish: &Wish<'_>, silent: &[Upstream]) -> Result<Target, Refusal> {
         let pool = if wish.service {
             pools::of_service(wish.pool)
         } else {
@@ -193,6 +190,7 @@
             prefix: wish.prefix,
             urgency: wish.urgency,
             excluded: wish.excluded,
+            silent,
             isolated: wish.isolated,
             queues: false,
             once: wish.once,
@@ -241,6 +239,9 @@
         let choice = Choice {
             upstream,
             rank: None,
+            place: None,
+            elsewhere: false,
+            slowest: None,
             reason: Reason::Keyed,
             ceiling: None,
             expected: Duration::ZERO,
@@ -263,6 +264,7 @@
             .is_some_and(|key| self.state.not_repeatable(key, wish.method, wish.path));
         Some(Target {
             name: Arc::clone(&row.name),
+            group: row.group.clone(),
             agent: row.agent,
             not_repeatable,
             choice,
@@ -279,26 +281,6 @@
         self.picker.restarted(upstream);
     }
 
-    /// Takes in a report that came with an answer.
-    pub fn report(&mut self, target: &Target, report: &Report) {
-        self.outages.answered(target.choice.upstream);
-        let report = load::Report {
-            calls: report.calls_in_flight,
-            tokens: report.tokens_in_flight,
-            call_limit: report.call_limit,
-            token_limit: report.token_limit,
-            queued: report.queued,
-            credits: report.credits,
-            credits_for: Duration::from_millis(u64::from(report.credits_ms)),
-            cold: report.cold,
-            leaving: report.leaving,
-            step: Duration::from_micros(u64::from(report.step_us)),
-            ranks: Vec::new(),
-        };
-        self.picker
-            .report(target.choice.upstream, report, clock::now());
-    }
-
     /// Takes in how a call began.
     pub fn observed(&mut self, target: &Target, outcome: Outcome) {
         self.picker.observed(&target.choice, outcome, clock::now());
--- /dev/null
+++ b/crates/sesamerock/src/entry/table/place/mod.rs
@@ -0,0 +1,37 @@
+//! Places of upstreams in groups, and whether a group can step.
+
+use sesamerock_base::key::Group;
+use sesamerock_note::fold::State;
+use sesamerock_note::fold::entry;
+use sesamerock_route::profile::Unable;
+
+use super::rows::Source;
+
+impl Source<'_> {
+    /// Returns why a group cannot step, as far as the control state and the VM
+    /// list tell.
+    pub(super) fn unable(&self, group: Group) -> Option<Unable> {
+        let ranks = &self.state.groups().get(group)?.ranks;
+        if !(0..).zip(ranks).all(|(index, (rank, _))| index == *rank) {
+            return Some(Unable::Missing);
+        }
+        let why = |entry: &entry::Upstream| {
+            if !self.state.in_service(entry) {
+                Some(Unable::Out)
+            } else {
+                (!self.serving(entry)).then_some(Unable::Leaving)
+            }
+        };
+        let of_rank = |(_, key): &(u32, _)| {
+            let entry = self.state.upstreams().get(*key);
+            entry.map_or(Some(Unable::Missing), why)
+        };
+        ranks.iter().filter_map(of_rank).max()
+    }
+}
+
+/// Returns the groups whose ranks differ between two states.
+pub(super) fn changed(before: &State, now: &State) -> Vec<Group> {
+    let groups = now.groups().differing(before.groups());
+    groups.map(|(group, _)| group).collect()
+}
--- a/crates/sesamerock/src/entry/table/pools/mod.rs
+++ b/crates/sesamerock/src/entry/table/pools/mod.rs
@@ -80,6 +80,12 @@
 ) -> bool {
     before.zones().name(former.zone) == now.zones().name(later.zone)
         && names(before, former).eq(names(now, later))
+        && group(before, former) == group(now, later)
+}
+
+/// Returns the name of the group that an upstream is a rank of.
+pub(super) fn group<'a>(state: &'a State, entry: &entry::Upstream) -> Option<&'a str> {
+    entry.rank.map(|rank| state.groups().name(rank.group))
 }
 
 /// A pool to be selected anew, with its key in the control state.
@@ -127,6 +133,10 @@
                 upstream: key,
                 name: hash::name(name.as_bytes()),
                 zone: zone(state.zones().name(entry.zone)),
+                group: entry
+                    .rank
+                    .filter(|_| seat.groups)
+                    .map(|rank| hash::name(state.groups().name(rank.group).as_bytes())),
             });
         }
     }
@@ -143,6 +153,8 @@
 pub(super) struct Seat<'a> {
     pub(super) entry: &'a str,
     pub(super) entries: usize,
+    /// Whether groups are selected as a whole.
+    pub(super) groups: bool,
 }
 
 fn selection(pool: &Pool, seat: &Seat<'_>) -> Selection {
--- a/crates/sesamerock/src/entry/table/rows/mod.rs
+++ b/crates/sesamerock/src/entry/table/rows/mod.rs
@@ -10,22 +10,26 @@
 use std::sync::Arc;
 
 use sesamerock_base::arena::Names;
-use sesamerock_base::key::{Key as _, Model, Upstream, Vm, Zone};
+use sesamerock_base::key::{Group, Key as _, Model, Upstream, Vm, Zone};
 use sesamerock_base::version::Version;
 use sesamerock_note::fold::State;
 use sesamerock_note::fold::entry;
 use sesamerock_note::note;
 use sesamerock_route::hash;
 use sesamerock_route::pick::Picker;
-use sesamerock_route::profile::{self, Offer, Profile};
+use sesamerock_route::profile::{self, Offer, Place, Profile, Unable};
 
-use super::pools;
+use super::{place, pools};
 
 /// A tracked upstream.
 #[derive(Clone, Debug)]
 pub(super) struct Row {
     pub(super) name: Arc<str>,
     pub(super) agent: SocketAddr,
+    /// Name of its group, if it is a rank of one.
+    pub(super) group: Option<Arc<str>>,
+    /// Why its group cannot step.
+    unable: Option<Unable>,
     serving: bool,
     /// VM by its key in the control state.
     vm: Vm,
@@ -46,6 +50,9 @@
     zones: Names<Zone>,
     models: Names<Model>,
     adapters: Names<Model>,
+    names: Names<Group>,
+    /// Whether ranks of a group are treated as such.
+    groups: bool,
 }
 
 /// What rows are made from.
@@ -63,6 +70,8 @@
     entries: Vec<String>,
     /// VMs taken out of service or brought back.
     vms: Vec<Vm>,
+    /// Groups whose ranks changed.
+    groups: Vec<Group>,
     /// Whether any row may be concerned.
     all: bool,
     /// Whether the version of a model changed, which is part of all profiles.
@@ -88,6 +97,7 @@
                 .map(|(key, _)| now.upstreams().name(key).to_owned())
                 .collect(),
             vms: vms.map(|(key, _)| key).chain(names).collect(),
+            groups: place::changed(before, now),
             all: zones || leaving,
             models: before.shift() != now.shift() || now.models().iter().any(remodelled),
         }
@@ -103,7 +113,7 @@
 }
 
 impl Rows {
-    pub(super) fn new(zones: Names<Zone>) -> Self {
+    pub(super) fn new(zones: Names<Zone>, groups: bool) -> Self {
         Self {
             keys: HashMap::new(),
             tracked: HashMap::new(),
@@ -112,9 +122,16 @@
             zones,
             models: Names::default(),
             adapters: Names::default(),
+            names: Names::default(),
+            groups,
         }
     }
 
+    /// Returns whether ranks of a group are treated as such.
+    pub(super) fn groups(&self) -> bool {
+        self.groups
+    }
+
     pub(super) fn get(&self, upstream: Upstream) -> Option<&Row> {
         self.tracked.get(&upstream)
     }
@@ -159,13 +176,7 @@
         let name: Arc<str> = Arc::from(name);
         self.keys.insert(Arc::clone(&name), upstream);
         if let Some(entry) = source.state.upstreams().get(key) {
-            let row = Row {
-                name,
-                agent: entry.agent,
-                serving: source.serving(entry),
-                vm: entry.vm,
-                changed: entry.changed,
-            };
+            let row = self.row(name, source, entry);
             let profile = self.profile(source, key, entry, &row);
             picker.upsert(upstream, profile);
             self.tracked.insert(upstream, row);
@@ -178,33 +189,49 @@
         let stale = |upstream: &Upstream| {
             let row = self.tracked.get(upstream)?;
             let (key, entry) = source.state.upstreams().find(&row.name)?;
-            let same = row.changed == entry.changed && row.serving == source.serving(entry);
+            let same = row.changed == entry.changed
+                && row.serving == source.serving(entry)
+                && row.unable == self.unable(source, entry);
             (scope.models || !same).then_some((*upstream, key, entry))
         };
         let stale: Vec<_> = if scope.all || scope.models {
             self.tracked.keys().filter_map(stale).collect()
         } else {
-            self.named(scope).iter().filter_map(stale).collect()
+            self.named(scope, source).iter().filter_map(stale).collect()
         };
         for (upstream, key, entry) in stale {
             let Some(known) = self.tracked.get(&upstream) else {
                 continue;
             };
-            let row = Row {
-                name: Arc::clone(&known.name),
-                agent: entry.agent,
-                serving: source.serving(entry),
-                vm: entry.vm,
-                changed: entry.changed,
-            };
+            let name = Arc::clone(&known.name);
+            let row = self.row(name, source, entry);
             let profile = self.profile(source, key, entry, &row);
             picker.upsert(upstream, profile);
             self.tracked.insert(upstream, row);
         }
     }
 
-    /// Returns the rows of the entries and VMs of a scope.
-    fn named(&self, scope: &Scope) -> Vec<Upstream> {
+    fn row(&self, name: Arc<str>, source: &Source<'_>, entry: &entry::Upstream) -> Row {
+        let group = pools::group(source.state, entry).filter(|_| self.groups);
+        Row {
+            name,
+            agent: entry.agent,
+            group: group.map(Arc::from),
+            unable: self.unable(source, entry),
+            serving: source.serving(entry),
+            vm: entry.vm,
+            changed: entry.changed,
+        }
+    }
+
+    fn unable(&self, source: &Source<'_>, entry: &entry::Upstream) -> Option<Unable> {
+        let rank = entry.rank.filter(|_| self.groups)?;
+        source.unable(rank.group)
+    }
+
+    /// Returns the rows of the entries and VMs of a scope, and the other ranks of
+    /// their groups: a rank that is out hinders them all.
+    fn named(&self, scope: &Scope, source: &Source<'_>) -> Vec<Upstream> {
         let entries = scope.entries.iter().filter_map(|name| self.key(name));
         let mut named: Vec<_> = entries.collect();
         if !scope.vms.is_empty() {
@@ -212,6 +239,21 @@
             let rows = self.tracked.iter().filter(|(_, row)| on(row));
             named.extend(rows.map(|(upstream, _)| *upstream));
         }
+        let groups = scope.groups.iter();
+        let mut groups: HashSet<&str> = groups
+            .map(|group| source.state.groups().name(*group))
+            .collect();
+        let rows = named.iter().filter_map(|upstream| self.get(*upstream));
+        groups.extend(rows.filter_map(|row| row.group.as_deref()));
+        if !groups.is_empty() {
+            let of = |row: &Row| {
+                row.group
+                    .as_deref()
+                    .is_some_and(|group| groups.contains(group))
+            };
+            let rows = self.tracked.iter().filter(|(_, row)| of(row));
+            named.extend(rows.map(|(upstream, _)| *upstream));
+        }
         named
     }
 
@@ -259,6 +301,14 @@
                 note::Role::Decode => profile::Role::Decode,
             },
             ranks: 1,
+            place: entry
+                .rank
+                .zip(row.group.as_deref())
+                .map(|(rank, group)| Place {
+                    group: self.names.intern(group),
+                    rank: rank.index as u16,
+                    unable: row.unable,
+                }),
             offers: self.offers(source.state, key, entry),
         }
     }
--- a/crates/sesamerock/src/entry/table/wish/mod.rs
+++ b/crates/sesamerock/src/entry/table/wish/mod.rs
@@ -14,12 +14,22 @@
     pub choice: Choice,
     /// Name of the upstream.
     pub name: Arc<str>,
+    /// Name of its group, if it is a rank of one.
+    pub group: Option<Arc<str>>,
     /// Address of its agent.
     pub agent: SocketAddr,
     /// Whether a call of the asked method and path must not be repeated.
     pub not_repeatable: bool,
 }
 
+impl Target {
+    /// Returns the rank for the log line, or `-` outside of a group.
+    pub fn rank(&self) -> String {
+        let place = self.choice.place;
+        place.map_or_else(|| "-".to_owned(), |place| place.rank.to_string())
+    }
+}
+
 /// What a call needs.
 #[derive(Clone, Debug)]
 pub struct Wish<'a> {
--- a/crates/sesamerock/src/settings/check/tables/mod.rs
+++ b/crates/sesamerock/src/settings/check/tables/mod.rs
@@ -180,6 +180,12 @@
             Need::Default("4096"),
             "Requests that may wait for room at an upstream; more are refused.",
         ),
+        field(
+            "rank_routing",
+            Kind::Boolean,
+            Need::Default("true"),
+            "Whether ranks of a group are chosen by what they do to the group's steps; if not, they count as unrelated upstreams.",
+        ),
     ],
     rules: &[],
 };
--- a/crates/sesamerock/src/settings/mod.rs
+++ b/crates/sesamerock/src/settings/mod.rs
@@ -97,6 +97,9 @@
     pub attempts: u32,
     /// Requests that may wait for room at an upstream; more are refused.
     pub waiting: usize,
+    /// Whether ranks of a group are chosen by what they do to the group's steps;
+    /// if not, they count as unrelated upstreams.
+    pub rank_routing: bool,
 }
 
 impl Default for Entry {
@@ -113,6 +116,7 @@
             entries_max_age: Duration::from_secs(5),
             attempts: 4,
             waiting: 4_096,
+            rank_routing: true,
         }
     }
 }
--- a/crates/sesamerock/tests/table.rs
+++ b/crates/sesamerock/tests/table.rs
@@ -5,7 +5,7 @@
 use sesamerock::control::view::{ANNOUNCEMENT, Fact, View};
 use sesamerock::entry::entries::Announcement;
 use sesamerock::entry::table::{Table, Target, Wish};
-use sesamerock::settings::Node;
+use sesamerock::settings::{Entry, Node};
 use sesamerock_base::version::Version;
 use sesamerock_note::fold::State;
 use sesamerock_note::fold::outcome::Outcome;
@@ -63,7 +63,7 @@
     fn new(upstreams: usize, entries: usize) -> Self {
         let mut world = Self {
             state: State::default(),
-            table: Table::new(&Node::default()),
+            table: Table::new(&Entry::default()),
             entries,
             notes: 0,
         };
--- a/crates/standin/src/engine/group/mod.rs
+++ b/crates/standin/src/engine/group/mod.rs
@@ -8,7 +8,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use sesamerock_platform::engine::{Experts, Load, Placement, Window};
 use tokio::sync::watch;
@@ -31,6 +31,8 @@
     /// Time of the slowest rank over the mean, of the experts' work; 1 in a
     /// group without traffic.
     pub skew: f64,
+    /// Time that each rank itself needed, before it waited for the others.
+    pub own: Vec<Duration>,
 }
 
 impl Step {
@@ -38,6 +40,13 @@
     pub fn mixed(&self) -> bool {
         self.maps.iter().any(|map| *map != self.maps[0])
     }
+
+    /// Returns the time of the slowest rank over the mean of all.
+    pub fn rank_skew(&self) -> f64 {
+        let sum: Duration = self.own.iter().sum();
+        let longest = self.own.iter().max().copied().unwrap_or_default();
+        longest.as_secs_f64() * self.own.len() as f64 / sum.as_secs_f64().max(f64::EPSILON)
+    }
 }
 
 /// What one engine knows as a rank.
@@ -53,8 +62,13 @@
     work: Experts,
     published: Experts,
     reads: u64,
+    /// Moving means of the rank's own and the group's step time, in seconds.
+    own: f64,
+    whole: f64,
 }
 
+/// Weight of a step in the reported means, which are over about 20 steps.
+const MEAN_WEIGHT: f64 = 0.05;
 /// Steps between two publications of the experts' work.
 const PUBLISH: u64 = 20;
 /// One read of the experts' work in so many fails.
@@ -70,6 +84,8 @@
             work: Experts::default(),
             published: Experts::default(),
             reads: 0,
+            own: 0.0,
+            whole: 0.0,
         }
     }
 }
@@ -165,7 +181,13 @@
         Ok(())
     }
 
-    pub(super) fn report(&self, load: &mut Load) {
+    pub(super) fn report(&self, load: &mut Load, tells_own: bool) {
+        if self.whole > 0.0 {
+            load.step_us = (self.whole * 1e6) as u32;
+        }
+        if tells_own {
+            load.own_step_us = (self.own * 1e6) as u32;
+        }
         load.step = self.step;
         load.granted_to = self.end();
         load.staged.clone_from(&self.staged);
@@ -181,7 +203,10 @@
         self.windows.iter().find(covers).map(|window| window.map)
     }
 
-    fn ran(&mut self, step: u64) {
+    fn ran(&mut self, step: u64, own: Duration, whole: Duration) {
+        let weight = if self.whole > 0.0 { MEAN_WEIGHT } else { 1.0 };
+        self.own += (own.as_secs_f64() - self.own) * weight;
+        self.whole += (whole.as_secs_f64() - self.whole) * weight;
         self.step = step + 1;
         // The last window stays, so that its map is known to who asks.
         self.windows.retain(|window| window.to > step);
@@ -259,9 +284,16 @@
                 engine.admit();
             }
             let work = self.work(&started.0);
+            let own = self.engines.iter().enumerate().map(|(index, engine)| {
+                let experts = work.ranks.get(index).map_or(0.0, Work::seconds);
+                engine.lock().step_time() + Duration::from_secs_f64(experts)
+            });
+            let own: Vec<_> = own.collect();
             let pause = self.engines.iter().map(|engine| engine.lock().step_time());
             let pause = pause.max().unwrap_or_default();
+            let began = Instant::now();
             tokio::time::sleep(pause + Duration::from_secs_f64(work.longest)).await;
+            let whole = began.elapsed();
             if self.ready(number).is_none_or(|now| now.1 != started.1) {
                 // An engine died during the step, which is void.
                 continue;
@@ -269,7 +301,7 @@
             for (index, engine) in self.engines.iter().enumerate() {
                 engine.advance();
                 if let Some(rank) = &mut engine.lock().rank {
-                    rank.ran(number);
+                    rank.ran(number, own[index], whole);
                     if let Some(work) = work.ranks.get(index) {
                         rank.worked(number, work);
                     }
@@ -279,6 +311,7 @@
                 number,
                 maps: started.0,
                 skew: work.skew,
+                own,
             };
             self.steps.send_modify(|steps| steps.push(step));
             number += 1;
--- a/crates/standin/src/engine/group/traffic/mod.rs
+++ b/crates/standin/src/engine/group/traffic/mod.rs
@@ -44,6 +44,11 @@
 }
 
 impl Work {
+    /// Returns the time that the rank's experts took, in seconds.
+    pub(super) fn seconds(&self) -> f64 {
+        self.busy
+    }
+
     pub(super) fn add_to(&self, sum: &mut Experts) {
         sum.busy_us += (self.busy * 1e6).round() as u64;
         sum.handled += self.handled.round() as u64;
--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -38,6 +38,10 @@
     pub step: Duration,
     /// Addition to the step time for each call in the batch.
     pub step_per_call: Duration,
+    /// Factor on the step time, by which a rank of a group falls behind.
+    pub slowdown: f64,
+    /// Whether a rank reports its own step time.
+    pub tells_own_step: bool,
     /// Tokens that each call gets per step. More than one makes a fast engine,
     /// since timers resolve a millisecond.
     pub tokens_per_step: u64,
@@ -70,6 +74,8 @@
         Self {
             step: Duration::from_millis(2),
             step_per_call: Duration::from_micros(50),
+            slowdown: 1.0,
+            tells_own_step: true,
             tokens_per_step: 1,
             capacity: 32,
             cold_capacity: 2,
@@ -162,7 +168,8 @@
     }
 
     fn step_time(&self) -> Duration {
-        self.settings.step + self.settings.step_per_call * self.batch.running() as u32
+        let normal = self.settings.step + self.settings.step_per_call * self.batch.running() as u32;
+        normal.mul_f64(self.settings.slowdown)
     }
 }
 
@@ -343,7 +350,7 @@
             ..Load::default()
         };
         if let Some(rank) = &state.rank {
-            rank.report(&mut load);
+            rank.report(&mut load, state.settings.tells_own_step);
         }
         load
     }
