--- a/crates/limit/tests/learn.rs
+++ b/crates/limit/tests/learn.rs
@@ -389,3 +389,30 @@
     }
     assert!(gate.report().limit.calls < grown);
 }
+
+/// Fails if a rank is taken for cold because its group waits for another one,
+/// or if its own slowness no longer counts.
+#[test]
+fn a_rank_that_waits_for_others_keeps_its_limit() {
+    let slow = 3 * STEP;
+    for (own, resets) in [(STEP, 0), (slow, 1)] {
+        let mut bench = Bench::new(100);
+        bench.run(1000, 8);
+        let limit = bench.limit();
+        bench.step = slow;
+        for _ in 0..20 {
+            // The report is read more often than SLOW steps pass.
+            let report = Report {
+                incarnation: 1,
+                running: bench.running.len() as u32,
+                waiting: 0,
+                step: slow,
+                own,
+            };
+            bench.gate.observe(bench.now, &report);
+            bench.run(5, 8);
+        }
+        assert_eq!(bench.gate.report().resets, resets, "own {own:?}");
+        assert_eq!(bench.limit() >= limit, resets == 0, "own {own:?}");
+    }
+}
--- a/crates/route/src/pick/choose/mod.rs
+++ b/crates/route/src/pick/choose/mod.rs
@@ -53,7 +53,7 @@
         let prior = score::prior(loads, paces, &self.settings.score);
         self.pace_groups(&mut groups, pool, &prior, now);
         let homes = self.homes(request, &eligible);
-        let sampled = self.sample(request, &eligible, &homes, &prior, now, rng);
+        let sampled = self.sample(request, &eligible, &homes, &prior, &groups, now, rng);
         let mut scored: SmallVec<[Scored; 16]> = sampled
             .iter()
             .filter_map(|upstream| {
@@ -173,22 +173,32 @@
 
     /// Returns the candidates to compare: a random sample, the places of the
     /// prefix, and the candidate with most of it cached.
+    #[expect(clippy::too_many_arguments, reason = "one sample from many inputs")]
     fn sample(
         &self,
         request: &Request<'_>,
         eligible: &[Upstream],
         homes: &[Upstream],
         prior: &Prior,
+        groups: &Views,
         now: Moment,
         rng: &mut impl Rng,
     ) -> SmallVec<[Upstream; 16]> {
         let count = rank::choices(eligible.len(), self.share(eligible, prior, now));
         let mut shuffled: SmallVec<[Upstream; 64]> = SmallVec::from_slice(eligible);
-        for index in 0..count {
+        let drawn = if groups.is_empty() {
+            count
+        } else {
+            shuffled.len()
+        };
+        for index in 0..drawn {
             let other = rng.random_range(index..shuffled.len());
             shuffled.swap(index, other);
         }
         let mut sampled: SmallVec<[Upstream; 16]> = shuffled[..count].iter().copied().collect();
+        if count < shuffled.len() && !groups.is_empty() {
+            self.add_ranks(&shuffled, &mut sampled);
+        }
         let longest = eligible
             .iter()
             .map(|upstream| (self.index.matched(*upstream, request.prefix), *upstream))
@@ -206,6 +216,23 @@
         sampled
     }
 
+    /// Adds a second rank of the first candidate's group, and two ranks of another
+    /// one: a sample from one group tells nothing about the others, whose step
+    /// times are known.
+    fn add_ranks(&self, shuffled: &[Upstream], sampled: &mut SmallVec<[Upstream; 16]>) {
+        let group = |upstream: Upstream| Some(self.state(upstream)?.profile.place?.group);
+        let own = group(shuffled[0]);
+        let same = shuffled.iter().filter(|other| group(**other) == own);
+        let other = shuffled.iter().find(|other| group(**other) != own);
+        let other = other.map(|other| group(*other));
+        let beside = shuffled.iter().filter(|rank| Some(group(**rank)) == other);
+        for upstream in same.take(2).chain(beside.take(2)) {
+            if !sampled.contains(upstream) {
+                sampled.push(*upstream);
+            }
+        }
+    }
+
     /// Returns this entry's share of the known work of the candidates.
     fn share(&self, eligible: &[Upstream], prior: &Prior, now: Moment) -> f64 {
         let mut own = 0.0;
--- a/crates/route/src/pick/group/mod.rs
+++ b/crates/route/src/pick/group/mod.rs
@@ -48,6 +48,10 @@
 pub(super) struct Views(SmallVec<[View; 4]>);
 
 impl Views {
+    pub(super) fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
     pub(super) fn of(&self, state: &State) -> Option<&View> {
         let place = state.profile.place?;
         self.0.iter().find(|view| view.group == place.group)
--- /dev/null
+++ b/crates/route/tests/ranks.rs
@@ -0,0 +1,309 @@
+//! Guards the choice among ranks of groups that are upstreams of their own.
+
+use std::time::Duration;
+
+use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::SeedableRng;
+use sesamerock_base::key::{Group, Model, Upstream};
+use sesamerock_base::time::Moment;
+use sesamerock_route::choice::{Choice, Reason, Request, Why};
+use sesamerock_route::hash;
+use sesamerock_route::load::Report;
+use sesamerock_route::pick::{Picker, Settings};
+use sesamerock_route::profile::{Need, Offer, Place, Profile, Unable};
+
+const NOW: Moment = Moment::from_millis(60_000);
+const RANKS: u32 = 4;
+const DRAWS: usize = 400;
+
+const fn millis(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn profile(upstream: u32, group: Option<u32>) -> Profile {
+    Profile {
+        name: hash::name(upstream.to_le_bytes()),
+        offers: vec![Offer {
+            model: Model(1),
+            ..Offer::default()
+        }],
+        place: group.map(|group| Place {
+            group: Group(group),
+            rank: (upstream % RANKS) as u16,
+            unable: None,
+        }),
+        ..Profile::default()
+    }
+}
+
+/// A rank at usual load whose own step time is `own` in steps of `step`.
+fn report(own: u64, step: u64) -> Report {
+    Report {
+        calls: 6,
+        tokens: 6_000,
+        call_limit: 12,
+        credits: 8,
+        credits_for: Duration::from_secs(1),
+        step: millis(step),
+        own: millis(own),
+        ..Report::default()
+    }
+}
+
+/// Groups of [`RANKS`] ranks each, then single upstreams, with fresh reports.
+fn pool(groups: u32, singles: u32) -> (Picker, Vec<Upstream>) {
+    let mut picker = Picker::new(Settings::default());
+    let ranks = groups * RANKS;
+    for upstream in 0..ranks + singles {
+        let group = (upstream < ranks).then_some(upstream / RANKS);
+        picker.upsert(Upstream(upstream), profile(upstream, group));
+        let own = if group.is_some() { 14 } else { 0 };
+        picker.report(Upstream(upstream), report(own, 15), NOW);
+    }
+    (picker, (0..ranks + singles).map(Upstream).collect())
+}
+
+fn request<'a>() -> Request<'a> {
+    Request {
+        need: Need {
+            model: Model(1),
+            ..Need::default()
+        },
+        tokens: 1_000,
+        prompt: 300,
+        urgency: 3,
+        ..Request::default()
+    }
+}
+
+/// Draws many choices of one moment and returns how often each upstream won.
+fn draw(picker: &Picker, pool: &[Upstream], now: Moment) -> Vec<usize> {
+    let mut rng = ChaCha8Rng::seed_from_u64(3);
+    let mut counts = vec![0; pool.len()];
+    for _ in 0..DRAWS {
+        let choice = picker.pick(&request(), pool, now, &mut rng).expect("one");
+        counts[choice.upstream.0 as usize] += 1;
+    }
+    counts
+}
+
+fn choose(picker: &Picker, pool: &[Upstream], request: &Request<'_>) -> Choice {
+    let mut rng = ChaCha8Rng::seed_from_u64(3);
+    picker.pick(request, pool, NOW, &mut rng).expect("a choice")
+}
+
+/// Work for the slowest rank makes the steps of all longer.
+#[test]
+fn straggler_gets_no_work_while_the_others_wait_for_it() {
+    let (mut picker, pool) = pool(1, 0);
+    picker.report(
+        pool[0],
+        Report {
+            calls: 4,
+            tokens: 4_000,
+            ..report(28, 28)
+        },
+        NOW,
+    );
+    for rank in &pool[1..] {
+        picker.report(*rank, report(14, 28), NOW);
+    }
+    let counts = draw(&picker, &pool, NOW);
+    assert_eq!(counts[0], 0, "{counts:?}");
+    let choice = choose(&picker, &pool, &request());
+    let loser = choice.losers.iter().find(|loser| loser.upstream == pool[0]);
+    if loser.is_some_and(|loser| matches!(loser.why, Why::Growth(_))) {
+        assert_eq!(choice.reason, Reason::Balance);
+    }
+    assert!(choice.slowest.is_some_and(|own| own < millis(28)));
+    assert_eq!(choice.place.map(|place| place.group), Some(Group(0)));
+}
+
+/// A straggler that lost its work sends no reports; the group's step time must
+/// tell that it is still slow, and later that it is not.
+#[test]
+fn silent_straggler_is_left_alone_until_the_steps_become_short() {
+    let (mut picker, pool) = pool(1, 0);
+    let idle = Report {
+        calls: 0,
+        tokens: 0,
+        ..report(28, 28)
+    };
+    picker.report(pool[0], idle, NOW);
+    let later = NOW + Duration::from_secs(8);
+    for rank in &pool[1..] {
+        picker.report(*rank, report(14, 28), later);
+    }
+    let counts = draw(&picker, &pool, later);
+    assert_eq!(counts[0], 0, "still slow: {counts:?}");
+    for rank in &pool[1..] {
+        picker.report(*rank, report(14, 15), later);
+    }
+    let counts = draw(&picker, &pool, later);
+    assert!(counts[0] > DRAWS / 10, "recovered: {counts:?}");
+}
+
+/// Steps that are long because of another rank must not keep the former
+/// straggler without work.
+#[test]
+fn silent_straggler_is_tried_again_when_another_rank_explains_the_steps() {
+    let (mut picker, pool) = pool(1, 0);
+    picker.report(
+        pool[0],
+        Report {
+            calls: 0,
+            tokens: 0,
+            ..report(28, 28)
+        },
+        NOW,
+    );
+    let later = NOW + Duration::from_secs(8);
+    picker.report(pool[1], report(28, 28), later);
+    picker.report(pool[2], report(14, 28), later);
+    picker.report(pool[3], report(14, 28), later);
+    let counts = draw(&picker, &pool, later);
+    assert!(counts[0] > DRAWS / 10, "{counts:?}");
+    assert_eq!(counts[1], 0, "{counts:?}");
+}
+
+/// Entries with old reports that all chose the rank with the best one would
+/// overload it together.
+#[test]
+fn late_reports_spread_work_over_all_ranks() {
+    let (mut picker, pool) = pool(1, 0);
+    for (rank, own) in pool.iter().zip([15, 10, 12, 14]) {
+        picker.report(*rank, report(own, 15), NOW);
+    }
+    let counts = draw(&picker, &pool, NOW + Duration::from_secs(30));
+    assert!(counts.iter().all(|count| *count > DRAWS / 10), "{counts:?}");
+    assert!(counts.iter().all(|count| *count < DRAWS / 2), "{counts:?}");
+}
+
+/// The step time is that of the group whichever rank reported it last.
+#[test]
+fn group_with_shorter_steps_is_preferred() {
+    let (mut picker, pool) = pool(2, 0);
+    for rank in &pool[..RANKS as usize] {
+        picker.report(*rank, report(14, 15), NOW);
+    }
+    let later = NOW + millis(100);
+    picker.report(pool[0], report(14, 60), later);
+    let counts = draw(&picker, &pool, later);
+    let first: usize = counts[..RANKS as usize].iter().sum();
+    assert!(first < DRAWS / 10, "{counts:?}");
+}
+
+/// A group waits for all of its ranks, so a rank that is missing, out, leaving,
+/// silent or stalled keeps new work away from all of them, and from no other.
+#[test]
+fn group_that_cannot_step_gets_no_work_where_another_upstream_serves() {
+    let (first, _) = (0..RANKS as usize, ());
+    for (groups, singles) in [(2, 0), (1, 1)] {
+        for unable in [
+            Unable::Missing,
+            Unable::Out,
+            Unable::Leaving,
+            Unable::Stalled,
+        ] {
+            let (mut picker, pool) = pool(groups, singles);
+            let mut lame = profile(1, Some(0));
+            match unable {
+                Unable::Out => lame.out = true,
+                Unable::Leaving => lame.leaving = true,
+                Unable::Stalled => {
+                    let stalled = Report {
+                        stalled: true,
+                        ..report(14, 15)
+                    };
+                    picker.report(pool[1], stalled, NOW);
+                }
+                _ => lame.place.as_mut().expect("a place").unable = Some(unable),
+            }
+            picker.upsert(pool[1], lame);
+            let counts = draw(&picker, &pool, NOW);
+            assert_eq!(counts[first.clone()].iter().sum::<usize>(), 0, "{unable}");
+            let choice = choose(&picker, &pool, &request());
+            let why = choice.losers.iter().find(|loser| loser.upstream == pool[0]);
+            assert_eq!(why.map(|loser| loser.why), Some(Why::Group(unable)));
+            // Nothing else serves, so the call waits for the group.
+            let alone = choose(&picker, &pool[first.clone()], &request());
+            assert!(!alone.elsewhere);
+        }
+    }
+}
+
+/// An agent that does not answer counts for its group, but a request that tried
+/// a rank in vain does not.
+#[test]
+fn silent_agent_hinders_its_group_and_an_excluded_rank_does_not() {
+    let (picker, pool) = pool(2, 0);
+    let silent = Request {
+        silent: &pool[..1],
+        ..request()
+    };
+    assert!(choose(&picker, &pool, &silent).upstream >= pool[RANKS as usize]);
+    let others = &pool[RANKS as usize..];
+    let tried: Vec<_> = others.iter().chain(&pool[..1]).copied().collect();
+    let excluded = Request {
+        excluded: &tried,
+        ..request()
+    };
+    let choice = choose(&picker, &pool, &excluded);
+    assert!(pool[1..RANKS as usize].contains(&choice.upstream));
+    assert!(choice.elsewhere);
+}
+
+/// Work must not wait in a group that cannot step because the other one is full.
+#[test]
+fn full_group_is_better_than_one_that_cannot_step() {
+    let (mut picker, pool) = pool(2, 0);
+    picker.report(
+        pool[0],
+        Report {
+            stalled: true,
+            ..report(14, 15)
+        },
+        NOW,
+    );
+    for rank in &pool[RANKS as usize..] {
+        picker.report(
+            *rank,
+            Report {
+                credits: 0,
+                ..report(14, 15)
+            },
+            NOW,
+        );
+    }
+    let mut rng = ChaCha8Rng::seed_from_u64(3);
+    picker
+        .pick(&request(), &pool, NOW, &mut rng)
+        .expect_err("no credits");
+    let queues = Request {
+        queues: true,
+        ..request()
+    };
+    assert!(choose(&picker, &pool, &queues).upstream >= pool[RANKS as usize]);
+}
+
+/// A report of a stall is no more believed once it is old, since the group gets
+/// no calls whose answers would bring a newer one.
+#[test]
+fn stalled_group_is_tried_again() {
+    let (mut picker, pool) = pool(2, 0);
+    for rank in &pool[..RANKS as usize] {
+        picker.report(
+            *rank,
+            Report {
+                stalled: true,
+                ..report(14, 15)
+            },
+            NOW,
+        );
+    }
+    let counts = draw(&picker, &pool, NOW + Duration::from_secs(6));
+    assert!(
+        counts[..RANKS as usize].iter().sum::<usize>() > 0,
+        "{counts:?}"
+    );
+}
--- a/crates/route/tests/subset.rs
+++ b/crates/route/tests/subset.rs
@@ -82,3 +82,51 @@
         }
     }
 }
+
+/// Ranks selected one by one would differ in their number of entries, and the
+/// one with the most would make the steps of its group longer; an entry with one
+/// group could go nowhere when that group cannot step.
+#[test]
+fn groups_are_selected_as_a_whole_and_each_entry_has_two() {
+    const RANKS: u32 = 8;
+    const GROUPS: u32 = 9;
+    let member = |index: u32| Member {
+        upstream: Upstream(index),
+        name: hash::name(index.to_le_bytes()),
+        zone: Zone(index / RANKS),
+        group: (index < RANKS * GROUPS).then(|| hash::name((index / RANKS).to_le_bytes())),
+    };
+    // A few single upstreams are in the same pool.
+    let pool: Vec<_> = (0..RANKS * GROUPS + 5).map(member).collect();
+    let mut covered = vec![0; pool.len()];
+    for entry in 0..970 {
+        let mut subset = Subset::default();
+        subset.update(hash::mix(entry, 1), &pool, 970, Settings::default());
+        let mut ranks = vec![0; GROUPS as usize];
+        for upstream in subset.members() {
+            covered[upstream.0 as usize] += 1;
+            if upstream.0 < RANKS * GROUPS {
+                ranks[(upstream.0 / RANKS) as usize] += 1;
+            }
+        }
+        assert!(
+            ranks.iter().all(|count| [0, RANKS].contains(count)),
+            "{ranks:?}"
+        );
+        assert!(
+            ranks.iter().filter(|count| **count > 0).count() >= 2,
+            "{ranks:?}"
+        );
+    }
+    for group in covered.chunks_exact(RANKS as usize) {
+        assert!(group.iter().all(|entries| *entries == group[0]));
+    }
+    let mean = 970.0 * 4.0 / f64::from(GROUPS);
+    let even = |entries: &&usize| (0.5..1.5).contains(&(**entries as f64 / mean));
+    let ranks = covered[..(RANKS * GROUPS) as usize].iter();
+    assert_eq!(
+        ranks.clone().filter(even).count(),
+        ranks.len(),
+        "{covered:?}"
+    );
+}
