--- a/crates/sesamerock/src/agent/group/handle/mod.rs
+++ b/crates/sesamerock/src/agent/group/handle/mod.rs
@@ -80,6 +80,9 @@
     pub confirmed: u64,
     /// Ranks whose promise this leader waits for.
     pub silent: Vec<u32>,
+    /// Whether the group has work and does not step, as this agent sees it.
+    #[serde(default)]
+    pub stalled: bool,
 }
 
 /// The group's task, for the other tasks of the agent.
--- a/crates/sesamerock/src/agent/group/present/mod.rs
+++ b/crates/sesamerock/src/agent/group/present/mod.rs
@@ -87,6 +87,8 @@
             counter: self.leader.fence().counter,
             confirmed: self.leader.confirmed(),
             silent,
+            // Known to the watcher of the engine, not to the protocol.
+            stalled: false,
         }
     }
 
--- a/crates/sesamerock/src/agent/operator/mod.rs
+++ b/crates/sesamerock/src/agent/operator/mod.rs
@@ -10,6 +10,7 @@
 use sesamerock_platform::http::server::Handler;
 
 use super::Context;
+use super::group::Status;
 use super::probe::Sight;
 use crate::entry::operator::{json, not_found, text};
 
@@ -41,7 +42,13 @@
         match request.uri().path() {
             "/healthz" => text(StatusCode::OK, "ok\n"),
             "/readyz" => self.ready(),
-            "/group" => json(StatusCode::OK, &self.context.group.status()),
+            "/group" => {
+                let status = Status {
+                    stalled: self.context.stalled.get(),
+                    ..self.context.group.status()
+                };
+                json(StatusCode::OK, &status)
+            }
             "/metrics" => text(StatusCode::OK, self.context.metrics.render()),
             _ => not_found(),
         }
--- a/crates/standin/src/engine/group/mod.rs
+++ b/crates/standin/src/engine/group/mod.rs
@@ -352,7 +352,8 @@
     fn ready(&self, step: u64) -> Option<(Vec<u64>, Vec<u64>)> {
         let ranks = self.engines.iter().map(|engine| {
             let state = engine.lock();
-            let map = state.rank.as_ref()?.map_of(step)?;
+            let rank = state.rank.as_ref().filter(|_| !state.settings.hangs)?;
+            let map = rank.map_of(step)?;
             Some((map, state.incarnation))
         });
         ranks
--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -40,6 +40,8 @@
     pub step_per_call: Duration,
     /// Factor on the step time, by which a rank of a group falls behind.
     pub slowdown: f64,
+    /// Whether a rank of a group hangs, so that the group does not step.
+    pub hangs: bool,
     /// Whether a rank reports its own step time.
     pub tells_own_step: bool,
     /// Tokens that each call gets per step. More than one makes a fast engine,
@@ -75,6 +77,7 @@
             step: Duration::from_millis(2),
             step_per_call: Duration::from_micros(50),
             slowdown: 1.0,
+            hangs: false,
             tells_own_step: true,
             tokens_per_step: 1,
             capacity: 32,
@@ -272,6 +275,8 @@
     /// Changes its behaviour.
     pub fn configure(&self, change: impl FnOnce(&mut Settings)) {
         change(&mut self.lock().settings);
+        // A group waits for a rank that hangs.
+        self.granted.notify_one();
     }
 
     /// Turns the engine cold without notice and without a new incarnation.
