Refuse calls for a rank that its group waits for, and describe ranks

The agent of the slowest rank refuses calls above 1.1 times the median own step time of its group, also without calls of its own; an own time is believed for 2 s.

--- a/crates/route/src/choice/mod.rs
+++ b/crates/route/src/choice/mod.rs
@@ -169,9 +169,13 @@
     /// Returns the cause that this reason stands for.
     pub(crate) const fn cause(self) -> Cause {
         match self {
-            Self::Unknown | Self::Unfit | Self::Unsampled => Cause::Unserved,
-            // Only candidates beside an eligible one get these.
-            Self::Group(_) | Self::Cost(_) | Self::Growth(_) => Cause::Unserved,
+            // The last four are reasons against a candidate beside a better one.
+            Self::Unknown
+            | Self::Unfit
+            | Self::Group(_)
+            | Self::Cost(_)
+            | Self::Growth(_)
+            | Self::Unsampled => Cause::Unserved,
             Self::Leaving => Cause::Leaving,
             Self::Out => Cause::Out,
             Self::Excluded => Cause::Excluded,
--- a/crates/route/src/pick/group/mod.rs
+++ b/crates/route/src/pick/group/mod.rs
@@ -13,6 +13,7 @@
 
 use super::{Picker, State};
 use crate::choice::Request;
+use crate::load;
 use crate::profile::Unable;
 use crate::rank::FIXED_TOKENS;
 use crate::score::Prior;
@@ -150,9 +151,8 @@
             let tokens: f64 = reports().map(|report| report.tokens as f64).sum();
             let fixed = (tokens / count as f64).max(FIXED_TOKENS);
             let own = median(reports().map(|report| report.own.as_secs_f64()));
-            let rate = |report: &crate::load::Report| {
-                report.own.as_secs_f64() / (report.tokens as f64 + fixed)
-            };
+            let rate =
+                |report: &load::Report| report.own.as_secs_f64() / (report.tokens as f64 + fixed);
             let rate = median(reports().map(rate));
             let step = view.step().unwrap_or(0.0);
             let explained = ranks().any(|state| {
@@ -173,7 +173,7 @@
             (paced.unable, paced.step, paced.heard) = (view.unable, view.step, view.heard);
             paced.slowest = ranks()
                 .map(|state| {
-                    let known = state.load.known(now, &self.settings.load);
+                    let known = self.paced(state, now);
                     paced.time(state, known, self.held(state, prior, now))
                 })
                 .fold(f64::EPSILON, f64::max);
@@ -194,7 +194,7 @@
         if view.own.is_none() {
             return 0.0;
         }
-        let known = state.load.known(now, &self.settings.load);
+        let known = self.paced(state, now);
         let held = self.held(state, prior, now) + request.tokens as f64;
         (view.time(state, known, held) / view.slowest - 1.0).max(0.0)
     }
@@ -205,6 +205,15 @@
             .map(|own| Duration::from_secs_f64(own * self.settings.slowest))
     }
 
+    /// Returns the weight of a rank's reported own step time.
+    fn paced(&self, state: &State, now: Moment) -> f64 {
+        let settings = load::Settings {
+            stale: self.settings.probe,
+            ..self.settings.load
+        };
+        state.load.known(now, &settings)
+    }
+
     fn held(&self, state: &State, prior: &Prior, now: Moment) -> f64 {
         let assumed = prior.estimate(&state.load);
         let estimate = state.load.estimate(now, &assumed, &self.settings.load);
--- a/crates/route/src/pick/mod.rs
+++ b/crates/route/src/pick/mod.rs
@@ -49,6 +49,10 @@
     /// agent should refuse a call that other ranks can take. Means over some
     /// steps vary by about a tenth with the calls that come and go.
     pub slowest: f64,
+    /// Age from which a rank's own step time is no longer believed, so that a
+    /// rank that was slow is offered a call again. Its agent refuses the call if
+    /// the group still waits for it, at the price of a round trip.
+    pub probe: Duration,
     /// Most upstreams that may refuse a request for this reason.
     pub bounces: usize,
     /// Time after which a request that no upstream can take may be sent again,
@@ -67,7 +71,8 @@
             score: score::Settings::default(),
             rank_share: 0.5,
             ceiling: 1.15,
-            slowest: 1.25,
+            slowest: 1.1,
+            probe: Duration::from_secs(2),
             bounces: 3,
             retry_after: Duration::from_millis(100),
         }
--- a/crates/route/tests/ranks.rs
+++ b/crates/route/tests/ranks.rs
@@ -197,7 +197,7 @@
 /// silent or stalled keeps new work away from all of them, and from no other.
 #[test]
 fn group_that_cannot_step_gets_no_work_where_another_upstream_serves() {
-    let (first, _) = (0..RANKS as usize, ());
+    let first = 0..RANKS as usize;
     for (groups, singles) in [(2, 0), (1, 1)] {
         for unable in [
             Unable::Missing,
--- a/crates/sesamerock/src/agent/execute/mod.rs
+++ b/crates/sesamerock/src/agent/execute/mod.rs
@@ -248,16 +248,17 @@
 }
 
 /// Returns whether the group waits for this rank, and its own step time is above
-/// the one at which the sender would rather use another rank. A rank without
-/// calls takes one, which shows whether it is still slow.
+/// the one at which the sender would rather use another rank.
+///
+/// A rank without calls takes part in the steps of its group all the same, so its
+/// own time shows whether it is still slow, and the refusal tells the sender.
 fn over_step<E>(context: &Context<E>, head: &Head) -> bool {
     let Sight::Alive(load) = context.probe.sight() else {
         return false;
     };
-    let calls = context.gate.snapshot().in_flight.calls;
     let slowest = u64::from(load.own_step_us) * 100 >= u64::from(load.step_us) * SLOWEST_PERCENT;
     let bounded = head.ceiling_step_us > 0 && load.own_step_us > head.ceiling_step_us;
-    bounded && slowest && calls > 0
+    bounded && slowest
 }
 
 /// Makes the refusal of a call that would wait in a group without steps.
--- a/crates/sesamerock/src/entry/table/place/mod.rs
+++ b/crates/sesamerock/src/entry/table/place/mod.rs
@@ -16,10 +16,10 @@
             return Some(Unable::Missing);
         }
         let why = |entry: &entry::Upstream| {
-            if !self.state.in_service(entry) {
-                Some(Unable::Out)
-            } else {
+            if self.state.in_service(entry) {
                 (!self.serving(entry)).then_some(Unable::Leaving)
+            } else {
+                Some(Unable::Out)
             }
         };
         let of_rank = |(_, key): &(u32, _)| {
--- a/crates/sesamerock/tests/table.rs
+++ b/crates/sesamerock/tests/table.rs
@@ -357,3 +357,49 @@
     }
     assert_eq!(world.table.names(), before);
 }
+
+/// Guards against new work for ranks whose group lost another one: the control
+/// state changes the entry or the VM of that rank only.
+#[test]
+fn ranks_follow_what_happens_to_the_others_of_their_group() {
+    let mut world = World::new(0, 1);
+    let mut note = Note::default();
+    note.add.upstreams = (0..4)
+        .map(|number| Upstream {
+            group: Some(format!("g{}", number / 2)),
+            rank: Some(number as u32 % 2),
+            ..upstream(number, MODEL)
+        })
+        .collect();
+    world.note(note);
+    let groups = |world: &mut World| {
+        let targets = (0..60).map(|_| {
+            let target = world.choose(MODEL).expect("a rank");
+            world.table.finished(&target);
+            let rank = target.rank();
+            (target.group.expect("a group").to_string(), rank)
+        });
+        targets.collect::<std::collections::BTreeSet<_>>()
+    };
+    let pairs = |pairs: &[(&str, &str)]| {
+        let pairs = pairs.iter();
+        pairs
+            .map(|(group, rank)| ((*group).to_owned(), (*rank).to_owned()))
+            .collect()
+    };
+    let first = [("g0", "0"), ("g0", "1")];
+    let second = [("g1", "0"), ("g1", "1")];
+    assert_eq!(groups(&mut world), pairs(&[first, second].concat()));
+    world.vm("vm-1", Turn::Out);
+    assert_eq!(groups(&mut world), pairs(&second), "rank 1 is out");
+    world.vm("vm-1", Turn::In);
+    assert_eq!(groups(&mut world), pairs(&[first, second].concat()));
+    world.withdraw("engine-2");
+    assert_eq!(groups(&mut world), pairs(&first), "rank 0 is missing");
+    world.vm("vm-0", Turn::Out);
+    assert_eq!(
+        groups(&mut world).len(),
+        2,
+        "no group is whole, so both serve"
+    );
+}
