--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -17,6 +17,7 @@
 mod plan;
 mod poison;
 mod prefix;
+mod ranks;
 mod recover;
 mod report;
 mod rollout;
@@ -55,6 +56,7 @@
     ("plan", plan::run),
     ("poison", poison::run),
     ("prefix", prefix::run),
+    ("ranks", ranks::run),
     ("recover", recover::run),
     ("rollout", rollout::run),
     ("skew", skew::run),
--- a/crates/sesamerock/src/entry/dispatch/attempt/choose/mod.rs
+++ b/crates/sesamerock/src/entry/dispatch/attempt/choose/mod.rs
@@ -76,11 +76,13 @@
 
     fn log_choice(&self, attempt: u64, table: &Table, target: &Target) {
         log::info!(
-            "event=routed request={} attempt={attempt} workspace={} pool={} upstream={} reason={} expected_us={} matched={} losers={}",
+            "event=routed request={} attempt={attempt} workspace={} pool={} upstream={} group={} rank={} reason={} expected_us={} matched={} losers={}",
             self.ask.id,
             self.ask.workspace,
             self.pool(),
             target.name,
+            target.group.as_deref().unwrap_or("-"),
+            target.rank(),
             target.choice.reason,
             target.choice.expected.as_micros(),
             target.choice.matched,
--- a/crates/sesamerock/src/entry/dispatch/attempt/refused/mod.rs
+++ b/crates/sesamerock/src/entry/dispatch/attempt/refused/mod.rs
@@ -47,7 +47,7 @@
                     ..failure
                 }
             }
-            Reason::OverCeiling => Failure {
+            Reason::OverCeiling | Reason::GroupStalled => Failure {
                 remedy: Remedy::Elsewhere,
                 ..failure
             },
--- a/crates/sesamerock/src/entry/dispatch/head/mod.rs
+++ b/crates/sesamerock/src/entry/dispatch/head/mod.rs
@@ -69,6 +69,11 @@
             suspect: self.isolated(),
             ceiling_percent: self.ceiling(target),
             cache: self.cursor(target),
+            ceiling_step_us: target
+                .choice
+                .slowest
+                .map_or(0, |slowest| slowest.as_micros() as u32),
+            elsewhere: target.choice.elsewhere && self.repeatable,
         }
     }
 
--- a/crates/sesamerock/src/settings/check/tables/mod.rs
+++ b/crates/sesamerock/src/settings/check/tables/mod.rs
@@ -193,6 +193,12 @@
             Need::Optional,
             "When a slow look-up is sent to a second upstream.",
         ),
+        field(
+            "rank_routing",
+            Kind::Boolean,
+            Need::Default("true"),
+            "Whether ranks of a group are chosen by what they do to the group's steps; if not, they count as unrelated upstreams.",
+        ),
     ],
     rules: &[],
 };
--- a/crates/sesamerock/src/settings/mod.rs
+++ b/crates/sesamerock/src/settings/mod.rs
@@ -100,6 +100,9 @@
     pub waiting: usize,
     /// When a slow look-up is sent to a second upstream.
     pub hedge: hedge::Hedge,
+    /// Whether ranks of a group are chosen by what they do to the group's steps;
+    /// if not, they count as unrelated upstreams.
+    pub rank_routing: bool,
 }
 
 impl Default for Entry {
@@ -117,6 +120,7 @@
             attempts: 4,
             waiting: 4_096,
             hedge: hedge::Hedge::default(),
+            rank_routing: true,
         }
     }
 }
--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -43,6 +43,12 @@
     pub step: Duration,
     /// Addition to the step time for each call in the batch.
     pub step_per_call: Duration,
+    /// Factor on the step time, by which a rank of a group falls behind.
+    pub slowdown: f64,
+    /// Whether a rank of a group hangs, so that the group does not step.
+    pub hangs: bool,
+    /// Whether a rank reports its own step time.
+    pub tells_own_step: bool,
     /// Tokens that each call gets per step. More than one makes a fast engine,
     /// since timers resolve a millisecond.
     pub tokens_per_step: u64,
@@ -85,6 +91,9 @@
         Self {
             step: Duration::from_millis(2),
             step_per_call: Duration::from_micros(50),
+            slowdown: 1.0,
+            hangs: false,
+            tells_own_step: true,
             tokens_per_step: 1,
             capacity: 32,
             cold_capacity: 2,
@@ -190,7 +199,8 @@
     fn step_time(&self) -> Duration {
         let computed = self.batch.prefill(self.settings.prefill_blocks) as u32;
         let prefill = self.settings.prefill_per_block * computed;
-        self.settings.step + self.settings.step_per_call * self.batch.running() as u32 + prefill
+        let calls = self.settings.step_per_call * self.batch.running() as u32;
+        (self.settings.step + calls + prefill).mul_f64(self.settings.slowdown)
     }
 }
 
@@ -294,6 +304,8 @@
     /// Changes its behaviour.
     pub fn configure(&self, change: impl FnOnce(&mut Settings)) {
         change(&mut self.lock().settings);
+        // A group waits for a rank that hangs.
+        self.granted.notify_one();
     }
 
     /// Turns the engine cold without notice and without a new incarnation.
@@ -413,7 +425,7 @@
             ..Load::default()
         };
         if let Some(rank) = &state.rank {
-            rank.report(&mut load);
+            rank.report(&mut load, state.settings.tells_own_step);
         }
         load
     }
