Remove the unused conversion of Infallible into Aborted

Cause: `impl From<Infallible> for Aborted` in the platform's body module has no user; no body of the workspace is made from an error that cannot occur.

Change: the impl and its import are removed.

The platform crate has no tests of its own, so the compiler is the only check.

--- a/crates/platform/src/http/body/mod.rs
+++ b/crates/platform/src/http/body/mod.rs
@@ -1,7 +1,6 @@
 //! Message bodies as one concrete type, so that the request path needs no
 //! dynamic dispatch.
 
-use std::convert::Infallible;
 use std::pin::Pin;
 use std::task::{Context, Poll};
 
@@ -141,9 +140,3 @@
         }
     }
 }
-
-impl From<Infallible> for Aborted {
-    fn from(never: Infallible) -> Self {
-        match never {}
-    }
-}
