--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -18,6 +18,7 @@
 mod recover;
 mod report;
 mod rollout;
+mod runtime;
 mod skew;
 mod spread;
 mod state;
--- a/crates/measure/src/node/mod.rs
+++ b/crates/measure/src/node/mod.rs
@@ -22,7 +22,7 @@
 
 use crate::recover::fill;
 use crate::report::Report;
-use crate::usage;
+use crate::{runtime, usage};
 
 /// Sizes of the control state, in upstreams.
 const SIZES: [usize; 4] = [0, 100, 1_000, 10_000];
@@ -33,13 +33,10 @@
 /// Changes a day at the target size.
 const CHANGES_PER_DAY: f64 = 17_000.0;
 const SECONDS_PER_DAY: f64 = 86_400.0;
+
 /// Runs the measure.
 pub fn run(_seed: u64, report: &mut Report) {
-    let runtime = tokio::runtime::Builder::new_multi_thread()
-        .enable_all()
-        .build()
-        .expect("the runtime starts");
-    runtime.block_on(measure(report));
+    runtime::block_on(measure(report));
 }
 
 async fn measure(report: &mut Report) {
--- a/crates/measure/src/overhead/mod.rs
+++ b/crates/measure/src/overhead/mod.rs
@@ -14,7 +14,7 @@
 
 use crate::report::Report;
 use crate::traffic::{closed_loop, completion, lookup, quantile};
-use crate::usage;
+use crate::{runtime, usage};
 
 /// Requests in flight at once.
 const WIDTH: usize = 64;
@@ -32,11 +32,7 @@
 
 /// Runs the measure.
 pub fn run(_seed: u64, report: &mut Report) {
-    let runtime = tokio::runtime::Builder::new_multi_thread()
-        .enable_all()
-        .build()
-        .expect("the runtime starts");
-    runtime.block_on(measure(report));
+    runtime::block_on(measure(report));
 }
 
 async fn measure(report: &mut Report) {
--- a/crates/measure/src/recover/mod.rs
+++ b/crates/measure/src/recover/mod.rs
@@ -16,6 +16,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::report::Report;
+use crate::runtime;
 
 /// Sizes of the control state, in upstreams.
 const SIZES: [usize; 3] = [100, 1_000, 10_000];
@@ -31,11 +32,7 @@
 
 /// Runs the measure.
 pub fn run(_seed: u64, report: &mut Report) {
-    let runtime = tokio::runtime::Builder::new_multi_thread()
-        .enable_all()
-        .build()
-        .expect("the runtime starts");
-    runtime.block_on(measure(report));
+    runtime::block_on(measure(report));
 }
 
 async fn measure(report: &mut Report) {
--- a/crates/measure/src/rollout/mod.rs
+++ b/crates/measure/src/rollout/mod.rs
@@ -18,6 +18,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::report::Report;
+use crate::runtime;
 use crate::traffic::{completion, open_loop, quantile, send};
 use counter::Counter;
 
@@ -64,11 +65,7 @@
 
 /// Runs the measure.
 pub fn run(_seed: u64, report: &mut Report) {
-    let runtime = tokio::runtime::Builder::new_multi_thread()
-        .enable_all()
-        .build()
-        .expect("the runtime starts");
-    runtime.block_on(measure(report));
+    runtime::block_on(measure(report));
 }
 
 async fn measure(report: &mut Report) {
--- a/crates/measure/src/zone/mod.rs
+++ b/crates/measure/src/zone/mod.rs
@@ -12,6 +12,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::report::Report;
+use crate::runtime;
 use crate::traffic::{Sample, completion, open_loop, quantile, send};
 
 /// Zone that leaves and returns.
@@ -34,11 +35,7 @@
 
 /// Runs the measure.
 pub fn run(_seed: u64, report: &mut Report) {
-    let runtime = tokio::runtime::Builder::new_multi_thread()
-        .enable_all()
-        .build()
-        .expect("the runtime starts");
-    runtime.block_on(measure(report));
+    runtime::block_on(measure(report));
 }
 
 /// Starts the cluster and brings it out of cold start.
