State the settings fields of both roles once

Cause: the schemas of entry and agent repeated the fields `node` and `body_bytes` word for word, so that a change to one could miss the other.

Change: two constants hold them.

Conclusion: same schema; the tests `settings` (2) and `cli` (6) pass.

--- a/crates/sesamerock/src/settings/check/tables/mod.rs
+++ b/crates/sesamerock/src/settings/check/tables/mod.rs
@@ -100,17 +100,29 @@
     rules: &[],
 };
 
+/// Fields that the settings files of both roles have.
+const NODE_FIELD: Field = field(
+    "node",
+    Kind::Record(&NODE),
+    Need::Required,
+    "The process and its surroundings.",
+);
+const BODY_BYTES: Field = field(
+    "body_bytes",
+    Kind::Integer {
+        min: 1,
+        max: 64 << 20,
+    },
+    Need::Default("4194304"),
+    "Longest request body in bytes.",
+);
+
 /// The settings file of an entry.
 pub static ENTRY: Schema = Schema {
     name: "entry",
     about: "Settings of `sesamerock entry`.",
     fields: &[
-        field(
-            "node",
-            Kind::Record(&NODE),
-            Need::Required,
-            "The process and its surroundings.",
-        ),
+        NODE_FIELD,
         field(
             "caller",
             Kind::Address,
@@ -123,15 +135,7 @@
             Need::Required,
             "Address for operators, health and metrics; callers must not reach it.",
         ),
-        field(
-            "body_bytes",
-            Kind::Integer {
-                min: 1,
-                max: 64 << 20,
-            },
-            Need::Default("4194304"),
-            "Longest request body in bytes.",
-        ),
+        BODY_BYTES,
         field(
             "connections",
             Kind::Integer {
@@ -189,12 +193,7 @@
     name: "agent",
     about: "Settings of `sesamerock agent`.",
     fields: &[
-        field(
-            "node",
-            Kind::Record(&NODE),
-            Need::Required,
-            "The process and its surroundings.",
-        ),
+        NODE_FIELD,
         field(
             "relay",
             Kind::Address,
@@ -213,15 +212,7 @@
             Need::Required,
             "The upstream.",
         ),
-        field(
-            "body_bytes",
-            Kind::Integer {
-                min: 1,
-                max: 64 << 20,
-            },
-            Need::Default("4194304"),
-            "Longest request body in bytes.",
-        ),
+        BODY_BYTES,
         field(
             "drain_timeout_ms",
             MILLIS,
