Print the cost of admission in the measure stream

Cause: docs/CAPACITY.md gave 0.8 to 1.0 us a call from a trial and said that no command prints it. That was not quite so: `fairness` prints the cost of a call through a gate with a full queue; the case without a queue had no measure.

Change: `stream` measures a call that is admitted at once (offer, first token, one more token, end, poll) with 1, 16 and 256 calls in flight.

--- a/crates/measure/src/stream/mod.rs
+++ b/crates/measure/src/stream/mod.rs
@@ -1,7 +1,10 @@
-//! Processor time of passing streamed tokens on, and of one choice of upstream.
+//! Processor time of passing streamed tokens on, of one choice of upstream, and
+//! of one admission.
 //!
 //! Real time on one thread, without sockets: the share that the decision crates
-//! have in the overhead of an entry.
+//! have in the overhead of an entry and of an agent.
+
+mod admission;
 
 use std::hint::black_box;
 use std::time::{Duration, Instant};
@@ -53,6 +56,13 @@
             ("ns_per_pick", &format!("{nanos:.0}")),
         ]);
     }
+    for in_flight in [1, 16, 256] {
+        let nanos = admission::cost(in_flight);
+        report.line(&[
+            ("admission_in_flight", &in_flight),
+            ("ns_per_admission", &format!("{nanos:.0}")),
+        ]);
+    }
 }
 
 fn event() -> String {
