Split the rollout tests into modules

Cause: crates/note/tests/rollout.rs had 668 lines, repeated the rounds of two tests, the making of an engine and the delivery of all reports, and used tuples for a view and a report on its way.

`View` and `Mail` replace the tuples; `check_rounds`, `Engine::new` and `synchronise` replace the repetition. Draws from the generator keep their order, and bounds and numbers of cases are the same.

--- /dev/null
+++ b/crates/note/tests/rollout/cohorts.rs
@@ -0,0 +1,66 @@
+//! Agents that plan for cohorts.
+
+use std::collections::BTreeMap;
+
+use quickcheck::QuickCheck;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use sesamerock_note::rollout::cohort;
+
+use crate::world::{Engine, World, fleet, raise, seeded_settings, wander};
+
+/// Guards against more units than the share of each cohort giving up service at
+/// once, and against a rollout by cohorts that never ends.
+#[test]
+fn cohorts_stay_within_their_shares_and_finish() {
+    fn holds(seed: u64) -> bool {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let count = rng.random_range(9..25);
+        let settings = seeded_settings(&mut rng, 0.6);
+        let mut world = World::new(fleet(count), 1, settings);
+        world.cohort = Some(cohort::UNITS);
+        world.settle();
+        let state = raise(world.state());
+        let chat = state.models().key("chat").expect("the model");
+        let sizes: Vec<_> = state
+            .upstreams()
+            .iter()
+            .map(|(key, _)| cohort::members(&state, chat, key, cohort::UNITS).len())
+            .collect();
+        // Each member counts a part of its cohort's share.
+        let share = |size: &usize| ((*size as f64 * settings.share) as usize).max(1) as f64;
+        let limit: f64 = sizes.iter().map(|size| share(size) / *size as f64).sum();
+        world.publish(state, 1);
+        wander(&mut world, &mut rng, 1_500, |world| {
+            let out = count - world.warm("chat");
+            assert!(out as f64 <= limit + 1e-9, "too many at once");
+        });
+        world.settle();
+        let ready = |engine: &Engine| engine.report.find(chat, 4).is_some();
+        world.engines.iter().all(ready)
+    }
+    QuickCheck::new()
+        .tests(60)
+        .quickcheck(holds as fn(u64) -> bool);
+}
+
+/// Guards against an upstream in no cohort or in two, cohorts whose size grows
+/// with the model, and a unit that is alone in its cohort and cannot change.
+#[test]
+fn cohorts_are_bounded_and_disjoint() {
+    for count in [1, 2, 7, 8, 9, 16, 17, 100, 588] {
+        let state = fleet(count);
+        let chat = state.models().key("chat").expect("the model");
+        let mut seen = BTreeMap::new();
+        for (key, _) in state.upstreams().iter() {
+            let members = cohort::members(&state, chat, key, cohort::UNITS);
+            assert!(members.contains(&key) && members.len() <= cohort::UNITS);
+            assert!(members.len() > 1 || count == 1);
+            for member in &members {
+                let known = seen.entry(*member).or_insert_with(|| members.clone());
+                assert_eq!(*known, members, "two cohorts of one upstream");
+            }
+        }
+        assert_eq!(seen.len(), count);
+    }
+}
