--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -21,6 +21,7 @@
 mod recover;
 mod report;
 mod rollout;
+mod runtime;
 mod skew;
 mod spread;
 mod state;
