Check the keys of every section of the settings

Change: the sections come from the reference itself. Conclusion: the next section is covered without a change.

--- a/crates/sesamerock/tests/cli.rs
+++ b/crates/sesamerock/tests/cli.rs
@@ -1,5 +1,6 @@
 //! The command line of the built program: what it prints and how it exits.
 
+use std::collections::BTreeSet;
 use std::fs;
 use std::path::{Path, PathBuf};
 use std::process::{Command, Output};
@@ -92,12 +93,10 @@
             .collect()
     };
     let mut file = lines(role, "");
-    for section in ["node", "upstream", "placement"] {
-        let inner = lines(section, "  ");
-        if !inner.is_empty() {
-            file.push(format!("{section}:"));
-            file.extend(inner);
-        }
+    let sections: BTreeSet<_> = keys.iter().map(|key| key.section.as_str()).collect();
+    for section in sections.into_iter().filter(|section| *section != role) {
+        file.push(format!("{section}:"));
+        file.extend(lines(section, "  "));
     }
     file.join("\n")
 }
