--- a/crates/sesamerock/tests/support/world/mod.rs
+++ b/crates/sesamerock/tests/support/world/mod.rs
@@ -1,5 +1,7 @@
 //! The world that scenarios act on.
 
+mod links;
+mod operator;
 mod rollout;
 mod setup;
 
@@ -8,44 +10,25 @@
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::time::Duration;
 
 use sesamerock::dev::MODEL;
-use sesamerock::entry::operator::{Published, Status, Verdict};
-use sesamerock_note::note::Note;
-use sesamerock_platform::error::Error;
-use sesamerock_platform::http::client::Client;
+use sesamerock::entry::operator::Verdict;
 use sesamerock_scenario::chaos::{self, Inventory};
 use sesamerock_scenario::run;
 use sesamerock_scenario::script::duration;
 use sesamerock_standin::engine::{self, Engine};
 use sesamerock_standin::platform::Platform;
-use sesamerock_standin::proxy::{Fault, Proxy};
+use sesamerock_standin::proxy::Fault;
 use sesamerock_standin::service::{Execution, Service};
 use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
 
+pub use links::Links;
 pub use setup::Size;
 
 use super::caller::{self, Caller, Kind, Told};
 use super::node::Node;
 
-/// Time that an operator waits for the verdict about an order.
-const OPERATOR_TIMEOUT: Duration = Duration::from_secs(20);
-
-/// Links of one node, each with a fault proxy.
-#[derive(Debug)]
-pub struct Links {
-    /// From entries to the agent's relay.
-    pub relay: Option<Proxy>,
-    /// From other nodes to the peer service.
-    pub peers: Proxy,
-    /// From the node to the platform.
-    pub platform: Proxy,
-    /// From the agent to its upstream.
-    pub upstream: Option<Proxy>,
-}
-
 /// Load that runs in the background.
 #[derive(Debug)]
 struct Load {
@@ -255,41 +238,6 @@
         load.task.await.map_err(|error| error.to_string())
     }
 
-    async fn order(
-        &mut self,
-        kind: &str,
-        name: &str,
-        word: &str,
-        options: &Options<'_>,
-    ) -> Result<(), String> {
-        let via = options.number("via").unwrap_or(1.0) as usize;
-        let operator = self.operators[via - 1];
-        let uri = format!("http://{operator}/operator/{kind}/{name}/{word}");
-        self.verdicts.push(publish(&uri, &()).await);
-        Ok(())
-    }
-
-    /// Withdraws an upstream by a note.
-    async fn withdraw(&mut self, upstream: &str) -> Result<(), String> {
-        let uri = format!("http://{}/operator/notes", self.operators[0]);
-        self.verdicts
-            .push(publish(&uri, &withdrawal(upstream, "withdraw")).await);
-        Ok(())
-    }
-
-    /// Publishes two conflicting notes through two entries at the same time.
-    async fn race(&mut self, upstream: &str) -> Result<(), String> {
-        let uri = |index: usize| format!("http://{}/operator/notes", self.operators[index]);
-        let (first, second) = (uri(0), uri(1));
-        let (one, two) = (
-            withdrawal(upstream, "race-1"),
-            withdrawal(upstream, "race-2"),
-        );
-        let (one, two) = tokio::join!(publish(&first, &one), publish(&second, &two));
-        self.verdicts.extend([one, two]);
-        Ok(())
-    }
-
     fn with_node(&mut self, name: &str, change: impl FnOnce(&mut Node)) -> Result<(), String> {
         let node = self
             .nodes
@@ -408,68 +356,6 @@
         }
         Ok(())
     }
-
-    async fn statuses(&self) -> Vec<(SocketAddr, Status)> {
-        let client = Client::default();
-        let mut statuses = Vec::new();
-        for operator in &self.operators {
-            let uri = format!("http://{operator}/operator/status");
-            if let Ok(status) = client.get::<Status>(&uri, Duration::ZERO).await {
-                statuses.push((*operator, status));
-            }
-        }
-        statuses
-    }
-
-    /// Counts entries in contact whose version is below one they showed before.
-    async fn look_at_versions(&mut self) {
-        for (operator, status) in self.statuses().await {
-            let highest = self.highest.entry(operator).or_default();
-            let back = status.in_contact && status.version.0 < *highest;
-            self.versions_back += u64::from(back);
-            *highest = (*highest).max(status.version.0);
-        }
-    }
-
-    async fn fewest(&self, count: impl Fn(&Status) -> usize) -> f64 {
-        let statuses = self.statuses().await;
-        if statuses.len() < self.operators.len() {
-            return 0.0;
-        }
-        statuses
-            .iter()
-            .map(|(_, status)| count(status))
-            .min()
-            .unwrap_or(0) as f64
-    }
-
-    async fn most(&self, count: impl Fn(&Status) -> usize) -> f64 {
-        let statuses = self.statuses().await;
-        statuses
-            .iter()
-            .map(|(_, status)| count(status))
-            .max()
-            .unwrap_or(0) as f64
-    }
-}
-
-impl Links {
-    fn names(&self) -> Vec<String> {
-        let all = ["relay", "peers", "platform", "upstream"];
-        let present = all.into_iter().filter(|name| self.get(name).is_ok());
-        present.map(str::to_owned).collect()
-    }
-
-    fn get(&self, link: &str) -> Result<&Proxy, String> {
-        let proxy = match link {
-            "relay" => self.relay.as_ref(),
-            "peers" => Some(&self.peers),
-            "platform" => Some(&self.platform),
-            "upstream" => self.upstream.as_ref(),
-            _ => None,
-        };
-        proxy.ok_or_else(|| format!("the node has no link {link}"))
-    }
 }
 
 /// Options of a command.
@@ -489,31 +375,3 @@
             .map_err(|_error| format!("{key} must be a number"))
     }
 }
-
-fn withdrawal(upstream: &str, id: &str) -> Note {
-    let mut note = Note {
-        id: id.to_owned(),
-        ..Note::default()
-    };
-    note.withdraw.upstreams.push(upstream.to_owned());
-    note
-}
-
-async fn publish(uri: &str, content: &impl serde::Serialize) -> Verdict {
-    let content = serde_json::to_vec(content).expect("a note can be written");
-    let request = http::Request::post(uri)
-        .body(http_body_util::Full::from(content))
-        .expect("the request is well formed");
-    let answer = async {
-        let response = Client::default().send(request).await?;
-        let content = http_body_util::BodyExt::collect(response.into_body()).await;
-        let content = content.map_err(|error| Error::Unknown(error.to_string()))?;
-        serde_json::from_slice::<Published>(&content.to_bytes())
-            .map_err(|error| Error::Malformed(error.to_string()))
-    };
-    // The entry may be paused, by the same scenario.
-    match tokio::time::timeout(OPERATOR_TIMEOUT, answer).await {
-        Ok(Ok(published)) => published.outcome,
-        Ok(Err(_)) | Err(_) => Verdict::Unknown,
-    }
-}
--- a/crates/sesamerock/tests/support/world/rollout/mod.rs
+++ b/crates/sesamerock/tests/support/world/rollout/mod.rs
@@ -11,7 +11,8 @@
 use sesamerock_scenario::script::duration;
 use sesamerock_standin::engine::Engine;
 
-use super::{Options, ProcessWorld, publish};
+use super::operator::publish;
+use super::{Options, ProcessWorld};
 
 /// Time between two counts of the warm engines; far shorter than a load.
 const SAMPLE: Duration = Duration::from_millis(2);
