--- a/crates/standin/src/lockstep/mod.rs
+++ b/crates/standin/src/lockstep/mod.rs
@@ -3,6 +3,11 @@
 //! The state machines are the real ones; network and engines are simulated.
 //! What breaks lock-step is kept as a [`Violation`] for who runs the group.
 
+mod fault;
+mod step;
+
+pub use fault::Faults;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -15,8 +20,6 @@
 use sesamerock_group::message::{Map, Message, Step, Window};
 use sesamerock_group::plan::Conflict;
 
-/// Time of one step when nothing waits.
-const STEP: Duration = Duration::from_millis(5);
 /// Shortest and longest delay of a message, in microseconds.
 const DELAY: std::ops::Range<u64> = 200..3_000;
 /// Time of staging a map.
@@ -25,42 +28,6 @@
 const SWITCH: Duration = Duration::from_secs(3);
 /// Time between two faults of one process.
 const FAULT: Duration = Duration::from_millis(1_200);
-/// Time after which a paused process is looked at again.
-const LOOK: Duration = Duration::from_millis(5);
-/// Longest pause of a process; above the silence that starts an election.
-const PAUSE_MS: u64 = 1_800;
-
-/// Faults, each as a chance in a hundred.
-#[derive(Clone, Copy, Debug)]
-pub struct Faults {
-    /// A message is lost.
-    pub loss: u32,
-    /// A message arrives twice.
-    pub duplication: u32,
-    /// One of pause, agent restart and engine crash hits a random rank.
-    pub process: u32,
-}
-
-impl Faults {
-    /// No fault.
-    pub const NONE: Self = Self {
-        loss: 0,
-        duplication: 0,
-        process: 0,
-    };
-    /// Faults of the network only.
-    pub const LOSS: Self = Self {
-        loss: 5,
-        duplication: 5,
-        process: 0,
-    };
-    /// Every fault.
-    pub const ALL: Self = Self {
-        loss: 10,
-        duplication: 10,
-        process: 100,
-    };
-}
 
 #[derive(Debug)]
 enum Event {
@@ -201,26 +168,6 @@
         &self.switch_delays
     }
 
-    /// Ends the process of every rank that leads, and crashes a random engine,
-    /// so that the group cannot run on with what it was granted.
-    pub fn strike(&mut self) {
-        for index in 0..self.ranks.len() {
-            if self.ranks[index].leader.role() != Role::Following {
-                self.restart(index);
-            }
-        }
-        let index = self.rng.random_range(0..self.ranks.len());
-        self.crash(index);
-    }
-
-    /// Ends all faults; what is under way stays so.
-    pub fn heal(&mut self) {
-        self.faults = Faults::NONE;
-        for rank in &mut self.ranks {
-            rank.paused_until = self.now;
-        }
-    }
-
     /// Runs for a time.
     pub fn run(&mut self, time: Duration) {
         let end = self.now + time;
@@ -280,50 +227,6 @@
         }
     }
 
-    fn chance(&mut self, percent: u32) -> bool {
-        self.rng.random_range(0..100) < percent
-    }
-
-    fn fault(&mut self) {
-        let index = self.rng.random_range(0..self.ranks.len());
-        match self.rng.random_range(0..3) {
-            0 => {
-                let pause = self.rng.random_range(0..PAUSE_MS);
-                self.ranks[index].paused_until = self.now + Duration::from_millis(pause);
-            }
-            1 => self.restart(index),
-            _ => self.crash(index),
-        }
-    }
-
-    fn crash(&mut self, index: usize) {
-        self.ranks[index].engine = Engine::default();
-        self.ranks[index].crashes += 1;
-        self.ranks[index].fetching.clear();
-        self.restart(index);
-    }
-
-    fn restart(&mut self, index: usize) {
-        self.incarnations += 1;
-        let settings = *self.ranks[index].leader.settings();
-        let leader = Leader::new(settings, self.incarnations, self.now, &mut self.rng);
-        let rank = &mut self.ranks[index];
-        rank.member = Member::new(self.incarnations, &rank.engine);
-        rank.leader = leader;
-        rank.paused_until = self.now;
-    }
-
-    /// Returns whether a process was paused, after putting the event off.
-    fn pause(&mut self, rank: usize, event: impl FnOnce() -> Event) -> bool {
-        let until = self.ranks[rank].paused_until;
-        if until <= self.now {
-            return false;
-        }
-        // Looked at again soon, since the end of all faults ends a pause.
-        self.add(until.since(self.now).min(LOOK), event());
-        true
-    }
-
     fn tick(&mut self, rank: usize) {
         if self.pause(rank, || Event::Tick(rank)) {
             return;
@@ -380,20 +283,6 @@
         self.start_step();
     }
 
-    fn allow(&mut self, index: usize, window: Window) {
-        if !self.ranks[index].engine.staged.contains(&window.map) {
-            self.violation = Some(Violation::Unstaged(window));
-        }
-        self.ranks[index].engine.windows.push(window);
-        let windows = || self.ranks.iter().flat_map(|rank| &rank.engine.windows);
-        let other = windows().find(|other| {
-            other.from < window.to && window.from < other.to && other.map != window.map
-        });
-        if let Some(other) = other {
-            self.violation = Some(Violation::Mixed(*other, window));
-        }
-    }
-
     fn reply(&mut self, from: usize, to: usize, message: &Message) {
         if self.pause(to, || Event::Reply(from, to, message.clone())) {
             return;
@@ -405,58 +294,4 @@
         }
         self.requests(to);
     }
-
-    fn staged(&mut self, index: usize, crashes: u64, map: Map) {
-        let rank = &mut self.ranks[index];
-        if rank.crashes == crashes {
-            rank.fetching.remove(&map);
-            rank.engine.staged.push(map);
-        }
-    }
-
-    fn map_of(&self, rank: &Rank) -> Option<Map> {
-        let covers = |window: &&Window| window.from <= self.step && self.step < window.to;
-        rank.engine
-            .windows
-            .iter()
-            .find(covers)
-            .map(|window| window.map)
-    }
-
-    fn start_step(&mut self) {
-        let ready = self.ranks.iter().all(|rank| self.map_of(rank).is_some());
-        if self.stepping || !ready {
-            return;
-        }
-        if let Some(since) = self.idle_since.take() {
-            self.stalled += self.now.since(since);
-        }
-        self.stepping = true;
-        self.add(STEP, Event::Step);
-    }
-
-    fn run_step(&mut self) {
-        self.stepping = false;
-        self.idle_since = Some(self.now);
-        let maps: BTreeSet<_> = self.ranks.iter().map(|rank| self.map_of(rank)).collect();
-        if maps.contains(&None) {
-            // An engine crashed during the step, which all run again.
-            return;
-        }
-        let map = maps.into_iter().flatten().next().unwrap_or(self.in_use);
-        if map != self.in_use {
-            self.in_use = map;
-            if map == self.wanted {
-                self.switch_delays.push(self.now.since(self.wanted_at));
-            }
-        }
-        self.step += 1;
-        let step = self.step;
-        for rank in &mut self.ranks {
-            rank.engine.step = step;
-            rank.engine.step_us = STEP.as_micros() as u32;
-            rank.engine.windows.retain(|window| window.to >= step);
-        }
-        self.start_step();
-    }
 }
