Split the world of the measure poison

Change: `setup` (policies, settings and figures of a run) and `sharing` (lists of the nodes and how they spread) are modules of their own; code is moved only.

--- a/crates/measure/src/poison/world/mod.rs
+++ b/crates/measure/src/poison/world/mod.rs
@@ -1,4 +1,9 @@
-//! Twelve upstreams, four entries, their callers, and the sharing of lists.
+//! Twelve upstreams, four entries and their callers.
+
+mod setup;
+mod sharing;
+
+pub use setup::{Policy, Result, Setup};
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -9,9 +14,10 @@
 use sesamerock_base::time::Moment;
 use sesamerock_retry::evidence::{Crash, Fingerprint, Stamp, Update};
 use sesamerock_retry::flight::{Flight, Start};
-use sesamerock_retry::suspect::{Findings, List, Verdict};
+use sesamerock_retry::suspect::{Findings, Verdict};
 
 use crate::clock::Clock;
+use sharing::Node;
 
 const UPSTREAMS: usize = 12;
 const ENTRIES: usize = 4;
@@ -32,75 +38,6 @@
 const END_MS: u64 = 120_000;
 const FREQUENT_BODIES: u64 = 5;
 
-/// How crashes are handled.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Policy {
-    /// No list; each call is sent up to four times.
-    Retries,
-    /// Whatever was aboard two crashes is refused; nothing is isolated.
-    Counting,
-    /// The list of `sesamerock-retry`, with isolation.
-    Isolating,
-}
-
-/// What varies between runs.
-#[derive(Clone, Copy, Debug)]
-pub struct Setup {
-    /// Least and greatest time of an update between two nodes, in milliseconds.
-    pub share: (u64, u64),
-    /// Milliseconds after which the poison's caller gives up and resends.
-    pub patience: u64,
-    /// Milliseconds from a failure to the poison's next sending.
-    pub resend: u64,
-    /// Calls that an upstream runs at a time; each takes a second on average.
-    pub capacity: usize,
-    /// Innocent requests per second.
-    pub rate: f64,
-    /// Share of innocent requests with one of a few frequent bodies.
-    pub frequent: f64,
-    /// Upstreams that fail together, without any fault of a request.
-    pub rack: usize,
-    /// Whether an agent dies with its engine, so that only the entries know
-    /// what was in flight.
-    pub agents_die: bool,
-}
-
-impl Default for Setup {
-    fn default() -> Self {
-        Self {
-            share: (20, 200),
-            patience: 2_000,
-            resend: 100,
-            capacity: 12,
-            rate: 72.0,
-            frequent: 0.1,
-            rack: 0,
-            agents_die: false,
-        }
-    }
-}
-
-/// Figures of several runs.
-#[derive(Clone, Debug, Default)]
-pub struct Result {
-    /// Crashes of upstreams with the poison aboard, in the worst run.
-    pub crashes: u64,
-    /// Innocent requests.
-    pub innocents: u64,
-    /// Innocent requests refused or failed.
-    pub refused: u64,
-    /// Innocent requests past their deadline and not finished at the end.
-    pub unfinished: u64,
-    /// Sendings of the poison request by its caller.
-    pub poison_sends: u64,
-    /// Sendings of the poison request that were refused.
-    pub poison_refused: u64,
-    /// Latencies of innocent requests in milliseconds.
-    pub latencies: Vec<f64>,
-    /// Latencies of those that were in flight at a crash.
-    pub hit: Vec<f64>,
-}
-
 #[derive(Clone, Copy, Debug)]
 struct Call {
     fingerprint: Fingerprint,
@@ -139,16 +76,6 @@
     }
 }
 
-/// A node with a list: the entries, then the agents.
-#[derive(Debug, Default)]
-struct Node {
-    list: List,
-    findings: Findings,
-    found_at: Stamp,
-    revision: u64,
-    shared: u64,
-}
-
 struct World {
     policy: Policy,
     setup: Setup,
@@ -161,20 +88,6 @@
     result: Result,
 }
 
-impl Result {
-    /// Adds the figures of another run.
-    pub fn add(&mut self, other: Self) {
-        self.crashes = self.crashes.max(other.crashes);
-        self.innocents += other.innocents;
-        self.refused += other.refused;
-        self.unfinished += other.unfinished;
-        self.poison_sends += other.poison_sends;
-        self.poison_refused += other.poison_refused;
-        self.latencies.extend(other.latencies);
-        self.hit.extend(other.hit);
-    }
-}
-
 /// Runs the model to its end.
 pub fn run(seed: u64, policy: Policy, setup: &Setup) -> Result {
     let mut world = World {
@@ -216,11 +129,7 @@
             Event::Rack => self.rack(),
             Event::Restart(upstream) => self.upstreams[upstream].up = true,
             Event::GiveUp(id) => self.give_up(id),
-            Event::Merge(node, update) => {
-                self.nodes[node].list.merge(&update);
-                // What came from others is spread by them.
-                self.nodes[node].shared = self.nodes[node].list.revision();
-            }
+            Event::Merge(node, update) => self.nodes[node].merge(&update),
         }
     }
 
@@ -442,57 +351,6 @@
         }
     }
 
-    /// Sends what changed at a node to all others, each after its own time.
-    fn share(&mut self, from: usize) {
-        let node = &mut self.nodes[from];
-        let (revision, update) = node.list.changes(node.shared);
-        node.shared = revision;
-        if update.records.is_empty() || self.policy == Policy::Retries {
-            return;
-        }
-        for to in (0..self.nodes.len()).filter(|to| *to != from) {
-            let delay = self
-                .rng
-                .random_range(self.setup.share.0..self.setup.share.1);
-            self.clock.at(
-                self.clock.now() + Duration::from_millis(delay),
-                Event::Merge(to, update.clone()),
-            );
-        }
-    }
-
-    fn verdict(&mut self, node: usize, fingerprint: Fingerprint) -> Verdict {
-        match self.policy {
-            Policy::Retries => Verdict::Clean,
-            Policy::Isolating => self.findings(node).verdict(fingerprint),
-            Policy::Counting => {
-                let (_, all) = self.nodes[node].list.changes(0);
-                let aboard = all
-                    .records
-                    .iter()
-                    .filter(|(_, record)| record.aboard.contains_key(&fingerprint));
-                if aboard.count() > 1 {
-                    Verdict::Convicted
-                } else {
-                    Verdict::Clean
-                }
-            }
-        }
-    }
-
-    /// Returns a node's findings, which it computes when its facts change and
-    /// once a second.
-    fn findings(&mut self, node: usize) -> &Findings {
-        let now = self.stamp();
-        let node = &mut self.nodes[node];
-        if node.revision != node.list.revision() || now.since(node.found_at) >= 1_000 {
-            node.revision = node.list.revision();
-            node.found_at = now;
-            node.findings = node.list.findings(now);
-        }
-        &node.findings
-    }
-
     fn stamp(&self) -> Stamp {
         Stamp(self.clock.now().0 / 1_000)
     }
