--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -19,6 +19,7 @@
 mod report;
 mod rollout;
 mod runtime;
+mod scale;
 mod skew;
 mod spread;
 mod state;
--- a/crates/measure/src/node/mod.rs
+++ b/crates/measure/src/node/mod.rs
@@ -22,6 +22,7 @@
 
 use crate::recover::fill;
 use crate::report::Report;
+use crate::scale::{CHANGES_PER_DAY, SECONDS_PER_DAY};
 use crate::{runtime, usage};
 
 /// Sizes of the control state, in upstreams.
@@ -30,9 +31,6 @@
 const WINDOW: Duration = Duration::from_secs(15);
 /// Changes a second while they are counted: ten times the 17,000 a day.
 const CHANGES_PER_S: f64 = 2.0;
-/// Changes a day at the target size.
-const CHANGES_PER_DAY: f64 = 17_000.0;
-const SECONDS_PER_DAY: f64 = 86_400.0;
 
 /// Runs the measure.
 pub fn run(_seed: u64, report: &mut Report) {
--- a/crates/measure/src/spread/mod.rs
+++ b/crates/measure/src/spread/mod.rs
@@ -27,6 +27,7 @@
 use sesamerock_exchange::peer::Peer;
 
 use crate::report::Report;
+use crate::scale::{CHANGES_PER_DAY, SECONDS_PER_DAY};
 use meter::Span;
 use scenario::{Cut, Origin, Scenario};
 use tally::Tally;
@@ -171,9 +172,9 @@
         let mut rng = ChaCha8Rng::seed_from_u64(seed ^ 0x5eed);
         Self {
             state,
-            day: moments(DAY, 17_000.0 / 86_400.0, &mut rng),
+            day: moments(DAY, CHANGES_PER_DAY / SECONDS_PER_DAY, &mut rng),
             burst: moments(BURST, 20.0, &mut rng),
-            cut: moments(HOUR, 17_000.0 / 86_400.0, &mut rng),
+            cut: moments(HOUR, CHANGES_PER_DAY / SECONDS_PER_DAY, &mut rng),
         }
     }
 
--- a/crates/measure/src/state/mod.rs
+++ b/crates/measure/src/state/mod.rs
@@ -21,6 +21,7 @@
 
 use crate::alloc::measured;
 use crate::report::Report;
+use crate::scale::{CHANGES_PER_DAY, SECONDS_PER_DAY};
 use fleet::Fleet;
 
 /// Numbers of upstreams; the last is the target size.
@@ -32,9 +33,6 @@
 /// Notes that each change one upstream, folded to measure one.
 const CHANGES: usize = 2_000;
 
-/// Configuration changes a day at the target size.
-const CHANGES_A_DAY: f64 = 17_000.0;
-
 /// Memory of the control plane per node, in bytes.
 const MEMORY: f64 = 32e6;
 
@@ -86,8 +84,7 @@
     };
     report.at_most("bytes_at_10000_upstreams", MEMORY, large.bytes as f64);
     report.at_most("peak_bytes_at_10000_upstreams", MEMORY, large.peak as f64);
-    let day = Duration::from_hours(24).as_secs_f64();
-    let percent = large.per_change.as_secs_f64() * CHANGES_A_DAY / day * 100.0;
+    let percent = large.per_change.as_secs_f64() * CHANGES_PER_DAY / SECONDS_PER_DAY * 100.0;
     report.at_most("fold_cpu_percent", CPU_PERCENT, percent);
 }
 
