--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -22,6 +22,7 @@
 mod report;
 mod rollout;
 mod runtime;
+mod scale;
 mod skew;
 mod spread;
 mod state;
