Count only tokens as steps, and let the stand-in serve what it states

Cause: the agent counted the events that end a stream as tokens, two for each call; steps seemed faster than they are and calls beside them late, so limits fell. The stand-in engine hid half of it, as it sent the end a step after the last token, and served a twentieth less than its settings state. Ruled out: imbalance between engines (traces of zone). Change: platform::engine::stream::tokens leaves out the ends; the stand-in ends a call with its last token and makes up for timers that are up to 2 ms late.

--- a/crates/platform/src/engine/mod.rs
+++ b/crates/platform/src/engine/mod.rs
@@ -3,6 +3,7 @@
 pub mod cache;
 mod experts;
 pub mod prompt;
+pub mod stream;
 
 use std::time::Duration;
 
--- a/crates/sesamerock/src/agent/execute/pass/mod.rs
+++ b/crates/sesamerock/src/agent/execute/pass/mod.rs
@@ -5,6 +5,7 @@
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Response};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use sesamerock_platform::engine::stream;
 use sesamerock_platform::engine::{Call, Engine};
 use sesamerock_platform::error::Error;
 use sesamerock_wire::relay::refusal::Reason;
@@ -193,13 +194,6 @@
     Broken(String),
 }
 
-/// Counts the events of a stream in a piece of it; any other piece counts as
-/// one.
-fn events(data: &[u8]) -> u64 {
-    let ends = data.windows(2).filter(|pair| pair == b"\n\n").count() as u64;
-    ends.max(1)
-}
-
 /// Forwards the answer as it comes; the bounded channel makes a slow entry
 /// slow down the upstream.
 async fn forward(
@@ -220,7 +214,7 @@
             Some(Ok(frame)) => {
                 if let Ok(data) = frame.into_data() {
                     if streamed {
-                        permit.progress(events(&data));
+                        permit.progress(stream::tokens(&data));
                     }
                     send(sender, down::Kind::Body(data)).await?;
                 }
--- a/crates/standin/src/engine/batch/mod.rs
+++ b/crates/standin/src/engine/batch/mod.rs
@@ -146,9 +146,12 @@
             self.text.extend(texts);
         }
         self.next = end;
+        // The end goes out with the last token, so that a call takes as many
+        // steps as it has tokens. A poisoned call runs until it has killed the
+        // engine in the step after its first tokens.
         Outcome {
             generated,
-            ended: false,
+            ended: end == self.end && !self.poisoned && self.finish(),
         }
     }
 
--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -9,6 +9,7 @@
 mod completion;
 mod experts;
 pub mod group;
+pub mod pace;
 mod settings;
 mod text;
 
@@ -33,6 +34,7 @@
 use crate::reply;
 use batch::Batch;
 use cache::Cache;
+use pace::Pace;
 
 /// Longest request body, in bytes.
 const BODY_BYTES: usize = 4 << 20;
@@ -55,6 +57,8 @@
     pub crashes: u64,
     /// Tokens generated.
     pub tokens: u64,
+    /// Steps run.
+    pub steps: u64,
     /// Calls that broke off since the last version of their model was dropped.
     pub cut: u64,
     /// When the last call arrived.
@@ -253,6 +257,7 @@
     /// Steps the batch for ever; each step gives each running call one token.
     /// The ranks of a group are stepped by the group.
     async fn run(self) {
+        let mut pace = Pace::default();
         loop {
             let pause = {
                 self.admit();
@@ -261,10 +266,12 @@
                 steps.then(|| state.step_time())
             };
             let Some(pause) = pause else {
+                pace.idle();
                 self.arrived.notified().await;
                 continue;
             };
-            tokio::time::sleep(pause).await;
+            let due = pace.next(tokio::time::Instant::now(), pause);
+            tokio::time::sleep_until(due).await;
             self.advance();
         }
     }
@@ -299,6 +306,7 @@
             cache.store(blocks, settings.cache_blocks);
         });
         let step = batch.step(burst);
+        state.record.steps += 1;
         state.record.tokens += step.tokens;
         if step.poisoned {
             state.crash();
