--- a/crates/gateway/src/maps/plan/mod.rs
+++ b/crates/gateway/src/maps/plan/mod.rs
@@ -90,6 +90,8 @@
     pub loss: f64,
     /// Experts that are copied.
     pub copies: usize,
+    /// How long the rank that copies most takes.
+    pub copying: Duration,
 }
 
 impl Demand {
@@ -158,6 +160,7 @@
         (worth && refined.map != *map).then(|| Plan {
             copies: map.transfers(&refined.map),
             loss: refined.before,
+            copying: Duration::from_secs_f64(copying),
             map: refined.map,
             gain,
         })
--- a/crates/gateway/src/maps/switch/mod.rs
+++ b/crates/gateway/src/maps/switch/mod.rs
@@ -134,6 +134,11 @@
         self.version
     }
 
+    /// Returns how many rounds of orders this phase has taken.
+    pub fn round(&self) -> u32 {
+        self.rounds
+    }
+
     /// Returns whether ranks may be held or armed, so that the switch must be
     /// brought to an end whoever leads.
     pub fn is_committed(&self) -> bool {
--- /dev/null
+++ b/crates/gateway/tests/support/mod.rs
@@ -0,0 +1,288 @@
+//! A store that grants the lead, and groups of engines that take orders on maps.
+
+// Each test file uses a part of this.
+#![allow(dead_code, reason = "each test file is a crate of its own")]
+
+use std::collections::HashMap;
+use std::future::pending;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use sesamerock_gateway::engine::{Counts, Engine, Group, Order, Report, Terms, Verdict};
+use sesamerock_gateway::node;
+use sesamerock_gateway::state::View;
+use sesamerock_gateway::store::{Batch, Fault, Feed, Lease, Store};
+use sesamerock_gateway::table::{self, Content, Experts, Limits, Service, Table};
+use sesamerock_gateway::upstream::Record;
+
+/// Ranks of a group.
+pub const RANKS: u16 = 4;
+/// Experts of the only set.
+const EXPERTS: u16 = 16;
+/// Time of a step.
+const STEP_MS: u64 = 20;
+
+/// A store that has nothing but the lead, which it grants to whoever asks.
+#[derive(Clone, Debug)]
+pub struct Granting;
+
+impl Store for Granting {
+    async fn newest(&self, _: Feed) -> Result<Batch, Fault> {
+        pending().await
+    }
+
+    async fn read(&self, _: Feed, _: u64, _: Duration) -> Result<Batch, Fault> {
+        pending().await
+    }
+
+    async fn lead(&self, _: &str, _: Duration, _: u64) -> Result<Lease, Fault> {
+        Ok(Lease {
+            generation: 1,
+            held: true,
+        })
+    }
+
+    async fn announce(&self, _: &node::Record) -> Result<(), Fault> {
+        Ok(())
+    }
+}
+
+/// What one rank holds.
+#[derive(Clone, Debug, Default)]
+struct Rank {
+    map: u64,
+    prepared: Option<u64>,
+    armed: Option<(u64, u64)>,
+    held: Option<u64>,
+    /// Orders received, by their word.
+    received: HashMap<&'static str, u32>,
+}
+
+/// What has happened to one group.
+#[derive(Clone, Debug, Default)]
+pub struct Story {
+    /// Switches to another map.
+    pub switches: u32,
+    /// Time from a hold to the end of it, for each switch.
+    pub holds: Vec<Duration>,
+    held_since: Option<Instant>,
+}
+
+/// Engines in groups, by the name of the group.
+#[derive(Clone, Debug)]
+pub struct Engines {
+    start: Instant,
+    /// When other experts come into demand.
+    shift: Duration,
+    ranks: Arc<Mutex<HashMap<Arc<str>, Rank>>>,
+    stories: Arc<Mutex<HashMap<String, Story>>>,
+    /// Whether an order is left unanswered: by the rank's identity, the word of the
+    /// order, and how often the rank has received it before.
+    silent: fn(&str, &str, u32) -> bool,
+}
+
+fn locked<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+fn group_of(id: &str) -> &str {
+    id.split('/').next().unwrap_or(id)
+}
+
+fn rank_of(id: &str) -> u16 {
+    let rank = id.split('/').nth(1).and_then(|rank| rank.parse().ok());
+    rank.unwrap_or_default()
+}
+
+impl Engines {
+    /// Makes engines whose demand shifts once.
+    pub fn new(shift: Duration, silent: fn(&str, &str, u32) -> bool) -> Self {
+        Self {
+            start: Instant::now(),
+            shift,
+            ranks: Arc::default(),
+            stories: Arc::default(),
+            silent,
+        }
+    }
+
+    /// Returns what has happened to a group.
+    pub fn story(&self, group: &str) -> Story {
+        locked(&self.stories)
+            .get(group)
+            .cloned()
+            .unwrap_or_default()
+    }
+
+    fn step(&self) -> u64 {
+        self.start.elapsed().as_millis() as u64 / STEP_MS + 1
+    }
+
+    /// Carries out an order at one rank.
+    fn carry_out(&self, id: &Arc<str>, order: &Order) -> Verdict {
+        let step = self.step();
+        let mut ranks = locked(&self.ranks);
+        let rank = ranks.entry(Arc::clone(id)).or_default();
+        let mut stories = locked(&self.stories);
+        let story = stories.entry(group_of(id).to_owned()).or_default();
+        match order {
+            Order::Prepare { version, .. } if *version > rank.map => {
+                rank.prepared = Some(*version);
+            }
+            Order::Hold { step } => {
+                if rank.held.is_none() {
+                    story.held_since = Some(Instant::now());
+                }
+                rank.held = Some(*step);
+            }
+            Order::Arm { version, step } if rank.prepared == Some(*version) => {
+                rank.armed = Some((*version, *step));
+            }
+            Order::Go { step: at } if rank.held == Some(*at) => {
+                rank.held = None;
+                if let Some(since) = story.held_since.take() {
+                    story.holds.push(since.elapsed());
+                }
+                story.switches += 1;
+                // The group makes the step, and its ranks switch.
+                let group = group_of(id).to_owned();
+                let all = ranks.iter_mut().filter(|(id, _)| group_of(id) == group);
+                for (_, rank) in all {
+                    if let Some((version, _)) = rank.armed.take() {
+                        rank.map = version;
+                        rank.prepared = None;
+                    }
+                }
+            }
+            Order::Disarm { .. } => rank.armed = None,
+            _ => return Verdict::Conflict,
+        }
+        log::trace!("carried out at step {step}");
+        Verdict::Begun
+    }
+}
+
+impl Engine for Engines {
+    fn is_near(&self, _: &Record) -> bool {
+        true
+    }
+
+    async fn report(&self, at: &Record) -> Result<Report, Fault> {
+        let rank = locked(&self.ranks)
+            .entry(Arc::clone(&at.id))
+            .or_default()
+            .clone();
+        Ok(Report {
+            born: None,
+            orders: 0,
+            waiting: 0,
+            running: 1,
+            memory_used: 0,
+            memory_total: 1,
+            pace: 1.0,
+            group: Some(Group {
+                name: Arc::from(group_of(&at.id)),
+                epoch: 1,
+                rank: rank_of(&at.id),
+                size: RANKS,
+                open: true,
+            }),
+            step: self.step(),
+            map: rank.map,
+            prepared: rank.prepared,
+            armed: rank.armed,
+            held: rank.held,
+        })
+    }
+
+    async fn counts(&self, _: &Record, _: u16) -> Result<Counts, Fault> {
+        let step = self.step();
+        let before = step.min(self.shift.as_millis() as u64 / STEP_MS);
+        let after = step - before;
+        let weight =
+            |expert: u16, peak: u16| 100 / (1 + u64::from((expert + EXPERTS - peak) % EXPERTS));
+        let chosen = |expert| before * weight(expert, 1) + after * weight(expert, 9);
+        Ok(Counts {
+            step,
+            epoch: 1,
+            counts: vec![(0..EXPERTS).map(chosen).collect()],
+        })
+    }
+
+    async fn held(&self, _: &Record) -> Result<(u64, Vec<Vec<u16>>), Fault> {
+        Err(Fault::Silent("not asked in these tests".to_owned()))
+    }
+
+    async fn order(&self, at: &Record, order: &Order, _: Terms) -> Result<Verdict, Fault> {
+        let before = {
+            let mut ranks = locked(&self.ranks);
+            let rank = ranks.entry(Arc::clone(&at.id)).or_default();
+            let received = rank.received.entry(order.as_str()).or_default();
+            *received += 1;
+            *received - 1
+        };
+        if (self.silent)(&at.id, order.as_str(), before) {
+            return pending().await;
+        }
+        Ok(self.carry_out(&at.id, order))
+    }
+}
+
+/// Returns a view of one service with groups of these names.
+pub fn view(groups: &[&str]) -> View {
+    let experts = Experts {
+        sets: 1,
+        experts: EXPERTS,
+        places: 6,
+        spare: 2,
+        bytes: 1_000_000,
+        rate: 1_000_000_000,
+        share: 0.85,
+    };
+    let service = Service {
+        name: "s".to_owned(),
+        health: "/h".to_owned(),
+        connections: 10,
+        cold: Duration::ZERO,
+        cold_rate: 0.0,
+        engine: Some(table::Engine {
+            slots: 8,
+            memory: 100_000,
+            step_ms: 5.0,
+            request_ms: 1.0,
+            stride: 4,
+            read_rate: 60_000.0,
+            prompt: 800.0,
+            answer: 100.0,
+            experts: Some(experts),
+        }),
+    };
+    let content = Content {
+        version: 1,
+        routes: Vec::new(),
+        services: vec![service],
+        workspaces: None,
+        limits: Limits::default(),
+    };
+    let record = |group: &str, rank| {
+        Arc::new(Record {
+            id: Arc::from(format!("{group}/{rank}")),
+            born: None,
+            service: Arc::from("s"),
+            address: ([127, 0, 0, 1], 1).into(),
+            zone: Arc::from("a"),
+            slots: 8,
+            draining: false,
+            cold: Duration::ZERO,
+        })
+    };
+    let records = groups
+        .iter()
+        .flat_map(|group| (0..RANKS).map(|rank| record(group, rank)));
+    View {
+        table: Some(Arc::new(Table::new(content))),
+        ranks: HashMap::from([(Arc::from("s"), records.collect())]),
+        complete: true,
+        ..View::default()
+    }
+}
