Divide the retry budget by the entries that may be alive

Cause: the budget of each gateway was a quarter of the system's, whatever their number, so that 17 gateways could together spend four times the slack. The bound of cold upstreams was divided by the gateways heard last, so that one that is cut off from the others took all of it for itself.

Change: relay::retries divides by the announced nodes heard within a minute. A node whose number of peers is not known repeats nothing and is not ready.

--- a/crates/gateway/src/exchange/peers/mod.rs
+++ b/crates/gateway/src/exchange/peers/mod.rs
@@ -27,6 +27,9 @@
     pub upstreams_behind: Duration,
     /// Silence after which a node counts as gone: eight intervals.
     pub silence: Duration,
+    /// Silence after which a node has no part in what all share. A node that is cut off
+    /// from this one may still reach the upstreams, and cuts last seconds.
+    pub absence: Duration,
 }
 
 impl Default for Settings {
@@ -37,6 +40,7 @@
             orders_behind: Duration::from_millis(250),
             upstreams_behind: Duration::from_secs(1),
             silence: Duration::from_millis(1_600),
+            absence: Duration::from_mins(1),
         }
     }
 }
@@ -53,6 +57,9 @@
     settings: Settings,
     heard: Mutex<HashMap<String, Heard>>,
     tasks: Mutex<HashMap<String, (node::Record, Owned)>>,
+    /// When each announced node was heard last, or first named; `None` until the
+    /// announced nodes are known.
+    members: Mutex<Option<HashMap<String, Moment>>>,
     hurry: Arc<Notify>,
 }
 
@@ -63,6 +70,7 @@
             settings,
             heard: Mutex::default(),
             tasks: Mutex::default(),
+            members: Mutex::default(),
             hurry: Arc::new(Notify::new()),
         }
     }
@@ -78,6 +86,10 @@
             // An answer of the process before, which came late.
             return false;
         }
+        let mut members = self.members.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(members) = members.as_mut() {
+            members.insert(name.clone(), now);
+        }
         let silence = self.settings.silence;
         let former = heard.insert(name, Heard { at: now, greeting });
         former.is_none_or(|former| now.since(former.at) > silence)
@@ -94,6 +106,18 @@
             .collect()
     }
 
+    /// Returns the number of nodes that may be alive, this one included; 0 until the
+    /// announced nodes are known.
+    pub fn entries(&self) -> usize {
+        let now = clock::now();
+        let members = self.members.lock().unwrap_or_else(PoisonError::into_inner);
+        members.as_ref().map_or(0, |members| {
+            let present = members.values();
+            let present = present.filter(|at| now.since(**at) <= self.settings.absence);
+            present.count() + 1
+        })
+    }
+
     /// Forgets silent nodes. Returns those that fell silent since the last time.
     pub fn silent(&self) -> Vec<String> {
         let now = clock::now();
@@ -116,8 +140,12 @@
     /// Greets these nodes from now on, and no others.
     pub fn follow(&self, nodes: impl IntoIterator<Item = node::Record>, host: &impl Host) {
         let mut tasks = self.tasks.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut members = self.members.lock().unwrap_or_else(PoisonError::into_inner);
+        let members = members.get_or_insert_default();
         let mut kept = HashMap::new();
         for node in nodes {
+            let named = members.entry(node.name.clone());
+            named.or_insert_with(clock::now);
             let known = tasks.remove(&node.name);
             let entry = match known {
                 Some((former, task)) if former == node && !task.0.is_finished() => (former, task),
@@ -130,6 +158,7 @@
             };
             kept.insert(node.name.clone(), entry);
         }
+        members.retain(|name, _| kept.contains_key(name));
         *tasks = kept;
     }
 }
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -9,6 +9,7 @@
 mod call;
 mod head;
 mod lease;
+pub mod retries;
 mod streaming;
 mod whole;
 
@@ -24,7 +25,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use sesamerock_base::time::Moment;
-use sesamerock_retry::budget::{self, Budget, Verdict};
+use sesamerock_retry::budget;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::oneshot;
 use tokio_util::sync::CancellationToken;
@@ -40,6 +41,7 @@
 use crate::upstream::Record;
 
 use answer::Body;
+use retries::Retries;
 
 /// Bounds of the request path.
 #[derive(Clone, Copy, Debug)]
@@ -58,7 +60,7 @@
     /// Multiple of its objective after which a repeatable plain call is sent to
     /// another upstream.
     pub attempt_objectives: f64,
-    /// The retry budget of each service.
+    /// The retry budget of each service, of all entries together.
     pub budget: budget::Settings,
 }
 
@@ -92,7 +94,7 @@
     pub closed: AtomicBool,
     board: Mutex<Board>,
     waiters: Mutex<Waiters>,
-    budgets: Mutex<HashMap<Arc<str>, Budget>>,
+    retries: Retries,
     pool: Pool,
     calls: AtomicU64,
 }
@@ -108,7 +110,7 @@
             closed: AtomicBool::new(false),
             board: Mutex::new(board),
             waiters: Mutex::default(),
-            budgets: Mutex::default(),
+            retries: Retries::new(settings.budget),
             pool: Pool::default(),
             calls: AtomicU64::new(0),
         }
@@ -131,6 +133,7 @@
     /// Puts a view into force.
     pub fn publish(&self, view: View) {
         self.board().update(view.pools.clone());
+        self.retries.divide(view.entries, clock::now());
         self.pool.retain(|id| {
             let mut candidates = view.pools.values().flat_map(|pool| &pool.candidates);
             candidates.any(|one| &*one.record.id == id)
@@ -168,22 +171,7 @@
 
     /// Takes a repeat from the budget of a service.
     fn may_retry(&self, service: &Arc<str>) -> bool {
-        let now = clock::now();
-        self.with_budget(service, |budget| budget.may_retry(now)) == Verdict::Granted
-    }
-
-    /// Counts a call as one that pays for repeats.
-    fn count_call(&self, service: &Arc<str>) {
-        let now = clock::now();
-        self.with_budget(service, |budget| budget.success(now));
-    }
-
-    fn with_budget<T>(&self, service: &Arc<str>, act: impl FnOnce(&mut Budget) -> T) -> T {
-        let mut budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
-        let budget = budgets
-            .entry(Arc::clone(service))
-            .or_insert_with(|| Budget::new(self.settings.budget, clock::now()));
-        act(budget)
+        self.retries.may_retry(service, clock::now())
     }
 }
 
@@ -257,7 +245,7 @@
     let mut response = match head::read(request, caller, &shared, &names).await {
         Ok(call) => {
             let call = Arc::new(call);
-            shared.count_call(&call.service);
+            shared.retries.count_call(&call.service, clock::now());
             match call.kind {
                 crate::table::Kind::Stream { .. } => {
                     streaming::answer(&shared, &names, &call).await
--- a/crates/gateway/src/run/mod.rs
+++ b/crates/gateway/src/run/mod.rs
@@ -79,16 +79,16 @@
         let news = self.state().apply(feed, batch, whole, now);
         let position = self.state().position();
         tell("store", &news, position);
-        if !news.is_empty() || whole {
-            self.publish();
-        }
         if feed == Feed::Nodes {
             self.follow_peers();
         }
+        if !news.is_empty() || whole {
+            self.publish();
+        }
     }
 
     fn publish(&self) {
-        let entries = self.inner.peers.ready().len() + 1;
+        let entries = self.inner.peers.entries();
         let view = self.state().view(entries);
         self.inner.shared.publish(view);
     }
@@ -105,7 +105,7 @@
     fn is_ready(&self) -> bool {
         let view = self.inner.shared.view.load();
         let leaving = self.inner.shared.leaving.load(Ordering::Relaxed);
-        view.table.is_some() && view.complete && !leaving
+        view.table.is_some() && view.complete && view.entries > 0 && !leaving
     }
 }
 
@@ -228,7 +228,7 @@
             state: Mutex::default(),
             shared: Arc::clone(&shared),
             peers: Peers::new(exchange::Settings::default()),
-            entries: Mutex::new(1),
+            entries: Mutex::default(),
         }),
     };
     let stop = CancellationToken::new();
@@ -254,11 +254,10 @@
     wait_for_end(&settings, &node).await
 }
 
-/// Returns this node's part of the system's retry budget. The number of entries is
-/// not known at the start; four is the number of today's sites.
+/// Returns the retry budget that all nodes together use.
 fn retry_budget(settings: &Settings) -> budget::Settings {
-    const ENTRIES: f64 = 4.0;
-    let slack = settings.retry_slack * BUDGET_PART / ENTRIES;
+    let slack = settings.retry_slack * BUDGET_PART;
+    // Within one window, what was saved up and what is added in it can both be used.
     budget::Settings {
         share: settings.retry_ratio * BUDGET_PART,
         floor: slack / 2.0 / settings.retry_window.as_secs_f64(),
@@ -352,7 +351,7 @@
             log::warn!("event=peer_silent peer={peer}");
         }
         let settled = node.state().settle(clock::now());
-        let entries = node.inner.peers.ready().len() + 1;
+        let entries = node.inner.peers.entries();
         let changed = {
             let known = &node.inner.entries;
             let mut known = known.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/gateway/src/state/mod.rs
+++ b/crates/gateway/src/state/mod.rs
@@ -29,6 +29,9 @@
     pub out: HashSet<Arc<str>>,
     /// Whether the upstreams have been read once.
     pub complete: bool,
+    /// Entries that may share the upstreams, this one included; 0 while that is not
+    /// known.
+    pub entries: usize,
 }
 
 /// A place in the logs, to compare what two nodes know.
@@ -262,7 +265,7 @@
     }
 
     /// Returns what the request path works with. `entries` is the number of
-    /// entries that share the upstreams.
+    /// entries that may share the upstreams; 0 while that is not known.
     pub fn view(&self, entries: usize) -> View {
         let out: HashSet<Arc<str>> = self
             .zones
@@ -290,7 +293,7 @@
             let service = table.and_then(|table| table.service(service));
             pool.cold_rate = service.map_or(0.0, |service| service.cold_rate);
             pool.engine = service.and_then(|service| service.engine.clone());
-            pool.entries = entries;
+            pool.entries = entries.max(1);
             pool.candidates
                 .sort_by(|a, b| a.record.id.cmp(&b.record.id));
         }
@@ -300,6 +303,7 @@
             ranks,
             pools,
             out,
+            entries,
         }
     }
 }
--- a/crates/retry/src/budget/mod.rs
+++ b/crates/retry/src/budget/mod.rs
@@ -62,6 +62,13 @@
         }
     }
 
+    /// Changes the bounds. What is saved up beyond the new ones is lost.
+    pub fn adjust(&mut self, settings: Settings, now: Moment) {
+        self.refill(now);
+        self.settings = settings;
+        self.balance = self.balance.min(settings.most);
+    }
+
     /// Counts a call that succeeded at its first attempt or later.
     pub fn success(&mut self, now: Moment) {
         self.refill(now);
