Stop using an upstream that a peer no longer knows

The node's own read then found nothing left to change. With a read every 1.05 s (0.35 of 3 s) and a pull after 1 s behind, the pull comes first now and then; on the first sites the read comes every 0.7 s.

Ruled out: a store that did not answer that node (no store_lost line), lenience after an outage (no fault in the 16 s before).

Change: retain and settle return what has gone, and every way that an upstream goes is news, published and logged. The first test fails with the news of restore removed.

--- a/crates/gateway/src/run/mod.rs
+++ b/crates/gateway/src/run/mod.rs
@@ -351,13 +351,16 @@
             log::warn!("event=peer_silent peer={peer}");
         }
         let settled = node.state().settle(clock::now());
+        if !settled.is_empty() {
+            tell("lapse", &settled, node.state().position());
+        }
         let entries = node.inner.peers.entries();
         let changed = {
             let known = &node.inner.entries;
             let mut known = known.lock().unwrap_or_else(PoisonError::into_inner);
             std::mem::replace(&mut *known, entries) != entries
         };
-        if settled || changed {
+        if !settled.is_empty() || changed {
             node.publish();
         }
     }
--- a/crates/gateway/src/state/mod.rs
+++ b/crates/gateway/src/state/mod.rs
@@ -143,8 +143,10 @@
             Feed::Upstreams => {
                 if whole && batch.next >= self.position.upstreams {
                     let until = self.lenience(now);
-                    self.upstreams
+                    let gone = self
+                        .upstreams
                         .retain(batch.next, |id| listed.contains(id), until);
+                    news.extend(gone.into_iter().map(News::UpstreamGone));
                     self.complete = true;
                 }
                 self.position.upstreams = self.position.upstreams.max(batch.next);
@@ -204,9 +206,10 @@
         self.zones.insert(zone, (out, offset));
     }
 
-    /// Drops records whose grace after an outage is over. Returns whether any went.
-    pub fn settle(&mut self, now: Moment) -> bool {
-        self.upstreams.settle(now) == Outcome::Changed
+    /// Drops records whose grace after an outage is over.
+    pub fn settle(&mut self, now: Moment) -> Vec<News> {
+        let gone = self.upstreams.settle(now);
+        gone.into_iter().map(News::UpstreamGone).collect()
     }
 
     /// Returns all that this node knows.
@@ -256,8 +259,10 @@
                 let what = What::Upstream(record);
                 self.change(Change { offset, what }, now, &mut news);
             }
-            self.upstreams
+            let gone = self
+                .upstreams
                 .retain(position.upstreams, |id| ids.contains(id), None);
+            news.extend(gone.into_iter().map(News::UpstreamGone));
             self.position.upstreams = position.upstreams;
             self.complete = true;
         }
--- a/crates/gateway/src/upstream/mod.rs
+++ b/crates/gateway/src/upstream/mod.rs
@@ -131,26 +131,22 @@
         Outcome::Changed
     }
 
-    /// Drops what is absent from a complete list that ends at `end`.
+    /// Drops what is absent from a complete list that ends at `end`. Returns what has
+    /// gone.
     pub fn retain(
         &mut self,
         end: u64,
         listed: impl Fn(&str) -> bool,
         until: Option<Moment>,
-    ) -> Outcome {
-        let absent = self.known.iter().filter(|(id, _)| !listed(id));
-        let absent: Vec<Arc<str>> = absent.map(|(id, _)| Arc::clone(id)).collect();
-        let mut outcome = Outcome::Same;
-        for id in absent {
-            if self.remove(&id, end, until) == Outcome::Changed {
-                outcome = Outcome::Changed;
-            }
-        }
-        outcome
+    ) -> Vec<Arc<str>> {
+        let absent = self.known.keys().filter(|id| !listed(id));
+        let mut absent: Vec<Arc<str>> = absent.cloned().collect();
+        absent.retain(|id| self.remove(id, end, until) == Outcome::Changed);
+        absent
     }
 
-    /// Drops the records whose grace after an outage is over.
-    pub fn settle(&mut self, now: Moment) -> Outcome {
+    /// Drops the records whose grace after an outage is over. Returns what has gone.
+    pub fn settle(&mut self, now: Moment) -> Vec<Arc<str>> {
         let due = |known: &Known| known.lapses.is_some_and(|until| now >= until);
         let gone = self.known.values().filter(|known| due(known));
         let gone: Vec<(Arc<str>, u64)> = gone
@@ -159,11 +155,7 @@
         for (id, offset) in &gone {
             self.drop_record(id, *offset);
         }
-        if gone.is_empty() {
-            Outcome::Same
-        } else {
-            Outcome::Changed
-        }
+        gone.into_iter().map(|(id, _)| id).collect()
     }
 
     /// Extends the grace of vanished records, while the store is away again.
--- a/crates/gateway/tests/state.rs
+++ b/crates/gateway/tests/state.rs
@@ -88,8 +88,8 @@
         false,
         at(5_100),
     );
-    assert!(!state.settle(at(5_200)));
-    assert!(state.settle(at(5_000) + LAPSE));
+    assert_eq!(state.settle(at(5_200)), []);
+    assert!(!state.settle(at(5_000) + LAPSE).is_empty());
     assert_eq!(ids(&state), ["y"]);
 }
 
@@ -198,3 +198,42 @@
     ahead.restore(behind.snapshot(at(1)), at(1));
     assert_eq!(ids(&ahead), ["y"]);
 }
+
+/// DRAIN of dvc-orders-grown, trouble-2: a node learnt from a peer that an upstream was
+/// gone. No news of it came, so that the request path kept the upstream, and the node's
+/// own read then changed nothing.
+#[test]
+fn regression_an_upstream_that_a_peer_no_longer_knows_is_news() {
+    let mut peer = two();
+    let removal = batch(11, vec![(10, gone("x"))]);
+    peer.apply(Feed::Upstreams, removal.clone(), false, at(100));
+    let mut state = two();
+    let news = state.restore(peer.snapshot(at(200)), at(200));
+    assert_eq!(news, [News::UpstreamGone(Arc::from("x"))]);
+    assert_eq!(ids(&state), ["y"]);
+    let news = state.apply(Feed::Upstreams, removal, false, at(300));
+    assert_eq!(news, []);
+}
+
+/// The same for a record that stays away after an outage, and for one that a complete
+/// list leaves out.
+#[test]
+fn every_way_that_an_upstream_goes_is_news() {
+    let mut state = two();
+    let news = state.apply(
+        Feed::Upstreams,
+        batch(20, vec![(1, What::Upstream(record("x", "a")))]),
+        true,
+        at(100),
+    );
+    assert_eq!(news, [News::UpstreamGone(Arc::from("y"))]);
+    state.store_away(at(200));
+    state.apply(
+        Feed::Upstreams,
+        batch(22, vec![(21, gone("x"))]),
+        false,
+        at(300),
+    );
+    let news = state.settle(at(200) + LAPSE);
+    assert_eq!(news, [News::UpstreamGone(Arc::from("x"))]);
+}
