Copy few experts a switch, and switch only where it is felt

A new lead measured its first pace over nothing and planned no map for two seconds; a lead whose generation rose began anew; ranks that were still armed refused the next map.

Change: copies of 0.15 s a switch; demand from counts of 0.7 s unless the latest pass shows a shift; a switch must save a twentieth of the pause that streams may make; no search while neither loss nor pressure rises; the lead goes on when its generation rises; no plan before the last switch is in effect; a step later where orders go unanswered.

--- a/crates/gateway/src/maps/leader/group/mod.rs
+++ b/crates/gateway/src/maps/leader/group/mod.rs
@@ -13,7 +13,7 @@
 use tokio::time::{sleep, timeout};
 
 use super::order;
-use super::{CHECK, Leader, Members, QUESTION};
+use super::{CHECK, Kind, Leader, Members, QUESTION};
 use crate::clock;
 use crate::engine::{Counts, Engine, Report};
 use crate::maps::plan::{self, Demand, Plan};
@@ -27,10 +27,15 @@
 const FAR_LOOK: Duration = Duration::from_millis(400);
 /// Time after which reports show what orders have done: more than twice their lag.
 const SETTLE: Duration = Duration::from_millis(500);
-/// Interval at which reports are read while ranks copy.
+/// Interval at which demand is read while ranks copy, and reports once they may be done.
 const COPY_LOOK: Duration = Duration::from_millis(60);
-/// Steps between the last known one and a switch, at least.
+/// The same at the end of the copy, whose time is known.
+const COPY_END: Duration = Duration::from_millis(10);
+/// Steps between the last known one and a switch, at least. With one, the group would come
+/// to the step while its ranks are still being armed.
 const LEAD_STEPS: u64 = 2;
+/// Weight of a look in the time of a step; a look sees one step or two.
+const PACE_WEIGHT: f64 = 0.3;
 /// Time by which reports lag behind, with a margin.
 const LEAD_TIME: Duration = Duration::from_millis(300);
 /// Versions that one leader may use.
@@ -63,9 +68,15 @@
     former: u64,
     switched: Moment,
     demand: Demand,
-    step: (u64, Moment),
-    /// Steps a second.
+    /// The last known step, and when it was seen.
+    step: Option<(u64, Moment)>,
+    /// The step at which the ranks switch to the map. Until it has begun they are armed,
+    /// and take no other map.
+    takes_effect: u64,
+    /// Steps a second; 0 while that is not known.
     pace: f64,
+    /// Longest pause that the streams of the service may make.
+    pause: Duration,
 }
 
 /// Works on a group for as long as it stays what it is and this entry leads.
@@ -73,17 +84,17 @@
     leader: Leader<E>,
     name: Arc<str>,
     members: Members,
-    shape: Experts,
+    kind: Kind,
 ) -> Leave {
     let (records, reports): (Vec<Arc<Record>>, Vec<Report>) = members.into_iter().unzip();
-    if let Some(switch) = Switch::recover(&reports, leader.fence, 0) {
+    if let Some(switch) = Switch::recover(&reports, leader.fence(), 0) {
         let end = carry_out(&leader, &name, switch, &records, None).await;
         if end == End::Fenced {
             return Leave::Fenced;
         }
         return Leave::Changed("an unfinished switch was undone");
     }
-    let Some((version, map)) = current(&leader, &records, &reports, shape).await else {
+    let Some((version, map)) = current(&leader, &records, &reports, kind.shape).await else {
         return Leave::Changed("its map is not known");
     };
     let now = clock::now();
@@ -98,9 +109,11 @@
         version,
         former: version,
         switched: now,
-        demand: Demand::new(plan::Settings::default(), shape),
-        step: (0, now),
+        demand: Demand::new(plan::Settings::default(), kind.shape),
+        step: None,
+        takes_effect: 0,
         pace: 0.0,
+        pause: kind.pause,
         records,
         name,
         leader,
@@ -128,7 +141,10 @@
                 checked = clock::now();
             }
             let known = self.observe().await && self.pace > 0.0;
-            if known && let Some(plan) = self.demand.plan(&self.map) {
+            if known
+                && self.is_in_effect()
+                && let Some(plan) = self.demand.plan(&self.map, self.pressure())
+            {
                 let reports = match self.check().await {
                     Ok(reports) => reports,
                     Err(leave) => return leave,
@@ -147,6 +163,11 @@
         }
     }
 
+    /// Returns the time of a pass over the longest pause of a stream.
+    fn pressure(&self) -> f64 {
+        1.0 / (self.pace * self.pause.as_secs_f64()).max(1e-3)
+    }
+
     fn look(&self) -> Duration {
         if self.leader.engine.is_near(&self.records[WITNESS]) {
             LOOK
@@ -162,7 +183,7 @@
         if records.len() != self.records.len() {
             return Err(Leave::Changed("a rank does not report"));
         }
-        if Switch::recover(&reports, self.leader.fence, self.version).is_some() {
+        if Switch::recover(&reports, self.leader.fence(), self.version).is_some() {
             return Err(Leave::Changed("another leader holds it or has armed it"));
         }
         // Reports lag, so they may still tell the map before.
@@ -205,25 +226,41 @@
         });
         let counts: Vec<(u16, Counts)> = join_all(asked).await.into_iter().flatten().collect();
         let now = clock::now();
-        let step = counts.iter().map(|(_, counts)| counts.step).max();
-        let step = step.unwrap_or_default();
-        let (last, at) = self.step;
+        if let Some(step) = counts.iter().map(|(_, counts)| counts.step).max() {
+            self.count_steps(step, now);
+        }
+        self.demand.observe(counts, now)
+    }
+
+    /// Takes in the last step that has begun.
+    fn count_steps(&mut self, step: u64, now: Moment) {
+        let Some((last, at)) = self.step else {
+            self.step = Some((step, now));
+            return;
+        };
         if step > last {
             let elapsed = now.since(at).as_secs_f64();
-            self.pace = (step - last) as f64 / elapsed.max(1e-3);
-            self.step = (step, now);
+            let pace = (step - last) as f64 / elapsed.max(1e-3);
+            let known = if self.pace > 0.0 { self.pace } else { pace };
+            self.pace = known + PACE_WEIGHT * (pace - known);
+            self.step = Some((step, now));
         }
-        self.demand.observe(counts, now)
+    }
+
+    /// Returns whether the ranks use the map of the last switch.
+    fn is_in_effect(&self) -> bool {
+        self.step.is_some_and(|(step, _)| step >= self.takes_effect)
     }
 
     /// Switches the group to a planned map.
     async fn change(&mut self, plan: Plan, reports: &[Report]) -> End {
         let leader = self.leader.clone();
+        let fence = leader.fence();
         let used = reports
             .iter()
             .flat_map(|report| [Some(report.map), report.prepared]);
         let used = used.flatten().max().unwrap_or_default();
-        let version = (leader.fence * VERSIONS + leader.next_version()).max(used + 1);
+        let version = (fence * VERSIONS + leader.next_version()).max(used + 1);
         log::info!(
             "event=map_planned group={} version={version} gain={:.3} loss={:.3} copies={} \
              steps_per_s={:.1}",
@@ -237,7 +274,7 @@
         let lag = if near { Duration::ZERO } else { LEAD_TIME };
         let lead = LEAD_STEPS + (self.pace * lag.as_secs_f64()).ceil() as u64;
         let map = plan::by_rank(&plan.map);
-        let switch = Switch::new(reports, leader.fence, version, map, lead);
+        let switch = Switch::new(reports, fence, version, map, lead);
         let (name, records) = (Arc::clone(&self.name), self.records.clone());
         let copying = Some((&mut *self, plan.copying));
         let end = carry_out(&leader, &name, switch, &records, copying).await;
@@ -294,6 +331,9 @@
     let mut ordered = clock::now();
     loop {
         if let Phase::End(end) = switch.phase() {
+            if let Some((group, _)) = &mut copying {
+                group.takes_effect = switch.step();
+            }
             log::info!(
                 "event=map_switch group={name} version={} end={end:?} after_ms={}",
                 switch.version(),
@@ -307,8 +347,13 @@
         }
         let orders = switch.orders();
         if orders.is_empty() {
-            sleep(COPY_LOOK).await;
+            let least = copying.as_ref().map(|(_, least)| *least);
+            let left = least
+                .unwrap_or_default()
+                .saturating_sub(clock::now().since(ordered));
+            sleep(left.clamp(COPY_END, COPY_LOOK)).await;
             if let Some((group, _)) = &mut copying
+                && left > COPY_LOOK
                 && leader.engine.is_near(&records[WITNESS])
             {
                 // Demand is then known as soon as the switch is over.
--- a/crates/gateway/src/maps/leader/mod.rs
+++ b/crates/gateway/src/maps/leader/mod.rs
@@ -36,6 +36,9 @@
 /// Time for the answer to a question.
 const QUESTION: Duration = Duration::from_millis(500);
 
+/// Longest pause of streams whose routes state none.
+const PAUSE: Duration = Duration::from_millis(100);
+
 /// Where this entry stands in the lead.
 #[derive(Clone, Copy, Debug, Default)]
 struct Standing {
@@ -49,6 +52,15 @@
     }
 }
 
+/// What the groups of a service have in common.
+#[derive(Clone, Copy, Debug)]
+struct Kind {
+    /// Shape of their maps.
+    shape: Experts,
+    /// Longest pause that their streams may make.
+    pause: Duration,
+}
+
 /// The ranks of one group, in order, with what they report.
 type Members = Vec<(Arc<Record>, Report)>;
 
@@ -67,12 +79,11 @@
         }
         let leader = Leader {
             engine: engine.clone(),
-            fence: now.generation,
             standing: standing.clone(),
             counter: Arc::clone(&counter),
         };
         if leader.work(&shared).await == Leave::Fenced {
-            fenced = now.generation;
+            fenced = standing.borrow().generation;
         }
     }
 }
@@ -97,11 +108,11 @@
     }
 }
 
-/// The lead of one generation.
+/// The lead, for as long as this entry holds it. Its generation also rises when others
+/// come and go.
 #[derive(Clone, Debug)]
 struct Leader<E> {
     engine: E,
-    fence: u64,
     standing: watch::Receiver<Standing>,
     counter: Arc<AtomicU64>,
 }
@@ -109,8 +120,12 @@
 impl<E: Engine> Leader<E> {
     /// Returns whether this entry still leads, by its own clock.
     fn leads(&self) -> bool {
-        let now = *self.standing.borrow();
-        now.leads() && now.generation == self.fence
+        self.standing.borrow().leads()
+    }
+
+    /// Returns the fencing token of what begins now.
+    fn fence(&self) -> u64 {
+        self.standing.borrow().generation
     }
 
     /// Returns a number that no other map of this leader has.
@@ -155,7 +170,7 @@
                 end = Leave::Fenced;
             }
         }
-        log::info!("event=lead_ended fence={} reason={end:?}", self.fence);
+        log::info!("event=lead_ended fence={} reason={end:?}", self.fence());
         end
     }
 
@@ -172,6 +187,7 @@
         };
         for service in &table.content().services {
             let shape = service.engine.as_ref().and_then(|engine| engine.experts);
+            let pause = table.pause(&service.name).unwrap_or(PAUSE);
             let records = view.ranks.get(service.name.as_str());
             let (Some(shape), Some(records)) = (shape, records) else {
                 continue;
@@ -186,7 +202,8 @@
                 }
                 let ids = members.iter().map(|(record, _)| Arc::clone(&record.id));
                 tended.insert(Arc::clone(&name), ids.collect());
-                tasks.spawn(adopted(self.clone(), name, members, shape));
+                let kind = Kind { shape, pause };
+                tasks.spawn(adopted(self.clone(), name, members, kind));
             }
         }
     }
@@ -240,8 +257,8 @@
     leader: Leader<E>,
     name: Arc<str>,
     members: Members,
-    shape: Experts,
+    kind: Kind,
 ) -> (Arc<str>, Leave) {
-    let leave = group::tend(leader, Arc::clone(&name), members, shape).await;
+    let leave = group::tend(leader, Arc::clone(&name), members, kind).await;
     (name, leave)
 }
--- a/crates/gateway/src/maps/plan/mod.rs
+++ b/crates/gateway/src/maps/plan/mod.rs
@@ -12,34 +12,44 @@
 /// Bounds of a plan.
 #[derive(Clone, Copy, Debug)]
 pub struct Settings {
-    /// Shortest time between two counts whose difference tells the demand: some
-    /// passes, in which a rank chooses ten thousand times.
+    /// Shortest time between two counts whose difference tells the demand: a pass, in
+    /// which the ranks of a group choose some ten thousand times.
     pub shortest: Duration,
     /// Longest time between them. Demand shifts within seconds, and a longer time
     /// would mix the former with the present.
     pub longest: Duration,
+    /// Loss by which the latest counts must exceed those of the longest time to show that
+    /// the demand has shifted. What single passes ask for differs by about half of that.
+    pub shift: f64,
     /// Part of a layer's time that each copied expert must save.
     pub price: f64,
-    /// Part of the step time that a new map must save, however little it copies.
-    pub least_gain: f64,
-    /// Longest time that ranks copy for one map, but for a single expert. Copies delay
-    /// the switch, and demand shifts within seconds.
+    /// Part of the longest pause that a new map must save in each pass. Passes that are
+    /// short against the pause need no better map.
+    pub least_relief: f64,
+    /// Rise of the loss, or part by which the pressure rises, after which another search is
+    /// made where the last one found nothing.
+    pub rise: f64,
+    /// Time that ranks copy for one map, rounded to whole experts and at least one.
+    /// Copies delay the switch, so the first few, which mend most, are in use before the
+    /// next are made. About as long as a look and a switch take besides.
     pub copy_time: Duration,
     /// Part by which steps take longer while ranks copy; the platform states it.
     pub copy_slowdown: f64,
     /// Time for which a map is expected to be better than the one before. The default
-    /// makes a copy of 0.4 s cost a tenth of the step time; no other value was tried.
+    /// makes a copy of 0.4 s cost a tenth of the step time.
     pub lifetime: Duration,
 }
 
 impl Default for Settings {
     fn default() -> Self {
         Self {
-            shortest: Duration::from_millis(200),
+            shortest: Duration::from_millis(80),
             longest: Duration::from_millis(700),
-            price: 0.02,
-            least_gain: 0.03,
-            copy_time: Duration::from_millis(400),
+            shift: 0.3,
+            price: 0.01,
+            least_relief: 0.05,
+            rise: 0.03,
+            copy_time: Duration::from_millis(150),
             copy_slowdown: 0.15,
             lifetime: Duration::from_millis(600),
         }
@@ -51,10 +61,15 @@
 pub struct Demand {
     settings: Settings,
     shape: Experts,
-    /// By set, the number of choices of each expert between the last two counts.
-    weights: Vec<Vec<f64>>,
+    /// Choices in the shortest time.
+    recent: Window,
+    /// Choices in the longest time.
+    steady: Window,
     /// The latest counts, oldest first.
     seen: Vec<Seen>,
+    /// Loss and pressure at which no other map was worth a switch. While neither rises,
+    /// another search would find none either.
+    settled: Option<(f64, f64)>,
 }
 
 /// Counts of some ranks at a moment.
@@ -64,6 +79,39 @@
     at: Moment,
 }
 
+/// What was chosen between two counts of some ranks.
+#[derive(Clone, Debug)]
+struct Window {
+    /// By set, the number of choices of each expert.
+    weights: Vec<Vec<f64>>,
+    since: Moment,
+}
+
+impl Window {
+    /// Returns the part of the choices that each expert gets, by set; `None` if nothing was
+    /// chosen.
+    fn shares(&self) -> Option<Vec<Vec<f64>>> {
+        let share = |weights: &Vec<f64>| {
+            let total: f64 = weights.iter().sum();
+            (total > 0.0).then(|| weights.iter().map(|weight| weight / total).collect())
+        };
+        self.weights.iter().map(share).collect()
+    }
+}
+
+/// Returns what was chosen since some counts, if they say it for all sets.
+fn between(former: &Seen, counts: &[(u16, Counts)], sets: usize) -> Option<Window> {
+    let mut weights = Vec::new();
+    for (rank, new) in counts {
+        let old = former.counts.iter().find(|(known, _)| known == rank);
+        if let Some((_, old)) = old {
+            add_difference(&mut weights, old, new);
+        }
+    }
+    let since = former.at;
+    (weights.len() == sets).then_some(Window { weights, since })
+}
+
 /// Adds what a rank chose between two counts. A rank that has started anew in between
 /// counts from zero, and adds nothing.
 fn add_difference(sums: &mut Vec<Vec<f64>>, old: &Counts, new: &Counts) {
@@ -97,12 +145,17 @@
 impl Demand {
     /// Knows nothing yet.
     pub fn new(settings: Settings, shape: Experts) -> Self {
-        let weights = vec![vec![0.0; usize::from(shape.experts)]; usize::from(shape.sets)];
+        let nothing = Window {
+            weights: vec![vec![0.0; usize::from(shape.experts)]; usize::from(shape.sets)],
+            since: Moment::default(),
+        };
         Self {
             settings,
             shape,
-            weights,
+            recent: nothing.clone(),
+            steady: nothing,
             seen: Vec::new(),
+            settled: None,
         }
     }
 
@@ -113,37 +166,50 @@
         let settings = self.settings;
         self.seen
             .retain(|seen| now.since(seen.at) <= settings.longest);
-        let mut former = self.seen.iter().rev();
-        let former = former.find(|seen| now.since(seen.at) >= settings.shortest);
-        let mut sums = Vec::new();
-        for (rank, new) in &counts {
-            let old = former.and_then(|seen| seen.counts.iter().find(|(known, _)| known == rank));
-            if let Some((_, old)) = old {
-                add_difference(&mut sums, old, new);
-            }
-        }
-        let fits = sums.len() == self.weights.len();
-        if fits {
-            self.weights = sums;
+        let sets = usize::from(self.shape.sets);
+        let apart = |seen: &&Seen| now.since(seen.at) >= settings.shortest;
+        let window = |seen: Option<&Seen>| seen.and_then(|seen| between(seen, &counts, sets));
+        let recent = window(self.seen.iter().rev().find(apart));
+        let steady = window(self.seen.iter().find(apart));
+        let fits = recent.is_some();
+        if let Some(recent) = recent {
+            self.steady = steady.unwrap_or_else(|| recent.clone());
+            self.recent = recent;
         }
         self.seen.push(Seen { counts, at: now });
         fits
     }
 
-    /// Returns the next map, if one is worth a switch.
-    pub fn plan(&self, map: &Map) -> Option<Plan> {
-        let mut shares = Vec::new();
-        for weights in &self.weights {
-            let total: f64 = weights.iter().sum();
-            if total <= 0.0 {
-                return None;
-            }
-            shares.push(weights.iter().map(|weight| weight / total).collect());
+    /// Returns what the ranks ask for now: the choices of the longest time, since they
+    /// vary less, unless the latest ones show that the demand has shifted.
+    fn shares(&mut self, map: &Map) -> Option<Vec<Vec<f64>>> {
+        let recent = self.recent.shares()?;
+        let steady = self.steady.shares()?;
+        let shifted = refine::loss(map, &recent) > refine::loss(map, &steady) + self.settings.shift;
+        if !shifted {
+            return Some(steady);
+        }
+        let since = self.recent.since;
+        self.seen.retain(|seen| seen.at >= since);
+        self.steady = self.recent.clone();
+        Some(recent)
+    }
+
+    /// Returns the next map, if one is worth a switch. `pressure` is the time of a pass over
+    /// the longest pause that streams may make.
+    pub fn plan(&mut self, map: &Map, pressure: f64) -> Option<Plan> {
+        let shares = self.shares(map)?;
+        let loss = refine::loss(map, &shares);
+        let rise = self.settings.rise;
+        if self
+            .settled
+            .is_some_and(|(at, under)| loss < at + rise && pressure < under * (1.0 + rise))
+        {
+            return None;
         }
         let copy = self.shape.bytes as f64 / (self.shape.rate as f64).max(1.0);
         let affordable = self.settings.copy_time.as_secs_f64() / copy.max(1e-6);
-        // A copy takes 0.4 s where experts are largest; rounding must not forbid it.
-        let copies = (affordable + 0.01).max(1.0) as u16;
+        let copies = affordable.round().max(1.0) as u16;
         let refine = Refine {
             price: self.settings.price,
             copies,
@@ -156,8 +222,10 @@
         let gain = 1.0 - time(refined.after) / time(refined.before);
         let copying = f64::from(refined.copies) * copy;
         let cost = self.settings.copy_slowdown * copying / self.settings.lifetime.as_secs_f64();
-        let worth = gain >= cost.max(self.settings.least_gain);
-        (worth && refined.map != *map).then(|| Plan {
+        let relief = gain * pressure;
+        let worth = gain >= cost && relief >= self.settings.least_relief && refined.map != *map;
+        self.settled = (!worth).then_some((loss, pressure));
+        worth.then(|| Plan {
             copies: map.transfers(&refined.map),
             loss: refined.before,
             copying: Duration::from_secs_f64(copying),
--- a/crates/gateway/src/maps/switch/mod.rs
+++ b/crates/gateway/src/maps/switch/mod.rs
@@ -73,6 +73,8 @@
     rounds: u32,
     /// The end that a disarm leads to.
     undone: bool,
+    /// Whether an order of the preparation went unanswered.
+    lossy: bool,
 }
 
 impl Switch {
@@ -93,6 +95,7 @@
             holds: 0,
             rounds: 0,
             undone: false,
+            lossy: false,
         }
     }
 
@@ -134,6 +137,11 @@
         self.version
     }
 
+    /// Returns the step at which the ranks switch, once it is chosen.
+    pub fn step(&self) -> u64 {
+        self.step
+    }
+
     /// Returns how many rounds of orders this phase has taken.
     pub fn round(&self) -> u32 {
         self.rounds
@@ -189,7 +197,7 @@
             Some(Verdict::Begun | Verdict::Done) => rank.done = true,
             Some(Verdict::Fenced) => self.phase = Phase::End(End::Fenced),
             Some(Verdict::Conflict | Verdict::Refused) => self.conflict(place, phase),
-            None => {}
+            None => self.lossy |= phase == Phase::Prepare,
         }
         self.advance();
     }
@@ -249,10 +257,12 @@
         matches!(self.phase, Phase::Hold | Phase::Go)
     }
 
-    /// Chooses the step of the switch.
+    /// Chooses the step of the switch. Where orders go unanswered, it is one later, so that
+    /// they can be repeated before the group comes to it and has to wait.
     fn aim(&mut self, reports: &[Report]) {
         let last = reports.iter().map(|report| report.step).max();
-        self.step = last.unwrap_or_default() + self.lead * u64::from(self.holds + 1);
+        let lead = self.lead + u64::from(self.lossy);
+        self.step = last.unwrap_or_default() + lead * u64::from(self.holds + 1);
     }
 
     fn conflict(&mut self, place: usize, phase: Phase) {
--- a/crates/gateway/src/table/mod.rs
+++ b/crates/gateway/src/table/mod.rs
@@ -239,6 +239,13 @@
         Some(&self.content.services[*place])
     }
 
+    /// Returns the shortest of the pauses that the routes of a service allow.
+    pub fn pause(&self, service: &str) -> Option<Duration> {
+        let routes = self.content.routes.iter();
+        let routes = routes.filter(|route| route.split.iter().any(|(name, _)| name == service));
+        routes.filter_map(|route| route.pause).min()
+    }
+
     /// Finds out who sends a call on a route.
     pub fn caller(&self, route: &Route, key: Option<&str>) -> Caller {
         let known = key.and_then(|key| self.keys.get(key));
--- a/crates/gateway/tests/switch.rs
+++ b/crates/gateway/tests/switch.rs
@@ -62,6 +62,8 @@
         }
         rank.fence = terms.fence;
         match order {
+            // The platform refuses to prepare a rank that is armed.
+            Order::Prepare { .. } if rank.armed.is_some() => Verdict::Conflict,
             Order::Prepare { version, .. } if *version > rank.prepared => {
                 rank.prepared = *version;
                 Verdict::Begun
--- a/crates/place/src/refine/mod.rs
+++ b/crates/place/src/refine/mod.rs
@@ -107,6 +107,13 @@
     found.max_by(|(_, a), (_, b)| a.score.total_cmp(&b.score))
 }
 
+/// Returns the time of the busiest rank beyond perfect balance, mean of the layers, where
+/// all ranks are equally fast. `shares` holds, by layer, the part of the tokens that
+/// each expert gets.
+pub fn loss(map: &Map, shares: &[Vec<f64>]) -> f64 {
+    excess(map, shares, &vec![1.0; map.ranks()])
+}
+
 /// Returns the mean over the layers of the time of the busiest rank beyond perfect
 /// balance.
 fn excess(map: &Map, shares: &[Vec<f64>], speeds: &[f64]) -> f64 {
