Let one candidate claim the lead, and give it back at a stop

Change: greetings say who leads; if nobody is heard to lead for 0.8 s, the first of three candidates claims, and each further one 0.5 s later. The lease is the least that the store grants. A node that is about to end finishes its switches and leaves the group.

--- a/crates/gateway/src/exchange/mod.rs
+++ b/crates/gateway/src/exchange/mod.rs
@@ -22,6 +22,8 @@
     pub node: node::Record,
     /// Whether callers should use it.
     pub ready: bool,
+    /// Whether it leads the expert maps.
+    pub leads: bool,
     /// How far it has read.
     pub position: Position,
     /// Its calls, by upstream.
--- a/crates/gateway/src/maps/leader/mod.rs
+++ b/crates/gateway/src/maps/leader/mod.rs
@@ -4,6 +4,7 @@
 mod order;
 
 use std::collections::{BTreeMap, HashMap, HashSet};
+use std::hash::{DefaultHasher, Hash as _, Hasher as _};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
@@ -23,11 +24,17 @@
 use crate::table::Experts;
 use crate::upstream::Record;
 
-/// How long a leader leads without contact to the store. Short, as a leader that
-/// freezes may leave a group held.
-const TTL: Duration = Duration::from_millis(1_500);
-/// Interval at which the lead is claimed or kept.
-const RENEWAL: Duration = Duration::from_millis(500);
+/// Entries that claim the lead when nobody is heard to lead. Each claim is paid for, and
+/// the store deals the lead anew whenever one of them comes or goes, so the others stay
+/// out of it.
+const CANDIDATES: usize = 3;
+/// Time without a leader's greeting after which the first candidate claims the lead: four
+/// intervals of greetings, and less than the lease that must run out.
+const SILENCE: Duration = Duration::from_millis(800);
+/// Time by which each further candidate waits longer, so that one claims alone.
+const STAGGER: Duration = Duration::from_millis(500);
+/// Parts of the lease after which the lead is claimed again. Two answers may be lost.
+const RENEWALS: u32 = 4;
 /// Interval at which an entry looks whether it leads.
 const STANDING: Duration = Duration::from_millis(200);
 /// Interval at which a leader looks for groups that it does not work on, and at which
@@ -46,6 +53,16 @@
     until: Option<Moment>,
 }
 
+/// Who claims the lead, and for how long.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Name of this entry.
+    pub node: String,
+    /// How long a leader leads without contact to the store. Short, as no map changes
+    /// after a leader has died, and one that freezes may leave a group held.
+    pub lease: Duration,
+}
+
 impl Standing {
     fn leads(self) -> bool {
         self.until.is_some_and(|until| until > clock::now())
@@ -65,62 +82,116 @@
 type Members = Vec<(Arc<Record>, Report)>;
 
 /// Leads the groups of all services while the store says so.
-pub async fn lead<S: Store, E: Engine>(shared: Arc<Shared>, store: S, engine: E, name: String) {
+///
+/// Returns once the process is about to end and the lead is given back.
+pub async fn lead<S: Store, E: Engine>(
+    shared: Arc<Shared>,
+    store: S,
+    engine: E,
+    settings: Settings,
+) {
     let (sender, standing) = watch::channel(Standing::default());
     // The lead is kept by a task of its own, as a switch takes longer than a lease.
-    let _claim = Owned(tokio::spawn(claim(store, name, sender)));
+    let claiming = claim(Arc::clone(&shared), store.clone(), settings.clone(), sender);
+    let claiming = Owned(tokio::spawn(claiming));
     let counter = Arc::new(AtomicU64::new(0));
     let mut fenced = 0;
     loop {
         sleep(STANDING).await;
         let now = *standing.borrow();
+        if shared.leaving.load(Ordering::Relaxed) {
+            drop(claiming);
+            shared.leads.store(false, Ordering::Relaxed);
+            give_back(&store, &settings.node, now).await;
+            return;
+        }
         if !now.leads() || now.generation <= fenced {
             continue;
         }
         let leader = Leader {
+            shared: Arc::clone(&shared),
             engine: engine.clone(),
             standing: standing.clone(),
             counter: Arc::clone(&counter),
         };
-        if leader.work(&shared).await == Leave::Fenced {
+        if leader.work().await == Leave::Fenced {
             fenced = standing.borrow().generation;
         }
     }
 }
 
-/// Claims the lead and keeps it.
-async fn claim<S: Store>(store: S, name: String, standing: watch::Sender<Standing>) {
+/// Claims the lead while this entry is to, and keeps it.
+async fn claim<S: Store>(
+    shared: Arc<Shared>,
+    store: S,
+    settings: Settings,
+    standing: watch::Sender<Standing>,
+) {
+    let Settings { node, lease } = settings;
     loop {
         let asked = clock::now();
         let former = *standing.borrow();
-        match store.lead(&name, TTL, former.generation).await {
-            Ok(Lease { generation, held }) => {
-                let until = held.then_some(asked + TTL);
-                if former.until.is_some() != held {
-                    log::info!("event=lead node={name} leads={held} generation={generation}");
+        let claims = shared.view.load().claims || former.leads();
+        if claims && !shared.leaving.load(Ordering::Relaxed) {
+            match store.lead(&node, lease, former.generation).await {
+                Ok(Lease { generation, held }) => {
+                    let until = held.then_some(asked + lease);
+                    if former.until.is_some() != held {
+                        log::info!("event=lead node={node} leads={held} generation={generation}");
+                    }
+                    standing.send_replace(Standing { generation, until });
+                    shared.leads.store(held, Ordering::Relaxed);
                 }
-                standing.send_replace(Standing { generation, until });
+                // The lease runs out by itself; the feeds say that the store is away.
+                Err(fault) => log::debug!("event=lead_not_renewed reason=\"{fault}\""),
             }
-            // The lease runs out by itself; the feeds say that the store is away.
-            Err(fault) => log::debug!("event=lead_not_renewed reason=\"{fault}\""),
         }
-        sleep(RENEWAL).await;
+        if !standing.borrow().leads() {
+            shared.leads.store(false, Ordering::Relaxed);
+        }
+        sleep(lease / RENEWALS).await;
+    }
+}
+
+/// Gives the lead back, so that another entry need not wait for the end of the lease.
+async fn give_back(store: &impl Store, node: &str, standing: Standing) {
+    if standing.generation == 0 {
+        return;
     }
+    match store.resign(node).await {
+        Ok(()) => log::info!("event=lead_given_back node={node}"),
+        Err(fault) => log::info!("event=lead_kept_to_its_end node={node} reason=\"{fault}\""),
+    }
+}
+
+/// Returns whether an entry claims the lead, after a time in which nobody was heard to
+/// lead. The first ones of all that live do so one after the other, in an order that has
+/// nothing to do with their zones.
+pub fn claims<'a>(own: &str, others: impl Iterator<Item = &'a str>, unled: Duration) -> bool {
+    let order = |name: &str| {
+        let mut hasher = DefaultHasher::new();
+        name.hash(&mut hasher);
+        hasher.finish()
+    };
+    let before = others.filter(|other| (order(other), *other) < (order(own), own));
+    let rank = before.count();
+    rank < CANDIDATES && unled >= SILENCE + STAGGER * rank as u32
 }
 
 /// The lead, for as long as this entry holds it. Its generation also rises when others
 /// come and go.
 #[derive(Clone, Debug)]
 struct Leader<E> {
+    shared: Arc<Shared>,
     engine: E,
     standing: watch::Receiver<Standing>,
     counter: Arc<AtomicU64>,
 }
 
 impl<E: Engine> Leader<E> {
-    /// Returns whether this entry still leads, by its own clock.
+    /// Returns whether this entry still leads, by its own clock, and goes on to.
     fn leads(&self) -> bool {
-        self.standing.borrow().leads()
+        self.standing.borrow().leads() && !self.shared.leaving.load(Ordering::Relaxed)
     }
 
     /// Returns the fencing token of what begins now.
@@ -135,12 +206,12 @@
 
     /// Works on all groups until the lead ends. Switches that have begun are brought to
     /// their end first, as they may hold a group.
-    async fn work(&self, shared: &Shared) -> Leave {
+    async fn work(&self) -> Leave {
         let mut tasks: JoinSet<(Arc<str>, Leave)> = JoinSet::new();
         let mut tended: HashMap<Arc<str>, Vec<Arc<str>>> = HashMap::new();
         let mut end = Leave::Lapsed;
         while self.leads() && end == Leave::Lapsed {
-            self.adopt(shared, &mut tasks, &mut tended).await;
+            self.adopt(&mut tasks, &mut tended).await;
             let next = sleep(CHECK);
             tokio::pin!(next);
             loop {
@@ -177,11 +248,10 @@
     /// Starts to work on the groups that have no task yet.
     async fn adopt(
         &self,
-        shared: &Shared,
         tasks: &mut JoinSet<(Arc<str>, Leave)>,
         tended: &mut HashMap<Arc<str>, Vec<Arc<str>>>,
     ) {
-        let view = shared.view.load_full();
+        let view = self.shared.view.load_full();
         let Some(table) = &view.table else {
             return;
         };
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -90,6 +90,8 @@
     pub counters: Counters,
     /// Whether the process is about to end.
     pub leaving: AtomicBool,
+    /// Whether this entry leads the expert maps.
+    pub leads: AtomicBool,
     /// Whether new calls are refused, as the process ends before they would.
     pub closed: AtomicBool,
     board: Mutex<Board>,
@@ -107,6 +109,7 @@
             view: ArcSwap::default(),
             counters: Counters::default(),
             leaving: AtomicBool::new(false),
+            leads: AtomicBool::new(false),
             closed: AtomicBool::new(false),
             board: Mutex::new(board),
             waiters: Mutex::default(),
--- a/crates/gateway/src/run/mod.rs
+++ b/crates/gateway/src/run/mod.rs
@@ -28,7 +28,7 @@
 use crate::names::Names;
 use crate::node;
 use crate::relay::{self, Shared, answer};
-use crate::state::{News, Position, Snapshot, State};
+use crate::state::{News, Position, Snapshot, State, View};
 use crate::store::{Batch, Fault, Feed, Store};
 
 pub use settings::Settings;
@@ -62,7 +62,18 @@
     state: Mutex<State>,
     shared: Arc<Shared>,
     peers: Peers,
-    entries: Mutex<usize>,
+    membership: Mutex<Membership>,
+    /// When another node was last heard to lead; the start, if none was.
+    lead_heard: Mutex<Moment>,
+}
+
+/// What follows for a node from those that live beside it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct Membership {
+    /// Nodes that may be alive, this one included; 0 while that is not known.
+    entries: usize,
+    /// Whether it claims the lead of the expert maps.
+    claims: bool,
 }
 
 impl Node {
@@ -88,11 +99,32 @@
     }
 
     fn publish(&self) {
-        let entries = self.inner.peers.entries();
-        let view = self.state().view(entries);
+        let membership = self.membership();
+        let view = View {
+            claims: membership.claims,
+            ..self.state().view(membership.entries)
+        };
         self.inner.shared.publish(view);
     }
 
+    /// Returns for how long no other node was heard to lead.
+    fn unled(&self) -> Duration {
+        let heard = &self.inner.lead_heard;
+        let heard = heard.lock().unwrap_or_else(PoisonError::into_inner);
+        clock::now().since(*heard)
+    }
+
+    /// Returns what the other nodes make of this one.
+    fn membership(&self) -> Membership {
+        let peers = &self.inner.peers;
+        let ready = peers.ready();
+        let others = ready.iter().map(|node| node.name.as_str());
+        Membership {
+            entries: peers.entries(),
+            claims: maps::claims(&self.inner.record.name, others, self.unled()),
+        }
+    }
+
     fn follow_peers(&self) {
         let own = &self.inner.record.name;
         let state = self.state();
@@ -147,6 +179,7 @@
         Greeting {
             node: self.inner.record.clone(),
             ready: self.is_ready(),
+            leads: self.inner.shared.leads.load(Ordering::Relaxed),
             position: self.state().position(),
             loads: self.inner.shared.board().loads(),
         }
@@ -155,6 +188,11 @@
     fn greeted(&self, greeting: Greeting) {
         let name = greeting.node.name.clone();
         let loads = greeting.loads.clone();
+        if greeting.leads {
+            let heard = &self.inner.lead_heard;
+            let mut heard = heard.lock().unwrap_or_else(PoisonError::into_inner);
+            *heard = clock::now();
+        }
         self.inner.shared.board().heard(&name, loads, clock::now());
         if self.inner.peers.greeted(greeting) {
             log::info!("event=peer_heard peer={name}");
@@ -228,7 +266,8 @@
             state: Mutex::default(),
             shared: Arc::clone(&shared),
             peers: Peers::new(exchange::Settings::default()),
-            entries: Mutex::default(),
+            membership: Mutex::default(),
+            lead_heard: Mutex::new(clock::now()),
         }),
     };
     let stop = CancellationToken::new();
@@ -245,8 +284,11 @@
         ));
     }
     tokio::spawn(announce(store.clone(), record));
-    let name = settings.node.clone();
-    tokio::spawn(maps::lead(Arc::clone(&shared), store, engine, name));
+    let lead = maps::Settings {
+        node: settings.node.clone(),
+        lease: settings.lease,
+    };
+    tokio::spawn(maps::lead(Arc::clone(&shared), store, engine, lead));
     tokio::spawn(keep_house(node.clone()));
     let front = bind(settings.front).await?;
     let calls = Arc::clone(&shared);
@@ -354,11 +396,11 @@
         if !settled.is_empty() {
             tell("lapse", &settled, node.state().position());
         }
-        let entries = node.inner.peers.entries();
+        let membership = node.membership();
         let changed = {
-            let known = &node.inner.entries;
+            let known = &node.inner.membership;
             let mut known = known.lock().unwrap_or_else(PoisonError::into_inner);
-            std::mem::replace(&mut *known, entries) != entries
+            std::mem::replace(&mut *known, membership) != membership
         };
         if !settled.is_empty() || changed {
             node.publish();
--- a/crates/gateway/src/run/settings/mod.rs
+++ b/crates/gateway/src/run/settings/mod.rs
@@ -49,6 +49,11 @@
     pub retry_window: Duration,
     /// Calls a cold upstream may get beyond its rate, in the whole system.
     pub cold_slack: f64,
+    /// How long the node that leads the expert maps does so without contact to the store;
+    /// the least that the store grants.
+    #[serde(rename = "lease_ms")]
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub lease: Duration,
     /// Longest pause between two events of a stream.
     #[serde(rename = "pass_ms")]
     #[serde_as(as = "DurationMilliSeconds<u64>")]
--- a/crates/gateway/src/state/mod.rs
+++ b/crates/gateway/src/state/mod.rs
@@ -32,6 +32,8 @@
     /// Entries that may share the upstreams, this one included; 0 while that is not
     /// known.
     pub entries: usize,
+    /// Whether this entry claims the lead of the expert maps.
+    pub claims: bool,
 }
 
 /// A place in the logs, to compare what two nodes know.
@@ -309,6 +311,7 @@
             pools,
             out,
             entries,
+            claims: false,
         }
     }
 }
--- a/crates/gateway/src/store/mod.rs
+++ b/crates/gateway/src/store/mod.rs
@@ -142,6 +142,9 @@
         generation: u64,
     ) -> impl Future<Output = Result<Lease, Fault>> + Send;
 
+    /// Gives the lead back, or the place among those that claim it.
+    fn resign(&self, node: &str) -> impl Future<Output = Result<(), Fault>> + Send;
+
     /// Writes the record of this node.
     fn announce(&self, record: &node::Record) -> impl Future<Output = Result<(), Fault>> + Send;
 }
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -5,6 +5,7 @@
 
 use std::collections::HashMap;
 use std::future::pending;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -23,8 +24,13 @@
 const STEP_MS: u64 = 60;
 
 /// A store that has nothing but the lead, which it grants to whoever asks.
-#[derive(Clone, Debug)]
-pub struct Granting;
+#[derive(Clone, Debug, Default)]
+pub struct Granting {
+    /// Claims so far.
+    pub claims: Arc<AtomicU32>,
+    /// Times that the lead was given back.
+    pub resigned: Arc<AtomicU32>,
+}
 
 impl Store for Granting {
     async fn newest(&self, _: Feed) -> Result<Batch, Fault> {
@@ -36,12 +42,18 @@
     }
 
     async fn lead(&self, _: &str, _: Duration, _: u64) -> Result<Lease, Fault> {
+        self.claims.fetch_add(1, Ordering::Relaxed);
         Ok(Lease {
             generation: 1,
             held: true,
         })
     }
 
+    async fn resign(&self, _: &str) -> Result<(), Fault> {
+        self.resigned.fetch_add(1, Ordering::Relaxed);
+        Ok(())
+    }
+
     async fn announce(&self, _: &node::Record) -> Result<(), Fault> {
         Ok(())
     }
@@ -283,6 +295,7 @@
         table: Some(Arc::new(Table::new(content))),
         ranks: HashMap::from([(Arc::from("s"), records.collect())]),
         complete: true,
+        claims: true,
         ..View::default()
     }
 }
