Add a soak of the real programs under faults from outside

Gateways run as processes before a store and upstreams that stand in the soak; faults come by signals, restarts, proxies on the ways to upstreams and to the store, and a store that refuses, in series and overlapping, all decided by one seed. Callers and upstreams check own whole answers, at most one run, true refusals, drains, zones, versions that do not go back, and service after the last fault.

The stand-ins of the store and of scripted upstreams move from the tests of platform/ to crates/standin, so that both use one copy.

Not covered: expert maps (explored in tests/switch.rs), clocks, faults between gateways.

--- a/crates/gateway/tests/leader.rs
+++ b/crates/gateway/tests/leader.rs
@@ -108,11 +108,11 @@
     assert_eq!(store.claims.load(Ordering::Relaxed), 0);
     let leader = shared(view(&["fast"]));
     let leading = maps::lead(Arc::clone(&leader), store.clone(), engines, settings());
-    let leaving = async {
+    let stop = async {
         sleep(Duration::from_millis(900)).await;
         leader.leaving.store(true, Ordering::Relaxed);
     };
-    let both = async { tokio::join!(leading, leaving) };
+    let both = async { tokio::join!(leading, stop) };
     let ended = timeout(Duration::from_secs(3), both).await;
     assert!(ended.is_ok(), "the lead goes on");
     assert!(store.claims.load(Ordering::Relaxed) > 1);
--- /dev/null
+++ b/crates/soak/src/caller/mod.rs
@@ -0,0 +1,314 @@
+//! Callers, which see what the system answers.
+//!
+//! They ask for addresses, keep their connections for several calls and do not leave
+//! before a process is gone. One of them asks each gateway in turn for the routes of all
+//! versions, since a version in force must not go back.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+use sesamerock_standin::task::Task;
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::net::TcpStream;
+use tokio::time::{sleep, timeout};
+
+use crate::ledger::CONTACT;
+use crate::world::{EVENTS, GATEWAYS, World};
+
+/// Callers that send calls one after the other.
+const CALLERS: u64 = 18;
+/// How long a caller waits for an answer; longer than any deadline or timeout in use.
+const PATIENCE: Duration = Duration::from_secs(5);
+/// Time that a caller states to wait.
+const DEADLINE_MS: u64 = 2_500;
+/// Time for a version to be in force everywhere.
+const IN_FORCE: Duration = Duration::from_secs(2);
+/// Calls on one connection.
+const KEPT: usize = 10;
+
+/// What a call is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Kind {
+    Safe,
+    Once,
+    Stream,
+}
+
+/// Starts all callers, which end with what is returned.
+pub fn start(world: &World) -> Vec<Task> {
+    let numbers = Arc::new(AtomicU64::new(0));
+    let mut tasks: Vec<Task> = (0..CALLERS)
+        .map(|caller| {
+            let (world, numbers) = (world.clone(), Arc::clone(&numbers));
+            Task(tokio::spawn(call(world, caller, numbers)))
+        })
+        .collect();
+    for number in 0..GATEWAYS {
+        let world = world.clone();
+        tasks.push(Task(tokio::spawn(watch_versions(world, number))));
+    }
+    tasks
+}
+
+/// Sends calls of all kinds.
+async fn call(world: World, caller: u64, numbers: Arc<AtomicU64>) {
+    let mut turn = caller as usize;
+    loop {
+        turn += 1;
+        let directory = world.node(turn % GATEWAYS).process.settings.directory;
+        let Some(address) = resolve(directory, turn).await else {
+            sleep(Duration::from_millis(50)).await;
+            continue;
+        };
+        let Ok(Ok(mut stream)) = timeout(PATIENCE, TcpStream::connect(address)).await else {
+            continue;
+        };
+        for _ in 0..KEPT {
+            let number = numbers.fetch_add(1, Ordering::Relaxed);
+            let kind = match number % 5 {
+                0 | 1 => Kind::Safe,
+                2 | 3 => Kind::Once,
+                _ => Kind::Stream,
+            };
+            let id = format!("{caller:02}-{number:x}");
+            world.ledger.sent();
+            let path = match kind {
+                Kind::Safe => "safe",
+                Kind::Once => "once",
+                Kind::Stream => "stream",
+            };
+            let keeps = exchange(&world, &mut stream, address, path, &id, kind).await;
+            sleep(Duration::from_millis(20)).await;
+            if !keeps {
+                break;
+            }
+        }
+    }
+}
+
+/// Asks a node which addresses to use, and takes one of them.
+async fn resolve(directory: SocketAddr, turn: usize) -> Option<SocketAddr> {
+    let asking = async {
+        let mut stream = TcpStream::connect(directory).await.ok()?;
+        let request = "GET /v1/resolve?name=soak.example HTTP/1.1\r\nHost: x\r\n\r\n";
+        stream.write_all(request.as_bytes()).await.ok()?;
+        let answer = read(&mut stream).await?;
+        let list = answer.text.split_once("\"addresses\":[")?.1;
+        let list = list.split_once(']')?.0;
+        let addresses: Vec<SocketAddr> = list
+            .split(',')
+            .filter_map(|it| it.trim_matches('"').parse().ok())
+            .collect();
+        let place = turn % addresses.len().max(1);
+        addresses.get(place).copied()
+    };
+    timeout(Duration::from_secs(1), asking).await.ok()?
+}
+
+/// An answer as it came.
+#[derive(Debug)]
+struct Answer {
+    status: u16,
+    text: String,
+    /// Whether it is whole by its framing.
+    whole: bool,
+}
+
+impl Answer {
+    fn header(&self, name: &str) -> Option<&str> {
+        let head = self.text.split("\r\n\r\n").next()?;
+        let mut lines = head.lines().filter_map(|line| line.split_once(": "));
+        lines
+            .find(|(known, _)| known.eq_ignore_ascii_case(name))
+            .map(|(_, value)| value)
+    }
+
+    fn body(&self) -> &str {
+        self.text
+            .split_once("\r\n\r\n")
+            .map_or("", |(_, body)| body)
+    }
+}
+
+/// Sends one call and checks its answer. Returns whether the connection is kept.
+async fn exchange(
+    world: &World,
+    stream: &mut TcpStream,
+    address: SocketAddr,
+    path: &str,
+    id: &str,
+    kind: Kind,
+) -> bool {
+    let request = format!(
+        "POST /{path}/x HTTP/1.1\r\nHost: soak.example\r\nRequest-Id: {id}\r\n\
+         Deadline-Ms: {DEADLINE_MS}\r\nAuthorization: Token key-1\r\nContent-Length: 2\r\n\r\nhi"
+    );
+    if stream.write_all(request.as_bytes()).await.is_err() {
+        return false;
+    }
+    let started = Instant::now();
+    let Ok(answer) = timeout(PATIENCE, read(stream)).await else {
+        // A process that stands still, or lately did, answers nothing.
+        if world.ledger.is_calm() {
+            let text = format!("call {id} at {address} gets no answer for {PATIENCE:?}");
+            world.ledger.violation(text);
+        }
+        return false;
+    };
+    let Some(answer) = answer else {
+        return false;
+    };
+    check(world, &answer, id, kind);
+    let late = started.elapsed() > Duration::from_millis(DEADLINE_MS) + CONTACT;
+    if late && world.ledger.is_calm() {
+        let text = format!("call {id} is answered after {:?}", started.elapsed());
+        world.ledger.violation(text);
+    }
+    answer.whole && answer.header("connection") != Some("close")
+}
+
+/// Checks that an answer is the caller's own, whole, and true.
+fn check(world: &World, answer: &Answer, id: &str, kind: Kind) {
+    let ledger = &world.ledger;
+    let wrong = |what: &str| {
+        let head: String = answer.text.chars().take(300).collect();
+        ledger.violation(format!("call {id}: {what}: {head:?}"));
+    };
+    if answer.header("request-id").is_some_and(|own| own != id) {
+        wrong("the answer belongs to another call");
+    }
+    match answer.status {
+        200 => {
+            let signature = format!("s.{id}");
+            if answer.header("response-signature") != Some(signature.as_str()) {
+                wrong("the answer has not the upstream's signature");
+            }
+            let complete = if kind == Kind::Stream {
+                check_events(answer, id, &wrong)
+            } else {
+                if answer.whole && answer.body() != id {
+                    wrong("the body is not the upstream's");
+                }
+                answer.whole
+            };
+            if complete {
+                ledger.served();
+            }
+        }
+        408 | 421 | 429 | 503 if kind == Kind::Once => ledger.refused(id, answer.status),
+        401 | 403 | 404 => wrong("the call is denied although every table allows it"),
+        _ => {}
+    }
+}
+
+/// Checks the events of a stream. Returns whether all are there.
+fn check_events(answer: &Answer, id: &str, wrong: &impl Fn(&str)) -> bool {
+    let numbers: Vec<u64> = answer
+        .body()
+        .lines()
+        .filter_map(|line| line.strip_prefix("id: ")?.parse().ok())
+        .collect();
+    if !numbers.iter().copied().eq(1..=numbers.len() as u64) {
+        wrong("events are missing or come twice");
+    }
+    let data = answer.body().lines();
+    let mut data = data.filter_map(|line| line.strip_prefix("data: "));
+    if data.any(|data| !id.starts_with(data)) {
+        wrong("an event belongs to another call");
+    }
+    let all = numbers.len() as u64 == EVENTS;
+    if answer.whole && !all {
+        wrong("the stream ends as complete before its last event");
+    }
+    answer.whole && all
+}
+
+/// Asks one gateway for the route of the newest version that it has served, and of the
+/// newest one there is.
+async fn watch_versions(world: World, number: usize) {
+    let mut served = (0, 0);
+    let mut newest = (0, Instant::now());
+    loop {
+        sleep(Duration::from_millis(100)).await;
+        let version = world.version.load(Ordering::Relaxed);
+        if version != newest.0 {
+            newest = (version, Instant::now());
+        }
+        let (address, incarnation) = {
+            let node = world.node(number);
+            (node.process.front(), node.process.incarnation)
+        };
+        if served.0 != incarnation {
+            served = (incarnation, 0);
+        }
+        for version in [served.1, version] {
+            if version == 0 {
+                continue;
+            }
+            let asked = Instant::now();
+            let status = probe(address, version).await;
+            let same = world.node(number).process.incarnation == incarnation;
+            match status {
+                Some(200) if same => served.1 = served.1.max(version),
+                Some(404) if same && version <= served.1 => world.ledger.violation(format!(
+                    "gateway {number} has gone back behind version {version}"
+                )),
+                Some(404) if newest.1 + IN_FORCE + CONTACT < asked && world.ledger.is_calm() => {
+                    let text = format!("gateway {number} does not know version {version} in time");
+                    world.ledger.violation(text);
+                }
+                _ => {}
+            }
+        }
+    }
+}
+
+async fn probe(address: SocketAddr, version: u64) -> Option<u16> {
+    let asking = async {
+        let mut stream = TcpStream::connect(address).await.ok()?;
+        let request = format!(
+            "GET /v{version}/x HTTP/1.1\r\nHost: soak.example\r\nRequest-Id: probe\r\n\
+             Deadline-Ms: 500\r\nAuthorization: Token key-1\r\n\r\n"
+        );
+        stream.write_all(request.as_bytes()).await.ok()?;
+        Some(read(&mut stream).await?.status)
+    };
+    timeout(Duration::from_secs(1), asking).await.ok()?
+}
+
+/// Reads one answer, or `None` if the connection ends before its header.
+async fn read(stream: &mut TcpStream) -> Option<Answer> {
+    let mut bytes = Vec::new();
+    let mut buffer = [0; 4096];
+    loop {
+        if let Some(answer) = parse(&bytes).filter(|answer| answer.whole) {
+            return Some(answer);
+        }
+        match stream.read(&mut buffer).await {
+            Ok(count) if count > 0 => bytes.extend_from_slice(&buffer[..count]),
+            _ => return parse(&bytes),
+        }
+    }
+}
+
+fn parse(bytes: &[u8]) -> Option<Answer> {
+    let text = String::from_utf8_lossy(bytes).into_owned();
+    let (head, body) = text.split_once("\r\n\r\n")?;
+    let status = head.split(' ').nth(1)?.parse().ok()?;
+    let head = head.to_ascii_lowercase();
+    let length = head.lines().find_map(|line| {
+        let value = line.strip_prefix("content-length: ")?;
+        value.trim().parse::<usize>().ok()
+    });
+    let whole = match length {
+        Some(length) => body.len() >= length,
+        None => body.ends_with("0\r\n\r\n"),
+    };
+    Some(Answer {
+        status,
+        text,
+        whole,
+    })
+}
--- /dev/null
+++ b/crates/soak/src/fault/mod.rs
@@ -0,0 +1,170 @@
+//! Faults in series and overlapping, decided by one seed.
+
+use std::time::Duration;
+
+use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::Rng as _;
+use sesamerock_standin::proxy;
+use tokio::task::JoinSet;
+use tokio::time::{Instant, sleep};
+
+use crate::world::{GATEWAYS, UPSTREAMS, World, ZONES};
+
+/// Shortest time between the starts of two faults.
+const SHORTEST_GAP_MS: u64 = 150;
+/// Longest time between them.
+const LONGEST_GAP_MS: u64 = 900;
+
+/// One thing that goes wrong, or is planned.
+#[derive(Clone, Copy, Debug)]
+enum Kind {
+    /// A gateway is killed and starts again.
+    Kill(usize),
+    /// A gateway is told to stop and starts again.
+    Stop(usize),
+    /// A gateway stands still.
+    Freeze(usize),
+    /// A gateway is told that its settings have changed.
+    Reload(usize),
+    /// The way to an upstream is disturbed.
+    Upstream(usize, proxy::Fault),
+    /// The way of a gateway to the store is disturbed.
+    Store(usize, proxy::Fault),
+    /// The store refuses all calls with a status.
+    Refuse(u16),
+    /// The operators' table changes.
+    Version,
+    /// An upstream says that it leaves, and comes back.
+    Drain(usize),
+    /// A zone is taken out of service and back.
+    Evacuate(usize),
+}
+
+impl Kind {
+    fn draw(random: &mut ChaCha8Rng) -> Self {
+        let mut below = |bound: usize| random.next_u32() as usize % bound;
+        let network = [
+            proxy::Fault::Cut,
+            proxy::Fault::Hold,
+            proxy::Fault::Delay(Duration::from_millis(120)),
+            proxy::Fault::DropAnswers,
+            proxy::Fault::HalfClose,
+        ];
+        match below(14) {
+            0 => Self::Kill(below(GATEWAYS)),
+            1 | 2 => Self::Stop(below(GATEWAYS)),
+            3 => Self::Freeze(below(GATEWAYS)),
+            4 => Self::Reload(below(GATEWAYS)),
+            5..=7 => Self::Upstream(below(UPSTREAMS), network[below(network.len())]),
+            8 | 9 => Self::Store(below(GATEWAYS), network[below(network.len())]),
+            10 => Self::Refuse([503, 429][below(2)]),
+            11 => Self::Version,
+            12 => Self::Drain(below(UPSTREAMS)),
+            _ => Self::Evacuate(below(ZONES.len())),
+        }
+    }
+
+    /// Returns whether a gateway may be kept from learning something.
+    fn disturbs(self) -> bool {
+        matches!(
+            self,
+            Self::Kill(_) | Self::Stop(_) | Self::Freeze(_) | Self::Store(..) | Self::Refuse(_)
+        )
+    }
+}
+
+/// Injects faults for a time. Returns them as text.
+///
+/// # Errors
+/// Fails if a process cannot be signalled or started again.
+pub async fn inject(
+    world: &World,
+    random: &mut ChaCha8Rng,
+    length: Duration,
+) -> eyre::Result<Vec<String>> {
+    let start = Instant::now();
+    let mut said = Vec::new();
+    let mut running: JoinSet<eyre::Result<()>> = JoinSet::new();
+    while start.elapsed() < length {
+        let span = LONGEST_GAP_MS - SHORTEST_GAP_MS;
+        let gap = SHORTEST_GAP_MS + u64::from(random.next_u32()) % span;
+        sleep(Duration::from_millis(gap)).await;
+        let kind = Kind::draw(random);
+        let time = Duration::from_millis(300 + u64::from(random.next_u32()) % 2_700);
+        said.push(format!(
+            "{:.1}s {kind:?} for {:.1}s",
+            start.elapsed().as_secs_f64(),
+            time.as_secs_f64()
+        ));
+        let world = world.clone();
+        running.spawn(async move {
+            if kind.disturbs() {
+                world.ledger.disturb(true);
+            }
+            let done = carry_out(&world, kind, time).await;
+            if kind.disturbs() {
+                world.ledger.disturb(false);
+            }
+            done
+        });
+    }
+    while let Some(done) = running.join_next().await {
+        done??;
+    }
+    Ok(said)
+}
+
+async fn carry_out(world: &World, kind: Kind, time: Duration) -> eyre::Result<()> {
+    match kind {
+        Kind::Kill(number) => {
+            world.node(number).process.signal(libc::SIGKILL)?;
+            sleep(time / 3).await;
+            world.node(number).process.restart()?;
+        }
+        Kind::Stop(number) => {
+            world.node(number).process.signal(libc::SIGTERM)?;
+            // A frozen process ends only after it goes on.
+            for _ in 0..200 {
+                sleep(Duration::from_millis(50)).await;
+                if world.node(number).process.restart()? {
+                    break;
+                }
+            }
+        }
+        Kind::Freeze(number) => {
+            world.node(number).process.signal(libc::SIGSTOP)?;
+            sleep(time).await;
+            world.node(number).process.signal(libc::SIGCONT)?;
+        }
+        Kind::Reload(number) => world.node(number).process.signal(libc::SIGHUP)?,
+        Kind::Upstream(number, fault) => {
+            world.servers[number].proxy.set(fault);
+            sleep(time).await;
+            world.servers[number].proxy.set(proxy::Fault::Pass);
+        }
+        Kind::Store(number, fault) => {
+            world.node(number).store.set(fault);
+            sleep(time).await;
+            world.node(number).store.set(proxy::Fault::Pass);
+        }
+        Kind::Refuse(status) => {
+            world.store.refuse(Some(status));
+            sleep(time).await;
+            world.store.refuse(None);
+        }
+        Kind::Version => {
+            world.next_version();
+        }
+        Kind::Drain(number) => {
+            world.register(number, "draining");
+            sleep(time + Duration::from_secs(2)).await;
+            world.register(number, "ready");
+        }
+        Kind::Evacuate(zone) => {
+            world.evacuate(ZONES[zone], true);
+            sleep(time + Duration::from_secs(5)).await;
+            world.evacuate(ZONES[zone], false);
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/soak/src/main.rs
@@ -0,0 +1,81 @@
+//! Runs the soak from the command line.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use bpaf::{Parser as _, construct, long};
+use eyre::WrapErr as _;
+
+/// What the user asked for.
+#[derive(Clone, Debug)]
+struct Options {
+    seed: u64,
+    count: u64,
+    seconds: u64,
+    logs: PathBuf,
+}
+
+fn options() -> Options {
+    let seed = long("seed").help("First seed").argument("N").fallback(1);
+    let count = long("count")
+        .help("Number of seeds, played one after the other")
+        .argument("N")
+        .fallback(1);
+    let seconds = long("seconds")
+        .help("Time of faults in each run")
+        .argument("S")
+        .fallback(12);
+    let logs = long("logs")
+        .help("Folder for the logs of the programs")
+        .argument("DIR")
+        .fallback(PathBuf::from("target/soak"));
+    construct!(Options {
+        seed,
+        count,
+        seconds,
+        logs
+    })
+    .to_options()
+    .descr("Runs gateways under random faults and checks what callers and upstreams see.")
+    .run()
+}
+
+fn main() -> eyre::Result<ExitCode> {
+    let options = options();
+    let own = std::env::current_exe().wrap_err("cannot find the programs")?;
+    let program = own.with_file_name("sesamerock");
+    eyre::ensure!(
+        program.exists(),
+        "{} is missing; build it first with cargo build --release",
+        program.display()
+    );
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()?;
+    let mut failed = 0;
+    for seed in options.seed..options.seed + options.count {
+        let logs = options.logs.join(seed.to_string());
+        let length = Duration::from_secs(options.seconds);
+        let outcome = runtime.block_on(sesamerock_soak::play(seed, length, &program, &logs))?;
+        println!(
+            "seed={seed} calls={} served={} faults={} violations={}",
+            outcome.calls,
+            outcome.served,
+            outcome.faults.len(),
+            outcome.violations.len(),
+        );
+        if !outcome.violations.is_empty() {
+            failed += 1;
+            for fault in &outcome.faults {
+                println!("  fault {fault}");
+            }
+            for violation in &outcome.violations {
+                println!("  broken {violation}");
+            }
+            println!("  logs {}", logs.display());
+        }
+    }
+    println!("{} passed, {failed} failed", options.count - failed);
+    Ok(ExitCode::from(u8::from(failed > 0)))
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -10,4 +10,7 @@
 pub mod platform;
 pub mod proxy;
 mod reply;
+pub mod scripted;
 pub mod service;
+pub mod task;
+pub mod topics;
--- a/platform/tests/support/upstream/mod.rs
+++ b/crates/standin/src/scripted/mod.rs
@@ -8,7 +8,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::sleep;
 
-use super::Task;
+use crate::task::Task;
 
 /// What an upstream does with a call.
 #[derive(Clone, Debug)]
@@ -17,11 +17,16 @@
     Write(String),
     /// It writes these bytes and closes the connection.
     Close(String),
+    /// It works for a time, writes these bytes and keeps the connection.
+    Work(Duration, String),
+    /// It writes a header and then pieces, each after a pause, and keeps the connection.
+    Stream(String, Vec<String>, Duration),
     /// It says nothing until the other side leaves.
     Hang,
 }
 
 /// An upstream.
+#[derive(Debug)]
 pub struct Upstream {
     /// Identity.
     pub id: String,
@@ -34,10 +39,13 @@
 
 impl Upstream {
     /// Starts an upstream; `act` is told the text of each call.
+    ///
+    /// # Errors
+    /// Returns the error of the listener.
     pub async fn start(
         id: &str,
         act: impl Fn(&str) -> Act + Clone + Send + Sync + 'static,
-    ) -> eyre::Result<Self> {
+    ) -> std::io::Result<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let address = listener.local_addr()?;
         let calls = Arc::new(Mutex::new(Vec::new()));
@@ -71,13 +79,17 @@
 
     /// Returns the record that it writes to the store.
     pub fn record(&self, zone: &str, state: &str) -> String {
-        format!(
-            r#"{{"service":"s","address":"{}","zone":"{zone}","version":"v1","slots":4,"state":"{state}","coldRemainingMs":0,"seq":0,"new":[1]}}"#,
-            self.address
-        )
+        record(self.address, zone, state)
     }
 }
 
+/// Returns the record of an upstream at an address.
+pub fn record(address: SocketAddr, zone: &str, state: &str) -> String {
+    format!(
+        r#"{{"service":"s","address":"{address}","zone":"{zone}","version":"v1","slots":4,"state":"{state}","coldRemainingMs":0,"seq":0,"new":[1]}}"#
+    )
+}
+
 /// Returns a whole answer to a call.
 pub fn answer(call: &str, body: &str) -> String {
     let id = field(call, "request-id").unwrap_or_default();
@@ -140,6 +152,20 @@
         let (text, closes) = match act(&text) {
             Act::Write(text) => (text, false),
             Act::Close(text) => (text, true),
+            Act::Work(time, text) => {
+                sleep(time).await;
+                (text, false)
+            }
+            Act::Stream(mut text, pieces, pause) => {
+                for piece in pieces {
+                    if stream.write_all(text.as_bytes()).await.is_err() {
+                        return;
+                    }
+                    sleep(pause).await;
+                    text = piece;
+                }
+                (text, false)
+            }
             Act::Hang => {
                 // Ends when the other side closes or resets.
                 while matches!(stream.read(&mut buffer).await, Ok(read) if read > 0) {}
--- a/platform/tests/support/store/mod.rs
+++ b/crates/standin/src/topics/mod.rs
@@ -16,7 +16,7 @@
 use tokio::net::TcpListener;
 use tokio::time::sleep;
 
-use super::Task;
+use crate::task::Task;
 
 type Topic = Vec<(String, Vec<u8>)>;
 
@@ -31,7 +31,7 @@
 }
 
 /// A store.
-#[derive(Clone)]
+#[derive(Clone, Debug)]
 pub struct Store {
     /// Where it listens.
     pub address: SocketAddr,
@@ -41,7 +41,10 @@
 
 impl Store {
     /// Starts a store.
-    pub async fn start() -> eyre::Result<Self> {
+    ///
+    /// # Errors
+    /// Returns the error of the listener.
+    pub async fn start() -> std::io::Result<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let address = listener.local_addr()?;
         let state = Arc::new(Mutex::new(State::default()));
@@ -65,7 +68,10 @@
     }
 
     /// Starts another face of the same store, with faults of its own.
-    pub async fn face(&self) -> eyre::Result<Self> {
+    ///
+    /// # Errors
+    /// Returns the error of the listener.
+    pub async fn face(&self) -> std::io::Result<Self> {
         let other = Self::start().await?;
         let topics = lock(&self.state).topics.clone();
         lock(&other.state).topics = topics;
@@ -138,6 +144,7 @@
             append(&mut lock(&state), topic, &body);
             reply(200, br#"{"offset":0,"end":1}"#.to_vec())
         }
+        "/v1/log-leave" => reply(200, b"{}".to_vec()),
         "/v1/log-join" => reply(200, br#"{"generation":1,"ttlMs":1500,"parts":[]}"#.to_vec()),
         _ => reply(404, Vec::new()),
     })
