Keep the platform's words of the soak in the stand-ins, and one way to find free ports

The soak wrote the operators' table and a refusal in the platform's words; both are now made by crates/standin, which platform/tests use too.

--- a/crates/sesamerock/tests/support/node/mod.rs
+++ b/crates/sesamerock/tests/support/node/mod.rs
@@ -1,22 +1,14 @@
 //! One process of the program under test.
 
 use std::fs;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU16, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
 use serde::Serialize;
 
-/// Lowest port given to a process under test.
-const LOWEST_PORT: u16 = 10_000;
-/// Ports that one test process gives out.
-const PORTS_PER_PROCESS: u16 = 1_000;
-/// Test processes with ports of their own.
-const PROCESSES: u32 = 20;
-
 /// Time for a process to stop after it was asked to, and between two looks.
 const STOP_TIMEOUT: Duration = Duration::from_mins(1);
 const STOP_POLL: Duration = Duration::from_millis(20);
@@ -122,19 +114,7 @@
     status.is_none()
 }
 
-/// Returns an address on loopback whose port is free and below those that the
-/// system gives to outgoing connections, so that nothing takes it before the
-/// process under test binds it. An agent once failed to start for this reason.
+/// Returns an address on loopback whose port is free.
 pub fn free_address() -> SocketAddr {
-    static NEXT: AtomicU16 = AtomicU16::new(0);
-    // Test processes that run at the same time begin at different ports.
-    let first = LOWEST_PORT + (std::process::id() % PROCESSES) as u16 * PORTS_PER_PROCESS;
-    for _ in 0..PORTS_PER_PROCESS {
-        let port = first + NEXT.fetch_add(1, Ordering::Relaxed) % PORTS_PER_PROCESS;
-        let address = SocketAddr::from(([127, 0, 0, 1], port));
-        if TcpListener::bind(address).is_ok() {
-            return address;
-        }
-    }
-    panic!("no port is free");
+    sesamerock_standin::port::free().expect("a port is free")
 }
--- a/crates/soak/src/world/mod.rs
+++ b/crates/soak/src/world/mod.rs
@@ -8,8 +8,10 @@
 use sesamerock_gateway::run::Settings;
 use sesamerock_standin::port::free;
 use sesamerock_standin::proxy::{Fault, Proxy};
-use sesamerock_standin::scripted::{Act, Upstream, answer, chunk, field, record, stream};
-use sesamerock_standin::topics::Store;
+use sesamerock_standin::scripted::{
+    Act, Upstream, answer, chunk, field, misdirected, record, stream,
+};
+use sesamerock_standin::topics::{Kind, Route, Store, table};
 use tokio_util::sync::CancellationToken;
 
 use crate::ledger::{DRAIN, Ledger};
@@ -204,10 +206,7 @@
 fn act(call: &str, id: &str, zone: &str, ledger: &Ledger) -> Act {
     let request = field(call, "request-id").unwrap_or_default();
     if field(call, "expect-instance").is_some_and(|named| named != id) {
-        return Act::Write(format!(
-            "HTTP/1.1 421 Misdirected\r\nRequest-Id: {request}\r\nNot-Executed: 1\r\n\
-             Content-Length: 0\r\n\r\n"
-        ));
+        return Act::Write(misdirected(call));
     }
     let path = call.split(' ').nth(1).unwrap_or_default();
     ledger.ran(&request, path.starts_with("/once/"), id, zone);
@@ -227,24 +226,21 @@
 /// Returns the operators' table of a version: routes of all kinds, and one for each
 /// version so far.
 fn config(version: u64) -> String {
-    let route = |name: &str, kind: &str, more: &str| {
-        format!(
-            r#"{{"name":"{name}","host":"soak.example","pathPrefix":"/{name}/","kind":"{kind}","timeoutMs":3000,"targetLatencyMs":200,"priority":1,"service":"s","maxAttempts":2{more}}}"#
-        )
-    };
     let mut routes = vec![
-        route("safe", "safe", ""),
-        route("once", "unsafe", ""),
-        route(
-            "stream",
-            "streaming",
-            r#","resumable":true,"targetGapMs":120"#,
-        ),
+        route("safe", Kind::Safe),
+        route("once", Kind::Unsafe),
+        route("stream", Kind::Stream { resumable: true }),
     ];
-    let versions = (1..=version).map(|version| route(&format!("v{version}"), "safe", ""));
+    let versions = (1..=version).map(|version| route(&format!("v{version}"), Kind::Safe));
     routes.extend(versions);
-    format!(
-        r#"{{"version":{version},"routes":[{}],"services":[{{"name":"s","healthPath":"/h","maxConns":100,"coldStartS":0,"coldPerS":0}}],"limits":{{"maxHeaderBytes":16384,"maxBodyBytes":1000,"headerTimeoutMs":3000,"idleTimeoutMs":15000}},"tenants":[{{"name":"school","apiKeys":["key-1"]}}]}}"#,
-        routes.join(",")
-    )
+    table(version, &routes)
+}
+
+fn route(name: &str, kind: Kind) -> Route<'static> {
+    Route {
+        name: name.to_owned(),
+        host: "soak.example",
+        kind,
+        timeout: Duration::from_secs(3),
+    }
 }
--- a/crates/standin/src/scripted/mod.rs
+++ b/crates/standin/src/scripted/mod.rs
@@ -100,6 +100,15 @@
     )
 }
 
+/// Returns the answer to a call that is meant for another upstream, and does not run.
+pub fn misdirected(call: &str) -> String {
+    let id = field(call, "request-id").unwrap_or_default();
+    format!(
+        "HTTP/1.1 421 Misdirected\r\nRequest-Id: {id}\r\nNot-Executed: 1\r\n\
+         Content-Length: 0\r\n\r\n"
+    )
+}
+
 /// Returns the header of a stream.
 pub fn stream(call: &str, signature: &str) -> String {
     let id = field(call, "request-id").unwrap_or_default();
--- a/crates/standin/src/topics/mod.rs
+++ b/crates/standin/src/topics/mod.rs
@@ -214,3 +214,58 @@
     let topic = state.topics.entry(topic).or_default();
     topic.push((name, record[1 + key..].to_vec()));
 }
+
+/// What may be repeated on a route.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// Calls may run more than once.
+    Safe,
+    /// Calls run at most once.
+    Unsafe,
+    /// Streams of events.
+    Stream {
+        /// Whether another upstream can go on.
+        resumable: bool,
+    },
+}
+
+/// A route of the operators' table.
+#[derive(Clone, Debug)]
+pub struct Route<'a> {
+    /// Its name, and the first part of its paths.
+    pub name: String,
+    /// Host that callers name.
+    pub host: &'a str,
+    /// What may be repeated.
+    pub kind: Kind,
+    /// Longest time that a call is kept.
+    pub timeout: Duration,
+}
+
+impl Route<'_> {
+    fn text(&self) -> String {
+        let Self { name, host, .. } = self;
+        let (kind, more) = match self.kind {
+            Kind::Safe => ("safe", ""),
+            Kind::Unsafe => ("unsafe", ""),
+            Kind::Stream { resumable: true } => {
+                ("streaming", r#","resumable":true,"targetGapMs":120"#)
+            }
+            Kind::Stream { resumable: false } => ("streaming", ""),
+        };
+        let timeout = self.timeout.as_millis();
+        format!(
+            r#"{{"name":"{name}","host":"{host}","pathPrefix":"/{name}/","kind":"{kind}","timeoutMs":{timeout},"targetLatencyMs":200,"priority":1,"service":"s","maxAttempts":2{more}}}"#
+        )
+    }
+}
+
+/// Returns a version of the operators' table with these routes to the service `s`, and one
+/// workspace with the key `key-1`.
+pub fn table(version: u64, routes: &[Route<'_>]) -> String {
+    let routes: Vec<String> = routes.iter().map(Route::text).collect();
+    format!(
+        r#"{{"version":{version},"routes":[{}],"services":[{{"name":"s","healthPath":"/h","maxConns":100,"coldStartS":0,"coldPerS":0}}],"limits":{{"maxHeaderBytes":16384,"maxBodyBytes":1000,"headerTimeoutMs":3000,"idleTimeoutMs":15000}},"tenants":[{{"name":"school","apiKeys":["key-1"]}}]}}"#,
+        routes.join(",")
+    )
+}
