Identify the ranks of a group by the start of their engine

Ruled out: late answers (30 ms limit), fencing, the number of ranks.

Change: a report counts for a record only if both name the same start; a refused prepare ends the task of the group, which is then read again from the present records. Both tests failed before.

--- a/crates/gateway/src/maps/leader/mod.rs
+++ b/crates/gateway/src/maps/leader/mod.rs
@@ -322,12 +322,24 @@
     }
 
     /// Queries the state of some ranks. The result lacks those that do not answer within
-    /// [`QUERY_TIMEOUT`].
+    /// [`QUERY_TIMEOUT`], and records whose engine has been replaced or restarted since: the
+    /// engine that answers at their address refuses commands for them.
     async fn reports(&self, records: &[Arc<Record>]) -> Members {
         let queries = records.iter().map(|record| async move {
             let report = timeout(QUERY_TIMEOUT, self.engine.report(record)).await;
             match report {
-                Ok(Ok(report)) => Some((Arc::clone(record), report)),
+                Ok(Ok(report)) if is_of_record(&report, record) => {
+                    Some((Arc::clone(record), report))
+                }
+                Ok(Ok(report)) => {
+                    log::info!(
+                        "event=rank_replaced upstream={} born={:?} reported_born={:?}",
+                        record.id,
+                        record.born,
+                        report.born,
+                    );
+                    None
+                }
                 Ok(Err(fault)) => {
                     log::debug!("event=no_report upstream={} reason=\"{fault}\"", record.id);
                     None
@@ -342,6 +354,15 @@
     }
 }
 
+/// Returns whether a report comes from the same start of an engine as a record. Without both
+/// start times, the address alone identifies the engine.
+fn is_of_record(report: &Report, record: &Record) -> bool {
+    match (report.born, record.born) {
+        (Some(reported), Some(recorded)) => reported == recorded,
+        _ => true,
+    }
+}
+
 /// Manages a group. Also returns its name, which identifies the finished task to the caller.
 async fn manage_group<E: Engine>(
     leader: Leader<E>,
--- a/crates/gateway/src/maps/switch/mod.rs
+++ b/crates/gateway/src/maps/switch/mod.rs
@@ -204,6 +204,11 @@
         match outcome {
             Some(CommandOutcome::Begun | CommandOutcome::Done) => rank.confirmed = true,
             Some(CommandOutcome::Fenced) => self.phase = Phase::End(End::Fenced),
+            // Another engine has taken the rank's address, which the group survives only by
+            // forming again.
+            Some(CommandOutcome::Refused) if phase == Phase::Prepare => {
+                self.phase = Phase::End(End::Reformed);
+            }
             Some(CommandOutcome::Conflict | CommandOutcome::Refused) => {
                 self.handle_conflict(index, phase);
             }
--- a/crates/gateway/tests/leader.rs
+++ b/crates/gateway/tests/leader.rs
@@ -10,7 +10,7 @@
 use sesamerock_gateway::maps;
 use sesamerock_gateway::relay::{self, Shared};
 use sesamerock_gateway::state::View;
-use support::{Engines, GrantingStore, view};
+use support::{Engines, FIRST_START, GrantingStore, view, view_of_starts};
 use tokio::time::{sleep, timeout};
 
 fn shared(view: View) -> Arc<Shared> {
@@ -122,3 +122,43 @@
     assert!(store.claims.load(Ordering::Relaxed) > 1);
     assert_eq!(store.resigned.load(Ordering::Relaxed), 1);
 }
+
+/// Regression: after a loss of all power, the store still listed the records of the earlier
+/// start of each engine. The leader took them for members of the groups, so that no group
+/// was complete until those records expired.
+#[tokio::test]
+async fn regression_records_of_an_earlier_start_do_not_count_as_ranks() {
+    let engines = Engines::new(Duration::from_mins(1), |_, _, _| false);
+    engines.restart(FIRST_START + 1);
+    let both = view_of_starts(&["fast"], &[FIRST_START, FIRST_START + 1]);
+    let store = GrantingStore::default();
+    let leading = maps::run_leader(shared(both), store, engines.clone(), settings());
+    tokio::select! {
+        () = leading => {}
+        () = sleep(Duration::from_millis(2_500)) => {}
+    }
+    let history = engines.history("fast");
+    assert!(history.switches >= 1, "{history:?}");
+}
+
+/// Regression: a leader that had read a group by the records of an earlier start sent its
+/// commands to those for as long as it led. Each was refused, and no map changed any more.
+#[tokio::test]
+async fn regression_restarted_group_is_read_again() {
+    let engines = Engines::new(Duration::from_mins(1), |_, _, _| false);
+    engines.restart(FIRST_START + 1);
+    let gateway = shared(view(&["fast"]));
+    let store = GrantingStore::default();
+    let leading = maps::run_leader(Arc::clone(&gateway), store, engines.clone(), settings());
+    let restart = async {
+        sleep(Duration::from_secs(1)).await;
+        gateway.publish(view_of_starts(&["fast"], &[FIRST_START + 1]));
+        sleep(Duration::from_secs(3)).await;
+    };
+    tokio::select! {
+        () = leading => {}
+        () = restart => {}
+    }
+    let history = engines.history("fast");
+    assert!(history.switches >= 1, "{history:?}");
+}
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -5,7 +5,7 @@
 
 use std::collections::HashMap;
 use std::future::pending;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -24,6 +24,8 @@
 const EXPERTS: u16 = 16;
 /// Duration of a step in milliseconds.
 const STEP_MS: u64 = 60;
+/// [`Record::born`] of engines that have not restarted.
+pub const FIRST_START: u64 = 1;
 
 /// A store that grants the leadership to every claimant and never delivers records.
 #[derive(Clone, Debug, Default)]
@@ -93,6 +95,9 @@
     /// Whether a command is left unanswered, given the id of the rank, the kind of the
     /// command, and how often the rank has received that kind before.
     leaves_unanswered: fn(&str, &str, u32) -> bool,
+    /// When the engines last started, as [`Record::born`]. They refuse commands that are meant
+    /// for another start.
+    born: Arc<AtomicU64>,
 }
 
 fn locked<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -117,9 +122,17 @@
             ranks: Arc::default(),
             histories: Arc::default(),
             leaves_unanswered,
+            born: Arc::new(AtomicU64::new(FIRST_START)),
         }
     }
 
+    /// Restarts all engines at `born`, after which they know nothing of before.
+    pub fn restart(&self, born: u64) {
+        self.born.store(born, Ordering::Relaxed);
+        locked(&self.ranks).clear();
+        locked(&self.histories).clear();
+    }
+
     /// Returns the switches of a group so far.
     pub fn history(&self, group: &str) -> GroupHistory {
         locked(&self.histories)
@@ -187,7 +200,7 @@
             .or_default()
             .clone();
         Ok(Report {
-            born: None,
+            born: Some(self.born.load(Ordering::Relaxed)),
             orders: 0,
             waiting: 0,
             running: 1,
@@ -245,12 +258,21 @@
         if (self.leaves_unanswered)(&at.id, command.as_str(), received_before) {
             return pending().await;
         }
+        if at.born != Some(self.born.load(Ordering::Relaxed)) {
+            return Ok(CommandOutcome::Refused);
+        }
         Ok(self.apply(&at.id, command))
     }
 }
 
 /// Returns a view with one service, which has a group of [`RANKS`] ranks for each name.
 pub fn view(groups: &[&str]) -> View {
+    view_of_starts(groups, &[FIRST_START])
+}
+
+/// Returns a view as [`view`] does, with a record of each rank for each start in `starts`. A
+/// store lists the record of an earlier start until its heartbeats expire.
+pub fn view_of_starts(groups: &[&str], starts: &[u64]) -> View {
     let experts = Experts {
         sets: 1,
         experts: EXPERTS,
@@ -285,10 +307,10 @@
         workspaces: None,
         limits: Limits::default(),
     };
-    let record = |group: &str, rank| {
+    let record = |group: &str, rank, born| {
         Arc::new(Record {
             id: Arc::from(format!("{group}/{rank}")),
-            born: None,
+            born: Some(born),
             service: Arc::from("s"),
             address: ([127, 0, 0, 1], 1).into(),
             zone: Arc::from("a"),
@@ -297,9 +319,13 @@
             cold: Duration::ZERO,
         })
     };
-    let records = groups
+    let ranks = groups
         .iter()
-        .flat_map(|group| (0..RANKS).map(|rank| record(group, rank)));
+        .flat_map(|group| (0..RANKS).map(move |rank| (group, rank)));
+    let records = ranks.flat_map(|(group, rank)| {
+        let records = starts.iter().map(move |born| (group, rank, *born));
+        records.map(|(group, rank, born)| record(group, rank, born))
+    });
     View {
         table: Some(Arc::new(Table::new(content))),
         ranks: HashMap::from([(Arc::from("s"), records.collect())]),
