Keep a leader of the expert maps while the store turns gateways away

From 31 s the store answered nobody: the lease ended at 32.0 s and no map followed the demand. After the loss of power each gateway took itself for the only one, since it knew no other yet, and claimed: generation 60.

Change: heartbeats tell when the store last answered. Gateways that it turns away leave the claim to the others; a gateway that does not know the others yet claims nothing; a leader goes on past its lease while the store answers nobody, if engines check the fencing token (new setting fencing). A renewal is given up after half a lease. The regression tests failed with the former rules.

--- a/crates/gateway/src/exchange/mod.rs
+++ b/crates/gateway/src/exchange/mod.rs
@@ -11,6 +11,7 @@
 
 use crate::node;
 use crate::state::{Position, Snapshot};
+use crate::store::contact::ContactState;
 
 pub use peers::{Peers, Settings};
 pub use serve::{accept, context_with_deadline, serve, transport};
@@ -26,6 +27,8 @@
     pub leads: bool,
     /// Offsets up to which the sender has read the logs.
     pub position: Position,
+    /// Contact of the sender with the store.
+    pub store: ContactState,
     /// Number of calls in flight from the sender, by upstream id.
     pub loads: Vec<(Arc<str>, u32)>,
 }
--- a/crates/gateway/src/exchange/peers/mod.rs
+++ b/crates/gateway/src/exchange/peers/mod.rs
@@ -99,15 +99,26 @@
 
     /// Returns the nodes that are alive and ready for callers.
     pub fn ready(&self) -> Vec<node::Record> {
+        self.collect_alive(|heartbeat| heartbeat.ready.then(|| heartbeat.node.clone()))
+    }
+
+    /// Returns the names of the nodes that are alive and ready, each with whether its calls
+    /// to the store fail.
+    pub fn store_contacts(&self) -> Vec<(String, bool)> {
+        self.collect_alive(|heartbeat| {
+            let name = || (heartbeat.node.name.clone(), heartbeat.store.failing);
+            heartbeat.ready.then(name)
+        })
+    }
+
+    /// Collects what `select` returns for the latest heartbeat of each node that is alive.
+    fn collect_alive<T>(&self, select: impl Fn(&Heartbeat) -> Option<T>) -> Vec<T> {
         let now = clock::now();
         let received = self.received.lock().unwrap_or_else(PoisonError::into_inner);
-        received
+        let alive = received
             .values()
-            .filter(|peer| {
-                peer.heartbeat.ready && now.since(peer.at) <= self.settings.heartbeat_expiry
-            })
-            .map(|peer| peer.heartbeat.node.clone())
-            .collect()
+            .filter(|peer| now.since(peer.at) <= self.settings.heartbeat_expiry);
+        alive.filter_map(|peer| select(&peer.heartbeat)).collect()
     }
 
     /// Returns the number of nodes that may be alive, including this one; 0 until the
--- a/crates/gateway/src/maps/leader/mod.rs
+++ b/crates/gateway/src/maps/leader/mod.rs
@@ -22,7 +22,7 @@
 use crate::engine::{Engine, Report};
 use crate::pool::AbortOnDrop;
 use crate::relay::Shared;
-use crate::store::{Lease, Store};
+use crate::store::{Fault, Lease, Store};
 use crate::table::Experts;
 use crate::upstream::Record;
 
@@ -37,6 +37,9 @@
 const CLAIM_STAGGER: Duration = Duration::from_millis(500);
 /// Number of renewals during one lease. The lease survives the loss of two answers.
 const RENEWALS_PER_LEASE: u32 = 4;
+/// Time limit for an answer to a renewal, in multiples of the lease. A renewal that is left
+/// unanswered is noticed before the lease ends.
+const CLAIM_TIMEOUT_LEASES: f64 = 0.5;
 /// Interval at which a gateway checks whether it has become the leader.
 const LEADERSHIP_POLL_INTERVAL: Duration = Duration::from_millis(200);
 /// Interval at which the leader looks for groups that have no task yet, and at which each
@@ -64,6 +67,8 @@
     /// the lease of a crashed leader expires no map changes, and a leader that freezes may
     /// leave a group held.
     pub lease: Duration,
+    /// Whether engines refuse the commands of a leader whose token is out of date.
+    pub fencing: bool,
 }
 
 impl Leadership {
@@ -132,14 +137,24 @@
     settings: Settings,
     leadership: watch::Sender<Leadership>,
 ) {
-    let Settings { node, lease } = settings;
+    let Settings {
+        node,
+        lease,
+        fencing,
+    } = settings;
+    let mut extended = false;
     loop {
         let requested_at = clock::now();
         let previous = *leadership.borrow();
         let may_claim = shared.view.load().claims_leadership || previous.is_held();
         if may_claim && !shared.leaving.load(Ordering::Relaxed) {
-            match store.claim_leadership(&node, lease, previous.fence).await {
+            let claim = store.claim_leadership(&node, lease, previous.fence);
+            let claimed = timeout(lease.mul_f64(CLAIM_TIMEOUT_LEASES), claim).await;
+            let claimed = claimed.unwrap_or_else(|_| Err(Fault::NoAnswer("timed out".to_owned())));
+            match claimed {
                 Ok(Lease { generation, held }) => {
+                    extended = false;
+                    shared.store_contact.record_answer(clock::now());
                     let until = held.then_some(requested_at + lease);
                     if previous.until.is_some() != held {
                         log::info!("event=lead node={node} leads={held} generation={generation}");
@@ -150,8 +165,26 @@
                     });
                     shared.is_leader.store(held, Ordering::Relaxed);
                 }
-                // The lease expires by itself, and the feeds log that the store is unreachable.
-                Err(fault) => log::debug!("event=lead_not_renewed reason=\"{fault}\""),
+                Err(fault) => {
+                    shared.store_contact.record_failure(requested_at);
+                    log::debug!("event=lead_not_renewed reason=\"{fault}\"");
+                    // While the store answers nobody, nobody else can become the leader. If
+                    // another gateway does nevertheless, engines refuse the lower token.
+                    let extends =
+                        fencing && previous.is_held() && shared.store_contact.is_store_out();
+                    if extends {
+                        if !std::mem::replace(&mut extended, true) {
+                            log::warn!(
+                                "event=lead_extended node={node} generation={} reason=\"{fault}\"",
+                                previous.fence
+                            );
+                        }
+                        leadership.send_replace(Leadership {
+                            until: Some(clock::now() + lease),
+                            ..previous
+                        });
+                    }
+                }
             }
         }
         if !leadership.borrow().is_held() {
@@ -192,6 +225,20 @@
     position < CANDIDATES && leaderless_for >= LEADER_TIMEOUT + CLAIM_STAGGER * position as u32
 }
 
+/// Returns the gateways that compete with this one for the leadership, or `None` if this one
+/// leaves it to them. `peers` are those that are alive, each with whether its calls to the
+/// store fail, as `failing` tells of this gateway.
+///
+/// A gateway that the store turns away cannot become the leader, so it does not take the
+/// place of one that could. If the store answers nobody, all compete.
+pub fn competitors(failing: bool, peers: &[(String, bool)]) -> Option<Vec<&str>> {
+    if failing && peers.iter().any(|(_, other)| !other) {
+        return None;
+    }
+    let competing = peers.iter().filter(|(_, other)| failing || !other);
+    Some(competing.map(|(name, _)| name.as_str()).collect())
+}
+
 /// State that the leader shares with the tasks of its groups.
 #[derive(Clone, Debug)]
 struct Leader<E> {
--- a/crates/gateway/src/maps/mod.rs
+++ b/crates/gateway/src/maps/mod.rs
@@ -8,4 +8,4 @@
 pub mod plan;
 pub mod switch;
 
-pub use leader::{Settings, run_leader, should_claim};
+pub use leader::{Settings, competitors, run_leader, should_claim};
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -38,6 +38,7 @@
 use crate::pool::{self, ConnectionPool};
 use crate::socket::Socket;
 use crate::state::View;
+use crate::store::contact::Contact;
 use crate::upstream::Record;
 
 use answer::Body;
@@ -94,6 +95,8 @@
     pub leaving: AtomicBool,
     /// Whether this gateway is the leader for the expert maps.
     pub is_leader: AtomicBool,
+    /// When the store last answered this gateway and the others.
+    pub store_contact: Contact,
     /// Whether new calls are refused, since the process would exit before they end.
     pub closed: AtomicBool,
     admission: Mutex<AdmissionController>,
@@ -112,6 +115,7 @@
             counters: Counters::default(),
             leaving: AtomicBool::new(false),
             is_leader: AtomicBool::new(false),
+            store_contact: Contact::default(),
             closed: AtomicBool::new(false),
             admission: Mutex::new(admission),
             waiters: Mutex::default(),
--- a/crates/gateway/src/run/feeds/mod.rs
+++ b/crates/gateway/src/run/feeds/mod.rs
@@ -36,6 +36,7 @@
         } else {
             LONG_POLL
         };
+        let requested_at = clock::now();
         let result = match from {
             None => store.newest(feed).await,
             Some(from) => store.read(feed, from, wait).await,
@@ -67,7 +68,7 @@
                     log::warn!("event=store_lost feed={} reason=\"{fault}\"", feed.as_str());
                 }
                 faults += 1;
-                node.set_store_unreachable(now);
+                node.record_store_failure(requested_at, now);
                 let jitter = RETRY_INTERVAL.mul_f64(RETRY_JITTER * rand::random::<f64>());
                 sleep(RETRY_INTERVAL + jitter).await;
             }
--- a/crates/gateway/src/run/mod.rs
+++ b/crates/gateway/src/run/mod.rs
@@ -78,21 +78,35 @@
     claims_leadership: bool,
 }
 
+impl Inner {
+    fn set_last_leader_heartbeat(&self, now: Moment) {
+        let last = &self.last_leader_heartbeat;
+        *last.lock().unwrap_or_else(PoisonError::into_inner) = now;
+    }
+}
+
 impl Node {
     fn state(&self) -> MutexGuard<'_, State> {
         let state = &self.inner.state;
         state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn set_store_unreachable(&self, now: Moment) {
+    fn record_store_failure(&self, requested_at: Moment, now: Moment) {
+        self.inner.shared.store_contact.record_failure(requested_at);
         self.state().set_store_unreachable(now);
     }
 
     fn apply(&self, feed: Feed, batch: Batch, full_listing: bool, now: Moment) {
+        self.inner.shared.store_contact.record_answer(now);
         let events = self.state().apply(feed, batch, full_listing, now);
         let position = self.state().position();
         log_events("store", &events, position);
         if feed == Feed::Nodes {
+            if self.inner.peers.gateways() == 0 {
+                // Until a leader could have been heard, this node must not take itself for
+                // the first candidate.
+                self.inner.set_last_leader_heartbeat(now);
+            }
             self.update_peers();
         }
         if !events.is_empty() || full_listing {
@@ -119,15 +133,17 @@
     /// Derives the membership from the nodes that are alive now.
     fn membership(&self) -> Membership {
         let peers = &self.inner.peers;
-        let ready = peers.ready();
-        let others = ready.iter().map(|node| node.name.as_str());
+        let gateways = peers.gateways();
+        let failing = self.inner.shared.store_contact.state(clock::now()).failing;
+        let contacts = peers.store_contacts();
+        let claims_leadership = gateways > 0
+            && maps::competitors(failing, &contacts).is_some_and(|others| {
+                let others = others.into_iter();
+                maps::should_claim(&self.inner.record.name, others, self.leaderless_for())
+            });
         Membership {
-            gateways: peers.gateways(),
-            claims_leadership: maps::should_claim(
-                &self.inner.record.name,
-                others,
-                self.leaderless_for(),
-            ),
+            gateways,
+            claims_leadership,
         }
     }
 
@@ -187,6 +203,7 @@
             ready: self.is_ready(),
             leads: self.inner.shared.is_leader.load(Ordering::Relaxed),
             position: self.state().position(),
+            store: self.inner.shared.store_contact.state(clock::now()),
             loads: self.inner.shared.admission().loads(),
         }
     }
@@ -194,15 +211,18 @@
     fn receive_heartbeat(&self, heartbeat: Heartbeat) {
         let name = heartbeat.node.name.clone();
         let loads = heartbeat.loads.clone();
+        let now = clock::now();
+        self.inner
+            .shared
+            .store_contact
+            .record_peer(heartbeat.store, now);
         if heartbeat.leads {
-            let last = &self.inner.last_leader_heartbeat;
-            let mut last = last.lock().unwrap_or_else(PoisonError::into_inner);
-            *last = clock::now();
+            self.inner.set_last_leader_heartbeat(now);
         }
         self.inner
             .shared
             .admission()
-            .set_peer_loads(&name, loads, clock::now());
+            .set_peer_loads(&name, loads, now);
         if self.inner.peers.receive_heartbeat(heartbeat) {
             log::info!("event=peer_heard peer={name}");
         }
@@ -301,6 +321,7 @@
     let leadership = maps::Settings {
         node: settings.node.clone(),
         lease: settings.lease,
+        fencing: settings.fencing,
     };
     tokio::spawn(maps::run_leader(
         Arc::clone(&shared),
--- a/crates/gateway/src/run/settings/mod.rs
+++ b/crates/gateway/src/run/settings/mod.rs
@@ -55,6 +55,10 @@
     #[serde(rename = "lease_ms")]
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     pub lease: Duration,
+    /// Whether engines refuse commands with a lower fencing token than they have seen. Only
+    /// then may a leader go on past its lease while the store answers nobody.
+    #[serde(default)]
+    pub fencing: bool,
     /// Maximum pause between two events of a stream. Not used by the gateway, which applies
     /// the pause that each route configures.
     #[serde(rename = "pass_ms")]
--- /dev/null
+++ b/crates/gateway/src/store/contact/mod.rs
@@ -0,0 +1,83 @@
+//! When the store last answered this gateway, and when it last answered another one.
+//!
+//! The difference tells an outage of the store, in which nobody can become the leader of the
+//! expert maps, from a store that turns away this gateway alone, in which another gateway
+//! must take over. See `docs/notes/size.md`.
+
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use sesamerock_base::time::Moment;
+
+/// Delay of heartbeats that is tolerated when the last answers of two gateways are compared.
+const MAX_HEARTBEAT_DELAY: Duration = Duration::from_millis(250);
+
+/// What a gateway tells the others about its contact with the store.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ContactState {
+    /// Time since the store last answered, in milliseconds; `None` if it never has.
+    pub answer_age_ms: Option<u64>,
+    /// Whether the latest call failed.
+    pub failing: bool,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Inner {
+    last_answer: Option<Moment>,
+    last_peer_answer: Option<Moment>,
+    failing_since: Option<Moment>,
+}
+
+/// The contact of this gateway with the store.
+#[derive(Debug, Default)]
+pub struct Contact(Mutex<Inner>);
+
+impl Contact {
+    fn inner(&self) -> MutexGuard<'_, Inner> {
+        // Each update is a single assignment, so the state is whole even after a panic.
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Records an answer of the store.
+    pub fn record_answer(&self, now: Moment) {
+        let mut inner = self.inner();
+        inner.last_answer = Some(now);
+        inner.failing_since = None;
+    }
+
+    /// Records a call that the store refused or left unanswered and that began at
+    /// `requested_at`.
+    pub fn record_failure(&self, requested_at: Moment) {
+        self.inner().failing_since.get_or_insert(requested_at);
+    }
+
+    /// Records what another gateway tells about its contact in a heartbeat.
+    pub fn record_peer(&self, peer: ContactState, now: Moment) {
+        let Some(age) = peer.answer_age_ms.map(Duration::from_millis) else {
+            return;
+        };
+        let mut inner = self.inner();
+        inner.last_peer_answer = inner.last_peer_answer.max(Some(now - age));
+    }
+
+    /// Returns what to tell the other gateways.
+    pub fn state(&self, now: Moment) -> ContactState {
+        let inner = self.inner();
+        let age = inner.last_answer.map(|at| now.since(at).as_millis() as u64);
+        ContactState {
+            answer_age_ms: age,
+            failing: inner.failing_since.is_some(),
+        }
+    }
+
+    /// Returns whether the calls of this gateway fail and no other gateway is known to have
+    /// had an answer since they do.
+    pub fn is_store_out(&self) -> bool {
+        let inner = self.inner();
+        inner.failing_since.is_some_and(|since| {
+            let last = inner.last_peer_answer;
+            last.is_none_or(|at| at <= since + MAX_HEARTBEAT_DELAY)
+        })
+    }
+}
--- a/crates/gateway/src/store/mod.rs
+++ b/crates/gateway/src/store/mod.rs
@@ -5,6 +5,8 @@
 //! holds no state: [`crate::state`] tracks positions and handles repeated or outdated
 //! records.
 
+pub mod contact;
+
 use std::sync::Arc;
 use std::time::Duration;
 
--- a/crates/gateway/tests/leader.rs
+++ b/crates/gateway/tests/leader.rs
@@ -7,9 +7,11 @@
 use std::time::Duration;
 
 use sesamerock_gateway::admit::{self, AdmissionController};
+use sesamerock_gateway::clock;
 use sesamerock_gateway::maps;
 use sesamerock_gateway::relay::{self, Shared};
 use sesamerock_gateway::state::View;
+use sesamerock_gateway::store::contact::ContactState;
 use support::{Engines, FIRST_START, GrantingStore, view, view_of_starts};
 use tokio::time::{sleep, timeout};
 
@@ -24,6 +26,7 @@
     maps::Settings {
         node: "n".to_owned(),
         lease: Duration::from_secs(1),
+        fencing: true,
     }
 }
 
@@ -162,3 +165,73 @@
     let history = engines.history("fast");
     assert!(history.switches >= 1, "{history:?}");
 }
+
+/// Runs a leader over a store that falls silent after 600 ms, while the demand shifts at 2 s,
+/// and returns how many maps were switched after that. `peer_answered` states whether another
+/// gateway goes on getting answers.
+async fn switches_while_store_is_silent(settings: maps::Settings, peer_answered: bool) -> u32 {
+    let engines = Engines::new(Duration::from_secs(2), |_, _, _| false);
+    let store = GrantingStore::default();
+    let gateway = shared(view(&["fast"]));
+    let leading = maps::run_leader(
+        Arc::clone(&gateway),
+        store.clone(),
+        engines.clone(),
+        settings,
+    );
+    let outage = async {
+        sleep(Duration::from_millis(600)).await;
+        store.silent.store(true, Ordering::Relaxed);
+        for _ in 0..14 {
+            sleep(Duration::from_millis(100)).await;
+            if peer_answered {
+                let answered = ContactState {
+                    answer_age_ms: Some(0),
+                    failing: false,
+                };
+                gateway.store_contact.record_peer(answered, clock::now());
+            }
+        }
+        let before = engines.history("fast").switches;
+        sleep(Duration::from_secs(2)).await;
+        engines.history("fast").switches - before
+    };
+    tokio::select! {
+        () = leading => panic!("the gateway is not shutting down, but the leader loop returned"),
+        switches = outage => switches,
+    }
+}
+
+/// Regression: with a store that answered nobody for seven seconds, no map followed the demand
+/// from one second after its start until it was back, since the lease had expired. Engines that
+/// check the fencing token make it safe to go on.
+#[tokio::test]
+async fn regression_leader_continues_while_the_store_answers_nobody() {
+    assert!(switches_while_store_is_silent(settings(), false).await >= 1);
+}
+
+/// A leader that the store turns away while it answers others gives up, since one of them takes
+/// over; so does one whose engines do not check the fencing token.
+#[tokio::test]
+async fn a_leader_that_can_be_replaced_stops_when_its_lease_expires() {
+    assert_eq!(switches_while_store_is_silent(settings(), true).await, 0);
+    let unfenced = maps::Settings {
+        fencing: false,
+        ..settings()
+    };
+    assert_eq!(switches_while_store_is_silent(unfenced, false).await, 0);
+}
+
+/// Regression: the three gateways that may claim the leadership were among those that the store
+/// turned away, and for eight seconds nobody led.
+#[test]
+fn regression_gateways_that_the_store_turns_away_do_not_compete() {
+    let contacts = [("a", true), ("b", false), ("c", true), ("d", false)];
+    let contacts = contacts.map(|(name, failing)| (name.to_owned(), failing));
+    assert_eq!(maps::competitors(true, &contacts), None);
+    assert_eq!(maps::competitors(false, &contacts), Some(vec!["b", "d"]));
+    let all_failing = contacts.map(|(name, _)| (name, true));
+    let everyone = Some(vec!["a", "b", "c", "d"]);
+    assert_eq!(maps::competitors(true, &all_failing), everyone);
+    assert_eq!(maps::competitors(false, &all_failing), Some(Vec::new()));
+}
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -5,7 +5,7 @@
 
 use std::collections::HashMap;
 use std::future::pending;
-use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -34,6 +34,8 @@
     pub claims: Arc<AtomicU32>,
     /// Number of resignations so far.
     pub resigned: Arc<AtomicU32>,
+    /// Whether claims are left unanswered.
+    pub silent: Arc<AtomicBool>,
 }
 
 impl Store for GrantingStore {
@@ -47,6 +49,9 @@
 
     async fn claim_leadership(&self, _: &str, _: Duration, _: u64) -> Result<Lease, Fault> {
         self.claims.fetch_add(1, Ordering::Relaxed);
+        if self.silent.load(Ordering::Relaxed) {
+            return pending().await;
+        }
         Ok(Lease {
             generation: 1,
             held: true,
