Count all reports of dropped lines in the test of the log sink

Cause: the test read only the first report, while the writer may count the lines dropped so far while the test still writes, and the rest later.

--- a/crates/gateway/tests/sink.rs
+++ b/crates/gateway/tests/sink.rs
@@ -17,17 +17,32 @@
     assert!(started.elapsed() < Duration::from_secs(1));
     let mut text = String::new();
     let mut buffer = vec![0; 65_536];
-    while !text.contains("event=log_lines_dropped") {
+    let mut sent = 20_000;
+    let deadline = Instant::now() + Duration::from_secs(10);
+    // The writer may count the lines dropped so far while this test still writes, and the
+    // rest in a later line.
+    while dropped_lines(&text) <= 10_000 && Instant::now() < deadline {
         let read = std::io::Read::read(&mut reader, &mut buffer)?;
         text.push_str(&String::from_utf8_lossy(&buffer[..read]));
         sink.write("event=test again".to_owned());
+        sent += 1;
     }
-    let dropped = text
-        .split("lines=")
-        .nth(1)
-        .and_then(|it| it.split_whitespace().next());
-    let dropped: u32 = dropped.and_then(|it| it.parse().ok()).unwrap_or_default();
+    let dropped = dropped_lines(&text);
     assert!(dropped > 10_000, "{dropped}");
+    let written = text.matches("event=test line=").count() as u64;
+    assert!(
+        written + dropped <= sent,
+        "{written} and {dropped} of {sent}"
+    );
     assert!(text.starts_with("event=test line=0 "));
     Ok(())
 }
+
+/// Returns the sum of the dropped lines that the log reports.
+fn dropped_lines(text: &str) -> u64 {
+    let reports = text
+        .lines()
+        .filter(|line| line.contains("event=log_lines_dropped"));
+    let counts = reports.filter_map(|line| line.split("lines=").nth(1)?.trim().parse::<u64>().ok());
+    counts.sum()
+}
