Bound answers that never end

Cause: the client of the store and of engines collected bodies without a bound for up to eleven seconds, and the HTTP library reads any number of interim answers before a header, on the connections to the store, to engines and to upstreams; a process with one thread did little else until its timeout.

--- a/crates/gateway/src/pool/mod.rs
+++ b/crates/gateway/src/pool/mod.rs
@@ -35,6 +35,9 @@
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(300);
 /// Time for which a connection is kept if the upstream states no keep-alive timeout.
 const DEFAULT_KEEP_ALIVE: Duration = Duration::from_millis(400);
+/// Bytes that may be read before the header of an answer is complete, with interim answers
+/// and the part of the body that is read along with the header.
+const MAX_HEADER_READ_BYTES: usize = 1 << 20;
 /// Most idle connections kept for each upstream.
 const MAX_IDLE_PER_UPSTREAM: usize = 64;
 
@@ -91,9 +94,16 @@
 }
 
 impl Connection {
-    /// Marks a call as in flight, so that dropping the connection resets it.
+    /// Marks a call as in flight, so that dropping the connection resets it, and bounds the
+    /// bytes that may precede the body of its answer.
     pub fn start_call(&mut self) {
         self.in_flight = true;
+        self.socket.limit_reads(MAX_HEADER_READ_BYTES);
+    }
+
+    /// Marks that the header of the answer has arrived. The body has limits of its own.
+    pub fn start_answer(&self) {
+        self.socket.lift_read_limit();
     }
 }
 
--- a/crates/gateway/src/socket/mod.rs
+++ b/crates/gateway/src/socket/mod.rs
@@ -12,6 +12,7 @@
 use std::net::Shutdown;
 use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
@@ -19,20 +20,58 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
+/// Value of [`Shared::readable`] for a connection whose reads are not limited.
+const UNLIMITED: usize = usize::MAX;
+
 /// Cloneable handle of a TCP connection; the last one dropped closes it.
 #[derive(Clone, Debug)]
-pub struct Socket(Arc<TcpStream>);
+pub struct Socket(Arc<Shared>);
+
+#[derive(Debug)]
+struct Shared {
+    stream: TcpStream,
+    /// Bytes that may still be read, or [`UNLIMITED`].
+    readable: AtomicUsize,
+}
 
 impl Socket {
     /// Takes ownership of a connection.
     pub fn new(stream: TcpStream) -> Self {
-        Self(Arc::new(stream))
+        Self(Arc::new(Shared {
+            stream,
+            readable: AtomicUsize::new(UNLIMITED),
+        }))
+    }
+
+    /// Makes reads fail once this many bytes have been read. The HTTP library bounds a header,
+    /// but not the number of interim answers before it.
+    pub fn limit_reads(&self, bytes: usize) {
+        self.0.readable.store(bytes, Ordering::Relaxed);
+    }
+
+    /// Ends [`Socket::limit_reads`].
+    pub fn lift_read_limit(&self) {
+        self.0.readable.store(UNLIMITED, Ordering::Relaxed);
+    }
+
+    /// Counts bytes that were read against the limit.
+    fn count_read(&self, bytes: usize) -> io::Result<()> {
+        let readable = self.0.readable.load(Ordering::Relaxed);
+        if readable == UNLIMITED {
+            return Ok(());
+        }
+        let Some(left) = readable.checked_sub(bytes) else {
+            let reason = "the answer exceeds the size limit of its header";
+            return Err(io::Error::new(io::ErrorKind::InvalidData, reason));
+        };
+        self.0.readable.store(left, Ordering::Relaxed);
+        Ok(())
     }
 
     /// Returns whether the peer has closed the connection.
     pub fn is_closed(&self) -> bool {
         let mut byte = [MaybeUninit::uninit()];
-        match SockRef::from(&*self.0).peek(&mut byte) {
+        match SockRef::from(&self.0.stream).peek(&mut byte) {
             Ok(read) => read == 0,
             Err(error) => error.kind() != io::ErrorKind::WouldBlock,
         }
@@ -42,13 +81,13 @@
     /// between two calls.
     pub fn is_idle(&self) -> bool {
         let mut byte = [MaybeUninit::uninit()];
-        let peeked = SockRef::from(&*self.0).peek(&mut byte);
+        let peeked = SockRef::from(&self.0.stream).peek(&mut byte);
         peeked.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
     }
 
     /// Makes closing the connection send a reset, which discards undelivered bytes.
     pub fn reset_on_close(&self) {
-        if let Err(error) = SockRef::from(&*self.0).set_linger(Some(Duration::ZERO)) {
+        if let Err(error) = SockRef::from(&self.0.stream).set_linger(Some(Duration::ZERO)) {
             log::debug!("event=no_reset reason=\"{error}\"");
         }
     }
@@ -61,9 +100,10 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         loop {
-            ready!(self.0.poll_read_ready(cx))?;
-            match self.0.try_read(buf.initialize_unfilled()) {
+            ready!(self.0.stream.poll_read_ready(cx))?;
+            match self.0.stream.try_read(buf.initialize_unfilled()) {
                 Ok(read) => {
+                    self.count_read(read)?;
                     buf.advance(read);
                     return Poll::Ready(Ok(()));
                 }
@@ -81,8 +121,8 @@
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
         loop {
-            ready!(self.0.poll_write_ready(cx))?;
-            match self.0.try_write(buf) {
+            ready!(self.0.stream.poll_write_ready(cx))?;
+            match self.0.stream.try_write(buf) {
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                 written => return Poll::Ready(written),
             }
@@ -94,6 +134,6 @@
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(SockRef::from(&*self.0).shutdown(Shutdown::Write))
+        Poll::Ready(SockRef::from(&self.0.stream).shutdown(Shutdown::Write))
     }
 }
