Tell peers which upstreams were replaced, and exchange one heartbeat a pair

Cause: after the loss of all power the store listed the former ids of 192 upstreams for four seconds. Gateways with the same counts all chose the first upstream by id. Each pair of gateways exchanged two heartbeats an interval, and each heartbeat added up the counts of all peers anew.

Change: heartbeats carry the upstreams whose address answered that it belongs to another one; they get no calls for ten seconds or until they start again. Each gateway orders upstreams by a hash of its own name and theirs. A node that has just had a heartbeat of a peer sends none. Counts of peers are kept by difference. The test of heartbeats counts both directions.

--- a/crates/gateway/src/admit/cold/mod.rs
+++ b/crates/gateway/src/admit/cold/mod.rs
@@ -23,6 +23,13 @@
         }
     }
 
+    /// Returns a number by which this gateway orders upstreams. Gateways differ in it, so that
+    /// those with the same counts do not all choose the same upstream, and each comes back to
+    /// the upstreams to which it has connections.
+    pub fn preference(&self, upstream: &str) -> u64 {
+        mix(self.own, hash(upstream))
+    }
+
     /// Returns the number of gateways, including this one.
     pub fn count(&self) -> usize {
         self.others.len() + 1
@@ -51,7 +58,7 @@
     hasher.finish()
 }
 
-/// Combines two hashes by the finalizer of SplitMix64, so that each upstream orders the
+/// Combines two hashes by the finalizer of `SplitMix64`, so that each upstream orders the
 /// gateways differently.
 fn mix(gateway: u64, upstream: u64) -> u64 {
     let mut mixed = gateway ^ upstream;
--- a/crates/gateway/src/admit/health/mod.rs
+++ b/crates/gateway/src/admit/health/mod.rs
@@ -13,9 +13,10 @@
     Full,
     /// The upstream failed, sent an invalid answer or did not answer in time.
     Failure,
-    /// The connection to the upstream could not be opened, or its address now belongs
-    /// to another upstream.
+    /// The connection to the upstream could not be opened.
     Unreachable,
+    /// The address of the upstream now belongs to another one.
+    Misdirected,
     /// The end of the call says nothing about the upstream: the caller left, the call was
     /// not sent, or a reused connection broke.
     Neutral,
@@ -72,7 +73,7 @@
                 self.unreachable_count += 1;
                 self.backoff_until = now + backoff.min(MAX_BACKOFF);
             }
-            HealthSignal::Neutral => {}
+            HealthSignal::Misdirected | HealthSignal::Neutral => {}
         }
     }
 
--- a/crates/gateway/src/admit/mod.rs
+++ b/crates/gateway/src/admit/mod.rs
@@ -8,6 +8,7 @@
 
 pub mod cold;
 mod health;
+pub mod misdirected;
 pub mod pace;
 mod rate;
 
@@ -24,6 +25,7 @@
 use cold::Members;
 use health::Health;
 pub use health::HealthSignal;
+use misdirected::{Finding, Misdirected};
 use pace::PassSlowdown;
 use rate::{CompletionRate, StartWindow};
 
@@ -200,6 +202,7 @@
     queues: HashMap<Arc<str>, ServiceQueue>,
     pools: HashMap<Arc<str>, UpstreamPool>,
     slowdowns: HashMap<Arc<str>, PassSlowdown>,
+    misdirected: Misdirected,
     zone: Arc<str>,
 }
 
@@ -215,6 +218,7 @@
             queues: HashMap::new(),
             pools: HashMap::new(),
             slowdowns: HashMap::new(),
+            misdirected: Misdirected::default(),
         }
     }
 
@@ -226,29 +230,52 @@
             .flat_map(|pool| pool.candidates.iter().map(|candidate| &candidate.record.id))
             .collect();
         self.upstreams
-            .retain(|id, upstream| upstream.local > 0 || listed.contains(id));
+            .retain(|id, upstream| upstream.local + upstream.remote > 0 || listed.contains(id));
         self.pools = pools;
     }
 
     /// Replaces the call counts of another gateway, and drops those older than
     /// [`Settings::peer_load_ttl`].
     pub fn set_peer_loads(&mut self, gateway: &str, loads: Vec<(Arc<str>, u32)>, now: Moment) {
+        for (id, load) in &loads {
+            self.upstreams.entry(Arc::clone(id)).or_default().remote += load;
+        }
         let peer_load = PeerLoad {
             received: now,
             loads,
         };
-        self.peer_loads.insert(gateway.to_owned(), peer_load);
+        if let Some(previous) = self.peer_loads.insert(gateway.to_owned(), peer_load) {
+            self.subtract_remote(&previous);
+        }
         let ttl = self.settings.peer_load_ttl;
-        self.peer_loads
-            .retain(|_, peer| now.since(peer.received) < ttl);
-        for upstream in self.upstreams.values_mut() {
-            upstream.remote = 0;
+        let expired = self
+            .peer_loads
+            .extract_if(|_, peer| now.since(peer.received) >= ttl);
+        let expired: Vec<PeerLoad> = expired.map(|(_, peer)| peer).collect();
+        for peer in expired {
+            self.subtract_remote(&peer);
         }
-        for (id, load) in self.peer_loads.values().flat_map(|peer| &peer.loads) {
-            self.upstreams.entry(Arc::clone(id)).or_default().remote += load;
+    }
+
+    /// Removes the calls that another gateway has reported.
+    fn subtract_remote(&mut self, peer: &PeerLoad) {
+        for (id, load) in &peer.loads {
+            if let Some(upstream) = self.upstreams.get_mut(id) {
+                upstream.remote = upstream.remote.saturating_sub(*load);
+            }
         }
     }
 
+    /// Adds the upstreams to which calls of another gateway were misdirected.
+    pub fn learn_misdirected(&mut self, findings: &[Finding], now: Moment) {
+        self.misdirected.learn(findings, now);
+    }
+
+    /// Returns the upstreams to which calls of this gateway were misdirected lately.
+    pub fn recent_misdirected(&self, now: Moment) -> Vec<Finding> {
+        self.misdirected.recent(now)
+    }
+
     /// Returns the number of calls from this gateway for each upstream that has any.
     pub fn loads(&self) -> Vec<(Arc<str>, u32)> {
         let loaded = self
@@ -416,6 +443,14 @@
         if let Some(service_queue) = self.queues.get_mut(&record.service) {
             service_queue.completions.record(now);
         }
+        if signal == HealthSignal::Misdirected && self.misdirected.observe(record, now) {
+            log::info!(
+                "event=upstream_replaced id={} address={} born={:?}",
+                record.id,
+                record.address,
+                record.born
+            );
+        }
         if let Some(upstream) = self.upstreams.get_mut(&record.id) {
             upstream.local = upstream.local.saturating_sub(1);
             upstream.health.record(signal, now);
@@ -441,7 +476,7 @@
         let mut best: Option<(f64, &Arc<Record>)> = None;
         for candidate in &pool.candidates {
             let record = &candidate.record;
-            if request.exclude.contains(&record.id) {
+            if request.exclude.contains(&record.id) || self.misdirected.contains(record, now) {
                 continue;
             }
             let upstream = self.upstreams.get(&record.id).unwrap_or(&idle);
--- a/crates/gateway/src/exchange/mod.rs
+++ b/crates/gateway/src/exchange/mod.rs
@@ -6,9 +6,11 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
+use crate::admit::misdirected::Finding;
 use crate::node;
 use crate::state::{Position, Snapshot};
 use crate::store::contact::ContactState;
@@ -29,6 +31,8 @@
     pub position: Position,
     /// Contact of the sender with the store.
     pub store: ContactState,
+    /// Upstreams to which calls of the sender were misdirected lately.
+    pub misdirected: Vec<Finding>,
     /// Number of calls in flight from the sender, by upstream id.
     pub loads: Vec<(Arc<str>, u32)>,
 }
@@ -46,6 +50,9 @@
 pub trait LocalNode: Clone + Send + Sync + 'static {
     /// Returns a heartbeat with the current status of this node.
     fn heartbeat(&self) -> Heartbeat;
+    /// Returns the time since the last heartbeat of another node, and the offsets up to which
+    /// it had read the logs.
+    fn last_heartbeat(&self, node: &str) -> Option<(Duration, Position)>;
     /// Processes a heartbeat of another node.
     fn receive_heartbeat(&self, heartbeat: Heartbeat);
     /// Returns the full state of this node.
--- a/crates/gateway/src/exchange/peers/mod.rs
+++ b/crates/gateway/src/exchange/peers/mod.rs
@@ -12,6 +12,7 @@
 use crate::clock;
 use crate::node;
 use crate::pool::{self, AbortOnDrop};
+use crate::state::Position;
 
 /// Intervals and timeouts of the exchange.
 #[derive(Clone, Copy, Debug)]
@@ -47,6 +48,9 @@
     }
 }
 
+/// Age up to which a heartbeat makes another one needless, in multiples of the interval.
+const RECENT: f64 = 0.75;
+
 #[derive(Debug)]
 struct Received {
     at: Moment,
@@ -111,6 +115,14 @@
         })
     }
 
+    /// Returns the time since the last heartbeat of a node, and the offsets that it stated.
+    pub fn last_heartbeat(&self, node: &str) -> Option<(Duration, Position)> {
+        let received = self.received.lock().unwrap_or_else(PoisonError::into_inner);
+        let peer = received.get(node)?;
+        let age = clock::now().since(peer.at);
+        Some((age, peer.heartbeat.position))
+    }
+
     /// Collects what `select` returns for the latest heartbeat of each node that is alive.
     fn collect_alive<T>(&self, select: impl Fn(&Heartbeat) -> Option<T>) -> Vec<T> {
         let now = clock::now();
@@ -223,20 +235,31 @@
 ) {
     let mut orders_lag = Lag::default();
     let mut upstreams_lag = Lag::default();
+    // Spreads the heartbeats over the interval, also when all nodes start at once.
+    tokio::time::sleep(settings.interval.mul_f64(rand::random())).await;
+    let mut send = false;
     loop {
-        let heartbeat = host.heartbeat();
-        let answer = match client
-            .greet(context_with_deadline(settings.timeout), heartbeat)
-            .await
-        {
-            Ok(answer) => answer,
-            Err(error) => {
-                log::debug!("event=peer_silent peer={} reason=\"{error}\"", node.name);
-                return;
+        // A heartbeat is answered with one, so of two nodes only one needs to send.
+        let recent = host.last_heartbeat(&node.name);
+        let recent = recent.filter(|(age, _)| !send && *age < settings.interval.mul_f64(RECENT));
+        let position = if let Some((_, position)) = recent {
+            position
+        } else {
+            let answer = client
+                .greet(context_with_deadline(settings.timeout), host.heartbeat())
+                .await;
+            match answer {
+                Ok(answer) => {
+                    let position = answer.position;
+                    host.receive_heartbeat(answer);
+                    position
+                }
+                Err(error) => {
+                    log::debug!("event=peer_silent peer={} reason=\"{error}\"", node.name);
+                    return;
+                }
             }
         };
-        let position = answer.position;
-        host.receive_heartbeat(answer);
         let own = host.position();
         let orders_lag_exceeded =
             orders_lag.exceeds(position.orders > own.orders, settings.max_orders_lag);
@@ -253,10 +276,10 @@
                 }
             }
         }
-        tokio::select! {
-            () = tokio::time::sleep(settings.interval) => {}
-            () = send_now.notified() => {}
-        }
+        send = tokio::select! {
+            () = tokio::time::sleep(settings.interval) => false,
+            () = send_now.notified() => true,
+        };
     }
 }
 
--- a/crates/gateway/src/relay/attempt/mod.rs
+++ b/crates/gateway/src/relay/attempt/mod.rs
@@ -212,6 +212,7 @@
             return Outcome::Unknown("silent");
         }
     };
+    connection.start_answer();
     classify(names, call, response, connection, permit)
 }
 
@@ -240,7 +241,7 @@
     }
     if headers.contains_key(&header_names.not_run) || status == StatusCode::MISDIRECTED_REQUEST {
         permit.set_signal(if status == StatusCode::MISDIRECTED_REQUEST {
-            HealthSignal::Unreachable
+            HealthSignal::Misdirected
         } else {
             HealthSignal::Full
         });
--- a/crates/gateway/src/run/mod.rs
+++ b/crates/gateway/src/run/mod.rs
@@ -203,16 +203,24 @@
 
 impl LocalNode for Node {
     fn heartbeat(&self) -> Heartbeat {
+        let now = clock::now();
+        let position = self.state().position();
+        let admission = self.inner.shared.admission();
         Heartbeat {
             node: self.inner.record.clone(),
             ready: self.is_ready(),
             leads: self.inner.shared.is_leader.load(Ordering::Relaxed),
-            position: self.state().position(),
-            store: self.inner.shared.store_contact.state(clock::now()),
-            loads: self.inner.shared.admission().loads(),
+            position,
+            store: self.inner.shared.store_contact.state(now),
+            misdirected: admission.recent_misdirected(now),
+            loads: admission.loads(),
         }
     }
 
+    fn last_heartbeat(&self, node: &str) -> Option<(Duration, Position)> {
+        self.inner.peers.last_heartbeat(node)
+    }
+
     fn receive_heartbeat(&self, heartbeat: Heartbeat) {
         let name = heartbeat.node.name.clone();
         let loads = heartbeat.loads.clone();
@@ -224,10 +232,10 @@
         if heartbeat.leads {
             self.inner.set_last_leader_heartbeat(now);
         }
-        self.inner
-            .shared
-            .admission()
-            .set_peer_loads(&name, loads, now);
+        let mut admission = self.inner.shared.admission();
+        admission.learn_misdirected(&heartbeat.misdirected, now);
+        admission.set_peer_loads(&name, loads, now);
+        drop(admission);
         if self.inner.peers.receive_heartbeat(heartbeat) {
             log::info!("event=peer_heard peer={name}");
         }
--- a/crates/gateway/src/state/mod.rs
+++ b/crates/gateway/src/state/mod.rs
@@ -315,8 +315,9 @@
             pool.cold_rate = service.map_or(0.0, |service| service.cold_rate);
             pool.engine = service.and_then(|service| service.engine.clone());
             pool.members = members.cloned().unwrap_or_default();
+            let members = Arc::clone(&pool.members);
             pool.candidates
-                .sort_by(|a, b| a.record.id.cmp(&b.record.id));
+                .sort_by_cached_key(|candidate| members.preference(&candidate.record.id));
         }
         View {
             table: self.table.clone(),
--- a/crates/gateway/tests/admit.rs
+++ b/crates/gateway/tests/admit.rs
@@ -1,6 +1,6 @@
 //! Replays load patterns against the admission controller.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
@@ -363,3 +363,51 @@
         max_retry_after
     );
 }
+
+/// Regression: after the loss of all power, the store listed the former ids of 192 upstreams
+/// for four seconds. Each of 59 gateways found out by a refused call to each of them, so that
+/// callers were refused until the list was right.
+#[test]
+fn regression_a_replaced_upstream_is_called_once_by_all_gateways_together() {
+    let mut first = admission(pool(2));
+    let mut second = admission(pool(2));
+    let replaced = record(0);
+    for placed in fill(&mut first, at(0)) {
+        let signal = if placed.id == replaced.id {
+            HealthSignal::Misdirected
+        } else {
+            HealthSignal::Success
+        };
+        first.end_call(&placed, signal, at(1));
+    }
+    second.learn_misdirected(&first.recent_misdirected(at(200)), at(201));
+    for gateway in [&mut first, &mut second] {
+        let placed = fill(gateway, at(300));
+        assert!(!placed.is_empty());
+        assert!(placed.iter().all(|placed| placed.id != replaced.id));
+    }
+    // Findings of others are not passed on, so that they end.
+    assert!(second.recent_misdirected(at(300)).is_empty());
+    // An upstream that has started again under the same id is another one.
+    let mut restarted = pool(2);
+    let record = Record {
+        born: Some(2),
+        ..Record::clone(&record(0))
+    };
+    restarted.candidates[0].record = Arc::new(record);
+    second.set_pools(HashMap::from([(Arc::from("s"), restarted)]));
+    let placed = fill(&mut second, at(301));
+    assert!(placed.iter().any(|placed| placed.id == replaced.id));
+}
+
+/// Gateways with the same counts choose different upstreams.
+#[test]
+fn gateways_prefer_different_upstreams() {
+    let ids: Vec<String> = (0..192).map(|number| format!("i-{number}")).collect();
+    let favourite = |gateway: usize| {
+        let members = Members::new(&format!("front-{gateway}"), []);
+        ids.iter().min_by_key(|id| members.preference(id)).cloned()
+    };
+    let chosen: HashSet<Option<String>> = (0..59).map(favourite).collect();
+    assert!(chosen.len() >= 40, "59 gateways chose {}", chosen.len());
+}
--- /dev/null
+++ b/crates/gateway/tests/exchange.rs
@@ -0,0 +1,98 @@
+//! Tests of the heartbeats between gateways.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
+
+use eyre::Result;
+use sesamerock_gateway::exchange::{self, Heartbeat, LocalNode, Peers, Settings};
+use sesamerock_gateway::node;
+use sesamerock_gateway::state::{Position, Snapshot, State};
+use sesamerock_gateway::store::contact::ContactState;
+use tokio::net::TcpListener;
+use tokio::time::sleep;
+use tokio_util::sync::CancellationToken;
+
+/// A node that counts the heartbeats it receives.
+#[derive(Clone, Debug)]
+struct Host {
+    record: node::Record,
+    peers: Arc<Peers>,
+    received: Arc<AtomicU32>,
+}
+
+impl LocalNode for Host {
+    fn heartbeat(&self) -> Heartbeat {
+        Heartbeat {
+            node: self.record.clone(),
+            ready: true,
+            leads: false,
+            position: Position::default(),
+            store: ContactState::default(),
+            misdirected: Vec::new(),
+            loads: Vec::new(),
+        }
+    }
+
+    fn last_heartbeat(&self, node: &str) -> Option<(Duration, Position)> {
+        self.peers.last_heartbeat(node)
+    }
+
+    fn receive_heartbeat(&self, heartbeat: Heartbeat) {
+        self.received.fetch_add(1, Ordering::Relaxed);
+        self.peers.receive_heartbeat(heartbeat);
+    }
+
+    fn snapshot(&self) -> Snapshot {
+        State::default().snapshot(sesamerock_gateway::clock::now())
+    }
+
+    fn merge_snapshot(&self, _: &str, _: Snapshot) {}
+
+    fn position(&self) -> Position {
+        Position::default()
+    }
+}
+
+async fn host(name: &str) -> Result<Host> {
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let exchange: SocketAddr = listener.local_addr()?;
+    let host = Host {
+        record: node::Record {
+            name: name.to_owned(),
+            incarnation: 1,
+            front: exchange,
+            exchange,
+            zone: Arc::from("a"),
+        },
+        peers: Arc::new(Peers::new(Settings::default())),
+        received: Arc::default(),
+    };
+    tokio::spawn(exchange::serve(
+        listener,
+        host.clone(),
+        CancellationToken::new(),
+    ));
+    Ok(host)
+}
+
+/// Regression: each of two gateways sent a heartbeat every interval and had one in answer, so
+/// that both received twice as many as needed; with 59 gateways, half of their bytes.
+#[tokio::test]
+async fn regression_two_nodes_exchange_one_heartbeat_an_interval() -> Result<()> {
+    let (first, second) = (host("first").await?, host("second").await?);
+    first.peers.set_peers([second.record.clone()], &first);
+    second.peers.set_peers([first.record.clone()], &second);
+    sleep(Duration::from_secs(1)).await;
+    let before = first.received.load(Ordering::Relaxed) + second.received.load(Ordering::Relaxed);
+    let interval = Settings::default().interval;
+    sleep(interval * 20).await;
+    let after = first.received.load(Ordering::Relaxed) + second.received.load(Ordering::Relaxed);
+    let each = f64::from(after - before) / 2.0 / 20.0;
+    // A heartbeat that arrives late may cross another one.
+    assert!((0.7..=1.4).contains(&each), "{each} heartbeats an interval");
+    assert_eq!(first.peers.ready().len(), 1);
+    assert_eq!(second.peers.ready().len(), 1);
+    Ok(())
+}
