Let one gateway of each pair initiate the heartbeats

Cause: of two gateways, each skipped its heartbeat only if it had heard the other one within three quarters of an interval.

Change: the one with the lower name sends every interval, and the other one only if it has heard nothing for two and a half intervals, since perhaps only one of them can connect. New test: node_that_hears_nothing_sends_heartbeats_itself.

--- a/crates/gateway/src/exchange/mod.rs
+++ b/crates/gateway/src/exchange/mod.rs
@@ -48,6 +48,8 @@
 
 /// The node that takes part in the exchange.
 pub trait LocalNode: Clone + Send + Sync + 'static {
+    /// Returns the name of this node, which differs from those of all others.
+    fn name(&self) -> &str;
     /// Returns a heartbeat with the current status of this node.
     fn heartbeat(&self) -> Heartbeat;
     /// Returns the time since the last heartbeat of another node, and the offsets up to which
--- a/crates/gateway/src/exchange/peers/mod.rs
+++ b/crates/gateway/src/exchange/peers/mod.rs
@@ -48,8 +48,10 @@
     }
 }
 
-/// Age up to which a heartbeat makes another one needless, in multiples of the interval.
-const RECENT: f64 = 0.75;
+/// Age of the last heartbeat from a peer at which a node sends one although the peer is the
+/// one that initiates, in multiples of the interval. A round trip between zones and a late
+/// timer together take less than one interval, so a healthy initiator is always earlier.
+const INITIATOR_SILENT: f64 = 2.5;
 
 #[derive(Debug)]
 struct Received {
@@ -237,11 +239,14 @@
     let mut upstreams_lag = Lag::default();
     // Spreads the heartbeats over the interval, also when all nodes start at once.
     tokio::time::sleep(settings.interval.mul_f64(rand::random())).await;
+    // A heartbeat is answered with one, so of two nodes only the initiator sends. The other one
+    // takes over if it hears nothing, as only one of the two may be able to connect.
+    let initiates = host.name() < node.name.as_str();
+    let silent = settings.interval.mul_f64(INITIATOR_SILENT);
     let mut send = false;
     loop {
-        // A heartbeat is answered with one, so of two nodes only one needs to send.
         let recent = host.last_heartbeat(&node.name);
-        let recent = recent.filter(|(age, _)| !send && *age < settings.interval.mul_f64(RECENT));
+        let recent = recent.filter(|(age, _)| !initiates && !send && *age < silent);
         let position = if let Some((_, position)) = recent {
             position
         } else {
--- a/crates/gateway/src/run/mod.rs
+++ b/crates/gateway/src/run/mod.rs
@@ -202,6 +202,10 @@
 }
 
 impl LocalNode for Node {
+    fn name(&self) -> &str {
+        &self.inner.record.name
+    }
+
     fn heartbeat(&self) -> Heartbeat {
         let now = clock::now();
         let position = self.state().position();
--- a/crates/gateway/tests/exchange.rs
+++ b/crates/gateway/tests/exchange.rs
@@ -23,6 +23,10 @@
 }
 
 impl LocalNode for Host {
+    fn name(&self) -> &str {
+        &self.record.name
+    }
+
     fn heartbeat(&self) -> Heartbeat {
         Heartbeat {
             node: self.record.clone(),
@@ -96,3 +100,15 @@
     assert_eq!(second.peers.ready().len(), 1);
     Ok(())
 }
+
+/// If the node that initiates cannot reach the other one, for example since it has not read its
+/// record, that one sends heartbeats itself.
+#[tokio::test]
+async fn node_that_hears_nothing_sends_heartbeats_itself() -> Result<()> {
+    let (first, second) = (host("first").await?, host("second").await?);
+    second.peers.set_peers([first.record.clone()], &second);
+    sleep(Settings::default().heartbeat_expiry * 2).await;
+    assert_eq!(first.peers.ready().len(), 1);
+    assert_eq!(second.peers.ready().len(), 1);
+    Ok(())
+}
