Read the records of nodes less often, and learn nodes from their heartbeats

Cause: each restart of a gateway appends a record that ends the waiting read of every gateway, so that while 59 gateways are restarted in turn each makes up to one read a second.

Change: all gateways together read the nodes at most ten times a second. A node that has started is known by its first heartbeat, and is sent heartbeats from then on.

--- a/crates/gateway/src/run/feeds/mod.rs
+++ b/crates/gateway/src/run/feeds/mod.rs
@@ -19,10 +19,13 @@
 /// records do not change for minutes, so a read that waits saves calls. The wait is short
 /// since a waiting read may miss its record.
 const UPSTREAMS_WAIT_FRACTION: f64 = 0.3;
-/// Pause between two reads of the nodes. When all gateways start at once, each announcement
-/// would otherwise end a read of every gateway, and the calls would grow with the square of
-/// their number. A new gateway is known earlier by its heartbeats.
+/// Shortest pause between two reads of the nodes. When all gateways start at once, each
+/// announcement would otherwise end a read of every gateway, and the calls would grow with the
+/// square of their number. A new gateway is known earlier by its heartbeats.
 const NODES_INTERVAL: Duration = Duration::from_secs(1);
+/// Reads of the nodes that all gateways together make per second when gateways are restarted
+/// in turn. Each restart ends the read of every gateway.
+const NODES_READS_PER_SECOND: f64 = 10.0;
 /// Interval before the first attempt after a failure; doubled with each further one.
 const RETRY_INTERVAL: Duration = Duration::from_millis(200);
 /// Longest interval between attempts. Failed calls count against the rate limit of the store,
@@ -46,12 +49,15 @@
     (RETRY_INTERVAL * (1 << doublings)).min(longest)
 }
 
-/// Returns the pause after a successful read of a feed.
-fn read_interval(feed: Feed, drain: Duration) -> Duration {
+/// Returns the pause after a successful read of a feed by one of `gateways`.
+pub fn read_interval(feed: Feed, drain: Duration, gateways: usize) -> Duration {
     match feed {
         Feed::Orders => Duration::ZERO,
         Feed::Upstreams => drain.mul_f64(UPSTREAMS_INTERVAL_FRACTION),
-        Feed::Nodes => NODES_INTERVAL,
+        Feed::Nodes => {
+            let shared = Duration::from_secs_f64(gateways as f64 / NODES_READS_PER_SECOND);
+            shared.max(NODES_INTERVAL)
+        }
     }
 }
 
@@ -93,7 +99,8 @@
                 node.apply(feed, batch, full_listing, now);
                 // This read has just been answered, so its own return ends no other one.
                 returns.mark_unchanged();
-                sleep(read_interval(feed, drain)).await;
+                let gateways = node.inner.shared.view.load().gateways;
+                sleep(read_interval(feed, drain, gateways)).await;
             }
             Err(Fault::Expired) => {
                 log::warn!("event=history_expired feed={} from={from:?}", feed.as_str());
--- a/crates/gateway/src/run/mod.rs
+++ b/crates/gateway/src/run/mod.rs
@@ -32,6 +32,7 @@
 use crate::state::{Event, Position, Snapshot, State, View};
 use crate::store::{Batch, Fault, Feed, Store};
 
+pub use feeds::read_interval;
 pub use settings::Settings;
 
 /// TTL of the addresses given to callers. Callers may keep addresses for three times the
@@ -240,9 +241,14 @@
         admission.learn_misdirected(&heartbeat.misdirected, now);
         admission.set_peer_loads(&name, loads, now);
         drop(admission);
+        let is_new_node = self.state().learn_node(&heartbeat.node);
         if self.inner.peers.receive_heartbeat(heartbeat) {
             log::info!("event=peer_heard peer={name}");
         }
+        // Before the records of the nodes are read, the set of peers is not known.
+        if is_new_node && self.inner.peers.members().is_some() {
+            self.update_peers();
+        }
     }
 
     fn snapshot(&self) -> Snapshot {
--- a/crates/gateway/src/state/mod.rs
+++ b/crates/gateway/src/state/mod.rs
@@ -102,6 +102,17 @@
         self.nodes.values()
     }
 
+    /// Adds a node that has made itself known by a heartbeat before its record was read.
+    /// Returns whether its record is new.
+    pub fn learn_node(&mut self, record: &node::Record) -> bool {
+        let known = self.nodes.get(&record.name);
+        let is_new = known.is_none_or(|known| known.incarnation < record.incarnation);
+        if is_new {
+            self.nodes.insert(record.name.clone(), record.clone());
+        }
+        is_new
+    }
+
     /// Returns the version of the table in effect.
     pub fn version(&self) -> Option<u64> {
         self.table.as_ref().map(|table| table.version())
--- a/crates/gateway/tests/state.rs
+++ b/crates/gateway/tests/state.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use sesamerock_base::time::Moment;
+use sesamerock_gateway::node;
 use sesamerock_gateway::state::{Event, State};
 use sesamerock_gateway::store::{Batch, Change, Feed, Update};
 use sesamerock_gateway::table::Content;
@@ -252,3 +253,23 @@
     let events = state.drop_expired(at(200) + RETENTION_AFTER_OUTAGE);
     assert_eq!(events, [Event::UpstreamRemoved(Arc::from("x"))]);
 }
+
+/// A node that has just started is known by its first heartbeat, since the records of nodes are
+/// read rarely. A heartbeat of a process that has since restarted changes nothing.
+#[test]
+fn started_nodes_are_learnt_from_their_heartbeats() {
+    let node = |incarnation| node::Record {
+        name: "front-1".to_owned(),
+        incarnation,
+        front: ([10, 0, 0, 1], 80).into(),
+        exchange: ([10, 0, 0, 1], 81).into(),
+        zone: Arc::from("a"),
+    };
+    let mut state = State::default();
+    assert!(state.learn_node(&node(2)));
+    assert!(!state.learn_node(&node(2)));
+    assert!(!state.learn_node(&node(1)));
+    assert!(state.learn_node(&node(3)));
+    let known: Vec<u64> = state.nodes().map(|node| node.incarnation).collect();
+    assert_eq!(known, [3]);
+}
