Limit the streams of each group of ranks by its own pace

Cause: the ranks of a group step together, so one slow rank slows the streams of its 64 ranks. The pace was measured over all upstreams of a service.

Change: the leader of the expert maps knows the groups; it lists them, and gateways pull the listing from each other when a heartbeat states a newer version. Each group has its own pace, which gateways also tell each other, and a slow one keeps a few streams so that its recovery is seen. The end of a stream is logged with the time to its first event and its longest gap.

--- a/crates/gateway/src/admit/choice/mod.rs
+++ b/crates/gateway/src/admit/choice/mod.rs
@@ -40,15 +40,17 @@
     }
 
     /// Adds an upstream with `load` calls, one that may be given a call even if it has no free
-    /// slot. `penalty` is its rate of failures, in multiples of a full load.
-    pub fn add(&mut self, record: &'a Arc<Record>, load: u32, penalty: f64) {
+    /// slot. `penalty` is its rate of failures, in multiples of a full load; `headroom` tells
+    /// how much its group may still run.
+    pub fn add(&mut self, record: &'a Arc<Record>, load: u32, penalty: f64, headroom: f64) {
         let slots = f64::from(record.slots.max(1));
         let free = record.slots.saturating_sub(load);
         let relative = f64::from(free) / slots - penalty;
         // The square prefers idle upstreams more than free slots alone would.
-        let weight = relative.max(0.0).powi(2).max(MIN_WEIGHT);
+        let weight = relative.max(0.0).powi(2).max(MIN_WEIGHT) * headroom;
         if free == 0 {
-            self.full.push((record, (1.0 - penalty).max(MIN_WEIGHT)));
+            let weight = (1.0 - penalty).max(MIN_WEIGHT) * headroom;
+            self.full.push((record, weight));
             return;
         }
         if relative > 0.0 {
--- a/crates/gateway/src/admit/mod.rs
+++ b/crates/gateway/src/admit/mod.rs
@@ -8,6 +8,7 @@
 
 mod choice;
 pub mod cold;
+pub mod group;
 mod health;
 pub mod misdirected;
 pub mod pace;
@@ -25,10 +26,10 @@
 use crate::upstream::Record;
 use choice::{Random, Selection};
 use cold::Members;
+use group::{Groups, Headroom, Listing, Loads, Pace};
 use health::Health;
 pub use health::HealthSignal;
 use misdirected::{Finding, Misdirected};
-use pace::PassSlowdown;
 use rate::{CompletionRate, StartWindow};
 
 /// Limits of an [`AdmissionController`].
@@ -210,7 +211,7 @@
     peer_loads: HashMap<String, PeerLoad>,
     queues: HashMap<Arc<str>, ServiceQueue>,
     pools: HashMap<Arc<str>, UpstreamPool>,
-    slowdowns: HashMap<Arc<str>, PassSlowdown>,
+    groups: Groups,
     misdirected: Misdirected,
     random: Random,
     zone: Arc<str>,
@@ -228,7 +229,7 @@
             peer_loads: HashMap::new(),
             queues: HashMap::new(),
             pools: HashMap::new(),
-            slowdowns: HashMap::new(),
+            groups: Groups::default(),
             misdirected: Misdirected::default(),
         }
     }
@@ -242,6 +243,9 @@
             .collect();
         self.upstreams
             .retain(|id, upstream| upstream.local + upstream.remote > 0 || listed.contains(id));
+        for service in pools.keys() {
+            self.groups.add_service(service);
+        }
         self.pools = pools;
     }
 
@@ -298,38 +302,65 @@
             .collect()
     }
 
-    /// Records the time between two events of a stream.
-    pub fn observe_gap(&mut self, service: &Arc<str>, gap: Duration, now: Moment) {
-        let Some(pool) = self.pools.get(service) else {
+    /// Replaces the groups of upstreams if the listing is newer. Returns whether it is.
+    pub fn set_groups(&mut self, listing: Listing) -> bool {
+        self.groups.set(listing)
+    }
+
+    /// Returns the newest listing of the groups.
+    pub fn groups(&self) -> Arc<Listing> {
+        Arc::clone(self.groups.listing())
+    }
+
+    /// Adds the paces of groups that another gateway observed.
+    pub fn learn_paces(&mut self, paces: &[Pace], now: Moment) {
+        self.groups.learn(paces, now);
+    }
+
+    /// Returns the paces of groups that this gateway observed within the last `age`.
+    pub fn recent_paces(&self, age: Duration, now: Moment) -> Vec<Pace> {
+        self.groups.recent(age, now)
+    }
+
+    /// Records the time between two events of a stream from an upstream.
+    pub fn observe_gap(&mut self, record: &Record, gap: Duration, now: Moment) {
+        let Some(pool) = self.pools.get(&record.service) else {
             return;
         };
-        if let Some(engine) = &pool.engine {
-            let mean_load = self.mean_load(pool);
-            let slowdown = self.slowdowns.entry(Arc::clone(service)).or_default();
-            slowdown.observe(engine, gap, mean_load, now);
+        if let (Some(engine), Some(key)) = (&pool.engine, self.groups.key(record)) {
+            let load = self.group_loads(pool).mean(key);
+            self.groups.observe(key, engine, gap, load, now);
         }
     }
 
-    /// Returns the mean number of calls at the upstreams of a pool.
-    fn mean_load(&self, pool: &UpstreamPool) -> f64 {
-        let candidates = pool.candidates.iter();
-        let calls = candidates.filter_map(|candidate| self.upstreams.get(&candidate.record.id));
-        let calls: u32 = calls.map(|upstream| upstream.local + upstream.remote).sum();
-        f64::from(calls) / pool.candidates.len().max(1) as f64
+    /// Returns the calls of all gateways at an upstream.
+    fn load(&self, upstream: &str) -> u32 {
+        let upstream = self.upstreams.get(upstream);
+        upstream.map_or(0, |upstream| upstream.local + upstream.remote)
     }
 
-    /// Returns whether one more stream would make the streams of a pool exceed their
-    /// longest pause.
-    fn exceeds_pause(&self, pool: &UpstreamPool, request: &SlotRequest, now: Moment) -> bool {
-        let (Some(engine), Some(pause)) = (&pool.engine, request.pause) else {
-            return false;
-        };
-        let slowdown = self
-            .slowdowns
-            .get(&request.service)
-            .copied()
-            .unwrap_or_default();
-        self.mean_load(pool) >= slowdown.limit(engine, pause, now)
+    /// Counts the calls at the upstreams of a pool by group.
+    fn group_loads(&self, pool: &UpstreamPool) -> Loads {
+        let mut loads = Loads::default();
+        for candidate in &pool.candidates {
+            if let Some(key) = self.groups.key(&candidate.record) {
+                loads.add(key, self.load(&candidate.record.id));
+            }
+        }
+        loads
+    }
+
+    /// Returns how many more streams the groups of a pool may run without exceeding the
+    /// longest pause of a request; `None` if there is no such limit.
+    fn headroom(
+        &self,
+        pool: &UpstreamPool,
+        request: &SlotRequest,
+        now: Moment,
+    ) -> Option<Headroom> {
+        let (engine, pause) = (pool.engine.as_ref()?, request.pause?);
+        let loads = self.group_loads(pool);
+        Some(self.groups.headroom(&loads, engine, pause, now))
     }
 
     /// Returns the number of running calls and the number of waiting calls.
@@ -480,9 +511,7 @@
     /// Chooses an upstream, preferring the gateway's zone.
     fn choose(&mut self, request: &SlotRequest, now: Moment) -> Option<Arc<Record>> {
         let pool = self.pools.get(&request.service)?;
-        if self.exceeds_pause(pool, request, now) {
-            return None;
-        }
+        let headroom = self.headroom(pool, request, now);
         let mut selection = Selection::new(self.settings.considered_slots);
         for is_own_zone in [true, false] {
             let candidates = pool.candidates.iter();
@@ -491,7 +520,14 @@
                 if selection.is_sufficient() {
                     break;
                 }
-                self.consider(pool, candidate, request, now, &mut selection);
+                self.consider(
+                    pool,
+                    candidate,
+                    request,
+                    headroom.as_ref(),
+                    &mut selection,
+                    now,
+                );
             }
         }
         selection.choose(&mut self.random).map(Arc::clone)
@@ -503,17 +539,20 @@
         pool: &UpstreamPool,
         candidate: &'a Candidate,
         request: &SlotRequest,
-        now: Moment,
+        headroom: Option<&Headroom>,
         selection: &mut Selection<'a>,
+        now: Moment,
     ) {
         let record = &candidate.record;
         if request.exclude.contains(&record.id) || self.misdirected.contains(record, now) {
             return;
         }
+        let headroom = headroom.map_or(1.0, |headroom| headroom.of(self.groups.key(record)));
         let idle = UpstreamLoad::default();
         let upstream = self.upstreams.get(&record.id).unwrap_or(&idle);
         let load = upstream.local + upstream.remote;
-        if load >= record.slots + self.settings.ahead
+        if headroom <= 0.0
+            || load >= record.slots + self.settings.ahead
             || !upstream.health.is_usable(upstream.local, now)
         {
             return;
@@ -524,7 +563,7 @@
         {
             return;
         }
-        selection.add(record, load, upstream.health.penalty(now));
+        selection.add(record, load, upstream.health.penalty(now), headroom);
     }
 
     /// Returns the calls per second that this gateway may send to an upstream during its
--- a/crates/gateway/src/admit/pace/mod.rs
+++ b/crates/gateway/src/admit/pace/mod.rs
@@ -21,16 +21,21 @@
 const TARGET_SHARE: f64 = 0.8;
 /// Time without events after which the slowdown is no longer used: the engines are idle.
 const MAX_AGE: Duration = Duration::from_secs(2);
-/// Lowest limit of requests per engine, so that there are always events to measure.
-const MIN_REQUESTS: f64 = 2.0;
+/// Weight of a slowdown that another gateway observed.
+const PEER_WEIGHT: f64 = 0.3;
+/// Time without own events after which the observations of other gateways are used.
+const OWN_EVENTS_EXPIRY: Duration = Duration::from_millis(400);
 
-/// Estimated slowdown of the forward passes of a service.
+/// Estimated slowdown of the forward passes of a group.
 #[derive(Clone, Copy, Debug)]
 pub struct PassSlowdown {
     /// Measured duration of a pass, divided by the duration computed from the
     /// configured step and request times.
     slowdown: f64,
+    /// When it was last changed, by an event or by another gateway.
     updated: Moment,
+    /// When this gateway last forwarded an event.
+    observed: Moment,
 }
 
 impl Default for PassSlowdown {
@@ -38,6 +43,7 @@
         Self {
             slowdown: 1.0,
             updated: Moment::default(),
+            observed: Moment::default(),
         }
     }
 }
@@ -56,18 +62,36 @@
         }
         self.slowdown += EWMA_WEIGHT * (slowdown - self.slowdown);
         self.updated = now;
+        self.observed = now;
+    }
+
+    /// Uses the slowdown that another gateway observed, unless this one has events itself.
+    pub fn learn(&mut self, slowdown: f64, now: Moment) {
+        if now.since(self.observed) <= OWN_EVENTS_EXPIRY {
+            return;
+        }
+        if now.since(self.updated) > MAX_AGE {
+            self.slowdown = slowdown;
+        }
+        self.slowdown += PEER_WEIGHT * (slowdown - self.slowdown);
+        self.updated = now;
+    }
+
+    /// Returns the slowdown if this gateway has forwarded an event within the last `age`.
+    pub fn observed_within(&self, age: Duration, now: Moment) -> Option<f64> {
+        (now.since(self.observed) <= age).then_some(self.slowdown)
     }
 
     /// Returns how many requests each engine may run on average with streams that pause
-    /// no longer than `pause`.
-    pub fn limit(&self, engine: &EngineSpec, pause: Duration, now: Moment) -> f64 {
+    /// no longer than `pause`; at least `lowest`, so that there are events to measure.
+    pub fn limit(&self, engine: &EngineSpec, pause: Duration, lowest: f64, now: Moment) -> f64 {
         let slots = f64::from(engine.slots);
         if engine.request_ms <= 0.0 || now.since(self.updated) > MAX_AGE {
             return slots;
         }
         let target_ms = pause.as_secs_f64() * 1e3 * TARGET_SHARE;
         let step_ms = target_ms / (f64::from(engine.stride) * self.slowdown.max(f64::MIN_POSITIVE));
-        ((step_ms - engine.step_ms) / engine.request_ms).clamp(MIN_REQUESTS, slots)
+        ((step_ms - engine.step_ms) / engine.request_ms).clamp(lowest.min(slots), slots)
     }
 
     /// Returns the measured duration of a pass divided by the expected one; 1 before the
--- a/crates/gateway/src/exchange/mod.rs
+++ b/crates/gateway/src/exchange/mod.rs
@@ -10,6 +10,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::admit::group::{self, Listing, Pace};
 use crate::admit::misdirected::Finding;
 use crate::node;
 use crate::state::{Position, Snapshot};
@@ -33,6 +34,10 @@
     pub store: ContactState,
     /// Upstreams to which calls of the sender were misdirected lately.
     pub misdirected: Vec<Finding>,
+    /// Version of the listing of groups that the sender knows.
+    pub groups: group::Version,
+    /// Paces of groups that the sender observed lately.
+    pub paces: Vec<Pace>,
     /// Number of calls in flight from the sender, by upstream id.
     pub loads: Vec<(Arc<str>, u32)>,
 }
@@ -44,6 +49,19 @@
     async fn greet(greeting: Heartbeat) -> Heartbeat;
     /// Returns the full state of the other node.
     async fn pull() -> Snapshot;
+    /// Returns the listing of groups that the other node knows.
+    async fn groups() -> Listing;
+}
+
+/// What a node stated about its knowledge, and when.
+#[derive(Clone, Copy, Debug)]
+pub struct Statement {
+    /// Time since the heartbeat.
+    pub age: Duration,
+    /// Offsets up to which the node had read the logs.
+    pub position: Position,
+    /// Version of the listing of groups that it knew.
+    pub groups: group::Version,
 }
 
 /// The node that takes part in the exchange.
@@ -52,9 +70,8 @@
     fn name(&self) -> &str;
     /// Returns a heartbeat with the current status of this node.
     fn heartbeat(&self) -> Heartbeat;
-    /// Returns the time since the last heartbeat of another node, and the offsets up to which
-    /// it had read the logs.
-    fn last_heartbeat(&self, node: &str) -> Option<(Duration, Position)>;
+    /// Returns what the last heartbeat of another node stated.
+    fn last_heartbeat(&self, node: &str) -> Option<Statement>;
     /// Processes a heartbeat of another node.
     fn receive_heartbeat(&self, heartbeat: Heartbeat);
     /// Returns the full state of this node.
@@ -63,6 +80,10 @@
     fn merge_snapshot(&self, from: &str, snapshot: Snapshot);
     /// Returns the offsets up to which this node has read the logs.
     fn position(&self) -> Position;
+    /// Returns the listing of groups that this node knows.
+    fn groups(&self) -> Arc<Listing>;
+    /// Uses the listing of groups of another node if it is newer.
+    fn merge_groups(&self, from: &str, listing: Listing);
 }
 
 /// Returns the address at which another node serves the exchange.
--- a/crates/gateway/src/exchange/peers/mod.rs
+++ b/crates/gateway/src/exchange/peers/mod.rs
@@ -8,11 +8,12 @@
 use tarpc::client;
 use tokio::sync::Notify;
 
-use super::{ExchangeClient, Heartbeat, LocalNode, address, context_with_deadline, transport};
+use super::{
+    ExchangeClient, Heartbeat, LocalNode, Statement, address, context_with_deadline, transport,
+};
 use crate::clock;
 use crate::node;
 use crate::pool::{self, AbortOnDrop};
-use crate::state::Position;
 
 /// Intervals and timeouts of the exchange.
 #[derive(Clone, Copy, Debug)]
@@ -117,12 +118,15 @@
         })
     }
 
-    /// Returns the time since the last heartbeat of a node, and the offsets that it stated.
-    pub fn last_heartbeat(&self, node: &str) -> Option<(Duration, Position)> {
+    /// Returns what the last heartbeat of a node stated.
+    pub fn last_heartbeat(&self, node: &str) -> Option<Statement> {
         let received = self.received.lock().unwrap_or_else(PoisonError::into_inner);
         let peer = received.get(node)?;
-        let age = clock::now().since(peer.at);
-        Some((age, peer.heartbeat.position))
+        Some(Statement {
+            age: clock::now().since(peer.at),
+            position: peer.heartbeat.position,
+            groups: peer.heartbeat.groups,
+        })
     }
 
     /// Collects what `select` returns for the latest heartbeat of each node that is alive.
@@ -246,18 +250,18 @@
     let mut send = false;
     loop {
         let recent = host.last_heartbeat(&node.name);
-        let recent = recent.filter(|(age, _)| !initiates && !send && *age < silent);
-        let position = if let Some((_, position)) = recent {
-            position
+        let recent = recent.filter(|last| !initiates && !send && last.age < silent);
+        let (position, groups) = if let Some(last) = recent {
+            (last.position, last.groups)
         } else {
             let answer = client
                 .greet(context_with_deadline(settings.timeout), host.heartbeat())
                 .await;
             match answer {
                 Ok(answer) => {
-                    let position = answer.position;
+                    let stated = (answer.position, answer.groups);
                     host.receive_heartbeat(answer);
-                    position
+                    stated
                 }
                 Err(error) => {
                     log::debug!("event=peer_silent peer={} reason=\"{error}\"", node.name);
@@ -281,6 +285,15 @@
                 }
             }
         }
+        if groups > host.groups().version {
+            match client.groups(context_with_deadline(settings.timeout)).await {
+                Ok(listing) => host.merge_groups(&node.name, listing),
+                Err(error) => {
+                    log::debug!("event=pull_failed peer={} reason=\"{error}\"", node.name);
+                    return;
+                }
+            }
+        }
         send = tokio::select! {
             () = tokio::time::sleep(settings.interval) => false,
             () = send_now.notified() => true,
--- a/crates/gateway/src/exchange/serve/mod.rs
+++ b/crates/gateway/src/exchange/serve/mod.rs
@@ -14,6 +14,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::{Exchange, Heartbeat, LocalNode};
+use crate::admit::group::Listing;
 use crate::pool;
 use crate::state::Snapshot;
 
@@ -34,6 +35,10 @@
     async fn pull(self, _: Context) -> Snapshot {
         self.0.snapshot()
     }
+
+    async fn groups(self, _: Context) -> Listing {
+        Listing::clone(&self.0.groups())
+    }
 }
 
 /// Serves the exchange to other nodes until `stop` is cancelled.
--- a/crates/gateway/src/maps/leader/mod.rs
+++ b/crates/gateway/src/maps/leader/mod.rs
@@ -18,6 +18,7 @@
 use tokio::time::{sleep, timeout};
 
 use self::group::StopReason;
+use crate::admit::group::{Listing, Version};
 use crate::clock;
 use crate::engine::{Engine, Report};
 use crate::pool::AbortOnDrop;
@@ -104,6 +105,7 @@
         maintain_leadership(Arc::clone(&shared), store.clone(), settings.clone(), sender);
     let claim_task = AbortOnDrop(tokio::spawn(claim_task));
     let version_counter = Arc::new(AtomicU64::new(0));
+    let listing_counter = Arc::new(AtomicU64::new(0));
     let mut last_fenced = 0;
     loop {
         sleep(LEADERSHIP_POLL_INTERVAL).await;
@@ -122,6 +124,7 @@
             engine: engine.clone(),
             leadership: leadership.clone(),
             version_counter: Arc::clone(&version_counter),
+            listing_counter: Arc::clone(&listing_counter),
         };
         if leader.manage_groups().await == StopReason::Fenced {
             last_fenced = leadership.borrow().fence;
@@ -246,6 +249,7 @@
     engine: E,
     leadership: watch::Receiver<Leadership>,
     version_counter: Arc<AtomicU64>,
+    listing_counter: Arc<AtomicU64>,
 }
 
 impl<E: Engine> Leader<E> {
@@ -270,9 +274,18 @@
     async fn manage_groups(&self) -> StopReason {
         let mut tasks: JoinSet<(Arc<str>, StopReason)> = JoinSet::new();
         let mut managed: HashMap<Arc<str>, Vec<Arc<str>>> = HashMap::new();
+        let mut listed = HashMap::new();
         let mut end = StopReason::Lapsed;
         while self.is_leading() && end == StopReason::Lapsed {
             self.start_group_tasks(&mut tasks, &mut managed).await;
+            // A group that is being read anew keeps its upstreams until then.
+            if managed
+                .iter()
+                .any(|(name, ids)| listed.get(name) != Some(ids))
+            {
+                listed.extend(managed.clone());
+                self.list_groups(&listed);
+            }
             let next = sleep(CHECK_INTERVAL);
             tokio::pin!(next);
             loop {
@@ -306,6 +319,22 @@
         end
     }
 
+    /// Tells this gateway, and through it the others, which upstreams form groups.
+    fn list_groups(&self, groups: &HashMap<Arc<str>, Vec<Arc<str>>>) {
+        let sequence = self.listing_counter.fetch_add(1, Ordering::Relaxed) + 1;
+        let listing = Listing {
+            version: Version {
+                fence: self.fence(),
+                sequence,
+            },
+            groups: groups
+                .iter()
+                .map(|(name, ids)| (Arc::clone(name), ids.clone()))
+                .collect(),
+        };
+        self.shared.set_groups("leader", listing);
+    }
+
     /// Starts a task for each complete group that has none. `managed` holds the upstreams
     /// of each group with a task.
     async fn start_group_tasks(
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -31,6 +31,7 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use crate::admit::group::Listing;
 use crate::admit::{AdmissionController, Refusal};
 use crate::clock;
 use crate::metrics::Counters;
@@ -154,6 +155,19 @@
         self.assign_slots();
     }
 
+    /// Uses a listing of the groups of upstreams that comes from `source`, if it is newer than
+    /// the one known.
+    pub fn set_groups(&self, source: &str, listing: Listing) {
+        let (version, groups) = (listing.version, listing.groups.len());
+        if self.admission().set_groups(listing) {
+            log::info!(
+                "event=groups source={source} groups={groups} fence={} sequence={}",
+                version.fence,
+                version.sequence
+            );
+        }
+    }
+
     /// Assigns free slots to waiting calls, and notifies those that are refused.
     pub fn assign_slots(&self) {
         loop {
--- a/crates/gateway/src/relay/streaming/mod.rs
+++ b/crates/gateway/src/relay/streaming/mod.rs
@@ -137,6 +137,8 @@
         attempted,
         events: Events::after(call.last_event),
         sender: sender.clone(),
+        first_event: None,
+        longest_gap: Duration::ZERO,
     };
     let call = Arc::clone(call);
     tokio::spawn(async move {
@@ -158,6 +160,10 @@
     attempted: Attempted,
     events: Events,
     sender: Sender<Result<Bytes, Incomplete>>,
+    /// Time from the arrival of the call to its first event.
+    first_event: Option<Duration>,
+    /// Longest time between two chunks of events.
+    longest_gap: Duration,
 }
 
 /// How the answer of one upstream ended.
@@ -194,13 +200,15 @@
     task.shared.counters.answered(200);
     log::info!(
         "event=stream_end id={} route={} workspace={} end={end:?} sent={} upstream={} events={} \
-         total_ms={} table={}",
+         first_ms={} longest_gap_ms={} total_ms={} table={}",
         call.id(),
         call.route,
         call.workspace_name.as_deref().unwrap_or("-"),
         task.attempted.sent,
         task.attempted.ids.last().map_or("-", |id| id),
         task.events.delivered(),
+        task.first_event.unwrap_or_default().as_millis(),
+        task.longest_gap.as_millis(),
         total.as_millis(),
         call.version,
     );
@@ -251,16 +259,19 @@
                 continue;
             }
             let now = clock::now();
-            if self.events.delivered() - before == 1
-                && let Some(last) = last_event
-            {
-                let mut admission = self.shared.admission();
-                admission.observe_gap(&self.call.service, now.since(last), now);
+            if let Some(last) = last_event {
+                let gap = now.since(last);
+                self.longest_gap = self.longest_gap.max(gap);
+                if self.events.delivered() - before == 1 {
+                    let mut admission = self.shared.admission();
+                    admission.observe_gap(&permit.record, gap, now);
+                }
             }
             last_event = Some(now);
             if first {
-                let first_byte_time = clock::now().since(self.call.arrived);
-                self.shared.counters.first_byte.record(first_byte_time);
+                let first_event = now.since(self.call.arrived);
+                self.first_event = Some(first_event);
+                self.shared.counters.first_byte.record(first_event);
             }
             if self.sender.send(Ok(chunk)).await.is_err() {
                 return End::Left;
--- a/crates/gateway/src/run/mod.rs
+++ b/crates/gateway/src/run/mod.rs
@@ -20,10 +20,11 @@
 use tokio_util::task::TaskTracker;
 
 use crate::admit::cold::Members;
+use crate::admit::group::Listing;
 use crate::admit::{self, AdmissionController};
 use crate::clock;
 use crate::engine::Engine;
-use crate::exchange::{self, Heartbeat, LocalNode, Peers};
+use crate::exchange::{self, Heartbeat, LocalNode, Peers, Statement};
 use crate::maps;
 use crate::metrics;
 use crate::names::Names;
@@ -218,11 +219,13 @@
             position,
             store: self.inner.shared.store_contact.state(now),
             misdirected: admission.recent_misdirected(now),
+            groups: admission.groups().version,
+            paces: admission.recent_paces(exchange::Settings::default().interval, now),
             loads: admission.loads(),
         }
     }
 
-    fn last_heartbeat(&self, node: &str) -> Option<(Duration, Position)> {
+    fn last_heartbeat(&self, node: &str) -> Option<Statement> {
         self.inner.peers.last_heartbeat(node)
     }
 
@@ -239,6 +242,7 @@
         }
         let mut admission = self.inner.shared.admission();
         admission.learn_misdirected(&heartbeat.misdirected, now);
+        admission.learn_paces(&heartbeat.paces, now);
         admission.set_peer_loads(&name, loads, now);
         drop(admission);
         let is_new_node = self.state().learn_node(&heartbeat.node);
@@ -267,6 +271,14 @@
     fn position(&self) -> Position {
         self.state().position()
     }
+
+    fn groups(&self) -> Arc<Listing> {
+        self.inner.shared.admission().groups()
+    }
+
+    fn merge_groups(&self, from: &str, listing: Listing) {
+        self.inner.shared.set_groups(from, listing);
+    }
 }
 
 /// Runs a gateway until the process receives SIGTERM or SIGINT, and then until its calls
--- a/crates/gateway/tests/admit.rs
+++ b/crates/gateway/tests/admit.rs
@@ -7,6 +7,7 @@
 use sesamerock_base::key::Workspace;
 use sesamerock_base::time::Moment;
 use sesamerock_gateway::admit::cold::Members;
+use sesamerock_gateway::admit::group::{Listing, Pace, Version};
 use sesamerock_gateway::admit::pace::PassSlowdown;
 use sesamerock_gateway::admit::{
     AdmissionController, Candidate, HealthSignal, Reason, Settings, SlotRequest, UpstreamPool,
@@ -300,18 +301,18 @@
     for tick in 0..100 {
         pace.observe(&engine, Duration::from_millis(33), 4.0, at(tick));
     }
-    assert!(pace.limit(&engine, pause, at(100)) >= 11.0);
+    assert!(pace.limit(&engine, pause, 2.0, at(100)) >= 11.0);
     for tick in 0..100 {
         pace.observe(&engine, Duration::from_millis(105), 4.0, at(200 + tick));
     }
-    let limit = pace.limit(&engine, pause, at(300));
+    let limit = pace.limit(&engine, pause, 2.0, at(300));
     let pass_ms = 4.0 * (4.55 + 0.905 * limit) * 105.0 / 32.7;
     assert!(
         (2.0..6.0).contains(&limit) && pass_ms <= 120.0,
         "{limit} {pass_ms}"
     );
     assert!(
-        pace.limit(&engine, pause, at(3_000)) >= 12.0,
+        pace.limit(&engine, pause, 2.0, at(3_000)) >= 12.0,
         "slowdown still in use after 2.7 s without events"
     );
 }
@@ -322,7 +323,6 @@
     let mut pool = pool(2);
     pool.engine = Some(engine());
     let mut admission = admission(pool);
-    let service: Arc<str> = Arc::from("s");
     let stream = |call, now| SlotRequest {
         pause: Some(Duration::from_millis(120)),
         ..slot_request(call, 0, now + Duration::from_secs(1))
@@ -330,7 +330,7 @@
     let mut placed = 0;
     for call in 0..10 {
         for _ in 0..20 {
-            admission.observe_gap(&service, Duration::from_millis(110), at(call));
+            admission.observe_gap(&record(0), Duration::from_millis(110), at(call));
         }
         match admission.request(stream(call, at(call)), at(call)) {
             Verdict::Place(_) => placed += 1,
@@ -341,6 +341,95 @@
     assert!((4..8).contains(&placed), "{placed} of 10");
 }
 
+/// Returns a controller with three groups of four engines, and the groups' upstreams.
+fn groups_of_engines() -> AdmissionController {
+    let mut pool = pool(12);
+    pool.engine = Some(engine());
+    let mut admission = admission(pool);
+    let ids = |group: usize| (0..4).map(move |rank| Arc::clone(&record(4 * group + rank).id));
+    let groups = (0..3).map(|group| (Arc::from(format!("g{group}")), ids(group).collect()));
+    let is_new = admission.set_groups(Listing {
+        version: Version {
+            fence: 1,
+            sequence: 1,
+        },
+        groups: groups.collect(),
+    });
+    assert!(is_new);
+    admission
+}
+
+/// Regression: one slow rank in a group of 64 made its passes twelve times as long. The pace was
+/// that of the service, so that all groups were limited to two requests an engine, half of
+/// the calls were refused, and the slow group got as many calls as the others.
+#[test]
+fn regression_a_slow_group_limits_only_its_own_streams() {
+    let mut admission = groups_of_engines();
+    let pause = Duration::from_millis(120);
+    for tick in 0..40 {
+        let now = at(25 * tick);
+        admission.observe_gap(&record(0), Duration::from_millis(500), now);
+        admission.observe_gap(&record(4), Duration::from_millis(35), now);
+        admission.observe_gap(&record(8), Duration::from_millis(35), now);
+    }
+    let now = at(1_000);
+    let mut calls_by_group = [0; 3];
+    for call in 0.. {
+        let request = SlotRequest {
+            pause: Some(pause),
+            ..slot_request(call, 0, now)
+        };
+        let Verdict::Place(placed) = admission.request(request, now) else {
+            break;
+        };
+        let group = (0..12).find(|id| record(*id).id == placed.id).unwrap_or(0) / 4;
+        calls_by_group[group] += 1;
+    }
+    // The others fill their slots; the slow one keeps a stream to notice its recovery.
+    assert!(calls_by_group[0] <= 2, "{calls_by_group:?}");
+    assert!(calls_by_group[1] >= 16, "{calls_by_group:?}");
+    assert!(calls_by_group[2] >= 16, "{calls_by_group:?}");
+}
+
+/// A gateway without streams in a slow group learns its pace from others, and forgets it once
+/// nobody observes it any more.
+#[test]
+fn pace_of_a_group_is_learnt_from_other_gateways_until_it_expires() {
+    let mut admission = groups_of_engines();
+    let slow = [Pace {
+        group: Arc::from("g0"),
+        slowdown: 12.0,
+    }];
+    admission.learn_paces(&slow, at(0));
+    let mut calls_to_slow_group = |now: Moment| {
+        let mut count = 0;
+        for call in 0..8 {
+            let request = SlotRequest {
+                pause: Some(Duration::from_millis(120)),
+                ..slot_request(call, 0, now)
+            };
+            if let Verdict::Place(placed) = admission.request(request, now) {
+                count += usize::from((0..4).any(|id| record(id).id == placed.id));
+                admission.end_call(&placed, HealthSignal::Success, now);
+            }
+        }
+        count
+    };
+    assert!(calls_to_slow_group(at(100)) <= 1);
+    let later: usize = (0..10)
+        .map(|turn| calls_to_slow_group(at(3_000 + turn)))
+        .sum();
+    assert!(later >= 10, "{later} of 80");
+}
+
+/// An older listing of groups does not replace a newer one, whoever tells it.
+#[test]
+fn older_listings_of_groups_are_ignored() {
+    let mut admission = groups_of_engines();
+    assert!(!admission.set_groups(Listing::default()));
+    assert_eq!(admission.groups().groups.len(), 3);
+}
+
 /// While no call completes, callers that get a short `retry-after` are refused again and
 /// again: 206 refusals within 1 s. With completions, the time follows their rate.
 #[test]
--- a/crates/gateway/tests/exchange.rs
+++ b/crates/gateway/tests/exchange.rs
@@ -6,7 +6,8 @@
 use std::time::Duration;
 
 use eyre::Result;
-use sesamerock_gateway::exchange::{self, Heartbeat, LocalNode, Peers, Settings};
+use sesamerock_gateway::admit::group::{Listing, Version};
+use sesamerock_gateway::exchange::{self, Heartbeat, LocalNode, Peers, Settings, Statement};
 use sesamerock_gateway::node;
 use sesamerock_gateway::state::{Position, Snapshot, State};
 use sesamerock_gateway::store::contact::ContactState;
@@ -35,11 +36,13 @@
             position: Position::default(),
             store: ContactState::default(),
             misdirected: Vec::new(),
+            groups: Version::default(),
+            paces: Vec::new(),
             loads: Vec::new(),
         }
     }
 
-    fn last_heartbeat(&self, node: &str) -> Option<(Duration, Position)> {
+    fn last_heartbeat(&self, node: &str) -> Option<Statement> {
         self.peers.last_heartbeat(node)
     }
 
@@ -57,6 +60,12 @@
     fn position(&self) -> Position {
         Position::default()
     }
+
+    fn groups(&self) -> Arc<Listing> {
+        Arc::default()
+    }
+
+    fn merge_groups(&self, _: &str, _: Listing) {}
 }
 
 async fn host(name: &str) -> Result<Host> {
