--- a/crates/gateway/src/maps/leader/mod.rs
+++ b/crates/gateway/src/maps/leader/mod.rs
@@ -46,6 +46,9 @@
 /// Interval at which the leader looks for groups that have no task yet, and at which each
 /// task checks its group.
 const CHECK_INTERVAL: Duration = Duration::from_secs(1);
+/// Interval at which the leader looks for groups while some ranks are in none, as after a
+/// loss of power. Until a group is found, its streams run with a map that ignores demand.
+const FORMING_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// Time limit for an engine's answer to a query.
 const QUERY_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -277,7 +280,7 @@
         let mut listed = HashMap::new();
         let mut end = StopReason::Lapsed;
         while self.is_leading() && end == StopReason::Lapsed {
-            self.start_group_tasks(&mut tasks, &mut managed).await;
+            let complete = self.start_group_tasks(&mut tasks, &mut managed).await;
             // A group that is being read anew keeps its upstreams until then.
             if managed
                 .iter()
@@ -286,7 +289,11 @@
                 listed.extend(managed.clone());
                 self.list_groups(&listed);
             }
-            let next = sleep(CHECK_INTERVAL);
+            let next = sleep(if complete {
+                CHECK_INTERVAL
+            } else {
+                FORMING_CHECK_INTERVAL
+            });
             tokio::pin!(next);
             loop {
                 let ended = tokio::select! {
@@ -336,16 +343,17 @@
     }
 
     /// Starts a task for each complete group that has none. `managed` holds the upstreams
-    /// of each group with a task.
+    /// of each group with a task. Returns whether all upstreams have one.
     async fn start_group_tasks(
         &self,
         tasks: &mut JoinSet<(Arc<str>, StopReason)>,
         managed: &mut HashMap<Arc<str>, Vec<Arc<str>>>,
-    ) {
+    ) -> bool {
         let view = self.shared.view.load_full();
         let Some(table) = &view.table else {
-            return;
+            return false;
         };
+        let mut complete = true;
         for service in &table.content().services {
             let shape = service.engine.as_ref().and_then(|engine| engine.experts);
             let max_pause = table.pause(&service.name).unwrap_or(DEFAULT_MAX_PAUSE);
@@ -354,22 +362,27 @@
                 continue;
             };
             let managed_ids: HashSet<&Arc<str>> = managed.values().flatten().collect();
-            if records
+            let unmanaged = records
                 .iter()
-                .all(|record| managed_ids.contains(&record.id))
-            {
+                .filter(|record| !managed_ids.contains(&record.id));
+            let unmanaged: Vec<Arc<Record>> = unmanaged.cloned().collect();
+            let mut missing = unmanaged.len();
+            if missing == 0 {
                 continue;
             }
-            for (name, members) in self.groups(records).await {
+            for (name, members) in self.groups(&unmanaged).await {
                 if managed.contains_key(&name) {
                     continue;
                 }
+                missing -= members.len();
                 let ids = members.iter().map(|(record, _)| Arc::clone(&record.id));
                 managed.insert(Arc::clone(&name), ids.collect());
                 let params = ServiceParams { shape, max_pause };
                 tasks.spawn(manage_group(self.clone(), name, members, params));
             }
+            complete &= missing == 0;
         }
+        complete
     }
 
     /// Queries the upstreams of a service and returns the groups among them that are complete
