Let calls wait for the first table after a start

Cause: gateways that had just started refused all calls with a retry-after of 0.2 s until they had read the table. The refusals were not logged.

Change: calls wait up to a second for the table and the first list of upstreams. If there is none then, they are told to return after a second, and a line is logged.

--- a/crates/gateway/src/relay/head/mod.rs
+++ b/crates/gateway/src/relay/head/mod.rs
@@ -19,8 +19,11 @@
 use crate::socket::Socket;
 use crate::table::{Caller, Limits};
 
-/// `retry-after` of refusals while the gateway has not received a table yet.
-const NO_TABLE_RETRY_AFTER: Duration = Duration::from_millis(200);
+/// Longest wait of a request for the first table. After a loss of power, callers return before
+/// the gateway has read anything, and many of them have no further attempt.
+const TABLE_WAIT: Duration = Duration::from_secs(1);
+/// `retry-after` of refusals after that wait: the store is away or turns the gateway away.
+const NO_TABLE_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Highest number, and thus lowest priority, that the queue accepts.
 const LOWEST_URGENCY: u8 = 7;
 
@@ -38,10 +41,16 @@
     let (parts, body) = request.into_parts();
     let body = read_body(shared, names, &parts.headers, body).await?;
     // Loaded after the body, since the table may have changed in the meantime.
-    let Some(table) = shared.view.load().table.clone() else {
-        let retry_after = NO_TABLE_RETRY_AFTER;
+    let Some(table) = shared.first_table(TABLE_WAIT).await else {
         let status = StatusCode::SERVICE_UNAVAILABLE;
         shared.counters.refused("no_table");
+        let id = parts.headers.get(&names.headers().call_id);
+        log::info!(
+            "event=call_rejected id={} status=503 reason=\"no table yet\" wait_ms={}",
+            id.and_then(|id| id.to_str().ok()).unwrap_or("-"),
+            clock::now().since(arrived).as_millis(),
+        );
+        let retry_after = NO_TABLE_RETRY_AFTER;
         return Err(answer::refusal(status, "no table yet", retry_after));
     };
     if shared.closed.load(Ordering::Relaxed) {
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -27,7 +27,8 @@
 use sesamerock_base::time::Moment;
 use sesamerock_retry::budget;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::oneshot;
+use tokio::sync::{Notify, oneshot};
+use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -40,6 +41,7 @@
 use crate::socket::Socket;
 use crate::state::View;
 use crate::store::contact::Contact;
+use crate::table::Table;
 use crate::upstream::Record;
 
 use answer::Body;
@@ -99,6 +101,7 @@
     waiters: Mutex<Waiters>,
     retries: Retries,
     connections: ConnectionPool,
+    published: Notify,
     next_call: AtomicU64,
 }
 
@@ -117,6 +120,7 @@
             waiters: Mutex::default(),
             retries: Retries::new(settings.budget),
             connections: ConnectionPool::default(),
+            published: Notify::new(),
             next_call: AtomicU64::new(0),
         }
     }
@@ -147,9 +151,30 @@
             candidates.any(|candidate| &*candidate.record.id == id)
         });
         self.view.store(Arc::new(view));
+        self.published.notify_waiters();
         self.assign_slots();
     }
 
+    /// Returns the table, waiting up to `longest` until the first one and the upstreams are
+    /// read.
+    async fn first_table(&self, longest: Duration) -> Option<Arc<Table>> {
+        let complete = async {
+            loop {
+                // Created before the check, so that no publication is missed.
+                let published = self.published.notified();
+                let view = self.view.load();
+                if view.complete && view.table.is_some() {
+                    return;
+                }
+                drop(view);
+                published.await;
+            }
+        };
+        // Without upstreams, the call is refused for that reason.
+        let _elapsed = timeout(longest, complete).await;
+        self.view.load().table.clone()
+    }
+
     /// Uses a listing of the groups of upstreams that comes from `source`, if it is newer than
     /// the one known.
     pub fn set_groups(&self, source: &str, listing: Listing) {
