Count as free the slots that the pace of their group allows

Change: for calls with a longest pause, free slots are those that the pace of each group still allows, and a tenth of the pause is left for delays, not a twentieth.

--- a/crates/gateway/src/admit/group/mod.rs
+++ b/crates/gateway/src/admit/group/mod.rs
@@ -164,11 +164,15 @@
             PROBE_REQUESTS
         };
         let groups = self.arena.iter().zip(&loads.0);
-        let headroom = groups.map(|(group, load)| {
+        let mut headroom = Headroom::default();
+        for (group, load) in groups {
             let limit = group.slowdown.limit(engine, pause, lowest, now);
-            (limit - load.mean()) / f64::from(engine.slots.max(1))
-        });
-        Headroom(headroom.collect())
+            let streams = limit - load.mean();
+            headroom.streams += streams.max(0.0) * f64::from(load.engines);
+            let slots = f64::from(engine.slots.max(1));
+            headroom.by_group.push(streams / slots);
+        }
+        headroom
     }
 }
 
@@ -205,14 +209,24 @@
     }
 }
 
-/// Streams that each group may still run, per engine and relative to its slots.
+/// Streams that groups may still run.
 #[derive(Clone, Debug, Default)]
-pub struct Headroom(Vec<f64>);
+pub struct Headroom {
+    /// For each group, per engine and relative to its slots.
+    by_group: Vec<f64>,
+    /// All groups together.
+    streams: f64,
+}
 
 impl Headroom {
     /// Returns the headroom of a group; 0 or less if it may run no further stream.
     pub fn of(&self, key: Option<Key>) -> f64 {
-        let headroom = key.and_then(|key| self.0.get(key.0));
+        let headroom = key.and_then(|key| self.by_group.get(key.0));
         headroom.copied().unwrap_or_default()
     }
+
+    /// Returns how many streams all groups together may still run.
+    pub fn streams(&self) -> f64 {
+        self.streams
+    }
 }
--- a/crates/gateway/src/admit/mod.rs
+++ b/crates/gateway/src/admit/mod.rs
@@ -569,9 +569,9 @@
             .min()
     }
 
-    /// Returns whether this gateway may start a call of a service, considering that others
-    /// start calls at the same upstreams.
-    fn may_start(&mut self, service: &Arc<str>, now: Moment) -> bool {
+    /// Returns whether this gateway may start a call, considering that others start calls at
+    /// the same upstreams. `headroom` is that of the groups, if it limits the call.
+    fn may_start(&mut self, service: &Arc<str>, headroom: Option<&Headroom>, now: Moment) -> bool {
         let Some(pool) = self.pools.get(service) else {
             return false;
         };
@@ -579,9 +579,14 @@
         if gateways == 1 {
             return true;
         }
-        let records = pool.candidates.iter().map(|candidate| &candidate.record);
-        let free = records.map(|record| record.slots.saturating_sub(self.load(&record.id)));
-        let free_slots = free.sum();
+        let free_slots = headroom.map_or_else(
+            || {
+                let records = pool.candidates.iter().map(|candidate| &candidate.record);
+                let free = records.map(|record| record.slots.saturating_sub(self.load(&record.id)));
+                f64::from(free.sum::<u32>())
+            },
+            Headroom::streams,
+        );
         let share = self.shares.entry(Arc::clone(service)).or_default();
         share.may_start(free_slots, gateways, now)
     }
@@ -595,11 +600,12 @@
 
     /// Chooses an upstream, preferring the gateway's zone.
     fn choose(&mut self, request: &SlotRequest, now: Moment) -> Option<Arc<Record>> {
-        if !self.may_start(&request.service, now) || self.yields(request) {
+        let pool = self.pools.get(&request.service)?;
+        let headroom = self.headroom(pool, request, now);
+        if !self.may_start(&request.service, headroom.as_ref(), now) || self.yields(request) {
             return None;
         }
         let pool = self.pools.get(&request.service)?;
-        let headroom = self.headroom(pool, request, now);
         let mut selection = Selection::new(self.settings.considered_slots);
         for is_own_zone in [true, false] {
             let candidates = pool.candidates.iter();
--- a/crates/gateway/src/admit/pace/mod.rs
+++ b/crates/gateway/src/admit/pace/mod.rs
@@ -17,8 +17,9 @@
 
 /// Mean deviations by which the longest of the passes that a stream spans exceeds the mean.
 const PEAK_DEVIATIONS: f64 = 2.5;
-/// Share of the longest pause that is used. The rest is left for delays of the network.
-const TARGET_SHARE: f64 = 0.95;
+/// Share of the longest pause that is used. The rest is left for delays of the network and for
+/// streams that other gateways start before they know of each other's.
+const TARGET_SHARE: f64 = 0.9;
 /// Weight of a slowdown that another gateway observed.
 const PEER_WEIGHT: f64 = 0.3;
 /// Time without own events after which the observations of other gateways are used.
--- a/crates/gateway/src/admit/share/mod.rs
+++ b/crates/gateway/src/admit/share/mod.rs
@@ -36,8 +36,8 @@
 impl StartShare {
     /// Adds this gateway's part of the starts for `free_slots`, which `gateways` share.
     /// Returns whether a call may start.
-    pub fn may_start(&mut self, free_slots: u32, gateways: usize, now: Moment) -> bool {
-        let part = f64::from(free_slots) / gateways.max(1) as f64;
+    pub fn may_start(&mut self, free_slots: f64, gateways: usize, now: Moment) -> bool {
+        let part = free_slots / gateways.max(1) as f64;
         self.part = part;
         let most = part.max(MIN_SAVED);
         let elapsed = self.updated.map(|at| now.since(at).as_secs_f64());
