Draw several upstreams and choose the least loaded, and spread calls as gateways allow

All upstreams of the own zone are considered, and others up to a part of 2,400 free slots that the gateways share.

--- a/crates/gateway/src/admit/mod.rs
+++ b/crates/gateway/src/admit/mod.rs
@@ -71,9 +71,10 @@
     /// starting, within two to four seconds, so a longer delay would leave recovered
     /// upstreams idle.
     pub max_retry_after: Duration,
-    /// Free slots among which a call is placed. Several times the calls that all gateways
-    /// start at the upstreams of one gateway between two heartbeats, so that few of them meet.
-    pub considered_slots: u32,
+    /// Free slots that all gateways together consider, each an equal part, beyond those of its
+    /// zone if these are fewer. The fewer gateways there are, the more calls each of them
+    /// starts, and the more upstreams it must spread them over.
+    pub considered_slots: usize,
     /// Calls of a service that may wait although their answer can no longer be in time. They
     /// get what capacity the others leave. More of them would only be refused later.
     pub max_late_calls: usize,
@@ -92,7 +93,7 @@
             cold_slack: 5.0,
             cold_share: 0.8,
             max_retry_after: Duration::from_millis(2_500),
-            considered_slots: 48,
+            considered_slots: 2_400,
             max_late_calls: 4,
             queue: queue::Settings::default(),
             seed: 0,
@@ -606,12 +607,13 @@
             return None;
         }
         let pool = self.pools.get(&request.service)?;
-        let mut selection = Selection::new(self.settings.considered_slots);
+        let gateways = pool.members.count();
+        let mut selection = Selection::new(self.settings.considered_slots / gateways);
         for is_own_zone in [true, false] {
             let candidates = pool.candidates.iter();
             let candidates = candidates.filter(|one| (one.record.zone == self.zone) == is_own_zone);
             for candidate in candidates {
-                if selection.is_sufficient() {
+                if !is_own_zone && selection.is_sufficient() {
                     break;
                 }
                 self.consider(
@@ -624,7 +626,8 @@
                 );
             }
         }
-        selection.choose(&mut self.random).map(Arc::clone)
+        let draws = choice::draws(gateways);
+        selection.choose(draws, &mut self.random).map(Arc::clone)
     }
 
     /// Adds an upstream to a selection if it may be given the call now.
--- a/crates/gateway/tests/support/fleet/mod.rs
+++ b/crates/gateway/tests/support/fleet/mod.rs
@@ -57,6 +57,8 @@
     pub other_zone: u32,
     /// Pairs of a gateway and an upstream between which there were calls.
     pub pairs: usize,
+    /// Calls at the busiest upstream, divided by the mean, on average over time.
+    pub skew: f64,
 }
 
 impl Outcome {
@@ -180,10 +182,16 @@
             self.push(start + phase, Event::Heartbeat(gateway));
         }
         let mut call = 0;
+        let (mut next_sample, mut samples) = (start + Duration::from_secs(3), 0.0);
         while let Some(Reverse((now, event))) = self.events.pop() {
             if now > start + load.length {
                 break;
             }
+            if now >= next_sample {
+                next_sample = next_sample + Duration::from_millis(100);
+                samples += 1.0;
+                self.outcome.skew += self.skew();
+            }
             match event {
                 Event::Arrival => {
                     call += 1;
@@ -208,9 +216,16 @@
             }
         }
         self.outcome.pairs = self.pairs.len();
+        self.outcome.skew /= f64::max(samples, 1.0);
         self.outcome
     }
 
+    fn skew(&self) -> f64 {
+        let running = self.upstreams.iter().map(|upstream| upstream.running);
+        let (total, most) = running.fold((0, 0), |(total, most), one| (total + one, one.max(most)));
+        f64::from(most) * self.upstreams.len() as f64 / f64::from(total.max(1))
+    }
+
     fn push(&mut self, at: Moment, event: Event) {
         self.events.push(Reverse((at, event)));
     }
