Keep the lowest level of the queue for calls that can only be late

Cause, read in the code: a route or workspace of the lowest priority shared the level of calls that can only be late, which are refused at once while slots are scarce.

Change: the priorities of routes end one level above. No test of its own.

--- a/crates/gateway/src/relay/head/mod.rs
+++ b/crates/gateway/src/relay/head/mod.rs
@@ -14,6 +14,7 @@
 use super::Shared;
 use super::answer::{self, Body};
 use super::call::Call;
+use crate::admit::LATE_URGENCY;
 use crate::clock;
 use crate::names::{Headers, Names};
 use crate::socket::Socket;
@@ -24,8 +25,8 @@
 const TABLE_WAIT: Duration = Duration::from_secs(1);
 /// `retry-after` of refusals after that wait: the store is away or turns the gateway away.
 const NO_TABLE_RETRY_AFTER: Duration = Duration::from_secs(1);
-/// Highest number, and thus lowest priority, that the queue accepts.
-const LOWEST_URGENCY: u8 = 7;
+/// Lowest priority of a call; the one below it is for calls that can only be late.
+const LOWEST_URGENCY: u8 = LATE_URGENCY - 1;
 
 /// Reads a request and looks up its route, caller, workspace and service.
 ///
