Limit the starts of calls by parts of the free slots at engines only

A gateway starts calls for its part of the free slots and nine in ten of its calls that have ended, so ten times its part at most. Calls of plain services take less time than the counts of other gateways are old, and use a slot many times meanwhile.

Change: the parts apply to engines, whose calls last many heartbeats.

--- a/crates/gateway/src/admit/mod.rs
+++ b/crates/gateway/src/admit/mod.rs
@@ -577,7 +577,9 @@
             return false;
         };
         let gateways = pool.members.count();
-        if gateways == 1 {
+        // Calls of plain services end before their counts are told, so these say nothing about
+        // the slots that are free now.
+        if gateways == 1 || pool.engine.is_none() {
             return true;
         }
         let free_slots = headroom.map_or_else(
--- a/crates/gateway/tests/fleet.rs
+++ b/crates/gateway/tests/fleet.rs
@@ -61,3 +61,21 @@
         }
     }
 }
+
+/// Regression: a gateway started calls of a plain service, which take less time than the counts of
+/// other gateways are old, at no more than ten times its part of the free slots, so that half of
+/// the capacity could not be used.
+#[test]
+fn regression_short_calls_use_the_slots_of_a_plain_service() {
+    let mean_duration = Duration::from_millis(30);
+    let (gateways, upstreams, slots) = (4, 6, 4);
+    let capacity = f64::from(slots) * upstreams as f64 / mean_duration.as_secs_f64();
+    let mut fleet = Fleet::plain(gateways, upstreams, slots, 0);
+    let outcome = fleet.play(Load {
+        calls_per_second: capacity * 0.7,
+        mean_duration,
+        length: Duration::from_secs(5),
+    });
+    let in_time = f64::from(outcome.in_time) / f64::from(outcome.arrived);
+    assert!(in_time >= 0.95, "{in_time} {outcome:?}");
+}
--- a/crates/gateway/tests/support/fleet/mod.rs
+++ b/crates/gateway/tests/support/fleet/mod.rs
@@ -16,6 +16,7 @@
     UpstreamPool, Verdict,
 };
 use sesamerock_gateway::exchange;
+use sesamerock_gateway::table::EngineSpec;
 use sesamerock_gateway::upstream::Record;
 
 /// Availability zones over which gateways and upstreams are spread.
@@ -103,8 +104,34 @@
 }
 
 impl Fleet {
-    /// Creates a fleet without calls.
+    /// Creates a fleet of engines without calls.
     pub fn new(gateways: usize, upstreams: usize, slots: u32, seed: u64) -> Self {
+        let engine = EngineSpec {
+            slots,
+            memory: 0,
+            step_ms: 4.55,
+            request_ms: 1.99,
+            stride: 6,
+            read_rate: 61_400.0,
+            prompt: 800.0,
+            answer: 97.0,
+            experts: None,
+        };
+        Self::with_engine(gateways, upstreams, slots, Some(engine), seed)
+    }
+
+    /// Creates a fleet of a plain service without calls.
+    pub fn plain(gateways: usize, upstreams: usize, slots: u32, seed: u64) -> Self {
+        Self::with_engine(gateways, upstreams, slots, None, seed)
+    }
+
+    fn with_engine(
+        gateways: usize,
+        upstreams: usize,
+        slots: u32,
+        engine: Option<EngineSpec>,
+        seed: u64,
+    ) -> Self {
         let records: Vec<Arc<Record>> = (0..upstreams)
             .map(|number| {
                 Arc::new(Record {
@@ -135,6 +162,7 @@
             let pool = UpstreamPool {
                 candidates,
                 members,
+                engine: engine.clone(),
                 ..UpstreamPool::default()
             };
             let zone = Arc::from(ZONES[number % ZONES.len()]);
