--- a/crates/gateway/tests/support/fleet/mod.rs
+++ b/crates/gateway/tests/support/fleet/mod.rs
@@ -117,7 +117,7 @@
             answer: 97.0,
             experts: None,
         };
-        Self::with_engine(gateways, upstreams, slots, Some(engine), seed)
+        Self::with_engine(gateways, upstreams, slots, Some(&engine), seed)
     }
 
     /// Creates a fleet of a plain service without calls.
@@ -129,7 +129,7 @@
         gateways: usize,
         upstreams: usize,
         slots: u32,
-        engine: Option<EngineSpec>,
+        engine: Option<&EngineSpec>,
         seed: u64,
     ) -> Self {
         let records: Vec<Arc<Record>> = (0..upstreams)
@@ -162,7 +162,7 @@
             let pool = UpstreamPool {
                 candidates,
                 members,
-                engine: engine.clone(),
+                engine: engine.cloned(),
                 ..UpstreamPool::default()
             };
             let zone = Arc::from(ZONES[number % ZONES.len()]);
