Count and log the open connections of callers at a stop

The lines of a stop told the calls that run and wait. A request whose body is being read, one between two attempts, and an answer that is not yet written are in neither count, so that logs could not tell whether a process exits beside them. stop_requested and stop now give the open connections, a gauge too. The signal handlers are installed before the listeners, so that a signal during the start is not lost, and tests can ask for a stop without a signal.

--- a/crates/gateway/src/run/mod.rs
+++ b/crates/gateway/src/run/mod.rs
@@ -291,6 +291,36 @@
     store: S,
     engine: E,
     names: N,
+) -> eyre::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut reload = signal(SignalKind::hangup())?;
+    let node = settings.node.clone();
+    let stop = async move {
+        loop {
+            tokio::select! {
+                _ = terminate.recv() => return,
+                _ = interrupt.recv() => return,
+                // Nothing to reload: the addresses are fixed for the life of the process, and
+                // everything else is read from the store.
+                _ = reload.recv() => log::info!("event=reload node={node}"),
+            }
+        }
+    };
+    run_until(settings, store, engine, names, stop).await
+}
+
+/// Runs a gateway until `stop` ends, and then until its calls have ended or the grace period
+/// is over.
+///
+/// # Errors
+/// Fails if an address cannot be bound.
+pub async fn run_until<S: Store, E: Engine, N: Names>(
+    settings: Settings,
+    store: S,
+    engine: E,
+    names: N,
+    stop_requested: impl Future<Output = ()>,
 ) -> eyre::Result<()> {
     let incarnation = std::time::SystemTime::now()
         .duration_since(std::time::UNIX_EPOCH)
@@ -337,8 +367,8 @@
         }),
     };
     let stop = CancellationToken::new();
-    let tracker = TaskTracker::new();
-    serve_auxiliary(&settings, &node, &names).await?;
+    let connections = TaskTracker::new();
+    serve_auxiliary(&settings, &node, &names, &connections).await?;
     let exchange_listener = bind(settings.exchange).await?;
     tokio::spawn(exchange::serve(
         exchange_listener,
@@ -368,8 +398,11 @@
     tokio::spawn(run_maintenance(node.clone()));
     let front = bind(settings.front).await?;
     let calls = Arc::clone(&shared);
+    let tracker = connections.clone();
     tokio::spawn(relay::serve(front, calls, names, tracker, stop));
-    wait_for_shutdown(&settings, &node).await
+    stop_requested.await;
+    shut_down(&settings, &node, &connections).await;
+    Ok(())
 }
 
 /// Returns the retry budget that all nodes together use.
@@ -393,6 +426,7 @@
     settings: &Settings,
     node: &Node,
     names: &N,
+    connections: &TaskTracker,
 ) -> eyre::Result<()> {
     let readiness = bind(settings.readiness).await?;
     let directory = bind(settings.directory).await?;
@@ -435,11 +469,14 @@
         },
     ));
     let shared = Arc::clone(&node.inner.shared);
+    let connections = connections.clone();
     tokio::spawn(auxiliary::serve(metrics, move |_: &Request<Incoming>| {
         let (running, waiting) = shared.admission().totals();
         let mut text = shared.counters.render();
         metrics::append_line(&mut text, format_args!("sesamerock_running {running}"));
         metrics::append_line(&mut text, format_args!("sesamerock_waiting {waiting}"));
+        let open = connections.len();
+        metrics::append_line(&mut text, format_args!("sesamerock_connections {open}"));
         let mut response = answer::local_response(StatusCode::OK, "none");
         *response.body_mut() = answer::Body::Whole(text.into());
         response
@@ -491,24 +528,15 @@
     }
 }
 
-/// Waits for a signal to stop, and then for the calls in flight to end.
-async fn wait_for_shutdown(settings: &Settings, node: &Node) -> eyre::Result<()> {
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    let mut reload = signal(SignalKind::hangup())?;
-    loop {
-        tokio::select! {
-            _ = terminate.recv() => break,
-            _ = interrupt.recv() => break,
-            // Nothing to reload: the addresses are fixed for the life of the process, and
-            // everything else is read from the store.
-            _ = reload.recv() => log::info!("event=reload node={}", settings.node),
-        }
-    }
+/// Waits for the calls in flight to end.
+async fn shut_down(settings: &Settings, node: &Node, connections: &TaskTracker) {
     let shared = &node.inner.shared;
     let requested_at = clock::now();
     let (running, waiting) = shared.admission().totals();
-    log::info!("event=stop_requested running={running} waiting={waiting}");
+    log::info!(
+        "event=stop_requested running={running} waiting={waiting} connections={}",
+        connections.len()
+    );
     shared.leaving.store(true, Ordering::Relaxed);
     node.inner.peers.send_heartbeats_now();
     let address_retention = ADDRESS_TTL.min(settings.longest_ttl) * ADDRESS_TTL_FACTOR;
@@ -524,13 +552,15 @@
         let idle = running == 0 && waiting == 0 && since >= address_retention;
         if idle || since >= calls_end {
             log::info!(
-                "event=stop node={} running={running} after_ms={}",
+                "event=stop node={} running={running} waiting={waiting} connections={} \
+                 after_ms={}",
                 settings.node,
+                connections.len(),
                 since.as_millis()
             );
             // Leaves time to write the last log lines and answers.
             sleep(Duration::from_millis(50)).await;
-            return Ok(());
+            return;
         }
     }
 }
