Wait for the connections of callers before a process ends

Cause: the end followed from the number of running and waiting calls, sampled every 50 ms, while the listener and kept connections went on taking requests.

Now a gateway that stops goes on serving until callers have forgotten its address and another gateway takes calls. Then it stops listening, serves what the kernel has accepted already, closes idle connections, and ends with the last connection, which covers each request from its first byte to its written answer. If all gateways stop at once, callers are told those that still take calls.

--- a/crates/gateway/src/exchange/mod.rs
+++ b/crates/gateway/src/exchange/mod.rs
@@ -26,6 +26,8 @@
     pub node: node::Record,
     /// Whether callers may be directed to the sender.
     pub ready: bool,
+    /// Whether the sender takes calls, as it still does for a while after it was told to stop.
+    pub accepting: bool,
     /// Whether the sender is the leader for the expert maps.
     pub leads: bool,
     /// Offsets up to which the sender has read the logs.
--- a/crates/gateway/src/exchange/peers/mod.rs
+++ b/crates/gateway/src/exchange/peers/mod.rs
@@ -109,6 +109,11 @@
         self.collect_alive(|heartbeat| heartbeat.ready.then(|| heartbeat.node.clone()))
     }
 
+    /// Returns the nodes that are alive and take calls, ready or not.
+    pub fn accepting(&self) -> Vec<node::Record> {
+        self.collect_alive(|heartbeat| heartbeat.accepting.then(|| heartbeat.node.clone()))
+    }
+
     /// Returns the names of the nodes that are alive and ready, each with whether its calls
     /// to the store fail.
     pub fn store_contacts(&self) -> Vec<(String, bool)> {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod pool;
 pub mod relay;
 pub mod run;
+pub mod shutdown;
 pub mod sidecar;
 pub mod sink;
 pub mod socket;
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -15,11 +15,13 @@
 
 use std::collections::HashMap;
 use std::convert::Infallible;
+use std::pin::pin;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
+use futures::FutureExt as _;
 use http::{HeaderValue, Request, Response};
 use hyper::body::Incoming;
 use hyper::service::service_fn;
@@ -78,6 +80,10 @@
     }
 }
 
+/// Timeout for the request header on a connection that was accepted when the gateway had stopped
+/// listening. Its request was sent along with the connection or shortly after.
+const LAST_HEADER_TIMEOUT: Duration = Duration::from_millis(500);
+
 type Waiters = HashMap<u64, oneshot::Sender<Result<Arc<Record>, Refusal>>>;
 
 /// State that is shared by the calls of one gateway.
@@ -221,25 +227,26 @@
     }
 }
 
-/// Serves callers on a listener until `stop` is cancelled. Does not close open
-/// connections.
+/// Serves callers on a listener until `closing` is cancelled. Connections are then closed as
+/// soon as no request is in progress on them.
 pub async fn serve<N: Names>(
     listener: TcpListener,
     shared: Arc<Shared>,
     names: N,
-    tracker: TaskTracker,
-    stop: CancellationToken,
+    connections: TaskTracker,
+    closing: CancellationToken,
 ) {
+    let start = |stream| {
+        let (shared, names, closing) = (Arc::clone(&shared), names.clone(), closing.clone());
+        connections.spawn(serve_connection(stream, shared, names, closing));
+    };
     loop {
         let accepted = tokio::select! {
-            () = stop.cancelled() => return,
+            () = closing.cancelled() => break,
             accepted = listener.accept() => accepted,
         };
         match accepted {
-            Ok((stream, _)) => {
-                let connection = serve_connection(stream, Arc::clone(&shared), names.clone());
-                tracker.spawn(connection);
-            }
+            Ok((stream, _)) => start(stream),
             Err(error) => {
                 log::warn!("event=accept_failed reason=\"{error}\"");
                 // Typically no free file descriptor: without a pause, the loop would spin.
@@ -247,10 +254,19 @@
             }
         }
     }
+    // Connections that the kernel has accepted already may hold a request.
+    while let Some(Ok((stream, _))) = listener.accept().now_or_never() {
+        start(stream);
+    }
 }
 
 /// Serves one connection of a caller.
-async fn serve_connection<N: Names>(stream: TcpStream, shared: Arc<Shared>, names: N) {
+async fn serve_connection<N: Names>(
+    stream: TcpStream,
+    shared: Arc<Shared>,
+    names: N,
+    closing: CancellationToken,
+) {
     if let Err(error) = pool::set_socket_options(&stream) {
         log::debug!("event=connection_untuned reason=\"{error}\"");
     }
@@ -265,12 +281,29 @@
         let caller = caller.clone();
         async move { Ok::<_, Infallible>(respond(request, caller, shared, names).await) }
     });
+    let is_last_request = closing.is_cancelled();
+    let header_timeout = if is_last_request {
+        LAST_HEADER_TIMEOUT
+    } else {
+        limits.idle
+    };
     let connection = hyper::server::conn::http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(limits.idle)
+        .keep_alive(!is_last_request)
+        .header_read_timeout(header_timeout)
         .max_buf_size(limits.header.max(8 << 10) * 2)
         .serve_connection(TokioIo::new(caller.clone()), service);
-    if let Err(error) = connection.await {
+    let mut connection = pin!(connection);
+    let served = tokio::select! {
+        // First the connection, so that a request that has arrived is read before it closes.
+        biased;
+        served = connection.as_mut() => served,
+        () = closing.cancelled(), if !is_last_request => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = served {
         log::debug!("event=caller_lost reason=\"{error}\"");
     }
 }
--- a/crates/gateway/src/run/mod.rs
+++ b/crates/gateway/src/run/mod.rs
@@ -4,6 +4,7 @@
 mod feeds;
 mod settings;
 
+use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -15,7 +16,8 @@
 use sesamerock_retry::budget;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::time::sleep;
+use tokio::task::JoinHandle;
+use tokio::time::{sleep, timeout};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -30,6 +32,7 @@
 use crate::names::Names;
 use crate::node;
 use crate::relay::{self, Shared, answer};
+use crate::shutdown::{self, Shutdown};
 use crate::state::{Event, Position, Snapshot, State, View};
 use crate::store::{Batch, Fault, Feed, Store};
 
@@ -41,8 +44,10 @@
 const ADDRESS_TTL: Duration = Duration::from_secs(1);
 /// Multiple of the TTL for which a caller may keep addresses.
 const ADDRESS_TTL_FACTOR: u32 = 3;
-/// Time before the end of the grace period by which calls must have ended.
-const SHUTDOWN_MARGIN: Duration = Duration::from_millis(400);
+/// Interval at which a node that stops checks whether it may go on to the next step.
+const SHUTDOWN_INTERVAL: Duration = Duration::from_millis(20);
+/// Time to write the last log lines before the process ends.
+const LOG_FLUSH: Duration = Duration::from_millis(20);
 /// Minimum time that remains for a call to run when a node shuts down. Later calls are
 /// refused.
 const FINAL_CALL_WINDOW: Duration = Duration::from_millis(3_500);
@@ -67,6 +72,8 @@
     shared: Arc<Shared>,
     peers: Peers,
     membership: Mutex<Membership>,
+    /// Cancelled when this node stops listening for callers.
+    closing: CancellationToken,
     /// When the last heartbeat of a leader was received; the start of this process before
     /// the first one.
     last_leader_heartbeat: Mutex<Moment>,
@@ -163,10 +170,30 @@
         self.inner.peers.set_peers(others, self);
     }
 
-    fn is_ready(&self) -> bool {
+    /// Returns whether this node takes calls.
+    fn is_accepting(&self) -> bool {
         let view = self.inner.shared.view.load();
-        let leaving = self.inner.shared.leaving.load(Ordering::Relaxed);
-        view.table.is_some() && view.complete && view.gateways > 0 && !leaving
+        let closing = self.inner.closing.is_cancelled();
+        view.table.is_some() && view.complete && view.gateways > 0 && !closing
+    }
+
+    /// Returns whether callers should be directed to this node.
+    fn is_ready(&self) -> bool {
+        self.is_accepting() && !self.inner.shared.leaving.load(Ordering::Relaxed)
+    }
+
+    /// Returns the addresses for callers. While no gateway is ready, they are those of gateways
+    /// that have been told to stop and still take calls.
+    fn caller_addresses(&self) -> Vec<SocketAddr> {
+        let peers = &self.inner.peers;
+        let own = self.inner.record.clone();
+        let mut nodes = peers.ready();
+        nodes.extend(self.is_ready().then(|| own.clone()));
+        if nodes.is_empty() {
+            nodes = peers.accepting();
+            nodes.extend(self.is_accepting().then_some(own));
+        }
+        nodes.iter().map(|node| node.front).collect()
     }
 }
 
@@ -215,6 +242,7 @@
         Heartbeat {
             node: self.inner.record.clone(),
             ready: self.is_ready(),
+            accepting: self.is_accepting(),
             leads: self.inner.shared.is_leader.load(Ordering::Relaxed),
             position,
             store: self.inner.shared.store_contact.state(now),
@@ -363,17 +391,18 @@
             shared: Arc::clone(&shared),
             peers: Peers::new(exchange::Settings::default()),
             membership: Mutex::default(),
+            closing: CancellationToken::new(),
             last_leader_heartbeat: Mutex::new(clock::now()),
         }),
     };
-    let stop = CancellationToken::new();
     let connections = TaskTracker::new();
     serve_auxiliary(&settings, &node, &names, &connections).await?;
     let exchange_listener = bind(settings.exchange).await?;
     tokio::spawn(exchange::serve(
         exchange_listener,
         node.clone(),
-        stop.clone(),
+        // Heartbeats go on until the process ends.
+        CancellationToken::new(),
     ));
     for feed in [Feed::Orders, Feed::Upstreams, Feed::Nodes] {
         tokio::spawn(feeds::read_feed(
@@ -399,9 +428,10 @@
     let front = bind(settings.front).await?;
     let calls = Arc::clone(&shared);
     let tracker = connections.clone();
-    tokio::spawn(relay::serve(front, calls, names, tracker, stop));
+    let closing = node.inner.closing.clone();
+    let listening = tokio::spawn(relay::serve(front, calls, names, tracker, closing));
     stop_requested.await;
-    shut_down(&settings, &node, &connections).await;
+    shut_down(&settings, &node, listening, &connections).await;
     Ok(())
 }
 
@@ -417,7 +447,7 @@
     }
 }
 
-async fn bind(address: std::net::SocketAddr) -> eyre::Result<TcpListener> {
+async fn bind(address: SocketAddr) -> eyre::Result<TcpListener> {
     let listener = TcpListener::bind(address).await;
     listener.wrap_err_with(|| format!("cannot listen on {address}"))
 }
@@ -455,14 +485,11 @@
             if request.uri().path() != own.paths().addresses {
                 return auxiliary::not_found();
             }
-            let mut nodes = host.inner.peers.ready();
-            if host.is_ready() {
-                nodes.push(host.inner.record.clone());
+            let addresses = host.caller_addresses();
+            if addresses.is_empty() {
+                let status = StatusCode::SERVICE_UNAVAILABLE;
+                return answer::local_response(status, "no node takes calls");
             }
-            if nodes.is_empty() {
-                return answer::local_response(StatusCode::SERVICE_UNAVAILABLE, "no node is ready");
-            }
-            let addresses: Vec<_> = nodes.iter().map(|node| node.front).collect();
             let mut response = answer::local_response(StatusCode::OK, "none");
             *response.body_mut() = answer::Body::Whole(own.addresses(&addresses, ttl).into());
             response
@@ -528,39 +555,55 @@
     }
 }
 
-/// Waits for the calls in flight to end.
-async fn shut_down(settings: &Settings, node: &Node, connections: &TaskTracker) {
-    let shared = &node.inner.shared;
+/// Serves on until no caller should know this node any more, then stops listening and waits for
+/// the connections to end.
+async fn shut_down(
+    settings: &Settings,
+    node: &Node,
+    listening: JoinHandle<()>,
+    connections: &TaskTracker,
+) {
+    let inner = &node.inner;
+    let shared = &inner.shared;
     let requested_at = clock::now();
-    let (running, waiting) = shared.admission().totals();
-    log::info!(
-        "event=stop_requested running={running} waiting={waiting} connections={}",
-        connections.len()
+    let shutdown = Shutdown::new(
+        shutdown::Settings {
+            grace: settings.grace,
+            address_retention: ADDRESS_TTL.min(settings.longest_ttl) * ADDRESS_TTL_FACTOR,
+            ..shutdown::Settings::default()
+        },
+        requested_at,
     );
+    let log_step = |step: &str| {
+        let (running, waiting) = shared.admission().totals();
+        log::info!(
+            "event={step} node={} running={running} waiting={waiting} connections={} after_ms={}",
+            settings.node,
+            connections.len(),
+            clock::now().since(requested_at).as_millis(),
+        );
+    };
+    log_step("stop_requested");
     shared.leaving.store(true, Ordering::Relaxed);
-    node.inner.peers.send_heartbeats_now();
-    let address_retention = ADDRESS_TTL.min(settings.longest_ttl) * ADDRESS_TTL_FACTOR;
-    let calls_end = settings.grace.saturating_sub(SHUTDOWN_MARGIN);
-    let calls_refused_from = calls_end.saturating_sub(FINAL_CALL_WINDOW);
-    loop {
-        sleep(Duration::from_millis(50)).await;
-        let since = clock::now().since(requested_at);
-        if since >= calls_refused_from {
+    inner.peers.send_heartbeats_now();
+    let calls_refused_from = shutdown.calls_end() - FINAL_CALL_WINDOW;
+    while !shutdown.may_stop_listening(!inner.peers.accepting().is_empty(), clock::now()) {
+        sleep(SHUTDOWN_INTERVAL).await;
+        if clock::now() >= calls_refused_from {
             shared.closed.store(true, Ordering::Relaxed);
         }
-        let (running, waiting) = shared.admission().totals();
-        let idle = running == 0 && waiting == 0 && since >= address_retention;
-        if idle || since >= calls_end {
-            log::info!(
-                "event=stop node={} running={running} waiting={waiting} connections={} \
-                 after_ms={}",
-                settings.node,
-                connections.len(),
-                since.as_millis()
-            );
-            // Leaves time to write the last log lines and answers.
-            sleep(Duration::from_millis(50)).await;
-            return;
-        }
     }
+    log_step("stop_listening");
+    inner.closing.cancel();
+    inner.peers.send_heartbeats_now();
+    if let Err(error) = listening.await {
+        log::error!("event=listener_failed reason=\"{error}\"");
+    }
+    connections.close();
+    let time_left = shutdown.calls_end().since(clock::now());
+    if timeout(time_left, connections.wait()).await.is_err() {
+        log_step("calls_cut");
+    }
+    log_step("stop");
+    sleep(LOG_FLUSH).await;
 }
--- a/crates/gateway/tests/exchange.rs
+++ b/crates/gateway/tests/exchange.rs
@@ -32,6 +32,7 @@
         Heartbeat {
             node: self.record.clone(),
             ready: true,
+            accepting: true,
             leads: false,
             position: Position::default(),
             store: ContactState::default(),
