Accept calls during a stop only if they can end before the process

Cause: a fixed last window. Passes were long after shifts of the experts, so that a stream took four seconds.

Now a call is accepted if its deadline lies before the end, or if 1.5 times the longest recent call of its service does; others are refused at once, since another gateway can run them. The decision has no clock and no I/O (shutdown::Shutdown).

--- a/crates/gateway/src/maps/leader/mod.rs
+++ b/crates/gateway/src/maps/leader/mod.rs
@@ -113,7 +113,7 @@
     loop {
         sleep(LEADERSHIP_POLL_INTERVAL).await;
         let current = *leadership.borrow();
-        if shared.leaving.load(Ordering::Relaxed) {
+        if shared.is_leaving() {
             drop(claim_task);
             shared.is_leader.store(false, Ordering::Relaxed);
             resign(&store, &settings.node, current).await;
@@ -153,7 +153,7 @@
         let requested_at = clock::now();
         let previous = *leadership.borrow();
         let may_claim = shared.view.load().claims_leadership || previous.is_held();
-        if may_claim && !shared.leaving.load(Ordering::Relaxed) {
+        if may_claim && !shared.is_leaving() {
             let claim = store.claim_leadership(&node, lease, previous.fence);
             let claimed = timeout(lease.mul_f64(CLAIM_TIMEOUT_LEASES), claim).await;
             let claimed = claimed.unwrap_or_else(|_| Err(Fault::NoAnswer("timed out".to_owned())));
@@ -259,7 +259,7 @@
     /// Returns whether this gateway still is the leader by its own clock and is not shutting
     /// down.
     fn is_leading(&self) -> bool {
-        self.leadership.borrow().is_held() && !self.shared.leaving.load(Ordering::Relaxed)
+        self.leadership.borrow().is_held() && !self.shared.is_leaving()
     }
 
     /// Returns the fencing token for a switch that begins now.
--- a/crates/gateway/src/relay/head/mod.rs
+++ b/crates/gateway/src/relay/head/mod.rs
@@ -1,7 +1,6 @@
 //! Reads, authenticates and routes a request.
 
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -54,11 +53,6 @@
         let retry_after = NO_TABLE_RETRY_AFTER;
         return Err(answer::refusal(status, "no table yet", retry_after));
     };
-    if shared.closed.load(Ordering::Relaxed) {
-        shared.counters.refused("leaving");
-        let status = StatusCode::SERVICE_UNAVAILABLE;
-        return Err(answer::refusal(status, "leaving", Duration::ZERO));
-    }
     let header = |name: &HeaderName| parts.headers.get(name).and_then(|it| it.to_str().ok());
     let header_names = names.headers();
     let Some(id) = parts.headers.get(&header_names.call_id).cloned() else {
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -8,6 +8,7 @@
 mod attempt;
 mod buffered;
 mod call;
+mod durations;
 mod head;
 mod permit;
 pub mod retries;
@@ -17,12 +18,12 @@
 use std::convert::Infallible;
 use std::pin::pin;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
 use futures::FutureExt as _;
-use http::{HeaderValue, Request, Response};
+use http::{HeaderValue, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -40,6 +41,7 @@
 use crate::metrics::Counters;
 use crate::names::Names;
 use crate::pool::{self, ConnectionPool};
+use crate::shutdown::Shutdown;
 use crate::socket::Socket;
 use crate::state::View;
 use crate::store::contact::Contact;
@@ -47,6 +49,8 @@
 use crate::upstream::Record;
 
 use answer::Body;
+use call::Call;
+use durations::Durations;
 use retries::Retries;
 
 /// Limits and timeouts of the request path. An objective is the time within which the
@@ -95,14 +99,13 @@
     pub view: ArcSwap<View>,
     /// Metrics of the request path.
     pub counters: Counters,
-    /// Whether the process is shutting down; answers then close their connections.
-    pub leaving: AtomicBool,
     /// Whether this gateway is the leader for the expert maps.
     pub is_leader: AtomicBool,
     /// When the store last answered this gateway and the others.
     pub store_contact: Contact,
-    /// Whether new calls are refused, since the process would exit before they end.
-    pub closed: AtomicBool,
+    /// Set when the process has been told to stop.
+    shutdown: OnceLock<Shutdown>,
+    durations: Durations,
     admission: Mutex<AdmissionController>,
     waiters: Mutex<Waiters>,
     retries: Retries,
@@ -118,10 +121,10 @@
             settings,
             view: ArcSwap::default(),
             counters: Counters::default(),
-            leaving: AtomicBool::new(false),
             is_leader: AtomicBool::new(false),
             store_contact: Contact::default(),
-            closed: AtomicBool::new(false),
+            shutdown: OnceLock::new(),
+            durations: Durations::default(),
             admission: Mutex::new(admission),
             waiters: Mutex::default(),
             retries: Retries::new(settings.budget),
@@ -131,6 +134,24 @@
         }
     }
 
+    /// Starts the stop of this gateway: answers then close their connections, and only calls that
+    /// can end in time are accepted.
+    pub fn begin_shutdown(&self, shutdown: Shutdown) {
+        self.shutdown.get_or_init(|| shutdown);
+    }
+
+    /// Returns whether this gateway has been told to stop.
+    pub fn is_leaving(&self) -> bool {
+        self.shutdown.get().is_some()
+    }
+
+    /// Returns whether a call may be accepted, or the process may end before the call does.
+    fn may_accept(&self, call: &Call, now: Moment) -> bool {
+        let longest = self.durations.longest(&call.service, now);
+        let shutdown = self.shutdown.get();
+        shutdown.is_none_or(|shutdown| shutdown.may_accept(call.end(), longest, now))
+    }
+
     /// Locks the admission controller. The guard must not be held across an `await`.
     pub fn admission(&self) -> MutexGuard<'_, AdmissionController> {
         self.admission
@@ -322,6 +343,16 @@
         answered: false,
     };
     let mut response = match head::read(request, caller, &shared, &names).await {
+        Ok(call) if !shared.may_accept(&call, clock::now()) => {
+            shared.counters.refused("leaving");
+            log::info!(
+                "event=call_rejected id={} status=503 reason=leaving table={}",
+                call.id(),
+                call.version,
+            );
+            // Another gateway can run it at once.
+            answer::refusal(StatusCode::SERVICE_UNAVAILABLE, "leaving", Duration::ZERO)
+        }
         Ok(call) => {
             let call = Arc::new(call);
             shared.retries.count_call(&call.service, clock::now());
@@ -339,7 +370,7 @@
     {
         response.headers_mut().insert(&names.headers().call_id, id);
     }
-    if shared.leaving.load(Ordering::Relaxed) {
+    if shared.is_leaving() {
         let close = HeaderValue::from_static("close");
         response
             .headers_mut()
--- a/crates/gateway/src/relay/streaming/mod.rs
+++ b/crates/gateway/src/relay/streaming/mod.rs
@@ -195,6 +195,10 @@
         // Marks the response as truncated, which closes the connection to the caller.
         drop(task.sender.send(Err(Incomplete)).await);
     }
+    if end == End::Complete {
+        let durations = &task.shared.durations;
+        durations.record(&call.service, total, clock::now());
+    }
     task.shared.counters.last_byte.record(total);
     // The caller has received this status even if the stream ended early.
     task.shared.counters.answered(200);
--- a/crates/gateway/src/run/mod.rs
+++ b/crates/gateway/src/run/mod.rs
@@ -48,9 +48,6 @@
 const SHUTDOWN_INTERVAL: Duration = Duration::from_millis(20);
 /// Time to write the last log lines before the process ends.
 const LOG_FLUSH: Duration = Duration::from_millis(20);
-/// Minimum time that remains for a call to run when a node shuts down. Later calls are
-/// refused.
-const FINAL_CALL_WINDOW: Duration = Duration::from_millis(3_500);
 /// Interval of the check for silent nodes and expired records.
 const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(200);
 /// Interval between attempts to publish the record of this node.
@@ -179,7 +176,7 @@
 
     /// Returns whether callers should be directed to this node.
     fn is_ready(&self) -> bool {
-        self.is_accepting() && !self.inner.shared.leaving.load(Ordering::Relaxed)
+        self.is_accepting() && !self.inner.shared.is_leaving()
     }
 
     /// Returns the addresses for callers. While no gateway is ready, they are those of gateways
@@ -584,14 +581,10 @@
         );
     };
     log_step("stop_requested");
-    shared.leaving.store(true, Ordering::Relaxed);
+    shared.begin_shutdown(shutdown);
     inner.peers.send_heartbeats_now();
-    let calls_refused_from = shutdown.calls_end() - FINAL_CALL_WINDOW;
     while !shutdown.may_stop_listening(!inner.peers.accepting().is_empty(), clock::now()) {
         sleep(SHUTDOWN_INTERVAL).await;
-        if clock::now() >= calls_refused_from {
-            shared.closed.store(true, Ordering::Relaxed);
-        }
     }
     log_step("stop_listening");
     inner.closing.cancel();
--- a/crates/gateway/tests/leader.rs
+++ b/crates/gateway/tests/leader.rs
@@ -10,6 +10,7 @@
 use sesamerock_gateway::clock;
 use sesamerock_gateway::maps;
 use sesamerock_gateway::relay::{self, Shared};
+use sesamerock_gateway::shutdown::{self, Shutdown};
 use sesamerock_gateway::state::View;
 use sesamerock_gateway::store::contact::ContactState;
 use support::{Engines, FIRST_START, GrantingStore, view, view_of_starts};
@@ -114,7 +115,7 @@
     let leading = maps::run_leader(Arc::clone(&leader), store.clone(), engines, settings());
     let stop = async {
         sleep(Duration::from_millis(900)).await;
-        leader.leaving.store(true, Ordering::Relaxed);
+        leader.begin_shutdown(Shutdown::new(shutdown::Settings::default(), clock::now()));
     };
     let both = async { tokio::join!(leading, stop) };
     let ended = timeout(Duration::from_secs(3), both).await;
