Find the parts of prompts that crash upstreams, and refuse them

A stream that broke off was sent on to the next upstream at once, which crashed too.

Cause: nothing in the gateway looked for requests that crash upstreams. What retry::suspect compares is whole requests; here no two are alike, and only a part of their prompts is common.

Now each gateway remembers the parts with which upstreams have gone on answering. Of the parts being answered at a crash the others are suspects. Calls with one wait while one of them is tried, by one gateway; the trial clears the part or convicts it by a second crash, and calls with it are refused until the conviction expires. Heartbeats tell crashes, innocent parts, convictions and claims, and are sent at once when there is news; one that is in progress no longer swallows the request for another. The decisions have no clock and no I/O.

--- a/crates/gateway/src/admit/cold/mod.rs
+++ b/crates/gateway/src/admit/cold/mod.rs
@@ -5,7 +5,7 @@
 //! gateways than calls, only some of them call a given upstream, and others call the next
 //! one.
 
-use std::hash::{DefaultHasher, Hash as _, Hasher as _};
+use crate::hash;
 
 /// This gateway and the others that may call the same upstreams.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -18,8 +18,8 @@
     /// Creates the list from the name of this gateway and those of the others.
     pub fn new<'a>(own: &str, others: impl IntoIterator<Item = &'a str>) -> Self {
         Self {
-            own: hash(own),
-            others: others.into_iter().map(hash).collect(),
+            own: hash::of(own),
+            others: others.into_iter().map(hash::of).collect(),
         }
     }
 
@@ -27,7 +27,7 @@
     /// those with the same counts do not all choose the same upstream, and each comes back to
     /// the upstreams to which it has connections.
     pub fn preference(&self, upstream: &str) -> u64 {
-        mix(self.own, hash(upstream))
+        hash::combine(self.own, hash::of(upstream))
     }
 
     /// Returns the number of gateways, including this one.
@@ -44,25 +44,12 @@
         if remainder == 0 {
             return even;
         }
-        let upstream = hash(upstream);
-        let own = mix(self.own, upstream);
+        let upstream = hash::of(upstream);
+        let own = hash::combine(self.own, upstream);
         let others = self.others.iter();
-        let ahead = others.filter(|other| mix(**other, upstream) < own).count();
+        let ahead = others
+            .filter(|other| hash::combine(**other, upstream) < own)
+            .count();
         even + u32::from((ahead as u32) < remainder)
     }
 }
-
-fn hash(name: &str) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    name.hash(&mut hasher);
-    hasher.finish()
-}
-
-/// Combines two hashes by the finalizer of `SplitMix64`, so that each upstream orders the
-/// gateways differently.
-fn mix(gateway: u64, upstream: u64) -> u64 {
-    let mut mixed = gateway ^ upstream;
-    mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    mixed ^ (mixed >> 31)
-}
--- a/crates/gateway/src/admit/mod.rs
+++ b/crates/gateway/src/admit/mod.rs
@@ -177,6 +177,10 @@
     Full,
     /// The latest start passed while the call was queued.
     Expired,
+    /// A part of the prompt crashes upstreams.
+    Convicted,
+    /// A part of the prompt may crash upstreams, and its trial did not end in time.
+    OnTrial,
 }
 
 impl Reason {
@@ -186,6 +190,8 @@
             Self::Nowhere => "no_upstream",
             Self::Full => "full",
             Self::Expired => "wait_expired",
+            Self::Convicted => "part_crashes_upstreams",
+            Self::OnTrial => "part_on_trial",
         }
     }
 }
--- a/crates/gateway/src/exchange/mod.rs
+++ b/crates/gateway/src/exchange/mod.rs
@@ -15,6 +15,7 @@
 use crate::node;
 use crate::state::{Position, Snapshot};
 use crate::store::contact::ContactState;
+use crate::suspect;
 
 pub use peers::{Peers, Settings};
 pub use serve::{accept, context_with_deadline, serve, transport};
@@ -38,6 +39,8 @@
     pub misdirected: Vec<Finding>,
     /// Version of the listing of groups that the sender knows.
     pub groups: group::Version,
+    /// Parts of prompts that crash upstreams, or may.
+    pub suspects: suspect::Report,
     /// Paces of groups that the sender observed lately.
     pub paces: Vec<Pace>,
     /// Number of calls in flight from the sender, by upstream id.
--- a/crates/gateway/src/exchange/peers/mod.rs
+++ b/crates/gateway/src/exchange/peers/mod.rs
@@ -1,12 +1,12 @@
 //! Exchanges heartbeats with the other nodes and tracks which of them are alive.
 
 use std::collections::HashMap;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
 use sesamerock_base::time::Moment;
 use tarpc::client;
-use tokio::sync::Notify;
+use tokio::sync::watch;
 
 use super::{
     ExchangeClient, Heartbeat, LocalNode, Statement, address, context_with_deadline, transport,
@@ -69,7 +69,9 @@
     /// For each announced node, when its last heartbeat was received or, without one, when
     /// its record was first read; `None` until the announced nodes are known.
     members: Mutex<Option<HashMap<String, Moment>>>,
-    send_now: Arc<Notify>,
+    /// Changed when a heartbeat is to be sent at once. A change while another one is being sent is
+    /// not missed.
+    send_now: watch::Sender<()>,
 }
 
 impl Peers {
@@ -80,7 +82,7 @@
             received: Mutex::default(),
             tasks: Mutex::default(),
             members: Mutex::default(),
-            send_now: Arc::new(Notify::new()),
+            send_now: watch::Sender::default(),
         }
     }
 
@@ -175,7 +177,7 @@
 
     /// Sends a heartbeat to all nodes at once instead of at the next interval.
     pub fn send_heartbeats_now(&self) {
-        self.send_now.notify_waiters();
+        self.send_now.send_replace(());
     }
 
     /// Exchanges heartbeats with exactly these nodes from now on.
@@ -194,7 +196,7 @@
                 }
                 _ => {
                     let settings = self.settings;
-                    let send_now = Arc::clone(&self.send_now);
+                    let send_now = self.send_now.subscribe();
                     let task = maintain_connection(settings, node.clone(), host.clone(), send_now);
                     (node.clone(), AbortOnDrop(tokio::spawn(task)))
                 }
@@ -212,7 +214,7 @@
     settings: Settings,
     node: node::Record,
     host: impl LocalNode,
-    send_now: Arc<Notify>,
+    mut send_now: watch::Receiver<()>,
 ) {
     loop {
         match pool::connect(address(&node), settings.timeout).await {
@@ -225,7 +227,7 @@
                         log::debug!("event=exchange_broken reason=\"{error}\"");
                     }
                 }));
-                exchange_heartbeats(&settings, &node, &host, &client, &send_now).await;
+                exchange_heartbeats(&settings, &node, &host, &client, &mut send_now).await;
             }
             Err(error) => log::debug!(
                 "event=peer_unreachable peer={} reason=\"{error}\"",
@@ -242,7 +244,7 @@
     node: &node::Record,
     host: &impl LocalNode,
     client: &ExchangeClient,
-    send_now: &Notify,
+    send_now: &mut watch::Receiver<()>,
 ) {
     let mut orders_lag = Lag::default();
     let mut upstreams_lag = Lag::default();
@@ -301,7 +303,7 @@
         }
         send = tokio::select! {
             () = tokio::time::sleep(settings.interval) => false,
-            () = send_now.notified() => true,
+            Ok(()) = send_now.changed() => true,
         };
     }
 }
--- a/crates/gateway/src/names/mod.rs
+++ b/crates/gateway/src/names/mod.rs
@@ -26,6 +26,8 @@
     pub last_event: HeaderName,
     /// Number of prompt tokens and maximum number of output tokens.
     pub tokens: HeaderName,
+    /// Parts of the prompt, in order.
+    pub parts: HeaderName,
 }
 
 /// Paths at which a gateway answers requests other than calls.
@@ -53,6 +55,10 @@
     /// maximum number of output tokens; `None` if it is malformed.
     fn tokens(&self, value: &str) -> Option<(u64, u64)>;
 
+    /// Parses the value of [`Headers::parts`] into the ids of the parts that other prompts may
+    /// share. Malformed parts are left out.
+    fn parts(&self, value: &str) -> Vec<u64>;
+
     /// Encodes the body of the answer to a request for gateway addresses, which callers
     /// may cache for `ttl`.
     fn addresses(&self, addresses: &[SocketAddr], ttl: Duration) -> Bytes;
--- a/crates/gateway/src/relay/attempt/mod.rs
+++ b/crates/gateway/src/relay/attempt/mod.rs
@@ -12,6 +12,7 @@
 use super::Shared;
 use super::call::Call;
 use super::permit::{self, Permit};
+use super::watch::Watch;
 use crate::admit::{HealthSignal, LATE_URGENCY, Reason, Refusal, SlotRequest};
 use crate::clock;
 use crate::names::Names;
@@ -32,6 +33,8 @@
     pub keep_alive: KeepAlive,
     /// Slot that the call occupies until the end of the body.
     pub permit: Permit,
+    /// Records what the answer shows about the parts of the prompt.
+    pub watch: Watch,
 }
 
 /// Result of an attempt.
@@ -96,8 +99,8 @@
     limits: AttemptLimits,
 ) -> Outcome {
     let started = clock::now();
-    let permit = match acquire_permit(shared, call, attempted, limits).await {
-        Ok(permit) => permit,
+    let (watch, permit) = match acquire(shared, call, attempted, limits).await {
+        Ok(acquired) => acquired,
         Err(refusal) => {
             shared.counters.refused(refusal.reason.as_str());
             let (running, waiting) = shared.admission().totals();
@@ -115,7 +118,7 @@
     };
     let acquired = clock::now();
     let record = Arc::clone(&permit.record);
-    let outcome = send(shared, names, call, attempted, limits, permit).await;
+    let outcome = send(shared, names, call, attempted, limits, permit, watch).await;
     shared.counters.attempt(outcome.as_str());
     log::info!(
         "event=attempt id={} service={} upstream={} address={} outcome={} wait_ms={} head_ms={}",
@@ -130,6 +133,22 @@
     outcome
 }
 
+/// Waits for a slot with which the call may be sent.
+async fn acquire(
+    shared: &Arc<Shared>,
+    call: &Call,
+    attempted: &Attempted,
+    limits: AttemptLimits,
+) -> Result<(Watch, Permit), Refusal> {
+    loop {
+        let watch = Watch::start(shared, call, limits.latest_start).await?;
+        let permit = acquire_permit(shared, call, attempted, limits).await?;
+        if watch.may_send() {
+            return Ok((watch, permit));
+        }
+    }
+}
+
 /// Waits for a slot: first with the priority of the call, and, once the answer can no
 /// longer be in time, behind the calls whose answer still can.
 async fn acquire_permit(
@@ -171,6 +190,7 @@
     attempted: &mut Attempted,
     limits: AttemptLimits,
     mut permit: Permit,
+    mut watch: Watch,
 ) -> Outcome {
     let record = Arc::clone(&permit.record);
     if call.connection.is_closed() {
@@ -215,6 +235,7 @@
                 attempted.ids.pop();
                 return Outcome::Unreachable;
             }
+            watch.end_broken(&record).await;
             return Outcome::Unknown("broken");
         }
         Err(_) => {
@@ -223,7 +244,8 @@
         }
     };
     connection.start_answer();
-    classify(names, call, response, connection, permit)
+    watch.begin();
+    classify(names, call, response, connection, permit, watch)
 }
 
 /// Determines the outcome from the header of an answer.
@@ -233,6 +255,7 @@
     response: Response<Incoming>,
     connection: Connection,
     mut permit: Permit,
+    watch: Watch,
 ) -> Outcome {
     let header_names = names.headers();
     let headers = response.headers();
@@ -267,6 +290,7 @@
         response,
         connection,
         permit,
+        watch,
     }))
 }
 
--- a/crates/gateway/src/relay/buffered/mod.rs
+++ b/crates/gateway/src/relay/buffered/mod.rs
@@ -134,6 +134,7 @@
         connection,
         keep_alive,
         mut permit,
+        mut watch,
     } = begun;
     let (mut parts, body) = response.into_parts();
     let time_left = call.end().since(clock::now());
@@ -142,6 +143,7 @@
         Ok(Err(error)) => {
             log::info!("event=answer_cut id={} reason=\"{error}\"", call.id());
             permit.set_signal(HealthSignal::Failure);
+            watch.end_broken(&permit.record).await;
             return None;
         }
         Err(_) => {
@@ -149,6 +151,7 @@
             return None;
         }
     };
+    watch.go_on(clock::now());
     permit.set_signal(if parts.status.is_server_error() {
         HealthSignal::Failure
     } else {
--- a/crates/gateway/src/relay/head/mod.rs
+++ b/crates/gateway/src/relay/head/mod.rs
@@ -17,6 +17,7 @@
 use crate::clock;
 use crate::names::{Headers, Names};
 use crate::socket::Socket;
+use crate::suspect::{MAX_PARTS, Part};
 use crate::table::{Caller, Limits};
 
 /// Longest wait of a request for the first table. After a loss of power, callers return before
@@ -80,6 +81,9 @@
     let caller_timeout = header(&header_names.deadline).and_then(|value| value.parse().ok());
     let caller_timeout = caller_timeout.map_or(route.timeout, Duration::from_millis);
     let token_usage = header(&header_names.tokens).and_then(|value| names.tokens(value));
+    let prompt = header(&header_names.parts).map(|value| names.parts(value));
+    let prompt = prompt.unwrap_or_default().into_iter().take(MAX_PARTS);
+    let prompt = prompt.map(|id| Part::new(service, id)).collect();
     let workspace_index = match caller {
         Caller::Workspace(index) => index as u32 + 1,
         // Anonymous callers share index 0.
@@ -104,6 +108,7 @@
         workspace: Workspace(workspace_index),
         workspace_name,
         urgency: priority.min(LOWEST_URGENCY),
+        parts: prompt,
         tokens: token_usage.map_or(1, |(prompt, _)| prompt.max(1)),
         method: parts.method,
         uri,
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -13,6 +13,7 @@
 mod permit;
 pub mod retries;
 mod streaming;
+mod watch;
 
 use std::collections::HashMap;
 use std::convert::Infallible;
@@ -45,6 +46,7 @@
 use crate::socket::Socket;
 use crate::state::View;
 use crate::store::contact::Contact;
+use crate::suspect::{Part, Suspects, Verdict};
 use crate::table::Table;
 use crate::upstream::Record;
 
@@ -105,6 +107,11 @@
     pub store_contact: Contact,
     /// Set when the process has been told to stop.
     shutdown: OnceLock<Shutdown>,
+    suspects: Mutex<Suspects>,
+    /// Notified when the verdict on a part may have changed.
+    suspects_changed: Notify,
+    /// Notified when other gateways should hear of suspects at once.
+    pub suspect_news: Notify,
     durations: Durations,
     admission: Mutex<AdmissionController>,
     waiters: Mutex<Waiters>,
@@ -116,7 +123,7 @@
 
 impl Shared {
     /// Creates the shared state with an empty view.
-    pub fn new(settings: Settings, admission: AdmissionController) -> Self {
+    pub fn new(settings: Settings, admission: AdmissionController, suspects: Suspects) -> Self {
         Self {
             settings,
             view: ArcSwap::default(),
@@ -124,6 +131,9 @@
             is_leader: AtomicBool::new(false),
             store_contact: Contact::default(),
             shutdown: OnceLock::new(),
+            suspects: Mutex::new(suspects),
+            suspects_changed: Notify::new(),
+            suspect_news: Notify::new(),
             durations: Durations::default(),
             admission: Mutex::new(admission),
             waiters: Mutex::default(),
@@ -159,6 +169,36 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Changes what is known about parts that crash upstreams, logs the changes, and tells those
+    /// who wait for them.
+    pub fn update_suspects<T>(&self, change: impl FnOnce(&mut Suspects) -> T) -> T {
+        let mut suspects = self.suspects.lock().unwrap_or_else(PoisonError::into_inner);
+        let result = change(&mut suspects);
+        let (events, has_news) = (suspects.take_events(), suspects.take_news());
+        drop(suspects);
+        events.iter().for_each(watch::log_event);
+        if !events.is_empty() {
+            self.suspects_changed.notify_waiters();
+        }
+        if has_news {
+            self.suspect_news.notify_one();
+        }
+        result
+    }
+
+    /// Lets calls that wait for a trial ask again.
+    pub fn notify_suspects(&self) {
+        self.suspects_changed.notify_waiters();
+    }
+
+    /// Decides whether a call with these parts may be sent to an upstream.
+    fn judge(&self, parts: &[Part], now: Moment) -> Verdict {
+        if parts.is_empty() {
+            return Verdict::Pass;
+        }
+        self.update_suspects(|suspects| suspects.judge(parts, now))
+    }
+
     fn waiters(&self) -> MutexGuard<'_, Waiters> {
         self.waiters.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/gateway/src/relay/streaming/mod.rs
+++ b/crates/gateway/src/relay/streaming/mod.rs
@@ -226,6 +226,7 @@
             connection,
             keep_alive,
             mut permit,
+            mut watch,
         } = begun;
         let mut body = response.into_body();
         let mut last_event: Option<Moment> = None;
@@ -234,6 +235,7 @@
             let frame = match timeout(time_left, body.frame()).await {
                 Ok(Some(Ok(frame))) => frame,
                 Ok(None) if self.events.at_boundary() => {
+                    watch.go_on(clock::now());
                     permit.set_signal(HealthSignal::Success);
                     self.shared
                         .connections
@@ -243,6 +245,7 @@
                 Ok(None | Some(Err(_))) => {
                     permit.set_signal(HealthSignal::Failure);
                     self.shared.connections.close_idle(&permit.record.id);
+                    watch.end_broken(&permit.record).await;
                     return End::Cut;
                 }
                 Err(_) => {
@@ -272,6 +275,7 @@
                 }
             }
             last_event = Some(now);
+            watch.observe_event(now);
             if first {
                 let first_event = now.since(self.call.arrived);
                 self.first_event = Some(first_event);
--- /dev/null
+++ b/crates/gateway/src/relay/watch/mod.rs
@@ -0,0 +1,162 @@
+//! Follows the attempts of a call whose prompt has shared parts, to learn which parts crash
+//! upstreams, and keeps calls with such parts from them.
+
+use std::io;
+use std::sync::Arc;
+use std::time::Duration;
+
+use sesamerock_base::time::Moment;
+use tokio::time::timeout;
+
+use super::Shared;
+use super::call::Call;
+use crate::admit::{Reason, Refusal};
+use crate::clock;
+use crate::pool;
+use crate::suspect::{Event, Part, Verdict};
+use crate::upstream::Record;
+
+/// Time from the first event after which an upstream has gone on answering. Those that a part
+/// crashes do so within their first passes.
+const GOING_ON: Duration = Duration::from_secs(1);
+/// Interval at which a call that waits for a trial asks again.
+const RECHECK_INTERVAL: Duration = Duration::from_millis(50);
+/// `retry-after` for a call that has waited for a trial in vain: that of another call lasts about
+/// as long.
+const TRIAL_RETRY_AFTER: Duration = Duration::from_secs(1);
+/// Timeout of the connection that tells a crashed upstream, which refuses it at once, from one
+/// that closed a single connection.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// One attempt of a call. Dropping it ends the trial of a suspect.
+#[derive(Debug)]
+pub struct Watch {
+    shared: Arc<Shared>,
+    parts: Arc<[Part]>,
+    /// The suspect of which this attempt is the trial.
+    trial: Option<Part>,
+    has_begun: bool,
+    first_event: Option<Moment>,
+    has_gone_on: bool,
+}
+
+impl Watch {
+    /// Waits until the call may be sent to an upstream.
+    ///
+    /// # Errors
+    /// Returns the refusal if a part is convicted, or if the trial of a suspect does not end by
+    /// `latest_start`.
+    pub async fn start(
+        shared: &Arc<Shared>,
+        call: &Call,
+        latest_start: Moment,
+    ) -> Result<Self, Refusal> {
+        let mut has_waited = false;
+        loop {
+            let changed = shared.suspects_changed.notified();
+            let now = clock::now();
+            let trial = match shared.judge(&call.parts, now) {
+                Verdict::Pass => None,
+                Verdict::Try(part) => {
+                    log::info!("event=part_tried id={} part={part}", call.id());
+                    Some(part)
+                }
+                Verdict::Refuse(part, after) => {
+                    log::info!(
+                        "event=part_refused id={} part={part} expires_ms={}",
+                        call.id(),
+                        after.as_millis()
+                    );
+                    let reason = Reason::Convicted;
+                    return Err(Refusal { reason, after });
+                }
+                Verdict::Wait => {
+                    if now >= latest_start {
+                        let (reason, after) = (Reason::OnTrial, TRIAL_RETRY_AFTER);
+                        return Err(Refusal { reason, after });
+                    }
+                    if !has_waited {
+                        log::info!("event=part_awaited id={}", call.id());
+                        has_waited = true;
+                    }
+                    let _elapsed = timeout(RECHECK_INTERVAL, changed).await;
+                    continue;
+                }
+            };
+            return Ok(Self {
+                shared: Arc::clone(shared),
+                parts: Arc::clone(&call.parts),
+                trial,
+                has_begun: false,
+                first_event: None,
+                has_gone_on: false,
+            });
+        }
+    }
+
+    /// Returns whether the call may still be sent, after it has waited for a slot.
+    pub fn may_send(&self) -> bool {
+        self.trial.is_some() || self.shared.judge(&self.parts, clock::now()) == Verdict::Pass
+    }
+
+    /// Records that the upstream has begun to answer.
+    pub fn begin(&mut self) {
+        self.has_begun = true;
+    }
+
+    /// Records that events of the answer have arrived.
+    pub fn observe_event(&mut self, now: Moment) {
+        let first = *self.first_event.get_or_insert(now);
+        if now.since(first) >= GOING_ON {
+            self.go_on(now);
+        }
+    }
+
+    /// Records that the upstream has gone on answering, or has ended its answer.
+    pub fn go_on(&mut self, now: Moment) {
+        if !self.has_gone_on && !self.parts.is_empty() {
+            self.has_gone_on = true;
+            self.shared
+                .update_suspects(|suspects| suspects.clear(&self.parts, now));
+        }
+    }
+
+    /// Finds out whether the upstream crashed when its connection broke.
+    pub async fn end_broken(&mut self, record: &Record) {
+        if self.has_gone_on || self.parts.is_empty() {
+            return;
+        }
+        let probe = pool::connect(record.address, PROBE_TIMEOUT).await;
+        let is_refused = probe.is_err_and(|error| error.kind() == io::ErrorKind::ConnectionRefused);
+        if is_refused {
+            let (id, born) = (&record.id, record.born);
+            self.shared.update_suspects(|suspects| {
+                suspects.record_crash(&self.parts, id, born, self.has_begun, clock::now());
+            });
+        }
+    }
+}
+
+impl Drop for Watch {
+    fn drop(&mut self) {
+        if let Some(part) = self.trial {
+            self.shared
+                .update_suspects(|suspects| suspects.end_trial(part));
+        }
+    }
+}
+
+/// Logs a change of what is known about a part.
+pub fn log_event(event: &Event) {
+    match event {
+        Event::Suspected(part, upstream) => {
+            log::warn!("event=part_suspected part={part} upstream={upstream}");
+        }
+        Event::Cleared(part) => log::info!("event=part_cleared part={part}"),
+        Event::Convicted(part, upstreams) => {
+            let upstreams = upstreams.join(",");
+            log::warn!("event=part_convicted part={part} upstreams={upstreams}");
+        }
+        Event::Expired(part) => log::info!("event=part_conviction_expired part={part}"),
+    }
+}
--- a/crates/gateway/src/run/mod.rs
+++ b/crates/gateway/src/run/mod.rs
@@ -35,6 +35,7 @@
 use crate::shutdown::{self, Shutdown};
 use crate::state::{Event, Position, Snapshot, State, View};
 use crate::store::{Batch, Fault, Feed, Store};
+use crate::suspect::{self, Suspects};
 
 pub use feeds::read_interval;
 pub use settings::Settings;
@@ -235,7 +236,9 @@
     fn heartbeat(&self) -> Heartbeat {
         let now = clock::now();
         let position = self.state().position();
-        let admission = self.inner.shared.admission();
+        let shared = &self.inner.shared;
+        let suspects = shared.update_suspects(|suspects| suspects.report(now));
+        let admission = shared.admission();
         Heartbeat {
             node: self.inner.record.clone(),
             ready: self.is_ready(),
@@ -245,6 +248,7 @@
             store: self.inner.shared.store_contact.state(now),
             misdirected: admission.recent_misdirected(now),
             groups: admission.groups().version,
+            suspects,
             paces: admission.recent_paces(exchange::Settings::default().interval, now),
             loads: admission.loads(),
         }
@@ -258,6 +262,11 @@
         let name = heartbeat.node.name.clone();
         let loads = heartbeat.loads.clone();
         let now = clock::now();
+        let report = heartbeat.suspects.clone();
+        let suspects = |suspects: &mut Suspects| suspects.learn(&name, report, now);
+        if self.inner.shared.update_suspects(suspects) {
+            self.inner.shared.notify_suspects();
+        }
         self.inner
             .shared
             .store_contact
@@ -380,6 +389,7 @@
             ..relay::Settings::default()
         },
         admission,
+        Suspects::new(suspect::Settings::default(), &record.name),
     ));
     let node = Node {
         inner: Arc::new(Inner {
@@ -422,6 +432,7 @@
         leadership,
     ));
     tokio::spawn(run_maintenance(node.clone()));
+    tokio::spawn(send_suspect_news(node.clone()));
     let front = bind(settings.front).await?;
     let calls = Arc::clone(&shared);
     let tracker = connections.clone();
@@ -501,6 +512,18 @@
         metrics::append_line(&mut text, format_args!("sesamerock_waiting {waiting}"));
         let open = connections.len();
         metrics::append_line(&mut text, format_args!("sesamerock_connections {open}"));
+        let parts = shared.update_suspects(|suspects| suspects.list(clock::now()));
+        for (part, convicted, upstreams) in parts {
+            let state = if convicted.is_some() {
+                "convicted"
+            } else {
+                "suspect"
+            };
+            let crashes = upstreams.len();
+            let labels = format!("part=\"{part}\",state=\"{state}\"");
+            let line = format_args!("sesamerock_part_crashes{{{labels}}} {crashes}");
+            metrics::append_line(&mut text, line);
+        }
         let mut response = answer::local_response(StatusCode::OK, "none");
         *response.body_mut() = answer::Body::Whole(text.into());
         response
@@ -552,6 +575,14 @@
     }
 }
 
+/// Sends heartbeats at once when the other gateways should hear of suspects.
+async fn send_suspect_news(node: Node) {
+    loop {
+        node.inner.shared.suspect_news.notified().await;
+        node.inner.peers.send_heartbeats_now();
+    }
+}
+
 /// Serves on until no caller should know this node any more, then stops listening and waits for
 /// the connections to end.
 async fn shut_down(
--- /dev/null
+++ b/crates/gateway/src/suspect/report/mod.rs
@@ -0,0 +1,196 @@
+//! What gateways report to each other about parts that crash upstreams.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use sesamerock_base::time::Moment;
+
+use super::{Conviction, Crash, Event, Part, Suspects};
+
+/// Time that a report takes at most, by which the ages in it seem shorter.
+const REPORT_DELAY: Duration = Duration::from_millis(100);
+
+/// A crash and the parts that count against it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashReport {
+    /// Id of the upstream that crashed.
+    pub upstream: Arc<str>,
+    /// Its start, as its record states it.
+    pub born: Option<u64>,
+    /// Time since the crash.
+    pub age: Duration,
+    /// Parts that were being answered.
+    pub parts: Vec<Part>,
+}
+
+/// A conviction.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ConvictionReport {
+    /// The part whose calls are refused.
+    pub part: Part,
+    /// Time since the conviction.
+    pub age: Duration,
+    /// Time until the conviction expires.
+    pub time_left: Duration,
+    /// Convictions of the part so far.
+    pub times: u32,
+}
+
+/// A claim on a trial.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ClaimReport {
+    /// The suspect.
+    pub part: Part,
+    /// Whether the trial is running.
+    pub running: bool,
+}
+
+/// All that a gateway reports. It is empty while nothing is suspect.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Report {
+    /// Crashes that still count.
+    pub crashes: Vec<CrashReport>,
+    /// Parts of these crashes that an upstream has answered before.
+    pub innocent: Vec<Part>,
+    /// Parts of these crashes that an upstream has gone on answering, and how long ago.
+    pub cleared: Vec<(Part, Duration)>,
+    /// Convicted parts.
+    pub convicted: Vec<ConvictionReport>,
+    /// Claims of the sender.
+    pub claims: Vec<ClaimReport>,
+}
+
+impl Suspects {
+    /// Returns the report for the other gateways.
+    pub fn report(&mut self, now: Moment) -> Report {
+        if self.is_empty() {
+            return Report::default();
+        }
+        self.drop_expired(now);
+        let crashes = self.crashes.iter().map(|crash| CrashReport {
+            upstream: Arc::clone(&crash.upstream),
+            born: crash.born,
+            age: now.since(crash.at),
+            parts: crash.parts.clone(),
+        });
+        let crashes: Vec<CrashReport> = crashes.collect();
+        let mut parts: Vec<Part> = crashes.iter().flat_map(|it| it.parts.clone()).collect();
+        parts.sort_unstable();
+        parts.dedup();
+        parts.retain(|part| self.innocent.contains(*part));
+        let cleared = self.cleared.iter();
+        let convicted = self.convicted.iter();
+        let convicted = convicted.filter(|(_, conviction)| !conviction.on_probation);
+        let claims = self.claims.iter();
+        Report {
+            crashes,
+            innocent: parts,
+            cleared: cleared.map(|(part, at)| (*part, now.since(*at))).collect(),
+            convicted: convicted
+                .map(|(part, conviction)| ConvictionReport {
+                    part: *part,
+                    age: now.since(conviction.since),
+                    time_left: conviction.until.since(now),
+                    times: conviction.times,
+                })
+                .collect(),
+            claims: claims
+                .map(|(part, claim)| ClaimReport {
+                    part: *part,
+                    running: claim.running,
+                })
+                .collect(),
+        }
+    }
+
+    /// Merges the report of another gateway. Returns whether a verdict may have changed.
+    pub fn learn(&mut self, from: &str, report: Report, now: Moment) -> bool {
+        if report == Report::default() && self.foreign.is_empty() {
+            return false;
+        }
+        let mut is_new = false;
+        for part in report.innocent {
+            is_new |= self.learn_innocent(part);
+        }
+        for (part, age) in report.cleared {
+            is_new |= self.learn_cleared(part, now - age);
+        }
+        // Convictions explain crashes, so they are merged first.
+        for conviction in report.convicted {
+            self.learn_conviction(conviction, now);
+        }
+        for crash in report.crashes {
+            let crash = Crash {
+                upstream: crash.upstream,
+                born: crash.born,
+                at: now - crash.age,
+                parts: crash.parts,
+            };
+            is_new |= self.add_crash(crash, now);
+        }
+        if is_new {
+            self.convict_proved(now);
+        }
+        let from: Arc<str> = Arc::from(from);
+        self.foreign.retain(|(_, name), _| *name != from);
+        for claim in report.claims {
+            let key = (claim.part, Arc::clone(&from));
+            self.foreign.insert(key, (claim, now));
+        }
+        true
+    }
+
+    fn learn_innocent(&mut self, part: Part) -> bool {
+        if self.innocent.contains(part) {
+            return false;
+        }
+        let was_suspect = self.is_suspect(part);
+        self.innocent.insert(part, self.settings.max_innocent);
+        if was_suspect && !self.is_suspect(part) {
+            self.events.push(Event::Cleared(part));
+        }
+        true
+    }
+
+    fn learn_cleared(&mut self, part: Part, at: Moment) -> bool {
+        let known = self.cleared.get(&part);
+        // The age in a report is older by the time that the report takes.
+        if known.is_some_and(|known| *known + REPORT_DELAY >= at) {
+            return false;
+        }
+        let was_suspect = self.is_suspect(part);
+        self.cleared.insert(part, at);
+        let convicted = self.convicted.get(&part);
+        let is_outdated = convicted.is_some_and(|conviction| conviction.since < at);
+        if is_outdated {
+            self.convicted.remove(&part);
+        }
+        if is_outdated || (was_suspect && !self.is_suspect(part)) {
+            self.events.push(Event::Cleared(part));
+        }
+        true
+    }
+
+    fn learn_conviction(&mut self, report: ConvictionReport, now: Moment) {
+        let since = now - report.age;
+        let known = self.convicted.get(&report.part);
+        let cleared = self.cleared.get(&report.part);
+        if known.is_some_and(|known| known.times >= report.times)
+            || cleared.is_some_and(|cleared| *cleared > since)
+        {
+            return;
+        }
+        let conviction = Conviction {
+            since,
+            until: now + report.time_left,
+            times: report.times,
+            on_probation: false,
+        };
+        self.convict(report.part, conviction);
+        let crashes = self.crashes.iter();
+        let crashes = crashes.filter(|crash| crash.parts.contains(&report.part));
+        let upstreams = crashes.map(|crash| Arc::clone(&crash.upstream)).collect();
+        self.events.push(Event::Convicted(report.part, upstreams));
+    }
+}
--- a/crates/gateway/tests/exchange.rs
+++ b/crates/gateway/tests/exchange.rs
@@ -11,6 +11,7 @@
 use sesamerock_gateway::node;
 use sesamerock_gateway::state::{Position, Snapshot, State};
 use sesamerock_gateway::store::contact::ContactState;
+use sesamerock_gateway::suspect;
 use tokio::net::TcpListener;
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
@@ -33,6 +34,7 @@
             node: self.record.clone(),
             ready: true,
             accepting: true,
+            suspects: suspect::Report::default(),
             leads: false,
             position: Position::default(),
             store: ContactState::default(),
--- a/crates/gateway/tests/leader.rs
+++ b/crates/gateway/tests/leader.rs
@@ -13,12 +13,17 @@
 use sesamerock_gateway::shutdown::{self, Shutdown};
 use sesamerock_gateway::state::View;
 use sesamerock_gateway::store::contact::ContactState;
+use sesamerock_gateway::suspect::Suspects;
 use support::{Engines, FIRST_START, GrantingStore, view, view_of_starts};
 use tokio::time::{sleep, timeout};
 
 fn shared(view: View) -> Arc<Shared> {
     let admission = AdmissionController::new(admit::Settings::default(), Arc::from("a"));
-    let shared = Arc::new(Shared::new(relay::Settings::default(), admission));
+    let shared = Arc::new(Shared::new(
+        relay::Settings::default(),
+        admission,
+        Suspects::default(),
+    ));
     shared.publish(view);
     shared
 }
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -4,6 +4,7 @@
 #![allow(dead_code, reason = "each test file is a crate of its own")]
 
 pub mod fleet;
+pub mod suspects;
 
 use std::collections::HashMap;
 use std::future::pending;
--- /dev/null
+++ b/crates/gateway/tests/suspects.rs
@@ -0,0 +1,270 @@
+//! Replays crashes of upstreams against the suspicion of several gateways, which know of each
+//! other's crashes only from heartbeats.
+
+mod support;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use sesamerock_base::time::Moment;
+use sesamerock_gateway::suspect::{Part, Report, Settings, Suspects, Verdict};
+use support::suspects::{Call, Taint, World};
+
+const DEADLY: Part = Part(1_000);
+const CALLER: Part = Part(1);
+
+const fn at(millis: u64) -> Moment {
+    Moment::from_millis(millis)
+}
+
+fn gateway(name: &str) -> Suspects {
+    Suspects::new(Settings::default(), name)
+}
+
+fn upstream(index: usize) -> Arc<str> {
+    Arc::from(format!("u{index}"))
+}
+
+/// Asks until the verdict is no longer to wait.
+fn decide(suspects: &mut Suspects, parts: &[Part], from: Moment) -> (Verdict, Moment) {
+    let mut now = from;
+    loop {
+        let verdict = suspects.judge(parts, now);
+        if verdict != Verdict::Wait {
+            return (verdict, now);
+        }
+        assert!(now.since(from) < Duration::from_secs(10), "waits for 10 s");
+        now = now + Duration::from_millis(20);
+    }
+}
+
+/// Regression: calls with a part that crashes upstreams went on to the next upstream, at each
+/// gateway anew.
+#[test]
+fn regression_a_part_crashes_at_most_two_upstreams() {
+    for (gateways, tainted_per_second, seeds) in [(4, 1.3, 20), (4, 5.0, 20), (59, 10.0, 1)] {
+        for seed in 0..seeds {
+            let taint = Taint {
+                part: DEADLY,
+                per_second: tainted_per_second,
+            };
+            let outcome = World::new(gateways, seed).play(Some(taint), 12_000);
+            println!("{gateways} gateways, seed {seed}: {outcome:?}");
+            assert!(outcome.crashes <= 2, "{outcome:?}");
+            assert_eq!(outcome.innocent_refused, 0, "{outcome:?}");
+            assert!(outcome.tainted_refused > 0, "{outcome:?}");
+        }
+    }
+}
+
+/// The group of an upstream that crashes does not answer for a while, and the calls of a gateway
+/// that starts anew have no innocent part yet.
+#[test]
+fn a_gateway_that_starts_later_knows_convicted_parts() {
+    let mut old = gateway("old");
+    old.record_crash(&[DEADLY], &upstream(1), Some(1), true, at(1_000));
+    old.record_crash(&[DEADLY], &upstream(2), Some(1), true, at(5_000));
+    assert!(matches!(
+        old.judge(&[DEADLY], at(5_000)),
+        Verdict::Refuse(..)
+    ));
+    let mut new = gateway("new");
+    new.learn("old", old.report(at(6_000)), at(6_001));
+    let verdict = new.judge(&[CALLER, DEADLY], at(6_002));
+    assert!(matches!(verdict, Verdict::Refuse(DEADLY, _)), "{verdict:?}");
+    assert_eq!(new.judge(&[CALLER], at(6_002)), Verdict::Pass);
+}
+
+/// The order in which gateways learn of two crashes, of innocent parts and of each other's
+/// reports makes no difference to their verdicts.
+#[test]
+fn verdicts_do_not_depend_on_the_order_of_reports() {
+    let mut first = gateway("a");
+    first.record_crash(&[CALLER, DEADLY], &upstream(1), None, true, at(1_000));
+    let mut second = gateway("b");
+    second.clear(&[CALLER], at(500));
+    second.record_crash(&[DEADLY], &upstream(2), None, true, at(4_000));
+    let reports = [first.report(at(4_100)), second.report(at(4_100))];
+    for order in [[0, 1], [1, 0]] {
+        let mut third = gateway("c");
+        for index in order {
+            third.learn(["a", "b"][index], reports[index].clone(), at(4_101));
+        }
+        let verdict = third.judge(&[DEADLY], at(4_200));
+        assert!(
+            matches!(verdict, Verdict::Refuse(..)),
+            "{order:?} {verdict:?}"
+        );
+        assert_eq!(
+            third.judge(&[CALLER], at(4_200)),
+            Verdict::Pass,
+            "{order:?}"
+        );
+    }
+}
+
+/// A rack fails: all calls that it was answering have new parts. None of them is refused, and
+/// each waits for one trial at most.
+#[test]
+fn innocent_parts_of_a_failed_rack_are_tried_and_not_refused() {
+    for gateways in [4, 59] {
+        let mut world = World::new(gateways, 7);
+        let calls: Vec<Call> = (0..40)
+            .map(|index| Call {
+                gateway: index % gateways,
+                parts: vec![Part(5_000 + index as u64)],
+            })
+            .collect();
+        world.crash_together(&calls, 8);
+        let outcome = world.play_calls(&calls, 4_000);
+        assert_eq!(outcome.innocent_refused, 0, "{outcome:?}");
+        assert_eq!(outcome.answered, 40, "{outcome:?}");
+        assert!(
+            outcome.longest_wait <= Duration::from_millis(1_500),
+            "{outcome:?}"
+        );
+    }
+}
+
+/// Upstreams that are killed one after the other while no call is answered do not make a part
+/// suspect that is known to be innocent, unless calls with it had an answer each time.
+#[test]
+fn parts_of_all_calls_are_not_blamed_for_kills_in_series() {
+    let mut suspects = gateway("a");
+    suspects.clear(&[CALLER], at(0));
+    for kill in 0..5 {
+        let now = at(1_000 + 1_000 * kill);
+        suspects.record_crash(&[CALLER], &upstream(kill as usize), None, false, now);
+        assert_eq!(suspects.judge(&[CALLER], now), Verdict::Pass, "kill {kill}");
+    }
+    for kill in 0..5 {
+        let now = at(10_000 + 1_000 * kill);
+        suspects.record_crash(&[CALLER], &upstream(kill as usize), None, true, now);
+        assert_eq!(suspects.judge(&[CALLER], now), Verdict::Pass, "kill {kill}");
+        suspects.clear(&[CALLER], now + Duration::from_millis(500));
+    }
+}
+
+/// A part that was answered before and crashes upstreams from then on is convicted too, by one
+/// more crash.
+#[test]
+fn a_part_that_turns_deadly_is_convicted() {
+    let mut suspects = gateway("a");
+    suspects.clear(&[DEADLY], at(0));
+    for crash in 1..=3 {
+        let now = at(4_000 * crash);
+        assert!(!matches!(
+            suspects.judge(&[DEADLY], now),
+            Verdict::Refuse(..)
+        ));
+        suspects.record_crash(&[DEADLY], &upstream(crash as usize), None, true, now);
+    }
+    assert!(matches!(
+        suspects.judge(&[DEADLY], at(12_001)),
+        Verdict::Refuse(..)
+    ));
+}
+
+/// A conviction ends by its expiry. Then one call is tried, not one of each gateway, and a crash
+/// convicts the part for twice as long.
+#[test]
+fn an_expired_conviction_is_followed_by_one_trial() {
+    let mut first = gateway("a");
+    let mut second = gateway("b");
+    first.record_crash(&[DEADLY], &upstream(1), None, true, at(1_000));
+    first.record_crash(&[DEADLY], &upstream(2), None, true, at(5_000));
+    second.learn("a", first.report(at(5_000)), at(5_001));
+    let Verdict::Refuse(_, left) = first.judge(&[DEADLY], at(5_001)) else {
+        panic!("not convicted");
+    };
+    let expiry = at(5_100) + left;
+    let mut tried = 0;
+    for step in 0..50 {
+        let now = expiry + Duration::from_millis(20 * step);
+        for suspects in [&mut first, &mut second] {
+            match suspects.judge(&[DEADLY], now) {
+                Verdict::Try(_) => tried += 1,
+                verdict => assert_eq!(verdict, Verdict::Wait),
+            }
+        }
+        let reports = [first.report(now), second.report(now)];
+        second.learn("a", reports[0].clone(), now);
+        first.learn("b", reports[1].clone(), now);
+    }
+    assert_eq!(tried, 1);
+    let crashed_at = expiry + Duration::from_secs(2);
+    first.record_crash(&[DEADLY], &upstream(3), None, true, crashed_at);
+    let Verdict::Refuse(_, again) = first.judge(&[DEADLY], crashed_at) else {
+        panic!("not convicted again");
+    };
+    assert!(again > left + left / 2, "{left:?} {again:?}");
+}
+
+/// A call with two suspects waits until calls with one of them have shown which is innocent.
+#[test]
+fn calls_with_several_suspects_wait_for_those_with_one() {
+    let mut suspects = gateway("a");
+    suspects.record_crash(&[CALLER, DEADLY], &upstream(1), None, true, at(1_000));
+    assert_eq!(suspects.judge(&[CALLER, DEADLY], at(1_100)), Verdict::Wait);
+    let (verdict, now) = decide(&mut suspects, &[CALLER], at(1_100));
+    assert_eq!(verdict, Verdict::Try(CALLER));
+    suspects.clear(&[CALLER], now + Duration::from_secs(1));
+    suspects.end_trial(CALLER);
+    assert_eq!(
+        suspects.judge(&[CALLER], now + Duration::from_secs(1)),
+        Verdict::Pass
+    );
+    let (verdict, now) = decide(
+        &mut suspects,
+        &[CALLER, DEADLY],
+        now + Duration::from_secs(1),
+    );
+    assert_eq!(verdict, Verdict::Try(DEADLY));
+    suspects.record_crash(&[CALLER, DEADLY], &upstream(2), None, true, now);
+    suspects.end_trial(DEADLY);
+    assert!(matches!(
+        suspects.judge(&[DEADLY], now),
+        Verdict::Refuse(..)
+    ));
+    assert_eq!(suspects.judge(&[CALLER], now), Verdict::Pass);
+}
+
+/// An answer that goes on clears a convicted part at all gateways, also if reports of the
+/// conviction arrive later.
+#[test]
+fn a_whole_answer_ends_a_wrong_conviction() {
+    let mut first = gateway("a");
+    let mut second = gateway("b");
+    first.record_crash(&[DEADLY], &upstream(1), None, true, at(1_000));
+    first.record_crash(&[DEADLY], &upstream(2), None, true, at(5_000));
+    let late = first.report(at(5_050));
+    second.learn("a", late.clone(), at(5_051));
+    second.clear(&[DEADLY], at(6_000));
+    second.learn("a", late, at(6_001));
+    first.learn("b", second.report(at(6_002)), at(6_003));
+    second.learn("a", first.report(at(6_004)), at(6_005));
+    for suspects in [&mut first, &mut second] {
+        assert_eq!(suspects.judge(&[DEADLY], at(6_010)), Verdict::Pass);
+    }
+}
+
+/// While nothing is suspect, gateways report nothing, and the size of a report is bounded by the
+/// number of crashes and parts.
+#[test]
+fn reports_are_empty_or_bounded() {
+    let mut suspects = gateway("a");
+    for part in 0..100_000 {
+        suspects.clear(&[Part(part)], at(part));
+    }
+    assert_eq!(suspects.report(at(100_000)), Report::default());
+    for crash in 0..1_000 {
+        let parts: Vec<Part> = (0..64)
+            .map(|part| Part(1 << 32 | crash << 8 | part))
+            .collect();
+        let now = at(200_000 + crash * 10);
+        suspects.record_crash(&parts, &upstream(crash as usize), None, true, now);
+    }
+    let report = suspects.report(at(210_000));
+    assert!(report.crashes.len() <= Settings::default().max_crashes);
+    assert!(report.crashes.iter().all(|crash| crash.parts.len() <= 64));
+}
