Fail a request before its first write if the upstream has written or closed

Seen (in the tests only): bytes that an upstream writes on a connection after the gateway has checked that it is idle and before the request is written were read as the answer to that request. Without the id of a call, a repeated refusal told the caller "not run" for a call that was sent.

Cause: the check is made when a connection is taken from the pool. Other tasks run before the request is written, and the HTTP library sees only bytes of which the runtime has been notified.

Fix: the first write of a request looks at the socket itself and fails if anything has arrived, bytes or a close. Nothing of the call has then been written, so it counts as not sent and is tried on a new connection. On a new connection the same upstream is not tried again for this call: it wrote before it was asked, and trying again at once would repeat that until the wait for a slot ends. What remains is what arrives between this look and the write, in the same call of the connection's task, and what is on its way in the network; the id of the call tells it apart.

The scripted upstreams count their connections and can reset one.

--- a/crates/gateway/src/pool/mod.rs
+++ b/crates/gateway/src/pool/mod.rs
@@ -94,13 +94,20 @@
 }
 
 impl Connection {
-    /// Marks a call as in flight, so that dropping the connection resets it, and bounds the
-    /// bytes that may precede the body of its answer.
+    /// Marks a call as in flight, so that dropping the connection resets it, bounds the bytes
+    /// that may precede the body of its answer, and makes bytes that are there before the
+    /// request fail it.
     pub fn start_call(&mut self) {
         self.in_flight = true;
+        self.socket.start_request();
         self.socket.limit_reads(MAX_HEADER_READ_BYTES);
     }
 
+    /// Returns whether nothing of the call has been written, so that it cannot have run.
+    pub fn is_unsent(&self) -> bool {
+        self.socket.is_unsent()
+    }
+
     /// Marks that the header of the answer has arrived. The body has limits of its own.
     pub fn start_answer(&self) {
         self.socket.lift_read_limit();
--- a/crates/gateway/src/relay/attempt/mod.rs
+++ b/crates/gateway/src/relay/attempt/mod.rs
@@ -209,10 +209,14 @@
             } else {
                 HealthSignal::Failure
             });
-            if error.is_canceled() {
-                // The connection was closed before anything was written.
+            if error.is_canceled() || connection.is_unsent() {
+                // The upstream closed the connection, or wrote to it, before anything was
+                // written.
                 attempted.sent -= 1;
-                attempted.ids.pop();
+                if connection.used {
+                    // A new connection to the same upstream may serve the call.
+                    attempted.ids.pop();
+                }
                 return Outcome::Unreachable;
             }
             return Outcome::Unknown("broken");
--- a/crates/gateway/src/socket/mod.rs
+++ b/crates/gateway/src/socket/mod.rs
@@ -5,14 +5,15 @@
 //! read, after the call has been forwarded; [`Socket::is_closed`] checks it before. A
 //! closed connection also still delivers the bytes in its send buffer, so that an
 //! abandoned call could reach its upstream seconds later; [`Socket::reset_on_close`]
-//! discards them.
+//! discards them. Bytes that arrive before a request are no answer to it; after
+//! [`Socket::start_request`] they make the write fail.
 
 use std::io;
 use std::mem::MaybeUninit;
 use std::net::Shutdown;
 use std::pin::Pin;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
@@ -32,6 +33,8 @@
     stream: TcpStream,
     /// Bytes that may still be read, or [`UNLIMITED`].
     readable: AtomicUsize,
+    /// Whether a request has been started of which nothing is written yet.
+    unsent: AtomicBool,
 }
 
 impl Socket {
@@ -40,9 +43,22 @@
         Self(Arc::new(Shared {
             stream,
             readable: AtomicUsize::new(UNLIMITED),
+            unsent: AtomicBool::new(false),
         }))
     }
 
+    /// Makes the next write fail unless the connection is idle at that moment. Other tasks run
+    /// between the choice of a connection and the first write, and the HTTP library does not
+    /// see bytes of which the runtime has not been notified.
+    pub fn start_request(&self) {
+        self.0.unsent.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns whether nothing has been written since [`Socket::start_request`].
+    pub fn is_unsent(&self) -> bool {
+        self.0.unsent.load(Ordering::Relaxed)
+    }
+
     /// Makes reads fail once this many bytes have been read. The HTTP library bounds a header,
     /// but not the number of interim answers before it.
     pub fn limit_reads(&self, bytes: usize) {
@@ -122,9 +138,18 @@
     ) -> Poll<io::Result<usize>> {
         loop {
             ready!(self.0.stream.poll_write_ready(cx))?;
+            if self.is_unsent() && !self.is_idle() {
+                let reason = "the peer closed or wrote before the request";
+                return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, reason)));
+            }
             match self.0.stream.try_write(buf) {
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                written => return Poll::Ready(written),
+                written => {
+                    if written.is_ok() {
+                        self.0.unsent.store(false, Ordering::Relaxed);
+                    }
+                    return Poll::Ready(written);
+                }
             }
         }
     }
--- a/crates/standin/src/scripted/mod.rs
+++ b/crates/standin/src/scripted/mod.rs
@@ -1,6 +1,7 @@
 //! Upstreams whose responses a test scripts byte by byte.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -17,6 +18,8 @@
     Write(String),
     /// Writes these bytes and closes the connection.
     Close(String),
+    /// Writes these bytes and resets the connection.
+    Reset(String),
     /// Waits for the duration, writes these bytes and keeps the connection.
     Work(Duration, String),
     /// Writes a header and then pieces, each after a pause, and keeps the connection.
@@ -34,6 +37,7 @@
     pub address: SocketAddr,
     calls: Arc<Mutex<Vec<String>>>,
     abandoned_calls: Arc<Mutex<u32>>,
+    connections: Arc<AtomicUsize>,
     _task: Task,
 }
 
@@ -52,8 +56,11 @@
         let calls = Arc::new(Mutex::new(Vec::new()));
         let abandoned_calls = Arc::new(Mutex::new(0));
         let (seen, abandoned) = (Arc::clone(&calls), Arc::clone(&abandoned_calls));
+        let connections = Arc::new(AtomicUsize::new(0));
+        let accepted = Arc::clone(&connections);
         let task = tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
+                accepted.fetch_add(1, Ordering::Relaxed);
                 let (seen, abandoned) = (Arc::clone(&seen), Arc::clone(&abandoned));
                 tokio::spawn(serve(stream, act.clone(), seen, abandoned));
             }
@@ -63,6 +70,7 @@
             address,
             calls,
             abandoned_calls,
+            connections,
             _task: Task(task),
         })
     }
@@ -73,6 +81,11 @@
         calls.clone()
     }
 
+    /// Returns how many connections were accepted.
+    pub fn connections(&self) -> usize {
+        self.connections.load(Ordering::Relaxed)
+    }
+
     /// Returns how many hanging calls the client abandoned.
     pub fn abandoned_calls(&self) -> u32 {
         *self
@@ -166,6 +179,13 @@
         let (text, closes) = match act(&text) {
             Act::Write(text) => (text, false),
             Act::Close(text) => (text, true),
+            Act::Reset(text) => {
+                // A close without a reset would be another script.
+                if stream.set_zero_linger().is_err() {
+                    return;
+                }
+                (text, true)
+            }
             Act::Work(time, text) => {
                 sleep(time).await;
                 (text, false)
