Take a refusal without an id for the call's own only on a new connection

Seen by other operators: a faulty server wrote an earlier refusal once more on a kept connection, and callers were told "not run" for calls that ran.

Cause here: an answer without the id of a call was accepted as "not run" if it had the header of a refusal, or the status 421, on any connection. A repeat that comes after the next request has been sent passed as its answer. One with the id of the earlier call did not.

Fix: without an id, a refusal counts only on a connection that has carried no call before, where there is no earlier refusal to repeat. Upstreams return the id of a call; the protocol knows a refusal without one only as the answer to a request that had none, and every request that is sent has one. On a kept connection, the call may have run: 502, or another upstream if it may be repeated.

--- a/crates/gateway/src/relay/attempt/mod.rs
+++ b/crates/gateway/src/relay/attempt/mod.rs
@@ -243,11 +243,12 @@
     let status = response.status();
     if headers.get(&header_names.call_id) != Some(&call.id) {
         // An answer with another id belongs to another call. Without an id, only the
-        // statement that the call was not run is accepted.
+        // statement that the call was not run is accepted, and only on a new connection: on
+        // one that is in use again, it may repeat the refusal of an earlier call.
         permit.set_signal(HealthSignal::Failure);
         let not_run = headers.contains_key(&header_names.not_run)
             || status == StatusCode::MISDIRECTED_REQUEST;
-        if !headers.contains_key(&header_names.call_id) && not_run {
+        if !headers.contains_key(&header_names.call_id) && not_run && !connection.used {
             permit.set_signal(HealthSignal::Full);
             return Outcome::NotRun;
         }
