--- a/crates/gateway/src/relay/buffered/mod.rs
+++ b/crates/gateway/src/relay/buffered/mod.rs
@@ -135,6 +135,7 @@
         keep_alive,
         mut permit,
     } = begun;
+    let ends_with_connection = answer::ends_with_connection(&response);
     let (mut parts, body) = response.into_parts();
     let time_left = call.end().since(clock::now());
     let body = match timeout(time_left, Limited::new(body, MAX_ANSWER_BYTES).collect()).await {
@@ -149,6 +150,14 @@
             return None;
         }
     };
+    if ends_with_connection && body.is_empty() && parts.status.is_success() {
+        log::info!(
+            "event=answer_cut id={} reason=\"closed after the header\"",
+            call.id()
+        );
+        permit.set_signal(HealthSignal::Failure);
+        return None;
+    }
     permit.set_signal(if parts.status.is_server_error() {
         HealthSignal::Failure
     } else {
--- a/crates/gateway/src/relay/streaming/mod.rs
+++ b/crates/gateway/src/relay/streaming/mod.rs
@@ -223,13 +223,15 @@
             keep_alive,
             mut permit,
         } = begun;
+        // Without a length, an empty answer looks like one that broke off.
+        let mut may_end = !answer::ends_with_connection(&response);
         let mut body = response.into_body();
         let mut last_event: Option<Moment> = None;
         loop {
             let time_left = self.call.end().since(clock::now());
             let frame = match timeout(time_left, body.frame()).await {
                 Ok(Some(Ok(frame))) => frame,
-                Ok(None) if self.events.at_boundary() => {
+                Ok(None) if may_end && self.events.at_boundary() => {
                     permit.set_signal(HealthSignal::Success);
                     self.shared
                         .connections
@@ -249,6 +251,7 @@
             let Ok(data) = frame.into_data() else {
                 continue;
             };
+            may_end |= !data.is_empty();
             let before = self.events.delivered();
             let first = before == 0;
             let Ok(chunk) = self.events.push(&data) else {
