Let old step times and token limits lose their weight in the choice of upstreams

Callers of entries that compare expected times saw an upstream stay without calls for 30 s after the host had been busy: scenario zone_out ended in "waited 30s for calls.b - calls >= 10, found 0", node_isolated in "found 1".

Cause: the weight of a report falls with its age for calls, tokens and queue, but the step time, the step time of a group and the limit of tokens were used at any age. Only calls bring a new report, so an upstream whose last report said 290 ms beside 90 ms received none.

The step time and the limit of tokens now have the weight of their report. What the report has lost is given to a step time drawn at random from the candidates. With their mean the fastest candidate would always stay cheaper, so that an entry that compares all of them would still not send the call that brings a report. All upstreams with old reports have the same drawn value in one choice and differ by their load only, so they receive about the even share and no burst.

--- a/crates/route/src/pick/choose/mod.rs
+++ b/crates/route/src/pick/choose/mod.rs
@@ -50,7 +50,7 @@
         let slownesses = eligible
             .iter()
             .filter_map(|upstream| self.slowness(*upstream, now));
-        let prior = score::prior(loads, slownesses, &self.settings.score);
+        let prior = score::prior(loads, slownesses, &self.settings.score, rng);
         self.estimate_group_steps(&mut groups, pool, &prior, now);
         let affinity = self.affinity_upstreams(request, &eligible);
         let sampled = self.sample(request, &eligible, &affinity, &prior, &groups, now, rng);
--- a/crates/route/src/pick/group/mod.rs
+++ b/crates/route/src/pick/group/mod.rs
@@ -76,9 +76,10 @@
         }
     }
 
-    /// Returns the step time in seconds, if a rank reported one.
-    pub(super) fn step(&self) -> Option<f64> {
-        self.step.map(|(step, _)| step)
+    /// Returns the step time in seconds with the weight of its report, if a rank
+    /// reported one.
+    pub(super) fn step(&self) -> Option<(f64, f64)> {
+        self.step
     }
 
     /// Returns the seconds per token of a rank.
@@ -172,7 +173,7 @@
                 report.own_step.as_secs_f64() / (report.tokens as f64 + fixed)
             };
             let rate = median(reports().map(rate));
-            let step = view.step().unwrap_or(0.0);
+            let step = view.step().map_or(0.0, |(step, _)| step);
             let straggler_known = ranks().any(|state| {
                 let own = state
                     .load
--- a/crates/route/src/score/mod.rs
+++ b/crates/route/src/score/mod.rs
@@ -6,6 +6,8 @@
 
 use std::time::Duration;
 
+use rand::{Rng, RngExt};
+
 use crate::choice::Request;
 use crate::load::{Estimate, Load};
 
@@ -65,7 +67,7 @@
     pub call_limit: f64,
     /// Token limit assumed for an upstream that has reported none: infinite.
     pub token_limit: f64,
-    /// Mean step time in seconds.
+    /// Step time in seconds of one candidate, drawn at random; see [`prior`].
     pub step: f64,
     /// Mean fraction of the call limit in use.
     pub utilisation: f64,
@@ -98,12 +100,18 @@
 /// Returns the values to assume for candidates without a fresh report. `loads`
 /// holds each candidate's load with the weight of its report from
 /// [`Load::report_weight`]; `slownesses` holds the slowness of each candidate.
+///
+/// The step time is drawn from the candidates and not their mean: a candidate with
+/// the mean is never cheaper than the fastest one, so an entry that compares all
+/// candidates would not send the call that brings a new report.
 pub fn prior<'a>(
     loads: impl Iterator<Item = (&'a Load, f64)>,
     slownesses: impl Iterator<Item = f64>,
     settings: &Settings,
+    rng: &mut impl Rng,
 ) -> Prior {
     let mut mean = Means::default();
+    let mut step = Drawn::default();
     for (load, report_weight) in loads {
         let Some(report) = load.last_report() else {
             continue;
@@ -117,7 +125,7 @@
             mean.used.add(f64::from(report.calls) / limit, weight);
         }
         if report.step > Duration::ZERO {
-            mean.step.add(report.step.as_secs_f64(), weight);
+            step.add(report.step.as_secs_f64(), weight, rng);
         }
     }
     slownesses.for_each(|slowness| mean.slowness.add(slowness, 1.0));
@@ -126,7 +134,7 @@
         queued: mean.queued.value_or(0.0),
         call_limit: mean.limit.value_or(settings.default_call_limit),
         token_limit: f64::INFINITY,
-        step: mean.step.value_or(settings.default_step.as_secs_f64()),
+        step: step.value.unwrap_or(settings.default_step.as_secs_f64()),
         utilisation: mean.used.value_or(0.0),
         slowness: mean.slowness.value_or(1.0),
     }
@@ -139,7 +147,6 @@
     queued: Mean,
     limit: Mean,
     used: Mean,
-    step: Mean,
     slowness: Mean,
 }
 
@@ -164,6 +171,22 @@
     }
 }
 
+/// A value drawn at random from weighted ones.
+#[derive(Clone, Copy, Debug, Default)]
+struct Drawn {
+    value: Option<f64>,
+    weight: f64,
+}
+
+impl Drawn {
+    fn add(&mut self, value: f64, weight: f64, rng: &mut impl Rng) {
+        self.weight += weight;
+        if rng.random::<f64>() * self.weight < weight {
+            self.value = Some(value);
+        }
+    }
+}
+
 /// Cost parts of one candidate, in seconds.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Cost {
@@ -188,9 +211,9 @@
     pub has_affinity: bool,
     /// Fraction by which the step grows, see [`crate::rank::RankChoice`].
     pub growth: f64,
-    /// Step time of the candidate's group in seconds, if the candidate is a rank
-    /// of a group and a rank has reported it.
-    pub step: Option<f64>,
+    /// Step time of the candidate's group in seconds with the weight of its report,
+    /// if the candidate is a rank of a group and a rank has reported it.
+    pub step: Option<(f64, f64)>,
     /// Whether the candidate is a rank of a group of upstreams.
     pub grouped: bool,
     /// Recent slowness, see [`crate::slowness::Slowness`].
@@ -206,9 +229,7 @@
     prior: &Prior,
     settings: &Settings,
 ) -> Cost {
-    let step = candidate
-        .step
-        .unwrap_or_else(|| step(candidate.load, prior));
+    let step = step(candidate, prior);
     let used = utilisation(candidate, request, prior);
     let relative_load = used / mean_utilisation(prior);
     let prefill = settings.prefill_per_token.as_secs_f64();
@@ -261,11 +282,21 @@
 /// alone make single times to first token vary by half.
 const SLOWNESS_TOLERANCE: f64 = 1.5;
 
-fn step(load: &Load, prior: &Prior) -> f64 {
-    load.last_report()
-        .map(|report| report.step.as_secs_f64())
-        .filter(|step| *step > 0.0)
-        .unwrap_or(prior.step)
+/// Returns the step time of the last report as far as it has kept its weight, and
+/// that of the prior for the rest: an upstream without calls makes no reports, so one
+/// that was slow in its last report would never be tried again.
+fn step(candidate: &Candidate<'_>, prior: &Prior) -> f64 {
+    let own_report = || {
+        let report = candidate.load.last_report()?;
+        Some((report.step.as_secs_f64(), candidate.estimate.report_weight))
+    };
+    candidate
+        .step
+        .or_else(own_report)
+        .filter(|(step, _)| *step > 0.0)
+        .map_or(prior.step, |(step, weight)| {
+            weight * step + (1.0 - weight) * prior.step
+        })
 }
 
 /// Returns the utilisation of the scarcer limit, including the request.
@@ -283,7 +314,8 @@
     let limit = report_weight * own_limit + (1.0 - report_weight) * prior.call_limit;
     let by_calls = (candidate.estimate.calls + candidate.estimate.queued) / own_limit + 1.0 / limit;
     let by_tokens = (candidate.estimate.tokens + request.tokens as f64) / tokens;
-    by_calls.max(by_tokens)
+    // The limit of tokens is as old as the report as well, and others may not know one.
+    by_calls + report_weight * (by_tokens - by_calls).max(0.0)
 }
 
 /// Returns the call limit of the last report, or the mean of the other candidates
--- a/crates/route/tests/pick.rs
+++ b/crates/route/tests/pick.rs
@@ -4,13 +4,13 @@
 
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::SeedableRng;
-use sesamerock_base::key::{Model, Upstream, Zone};
+use sesamerock_base::key::{Group, Model, Upstream, Zone};
 use sesamerock_base::time::Moment;
 use sesamerock_route::choice::{Cause, LossReason, Reason, Request};
 use sesamerock_route::hash;
 use sesamerock_route::load::{Load, Rank, Report};
 use sesamerock_route::pick::{Outcome, Picker, Settings};
-use sesamerock_route::profile::{Adapter, LoadedModel, Need, Profile, Role};
+use sesamerock_route::profile::{Adapter, LoadedModel, Need, Place, Profile, Role};
 
 const NOW: Moment = Moment::from_millis(10_000);
 
@@ -595,3 +595,146 @@
     let expected = "upstream=none reason=all-leaving retry_after_ms=0 losers=c:leaving";
     assert_eq!(refusal.line(name), expected);
 }
+
+/// Upstreams learnt while the host was busy, with step times three times those of
+/// the others, received no call for 30 s, since only calls bring a newer report.
+#[test]
+fn regression_old_step_times_do_not_starve_an_upstream() {
+    let slow = Report {
+        step: Duration::from_millis(290),
+        ..report(0)
+    };
+    for (count, calls) in [(2, 0), (3, 0), (3, 8)] {
+        let (mut picker, pool) = pool(count);
+        picker.report(pool[0], slow.clone(), NOW);
+        let mut rng = rng();
+        let mut share = |age: Duration| {
+            let now = NOW + age;
+            let picks = (0..200).filter(|turn| {
+                for (upstream, step) in pool[1..].iter().zip([90, 96]) {
+                    let fresh = Report {
+                        step: Duration::from_millis(step),
+                        ..report(calls + turn % 3)
+                    };
+                    picker.report(*upstream, fresh, now);
+                }
+                let choice = picker.pick(&request(), &pool, now, &mut rng);
+                choice.expect("a choice").upstream == pool[0]
+            });
+            picks.count()
+        };
+        let fresh = share(Duration::ZERO);
+        let old = share(Duration::from_secs(6));
+        assert!(
+            calls > 0 || fresh == 0,
+            "{count} upstreams: {fresh} at once"
+        );
+        assert!(old >= 20, "{count} upstreams: {old} of 200 calls after 6 s");
+    }
+}
+
+/// A limit of tokens that was learnt while the host was busy kept an upstream at its
+/// limit in the estimate until the next report.
+#[test]
+fn regression_old_token_limits_do_not_starve_an_upstream() {
+    let (mut picker, pool) = pool(3);
+    let small = Report {
+        token_limit: 500,
+        ..report(4)
+    };
+    picker.report(pool[0], small, NOW);
+    let later = NOW + Duration::from_secs(6);
+    let mut rng = rng();
+    let picks = (0..200).filter(|turn| {
+        for upstream in &pool[1..] {
+            picker.report(*upstream, report(4 + turn % 3), later);
+        }
+        let choice = picker.pick(&request(), &pool, later, &mut rng);
+        choice.expect("a choice").upstream == pool[0]
+    });
+    let chosen = picks.count();
+    assert!(chosen >= 20, "{chosen} of 200 calls");
+}
+
+/// The step time of a group is known from the reports of its ranks, so a group without
+/// calls kept the last one.
+#[test]
+fn regression_old_step_times_do_not_starve_a_group() {
+    let (mut picker, pool) = pool(4);
+    for (index, upstream) in pool.iter().enumerate() {
+        let place = Place {
+            group: Group(index as u32 / 2),
+            rank: index as u16 % 2,
+            ..Place::default()
+        };
+        picker.upsert(
+            *upstream,
+            Profile {
+                place: Some(place),
+                ..profile(*upstream)
+            },
+        );
+        let busy = Report {
+            step: Duration::from_millis(290),
+            ..report(4)
+        };
+        picker.report(*upstream, busy, NOW);
+    }
+    let later = NOW + Duration::from_secs(6);
+    let mut rng = rng();
+    let picks = (0..200).filter(|turn| {
+        for upstream in &pool[2..] {
+            let fresh = Report {
+                step: Duration::from_millis(90),
+                ..report(4 + turn % 3)
+            };
+            picker.report(*upstream, fresh, later);
+        }
+        let choice = picker.pick(&request(), &pool, later, &mut rng);
+        pool[..2].contains(&choice.expect("a choice").upstream)
+    });
+    let chosen = picks.count();
+    assert!(chosen >= 20, "{chosen} of 200 calls");
+}
+
+/// When the reports of many upstreams grow old at once, as after an outage of a zone,
+/// entries must return to them gradually and not all together.
+#[test]
+fn upstreams_whose_reports_grow_old_together_attract_no_burst() {
+    let (mut picker, pool) = pool(12);
+    let (old, fresh) = pool.split_at(6);
+    for upstream in old {
+        let slow = Report {
+            step: Duration::from_millis(290),
+            ..report(4)
+        };
+        picker.report(*upstream, slow, NOW);
+    }
+    let mut shares = Vec::new();
+    for age in [0, 1_000, 2_000, 3_000, 4_000, 5_000, 30_000] {
+        let now = NOW + Duration::from_millis(age);
+        for (index, upstream) in fresh.iter().enumerate() {
+            let report = Report {
+                step: Duration::from_millis(80 + 4 * index as u64),
+                ..report(3 + index as u32 % 3)
+            };
+            picker.report(*upstream, report, now);
+        }
+        let mut counts = [0; 12];
+        for seed in 0..1_200 {
+            let mut rng = ChaCha8Rng::seed_from_u64(seed);
+            let choice = picker.pick(&request(), &pool, now, &mut rng);
+            counts[choice.expect("a choice").upstream.0 as usize] += 1;
+        }
+        let to_old: u32 = counts[..6].iter().sum();
+        // No upstream receives more than 2.5 times its even share of 100 calls.
+        assert!(counts[..6].iter().all(|count| *count <= 250), "{counts:?}");
+        shares.push(to_old);
+    }
+    println!("calls of 1,200 to the six upstreams without reports: {shares:?}");
+    // A quarter of the samples of two hold none of the other six upstreams.
+    assert!(shares[0] <= 330, "{shares:?}");
+    // The even share is 600; random samples vary it by less than a tenth.
+    assert!(shares.iter().all(|share| *share <= 660), "{shares:?}");
+    assert!(shares.last() >= Some(&400), "{shares:?}");
+}
