Let an agent have a least limit of calls, and use it where tests need a second attempt

attempt 85 at orders-1, attempt 86 at orders-2, both Sent report of both: limit=1 in_flight=1 credits=0 ceiling=1, before limit=2 attempt 87 at orders-2; losers orders-1:no-credits/448ms,orders-3:excluded hedge_decision attempt=87 decision=NoRoom(no-credits)

The test pauses servers until both attempts have arrived. Agents take the slow answers as queueing and lower the limit from two to one. The report in the head of an answer then has no credits, and that in its end is not read if the other attempt has won, so the entry sends nothing there for the lifetime of credits. At a limit of one the agent refuses second attempts altogether (ceiling of 75 percent). The third server is left alone after three overtaken look-ups. A second attempt is optional, so each of this is allowed, but how slow the answers seem follows from the scheduling of the test.

The learner has always had a least limit, "load that the operator guarantees", but no setting. It is now min_calls of an upstream, 1 when absent as before.

The other tests of the package but settings were not run.

--- a/crates/sesamerock/src/agent/mod.rs
+++ b/crates/sesamerock/src/agent/mod.rs
@@ -157,7 +157,7 @@
     let suspects = Suspects::new(control.clone());
     let (group, inbox) = group::Handle::new();
     let context = Arc::new(Context {
-        gate: Gate::new(sesamerock_limit::gate::Settings::default()),
+        gate: Gate::new(settings.upstream.gate()),
         probe: Probe::default(),
         cache: cache::Cache::new(&settings.upstream),
         in_flight_calls: InFlightCalls::new(suspects.clone(), &settings.upstream.name),
--- a/crates/sesamerock/src/dev/cluster/mod.rs
+++ b/crates/sesamerock/src/dev/cluster/mod.rs
@@ -49,6 +49,8 @@
     pub rollout: rollout::Settings,
     /// Settings of each entry; names and addresses are replaced.
     pub entry: settings::Entry,
+    /// Calls below which no agent of a service limits it.
+    pub service_min_calls: u32,
     /// Whether agents read cache events.
     pub cache_events: bool,
 }
@@ -65,6 +67,7 @@
             platform: platform::Settings::default(),
             rollout: rollout::Settings::default(),
             entry: settings::Entry::default(),
+            service_min_calls: settings::Upstream::default().min_calls,
             cache_events: false,
         }
     }
@@ -90,6 +93,7 @@
     upstreams: Vec<Upstream>,
     vms: Vec<Vm>,
     rollout: rollout::Settings,
+    service_min_calls: u32,
     cache_events: bool,
     roles: JoinSet<eyre::Result<()>>,
 }
@@ -114,6 +118,7 @@
             upstreams: Vec::new(),
             vms: Vec::new(),
             rollout: settings.rollout,
+            service_min_calls: settings.service_min_calls,
             cache_events: settings.cache_events,
             roles: JoinSet::new(),
         };
@@ -195,14 +200,16 @@
         kind: Kind,
         stop: &CancellationToken,
     ) -> eyre::Result<()> {
-        let (name, role) = match kind {
+        let (name, role, min_calls) = match kind {
             Kind::Engine => (
                 format!("engine-{}", self.engines.len()),
                 settings::Kind::Engine,
+                settings::Upstream::default().min_calls,
             ),
             Kind::Service => (
                 format!("orders-{}", self.services.len()),
                 settings::Kind::Service,
+                self.service_min_calls,
             ),
         };
         let agent = settings::Agent {
@@ -211,6 +218,7 @@
                 name: name.clone(),
                 address,
                 kind: role,
+                min_calls,
                 cache_events: self.cache_events,
                 ..settings::Upstream::default()
             },
--- a/crates/sesamerock/src/settings/check/tables/mod.rs
+++ b/crates/sesamerock/src/settings/check/tables/mod.rs
@@ -97,6 +97,12 @@
             Need::Default("100"),
             "Time between two reads of its load report and its cache events.",
         ),
+        field(
+            "min_calls",
+            Kind::Integer { min: 1, max: 4096 },
+            Need::Default("1"),
+            "Calls that the upstream is known to run at the same time; the learned limit never falls below it.",
+        ),
         field(
             "cache_events",
             Kind::Boolean,
--- a/crates/sesamerock/src/settings/mod.rs
+++ b/crates/sesamerock/src/settings/mod.rs
@@ -13,6 +13,7 @@
 
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, serde_as};
+use sesamerock_limit::gate;
 use sesamerock_note::rollout;
 
 /// Identity and addresses of a process, common to all roles.
@@ -151,12 +152,24 @@
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(rename = "poll_ms")]
     pub poll: Duration,
+    /// Calls that the upstream is known to run at the same time; the learned limit
+    /// never falls below it.
+    pub min_calls: u32,
     /// Whether the agent reads the events of an engine's prefix cache. Off by
     /// default, since no measurement shows a gain yet: see
     /// `docs/notes/prefix.md`.
     pub cache_events: bool,
 }
 
+impl Upstream {
+    /// Returns the settings of the admission of calls to the upstream.
+    pub fn gate(&self) -> gate::Settings {
+        let mut settings = gate::Settings::default();
+        settings.learn.bounds.min.calls = self.min_calls;
+        settings
+    }
+}
+
 impl Default for Upstream {
     fn default() -> Self {
         Self {
@@ -164,6 +177,7 @@
             address: loopback(),
             kind: Kind::Engine,
             poll: Duration::from_millis(100),
+            min_calls: 1,
             cache_events: false,
         }
     }
