Send no calls to upstreams that say in answers that they leave

What callers saw: nothing directly, so far; calls went on reaching upstreams that had announced their end, until the store listed them as draining.

Cause: of an answer's headers, the gateway read the id, the refusal and the signature only. The store's record was the only source of a departure, and it is late or absent while the store does not answer.

The adapter decodes the header. `admit::leaving` keeps departures by id and start, without expiry and bounded by a named limit, and heartbeats carry them to other gateways. `AdmissionController::obstacle` is the one decision whether an upstream may be sent a call; the choice asks it for new, waiting, repeated and resumed calls, and the sender asks it again after the connection is open. A call withheld there chooses anew and counts as no attempt. Idle connections to the upstream are closed. If all upstreams of a service leave, waiting and new calls are refused at once; their retry-after no longer follows past completions, which say nothing about new upstreams. This applies to all `no_upstream` refusals. Reports of engines state departures too, also through sidecars; answers to other commands do not.

Answers to misdirected calls come from another upstream and are not counted.

Not shown by a socket test: the second check, right before the write.

--- a/crates/gateway/src/admit/mod.rs
+++ b/crates/gateway/src/admit/mod.rs
@@ -11,6 +11,7 @@
 pub mod estimate;
 pub mod group;
 mod health;
+pub mod leaving;
 pub mod misdirected;
 pub mod pace;
 mod rate;
@@ -32,6 +33,7 @@
 use group::{Groups, Headroom, Listing, Loads, Pace};
 use health::Health;
 pub use health::HealthSignal;
+use leaving::{Departure, Leaving};
 use misdirected::{Finding, Misdirected};
 use rate::{CompletionRate, StartWindow};
 use share::StartShare;
@@ -170,7 +172,7 @@
 /// Why a call is refused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Reason {
-    /// The service has no usable upstream.
+    /// The service has no upstream, or all of them are leaving.
     Nowhere,
     /// The expected wait for a slot ends after the latest start, the queue is full, the
     /// call was evicted from the queue, or the upstreams that were tried did not run it.
@@ -190,6 +192,25 @@
     }
 }
 
+/// Why an upstream may not be sent a call, whatever its load.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Obstacle {
+    /// It has stated that it is leaving.
+    Leaving,
+    /// Its address belongs to another upstream.
+    Misdirected,
+}
+
+impl Obstacle {
+    /// Returns the value of the obstacle in logs and metrics.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Leaving => "leaving",
+            Self::Misdirected => "misdirected",
+        }
+    }
+}
+
 /// Calls at one upstream, and its health as seen by this gateway.
 #[derive(Debug, Default)]
 struct UpstreamLoad {
@@ -244,6 +265,7 @@
     /// Time from the start of a stream at its upstream to its first event, by service.
     first_events: HashMap<Arc<str>, Estimate>,
     misdirected: Misdirected,
+    leaving: Leaving,
     random: Random,
     zone: Arc<str>,
 }
@@ -264,6 +286,7 @@
             first_events: HashMap::new(),
             shares: HashMap::new(),
             misdirected: Misdirected::default(),
+            leaving: Leaving::default(),
         }
     }
 
@@ -324,6 +347,44 @@
         self.misdirected.recent(now)
     }
 
+    /// Records that an upstream has stated in an answer that it is leaving. Returns whether that
+    /// is new.
+    pub fn observe_leaving(&mut self, record: &Record, now: Moment) -> bool {
+        self.leaving.observe(record, now)
+    }
+
+    /// Adds the upstreams that another gateway observed to be leaving, and returns the new ones.
+    pub fn learn_leaving(&mut self, departures: &[Departure], now: Moment) -> Vec<Departure> {
+        self.leaving.learn(departures, now)
+    }
+
+    /// Returns the upstreams that this gateway observed to be leaving lately.
+    pub fn recent_leaving(&self, now: Moment) -> Vec<Departure> {
+        self.leaving.recent(now)
+    }
+
+    /// Returns why an upstream may not be sent a call now, if there is a reason. Each path to
+    /// an upstream asks this: the choice for new, waiting, repeated and resumed calls, and the
+    /// sender right before it writes the call.
+    pub fn obstacle(&self, record: &Record, now: Moment) -> Option<Obstacle> {
+        if self.leaving.contains(record) {
+            return Some(Obstacle::Leaving);
+        }
+        self.misdirected
+            .contains(record, now)
+            .then_some(Obstacle::Misdirected)
+    }
+
+    /// Returns whether no call of a service can be served, since its upstreams, if any, are all
+    /// leaving.
+    fn is_without_upstream(&self, service: &str) -> bool {
+        let pool = self.pools.get(service);
+        pool.is_none_or(|pool| {
+            let mut candidates = pool.candidates.iter();
+            candidates.all(|candidate| self.leaving.contains(&candidate.record))
+        })
+    }
+
     /// Returns the number of calls from this gateway for each upstream that has any.
     pub fn loads(&self) -> Vec<(Arc<str>, u32)> {
         let loaded = self
@@ -440,8 +501,7 @@
             self.start_call(&record, now);
             return Verdict::Place(record);
         }
-        let pool = self.pools.get(&request.service);
-        if pool.is_none_or(|pool| pool.candidates.is_empty()) {
+        if self.is_without_upstream(&request.service) {
             return Verdict::Refuse(self.refusal(Reason::Nowhere, &request.service, now));
         }
         if self.yields(&request) {
@@ -507,6 +567,14 @@
             service_queue.requests.remove(&item.call);
             refused.push((item.call, Reason::Expired));
         }
+        // An upstream that is absent may come back while calls wait; one that leaves does not.
+        let candidates = self.pools.get(service).map(|pool| pool.candidates.len());
+        if candidates.is_some_and(|count| count > 0) && self.is_without_upstream(service) {
+            refused.extend(
+                self.drain_queue(service)
+                    .map(|call| (call, Reason::Nowhere)),
+            );
+        }
         for (call, reason) in refused {
             let refusal = self.refusal(reason, service, now);
             poll.refused.push((call, refusal));
@@ -516,6 +584,15 @@
         }
     }
 
+    /// Removes all waiting calls of a service.
+    fn drain_queue(&mut self, service: &str) -> impl Iterator<Item = u64> + use<> {
+        let items = self.queues.get_mut(service).map(|service_queue| {
+            service_queue.requests.clear();
+            service_queue.queue.drain()
+        });
+        items.into_iter().flatten().map(|item| item.call)
+    }
+
     /// Places the next call of the queue, if an upstream has a free slot for it.
     fn place_next(&mut self, service: &Arc<str>, now: Moment) -> Option<(u64, Arc<Record>)> {
         let service_queue = self.queues.get_mut(service)?;
@@ -585,6 +662,7 @@
         let free_slots = headroom.map_or_else(
             || {
                 let records = pool.candidates.iter().map(|candidate| &candidate.record);
+                let records = records.filter(|record| !self.leaving.contains(record));
                 let free = records.map(|record| record.slots.saturating_sub(self.load(&record.id)));
                 f64::from(free.sum::<u32>())
             },
@@ -643,7 +721,7 @@
         now: Moment,
     ) {
         let record = &candidate.record;
-        if request.exclude.contains(&record.id) || self.misdirected.contains(record, now) {
+        if request.exclude.contains(&record.id) || self.obstacle(record, now).is_some() {
             return;
         }
         let headroom = headroom.map_or(1.0, |headroom| headroom.of(self.groups.key(record)));
@@ -696,10 +774,15 @@
         upstream.health.apply_decay(now);
     }
 
-    /// Returns a refusal with [`Reason::Full`], for a call that was dropped from the queue
-    /// or not run by its upstream.
+    /// Returns a refusal for a call that was dropped from the queue or not run by its upstream:
+    /// with [`Reason::Full`] unless no other upstream is left.
     pub fn full_refusal(&self, service: &str, now: Moment) -> Refusal {
-        self.refusal(Reason::Full, service, now)
+        let reason = if self.is_without_upstream(service) {
+            Reason::Nowhere
+        } else {
+            Reason::Full
+        };
+        self.refusal(reason, service, now)
     }
 
     fn refusal(&self, reason: Reason, service: &str, now: Moment) -> Refusal {
@@ -709,6 +792,8 @@
                 .completions
                 .expected_time(service_queue.queue.len() + 1, now)
         });
+        // Past completions say nothing about when new upstreams will have started.
+        let wait = wait.filter(|_| reason != Reason::Nowhere);
         Refusal {
             reason,
             // Without recent completions the service is down, and an early retry would
--- a/crates/gateway/src/engine/mod.rs
+++ b/crates/gateway/src/engine/mod.rs
@@ -27,6 +27,8 @@
 pub struct Report {
     /// Start of the engine in milliseconds since the Unix epoch; `None` if not reported.
     pub born: Option<u64>,
+    /// Whether the engine has stated with the report that it is leaving.
+    pub leaving: bool,
     /// Number of commands to load or to change role that the engine has accepted;
     /// commands on expert maps do not count.
     pub orders: u64,
--- a/crates/gateway/src/exchange/mod.rs
+++ b/crates/gateway/src/exchange/mod.rs
@@ -11,6 +11,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::admit::group::{self, Listing, Pace};
+use crate::admit::leaving::Departure;
 use crate::admit::misdirected::Finding;
 use crate::node;
 use crate::state::{Position, Snapshot};
@@ -34,6 +35,8 @@
     pub store: ContactState,
     /// Upstreams to which calls of the sender were misdirected lately.
     pub misdirected: Vec<Finding>,
+    /// Upstreams that lately stated in answers to the sender that they are leaving.
+    pub leaving: Vec<Departure>,
     /// Version of the listing of groups that the sender knows.
     pub groups: group::Version,
     /// Paces of groups that the sender observed lately.
--- a/crates/gateway/src/maps/leader/mod.rs
+++ b/crates/gateway/src/maps/leader/mod.rs
@@ -418,6 +418,9 @@
             let report = timeout(QUERY_TIMEOUT, self.engine.report(record)).await;
             match report {
                 Ok(Ok(report)) if is_of_record(&report, record) => {
+                    if report.leaving {
+                        self.shared.set_leaving(record);
+                    }
                     Some((Arc::clone(record), report))
                 }
                 Ok(Ok(report)) => {
--- a/crates/gateway/src/metrics/mod.rs
+++ b/crates/gateway/src/metrics/mod.rs
@@ -58,12 +58,15 @@
     answered: Mutex<BTreeMap<u16, u64>>,
     refused: CountsByLabel,
     attempts: CountsByLabel,
+    withheld: CountsByLabel,
     /// Time to the first event of a stream; other answers are not included.
     pub first_byte: Histogram,
     /// Time to the last byte of an answer.
     pub last_byte: Histogram,
     /// Number of streams that were resumed at another upstream.
     pub resumed: AtomicU64,
+    /// Number of upstreams that have stated that they are leaving, to this gateway or others.
+    pub leaving: AtomicU64,
 }
 
 impl Counters {
@@ -83,6 +86,11 @@
         count(&self.attempts, outcome);
     }
 
+    /// Counts a call that was not sent to the upstream chosen for it, by reason.
+    pub fn withheld(&self, reason: &'static str) {
+        count(&self.withheld, reason);
+    }
+
     /// Renders all counters and histograms in the Prometheus text format.
     pub fn render(&self) -> String {
         let mut text = String::new();
@@ -97,6 +105,7 @@
         for (name, label, counts) in [
             ("sesamerock_refusals_total", "reason", &self.refused),
             ("sesamerock_attempts_total", "outcome", &self.attempts),
+            ("sesamerock_withheld_total", "reason", &self.withheld),
         ] {
             let counts = counts.lock().unwrap_or_else(PoisonError::into_inner);
             for (value, count) in &*counts {
@@ -111,6 +120,11 @@
             &mut text,
             format_args!("sesamerock_streams_resumed_total {resumed}"),
         );
+        let leaving = self.leaving.load(Ordering::Relaxed);
+        append_line(
+            &mut text,
+            format_args!("sesamerock_upstreams_leaving_total {leaving}"),
+        );
         self.first_byte
             .render("sesamerock_first_byte_seconds", &mut text);
         self.last_byte
--- a/crates/gateway/src/names/mod.rs
+++ b/crates/gateway/src/names/mod.rs
@@ -3,7 +3,7 @@
 //! The gateway defines what each header means; an adapter supplies its name.
 
 use bytes::Bytes;
-use http::HeaderName;
+use http::{HeaderMap, HeaderName};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -53,6 +53,9 @@
     /// maximum number of output tokens; `None` if it is malformed.
     fn tokens(&self, value: &str) -> Option<(u64, u64)>;
 
+    /// Returns whether the header of an answer states that its upstream is leaving.
+    fn is_leaving(&self, headers: &HeaderMap) -> bool;
+
     /// Encodes the body of the answer to a request for gateway addresses, which callers
     /// may cache for `ttl`.
     fn addresses(&self, addresses: &[SocketAddr], ttl: Duration) -> Bytes;
--- a/crates/gateway/src/relay/attempt/mod.rs
+++ b/crates/gateway/src/relay/attempt/mod.rs
@@ -12,7 +12,7 @@
 use super::Shared;
 use super::call::Call;
 use super::permit::{self, Permit};
-use crate::admit::{HealthSignal, LATE_URGENCY, Reason, Refusal, SlotRequest};
+use crate::admit::{HealthSignal, LATE_URGENCY, Obstacle, Reason, Refusal, SlotRequest};
 use crate::clock;
 use crate::names::Names;
 use crate::pool::{Connection, KeepAlive};
@@ -87,7 +87,8 @@
     pub last_event: Option<u64>,
 }
 
-/// Gets a slot of one upstream, sends the call there, and logs the attempt.
+/// Gets a slot of one upstream, sends the call there, and logs the attempt. If the upstream may
+/// not be sent calls any more when the slot is to be used, another one is chosen.
 pub async fn run<N: Names>(
     shared: &Arc<Shared>,
     names: &N,
@@ -95,6 +96,20 @@
     attempted: &mut Attempted,
     limits: AttemptLimits,
 ) -> Outcome {
+    loop {
+        if let Ok(outcome) = run_once(shared, names, call, attempted, limits).await {
+            return outcome;
+        }
+    }
+}
+
+async fn run_once<N: Names>(
+    shared: &Arc<Shared>,
+    names: &N,
+    call: &Call,
+    attempted: &mut Attempted,
+    limits: AttemptLimits,
+) -> Result<Outcome, Obstacle> {
     let started = clock::now();
     let permit = match acquire_permit(shared, call, attempted, limits).await {
         Ok(permit) => permit,
@@ -110,12 +125,21 @@
                 clock::now().since(started).as_millis(),
                 refusal.after.as_millis(),
             );
-            return Outcome::Refused(refusal);
+            return Ok(Outcome::Refused(refusal));
         }
     };
     let acquired = clock::now();
     let record = Arc::clone(&permit.record);
-    let outcome = send(shared, names, call, attempted, limits, permit).await;
+    let sent = send(shared, names, call, attempted, limits, permit).await;
+    let outcome = sent.inspect_err(|obstacle| {
+        shared.counters.withheld(obstacle.as_str());
+        log::info!(
+            "event=call_withheld id={} upstream={} reason={}",
+            call.id(),
+            record.id,
+            obstacle.as_str()
+        );
+    })?;
     shared.counters.attempt(outcome.as_str());
     log::info!(
         "event=attempt id={} service={} upstream={} address={} outcome={} wait_ms={} head_ms={}",
@@ -127,7 +151,7 @@
         acquired.since(started).as_millis(),
         clock::now().since(acquired).as_millis(),
     );
-    outcome
+    Ok(outcome)
 }
 
 /// Waits for a slot: first with the priority of the call, and, once the answer can no
@@ -164,6 +188,7 @@
     }
 }
 
+/// Sends a call to the upstream of a permit, or returns why this may not be done any more.
 async fn send<N: Names>(
     shared: &Arc<Shared>,
     names: &N,
@@ -171,10 +196,10 @@
     attempted: &mut Attempted,
     limits: AttemptLimits,
     mut permit: Permit,
-) -> Outcome {
+) -> Result<Outcome, Obstacle> {
     let record = Arc::clone(&permit.record);
     if call.connection.is_closed() {
-        return Outcome::Left;
+        return Ok(Outcome::Left);
     }
     attempted.ids.push(Arc::clone(&record.id));
     let mut connection = match connect(shared, &record, call).await {
@@ -186,15 +211,21 @@
             );
             shared.connections.close_idle(&record.id);
             permit.set_signal(HealthSignal::Unreachable);
-            return Outcome::Unreachable;
+            return Ok(Outcome::Unreachable);
         }
     };
     let now = clock::now();
     let time_left = call.end().since(now);
     // An upstream id that is no valid header value also counts as unreachable.
     let Some(request) = request(names, call, &record.id, time_left, limits.last_event) else {
-        return Outcome::Unreachable;
+        return Ok(Outcome::Unreachable);
     };
+    // The answer to another call may have changed what is known while the connection was opened.
+    let obstacle = shared.admission().obstacle(&record, now);
+    if let Some(obstacle) = obstacle {
+        attempted.ids.pop();
+        return Err(obstacle);
+    }
     attempted.sent += 1;
     connection.start_call();
     let response_timeout = limits.abandon_at.since(now) + DEADLINE_ANSWER_GRACE;
@@ -213,17 +244,22 @@
                 // The connection was closed before anything was written.
                 attempted.sent -= 1;
                 attempted.ids.pop();
-                return Outcome::Unreachable;
+                return Ok(Outcome::Unreachable);
             }
-            return Outcome::Unknown("broken");
+            return Ok(Outcome::Unknown("broken"));
         }
         Err(_) => {
             permit.set_signal(HealthSignal::Failure);
-            return Outcome::Unknown("silent");
+            return Ok(Outcome::Unknown("silent"));
         }
     };
     connection.start_answer();
-    classify(names, call, response, connection, permit)
+    // A misdirected call was answered by another upstream, which speaks for itself only.
+    let is_other = response.status() == StatusCode::MISDIRECTED_REQUEST;
+    if !is_other && names.is_leaving(response.headers()) {
+        shared.set_leaving(&record);
+    }
+    Ok(classify(names, call, response, connection, permit))
 }
 
 /// Determines the outcome from the header of an answer.
--- a/crates/gateway/src/relay/buffered/mod.rs
+++ b/crates/gateway/src/relay/buffered/mod.rs
@@ -154,9 +154,7 @@
     } else {
         HealthSignal::Success
     });
-    shared
-        .connections
-        .put(&permit.record, connection, keep_alive);
+    shared.keep_connection(&permit.record, connection, keep_alive);
     answer::strip_hop_by_hop(&mut parts.headers);
     Some(Response::from_parts(parts, buffered_body(body)))
 }
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -33,11 +33,12 @@
 use tokio_util::task::TaskTracker;
 
 use crate::admit::group::Listing;
-use crate::admit::{AdmissionController, Refusal};
+use crate::admit::leaving::Departure;
+use crate::admit::{AdmissionController, Obstacle, Refusal};
 use crate::clock;
 use crate::metrics::Counters;
 use crate::names::Names;
-use crate::pool::{self, ConnectionPool};
+use crate::pool::{self, Connection, ConnectionPool, KeepAlive};
 use crate::socket::Socket;
 use crate::state::View;
 use crate::store::contact::Contact;
@@ -188,6 +189,44 @@
         }
     }
 
+    /// Records that an upstream has stated in an answer to this gateway that it is leaving: it
+    /// gets no further call, and its idle connections are closed.
+    pub fn set_leaving(&self, record: &Record) {
+        let is_new = self.admission().observe_leaving(record, clock::now());
+        if is_new {
+            self.drop_leaving(&Departure::of(record), "own");
+        }
+    }
+
+    /// Records the upstreams that another gateway observed to be leaving.
+    pub fn learn_leaving(&self, from: &str, departures: &[Departure]) {
+        let learned = self.admission().learn_leaving(departures, clock::now());
+        for departure in learned {
+            self.drop_leaving(&departure, from);
+        }
+    }
+
+    fn drop_leaving(&self, departure: &Departure, source: &str) {
+        self.counters.leaving.fetch_add(1, Ordering::Relaxed);
+        log::info!(
+            "event=upstream_leaving id={} born={:?} source={source}",
+            departure.id,
+            departure.born
+        );
+        self.connections.close_idle(&departure.id);
+        // Calls that wait for this upstream alone are refused.
+        self.assign_slots();
+    }
+
+    /// Keeps a connection for further calls after a complete answer, unless its upstream is
+    /// leaving.
+    fn keep_connection(&self, record: &Record, connection: Connection, keep_alive: KeepAlive) {
+        let obstacle = self.admission().obstacle(record, clock::now());
+        if obstacle != Some(Obstacle::Leaving) {
+            self.connections.put(record, connection, keep_alive);
+        }
+    }
+
     /// Assigns free slots to waiting calls, and notifies those that are refused.
     pub fn assign_slots(&self) {
         loop {
--- a/crates/gateway/src/relay/streaming/mod.rs
+++ b/crates/gateway/src/relay/streaming/mod.rs
@@ -232,8 +232,7 @@
                 Ok(None) if self.events.at_boundary() => {
                     permit.set_signal(HealthSignal::Success);
                     self.shared
-                        .connections
-                        .put(&permit.record, connection, keep_alive);
+                        .keep_connection(&permit.record, connection, keep_alive);
                     return End::Complete;
                 }
                 Ok(None | Some(Err(_))) => {
--- a/crates/gateway/src/run/mod.rs
+++ b/crates/gateway/src/run/mod.rs
@@ -219,6 +219,7 @@
             position,
             store: self.inner.shared.store_contact.state(now),
             misdirected: admission.recent_misdirected(now),
+            leaving: admission.recent_leaving(now),
             groups: admission.groups().version,
             paces: admission.recent_paces(exchange::Settings::default().interval, now),
             loads: admission.loads(),
@@ -245,6 +246,7 @@
         admission.learn_paces(&heartbeat.paces, now);
         admission.set_peer_loads(&name, loads, now);
         drop(admission);
+        self.inner.shared.learn_leaving(&name, &heartbeat.leaving);
         let is_new_node = self.state().learn_node(&heartbeat.node);
         if self.inner.peers.receive_heartbeat(heartbeat) {
             log::info!("event=peer_heard peer={name}");
--- a/crates/gateway/tests/admit.rs
+++ b/crates/gateway/tests/admit.rs
@@ -9,10 +9,11 @@
 use sesamerock_gateway::admit::cold::Members;
 use sesamerock_gateway::admit::estimate::Value;
 use sesamerock_gateway::admit::group::{Listing, Pace, Version};
+use sesamerock_gateway::admit::leaving::{Departure, Leaving};
 use sesamerock_gateway::admit::pace::PassSlowdown;
 use sesamerock_gateway::admit::{
-    AdmissionController, Candidate, HealthSignal, Reason, Settings, SlotRequest, UpstreamPool,
-    Verdict,
+    AdmissionController, Candidate, HealthSignal, Obstacle, Reason, Settings, SlotRequest,
+    UpstreamPool, Verdict,
 };
 use sesamerock_gateway::table::EngineSpec;
 use sesamerock_gateway::upstream::Record;
@@ -534,6 +535,79 @@
     assert!(placed.iter().any(|placed| placed.id == replaced.id));
 }
 
+/// The statement holds for one start of an upstream in each order of events: own answers, what
+/// other gateways tell, and records of earlier and later starts.
+#[test]
+fn only_later_starts_of_an_upstream_that_left_get_calls() {
+    let start = |born| Record {
+        born,
+        ..Record::clone(&record(0))
+    };
+    let (former, current) = (start(Some(1)), start(Some(2)));
+    // Each bit says whether a start is told by another gateway or observed.
+    for order in [[&former, &current], [&current, &former]] {
+        for told in 0..4_u8 {
+            let mut leaving = Leaving::default();
+            for (index, record) in order.into_iter().enumerate() {
+                let is_newest_yet = index == 0 || record.born == current.born;
+                let is_new = if told & (1 << index) == 0 {
+                    leaving.observe(record, at(0))
+                } else {
+                    !leaving.learn(&[Departure::of(record)], at(0)).is_empty()
+                };
+                assert_eq!(is_new, is_newest_yet, "{order:?} {told}");
+                assert!(leaving.contains(record));
+            }
+            assert!(leaving.contains(&former) && leaving.contains(&current));
+            assert!(!leaving.contains(&start(Some(3))));
+        }
+    }
+    let mut leaving = Leaving::default();
+    leaving.observe(&former, at(0));
+    assert!(!leaving.contains(&current), "a later start is sound");
+    assert!(!leaving.contains(&record(1)), "another id is sound");
+    assert_eq!(leaving.recent(at(100)), [Departure::of(&former)]);
+    assert!(leaving.recent(at(60_000)).is_empty());
+}
+
+/// What is remembered of departures is bounded, whatever other gateways tell.
+#[test]
+fn the_oldest_departures_are_forgotten() {
+    let mut leaving = Leaving::default();
+    for id in 0..10_000 {
+        leaving.observe(&record(id), at(id as u64));
+    }
+    let is_remembered = |id: &usize| leaving.contains(&record(*id));
+    assert_eq!((0..10_000).filter(is_remembered).count(), 4_096);
+    assert!((5_904..10_000).all(|id| is_remembered(&id)));
+}
+
+/// Calls that wait for upstreams of which the last one begins to leave are refused at once, and
+/// later ones too; the time to retry is that in which new upstreams start.
+#[test]
+fn waiting_calls_are_refused_when_the_last_upstream_leaves() {
+    let mut admission = admission(pool(2));
+    fill(&mut admission, at(0));
+    let latest = at(5_000);
+    let wait = admission.request(slot_request(900, 0, latest), at(10));
+    assert!(matches!(wait, Verdict::Wait));
+    admission.observe_leaving(&record(0), at(20));
+    assert!(admission.poll(at(20)).refused.is_empty());
+    admission.learn_leaving(&[Departure::of(&record(1))], at(30));
+    let poll = admission.poll(at(30));
+    let (call, refusal) = poll.refused[0];
+    assert_eq!((call, refusal.reason), (900, Reason::Nowhere));
+    assert_eq!(refusal.after, Settings::default().max_retry_after);
+    let next = admission.request(slot_request(901, 0, latest), at(40));
+    let Verdict::Refuse(next) = next else {
+        panic!("{next:?}");
+    };
+    assert_eq!(next, refusal);
+    assert_eq!(admission.full_refusal("s", at(40)), refusal);
+    let obstacle = admission.obstacle(&record(0), at(40));
+    assert_eq!(obstacle, Some(Obstacle::Leaving));
+}
+
 /// Gateways with the same counts choose different upstreams.
 #[test]
 fn gateways_prefer_different_upstreams() {
--- a/crates/gateway/tests/exchange.rs
+++ b/crates/gateway/tests/exchange.rs
@@ -36,6 +36,7 @@
             position: Position::default(),
             store: ContactState::default(),
             misdirected: Vec::new(),
+            leaving: Vec::new(),
             groups: Version::default(),
             paces: Vec::new(),
             loads: Vec::new(),
--- a/crates/gateway/tests/fleet.rs
+++ b/crates/gateway/tests/fleet.rs
@@ -79,3 +79,27 @@
     let in_time = f64::from(outcome.in_time) / f64::from(outcome.arrived);
     assert!(in_time >= 0.95, "{in_time} {outcome:?}");
 }
+
+/// Regression: upstreams that said in their answers that they were leaving got calls until the
+/// store listed them as draining. Half of them leave here, one every 100 ms.
+#[test]
+fn regression_leaving_upstreams_get_no_calls_of_gateways_that_were_told() {
+    for (gateways, upstreams, slots, calls_per_second) in [(59, 192, 6, 233.0), (4, 12, 12, 28.0)] {
+        for seed in 0..3 {
+            let mut fleet = Fleet::new(gateways, upstreams, slots, seed);
+            let leaving = upstreams / 2;
+            fleet.leave(leaving, Duration::from_secs(5), Duration::from_millis(100));
+            let outcome = fleet.play(Load {
+                calls_per_second,
+                mean_duration: Duration::from_millis(1_850),
+                length: Duration::from_secs(20),
+            });
+            println!("{gateways} gateways, seed {seed}: {outcome:?}");
+            assert!(outcome.to_leaving > 0, "{outcome:?}");
+            assert_eq!(outcome.to_known_leaving, 0);
+            // At most one call of each gateway is on its way before the heartbeats arrive.
+            assert!(outcome.to_leaving as usize <= leaving * gateways);
+            assert_eq!(outcome.refused, 0);
+        }
+    }
+}
--- a/crates/gateway/tests/support/fleet/mod.rs
+++ b/crates/gateway/tests/support/fleet/mod.rs
@@ -2,7 +2,7 @@
 //! are those of the product; upstreams and heartbeats are models.
 
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap, VecDeque};
+use std::collections::{BinaryHeap, HashMap, HashSet, VecDeque};
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
@@ -11,6 +11,7 @@
 use sesamerock_base::key::Workspace;
 use sesamerock_base::time::Moment;
 use sesamerock_gateway::admit::cold::Members;
+use sesamerock_gateway::admit::leaving::Departure;
 use sesamerock_gateway::admit::{
     AdmissionController, Candidate, HealthSignal, LATE_URGENCY, Settings, SlotRequest,
     UpstreamPool, Verdict,
@@ -28,6 +29,9 @@
 /// Longest wait of a call whose answer will be late.
 const LATE_WAIT: Duration = Duration::from_millis(1_800);
 
+/// Start of a replay.
+const START: Moment = Moment::from_millis(100_000);
+
 /// Calls that arrive at all gateways together.
 #[derive(Clone, Copy, Debug)]
 pub struct Load {
@@ -58,6 +62,10 @@
     pub other_zone: u32,
     /// Pairs of a gateway and an upstream between which there were calls.
     pub pairs: usize,
+    /// Calls sent to an upstream that leaves, after it had begun to say so.
+    pub to_leaving: u32,
+    /// Those of them whose gateway had received such an answer.
+    pub to_known_leaving: u32,
     /// Calls at the busiest upstream, divided by the mean, on average over time.
     pub skew: f64,
 }
@@ -85,6 +93,10 @@
 struct Upstream {
     record: Arc<Record>,
     running: u32,
+    /// When it begins to state in its answers that it is leaving, and the gateways that have
+    /// received such an answer.
+    leaves: Option<Moment>,
+    told: HashSet<usize>,
     /// Calls that wait for a slot: gateway, call and when it was sent.
     waiting: VecDeque<(usize, u64, Moment)>,
 }
@@ -97,6 +109,7 @@
     by_id: HashMap<Arc<str>, usize>,
     events: BinaryHeap<Reverse<(Moment, Event)>>,
     sent: Vec<Vec<(Arc<str>, u32)>>,
+    departures: Vec<Vec<Departure>>,
     pairs: HashMap<(usize, usize), u32>,
     arrivals: HashMap<u64, Moment>,
     outcome: Outcome,
@@ -187,11 +200,14 @@
                 .map(|record| Upstream {
                     record,
                     running: 0,
+                    leaves: None,
+                    told: HashSet::new(),
                     waiting: VecDeque::new(),
                 })
                 .collect(),
             events: BinaryHeap::new(),
             sent: vec![Vec::new(); gateways],
+            departures: vec![Vec::new(); gateways],
             pairs: HashMap::new(),
             arrivals: HashMap::new(),
             outcome: Outcome::default(),
@@ -199,9 +215,18 @@
         }
     }
 
+    /// Lets the first upstreams leave one after the other, the first one `after` the start of a
+    /// replay and each next one `gap` later. They stay listed as ready.
+    pub fn leave(&mut self, upstreams: usize, after: Duration, gap: Duration) {
+        let leaving = self.upstreams.iter_mut().take(upstreams);
+        for (number, upstream) in leaving.enumerate() {
+            upstream.leaves = Some(START + after + gap * number as u32);
+        }
+    }
+
     /// Plays a load from a state without calls.
     pub fn play(&mut self, load: Load) -> Outcome {
-        let start = Moment::from_millis(100_000);
+        let start = START;
         let interval = exchange::Settings::default().interval;
         self.duration = load.mean_duration;
         self.push(start, Event::Arrival);
@@ -229,6 +254,7 @@
                 }
                 Event::Heartbeat(gateway) => {
                     self.sent[gateway] = self.gateways[gateway].loads();
+                    self.departures[gateway] = self.gateways[gateway].recent_leaving(now);
                     for peer in (0..self.gateways.len()).filter(|peer| *peer != gateway) {
                         let counts = Event::Counts(gateway, peer);
                         self.push(now + HEARTBEAT_DELAY, counts);
@@ -237,6 +263,7 @@
                 }
                 Event::Counts(gateway, peer) => {
                     let counts = self.sent[gateway].clone();
+                    self.gateways[peer].learn_leaving(&self.departures[gateway], now);
                     self.gateways[peer].set_peer_loads(&format!("g{gateway}"), counts, now);
                 }
                 Event::End(gateway, upstream) => self.end(gateway, upstream, now),
@@ -294,6 +321,11 @@
         if *record.zone != *ZONES[gateway % ZONES.len()] {
             self.outcome.other_zone += 1;
         }
+        let upstream = &self.upstreams[number];
+        if upstream.leaves.is_some_and(|at| at <= now) {
+            self.outcome.to_leaving += 1;
+            self.outcome.to_known_leaving += u32::from(upstream.told.contains(&gateway));
+        }
         if self.upstreams[number].running < record.slots {
             self.start(gateway, call, number, now);
         } else {
@@ -307,7 +339,12 @@
         if now.since(self.arrivals[&call]) <= IN_TIME_WAIT {
             self.outcome.in_time += 1;
         }
-        self.upstreams[upstream].running += 1;
+        let started = &mut self.upstreams[upstream];
+        started.running += 1;
+        if started.leaves.is_some_and(|at| at <= now) {
+            started.told.insert(gateway);
+            self.gateways[gateway].observe_leaving(&started.record, now);
+        }
         let duration = self.duration.mul_f64(self.rng.random_range(0.5..1.5));
         self.push(now + duration, Event::End(gateway, upstream));
     }
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -208,6 +208,7 @@
             .clone();
         Ok(Report {
             born: Some(self.born.load(Ordering::Relaxed)),
+            leaving: false,
             orders: 0,
             waiting: 0,
             running: 1,
--- a/crates/gateway/tests/switch.rs
+++ b/crates/gateway/tests/switch.rs
@@ -134,6 +134,7 @@
         ranks
             .map(|(index, rank)| Report {
                 born: None,
+                leaving: false,
                 orders: 0,
                 waiting: 0,
                 running: 0,
--- a/crates/standin/src/scripted/mod.rs
+++ b/crates/standin/src/scripted/mod.rs
@@ -114,6 +114,17 @@
     )
 }
 
+/// Returns a 503 response, which states that the call was not executed.
+pub fn full(call: &str) -> String {
+    let id = field(call, "request-id").unwrap_or_default();
+    format!("HTTP/1.1 503 Full\r\nRequest-Id: {id}\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+}
+
+/// Returns an answer with another header, such as `Server-Leaving: 1`.
+pub fn with_header(answer: &str, header: &str) -> String {
+    answer.replacen("\r\n", &format!("\r\n{header}\r\n"), 1)
+}
+
 /// Returns the header of a chunked event-stream response.
 pub fn stream(call: &str, signature: &str) -> String {
     let id = field(call, "request-id").unwrap_or_default();
