Send no calls to an upstream until the pause that it asked for is over

What callers saw: an upstream that refused a call with a time was called again after a back-off of 0.1 s, and its refusals took attempts of callers. Their retry-after was the expected wait by past completions or the longest one.

Cause: the gateway did not read the time of a refusal.

The adapter decodes plain seconds and fractions; other forms and zero are no pause, and a pause is a minute at most. `admit::pause` keeps pauses by id and start, for this gateway alone. `obstacle` says so to the choice and to the last check before a call is written. After the end one call tries the upstream; others follow when it is answered, or another one a second later. A pause starts no back-off. If only paused upstreams are left, calls whose latest start is before the first end are refused at once (`paused`), others wait, and retry-after of all refusals is that end. Free slots of a service without pace limits no longer count upstreams that may not be called, replaced ones included.

Not done: the expected wait counts completions of upstreams paused since, for up to 3 s; the headroom of groups counts paused ranks; the soak.

--- a/crates/gateway/src/admit/mod.rs
+++ b/crates/gateway/src/admit/mod.rs
@@ -14,6 +14,7 @@
 pub mod leaving;
 pub mod misdirected;
 pub mod pace;
+pub mod pause;
 mod rate;
 mod share;
 
@@ -35,6 +36,7 @@
 pub use health::HealthSignal;
 use leaving::{Departure, Leaving};
 use misdirected::{Finding, Misdirected};
+use pause::Pauses;
 use rate::{CompletionRate, StartWindow};
 use share::StartShare;
 
@@ -179,6 +181,9 @@
     Full,
     /// The latest start passed while the call was queued.
     Expired,
+    /// All upstreams of the service that are left have asked for a pause, which ends after the
+    /// latest start.
+    Paused,
 }
 
 impl Reason {
@@ -188,6 +193,7 @@
             Self::Nowhere => "no_upstream",
             Self::Full => "full",
             Self::Expired => "wait_expired",
+            Self::Paused => "paused",
         }
     }
 }
@@ -199,6 +205,8 @@
     Leaving,
     /// Its address belongs to another upstream.
     Misdirected,
+    /// It has asked for a pause.
+    Paused,
 }
 
 impl Obstacle {
@@ -207,6 +215,7 @@
         match self {
             Self::Leaving => "leaving",
             Self::Misdirected => "misdirected",
+            Self::Paused => "paused",
         }
     }
 }
@@ -266,6 +275,7 @@
     first_events: HashMap<Arc<str>, Estimate>,
     misdirected: Misdirected,
     leaving: Leaving,
+    pauses: Pauses,
     random: Random,
     zone: Arc<str>,
 }
@@ -287,6 +297,7 @@
             shares: HashMap::new(),
             misdirected: Misdirected::default(),
             leaving: Leaving::default(),
+            pauses: Pauses::default(),
         }
     }
 
@@ -370,9 +381,39 @@
         if self.leaving.contains(record) {
             return Some(Obstacle::Leaving);
         }
-        self.misdirected
-            .contains(record, now)
-            .then_some(Obstacle::Misdirected)
+        if self.misdirected.contains(record, now) {
+            return Some(Obstacle::Misdirected);
+        }
+        let is_paused = self.pauses.contains(record, now);
+        is_paused.then_some(Obstacle::Paused)
+    }
+
+    /// Records that an upstream wants no calls of this gateway for some time.
+    pub fn pause(&mut self, record: &Record, length: Duration, now: Moment) {
+        self.pauses.start(record, length, now);
+    }
+
+    /// Records that an upstream has answered a call that was sent at `sent_at` and did not ask
+    /// for a pause.
+    pub fn observe_answer(&mut self, record: &Record, sent_at: Moment) {
+        self.pauses.record_answer(record, sent_at);
+    }
+
+    /// Returns the earliest end of a pause if calls of a service have nothing else to wait for.
+    fn pause_end(&self, service: &str, now: Moment) -> Option<Moment> {
+        let mut earliest: Option<Moment> = None;
+        for candidate in &self.pools.get(service)?.candidates {
+            let record = &candidate.record;
+            match self.obstacle(record, now) {
+                None => return None,
+                Some(Obstacle::Leaving | Obstacle::Misdirected) => {}
+                Some(Obstacle::Paused) => {
+                    let end = self.pauses.end(record);
+                    earliest = [earliest, end].into_iter().flatten().min();
+                }
+            }
+        }
+        earliest
     }
 
     /// Returns whether no call of a service can be served, since its upstreams, if any, are all
@@ -504,6 +545,10 @@
         if self.is_without_upstream(&request.service) {
             return Verdict::Refuse(self.refusal(Reason::Nowhere, &request.service, now));
         }
+        let pause_end = self.pause_end(&request.service, now);
+        if pause_end.is_some_and(|end| end > request.latest_start) {
+            return Verdict::Refuse(self.refusal(Reason::Paused, &request.service, now));
+        }
         if self.yields(&request) {
             return Verdict::Refuse(self.refusal(Reason::Full, &request.service, now));
         }
@@ -575,6 +620,10 @@
                     .map(|call| (call, Reason::Nowhere)),
             );
         }
+        if let Some(end) = self.pause_end(service, now) {
+            let stranded = self.remove_starting_before(service, end);
+            refused.extend(stranded.into_iter().map(|call| (call, Reason::Paused)));
+        }
         for (call, reason) in refused {
             let refusal = self.refusal(reason, service, now);
             poll.refused.push((call, refusal));
@@ -584,6 +633,20 @@
         }
     }
 
+    /// Removes the waiting calls of a service whose latest start is before `end`.
+    fn remove_starting_before(&mut self, service: &str, end: Moment) -> Vec<u64> {
+        let Some(service_queue) = self.queues.get_mut(service) else {
+            return Vec::new();
+        };
+        let requests = &mut service_queue.requests;
+        let removed = requests.extract_if(|_, request| request.latest_start < end);
+        let removed: Vec<u64> = removed.map(|(call, _)| call).collect();
+        for call in &removed {
+            service_queue.queue.remove(*call);
+        }
+        removed
+    }
+
     /// Removes all waiting calls of a service.
     fn drain_queue(&mut self, service: &str) -> impl Iterator<Item = u64> + use<> {
         let items = self.queues.get_mut(service).map(|service_queue| {
@@ -631,6 +694,11 @@
                 record.born
             );
         }
+        // A pause states when the upstream can be used again, so a back-off is not needed.
+        let signal = match signal {
+            HealthSignal::Full if self.pauses.contains(record, now) => HealthSignal::Neutral,
+            signal => signal,
+        };
         if let Some(upstream) = self.upstreams.get_mut(&record.id) {
             upstream.local = upstream.local.saturating_sub(1);
             upstream.freed_at = Some(now);
@@ -662,7 +730,9 @@
         let free_slots = headroom.map_or_else(
             || {
                 let records = pool.candidates.iter().map(|candidate| &candidate.record);
-                let records = records.filter(|record| !self.leaving.contains(record));
+                let records = records.filter(|record| {
+                    self.obstacle(record, now).is_none() && !self.pauses.is_being_tried(record, now)
+                });
                 let free = records.map(|record| record.slots.saturating_sub(self.load(&record.id)));
                 f64::from(free.sum::<u32>())
             },
@@ -721,7 +791,10 @@
         now: Moment,
     ) {
         let record = &candidate.record;
-        if request.exclude.contains(&record.id) || self.obstacle(record, now).is_some() {
+        if request.exclude.contains(&record.id)
+            || self.obstacle(record, now).is_some()
+            || self.pauses.is_being_tried(record, now)
+        {
             return;
         }
         let headroom = headroom.map_or(1.0, |headroom| headroom.of(self.groups.key(record)));
@@ -767,6 +840,7 @@
         if let Some(share) = self.shares.get_mut(&record.service) {
             share.start();
         }
+        self.pauses.record_call(record, now);
         let upstream = self.upstreams.entry(Arc::clone(&record.id)).or_default();
         upstream.local += 1;
         upstream.freed_at = None;
@@ -786,6 +860,10 @@
     }
 
     fn refusal(&self, reason: Reason, service: &str, now: Moment) -> Refusal {
+        if let Some(end) = self.pause_end(service, now) {
+            let after = end.since(now);
+            return Refusal { reason, after };
+        }
         let max_retry_after = self.settings.max_retry_after;
         let wait = self.queues.get(service).and_then(|service_queue| {
             service_queue
--- a/crates/gateway/src/metrics/mod.rs
+++ b/crates/gateway/src/metrics/mod.rs
@@ -67,6 +67,8 @@
     pub resumed: AtomicU64,
     /// Number of upstreams that have stated that they are leaving, to this gateway or others.
     pub leaving: AtomicU64,
+    /// Number of refusals with which upstreams have asked for a pause.
+    pub pauses: AtomicU64,
 }
 
 impl Counters {
@@ -125,6 +127,11 @@
             &mut text,
             format_args!("sesamerock_upstreams_leaving_total {leaving}"),
         );
+        let pauses = self.pauses.load(Ordering::Relaxed);
+        append_line(
+            &mut text,
+            format_args!("sesamerock_upstream_pauses_total {pauses}"),
+        );
         self.first_byte
             .render("sesamerock_first_byte_seconds", &mut text);
         self.last_byte
--- a/crates/gateway/src/names/mod.rs
+++ b/crates/gateway/src/names/mod.rs
@@ -56,6 +56,10 @@
     /// Returns whether the header of an answer states that its upstream is leaving.
     fn is_leaving(&self, headers: &HeaderMap) -> bool;
 
+    /// Returns for how long an upstream wants no further calls, from the header of a refusal;
+    /// `None` if it states no time or one that is malformed.
+    fn pause(&self, headers: &HeaderMap) -> Option<Duration>;
+
     /// Encodes the body of the answer to a request for gateway addresses, which callers
     /// may cache for `ttl`.
     fn addresses(&self, addresses: &[SocketAddr], ttl: Duration) -> Bytes;
--- a/crates/gateway/src/relay/attempt/mod.rs
+++ b/crates/gateway/src/relay/attempt/mod.rs
@@ -259,9 +259,35 @@
     if !is_other && names.is_leaving(response.headers()) {
         shared.set_leaving(&record);
     }
+    observe_pause(shared, names, call, &response, &permit);
     Ok(classify(names, call, response, connection, permit))
 }
 
+/// Records whether the answer to a call asks for a pause. Answers to other calls are late, so the
+/// time that they state has begun earlier.
+fn observe_pause<N: Names>(
+    shared: &Shared,
+    names: &N,
+    call: &Call,
+    response: &Response<Incoming>,
+    permit: &Permit,
+) {
+    let headers = response.headers();
+    let id = headers.get(&names.headers().call_id);
+    if id.is_some_and(|id| *id != call.id) {
+        return;
+    }
+    let is_unavailable = response.status() == StatusCode::SERVICE_UNAVAILABLE;
+    let pause = is_unavailable.then(|| names.pause(headers)).flatten();
+    match pause {
+        Some(length) if !length.is_zero() => shared.pause(&permit.record, length),
+        _ => {
+            let mut admission = shared.admission();
+            admission.observe_answer(&permit.record, permit.started);
+        }
+    }
+}
+
 /// Determines the outcome from the header of an answer.
 fn classify<N: Names>(
     names: &N,
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -206,6 +206,19 @@
         }
     }
 
+    /// Records that an upstream wants no calls of this gateway for some time.
+    fn pause(&self, record: &Record, length: Duration) {
+        self.counters.pauses.fetch_add(1, Ordering::Relaxed);
+        log::info!(
+            "event=upstream_paused id={} requested_ms={}",
+            record.id,
+            length.as_millis()
+        );
+        self.admission().pause(record, length, clock::now());
+        // Calls that cannot wait until the end of the pause are refused.
+        self.assign_slots();
+    }
+
     fn drop_leaving(&self, departure: &Departure, source: &str) {
         self.counters.leaving.fetch_add(1, Ordering::Relaxed);
         log::info!(
--- a/crates/gateway/tests/admit.rs
+++ b/crates/gateway/tests/admit.rs
@@ -11,8 +11,9 @@
 use sesamerock_gateway::admit::group::{Listing, Pace, Version};
 use sesamerock_gateway::admit::leaving::{Departure, Leaving};
 use sesamerock_gateway::admit::pace::PassSlowdown;
+use sesamerock_gateway::admit::pause::{MAX_PAUSE, Pauses};
 use sesamerock_gateway::admit::{
-    AdmissionController, Candidate, HealthSignal, Obstacle, Reason, Settings, SlotRequest,
+    AdmissionController, Candidate, HealthSignal, Obstacle, Reason, Refusal, Settings, SlotRequest,
     UpstreamPool, Verdict,
 };
 use sesamerock_gateway::table::EngineSpec;
@@ -608,6 +609,92 @@
     assert_eq!(obstacle, Some(Obstacle::Leaving));
 }
 
+/// An upstream that asks each gateway for a pause gets no call until its end and then one of each
+/// gateway, and all that fit once that one is answered. Other gateways are not concerned.
+#[test]
+fn regression_one_call_of_a_gateway_tries_an_upstream_after_its_pause() {
+    for gateways in [4, 59] {
+        let mut tried = 0;
+        for gateway in 0..gateways {
+            let mut admission = admission(pool(1));
+            for sent in fill(&mut admission, at(gateway)) {
+                admission.end_call(&sent, HealthSignal::Full, at(gateway));
+            }
+            admission.pause(&record(0), Duration::from_secs(2), at(100));
+            assert!(fill(&mut admission, at(100)).is_empty());
+            assert!(fill(&mut admission, at(2_099)).is_empty());
+            let obstacle = admission.obstacle(&record(0), at(2_099));
+            assert_eq!(obstacle, Some(Obstacle::Paused));
+            // An answer to a call from before the pause does not end it.
+            admission.observe_answer(&record(0), at(gateway));
+            assert!(fill(&mut admission, at(2_099)).is_empty());
+            let first = fill(&mut admission, at(2_100));
+            assert_eq!(first.len(), 1);
+            assert!(fill(&mut admission, at(2_900)).is_empty());
+            tried += first.len();
+            if gateway % 2 == 0 {
+                admission.observe_answer(&record(0), at(2_100));
+                assert!(!fill(&mut admission, at(2_900)).is_empty());
+            } else {
+                admission.pause(&record(0), Duration::from_millis(500), at(2_900));
+                assert!(fill(&mut admission, at(3_399)).is_empty());
+                assert_eq!(fill(&mut admission, at(3_400)).len(), 1);
+            }
+        }
+        assert_eq!(tried as u64, gateways);
+    }
+}
+
+/// Zero is no pause, a long one is bounded, of two the later end counts, and a later start of the
+/// upstream is not concerned.
+#[test]
+fn pauses_are_bounded_and_belong_to_one_start() {
+    let mut pauses = Pauses::default();
+    pauses.start(&record(0), Duration::ZERO, at(0));
+    assert_eq!(pauses.end(&record(0)), None);
+    pauses.start(&record(0), Duration::MAX, at(0));
+    assert_eq!(pauses.end(&record(0)), Some(at(0) + MAX_PAUSE));
+    pauses.start(&record(0), Duration::from_secs(1), at(10));
+    assert_eq!(pauses.end(&record(0)), Some(at(0) + MAX_PAUSE));
+    let restarted = Record {
+        born: Some(2),
+        ..Record::clone(&record(0))
+    };
+    assert!(!pauses.contains(&restarted, at(20)));
+}
+
+/// A call that would wait for upstreams that have all asked for a pause is refused at once if the
+/// first pause ends after its latest start, with the time until then; the pauses of some upstreams
+/// leave the limits of the others as they are. A pause is no failure of its upstream.
+#[test]
+fn refusals_name_the_earliest_end_of_a_pause() {
+    let mut admission = admission(pool(3));
+    admission.pause(&record(0), Duration::from_secs(3), at(0));
+    admission.pause(&record(1), Duration::from_millis(2_800), at(0));
+    let bound = SLOTS + Settings::default().ahead;
+    assert_eq!(fill(&mut admission, at(0)).len() as u32, bound);
+    let wait = admission.request(slot_request(900, 0, at(2_000)), at(10));
+    assert!(matches!(wait, Verdict::Wait));
+    let wait = admission.request(slot_request(901, 0, at(4_000)), at(10));
+    assert!(matches!(wait, Verdict::Wait));
+    admission.pause(&record(2), Duration::from_millis(3_200), at(20));
+    let poll = admission.poll(at(20));
+    let refusal = Refusal {
+        reason: Reason::Paused,
+        after: Duration::from_millis(2_780),
+    };
+    assert_eq!(poll.refused, [(900, refusal)]);
+    let next = admission.request(slot_request(902, 0, at(2_000)), at(20));
+    let Verdict::Refuse(next) = next else {
+        panic!("{next:?}");
+    };
+    assert_eq!(next, refusal);
+    // The first upstream whose pause ends runs the call that still waits.
+    let placed = admission.poll(at(2_800)).placed;
+    assert_eq!((placed.len(), placed[0].0), (1, 901));
+    assert_eq!(placed[0].1.id, record(1).id);
+}
+
 /// Gateways with the same counts choose different upstreams.
 #[test]
 fn gateways_prefer_different_upstreams() {
