--- a/crates/gateway/src/admit/mod.rs
+++ b/crates/gateway/src/admit/mod.rs
@@ -11,8 +11,10 @@
 pub mod estimate;
 pub mod group;
 mod health;
+pub mod leaving;
 pub mod misdirected;
 pub mod pace;
+pub mod pause;
 mod rate;
 mod share;
 
@@ -32,7 +34,9 @@
 use group::{Groups, Headroom, Listing, Loads, Pace};
 use health::Health;
 pub use health::HealthSignal;
+use leaving::{Departure, Leaving};
 use misdirected::{Finding, Misdirected};
+use pause::Pauses;
 use rate::{CompletionRate, StartWindow};
 use share::StartShare;
 
@@ -170,7 +174,7 @@
 /// Why a call is refused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Reason {
-    /// The service has no usable upstream.
+    /// The service has no upstream, or all of them are leaving.
     Nowhere,
     /// The expected wait for a slot ends after the latest start, the queue is full, the
     /// call was evicted from the queue, or the upstreams that were tried did not run it.
@@ -181,6 +185,9 @@
     Convicted,
     /// A part of the prompt may crash upstreams, and its trial did not end in time.
     OnTrial,
+    /// All upstreams of the service that are left have asked for a pause, which ends after the
+    /// latest start.
+    Paused,
 }
 
 impl Reason {
@@ -192,6 +199,29 @@
             Self::Expired => "wait_expired",
             Self::Convicted => "part_crashes_upstreams",
             Self::OnTrial => "part_on_trial",
+            Self::Paused => "paused",
+        }
+    }
+}
+
+/// Why an upstream may not be sent a call, whatever its load.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Obstacle {
+    /// It has stated that it is leaving.
+    Leaving,
+    /// Its address belongs to another upstream.
+    Misdirected,
+    /// It has asked for a pause.
+    Paused,
+}
+
+impl Obstacle {
+    /// Returns the value of the obstacle in logs and metrics.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Leaving => "leaving",
+            Self::Misdirected => "misdirected",
+            Self::Paused => "paused",
         }
     }
 }
@@ -250,6 +280,8 @@
     /// Time from the start of a stream at its upstream to its first event, by service.
     first_events: HashMap<Arc<str>, Estimate>,
     misdirected: Misdirected,
+    leaving: Leaving,
+    pauses: Pauses,
     random: Random,
     zone: Arc<str>,
 }
@@ -270,6 +302,8 @@
             first_events: HashMap::new(),
             shares: HashMap::new(),
             misdirected: Misdirected::default(),
+            leaving: Leaving::default(),
+            pauses: Pauses::default(),
         }
     }
 
@@ -330,6 +364,74 @@
         self.misdirected.recent(now)
     }
 
+    /// Records that an upstream has stated in an answer that it is leaving. Returns whether that
+    /// is new.
+    pub fn observe_leaving(&mut self, record: &Record, now: Moment) -> bool {
+        self.leaving.observe(record, now)
+    }
+
+    /// Adds the upstreams that another gateway observed to be leaving, and returns the new ones.
+    pub fn learn_leaving(&mut self, departures: &[Departure], now: Moment) -> Vec<Departure> {
+        self.leaving.learn(departures, now)
+    }
+
+    /// Returns the upstreams that this gateway observed to be leaving lately.
+    pub fn recent_leaving(&self, now: Moment) -> Vec<Departure> {
+        self.leaving.recent(now)
+    }
+
+    /// Returns why an upstream may not be sent a call now, if there is a reason. Each path to
+    /// an upstream asks this: the choice for new, waiting, repeated and resumed calls, and the
+    /// sender right before it writes the call.
+    pub fn obstacle(&self, record: &Record, now: Moment) -> Option<Obstacle> {
+        if self.leaving.contains(record) {
+            return Some(Obstacle::Leaving);
+        }
+        if self.misdirected.contains(record, now) {
+            return Some(Obstacle::Misdirected);
+        }
+        let is_paused = self.pauses.contains(record, now);
+        is_paused.then_some(Obstacle::Paused)
+    }
+
+    /// Records that an upstream wants no calls of this gateway for some time.
+    pub fn pause(&mut self, record: &Record, length: Duration, now: Moment) {
+        self.pauses.start(record, length, now);
+    }
+
+    /// Records that an upstream has answered a call that was sent at `sent_at` and did not ask
+    /// for a pause.
+    pub fn observe_answer(&mut self, record: &Record, sent_at: Moment) {
+        self.pauses.record_answer(record, sent_at);
+    }
+
+    /// Returns the earliest end of a pause if calls of a service have nothing else to wait for.
+    fn pause_end(&self, service: &str, now: Moment) -> Option<Moment> {
+        let mut earliest: Option<Moment> = None;
+        for candidate in &self.pools.get(service)?.candidates {
+            let record = &candidate.record;
+            match self.obstacle(record, now) {
+                None => return None,
+                Some(Obstacle::Leaving | Obstacle::Misdirected) => {}
+                Some(Obstacle::Paused) => {
+                    let end = self.pauses.end(record);
+                    earliest = [earliest, end].into_iter().flatten().min();
+                }
+            }
+        }
+        earliest
+    }
+
+    /// Returns whether no call of a service can be served, since its upstreams, if any, are all
+    /// leaving.
+    fn is_without_upstream(&self, service: &str) -> bool {
+        let pool = self.pools.get(service);
+        pool.is_none_or(|pool| {
+            let mut candidates = pool.candidates.iter();
+            candidates.all(|candidate| self.leaving.contains(&candidate.record))
+        })
+    }
+
     /// Returns the number of calls from this gateway for each upstream that has any.
     pub fn loads(&self) -> Vec<(Arc<str>, u32)> {
         let loaded = self
@@ -446,10 +548,13 @@
             self.start_call(&record, now);
             return Verdict::Place(record);
         }
-        let pool = self.pools.get(&request.service);
-        if pool.is_none_or(|pool| pool.candidates.is_empty()) {
+        if self.is_without_upstream(&request.service) {
             return Verdict::Refuse(self.refusal(Reason::Nowhere, &request.service, now));
         }
+        let pause_end = self.pause_end(&request.service, now);
+        if pause_end.is_some_and(|end| end > request.latest_start) {
+            return Verdict::Refuse(self.refusal(Reason::Paused, &request.service, now));
+        }
         if self.yields(&request) {
             return Verdict::Refuse(self.refusal(Reason::Full, &request.service, now));
         }
@@ -513,6 +618,18 @@
             service_queue.requests.remove(&item.call);
             refused.push((item.call, Reason::Expired));
         }
+        // An upstream that is absent may come back while calls wait; one that leaves does not.
+        let candidates = self.pools.get(service).map(|pool| pool.candidates.len());
+        if candidates.is_some_and(|count| count > 0) && self.is_without_upstream(service) {
+            refused.extend(
+                self.drain_queue(service)
+                    .map(|call| (call, Reason::Nowhere)),
+            );
+        }
+        if let Some(end) = self.pause_end(service, now) {
+            let stranded = self.remove_starting_before(service, end);
+            refused.extend(stranded.into_iter().map(|call| (call, Reason::Paused)));
+        }
         for (call, reason) in refused {
             let refusal = self.refusal(reason, service, now);
             poll.refused.push((call, refusal));
@@ -522,6 +639,29 @@
         }
     }
 
+    /// Removes the waiting calls of a service whose latest start is before `end`.
+    fn remove_starting_before(&mut self, service: &str, end: Moment) -> Vec<u64> {
+        let Some(service_queue) = self.queues.get_mut(service) else {
+            return Vec::new();
+        };
+        let requests = &mut service_queue.requests;
+        let removed = requests.extract_if(|_, request| request.latest_start < end);
+        let removed: Vec<u64> = removed.map(|(call, _)| call).collect();
+        for call in &removed {
+            service_queue.queue.remove(*call);
+        }
+        removed
+    }
+
+    /// Removes all waiting calls of a service.
+    fn drain_queue(&mut self, service: &str) -> impl Iterator<Item = u64> + use<> {
+        let items = self.queues.get_mut(service).map(|service_queue| {
+            service_queue.requests.clear();
+            service_queue.queue.drain()
+        });
+        items.into_iter().flatten().map(|item| item.call)
+    }
+
     /// Places the next call of the queue, if an upstream has a free slot for it.
     fn place_next(&mut self, service: &Arc<str>, now: Moment) -> Option<(u64, Arc<Record>)> {
         let service_queue = self.queues.get_mut(service)?;
@@ -560,6 +700,11 @@
                 record.born
             );
         }
+        // A pause states when the upstream can be used again, so a back-off is not needed.
+        let signal = match signal {
+            HealthSignal::Full if self.pauses.contains(record, now) => HealthSignal::Neutral,
+            signal => signal,
+        };
         if let Some(upstream) = self.upstreams.get_mut(&record.id) {
             upstream.local = upstream.local.saturating_sub(1);
             upstream.freed_at = Some(now);
@@ -591,6 +736,9 @@
         let free_slots = headroom.map_or_else(
             || {
                 let records = pool.candidates.iter().map(|candidate| &candidate.record);
+                let records = records.filter(|record| {
+                    self.obstacle(record, now).is_none() && !self.pauses.is_being_tried(record, now)
+                });
                 let free = records.map(|record| record.slots.saturating_sub(self.load(&record.id)));
                 f64::from(free.sum::<u32>())
             },
@@ -649,7 +797,10 @@
         now: Moment,
     ) {
         let record = &candidate.record;
-        if request.exclude.contains(&record.id) || self.misdirected.contains(record, now) {
+        if request.exclude.contains(&record.id)
+            || self.obstacle(record, now).is_some()
+            || self.pauses.is_being_tried(record, now)
+        {
             return;
         }
         let headroom = headroom.map_or(1.0, |headroom| headroom.of(self.groups.key(record)));
@@ -695,6 +846,7 @@
         if let Some(share) = self.shares.get_mut(&record.service) {
             share.start();
         }
+        self.pauses.record_call(record, now);
         let upstream = self.upstreams.entry(Arc::clone(&record.id)).or_default();
         upstream.local += 1;
         upstream.freed_at = None;
@@ -702,19 +854,30 @@
         upstream.health.apply_decay(now);
     }
 
-    /// Returns a refusal with [`Reason::Full`], for a call that was dropped from the queue
-    /// or not run by its upstream.
+    /// Returns a refusal for a call that was dropped from the queue or not run by its upstream:
+    /// with [`Reason::Full`] unless no other upstream is left.
     pub fn full_refusal(&self, service: &str, now: Moment) -> Refusal {
-        self.refusal(Reason::Full, service, now)
+        let reason = if self.is_without_upstream(service) {
+            Reason::Nowhere
+        } else {
+            Reason::Full
+        };
+        self.refusal(reason, service, now)
     }
 
     fn refusal(&self, reason: Reason, service: &str, now: Moment) -> Refusal {
+        if let Some(end) = self.pause_end(service, now) {
+            let after = end.since(now);
+            return Refusal { reason, after };
+        }
         let max_retry_after = self.settings.max_retry_after;
         let wait = self.queues.get(service).and_then(|service_queue| {
             service_queue
                 .completions
                 .expected_time(service_queue.queue.len() + 1, now)
         });
+        // Past completions say nothing about when new upstreams will have started.
+        let wait = wait.filter(|_| reason != Reason::Nowhere);
         Refusal {
             reason,
             // Without recent completions the service is down, and an early retry would
--- a/crates/gateway/src/names/mod.rs
+++ b/crates/gateway/src/names/mod.rs
@@ -3,7 +3,7 @@
 //! The gateway defines what each header means; an adapter supplies its name.
 
 use bytes::Bytes;
-use http::HeaderName;
+use http::{HeaderMap, HeaderName};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -59,6 +59,13 @@
     /// share. Malformed parts are left out.
     fn parts(&self, value: &str) -> Vec<u64>;
 
+    /// Returns whether the header of an answer states that its upstream is leaving.
+    fn is_leaving(&self, headers: &HeaderMap) -> bool;
+
+    /// Returns for how long an upstream wants no further calls, from the header of a refusal;
+    /// `None` if it states no time or one that is malformed.
+    fn pause(&self, headers: &HeaderMap) -> Option<Duration>;
+
     /// Encodes the body of the answer to a request for gateway addresses, which callers
     /// may cache for `ttl`.
     fn addresses(&self, addresses: &[SocketAddr], ttl: Duration) -> Bytes;
--- a/crates/gateway/src/relay/attempt/mod.rs
+++ b/crates/gateway/src/relay/attempt/mod.rs
@@ -13,7 +13,7 @@
 use super::call::Call;
 use super::permit::{self, Permit};
 use super::watch::Watch;
-use crate::admit::{HealthSignal, LATE_URGENCY, Reason, Refusal, SlotRequest};
+use crate::admit::{HealthSignal, LATE_URGENCY, Obstacle, Reason, Refusal, SlotRequest};
 use crate::clock;
 use crate::names::Names;
 use crate::pool::{Connection, KeepAlive};
@@ -90,7 +90,8 @@
     pub last_event: Option<u64>,
 }
 
-/// Gets a slot of one upstream, sends the call there, and logs the attempt.
+/// Gets a slot of one upstream, sends the call there, and logs the attempt. If the upstream may
+/// not be sent calls any more when the slot is to be used, another one is chosen.
 pub async fn run<N: Names>(
     shared: &Arc<Shared>,
     names: &N,
@@ -98,6 +99,20 @@
     attempted: &mut Attempted,
     limits: AttemptLimits,
 ) -> Outcome {
+    loop {
+        if let Ok(outcome) = run_once(shared, names, call, attempted, limits).await {
+            return outcome;
+        }
+    }
+}
+
+async fn run_once<N: Names>(
+    shared: &Arc<Shared>,
+    names: &N,
+    call: &Call,
+    attempted: &mut Attempted,
+    limits: AttemptLimits,
+) -> Result<Outcome, Obstacle> {
     let started = clock::now();
     let (watch, permit) = match acquire(shared, call, attempted, limits).await {
         Ok(acquired) => acquired,
@@ -113,12 +128,21 @@
                 clock::now().since(started).as_millis(),
                 refusal.after.as_millis(),
             );
-            return Outcome::Refused(refusal);
+            return Ok(Outcome::Refused(refusal));
         }
     };
     let acquired = clock::now();
     let record = Arc::clone(&permit.record);
-    let outcome = send(shared, names, call, attempted, limits, permit, watch).await;
+    let sent = send(shared, names, call, attempted, limits, permit, watch).await;
+    let outcome = sent.inspect_err(|obstacle| {
+        shared.counters.withheld(obstacle.as_str());
+        log::info!(
+            "event=call_withheld id={} upstream={} reason={}",
+            call.id(),
+            record.id,
+            obstacle.as_str()
+        );
+    })?;
     shared.counters.attempt(outcome.as_str());
     log::info!(
         "event=attempt id={} service={} upstream={} address={} outcome={} wait_ms={} head_ms={}",
@@ -130,7 +154,7 @@
         acquired.since(started).as_millis(),
         clock::now().since(acquired).as_millis(),
     );
-    outcome
+    Ok(outcome)
 }
 
 /// Waits for a slot with which the call may be sent.
@@ -183,6 +207,7 @@
     }
 }
 
+/// Sends a call to the upstream of a permit, or returns why this may not be done any more.
 async fn send<N: Names>(
     shared: &Arc<Shared>,
     names: &N,
@@ -191,10 +216,10 @@
     limits: AttemptLimits,
     mut permit: Permit,
     mut watch: Watch,
-) -> Outcome {
+) -> Result<Outcome, Obstacle> {
     let record = Arc::clone(&permit.record);
     if call.connection.is_closed() {
-        return Outcome::Left;
+        return Ok(Outcome::Left);
     }
     attempted.ids.push(Arc::clone(&record.id));
     let mut connection = match connect(shared, &record, call).await {
@@ -206,15 +231,21 @@
             );
             shared.connections.close_idle(&record.id);
             permit.set_signal(HealthSignal::Unreachable);
-            return Outcome::Unreachable;
+            return Ok(Outcome::Unreachable);
         }
     };
     let now = clock::now();
     let time_left = call.end().since(now);
     // An upstream id that is no valid header value also counts as unreachable.
     let Some(request) = request(names, call, &record.id, time_left, limits.last_event) else {
-        return Outcome::Unreachable;
+        return Ok(Outcome::Unreachable);
     };
+    // The answer to another call may have changed what is known while the connection was opened.
+    let obstacle = shared.admission().obstacle(&record, now);
+    if let Some(obstacle) = obstacle {
+        attempted.ids.pop();
+        return Err(obstacle);
+    }
     attempted.sent += 1;
     connection.start_call();
     let response_timeout = limits.abandon_at.since(now) + DEADLINE_ANSWER_GRACE;
@@ -237,19 +268,50 @@
                     // A new connection to the same upstream may serve the call.
                     attempted.ids.pop();
                 }
-                return Outcome::Unreachable;
+                return Ok(Outcome::Unreachable);
             }
             watch.end_broken(&record).await;
-            return Outcome::Unknown("broken");
+            return Ok(Outcome::Unknown("broken"));
         }
         Err(_) => {
             permit.set_signal(HealthSignal::Failure);
-            return Outcome::Unknown("silent");
+            return Ok(Outcome::Unknown("silent"));
         }
     };
     connection.start_answer();
+    // A misdirected call was answered by another upstream, which speaks for itself only.
+    let is_other = response.status() == StatusCode::MISDIRECTED_REQUEST;
+    if !is_other && names.is_leaving(response.headers()) {
+        shared.set_leaving(&record);
+    }
+    observe_pause(shared, names, call, &response, &permit);
     watch.begin();
-    classify(names, call, response, connection, permit, watch)
+    Ok(classify(names, call, response, connection, permit, watch))
+}
+
+/// Records whether the answer to a call asks for a pause. Answers to other calls are late, so the
+/// time that they state has begun earlier.
+fn observe_pause<N: Names>(
+    shared: &Shared,
+    names: &N,
+    call: &Call,
+    response: &Response<Incoming>,
+    permit: &Permit,
+) {
+    let headers = response.headers();
+    let id = headers.get(&names.headers().call_id);
+    if id.is_some_and(|id| *id != call.id) {
+        return;
+    }
+    let is_unavailable = response.status() == StatusCode::SERVICE_UNAVAILABLE;
+    let pause = is_unavailable.then(|| names.pause(headers)).flatten();
+    match pause {
+        Some(length) if !length.is_zero() => shared.pause(&permit.record, length),
+        _ => {
+            let mut admission = shared.admission();
+            admission.observe_answer(&permit.record, permit.started);
+        }
+    }
 }
 
 /// Determines the outcome from the header of an answer.
--- a/crates/gateway/src/relay/streaming/mod.rs
+++ b/crates/gateway/src/relay/streaming/mod.rs
@@ -240,8 +240,7 @@
                     watch.go_on(clock::now());
                     permit.set_signal(HealthSignal::Success);
                     self.shared
-                        .connections
-                        .put(&permit.record, connection, keep_alive);
+                        .keep_connection(&permit.record, connection, keep_alive);
                     return End::Complete;
                 }
                 Ok(None | Some(Err(_))) => {
--- a/crates/gateway/tests/admit.rs
+++ b/crates/gateway/tests/admit.rs
@@ -9,10 +9,12 @@
 use sesamerock_gateway::admit::cold::Members;
 use sesamerock_gateway::admit::estimate::Value;
 use sesamerock_gateway::admit::group::{Listing, Pace, Version};
+use sesamerock_gateway::admit::leaving::{Departure, Leaving};
 use sesamerock_gateway::admit::pace::PassSlowdown;
+use sesamerock_gateway::admit::pause::{MAX_PAUSE, Pauses};
 use sesamerock_gateway::admit::{
-    AdmissionController, Candidate, HealthSignal, Reason, Settings, SlotRequest, UpstreamPool,
-    Verdict,
+    AdmissionController, Candidate, HealthSignal, Obstacle, Reason, Refusal, Settings, SlotRequest,
+    UpstreamPool, Verdict,
 };
 use sesamerock_gateway::table::EngineSpec;
 use sesamerock_gateway::upstream::Record;
@@ -534,6 +536,165 @@
     assert!(placed.iter().any(|placed| placed.id == replaced.id));
 }
 
+/// The statement holds for one start of an upstream in each order of events: own answers, what
+/// other gateways tell, and records of earlier and later starts.
+#[test]
+fn only_later_starts_of_an_upstream_that_left_get_calls() {
+    let start = |born| Record {
+        born,
+        ..Record::clone(&record(0))
+    };
+    let (former, current) = (start(Some(1)), start(Some(2)));
+    // Each bit says whether a start is told by another gateway or observed.
+    for order in [[&former, &current], [&current, &former]] {
+        for told in 0..4_u8 {
+            let mut leaving = Leaving::default();
+            for (index, record) in order.into_iter().enumerate() {
+                let is_newest_yet = index == 0 || record.born == current.born;
+                let is_new = if told & (1 << index) == 0 {
+                    leaving.observe(record, at(0))
+                } else {
+                    !leaving.learn(&[Departure::of(record)], at(0)).is_empty()
+                };
+                assert_eq!(is_new, is_newest_yet, "{order:?} {told}");
+                assert!(leaving.contains(record));
+            }
+            assert!(leaving.contains(&former) && leaving.contains(&current));
+            assert!(!leaving.contains(&start(Some(3))));
+        }
+    }
+    let mut leaving = Leaving::default();
+    leaving.observe(&former, at(0));
+    assert!(!leaving.contains(&current), "a later start is sound");
+    assert!(!leaving.contains(&record(1)), "another id is sound");
+    assert_eq!(leaving.recent(at(100)), [Departure::of(&former)]);
+    assert!(leaving.recent(at(60_000)).is_empty());
+}
+
+/// What is remembered of departures is bounded, whatever other gateways tell.
+#[test]
+fn the_oldest_departures_are_forgotten() {
+    let mut leaving = Leaving::default();
+    for id in 0..10_000 {
+        leaving.observe(&record(id), at(id as u64));
+    }
+    let is_remembered = |id: &usize| leaving.contains(&record(*id));
+    assert_eq!((0..10_000).filter(is_remembered).count(), 4_096);
+    assert!((5_904..10_000).all(|id| is_remembered(&id)));
+}
+
+/// Calls that wait for upstreams of which the last one begins to leave are refused at once, and
+/// later ones too; the time to retry is that in which new upstreams start.
+#[test]
+fn waiting_calls_are_refused_when_the_last_upstream_leaves() {
+    let mut admission = admission(pool(2));
+    fill(&mut admission, at(0));
+    let latest = at(5_000);
+    let wait = admission.request(slot_request(900, 0, latest), at(10));
+    assert!(matches!(wait, Verdict::Wait));
+    admission.observe_leaving(&record(0), at(20));
+    assert!(admission.poll(at(20)).refused.is_empty());
+    admission.learn_leaving(&[Departure::of(&record(1))], at(30));
+    let poll = admission.poll(at(30));
+    let (call, refusal) = poll.refused[0];
+    assert_eq!((call, refusal.reason), (900, Reason::Nowhere));
+    assert_eq!(refusal.after, Settings::default().max_retry_after);
+    let next = admission.request(slot_request(901, 0, latest), at(40));
+    let Verdict::Refuse(next) = next else {
+        panic!("{next:?}");
+    };
+    assert_eq!(next, refusal);
+    assert_eq!(admission.full_refusal("s", at(40)), refusal);
+    let obstacle = admission.obstacle(&record(0), at(40));
+    assert_eq!(obstacle, Some(Obstacle::Leaving));
+}
+
+/// An upstream that asks each gateway for a pause gets no call until its end and then one of each
+/// gateway, and all that fit once that one is answered. Other gateways are not concerned.
+#[test]
+fn regression_one_call_of_a_gateway_tries_an_upstream_after_its_pause() {
+    for gateways in [4, 59] {
+        let mut tried = 0;
+        for gateway in 0..gateways {
+            let mut admission = admission(pool(1));
+            for sent in fill(&mut admission, at(gateway)) {
+                admission.end_call(&sent, HealthSignal::Full, at(gateway));
+            }
+            admission.pause(&record(0), Duration::from_secs(2), at(100));
+            assert!(fill(&mut admission, at(100)).is_empty());
+            assert!(fill(&mut admission, at(2_099)).is_empty());
+            let obstacle = admission.obstacle(&record(0), at(2_099));
+            assert_eq!(obstacle, Some(Obstacle::Paused));
+            // An answer to a call from before the pause does not end it.
+            admission.observe_answer(&record(0), at(gateway));
+            assert!(fill(&mut admission, at(2_099)).is_empty());
+            let first = fill(&mut admission, at(2_100));
+            assert_eq!(first.len(), 1);
+            assert!(fill(&mut admission, at(2_900)).is_empty());
+            tried += first.len();
+            if gateway % 2 == 0 {
+                admission.observe_answer(&record(0), at(2_100));
+                assert!(!fill(&mut admission, at(2_900)).is_empty());
+            } else {
+                admission.pause(&record(0), Duration::from_millis(500), at(2_900));
+                assert!(fill(&mut admission, at(3_399)).is_empty());
+                assert_eq!(fill(&mut admission, at(3_400)).len(), 1);
+            }
+        }
+        assert_eq!(tried as u64, gateways);
+    }
+}
+
+/// Zero is no pause, a long one is bounded, of two the later end counts, and a later start of the
+/// upstream is not concerned.
+#[test]
+fn pauses_are_bounded_and_belong_to_one_start() {
+    let mut pauses = Pauses::default();
+    pauses.start(&record(0), Duration::ZERO, at(0));
+    assert_eq!(pauses.end(&record(0)), None);
+    pauses.start(&record(0), Duration::MAX, at(0));
+    assert_eq!(pauses.end(&record(0)), Some(at(0) + MAX_PAUSE));
+    pauses.start(&record(0), Duration::from_secs(1), at(10));
+    assert_eq!(pauses.end(&record(0)), Some(at(0) + MAX_PAUSE));
+    let restarted = Record {
+        born: Some(2),
+        ..Record::clone(&record(0))
+    };
+    assert!(!pauses.contains(&restarted, at(20)));
+}
+
+/// A call that would wait for upstreams that have all asked for a pause is refused at once if the
+/// first pause ends after its latest start, with the time until then; the pauses of some upstreams
+/// leave the limits of the others as they are. A pause is no failure of its upstream.
+#[test]
+fn refusals_name_the_earliest_end_of_a_pause() {
+    let mut admission = admission(pool(3));
+    admission.pause(&record(0), Duration::from_secs(3), at(0));
+    admission.pause(&record(1), Duration::from_millis(2_800), at(0));
+    let bound = SLOTS + Settings::default().ahead;
+    assert_eq!(fill(&mut admission, at(0)).len() as u32, bound);
+    let wait = admission.request(slot_request(900, 0, at(2_000)), at(10));
+    assert!(matches!(wait, Verdict::Wait));
+    let wait = admission.request(slot_request(901, 0, at(4_000)), at(10));
+    assert!(matches!(wait, Verdict::Wait));
+    admission.pause(&record(2), Duration::from_millis(3_200), at(20));
+    let poll = admission.poll(at(20));
+    let refusal = Refusal {
+        reason: Reason::Paused,
+        after: Duration::from_millis(2_780),
+    };
+    assert_eq!(poll.refused, [(900, refusal)]);
+    let next = admission.request(slot_request(902, 0, at(2_000)), at(20));
+    let Verdict::Refuse(next) = next else {
+        panic!("{next:?}");
+    };
+    assert_eq!(next, refusal);
+    // The first upstream whose pause ends runs the call that still waits.
+    let placed = admission.poll(at(2_800)).placed;
+    assert_eq!((placed.len(), placed[0].0), (1, 901));
+    assert_eq!(placed[0].1.id, record(1).id);
+}
+
 /// Gateways with the same counts choose different upstreams.
 #[test]
 fn gateways_prefer_different_upstreams() {
--- a/crates/gateway/tests/exchange.rs
+++ b/crates/gateway/tests/exchange.rs
@@ -39,6 +39,7 @@
             position: Position::default(),
             store: ContactState::default(),
             misdirected: Vec::new(),
+            leaving: Vec::new(),
             groups: Version::default(),
             paces: Vec::new(),
             loads: Vec::new(),
