Send no calls to broken groups, and let callers wait for their return

Callers got 503 for four seconds after the crash of one rank, many of them twice: each call was sent to other ranks of the broken group, held there for up to 1.5 s and refused, or refused at once by both of its attempts, with a retry-after that named 2.5 s whatever was known.

Cause: the leader noticed a crash by a check each second and told nobody; gateways learnt of it one upstream at a time, for 0.1 s each.

The leader now checks a group as soon as a rank leaves a query unanswered. It takes the group as broken if a rank says so, or if the others have calls but begin no step for 150 ms. It tells all gateways with the heartbeats, at once when that changes, and repeats it each second; without repetition the statement expires after 3 s. Gateways skip the ranks of such a group. While no group of a service runs, calls that are expected to start in time wait, up to a fifth of the slots, and the others are refused with a time after the expected end, spread over two seconds.

--- a/crates/gateway/src/admit/choice/mod.rs
+++ b/crates/gateway/src/admit/choice/mod.rs
@@ -115,4 +115,9 @@
     pub fn new(seed: u64) -> Self {
         Self(SmallRng::seed_from_u64(seed))
     }
+
+    /// Returns a number from 0 to 1.
+    pub fn fraction(&mut self) -> f64 {
+        self.0.random()
+    }
 }
--- a/crates/gateway/src/admit/group/mod.rs
+++ b/crates/gateway/src/admit/group/mod.rs
@@ -13,6 +13,7 @@
 use sesamerock_base::time::Moment;
 
 use super::estimate::Value;
+use super::outage::{Broken, Forecast, Outage, Statement};
 use super::pace::PassSlowdown;
 use crate::table::EngineSpec;
 use crate::upstream::Record;
@@ -59,6 +60,10 @@
 struct Group {
     name: Arc<str>,
     slowdown: PassSlowdown,
+    outage: Option<Outage>,
+    /// Whether its streams have been seen. A group that forms for the first time has no outage
+    /// to learn from.
+    has_run: bool,
 }
 
 /// The groups of all services, with their paces.
@@ -68,6 +73,9 @@
     arena: Vec<Group>,
     by_name: HashMap<Arc<str>, Key>,
     by_upstream: HashMap<Arc<str>, Key>,
+    /// Version of the latest statement on broken groups.
+    stated: Version,
+    forecast: Forecast,
 }
 
 impl Groups {
@@ -91,6 +99,102 @@
         true
     }
 
+    /// Replaces the outages if the statement is newer. Returns whether it is.
+    pub fn set_outages(&mut self, statement: &Statement, now: Moment) -> bool {
+        if statement.version <= self.stated {
+            return false;
+        }
+        self.stated = statement.version;
+        for broken in &statement.broken {
+            let key = self.key_of_name(&broken.group);
+            let group = &mut self.arena[key.0];
+            let since = group.outage.map(|outage| outage.since);
+            if since.is_none() {
+                log::info!(
+                    "event=group_broken group={} age_ms={}",
+                    broken.group,
+                    broken.age.as_millis()
+                );
+            }
+            group.outage = Some(Outage {
+                since: since.unwrap_or_else(|| now - broken.age),
+                stated: now,
+            });
+        }
+        for group in &mut self.arena {
+            if statement.broken.iter().any(|it| it.group == group.name) {
+                continue;
+            }
+            let Some(outage) = group.outage.take() else {
+                continue;
+            };
+            let duration = now.since(outage.since);
+            log::info!(
+                "event=group_recovered group={} after_ms={}",
+                group.name,
+                duration.as_millis()
+            );
+            if outage.is_current(now) && group.has_run {
+                self.forecast.observe(duration);
+            }
+        }
+        true
+    }
+
+    /// Returns the latest statement on broken groups, to tell other gateways.
+    pub fn outages(&self, now: Moment) -> Statement {
+        let broken = self.arena.iter().filter_map(|group| {
+            let since = group.outage?.since;
+            Some(Broken {
+                group: Arc::clone(&group.name),
+                age: now.since(since),
+            })
+        });
+        Statement {
+            version: self.stated,
+            broken: broken.collect(),
+        }
+    }
+
+    /// Returns which of some upstreams of a service belong to groups that run nothing.
+    pub fn availability<'a>(
+        &self,
+        records: impl Iterator<Item = &'a Arc<Record>>,
+        now: Moment,
+    ) -> Availability {
+        let mut availability = Availability::default();
+        let (mut any_open, mut has_unlisted) = (false, false);
+        for record in records {
+            let Some(key) = self.by_upstream.get(&record.id) else {
+                has_unlisted = true;
+                continue;
+            };
+            let outage = self.arena[key.0].outage;
+            let Some(outage) = outage.filter(|outage| outage.is_current(now)) else {
+                any_open = true;
+                continue;
+            };
+            if !availability.broken.contains(key) {
+                let remaining = self.forecast.remaining(now.since(outage.since));
+                availability.broken.push(*key);
+                availability.earliest =
+                    Some(availability.earliest.unwrap_or(remaining).min(remaining));
+            }
+        }
+        // A rank that has started again is not listed before its group has formed.
+        availability.waits = !availability.broken.is_empty() && !any_open;
+        availability.skips_unlisted = !availability.broken.is_empty() && has_unlisted;
+        availability
+    }
+
+    /// Returns whether an upstream runs nothing since its group is broken.
+    pub fn is_broken(&self, record: &Record, availability: &Availability) -> bool {
+        match self.by_upstream.get(&record.id) {
+            Some(key) => availability.broken.contains(key),
+            None => availability.skips_unlisted,
+        }
+    }
+
     /// Makes the upstreams of a service that are in no known group a group.
     pub fn add_service(&mut self, service: &Arc<str>) {
         self.key_of_name(service);
@@ -110,6 +214,8 @@
         self.arena.push(Group {
             name: Arc::clone(name),
             slowdown: PassSlowdown::default(),
+            outage: None,
+            has_run: false,
         });
         self.by_name.insert(Arc::clone(name), key);
         key
@@ -125,14 +231,18 @@
         load: f64,
         now: Moment,
     ) {
-        self.arena[key.0].slowdown.observe(engine, gap, load, now);
+        let group = &mut self.arena[key.0];
+        group.has_run = true;
+        group.slowdown.observe(engine, gap, load, now);
     }
 
     /// Adds what another gateway observed.
     pub fn learn(&mut self, paces: &[Pace], now: Moment) {
         for pace in paces {
             let key = self.key_of_name(&pace.group);
-            self.arena[key.0].slowdown.learn(pace.slowdown, now);
+            let group = &mut self.arena[key.0];
+            group.has_run = true;
+            group.slowdown.learn(pace.slowdown, now);
         }
     }
 
@@ -176,6 +286,24 @@
     }
 }
 
+/// Which groups of a service run nothing.
+#[derive(Clone, Debug, Default)]
+pub struct Availability {
+    broken: Vec<Key>,
+    /// Whether upstreams in no known group may be ranks of a broken one.
+    skips_unlisted: bool,
+    /// Expected time to the end of the first outage.
+    earliest: Option<Duration>,
+    waits: bool,
+}
+
+impl Availability {
+    /// Returns the expected time until a group of the service runs calls; `None` if one does.
+    pub fn wait(&self) -> Option<Duration> {
+        self.earliest.filter(|_| self.waits)
+    }
+}
+
 /// Calls at the engines of a group.
 #[derive(Clone, Copy, Debug, Default)]
 struct GroupLoad {
--- a/crates/gateway/src/admit/mod.rs
+++ b/crates/gateway/src/admit/mod.rs
@@ -12,6 +12,7 @@
 pub mod group;
 mod health;
 pub mod misdirected;
+pub mod outage;
 pub mod pace;
 mod rate;
 mod share;
@@ -29,7 +30,7 @@
 use choice::{Random, Selection};
 use cold::Members;
 use estimate::Estimate;
-use group::{Groups, Headroom, Listing, Loads, Pace};
+use group::{Availability, Groups, Headroom, Listing, Loads, Pace};
 use health::Health;
 pub use health::HealthSignal;
 use misdirected::{Finding, Misdirected};
@@ -48,6 +49,10 @@
 /// multiples of its objective. The rest is for processing the prompt.
 const MAX_WAIT_OBJECTIVES: f64 = 0.7;
 
+/// Share of the slots for which calls wait until the end of an outage. Their answers will be late,
+/// so the rest is for calls that arrive then and can be in time.
+const HELD_SLOTS_SHARE: f64 = 0.2;
+
 /// Limits of an [`AdmissionController`].
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -345,6 +350,16 @@
         Arc::clone(self.groups.listing())
     }
 
+    /// Replaces the outages of groups if the statement is newer. Returns whether it is.
+    pub fn set_outages(&mut self, statement: &outage::Statement, now: Moment) -> bool {
+        self.groups.set_outages(statement, now)
+    }
+
+    /// Returns the latest statement on broken groups, to tell other gateways.
+    pub fn outages(&self, now: Moment) -> outage::Statement {
+        self.groups.outages(now)
+    }
+
     /// Adds the paces of groups that another gateway observed.
     pub fn learn_paces(&mut self, paces: &[Pace], now: Moment) {
         self.groups.learn(paces, now);
@@ -393,6 +408,13 @@
         upstream.map_or(0, |upstream| upstream.local + upstream.remote)
     }
 
+    /// Returns which groups of a pool run nothing.
+    fn availability(&self, pool: &UpstreamPool, now: Moment) -> Availability {
+        let candidates = pool.candidates.iter();
+        let records = candidates.map(|candidate| &candidate.record);
+        self.groups.availability(records, now)
+    }
+
     /// Counts the calls at the upstreams of a pool by group.
     fn group_loads(&self, pool: &UpstreamPool) -> Loads {
         let mut loads = Loads::default();
@@ -441,10 +463,19 @@
             return Verdict::Place(record);
         }
         let pool = self.pools.get(&request.service);
-        if pool.is_none_or(|pool| pool.candidates.is_empty()) {
+        let Some(pool) = pool.filter(|pool| !pool.candidates.is_empty()) else {
             return Verdict::Refuse(self.refusal(Reason::Nowhere, &request.service, now));
-        }
-        if self.yields(&request) {
+        };
+        let outage = self.availability(pool, now).wait();
+        if let Some(remaining) = outage {
+            // A call whose wait would end before the outage is refused while its caller can
+            // still use the time.
+            let queue = self.queues.get(&request.service);
+            let held = queue.map_or(0, |service| service.queue.len());
+            if now + remaining > request.latest_start || held >= held_limit(pool) {
+                return Verdict::Refuse(self.refusal(Reason::Full, &request.service, now));
+            }
+        } else if self.yields(&request) {
             return Verdict::Refuse(self.refusal(Reason::Full, &request.service, now));
         }
         let service_queue = self
@@ -459,9 +490,11 @@
         // Even with an empty queue, the next slot becomes free only after one interval
         // between completions.
         let wait = service_queue.completions.expected_time(ahead + 1, now);
-        let too_late = wait.is_some_and(|wait| now + wait > request.latest_start);
+        let too_late =
+            outage.is_none() && wait.is_some_and(|wait| now + wait > request.latest_start);
         let late = service_queue.queue.len() - service_queue.queue.len_up_to(LATE_URGENCY - 1);
-        let too_many = urgency >= LATE_URGENCY && late >= self.settings.max_late_calls;
+        let too_many =
+            outage.is_none() && urgency >= LATE_URGENCY && late >= self.settings.max_late_calls;
         if too_late || too_many || request.latest_start <= now {
             return Verdict::Refuse(self.refusal(Reason::Full, &request.service, now));
         }
@@ -609,6 +642,7 @@
             return None;
         }
         let pool = self.pools.get(&request.service)?;
+        let availability = self.availability(pool, now);
         let gateways = pool.members.count();
         let mut selection = Selection::new(self.settings.considered_slots / gateways);
         for is_own_zone in [true, false] {
@@ -618,6 +652,9 @@
                 if !is_own_zone && selection.is_sufficient() {
                     break;
                 }
+                if self.groups.is_broken(&candidate.record, &availability) {
+                    continue;
+                }
                 self.consider(
                     pool,
                     candidate,
@@ -698,12 +735,18 @@
 
     /// Returns a refusal with [`Reason::Full`], for a call that was dropped from the queue
     /// or not run by its upstream.
-    pub fn full_refusal(&self, service: &str, now: Moment) -> Refusal {
+    pub fn full_refusal(&mut self, service: &str, now: Moment) -> Refusal {
         self.refusal(Reason::Full, service, now)
     }
 
-    fn refusal(&self, reason: Reason, service: &str, now: Moment) -> Refusal {
+    fn refusal(&mut self, reason: Reason, service: &str, now: Moment) -> Refusal {
         let max_retry_after = self.settings.max_retry_after;
+        let pool = self.pools.get(service);
+        let outage = pool.and_then(|pool| self.availability(pool, now).wait());
+        if let Some(remaining) = outage {
+            let after = outage::retry_after(remaining, max_retry_after, self.random.fraction());
+            return Refusal { reason, after };
+        }
         let wait = self.queues.get(service).and_then(|service_queue| {
             service_queue
                 .completions
@@ -717,3 +760,10 @@
         }
     }
 }
+
+/// Returns how many calls of a service may wait at one gateway for the end of an outage.
+fn held_limit(pool: &UpstreamPool) -> usize {
+    let slots = pool.candidates.iter().map(|one| one.record.slots);
+    let part = f64::from(slots.sum::<u32>()) / pool.members.count().max(1) as f64;
+    (part * HELD_SLOTS_SHARE).ceil() as usize
+}
--- a/crates/gateway/src/exchange/mod.rs
+++ b/crates/gateway/src/exchange/mod.rs
@@ -12,6 +12,7 @@
 
 use crate::admit::group::{self, Listing, Pace};
 use crate::admit::misdirected::Finding;
+use crate::admit::outage;
 use crate::node;
 use crate::state::{Position, Snapshot};
 use crate::store::contact::ContactState;
@@ -36,6 +37,8 @@
     pub misdirected: Vec<Finding>,
     /// Version of the listing of groups that the sender knows.
     pub groups: group::Version,
+    /// Groups that run nothing, as far as the sender knows.
+    pub outages: outage::Statement,
     /// Paces of groups that the sender observed lately.
     pub paces: Vec<Pace>,
     /// Number of calls in flight from the sender, by upstream id.
--- a/crates/gateway/src/maps/leader/group/mod.rs
+++ b/crates/gateway/src/maps/leader/group/mod.rs
@@ -86,15 +86,18 @@
     step_rate: f64,
     /// Longest permitted pause of the streams of the service.
     max_pause: Duration,
+    /// Whether a rank has left the last query of its counts unanswered.
+    has_silent_rank: bool,
 }
 
 /// Manages a group until its composition or map changes by other means, or this gateway is
-/// no longer the leader.
+/// no longer the leader. Sets `last_step` to when its last step was seen.
 pub async fn manage<E: Engine>(
     leader: Leader<E>,
     name: Arc<str>,
     members: Members,
     params: ServiceParams,
+    last_step: &mut Option<Moment>,
 ) -> StopReason {
     let (records, reports): (Vec<Arc<Record>>, Vec<Report>) = members.into_iter().unzip();
     if let Some(switch) = Switch::recover(&reports, leader.fence(), 0) {
@@ -124,11 +127,14 @@
         switch_step: 0,
         step_rate: 0.0,
         max_pause: params.max_pause,
+        has_silent_rank: false,
         records,
         name,
         leader,
     };
-    group.run().await
+    let reason = group.run().await;
+    *last_step = group.step.map(|(_, at)| at);
+    reason
 }
 
 /// Returns the latest epoch that any rank of a group reports, or 0 if none reports one.
@@ -144,7 +150,9 @@
             if !self.leader.is_leading() {
                 return StopReason::Lapsed;
             }
-            if clock::now().since(checked_at) >= CHECK_INTERVAL {
+            let is_due = clock::now().since(checked_at) >= CHECK_INTERVAL;
+            if is_due || self.has_silent_rank {
+                self.has_silent_rank = false;
                 if let Err(reason) = self.check().await {
                     return reason;
                 }
@@ -243,7 +251,9 @@
                 }
             }
         });
-        let counts: Vec<(u16, Counts)> = join_all(queries).await.into_iter().flatten().collect();
+        let answers = join_all(queries).await;
+        self.has_silent_rank = answers.iter().any(Option::is_none);
+        let counts: Vec<(u16, Counts)> = answers.into_iter().flatten().collect();
         let now = clock::now();
         if let Some(step) = counts.iter().map(|(_, counts)| counts.step).max() {
             self.count_steps(step, now);
--- a/crates/gateway/src/maps/leader/mod.rs
+++ b/crates/gateway/src/maps/leader/mod.rs
@@ -15,10 +15,11 @@
 use sesamerock_base::time::Moment;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 use self::group::StopReason;
 use crate::admit::group::{Listing, Version};
+use crate::admit::outage;
 use crate::clock;
 use crate::engine::{Engine, Report};
 use crate::pool::AbortOnDrop;
@@ -49,6 +50,14 @@
 /// Interval at which the leader looks for groups while some ranks are in none, as after a
 /// loss of power. Until a group is found, its streams run with a map that ignores demand.
 const FORMING_CHECK_INTERVAL: Duration = Duration::from_millis(250);
+/// Shortest interval at which the leader looks for groups: that at which it looks while a group
+/// is broken, whose calls wait in the queues of all gateways.
+const BROKEN_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Time without a step after which a group with running calls is stalled: several passes.
+const STALL_EVIDENCE: Duration = Duration::from_millis(150);
+/// Interval at which the leader repeats that a group is broken, so that gateways rely on it for
+/// no longer than there is a leader.
+const OUTAGE_RESTATE_INTERVAL: Duration = Duration::from_secs(1);
 /// Time limit for an engine's answer to a query.
 const QUERY_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -90,6 +99,9 @@
     max_pause: Duration,
 }
 
+/// Name of a group whose task has ended, why, and when its last step was seen.
+type EndedTask = (Arc<str>, StopReason, Option<Moment>);
+
 /// The ranks of one group in rank order, each with its report.
 type Members = Vec<(Arc<Record>, Report)>;
 
@@ -275,25 +287,47 @@
     /// Manages all groups until the leadership ends. Waits for the switches in progress
     /// before it returns, since they may hold a group.
     async fn manage_groups(&self) -> StopReason {
-        let mut tasks: JoinSet<(Arc<str>, StopReason)> = JoinSet::new();
+        let mut tasks: JoinSet<EndedTask> = JoinSet::new();
         let mut managed: HashMap<Arc<str>, Vec<Arc<str>>> = HashMap::new();
         let mut listed = HashMap::new();
         let mut end = StopReason::Lapsed;
+        let mut stated_at = clock::now();
+        let mut steps = HashMap::new();
+        let mut last_steps: HashMap<Arc<str>, Moment> = HashMap::new();
         while self.is_leading() && end == StopReason::Lapsed {
-            let complete = self.start_group_tasks(&mut tasks, &mut managed).await;
+            let looked_at = Instant::now();
+            let (complete, broken) = self
+                .start_group_tasks(&mut tasks, &mut managed, &mut steps)
+                .await;
+            last_steps.retain(|name, _| !managed.contains_key(name));
+            let mut is_listed = true;
+            for (name, ids) in &broken {
+                let known: &mut Vec<Arc<str>> = listed.entry(Arc::clone(name)).or_default();
+                let added = ids.iter().filter(|id| !known.contains(id));
+                let added: Vec<Arc<str>> = added.cloned().collect();
+                is_listed &= added.is_empty();
+                known.extend(added);
+            }
             // A group that is being read anew keeps its upstreams until then.
-            if managed
-                .iter()
-                .any(|(name, ids)| listed.get(name) != Some(ids))
+            if !is_listed
+                || managed
+                    .iter()
+                    .any(|(name, ids)| listed.get(name) != Some(ids))
             {
                 listed.extend(managed.clone());
                 self.list_groups(&listed);
             }
-            let next = sleep(if complete {
-                CHECK_INTERVAL
-            } else {
-                FORMING_CHECK_INTERVAL
-            });
+            self.state_outages(broken.keys(), &last_steps, &mut stated_at);
+            let next = sleep_until(
+                looked_at
+                    + if listed.keys().any(|name| !managed.contains_key(name)) {
+                        BROKEN_CHECK_INTERVAL
+                    } else if complete {
+                        CHECK_INTERVAL
+                    } else {
+                        FORMING_CHECK_INTERVAL
+                    },
+            );
             tokio::pin!(next);
             loop {
                 let ended = tokio::select! {
@@ -301,11 +335,14 @@
                     Some(ended) = tasks.join_next() => ended,
                 };
                 match ended {
-                    Ok((name, StopReason::Changed(reason))) => {
+                    Ok((name, StopReason::Changed(reason), last_step)) => {
                         log::info!("event=group_changed group={name} reason=\"{reason}\"");
                         managed.remove(&name);
+                        last_steps.extend(last_step.map(|at| (name, at)));
+                        let earliest = looked_at + BROKEN_CHECK_INTERVAL;
+                        next.as_mut().reset(earliest.max(Instant::now()));
                     }
-                    Ok((_, reason)) => {
+                    Ok((_, reason, _)) => {
                         end = reason;
                         break;
                     }
@@ -318,7 +355,7 @@
             }
         }
         while let Some(ended) = tasks.join_next().await {
-            if let Ok((_, StopReason::Fenced)) = ended {
+            if let Ok((_, StopReason::Fenced, _)) = ended {
                 end = StopReason::Fenced;
             }
         }
@@ -328,12 +365,8 @@
 
     /// Tells this gateway, and through it the others, which upstreams form groups.
     fn list_groups(&self, groups: &HashMap<Arc<str>, Vec<Arc<str>>>) {
-        let sequence = self.listing_counter.fetch_add(1, Ordering::Relaxed) + 1;
         let listing = Listing {
-            version: Version {
-                fence: self.fence(),
-                sequence,
-            },
+            version: self.next_version(),
             groups: groups
                 .iter()
                 .map(|(name, ids)| (Arc::clone(name), ids.clone()))
@@ -342,16 +375,59 @@
         self.shared.set_groups("leader", listing);
     }
 
+    /// Tells all gateways which groups are broken, if they do not know that or as a repetition.
+    fn state_outages<'a>(
+        &self,
+        broken: impl Iterator<Item = &'a Arc<str>>,
+        last_steps: &HashMap<Arc<str>, Moment>,
+        stated_at: &mut Moment,
+    ) {
+        let now = clock::now();
+        let known = self.shared.admission().outages(now).broken;
+        let known: HashSet<Arc<str>> = known.into_iter().map(|broken| broken.group).collect();
+        let broken: HashSet<Arc<str>> = broken.cloned().collect();
+        let is_due = !broken.is_empty() && now.since(*stated_at) >= OUTAGE_RESTATE_INTERVAL;
+        if broken == known && !is_due {
+            return;
+        }
+        *stated_at = now;
+        let has_changed = broken != known;
+        let broken = broken.into_iter().map(|group| outage::Broken {
+            age: last_steps
+                .get(&group)
+                .map_or(Duration::ZERO, |at| now.since(*at)),
+            group,
+        });
+        self.shared.set_outages(&outage::Statement {
+            version: self.next_version(),
+            broken: broken.collect(),
+        });
+        if has_changed {
+            self.shared.outages_changed.notify_one();
+        }
+    }
+
+    /// Returns the version of a listing or statement that is newer than all before.
+    fn next_version(&self) -> Version {
+        Version {
+            fence: self.fence(),
+            sequence: self.listing_counter.fetch_add(1, Ordering::Relaxed) + 1,
+        }
+    }
+
     /// Starts a task for each complete group that has none. `managed` holds the upstreams
-    /// of each group with a task. Returns whether all upstreams have one.
+    /// of each group with a task. Returns whether all upstreams have one, and the groups that
+    /// run nothing.
     async fn start_group_tasks(
         &self,
-        tasks: &mut JoinSet<(Arc<str>, StopReason)>,
+        tasks: &mut JoinSet<EndedTask>,
         managed: &mut HashMap<Arc<str>, Vec<Arc<str>>>,
-    ) -> bool {
+        steps: &mut HashMap<Arc<str>, LastStep>,
+    ) -> (bool, HashMap<Arc<str>, Vec<Arc<str>>>) {
         let view = self.shared.view.load_full();
+        let mut broken = HashMap::new();
         let Some(table) = &view.table else {
-            return false;
+            return (false, broken);
         };
         let mut complete = true;
         for service in &table.content().services {
@@ -374,19 +450,34 @@
                 if managed.contains_key(&name) {
                     continue;
                 }
-                missing -= members.len();
                 let ids = members.iter().map(|(record, _)| Arc::clone(&record.id));
+                if is_broken(&members) {
+                    broken.insert(name, ids.collect());
+                    continue;
+                }
+                if !is_complete(&members) {
+                    let step = LastStep::of(&members, clock::now());
+                    let last = steps.entry(Arc::clone(&name)).or_insert(step);
+                    if last.is_stalled(step) {
+                        broken.insert(name, ids.collect());
+                    } else if last.progress != step.progress {
+                        *last = step;
+                    }
+                    continue;
+                }
+                steps.remove(&name);
+                missing -= members.len();
                 managed.insert(Arc::clone(&name), ids.collect());
                 let params = ServiceParams { shape, max_pause };
                 tasks.spawn(manage_group(self.clone(), name, members, params));
             }
             complete &= missing == 0;
         }
-        complete
+        (complete, broken)
     }
 
-    /// Queries the upstreams of a service and returns the groups among them that are complete
-    /// and open.
+    /// Queries the upstreams of a service and returns their groups, with the ranks that answer
+    /// in rank order.
     async fn groups(&self, records: &[Arc<Record>]) -> BTreeMap<Arc<str>, Members> {
         let mut groups: BTreeMap<Arc<str>, Members> = BTreeMap::new();
         for (record, report) in self.reports(records).await {
@@ -395,18 +486,9 @@
             };
             groups.entry(group.name).or_default().push((record, report));
         }
-        groups.retain(|_, members| {
+        for members in groups.values_mut() {
             members.sort_by_key(|(_, report)| report.group.as_ref().map(|group| group.rank));
-            let complete = members.iter().enumerate().all(|(index, (_, report))| {
-                let group = report.group.as_ref();
-                group.is_some_and(|it| usize::from(it.rank) == index && it.open)
-            });
-            let size = members
-                .first()
-                .and_then(|(_, report)| report.group.as_ref())
-                .map_or(0, |group| usize::from(group.size));
-            complete && members.len() == size
-        });
+        }
         groups
     }
 
@@ -443,6 +525,63 @@
     }
 }
 
+/// Returns whether all ranks of a group are there, in rank order, and it is open.
+fn is_complete(members: &Members) -> bool {
+    let complete = members.iter().enumerate().all(|(index, (_, report))| {
+        let group = report.group.as_ref();
+        group.is_some_and(|it| usize::from(it.rank) == index && it.open)
+    });
+    let size = members
+        .first()
+        .and_then(|(_, report)| report.group.as_ref())
+        .map_or(0, |group| usize::from(group.size));
+    complete && members.len() == size
+}
+
+/// The latest step that a group without one of its ranks is known to have begun.
+#[derive(Clone, Copy, Debug)]
+struct LastStep {
+    /// Epoch and step.
+    progress: (u64, u64),
+    is_busy: bool,
+    read_at: Moment,
+}
+
+impl LastStep {
+    fn of(members: &Members, now: Moment) -> Self {
+        let progress = members.iter().map(|(_, report)| {
+            let epoch = report.group.as_ref().map_or(0, |group| group.epoch);
+            (epoch, report.step)
+        });
+        let is_busy = |report: &Report| report.running + report.waiting > 0;
+        Self {
+            progress: progress.max().unwrap_or_default(),
+            is_busy: members.iter().any(|(_, report)| is_busy(report)),
+            read_at: now,
+        }
+    }
+
+    /// Returns whether the group has begun no step until `later` although it has calls. It then
+    /// waits for the rank that does not answer, which its other ranks do not state yet.
+    fn is_stalled(self, later: Self) -> bool {
+        self.progress == later.progress
+            && later.is_busy
+            && later.read_at.since(self.read_at) >= STALL_EVIDENCE
+    }
+}
+
+/// Returns whether ranks state that their group runs nothing. A rank that does not answer says
+/// nothing of its group, since only the path from here to it may be cut.
+fn is_broken(members: &Members) -> bool {
+    let groups = || {
+        members
+            .iter()
+            .filter_map(|(_, report)| report.group.as_ref())
+    };
+    let latest = groups().map(|group| group.epoch).max();
+    groups().any(|group| Some(group.epoch) == latest && !group.open)
+}
+
 /// Returns whether a report comes from the same start of an engine as a record. Without both
 /// start times, the address alone identifies the engine.
 fn is_of_record(report: &Report, record: &Record) -> bool {
@@ -452,13 +591,15 @@
     }
 }
 
-/// Manages a group. Also returns its name, which identifies the finished task to the caller.
+/// Manages a group. Also returns its name, which identifies the finished task to the caller, and
+/// when its last step was seen.
 async fn manage_group<E: Engine>(
     leader: Leader<E>,
     name: Arc<str>,
     members: Members,
     params: ServiceParams,
-) -> (Arc<str>, StopReason) {
-    let reason = group::manage(leader, Arc::clone(&name), members, params).await;
-    (name, reason)
+) -> (Arc<str>, StopReason, Option<Moment>) {
+    let mut last_step = None;
+    let reason = group::manage(leader, Arc::clone(&name), members, params, &mut last_step).await;
+    (name, reason, last_step)
 }
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -33,6 +33,7 @@
 use tokio_util::task::TaskTracker;
 
 use crate::admit::group::Listing;
+use crate::admit::outage::Statement;
 use crate::admit::{AdmissionController, Refusal};
 use crate::clock;
 use crate::metrics::Counters;
@@ -102,6 +103,8 @@
     retries: Retries,
     connections: ConnectionPool,
     published: Notify,
+    /// Notified when the leader in this process states another set of broken groups.
+    pub outages_changed: Notify,
     next_call: AtomicU64,
 }
 
@@ -121,6 +124,7 @@
             retries: Retries::new(settings.budget),
             connections: ConnectionPool::default(),
             published: Notify::new(),
+            outages_changed: Notify::new(),
             next_call: AtomicU64::new(0),
         }
     }
@@ -188,6 +192,14 @@
         }
     }
 
+    /// Uses a statement on broken groups if it is newer than the one known, and assigns slots
+    /// of groups that have recovered.
+    pub fn set_outages(&self, statement: &Statement) {
+        if self.admission().set_outages(statement, clock::now()) {
+            self.assign_slots();
+        }
+    }
+
     /// Assigns free slots to waiting calls, and notifies those that are refused.
     pub fn assign_slots(&self) {
         loop {
--- a/crates/gateway/src/run/mod.rs
+++ b/crates/gateway/src/run/mod.rs
@@ -220,6 +220,7 @@
             store: self.inner.shared.store_contact.state(now),
             misdirected: admission.recent_misdirected(now),
             groups: admission.groups().version,
+            outages: admission.outages(now),
             paces: admission.recent_paces(exchange::Settings::default().interval, now),
             loads: admission.loads(),
         }
@@ -240,6 +241,7 @@
         if heartbeat.leads {
             self.inner.set_last_leader_heartbeat(now);
         }
+        self.inner.shared.set_outages(&heartbeat.outages);
         let mut admission = self.inner.shared.admission();
         admission.learn_misdirected(&heartbeat.misdirected, now);
         admission.learn_paces(&heartbeat.paces, now);
@@ -366,6 +368,7 @@
         leadership,
     ));
     tokio::spawn(run_maintenance(node.clone()));
+    tokio::spawn(announce_outages(node.clone()));
     let front = bind(settings.front).await?;
     let calls = Arc::clone(&shared);
     tokio::spawn(relay::serve(front, calls, names, tracker, stop));
@@ -466,6 +469,15 @@
     }
 }
 
+/// Sends heartbeats at once when the leader in this process finds that a group has broken or
+/// recovered, as calls wait for that at all gateways.
+async fn announce_outages(node: Node) {
+    loop {
+        node.inner.shared.outages_changed.notified().await;
+        node.inner.peers.send_heartbeats_now();
+    }
+}
+
 /// Periodically removes silent nodes and expired records, and publishes a new view if
 /// something changed.
 async fn run_maintenance(node: Node) {
--- a/crates/gateway/tests/exchange.rs
+++ b/crates/gateway/tests/exchange.rs
@@ -7,6 +7,7 @@
 
 use eyre::Result;
 use sesamerock_gateway::admit::group::{Listing, Version};
+use sesamerock_gateway::admit::outage;
 use sesamerock_gateway::exchange::{self, Heartbeat, LocalNode, Peers, Settings, Statement};
 use sesamerock_gateway::node;
 use sesamerock_gateway::state::{Position, Snapshot, State};
@@ -37,6 +38,7 @@
             store: ContactState::default(),
             misdirected: Vec::new(),
             groups: Version::default(),
+            outages: outage::Statement::default(),
             paces: Vec::new(),
             loads: Vec::new(),
         }
--- a/crates/gateway/tests/leader.rs
+++ b/crates/gateway/tests/leader.rs
@@ -235,3 +235,68 @@
     assert_eq!(maps::competitors(true, &all_failing), everyone);
     assert_eq!(maps::competitors(false, &all_failing), Some(Vec::new()));
 }
+
+/// Runs a leader until `scenario` has ended.
+async fn run_leader_beside(gateway: &Arc<Shared>, engines: &Engines, scenario: impl Future) {
+    let store = GrantingStore::default();
+    let leading = maps::run_leader(Arc::clone(gateway), store, engines.clone(), settings());
+    tokio::select! {
+        () = leading => panic!("the gateway is not shutting down, but the leader loop returned"),
+        _ = scenario => {}
+    }
+}
+
+/// Waits until the gateways are told that a group is broken, or that none is, and returns how
+/// long that took.
+async fn time_until_broken(gateway: &Shared, is_broken: bool) -> Duration {
+    let start = clock::now();
+    while gateway.admission().outages(clock::now()).broken.is_empty() == is_broken {
+        assert!(
+            clock::now().since(start) < Duration::from_secs(3),
+            "not told"
+        );
+        sleep(Duration::from_millis(5)).await;
+    }
+    clock::now().since(start)
+}
+
+/// Regression: the leader noticed a crash by a check each second and told nobody, so that calls
+/// were sent to the other ranks, which held them for 1.5 s before they refused them.
+#[tokio::test]
+async fn regression_a_crash_is_told_before_the_other_ranks_state_it() {
+    let engines = Engines::new(Duration::from_mins(1), |_, _, _| false);
+    let gateway = shared(view(&["fast"]));
+    let crash = async {
+        sleep(Duration::from_millis(1_700)).await;
+        engines.crash();
+        let told = time_until_broken(&gateway, true).await;
+        assert!(told < Duration::from_millis(700), "{told:?}");
+        engines.state_crash();
+        sleep(Duration::from_millis(1_500)).await;
+        let outages = gateway.admission().outages(clock::now());
+        assert_eq!(outages.broken.len(), 1, "{outages:?}");
+        assert!(outages.broken[0].age >= Duration::from_millis(1_500));
+        engines.recover();
+        let told = time_until_broken(&gateway, false).await;
+        assert!(told < Duration::from_millis(300), "{told:?}");
+    };
+    run_leader_beside(&gateway, &engines, crash).await;
+}
+
+/// A rank that only the leader cannot reach says nothing of its group: the others go on with
+/// their steps, and calls are still sent to all.
+#[tokio::test]
+async fn a_rank_out_of_reach_of_the_leader_does_not_break_its_group() {
+    let engines = Engines::new(Duration::from_mins(1), |_, _, _| false);
+    let gateway = shared(view(&["fast"]));
+    let cut = async {
+        sleep(Duration::from_millis(1_200)).await;
+        engines.cut_off();
+        for _ in 0..40 {
+            sleep(Duration::from_millis(50)).await;
+            let outages = gateway.admission().outages(clock::now());
+            assert!(outages.broken.is_empty(), "{outages:?}");
+        }
+    };
+    run_leader_beside(&gateway, &engines, cut).await;
+}
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -105,8 +105,25 @@
     /// When the engines last started, as [`Record::born`]. They refuse commands that are meant
     /// for another start.
     born: Arc<AtomicU64>,
+    crash: Arc<Mutex<Crash>>,
 }
 
+/// State of the rank [`CRASHED_RANK`] of each group.
+#[derive(Clone, Copy, Debug, Default)]
+struct Crash {
+    /// Step at which all groups have stopped; `None` while the rank runs.
+    stopped_at: Option<u64>,
+    /// Whether the other ranks state that their group is broken.
+    is_stated: bool,
+    /// Number of crashes that have ended.
+    ended: u64,
+    /// Whether the rank runs, but does not answer.
+    is_cut_off: bool,
+}
+
+/// Rank that [`Engines::crash`] stops.
+const CRASHED_RANK: u16 = 2;
+
 fn locked<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
@@ -130,6 +147,7 @@
             histories: Arc::default(),
             leaves_unanswered,
             born: Arc::new(AtomicU64::new(FIRST_START)),
+            crash: Arc::default(),
         }
     }
 
@@ -140,6 +158,36 @@
         locked(&self.histories).clear();
     }
 
+    /// Stops a rank of each group, with which all others stop. They do not state it yet.
+    pub fn crash(&self) {
+        let step = self.step();
+        locked(&self.crash).stopped_at = Some(step);
+    }
+
+    /// Makes a rank of each group unreachable, while all go on.
+    pub fn cut_off(&self) {
+        locked(&self.crash).is_cut_off = true;
+    }
+
+    /// Makes the ranks that have not crashed state that their group is broken.
+    pub fn state_crash(&self) {
+        locked(&self.crash).is_stated = true;
+    }
+
+    /// Forms the groups again, in a new epoch.
+    pub fn recover(&self) {
+        let mut crash = locked(&self.crash);
+        *crash = Crash {
+            ended: crash.ended + 1,
+            ..Crash::default()
+        };
+    }
+
+    fn is_silent(&self, id: &str) -> bool {
+        let crash = *locked(&self.crash);
+        rank_of(id) == CRASHED_RANK && (crash.is_cut_off || crash.stopped_at.is_some())
+    }
+
     /// Returns the switches of a group so far.
     pub fn history(&self, group: &str) -> GroupHistory {
         locked(&self.histories)
@@ -149,7 +197,8 @@
     }
 
     fn step(&self) -> u64 {
-        self.start.elapsed().as_millis() as u64 / STEP_MS + 1
+        let step = self.start.elapsed().as_millis() as u64 / STEP_MS + 1;
+        locked(&self.crash).stopped_at.unwrap_or(step)
     }
 
     /// Applies a command to one rank.
@@ -202,6 +251,10 @@
     }
 
     async fn report(&self, at: &Record) -> Result<Report, Fault> {
+        if self.is_silent(&at.id) {
+            return Err(Fault::NoAnswer("the rank is silent".to_owned()));
+        }
+        let crash = *locked(&self.crash);
         let rank = locked(&self.ranks)
             .entry(Arc::clone(&at.id))
             .or_default()
@@ -216,10 +269,10 @@
             pace: 1.0,
             group: Some(Group {
                 name: Arc::from(group_of(&at.id)),
-                epoch: 1,
+                epoch: 1 + crash.ended,
                 rank: rank_of(&at.id),
                 size: RANKS,
-                open: true,
+                open: !crash.is_stated,
             }),
             step: self.step(),
             map: rank.map,
@@ -229,7 +282,10 @@
         })
     }
 
-    async fn counts(&self, _: &Record, _: u16) -> Result<Counts, Fault> {
+    async fn counts(&self, at: &Record, _: u16) -> Result<Counts, Fault> {
+        if self.is_silent(&at.id) {
+            return Err(Fault::NoAnswer("the rank is silent".to_owned()));
+        }
         let step = self.step();
         let before = step.min(self.shift.as_millis() as u64 / STEP_MS);
         let after = step - before;
