Skip the look for broken groups while there is none

Each choice of an upstream and each refusal looked up the group of all upstreams of the service, twice for a call that has to wait. Groups without an outage are few and known, so that look is left out while none is broken.

--- a/crates/gateway/src/admit/group/mod.rs
+++ b/crates/gateway/src/admit/group/mod.rs
@@ -163,6 +163,9 @@
         now: Moment,
     ) -> Availability {
         let mut availability = Availability::default();
+        if self.arena.iter().all(|group| group.outage.is_none()) {
+            return availability;
+        }
         let (mut any_open, mut has_unlisted) = (false, false);
         for record in records {
             let Some(key) = self.by_upstream.get(&record.id) else {
