Name a time to return half a second after the expected end of an outage

Callers who returned shortly before the end of an outage that lasted longer than expected found the places to wait taken, and were refused again. The earliest time that a refusal names is now half a second after the expected end, where the longest time allows that.

--- a/crates/gateway/src/admit/outage/mod.rs
+++ b/crates/gateway/src/admit/outage/mod.rs
@@ -27,6 +27,9 @@
 /// Time over which callers return after an outage. The calls that waited take most slots at
 /// first, and free them within the duration of a stream.
 const RETURN_SPREAD: Duration = Duration::from_secs(2);
+/// Time after the expected end of an outage at which the first callers return, since it may last
+/// longer, and few of those who return before its end can wait for it.
+const RETURN_MARGIN: Duration = Duration::from_millis(500);
 /// Shortest time over which callers return. Those who return before the end of the outage wait
 /// in the queue.
 const MIN_RETURN_SPREAD: Duration = Duration::from_millis(500);
@@ -92,6 +95,6 @@
 /// another `remaining`; at most `longest`. `position` from 0 to 1 spreads the callers.
 pub fn retry_after(remaining: Duration, longest: Duration, position: f64) -> Duration {
     let latest = (remaining + RETURN_SPREAD).min(longest);
-    let earliest = remaining.min(latest.saturating_sub(MIN_RETURN_SPREAD));
+    let earliest = (remaining + RETURN_MARGIN).min(latest.saturating_sub(MIN_RETURN_SPREAD));
     earliest + latest.saturating_sub(earliest).mul_f64(position)
 }
