--- a/crates/gateway/src/exchange/mod.rs
+++ b/crates/gateway/src/exchange/mod.rs
@@ -13,6 +13,7 @@
 use crate::admit::group::{self, Listing, Pace};
 use crate::admit::leaving::Departure;
 use crate::admit::misdirected::Finding;
+use crate::admit::outage;
 use crate::node;
 use crate::state::{Position, Snapshot};
 use crate::store::contact::ContactState;
@@ -44,6 +45,8 @@
     pub groups: group::Version,
     /// Parts of prompts that crash upstreams, or may.
     pub suspects: suspect::Report,
+    /// Groups that run nothing, as far as the sender knows.
+    pub outages: outage::Statement,
     /// Paces of groups that the sender observed lately.
     pub paces: Vec<Pace>,
     /// Number of calls in flight from the sender, by upstream id.
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -38,6 +38,7 @@
 
 use crate::admit::group::Listing;
 use crate::admit::leaving::Departure;
+use crate::admit::outage::Statement;
 use crate::admit::{AdmissionController, Obstacle, Refusal};
 use crate::clock;
 use crate::metrics::Counters;
@@ -111,14 +112,14 @@
     suspects: Mutex<Suspects>,
     /// Notified when the verdict on a part may have changed.
     suspects_changed: Notify,
-    /// Notified when other gateways should hear of suspects at once.
-    pub suspect_news: Notify,
     durations: Durations,
     admission: Mutex<AdmissionController>,
     waiters: Mutex<Waiters>,
     retries: Retries,
     connections: ConnectionPool,
     published: Notify,
+    /// Notified when the leader in this process states another set of broken groups.
+    pub news: Notify,
     next_call: AtomicU64,
 }
 
@@ -134,13 +135,13 @@
             shutdown: OnceLock::new(),
             suspects: Mutex::new(suspects),
             suspects_changed: Notify::new(),
-            suspect_news: Notify::new(),
             durations: Durations::default(),
             admission: Mutex::new(admission),
             waiters: Mutex::default(),
             retries: Retries::new(settings.budget),
             connections: ConnectionPool::default(),
             published: Notify::new(),
+            news: Notify::new(),
             next_call: AtomicU64::new(0),
         }
     }
@@ -182,7 +183,7 @@
             self.suspects_changed.notify_waiters();
         }
         if has_news {
-            self.suspect_news.notify_one();
+            self.news.notify_one();
         }
         result
     }
@@ -307,6 +308,14 @@
         }
     }
 
+    /// Uses a statement on broken groups if it is newer than the one known, and assigns slots
+    /// of groups that have recovered.
+    pub fn set_outages(&self, statement: &Statement) {
+        if self.admission().set_outages(statement, clock::now()) {
+            self.assign_slots();
+        }
+    }
+
     /// Assigns free slots to waiting calls, and notifies those that are refused.
     pub fn assign_slots(&self) {
         loop {
--- a/crates/gateway/src/run/mod.rs
+++ b/crates/gateway/src/run/mod.rs
@@ -250,6 +250,7 @@
             leaving: admission.recent_leaving(now),
             groups: admission.groups().version,
             suspects,
+            outages: admission.outages(now),
             paces: admission.recent_paces(exchange::Settings::default().interval, now),
             loads: admission.loads(),
         }
@@ -275,6 +276,7 @@
         if heartbeat.leads {
             self.inner.set_last_leader_heartbeat(now);
         }
+        self.inner.shared.set_outages(&heartbeat.outages);
         let mut admission = self.inner.shared.admission();
         admission.learn_misdirected(&heartbeat.misdirected, now);
         admission.learn_paces(&heartbeat.paces, now);
@@ -434,7 +436,7 @@
         leadership,
     ));
     tokio::spawn(run_maintenance(node.clone()));
-    tokio::spawn(send_suspect_news(node.clone()));
+    tokio::spawn(announce_news(node.clone()));
     let front = bind(settings.front).await?;
     let calls = Arc::clone(&shared);
     let tracker = connections.clone();
@@ -552,6 +554,15 @@
     }
 }
 
+/// Sends heartbeats at once when the leader in this process finds that a group has broken or
+/// recovered, as calls wait for that at all gateways.
+async fn announce_news(node: Node) {
+    loop {
+        node.inner.shared.news.notified().await;
+        node.inner.peers.send_heartbeats_now();
+    }
+}
+
 /// Periodically removes silent nodes and expired records, and publishes a new view if
 /// something changed.
 async fn run_maintenance(node: Node) {
@@ -577,14 +588,6 @@
     }
 }
 
-/// Sends heartbeats at once when the other gateways should hear of suspects.
-async fn send_suspect_news(node: Node) {
-    loop {
-        node.inner.shared.suspect_news.notified().await;
-        node.inner.peers.send_heartbeats_now();
-    }
-}
-
 /// Serves on until no caller should know this node any more, then stops listening and waits for
 /// the connections to end.
 async fn shut_down(
