--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -118,7 +118,7 @@
     retries: Retries,
     connections: ConnectionPool,
     published: Notify,
-    /// Notified when the leader in this process states another set of broken groups.
+    /// Notified when other gateways should hear of a change at once.
     pub news: Notify,
     next_call: AtomicU64,
 }
--- a/crates/gateway/src/run/mod.rs
+++ b/crates/gateway/src/run/mod.rs
@@ -554,8 +554,8 @@
     }
 }
 
-/// Sends heartbeats at once when the leader in this process finds that a group has broken or
-/// recovered, as calls wait for that at all gateways.
+/// Sends heartbeats at once when other gateways should hear of a change: a group has broken or
+/// recovered, or a part of prompts is suspect, cleared or convicted. Calls wait for that.
 async fn announce_news(node: Node) {
     loop {
         node.inner.shared.news.notified().await;
