End trials of parts that became suspect while their call waited, and clear by successes only

A reader who had not seen the work found these in the search for parts that crash upstreams, by reading: - A call that waited for a slot while its part became suspect could be given the trial without ending it, so that calls with the part were refused at all gateways for up to half a minute. - A signed error of an upstream cleared the parts of its call. - An answer that ends with its connection cleared them if a crash ended it between two events. - A trial was sent although a part of its call had been convicted meanwhile.

Now the last check before a call is sent takes over the trial or refuses it, only successes clear, and an answer that ends with its connection clears only if its upstream still accepts connections.

--- a/crates/gateway/src/relay/attempt/mod.rs
+++ b/crates/gateway/src/relay/attempt/mod.rs
@@ -165,7 +165,7 @@
     limits: AttemptLimits,
 ) -> Result<(Watch, Permit), Refusal> {
     loop {
-        let watch = Watch::start(shared, call, limits.latest_start).await?;
+        let mut watch = Watch::start(shared, call, limits.latest_start).await?;
         let permit = acquire_permit(shared, call, attempted, limits).await?;
         if watch.may_send() {
             return Ok((watch, permit));
--- a/crates/gateway/src/relay/buffered/mod.rs
+++ b/crates/gateway/src/relay/buffered/mod.rs
@@ -158,9 +158,15 @@
             call.id()
         );
         permit.set_signal(HealthSignal::Failure);
+        watch.end_broken(&permit.record).await;
         return None;
     }
-    watch.go_on(clock::now());
+    // An error may come before the upstream has read the prompt.
+    if ends_with_connection {
+        watch.end_with_connection(&permit.record).await;
+    } else if parts.status.is_success() {
+        watch.go_on(clock::now());
+    }
     permit.set_signal(if parts.status.is_server_error() {
         HealthSignal::Failure
     } else {
--- a/crates/gateway/src/relay/streaming/mod.rs
+++ b/crates/gateway/src/relay/streaming/mod.rs
@@ -229,7 +229,8 @@
             mut watch,
         } = begun;
         // Without a length, an empty answer looks like one that broke off.
-        let mut may_end = !answer::ends_with_connection(&response);
+        let ends_with_connection = answer::ends_with_connection(&response);
+        let mut may_end = !ends_with_connection;
         let mut body = response.into_body();
         let mut last_event: Option<Moment> = None;
         loop {
@@ -237,7 +238,11 @@
             let frame = match timeout(time_left, body.frame()).await {
                 Ok(Some(Ok(frame))) => frame,
                 Ok(None) if may_end && self.events.at_boundary() => {
-                    watch.go_on(clock::now());
+                    if ends_with_connection {
+                        watch.end_with_connection(&permit.record).await;
+                    } else {
+                        watch.go_on(clock::now());
+                    }
                     permit.set_signal(HealthSignal::Success);
                     self.shared
                         .keep_connection(&permit.record, connection, keep_alive);
--- a/crates/gateway/src/relay/watch/mod.rs
+++ b/crates/gateway/src/relay/watch/mod.rs
@@ -13,7 +13,7 @@
 use crate::admit::{Reason, Refusal};
 use crate::clock;
 use crate::pool;
-use crate::suspect::{Event, Part, Verdict};
+use crate::suspect::{Event, Part, Suspects, Verdict};
 use crate::upstream::Record;
 
 /// Time from the first event after which an upstream has gone on answering. Those that a part
@@ -94,9 +94,21 @@
         }
     }
 
-    /// Returns whether the call may still be sent, after it has waited for a slot.
-    pub fn may_send(&self) -> bool {
-        self.trial.is_some() || self.shared.judge(&self.parts, clock::now()) == Verdict::Pass
+    /// Returns whether the call may still be sent, after it has waited for a slot. Then it may be
+    /// the trial of a part that has become suspect meanwhile.
+    pub fn may_send(&mut self) -> bool {
+        if let Some(trial) = self.trial {
+            let suspects = |suspects: &mut Suspects| suspects.may_go_on(trial, &self.parts);
+            return self.shared.update_suspects(suspects);
+        }
+        match self.shared.judge(&self.parts, clock::now()) {
+            Verdict::Pass => true,
+            Verdict::Try(part) => {
+                self.trial = Some(part);
+                true
+            }
+            Verdict::Wait | Verdict::Refuse(..) => false,
+        }
     }
 
     /// Records that the upstream has begun to answer.
@@ -121,10 +133,21 @@
         }
     }
 
+    /// Records the end of an answer that ends with its connection. A crash ends it too.
+    pub async fn end_with_connection(&mut self, record: &Record) {
+        if !self.has_crashed(record).await {
+            self.go_on(clock::now());
+        }
+    }
+
     /// Finds out whether the upstream crashed when its connection broke.
     pub async fn end_broken(&mut self, record: &Record) {
+        self.has_crashed(record).await;
+    }
+
+    async fn has_crashed(&self, record: &Record) -> bool {
         if self.has_gone_on || self.parts.is_empty() {
-            return;
+            return false;
         }
         let probe = pool::connect(record.address, PROBE_TIMEOUT).await;
         let is_refused = probe.is_err_and(|error| error.kind() == io::ErrorKind::ConnectionRefused);
@@ -134,6 +157,7 @@
                 suspects.record_crash(&self.parts, id, born, self.has_begun, clock::now());
             });
         }
+        is_refused
     }
 }
 
--- a/crates/gateway/src/suspect/mod.rs
+++ b/crates/gateway/src/suspect/mod.rs
@@ -267,6 +267,14 @@
         Verdict::Try(part)
     }
 
+    /// Returns whether the trial of a suspect may be sent: no part of its call has been convicted
+    /// since it was claimed.
+    pub fn may_go_on(&self, trial: Part, parts: &[Part]) -> bool {
+        let convicted = |part: &Part| self.convicted.get(part);
+        let is_refused = |part: &Part| convicted(part).is_some_and(|it| !it.on_probation);
+        !is_refused(&trial) && !parts.iter().any(is_refused)
+    }
+
     /// Returns whether there are changes that the other gateways should hear of at once, and
     /// takes them as told.
     pub fn take_news(&mut self) -> bool {
