Review case 1: an extra answer confirms an order, and ranks use different maps

Twelve ranks send some answers again, late, and carry some orders out late. The leader takes an extra answer for that to arm and lets the pass begin.

--- a/review/harness/src/cases/mod.rs
+++ b/review/harness/src/cases/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod cold;
 pub mod loads;
+pub mod map;
 pub mod stop;
 
 /// A route of a configuration.
--- a/review/harness/src/main.rs
+++ b/review/harness/src/main.rs
@@ -3,7 +3,9 @@
 //! the case could not run. With `TROUBLE=0` the disruption is left out.
 
 mod cases;
+mod group;
 mod http;
+mod random;
 mod record;
 mod server;
 mod store;
@@ -27,6 +29,7 @@
     let verdict = match name.as_str() {
         "loads" => cases::loads::run(&record, trouble),
         "stop" => cases::stop::run(&record, trouble),
+        "map" => cases::map::run(&record, trouble),
         "cold" => cases::cold::run(&record, trouble),
         _ => Verdict::NotRun(format!("no case {name:?}")),
     };
--- a/review/harness/src/system.rs
+++ b/review/harness/src/system.rs
@@ -107,7 +107,7 @@
         let settings = folder.join(format!("{name}.yaml"));
         fs::write(&settings, text).expect("write settings");
         let log = folder.join(format!("{name}.log"));
-        let child = spawn(&settings, &log);
+        let child = spawn("gateway", &settings, &log);
         Self {
             ip,
             child,
@@ -134,7 +134,7 @@
 
     /// Starts the process anew after it has ended.
     pub fn restart(&mut self) {
-        self.child = spawn(&self.settings, &self.log);
+        self.child = spawn("gateway", &self.settings, &self.log);
     }
 
     /// Returns whether the process has ended.
@@ -177,7 +177,42 @@
     }
 }
 
-fn spawn(settings: &Path, log: &Path) -> Child {
+/// A sidecar, which is killed when this is dropped.
+pub struct Sidecar(Child);
+
+impl Sidecar {
+    /// Fills in the settings of a sidecar beside an engine, and starts it.
+    pub fn start(folder: &Path, name: &str, ip: IpAddr, engine: SocketAddr) -> Self {
+        let template = fs::read_to_string(root().join("deploy/sidecar.yaml")).expect("template");
+        let values = [
+            ("nodeName", name.to_owned()),
+            ("ip", ip.to_string()),
+            ("internalPorts.0", EXCHANGE.to_string()),
+            ("app", engine.to_string()),
+        ];
+        let mut text = template;
+        for (field, value) in values {
+            text = text.replace(&format!("{{{{{field}}}}}"), &value);
+        }
+        assert!(!text.contains("{{"), "a placeholder is left: {text}");
+        let settings = folder.join(format!("{name}.yaml"));
+        fs::write(&settings, text).expect("write settings");
+        Self(spawn(
+            "sidecar",
+            &settings,
+            &folder.join(format!("{name}.log")),
+        ))
+    }
+}
+
+impl Drop for Sidecar {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+fn spawn(role: &str, settings: &Path, log: &Path) -> Child {
     let log = File::options()
         .create(true)
         .append(true)
@@ -186,7 +221,7 @@
     let errors = log.try_clone().expect("the log");
     let program = root().join("target/release/sesamerock");
     Command::new(program)
-        .arg("gateway")
+        .arg(role)
         .env("SESAMEROCK_SETTINGS", settings)
         .stdin(Stdio::null())
         .stdout(log)
