--- a/review/harness/src/cases/cold.rs
+++ b/review/harness/src/cases/cold.rs
@@ -84,6 +84,7 @@
                         host: HOST,
                         id: &id,
                         deadline: Duration::from_secs(1),
+                        fields: &[],
                         body: b"",
                     };
                     let (seen, _) = http::exchange(front, &request, Duration::from_secs(1));
--- a/review/harness/src/cases/loads.rs
+++ b/review/harness/src/cases/loads.rs
@@ -189,6 +189,7 @@
                     host: HOST,
                     id: &id,
                     deadline: DEADLINE,
+                    fields: &[],
                     body: b"a prompt",
                 };
                 // Consumers leave out the addresses that have failed them.
--- a/review/harness/src/cases/map.rs
+++ b/review/harness/src/cases/map.rs
@@ -89,6 +89,7 @@
                         host: HOST,
                         id: &id,
                         deadline: DEADLINE,
+                        fields: &[],
                         body: b"a prompt",
                     };
                     let (seen, _) = http::exchange(front, &request, DEADLINE);
--- a/review/harness/src/cases/mod.rs
+++ b/review/harness/src/cases/mod.rs
@@ -4,6 +4,7 @@
 pub mod loads;
 pub mod map;
 pub mod stop;
+pub mod tokens;
 
 /// A route of a configuration.
 pub struct Route {
--- a/review/harness/src/cases/stop.rs
+++ b/review/harness/src/cases/stop.rs
@@ -34,6 +34,7 @@
         host: HOST,
         id,
         deadline: DEADLINE,
+        fields: &[],
         body: b"ten pallets",
     }
 }
--- a/review/harness/src/http.rs
+++ b/review/harness/src/http.rs
@@ -108,6 +108,8 @@
     pub host: &'a str,
     pub id: &'a str,
     pub deadline: Duration,
+    /// Further headers.
+    pub fields: &'a [(&'a str, &'a str)],
     pub body: &'a [u8],
 }
 
@@ -121,12 +123,16 @@
             id,
             ..
         } = self;
-        let head = format!(
+        let mut head = format!(
             "{method} {path} HTTP/1.1\r\nHost: {host}\r\nRequest-Id: {id}\r\nDeadline-Ms: {}\r\n\
-             Content-Length: {}\r\n\r\n",
+             Content-Length: {}\r\n",
             self.deadline.as_millis(),
             self.body.len()
         );
+        for (name, value) in self.fields {
+            head.push_str(&format!("{name}: {value}\r\n"));
+        }
+        head.push_str("\r\n");
         let mut bytes = head.into_bytes();
         bytes.extend_from_slice(self.body);
         bytes
--- a/review/harness/src/main.rs
+++ b/review/harness/src/main.rs
@@ -30,6 +30,7 @@
         "loads" => cases::loads::run(&record, trouble),
         "stop" => cases::stop::run(&record, trouble),
         "map" => cases::map::run(&record, trouble),
+        "tokens" => cases::tokens::run(&record, trouble),
         "cold" => cases::cold::run(&record, trouble),
         _ => Verdict::NotRun(format!("no case {name:?}")),
     };
