--- a/review/harness/src/cases/map.rs
+++ b/review/harness/src/cases/map.rs
@@ -20,7 +20,7 @@
 const SHIFT: Duration = Duration::from_secs(2);
 /// How long the disruptions last each time, and the pause after.
 const ON: Duration = Duration::from_secs(5);
-const OFF: Duration = Duration::from_secs(3);
+const OFF: Duration = Duration::from_secs(1);
 /// Deadline of a request.
 const DEADLINE: Duration = Duration::from_secs(8);
 
