--- a/review/harness/src/cases/cold.rs
+++ b/review/harness/src/cases/cold.rs
@@ -1,7 +1,8 @@
 //! Gateways are killed and start again while one partition of the store is down.
 
-use std::sync::Arc;
+use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -69,10 +70,13 @@
         return Verdict::NotRun("a gateway is not ready".to_owned());
     }
     let over = Arc::new(AtomicBool::new(false));
+    // When the consumers have sent their requests.
+    let sent: Arc<Mutex<HashMap<String, Instant>>> = Arc::default();
     let mut consumers = Vec::new();
     for (index, front) in gateways.iter().map(Gateway::front).enumerate() {
         for consumer in 0..CONSUMERS {
             let (record, over) = (Arc::clone(record), Arc::clone(&over));
+            let sent = Arc::clone(&sent);
             consumers.push(thread::spawn(move || {
                 thread::sleep(PAUSE * consumer as u32 / CONSUMERS as u32);
                 let mut number = 0;
@@ -87,6 +91,7 @@
                         fields: &[],
                         body: b"",
                     };
+                    sent.lock().unwrap().insert(id.clone(), Instant::now());
                     let (seen, _) = http::exchange(front, &request, Duration::from_secs(1));
                     if seen != Seen::Unconnected {
                         record.line(format_args!("consumer id={id} sees {seen:?}"));
@@ -136,20 +141,24 @@
     for consumer in consumers {
         let _ = consumer.join();
     }
-    let arrivals: Vec<Instant> = server
+    let sent = sent.lock().unwrap();
+    let arrivals: Vec<(Instant, Instant)> = server
         .arrivals()
         .into_iter()
-        .filter(|at| *at >= cold_at && *at <= cold_end)
+        .filter(|(at, _)| *at >= cold_at && *at <= cold_end)
+        .filter_map(|(at, id)| Some((at, *sent.get(&id)?)))
         .collect();
+    // A request counts in a second in which it was both sent and has arrived.
+    let inside = |from: Instant| {
+        let end = from + Duration::from_secs(1);
+        let both = arrivals
+            .iter()
+            .filter(|(at, sent)| *sent >= from && *at < end);
+        both.count()
+    };
     let most = arrivals
         .iter()
-        .enumerate()
-        .map(|(index, from)| {
-            let inside = arrivals[index..]
-                .iter()
-                .take_while(|at| **at - *from < Duration::from_secs(1));
-            inside.count()
-        })
+        .map(|(_, sent)| inside(*sent))
         .max()
         .unwrap_or(0);
     let bound = COLD_PER_S * OVERAGE + SLACK;
--- a/review/harness/src/cases/tokens.rs
+++ b/review/harness/src/cases/tokens.rs
@@ -23,6 +23,8 @@
 const MARGIN: Duration = Duration::from_millis(500);
 /// How long consumers wait.
 const DEADLINE: Duration = Duration::from_secs(8);
+/// `graceS` of the sheets.
+const GRACE: Duration = Duration::from_secs(8);
 const BEFORE: Duration = Duration::from_secs(5);
 const AFTER: Duration = Duration::from_secs(20);
 /// The largest number of 64 bits, which programs write for "no limit" or for -1.
@@ -96,7 +98,7 @@
         let entry = server.entry("assist", "hobart-a", Duration::ZERO);
         store.put("keyed.servers", server.id(), &entry);
     }
-    let gateway = Gateway::start(&folder.0, "front-hobart-a-1", network.ip(1), store.address);
+    let mut gateway = Gateway::start(&folder.0, "front-hobart-a-1", network.ip(1), store.address);
     if !gateway.wait_ready(Duration::from_secs(10)) {
         return Verdict::NotRun("the gateway is not ready".to_owned());
     }
@@ -147,6 +149,12 @@
     for other in others {
         let _ = other.join();
     }
+    gateway.signal("TERM");
+    thread::sleep(GRACE + Duration::from_secs(1));
+    record.say(format_args!(
+        "ended after SIGTERM and graceS: {}",
+        gateway.has_ended()
+    ));
     let results: Vec<_> = consumers
         .into_iter()
         .filter_map(|it| it.join().ok())
--- a/review/harness/src/server.rs
+++ b/review/harness/src/server.rs
@@ -32,7 +32,7 @@
     freed: Condvar,
     handler: Box<Handler>,
     record: Arc<Record>,
-    arrivals: Mutex<Vec<Instant>>,
+    arrivals: Mutex<Vec<(Instant, String)>>,
     runs: AtomicU64,
     /// Requests in a second at which the server crashes; 0 if it bears any rate.
     bears: AtomicUsize,
@@ -104,8 +104,8 @@
         &self.shared.id
     }
 
-    /// Returns when requests have arrived that were meant for this server.
-    pub fn arrivals(&self) -> Vec<Instant> {
+    /// Returns when requests have arrived that were meant for this server, and their ids.
+    pub fn arrivals(&self) -> Vec<(Instant, String)> {
         self.shared.arrivals.lock().unwrap().clone()
     }
 
@@ -162,14 +162,14 @@
     }
 
     /// Counts a request, and crashes if there are too many in a second.
-    fn count_arrival(&self) {
+    fn count_arrival(&self, id: &str) {
         let now = Instant::now();
         let mut arrivals = self.arrivals.lock().unwrap();
-        arrivals.push(now);
+        arrivals.push((now, id.to_owned()));
         let from = self.bears_from.load(Ordering::Relaxed);
         let latest = arrivals[from..].iter().rev();
         let recent = latest
-            .take_while(|at| now - **at < Duration::from_secs(1))
+            .take_while(|(at, _)| now - *at < Duration::from_secs(1))
             .count();
         let bears = self.bears.load(Ordering::Relaxed);
         if bears > 0 && recent > bears && !self.has_crashed.swap(true, Ordering::Relaxed) {
@@ -198,7 +198,7 @@
                 writer.write_all(text.as_bytes())?;
                 continue;
             }
-            self.count_arrival();
+            self.count_arrival(&id);
             if self.has_crashed.load(Ordering::Relaxed) {
                 return Ok(());
             }
