--- a/review/harness/src/group.rs
+++ b/review/harness/src/group.rs
@@ -22,6 +22,8 @@
 const PASS: Duration = Duration::from_millis(40);
 /// Experts that most requests choose.
 const LIKED: usize = 8;
+/// Those of them that change at a shift: a share of 0.625.
+const SHIFTED: usize = 5;
 /// Events of a stream, one a pass.
 const EVENTS: usize = 24;
 
@@ -132,15 +134,22 @@
         )
     }
 
-    /// Changes which experts are in demand.
+    /// Changes which experts are in demand: the first time all, later [`SHIFTED`] of each set.
     pub fn shift(&self) {
-        let liked = (0..SETS).map(|_| {
-            let first = self.random.below(EXPERTS);
-            (0..LIKED)
-                .map(|index| (first + index * 12) % EXPERTS)
-                .collect()
-        });
-        self.state().liked = liked.collect();
+        let mut state = self.state();
+        if state.liked.is_empty() {
+            state.liked = vec![vec![0; LIKED]; SETS];
+            for liked in state.liked.iter_mut().flatten() {
+                *liked = self.random.below(EXPERTS);
+            }
+            return;
+        }
+        for liked in &mut state.liked {
+            liked.rotate_left(SHIFTED);
+            for expert in &mut liked[LIKED - SHIFTED..] {
+                *expert = self.random.below(EXPERTS);
+            }
+        }
     }
 
     /// Makes passes while there is work.
