Log what the address of an upstream does after a broken answer

A break whose probe is not refused left no line, so that a crash at a silent or accepting address could not be told from a key that changes or evidence that is lost. `answer_broken` names the call, the request as a subject, the upstream and its start, whether the answer had begun, and whether the address accepts, refuses or is silent; sesamerock_broken_answers_total counts them by the address. No decision has changed.

--- a/crates/gateway/src/metrics/mod.rs
+++ b/crates/gateway/src/metrics/mod.rs
@@ -59,6 +59,7 @@
     refused: CountsByLabel,
     attempts: CountsByLabel,
     withheld: CountsByLabel,
+    broken: CountsByLabel,
     /// Time to the first event of a stream; other answers are not included.
     pub first_byte: Histogram,
     /// Time to the last byte of an answer.
@@ -95,6 +96,11 @@
         count(&self.withheld, reason);
     }
 
+    /// Counts an answer that broke off, by what the address of its upstream does then.
+    pub fn broken(&self, address: &'static str) {
+        count(&self.broken, address);
+    }
+
     /// Renders all counters and histograms in the Prometheus text format.
     pub fn render(&self) -> String {
         let mut text = String::new();
@@ -110,6 +116,7 @@
             ("sesamerock_refusals_total", "reason", &self.refused),
             ("sesamerock_attempts_total", "outcome", &self.attempts),
             ("sesamerock_withheld_total", "reason", &self.withheld),
+            ("sesamerock_broken_answers_total", "address", &self.broken),
         ] {
             let counts = counts.lock().unwrap_or_else(PoisonError::into_inner);
             for (value, count) in &*counts {
--- a/crates/gateway/src/relay/watch/mod.rs
+++ b/crates/gateway/src/relay/watch/mod.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use http::HeaderValue;
 use sesamerock_base::time::Moment;
 use tokio::time::timeout;
 
@@ -32,6 +33,8 @@
 #[derive(Debug)]
 pub struct Watch {
     shared: Arc<Shared>,
+    /// Id of the call, for the log.
+    call_id: HeaderValue,
     subjects: Arc<[Subject]>,
     /// The suspect of which this attempt is the trial.
     trial: Option<Subject>,
@@ -92,6 +95,7 @@
             };
             return Ok(Self {
                 shared: Arc::clone(shared),
+                call_id: call.id.clone(),
                 subjects: Arc::clone(&call.subjects),
                 trial,
                 has_begun: false,
@@ -149,28 +153,34 @@
 
     /// Records the end of an answer that ends with its connection. A crash ends it too.
     pub async fn end_with_connection(&mut self, record: &Record) {
-        if !self.has_crashed(record).await {
+        if self.probe(record).await != Reply::Refused {
             self.complete(clock::now());
         }
     }
 
     /// Finds out whether the upstream crashed when its connection broke.
     pub async fn end_broken(&mut self, record: &Record) {
-        self.has_crashed(record).await;
+        let reply = self.probe(record).await;
+        self.shared.counters.broken(reply.as_str());
+        log::info!(
+            "event=answer_broken id={} subject={} upstream={} born={:?} begun={} address={}",
+            self.call_id.to_str().unwrap_or("?"),
+            self.request(),
+            record.id,
+            record.born,
+            self.has_begun,
+            reply.as_str()
+        );
     }
 
-    async fn has_crashed(&self, record: &Record) -> bool {
-        let probe = self.shared.connections.open(record, PROBE_TIMEOUT).await;
-        let is_refused = match probe {
-            Ok(connection) => {
-                // The next call takes it, as connections are dear to upstreams.
-                let keep_alive = KeepAlive::Unstated;
-                self.shared.keep_connection(record, connection, keep_alive);
-                false
-            }
-            Err(error) => error.kind() == io::ErrorKind::ConnectionRefused,
-        };
-        if is_refused {
+    /// Returns the whole request, which is the last subject of its call.
+    fn request(&self) -> Subject {
+        self.subjects[self.subjects.len() - 1]
+    }
+
+    async fn probe(&self, record: &Record) -> Reply {
+        let reply = probe(&self.shared, record).await;
+        if reply == Reply::Refused {
             let (id, born) = (&record.id, record.born);
             // A part crashes upstreams within their first passes, a request at any time.
             let blamed = self.subjects.iter().copied();
@@ -180,7 +190,38 @@
                 suspects.record_crash(&blamed, id, born, self.has_begun, clock::now());
             });
         }
-        is_refused
+        reply
+    }
+}
+
+/// How the address of an upstream replies to a new connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Reply {
+    Accepted,
+    Refused,
+    Silent,
+}
+
+impl Reply {
+    const fn as_str(self) -> &'static str {
+        match self {
+            Self::Accepted => "accepts",
+            Self::Refused => "refuses",
+            Self::Silent => "silent",
+        }
+    }
+}
+
+/// Opens a connection to an upstream and, if it is accepted, keeps it for the next call, as
+/// connections are dear to upstreams.
+async fn probe(shared: &Shared, record: &Record) -> Reply {
+    match shared.connections.open(record, PROBE_TIMEOUT).await {
+        Ok(connection) => {
+            shared.keep_connection(record, connection, KeepAlive::Unstated);
+            Reply::Accepted
+        }
+        Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => Reply::Refused,
+        Err(_) => Reply::Silent,
     }
 }
 
