Reproduce crashes that no refused connection confirms

Upstreams of the stand-in now crash for all their connections, and their address then refuses, is silent (a full backlog) or accepts and closes; they return at the same address as other upstreams.

--- a/crates/standin/src/scripted/mod.rs
+++ b/crates/standin/src/scripted/mod.rs
@@ -6,8 +6,10 @@
 use std::time::Duration;
 
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
-use tokio::net::{TcpListener, TcpStream};
-use tokio::time::sleep;
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::sync::mpsc;
+use tokio::time::{sleep, timeout};
+use tokio_util::sync::CancellationToken;
 
 use crate::task::Task;
 
@@ -26,8 +28,26 @@
     Stream(String, Vec<String>, Duration),
     /// Sends nothing until the client closes the connection.
     Hang,
+    /// Writes these bytes and ends: all connections close, and the address behaves as stated.
+    Crash(String, Address),
 }
 
+/// What the address of an upstream does after its crash, until the [`Upstream`] is dropped.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Address {
+    /// Refuses connections.
+    Refuses,
+    /// Neither accepts connections nor refuses them, as that of a machine without power.
+    Silent,
+    /// Accepts connections and closes them, as a proxy does whose backend is gone.
+    Accepts,
+}
+
+/// Connections that wait for an upstream to accept them.
+const BACKLOG: u32 = 32;
+/// Time after which a connection to a full backlog is taken as unanswered.
+const UNANSWERED: Duration = Duration::from_millis(20);
+
 /// A running scripted upstream.
 #[derive(Debug)]
 pub struct Upstream {
@@ -51,7 +71,23 @@
         id: &str,
         act: impl Fn(&str) -> Act + Clone + Send + Sync + 'static,
     ) -> std::io::Result<Self> {
-        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        Self::start_at(SocketAddr::from(([127, 0, 0, 1], 0)), id, act)
+    }
+
+    /// Starts an upstream as [`Upstream::start`] does, at an address that another one may have
+    /// left.
+    ///
+    /// # Errors
+    /// Returns the error of the listener.
+    pub fn start_at(
+        address: SocketAddr,
+        id: &str,
+        act: impl Fn(&str) -> Act + Clone + Send + Sync + 'static,
+    ) -> std::io::Result<Self> {
+        let socket = TcpSocket::new_v4()?;
+        socket.set_reuseaddr(true)?;
+        socket.bind(address)?;
+        let listener = socket.listen(BACKLOG)?;
         let address = listener.local_addr()?;
         let calls = Arc::new(Mutex::new(Vec::new()));
         let abandoned_calls = Arc::new(Mutex::new(0));
@@ -59,10 +95,29 @@
         let connections = Arc::new(AtomicUsize::new(0));
         let accepted = Arc::clone(&connections);
         let task = tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
+            let (crash, mut crashed) = mpsc::channel(1);
+            let connections = CancellationToken::new();
+            let aftermath = loop {
+                let stream = tokio::select! {
+                    aftermath = crashed.recv() => break aftermath,
+                    accepted = listener.accept() => accepted,
+                };
+                let Ok((stream, _)) = stream else {
+                    return;
+                };
                 accepted.fetch_add(1, Ordering::Relaxed);
                 let (seen, abandoned) = (Arc::clone(&seen), Arc::clone(&abandoned));
-                tokio::spawn(serve(stream, act.clone(), seen, abandoned));
+                let serving = serve(stream, act.clone(), seen, abandoned, crash.clone());
+                let closed = connections.clone().cancelled_owned();
+                tokio::spawn(async move {
+                    tokio::select! {
+                        () = closed => {}
+                        () = serving => {}
+                    }
+                });
+            };
+            if let Some(aftermath) = aftermath {
+                end(listener, connections, aftermath).await;
             }
         });
         Ok(Self {
@@ -159,11 +214,39 @@
     found.map(|(_, value)| value.to_owned())
 }
 
+/// Closes all connections of an upstream that has crashed, and answers for its address.
+async fn end(listener: TcpListener, connections: CancellationToken, aftermath: Address) {
+    match aftermath {
+        Address::Refuses => {
+            drop(listener);
+            connections.cancel();
+        }
+        Address::Silent => {
+            // A full backlog drops further connections.
+            let mut waiting = Vec::new();
+            if let Ok(address) = listener.local_addr() {
+                while let Ok(Ok(stream)) = timeout(UNANSWERED, TcpStream::connect(address)).await {
+                    waiting.push(stream);
+                }
+            }
+            connections.cancel();
+            std::future::pending::<()>().await;
+        }
+        Address::Accepts => {
+            connections.cancel();
+            while let Ok((stream, _)) = listener.accept().await {
+                drop(stream);
+            }
+        }
+    }
+}
+
 async fn serve(
     mut stream: TcpStream,
     act: impl Fn(&str) -> Act,
     seen: Arc<Mutex<Vec<String>>>,
     abandoned: Arc<Mutex<u32>>,
+    crash: mpsc::Sender<Address>,
 ) {
     let mut bytes = Vec::new();
     let mut buffer = [0; 4096];
@@ -211,6 +294,14 @@
                 }
                 (text, false)
             }
+            Act::Crash(text, aftermath) => {
+                if stream.write_all(text.as_bytes()).await.is_ok() {
+                    // Fails if another call has crashed the upstream already.
+                    let _ = crash.send(aftermath).await;
+                    std::future::pending::<()>().await;
+                }
+                return;
+            }
             Act::Hang => {
                 // Ends when the client closes or resets the connection.
                 while matches!(stream.read(&mut buffer).await, Ok(read) if read > 0) {}
