Count a broken answer as a crash until its upstream answers again

Callers saw: a request that crashed its upstreams was sent to one after the other, and all calls of the service were lost meanwhile.

Cause: the evidence of a crash was one connection, opened by one gateway within milliseconds of the break, and only a refusal counted. An address that was silent for 200 ms, or that still accepted, left nothing behind, whatever followed. It is the class of conclusions from a single observation.

Now a break is an unconfirmed crash until the same start of the upstream answers a call that was sent after it (refuted, and told to the other gateways), or refuses a connection at once, later or to another call, or states a new start (confirmed). Unconfirmed crashes count against requests only and need one more: a request is tried after two and refused after three. A conviction that loses its evidence ends. A request that is sent to a second upstream after the first has broken off counts there too if both are within 50 ms: a rack that fails is no explanation.

--- a/crates/gateway/src/pool/mod.rs
+++ b/crates/gateway/src/pool/mod.rs
@@ -138,16 +138,21 @@
     /// Removes and returns the idle connection to an upstream that was used last. Drops
     /// those that have expired or are not usable any more.
     pub fn take(&self, record: &Record) -> Option<Connection> {
-        let now = clock::now();
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let connections = idle.get_mut(&record.id)?;
-        connections.retain(|idle| {
-            let connection = &idle.connection;
-            idle.expires > now && !connection.sender.is_closed() && connection.socket.is_idle()
-        });
+        drop_unusable(connections);
         connections.pop().map(|idle| idle.connection)
     }
 
+    /// Returns whether there is an idle connection to an upstream that is usable.
+    pub fn has_idle(&self, record: &Record) -> bool {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        idle.get_mut(&record.id).is_some_and(|connections| {
+            drop_unusable(connections);
+            !connections.is_empty()
+        })
+    }
+
     /// Opens a connection to an upstream.
     ///
     /// # Errors
@@ -206,6 +211,14 @@
     }
 }
 
+fn drop_unusable(connections: &mut Vec<IdleConnection>) {
+    let now = clock::now();
+    connections.retain(|idle| {
+        let connection = &idle.connection;
+        idle.expires > now && !connection.sender.is_closed() && connection.socket.is_idle()
+    });
+}
+
 /// How long an upstream keeps a connection open after an answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum KeepAlive {
--- a/crates/gateway/src/relay/attempt/mod.rs
+++ b/crates/gateway/src/relay/attempt/mod.rs
@@ -1,5 +1,6 @@
 //! One attempt: sends a call to one upstream and reads the header of the answer.
 
+use std::io;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -230,6 +231,9 @@
                 record.id
             );
             shared.connections.close_idle(&record.id);
+            if error.kind() == io::ErrorKind::ConnectionRefused {
+                shared.confirm_crash(&record);
+            }
             permit.set_signal(HealthSignal::Unreachable);
             return Ok(Outcome::Unreachable);
         }
@@ -284,19 +288,20 @@
     if !is_other && names.is_leaving(response.headers()) {
         shared.set_leaving(&record);
     }
-    observe_statements(shared, names, call, &response, &permit);
+    observe_answer(shared, names, call, &response, &permit, now);
     watch.begin();
     Ok(classify(names, call, response, connection, permit, watch))
 }
 
-/// Records whether the answer to a call asks for a pause or names a limit. Answers to other calls
-/// are late, so what they state may be outdated.
-fn observe_statements<N: Names>(
+/// Records that an upstream has answered, and whether the answer to a call asks for a pause or
+/// names a limit. Answers to other calls are late, so what they state may be outdated.
+fn observe_answer<N: Names>(
     shared: &Shared,
     names: &N,
     call: &Call,
     response: &Response<Incoming>,
     permit: &Permit,
+    sent_at: Moment,
 ) {
     let headers = response.headers();
     let id = headers.get(&names.headers().call_id);
@@ -305,6 +310,7 @@
     }
     // A misdirected call was answered by another upstream.
     if response.status() != StatusCode::MISDIRECTED_REQUEST {
+        shared.refute_crash(&permit.record, sent_at);
         shared.observe_limit(&permit.record, names.limit(headers), permit.started);
     }
     let is_unavailable = response.status() == StatusCode::SERVICE_UNAVAILABLE;
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -219,6 +219,18 @@
         self.update_suspects(|suspects| suspects.judge(subjects, now))
     }
 
+    /// Records that the address of an upstream refuses connections.
+    fn confirm_crash(&self, record: &Record) {
+        let (id, born) = (&record.id, record.born);
+        self.update_suspects(|suspects| suspects.confirm(id, born, clock::now()));
+    }
+
+    /// Records that an upstream has answered a call that was sent at `sent_at`.
+    fn refute_crash(&self, record: &Record, sent_at: Moment) {
+        let (id, born) = (&record.id, record.born);
+        self.update_suspects(|suspects| suspects.observe_answer(id, born, sent_at, clock::now()));
+    }
+
     /// Returns the convictions and their ends that the store is to keep, and takes them as kept.
     /// Waits until there is one.
     pub async fn next_convictions(&self) -> Vec<suspect::Record> {
@@ -251,6 +263,13 @@
     pub fn publish(&self, view: View) {
         self.admission().set_pools(view.pools.clone());
         self.retries.set_gateways(view.gateways, clock::now());
+        let records = view.ranks.values().flatten();
+        self.update_suspects(|suspects| {
+            if !suspects.is_empty() {
+                let now = clock::now();
+                records.for_each(|it| suspects.observe_start(&it.id, it.born, now));
+            }
+        });
         self.connections.retain(|id| {
             let mut candidates = view.pools.values().flat_map(|pool| &pool.candidates);
             candidates.any(|candidate| &*candidate.record.id == id)
--- a/crates/gateway/src/relay/watch/mod.rs
+++ b/crates/gateway/src/relay/watch/mod.rs
@@ -7,14 +7,14 @@
 
 use http::HeaderValue;
 use sesamerock_base::time::Moment;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use super::Shared;
 use super::call::Call;
 use crate::admit::{Reason, Refusal};
 use crate::clock;
 use crate::pool::KeepAlive;
-use crate::suspect::{Event, Subject, Suspects, Verdict};
+use crate::suspect::{Attempt, Event, Subject, Suspects, Verdict};
 use crate::upstream::Record;
 
 /// Time from the first event after which an upstream has gone on answering. Those that a part
@@ -29,6 +29,11 @@
 /// that closed a single connection.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(200);
 
+/// Pauses before the address of an upstream is probed again while it is in doubt whether it has
+/// crashed: a process that ends may still accept connections, and one that has restarted refuses
+/// none for long.
+const REPROBE_PAUSES: [Duration; 2] = [Duration::from_millis(250), Duration::from_millis(750)];
+
 /// One attempt of a call. Dropping it ends the trial of a suspect.
 #[derive(Debug)]
 pub struct Watch {
@@ -38,6 +43,7 @@
     subjects: Arc<[Subject]>,
     /// The suspect of which this attempt is the trial.
     trial: Option<Subject>,
+    sent_at: Moment,
     has_begun: bool,
     first_event: Option<Moment>,
     has_gone_on: bool,
@@ -98,6 +104,7 @@
                 call_id: call.id.clone(),
                 subjects: Arc::clone(&call.subjects),
                 trial,
+                sent_at: now,
                 has_begun: false,
                 first_event: None,
                 has_gone_on: false,
@@ -108,11 +115,12 @@
     /// Returns whether the call may still be sent, after it has waited for a slot. Then it may be
     /// the trial of a subject that has become suspect meanwhile.
     pub fn may_send(&mut self) -> bool {
+        self.sent_at = clock::now();
         if let Some(trial) = self.trial {
             let suspects = |suspects: &mut Suspects| suspects.may_go_on(trial, &self.subjects);
             return self.shared.update_suspects(suspects);
         }
-        match self.shared.judge(&self.subjects, clock::now()) {
+        match self.shared.judge(&self.subjects, self.sent_at) {
             Verdict::Pass => true,
             Verdict::Try(subject) => {
                 self.trial = Some(subject);
@@ -153,14 +161,17 @@
 
     /// Records the end of an answer that ends with its connection. A crash ends it too.
     pub async fn end_with_connection(&mut self, record: &Record) {
-        if self.probe(record).await != Reply::Refused {
-            self.complete(clock::now());
+        match probe(&self.shared, record).await {
+            Reply::Accepted => self.complete(clock::now()),
+            Reply::Refused => self.record(record, Reply::Refused),
+            // Neither the end of the answer nor a crash is certain.
+            Reply::Silent => {}
         }
     }
 
     /// Finds out whether the upstream crashed when its connection broke.
-    pub async fn end_broken(&mut self, record: &Record) {
-        let reply = self.probe(record).await;
+    pub async fn end_broken(&mut self, record: &Arc<Record>) {
+        let reply = probe(&self.shared, record).await;
         self.shared.counters.broken(reply.as_str());
         log::info!(
             "event=answer_broken id={} subject={} upstream={} born={:?} begun={} address={}",
@@ -171,6 +182,11 @@
             self.has_begun,
             reply.as_str()
         );
+        self.record(record, reply);
+        if reply != Reply::Refused {
+            let (shared, record) = (Arc::clone(&self.shared), Arc::clone(record));
+            tokio::spawn(reprobe(shared, record, self.request()));
+        }
     }
 
     /// Returns the whole request, which is the last subject of its call.
@@ -178,19 +194,41 @@
         self.subjects[self.subjects.len() - 1]
     }
 
-    async fn probe(&self, record: &Record) -> Reply {
-        let reply = probe(&self.shared, record).await;
-        if reply == Reply::Refused {
-            let (id, born) = (&record.id, record.born);
-            // A part crashes upstreams within their first passes, a request at any time.
-            let blamed = self.subjects.iter().copied();
-            let blamed = blamed.filter(|it| it.is_request() || !self.has_gone_on);
-            let blamed: Vec<Subject> = blamed.collect();
-            self.shared.update_suspects(|suspects| {
-                suspects.record_crash(&blamed, id, born, self.has_begun, clock::now());
-            });
+    fn record(&self, record: &Record, reply: Reply) {
+        // A part crashes upstreams within their first passes, a request at any time.
+        let blamed = self.subjects.iter().copied();
+        let blamed = blamed.filter(|it| it.is_request() || !self.has_gone_on);
+        let blamed: Vec<Subject> = blamed.collect();
+        let attempt = Attempt {
+            upstream: &record.id,
+            born: record.born,
+            sent_at: self.sent_at,
+            has_begun: self.has_begun,
+        };
+        self.shared.update_suspects(|suspects| match reply {
+            Reply::Refused => suspects.record_crash(&blamed, attempt, clock::now()),
+            Reply::Accepted | Reply::Silent => {
+                suspects.record_break(&blamed, attempt, clock::now())
+            }
+        });
+    }
+}
+
+/// Probes the address of an upstream at which an answer to `request` broke off, until it is no
+/// longer in doubt whether it has crashed.
+async fn reprobe(shared: Arc<Shared>, record: Arc<Record>, request: Subject) {
+    for pause in REPROBE_PAUSES {
+        sleep(pause).await;
+        let is_in_doubt =
+            |suspects: &mut Suspects| suspects.is_in_doubt(&record.id, record.born, request);
+        if !shared.update_suspects(is_in_doubt) {
+            return;
+        }
+        if !shared.connections.has_idle(&record) && probe(&shared, &record).await == Reply::Refused
+        {
+            shared.confirm_crash(&record);
+            return;
         }
-        reply
     }
 }
 
@@ -246,6 +284,8 @@
             log::warn!("event=suspect_convicted subject={subject} upstreams={upstreams}");
         }
         Event::Expired(subject) => log::info!("event=conviction_expired subject={subject}"),
+        Event::Confirmed(upstream) => log::warn!("event=crash_confirmed upstream={upstream}"),
+        Event::Refuted(upstream) => log::info!("event=crash_refuted upstream={upstream}"),
         Event::Restored(subject) => log::warn!("event=conviction_restored subject={subject}"),
     }
 }
--- a/crates/gateway/src/suspect/mod.rs
+++ b/crates/gateway/src/suspect/mod.rs
@@ -8,9 +8,15 @@
 //! subject, or a second crash convicts it, and calls with it are refused until the conviction
 //! expires.
 //!
+//! Not every crash can be seen as one: the address may stay silent, or accept connections as if nothing
+//! had happened. So an answer that broke off is an unconfirmed crash until the upstream answers
+//! another call, which refutes it, or refuses a connection, which confirms it. Unconfirmed crashes
+//! count against requests only, and one more of them is needed.
+//!
 //! [`Suspects`] has no clock and no I/O. Gateways merge what they report to each other, in any
 //! order, and the store keeps convictions. See docs/notes/suspects.md.
 
+mod breaks;
 mod innocent;
 mod record;
 mod report;
@@ -26,7 +32,7 @@
 
 use innocent::Innocent;
 pub use record::Record;
-pub use report::{ClaimReport, ConvictionReport, CrashReport, Report};
+pub use report::{AnswerReport, ClaimReport, ConvictionReport, CrashReport, Report};
 pub use subject::Subject;
 
 /// Most parts of one prompt that are considered, from its beginning. Longer prompts share their
@@ -40,6 +46,8 @@
 /// Crashes that make a subject suspect which upstreams have answered before. Such a subject is at a
 /// crash by chance more often than not.
 const INNOCENT_THRESHOLD: usize = 2;
+/// Further crashes that are needed while too few are confirmed.
+const UNCONFIRMED_EXCESS: usize = 1;
 
 /// Limits and times of [`Suspects`].
 #[derive(Clone, Copy, Debug)]
@@ -121,6 +129,10 @@
     Expired(Subject),
     /// The conviction was read from the store.
     Restored(Subject),
+    /// This upstream, where an answer had broken off, has crashed.
+    Confirmed(Arc<str>),
+    /// This upstream, where an answer had broken off, has answered another call since.
+    Refuted(Arc<str>),
 }
 
 /// A crash of an upstream with the subjects that it was answering, except those known as innocent.
@@ -130,6 +142,32 @@
     born: Option<u64>,
     at: Moment,
     subjects: Vec<Subject>,
+    /// Requests that were sent there after an earlier crash of theirs. The same cause, such as the
+    /// loss of a rack, cannot be behind both.
+    resent: Vec<Subject>,
+    /// Whether it is certain that the upstream crashed.
+    confirmed: bool,
+}
+
+impl Crash {
+    /// Returns whether both are of the same start of the same upstream.
+    fn is_of_same_upstream(&self, other: &Self) -> bool {
+        self.upstream == other.upstream && self.born == other.born
+    }
+}
+
+/// A call that upstreams answer, or break off.
+#[derive(Clone, Copy, Debug)]
+pub struct Attempt<'a> {
+    /// Upstream that the call was sent to.
+    pub upstream: &'a Arc<str>,
+    /// Its start, as its record states it.
+    pub born: Option<u64>,
+    /// When the call was sent.
+    pub sent_at: Moment,
+    /// Whether the call has had an answer yet. Without one, innocent parts are not blamed, as the
+    /// call may not have run.
+    pub has_begun: bool,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -158,6 +196,9 @@
     own: Arc<str>,
     innocent: Innocent,
     crashes: Vec<Crash>,
+    /// When the latest call was sent that an upstream with an unconfirmed crash has answered, and
+    /// which start of it has.
+    answered: HashMap<Arc<str>, (Option<u64>, Moment)>,
     /// When an upstream last went on answering with a subject that was being answered at a crash.
     cleared: HashMap<Subject, Moment>,
     convicted: HashMap<Subject, Conviction>,
@@ -307,53 +348,82 @@
     }
 
     /// Records that an upstream crashed while it was answering a call with these subjects and had
-    /// not ended doing so. `has_begun` tells whether the call had an answer yet; without one,
-    /// innocent parts are not blamed, as the call may not have run. Returns whether a subject is
-    /// suspect now.
+    /// not ended doing so. Returns whether a subject is suspect now.
     pub fn record_crash(
         &mut self,
         subjects: &[Subject],
-        upstream: &Arc<str>,
-        born: Option<u64>,
-        has_begun: bool,
+        attempt: Attempt<'_>,
+        now: Moment,
+    ) -> bool {
+        self.record(subjects, attempt, true, now)
+    }
+
+    /// Records that the answer to a call with these subjects broke off, for which a crash may be the
+    /// cause. Returns whether a subject is suspect now.
+    pub fn record_break(
+        &mut self,
+        subjects: &[Subject],
+        attempt: Attempt<'_>,
+        now: Moment,
+    ) -> bool {
+        self.record(subjects, attempt, false, now)
+    }
+
+    fn record(
+        &mut self,
+        subjects: &[Subject],
+        attempt: Attempt<'_>,
+        confirmed: bool,
         now: Moment,
     ) -> bool {
         let blamed = subjects.iter().copied();
         let blamed = blamed.filter(|subject| {
-            has_begun || subject.is_request() || !self.innocent.contains(*subject)
+            attempt.has_begun || subject.is_request() || !self.innocent.contains(*subject)
         });
+        let requests = subjects.iter().copied().filter(|it| it.is_request());
+        let was_sent_again = |subject: &Subject| {
+            let crashes = self.crashes.iter();
+            let mut crashes = crashes.filter(|crash| crash.subjects.contains(subject));
+            crashes.any(|crash| crash.at <= attempt.sent_at)
+        };
         let crash = Crash {
-            upstream: Arc::clone(upstream),
-            born,
+            upstream: Arc::clone(attempt.upstream),
+            born: attempt.born,
             at: now,
             subjects: blamed.collect(),
+            resent: requests.filter(was_sent_again).collect(),
+            confirmed,
         };
-        if self.add_crash(crash, now) {
-            self.has_news = true;
+        let is_new = self.add_crash(crash, now);
+        let is_suspect = subjects.iter().any(|subject| self.is_suspect(*subject));
+        if is_new {
+            // A single break is common and changes no verdict, so it can wait for a heartbeat.
+            self.has_news |= confirmed || is_suspect;
             self.convict_and_record(now);
         }
-        subjects.iter().any(|subject| self.is_suspect(*subject))
+        is_suspect
     }
 
-    /// Adds a crash, or the subjects that another gateway saw at a known one. Returns whether
-    /// anything is new.
+    /// Adds a crash, or what another gateway saw at a known one. Returns whether anything is new.
     fn add_crash(&mut self, crash: Crash, now: Moment) -> bool {
         if crash.subjects.is_empty() || now.since(crash.at) > self.settings.crash_expiry {
             return false;
         }
         let same_crash = self.settings.same_crash;
         let known = self.crashes.iter().position(|known| {
-            known.upstream == crash.upstream
-                && known.born == crash.born
+            known.is_of_same_upstream(&crash)
                 && known.at.since(crash.at).max(crash.at.since(known.at)) <= same_crash
         });
-        let (upstream, mut new) = (Arc::clone(&crash.upstream), crash.subjects.clone());
+        let (upstream, confirmed) = (Arc::clone(&crash.upstream), crash.confirmed);
+        let mut new = crash.subjects.clone();
+        let mut is_confirmed_now = false;
         if let Some(known) = known {
-            let subjects = &self.crashes[known].subjects;
-            new.retain(|subject| !subjects.contains(subject));
+            let known = &self.crashes[known];
+            is_confirmed_now = confirmed && !known.confirmed;
+            new.retain(|subject| !known.subjects.contains(subject));
             let is_request = |subject: &&Subject| subject.is_request();
-            let requests = subjects.iter().filter(is_request).count();
-            let mut room = [subjects.len() - requests, requests]
+            let requests = known.subjects.iter().filter(is_request).count();
+            let mut room = [known.subjects.len() - requests, requests]
                 .map(|known| MAX_OF_A_KIND.saturating_sub(known));
             new.retain(|subject| {
                 let room = &mut room[usize::from(subject.is_request())];
@@ -361,35 +431,45 @@
                 *room = room.saturating_sub(1);
                 fits
             });
-            if new.is_empty() {
+            if new.is_empty() && !is_confirmed_now {
                 return false;
             }
         }
-        let innocent = new
-            .iter()
-            .copied()
-            .filter(|subject| !self.is_suspect(*subject));
-        let innocent: Vec<Subject> = innocent.collect();
+        let mut changed = new.clone();
+        if let Some(known) = known.filter(|_| is_confirmed_now) {
+            changed.extend(&self.crashes[known].subjects);
+        }
+        changed.retain(|subject| !self.is_suspect(*subject));
         if let Some(known) = known {
-            self.crashes[known].subjects.extend(&new);
+            let known = &mut self.crashes[known];
+            known.confirmed |= confirmed;
+            let resent = crash.resent.iter().filter(|it| new.contains(it));
+            known.resent.extend(resent);
+            known.subjects.extend(&new);
         } else {
             self.crashes.push(crash);
             self.crashes.sort_by_key(|crash| crash.at);
             if self.crashes.len() > self.settings.max_crashes {
-                self.crashes.remove(0);
+                self.forget_a_crash();
             }
         }
-        for subject in innocent {
+        self.push_suspected(changed, &upstream);
+        true
+    }
+
+    /// Reports those of these subjects, which were not suspect, that now are.
+    fn push_suspected(&mut self, subjects: Vec<Subject>, upstream: &Arc<str>) {
+        for subject in subjects {
             if self.is_suspect(subject) {
                 self.events
-                    .push(Event::Suspected(subject, Arc::clone(&upstream)));
+                    .push(Event::Suspected(subject, Arc::clone(upstream)));
             }
         }
-        true
     }
 
     /// Returns whether a crash counts against a subject: it was being answered, no conviction
-    /// explains the crash, and no upstream has gone on answering the subject since.
+    /// explains the crash, and no upstream has gone on answering the subject since. Breaks are too
+    /// common to count against parts, which many calls share.
     fn counts(&self, crash: &Crash, subject: Subject) -> bool {
         let cleared = self.cleared.get(&subject);
         let explains = |other: &Subject| {
@@ -398,12 +478,13 @@
                 && self.convicted.contains_key(other)
         };
         crash.subjects.contains(&subject)
+            && (crash.confirmed || (subject.is_request() && !self.is_refuted(crash)))
             && cleared.is_none_or(|cleared| *cleared < crash.at)
             && (self.convicted.is_empty() || !crash.subjects.iter().any(explains))
     }
 
     /// Returns the crashes that count against a subject, without those that happened together with
-    /// an earlier one.
+    /// an earlier one. One start of an upstream counts once unless its crashes are confirmed.
     fn evidence(&self, subject: Subject) -> Vec<&Crash> {
         let crashes = self.crashes.iter();
         let counted = crashes.filter(|crash| self.counts(crash, subject));
@@ -413,8 +494,15 @@
         }
         let mut evidence: Vec<&Crash> = Vec::new();
         for crash in counted {
-            let previous = evidence.last();
-            if previous.is_none_or(|last| crash.at.since(last.at) > self.settings.correlated) {
+            let is_apart = evidence
+                .last()
+                .is_none_or(|last| crash.at.since(last.at) > self.settings.correlated)
+                || crash.resent.contains(&subject);
+            let is_repeated = !crash.confirmed
+                && evidence
+                    .iter()
+                    .any(|known| known.is_of_same_upstream(crash));
+            if is_apart && !is_repeated {
                 evidence.push(crash);
             }
         }
@@ -452,7 +540,7 @@
     fn is_suspect(&self, subject: Subject) -> bool {
         match self.convicted.get(&subject) {
             Some(conviction) => conviction.on_probation,
-            None => self.evidence(subject).len() >= self.threshold(subject),
+            None => is_enough(&self.evidence(subject), self.threshold(subject)),
         }
     }
 
@@ -496,7 +584,7 @@
             evidence.retain(|crash| crash.at >= known.until);
             needed = 1;
         }
-        let Some(last) = evidence.last().filter(|_| evidence.len() >= needed) else {
+        let Some(last) = evidence.last().filter(|_| is_enough(&evidence, needed)) else {
             return false;
         };
         let excess = |subject, crashes| crashes + INNOCENT_THRESHOLD - self.threshold(subject);
@@ -533,6 +621,15 @@
         true
     }
 
+    /// Ends the conviction of a subject that upstreams have answered, or that has lost its evidence.
+    fn acquit(&mut self, subject: Subject, now: Moment) {
+        self.convicted.remove(&subject);
+        self.cleared.insert(subject, now);
+        self.record_acquittal(subject);
+        self.events.push(Event::Cleared(subject));
+        self.has_news = true;
+    }
+
     fn convict(&mut self, subject: Subject, conviction: Conviction) {
         self.convicted.insert(subject, conviction);
         self.claims.remove(&subject);
@@ -549,6 +646,8 @@
         self.crashes
             .retain(|crash| now.since(crash.at) <= settings.crash_expiry);
         let crashes = &self.crashes;
+        self.answered
+            .retain(|upstream, _| crashes.iter().any(|crash| crash.upstream == *upstream));
         self.cleared.retain(|subject, at| {
             now.since(*at) <= settings.crash_expiry
                 || crashes.iter().any(|crash| crash.subjects.contains(subject))
@@ -591,6 +690,12 @@
     }
 }
 
+/// Returns whether these crashes are as good as `needed` confirmed ones.
+fn is_enough(crashes: &[&Crash], needed: usize) -> bool {
+    let confirmed = crashes.iter().filter(|crash| crash.confirmed).count();
+    confirmed >= needed || crashes.len() >= needed + UNCONFIRMED_EXCESS
+}
+
 /// Returns whether the claim of gateway `name` on a trial goes before that of `other`. The order
 /// differs from subject to subject.
 fn precedes(subject: Subject, name: &str, other: &str) -> bool {
--- a/crates/gateway/src/suspect/report/mod.rs
+++ b/crates/gateway/src/suspect/report/mod.rs
@@ -20,8 +20,23 @@
     pub born: Option<u64>,
     /// Time since the crash.
     pub age: Duration,
-    /// Parts that were being answered.
+    /// Parts that were being answered; only requests if the crash is not confirmed.
     pub subjects: Vec<Subject>,
+    /// Requests that were sent there after an earlier crash of theirs.
+    pub resent: Vec<Subject>,
+    /// Whether it is certain that the upstream crashed.
+    pub confirmed: bool,
+}
+
+/// The latest answer of an upstream after an unconfirmed crash.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AnswerReport {
+    /// Id of the upstream.
+    pub upstream: Arc<str>,
+    /// Its start, as its record states it.
+    pub born: Option<u64>,
+    /// Time since the call was sent that it answered.
+    pub age: Duration,
 }
 
 /// A conviction.
@@ -51,6 +66,8 @@
 pub struct Report {
     /// Crashes that still count.
     pub crashes: Vec<CrashReport>,
+    /// Answers that refute unconfirmed crashes.
+    pub answered: Vec<AnswerReport>,
     /// Parts of these crashes that an upstream has answered before.
     pub innocent: Vec<Subject>,
     /// Parts of these crashes that an upstream has gone on answering, and how long ago.
@@ -68,11 +85,19 @@
             return Report::default();
         }
         self.drop_expired(now);
-        let crashes = self.crashes.iter().map(|crash| CrashReport {
-            upstream: Arc::clone(&crash.upstream),
-            born: crash.born,
-            age: now.since(crash.at),
-            subjects: crash.subjects.clone(),
+        let crashes = self.crashes.iter();
+        let crashes = crashes.filter(|crash| crash.confirmed || !self.is_refuted(crash));
+        let crashes = crashes.map(|crash| {
+            let subjects = crash.subjects.iter().copied();
+            let counted = subjects.filter(|subject| crash.confirmed || subject.is_request());
+            CrashReport {
+                upstream: Arc::clone(&crash.upstream),
+                born: crash.born,
+                age: now.since(crash.at),
+                subjects: counted.collect(),
+                resent: crash.resent.clone(),
+                confirmed: crash.confirmed,
+            }
         });
         let crashes: Vec<CrashReport> = crashes.collect();
         let mut subjects: Vec<Subject> =
@@ -84,8 +109,16 @@
         let convicted = self.convicted.iter();
         let convicted = convicted.filter(|(_, conviction)| !conviction.on_probation);
         let claims = self.claims.iter();
+        let answered = self.answered.iter();
         Report {
             crashes,
+            answered: answered
+                .map(|(upstream, (born, sent_at))| AnswerReport {
+                    upstream: Arc::clone(upstream),
+                    born: *born,
+                    age: now.since(*sent_at),
+                })
+                .collect(),
             innocent: subjects,
             cleared: cleared
                 .map(|(subject, at)| (*subject, now.since(*at)))
@@ -129,9 +162,16 @@
                 born: crash.born,
                 at: now - crash.age,
                 subjects: crash.subjects,
+                resent: crash.resent,
+                confirmed: crash.confirmed,
             };
             is_new |= self.add_crash(crash, now);
         }
+        for answer in report.answered {
+            // The age is that of the moment at which the report was made.
+            let sent_at = now - answer.age - REPORT_DELAY;
+            self.observe_answer(&answer.upstream, answer.born, sent_at, now);
+        }
         if is_new {
             self.convict_proved(now);
         }
--- a/crates/gateway/tests/support/suspects/mod.rs
+++ b/crates/gateway/tests/support/suspects/mod.rs
@@ -7,7 +7,7 @@
 use rand::rngs::SmallRng;
 use rand::{RngExt as _, SeedableRng as _};
 use sesamerock_base::time::Moment;
-use sesamerock_gateway::suspect::{Report, Settings, Subject, Suspects, Verdict};
+use sesamerock_gateway::suspect::{Attempt, Report, Settings, Subject, Suspects, Verdict};
 
 /// Step of the simulation, in milliseconds.
 const STEP_MS: u64 = 10;
@@ -32,6 +32,38 @@
 /// Innocent calls per second.
 const INNOCENT_PER_SECOND: f64 = 50.0;
 
+/// Crashes of upstreams under calls that were sent before any other crash.
+pub trait Crash {
+    /// Records a confirmed crash. `has_begun` tells whether the call had an answer yet.
+    fn crash(
+        &mut self,
+        subjects: &[Subject],
+        upstream: &Arc<str>,
+        born: Option<u64>,
+        has_begun: bool,
+        now: Moment,
+    ) -> bool;
+}
+
+impl Crash for Suspects {
+    fn crash(
+        &mut self,
+        subjects: &[Subject],
+        upstream: &Arc<str>,
+        born: Option<u64>,
+        has_begun: bool,
+        now: Moment,
+    ) -> bool {
+        let attempt = Attempt {
+            upstream,
+            born,
+            sent_at: Moment::default(),
+            has_begun,
+        };
+        self.record_crash(subjects, attempt, now)
+    }
+}
+
 /// Calls with a part that crashes upstreams, or repeats of a request that does.
 #[derive(Clone, Copy, Debug)]
 pub struct Taint {
@@ -162,7 +194,7 @@
         for (index, call) in calls.iter().enumerate() {
             let upstream: Arc<str> = Arc::from(format!("rack-{}", index % upstreams));
             let gateway = &mut self.gateways[call.gateway];
-            gateway.record_crash(&call.parts, &upstream, None, true, now);
+            gateway.crash(&call.parts, &upstream, None, true, now);
         }
     }
 
@@ -252,7 +284,7 @@
                     self.outcome.crashes += 1;
                     self.groups[running.group] = now + OUTAGE_MS;
                     let upstream: Arc<str> = Arc::from(format!("u{}", self.outcome.crashes));
-                    suspects.record_crash(parts, &upstream, None, true, moment);
+                    suspects.crash(parts, &upstream, None, true, moment);
                     if let Some(part) = trial {
                         suspects.end_trial(part);
                     }
--- a/crates/gateway/tests/suspects.rs
+++ b/crates/gateway/tests/suspects.rs
@@ -9,7 +9,7 @@
 use http::{Method, Uri};
 use sesamerock_base::time::Moment;
 use sesamerock_gateway::suspect::{Record, Report, Settings, Subject, Suspects, Verdict};
-use support::suspects::{Call, Taint, World};
+use support::suspects::{Call, Crash as _, Taint, World};
 
 const DEADLY: Subject = Subject::Part(1_000);
 const CALLER: Subject = Subject::Part(1);
@@ -98,7 +98,7 @@
     let mut suspects = gateway("a");
     for crash in 1..=2 {
         let now = at(2_000 * crash);
-        suspects.record_crash(
+        suspects.crash(
             &[CALLER, REQUEST],
             &upstream(crash as usize),
             None,
@@ -123,7 +123,7 @@
     let requests = [REQUEST, REQUEST, Subject::Request(7)];
     for (index, request) in requests.into_iter().enumerate() {
         let now = at(2_000 * (index as u64 + 1));
-        suspects.record_crash(&[DEADLY, request], &upstream(index), None, true, now);
+        suspects.crash(&[DEADLY, request], &upstream(index), None, true, now);
     }
     let third = [DEADLY, Subject::Request(8)];
     let verdict = suspects.judge(&third, at(6_001));
@@ -141,7 +141,7 @@
         assert!(!matches!(verdict, Verdict::Refuse(..)), "crash {crash}");
         suspects.go_on(&[CALLER, REQUEST], now + Duration::from_secs(1));
         let crashed_at = now + Duration::from_secs(2);
-        suspects.record_crash(
+        suspects.crash(
             &[REQUEST],
             &upstream(crash as usize),
             None,
@@ -168,7 +168,7 @@
             suspects.go_on(&[CALLER, stream], now);
             let id = upstream(10 * failure as usize + index);
             let crashed_at = now + Duration::from_millis(1_000 + 10 * index as u64);
-            suspects.record_crash(&[stream], &id, None, true, crashed_at);
+            suspects.crash(&[stream], &id, None, true, crashed_at);
         }
         for stream in streams {
             let verdict = suspects.judge(&[CALLER, stream], now + Duration::from_millis(1_020));
@@ -184,9 +184,9 @@
 fn convictions_are_kept_in_the_store() {
     let mut first = gateway("a");
     let mut second = gateway("b");
-    first.record_crash(&[REQUEST], &upstream(1), None, false, at(1_000));
+    first.crash(&[REQUEST], &upstream(1), None, false, at(1_000));
     second.learn("a", first.report(at(1_000)), at(1_001));
-    second.record_crash(&[REQUEST], &upstream(2), None, false, at(2_000));
+    second.crash(&[REQUEST], &upstream(2), None, false, at(2_000));
     first.learn("b", second.report(at(2_000)), at(2_001));
     assert_eq!(first.take_records(), []);
     let records = second.take_records();
@@ -228,7 +228,7 @@
                 if let Verdict::Refuse(_, left) = verdict {
                     assert!(left <= Settings::default().max_conviction, "{record:?}");
                 }
-                suspects.record_crash(&[REQUEST], &upstream(1), None, true, at(7_200_000));
+                suspects.crash(&[REQUEST], &upstream(1), None, true, at(7_200_000));
                 suspects.judge(&[REQUEST], at(7_200_000));
             }
         }
@@ -240,8 +240,8 @@
 #[test]
 fn a_gateway_that_starts_later_knows_convicted_parts() {
     let mut old = gateway("old");
-    old.record_crash(&[DEADLY], &upstream(1), Some(1), true, at(1_000));
-    old.record_crash(&[DEADLY], &upstream(2), Some(1), true, at(5_000));
+    old.crash(&[DEADLY], &upstream(1), Some(1), true, at(1_000));
+    old.crash(&[DEADLY], &upstream(2), Some(1), true, at(5_000));
     assert!(matches!(
         old.judge(&[DEADLY], at(5_000)),
         Verdict::Refuse(..)
@@ -258,10 +258,10 @@
 #[test]
 fn verdicts_do_not_depend_on_the_order_of_reports() {
     let mut first = gateway("a");
-    first.record_crash(&[CALLER, DEADLY], &upstream(1), None, true, at(1_000));
+    first.crash(&[CALLER, DEADLY], &upstream(1), None, true, at(1_000));
     let mut second = gateway("b");
     second.clear(&[CALLER], at(500));
-    second.record_crash(&[DEADLY], &upstream(2), None, true, at(4_000));
+    second.crash(&[DEADLY], &upstream(2), None, true, at(4_000));
     let reports = [first.report(at(4_100)), second.report(at(4_100))];
     for order in [[0, 1], [1, 0]] {
         let mut third = gateway("c");
@@ -312,12 +312,12 @@
     suspects.clear(&[CALLER], at(0));
     for kill in 0..5 {
         let now = at(1_000 + 1_000 * kill);
-        suspects.record_crash(&[CALLER], &upstream(kill as usize), None, false, now);
+        suspects.crash(&[CALLER], &upstream(kill as usize), None, false, now);
         assert_eq!(suspects.judge(&[CALLER], now), Verdict::Pass, "kill {kill}");
     }
     for kill in 0..5 {
         let now = at(10_000 + 1_000 * kill);
-        suspects.record_crash(&[CALLER], &upstream(kill as usize), None, true, now);
+        suspects.crash(&[CALLER], &upstream(kill as usize), None, true, now);
         assert_eq!(suspects.judge(&[CALLER], now), Verdict::Pass, "kill {kill}");
         suspects.clear(&[CALLER], now + Duration::from_millis(500));
     }
@@ -335,7 +335,7 @@
             suspects.judge(&[DEADLY], now),
             Verdict::Refuse(..)
         ));
-        suspects.record_crash(&[DEADLY], &upstream(crash as usize), None, true, now);
+        suspects.crash(&[DEADLY], &upstream(crash as usize), None, true, now);
     }
     assert!(matches!(
         suspects.judge(&[DEADLY], at(12_001)),
@@ -349,8 +349,8 @@
 fn an_expired_conviction_is_followed_by_one_trial() {
     let mut first = gateway("a");
     let mut second = gateway("b");
-    first.record_crash(&[DEADLY], &upstream(1), None, true, at(1_000));
-    first.record_crash(&[DEADLY], &upstream(2), None, true, at(5_000));
+    first.crash(&[DEADLY], &upstream(1), None, true, at(1_000));
+    first.crash(&[DEADLY], &upstream(2), None, true, at(5_000));
     second.learn("a", first.report(at(5_000)), at(5_001));
     let Verdict::Refuse(_, left) = first.judge(&[DEADLY], at(5_001)) else {
         panic!("not convicted");
@@ -371,7 +371,7 @@
     }
     assert_eq!(tried, 1);
     let crashed_at = expiry + Duration::from_secs(2);
-    first.record_crash(&[DEADLY], &upstream(3), None, true, crashed_at);
+    first.crash(&[DEADLY], &upstream(3), None, true, crashed_at);
     let Verdict::Refuse(_, again) = first.judge(&[DEADLY], crashed_at) else {
         panic!("not convicted again");
     };
@@ -382,7 +382,7 @@
 #[test]
 fn calls_with_several_suspects_wait_for_those_with_one() {
     let mut suspects = gateway("a");
-    suspects.record_crash(&[CALLER, DEADLY], &upstream(1), None, true, at(1_000));
+    suspects.crash(&[CALLER, DEADLY], &upstream(1), None, true, at(1_000));
     assert_eq!(suspects.judge(&[CALLER, DEADLY], at(1_100)), Verdict::Wait);
     let (verdict, now) = decide(&mut suspects, &[CALLER], at(1_100));
     assert_eq!(verdict, Verdict::Try(CALLER));
@@ -398,7 +398,7 @@
         now + Duration::from_secs(1),
     );
     assert_eq!(verdict, Verdict::Try(DEADLY));
-    suspects.record_crash(&[CALLER, DEADLY], &upstream(2), None, true, now);
+    suspects.crash(&[CALLER, DEADLY], &upstream(2), None, true, now);
     suspects.end_trial(DEADLY);
     assert!(matches!(
         suspects.judge(&[DEADLY], now),
@@ -413,8 +413,8 @@
 fn a_whole_answer_ends_a_wrong_conviction() {
     let mut first = gateway("a");
     let mut second = gateway("b");
-    first.record_crash(&[DEADLY], &upstream(1), None, true, at(1_000));
-    first.record_crash(&[DEADLY], &upstream(2), None, true, at(5_000));
+    first.crash(&[DEADLY], &upstream(1), None, true, at(1_000));
+    first.crash(&[DEADLY], &upstream(2), None, true, at(5_000));
     let late = first.report(at(5_050));
     second.learn("a", late.clone(), at(5_051));
     second.clear(&[DEADLY], at(6_000));
@@ -440,7 +440,7 @@
             .map(|part| Subject::Part(1 << 32 | crash << 8 | part))
             .collect();
         let now = at(200_000 + crash * 10);
-        suspects.record_crash(&parts, &upstream(crash as usize), None, true, now);
+        suspects.crash(&parts, &upstream(crash as usize), None, true, now);
     }
     let report = suspects.report(at(210_000));
     assert!(report.crashes.len() <= Settings::default().max_crashes);
--- a/crates/standin/src/scripted/mod.rs
+++ b/crates/standin/src/scripted/mod.rs
@@ -1,5 +1,6 @@
 //! Upstreams whose responses a test scripts byte by byte.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -45,6 +46,8 @@
 
 /// Connections that wait for an upstream to accept them.
 const BACKLOG: u32 = 32;
+/// Tries to listen at an address that is still in use.
+const MAX_TRIES: u32 = 100;
 /// Time after which a connection to a full backlog is taken as unanswered.
 const UNANSWERED: Duration = Duration::from_millis(20);
 
@@ -71,23 +74,29 @@
         id: &str,
         act: impl Fn(&str) -> Act + Clone + Send + Sync + 'static,
     ) -> std::io::Result<Self> {
-        Self::start_at(SocketAddr::from(([127, 0, 0, 1], 0)), id, act)
+        Self::start_at(SocketAddr::from(([127, 0, 0, 1], 0)), id, act).await
     }
 
-    /// Starts an upstream as [`Upstream::start`] does, at an address that another one may have
-    /// left.
+    /// Starts an upstream as [`Upstream::start`] does, at an address that another one has left. The
+    /// listener of that one may take a moment to close.
     ///
     /// # Errors
     /// Returns the error of the listener.
-    pub fn start_at(
+    pub async fn start_at(
         address: SocketAddr,
         id: &str,
         act: impl Fn(&str) -> Act + Clone + Send + Sync + 'static,
     ) -> std::io::Result<Self> {
-        let socket = TcpSocket::new_v4()?;
-        socket.set_reuseaddr(true)?;
-        socket.bind(address)?;
-        let listener = socket.listen(BACKLOG)?;
+        let mut tries = 1;
+        let listener = loop {
+            match listen(address) {
+                Err(error) if error.kind() == ErrorKind::AddrInUse && tries < MAX_TRIES => {
+                    tries += 1;
+                    sleep(Duration::from_millis(5)).await;
+                }
+                result => break result?,
+            }
+        };
         let address = listener.local_addr()?;
         let calls = Arc::new(Mutex::new(Vec::new()));
         let abandoned_calls = Arc::new(Mutex::new(0));
@@ -214,6 +223,13 @@
     found.map(|(_, value)| value.to_owned())
 }
 
+fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
 /// Closes all connections of an upstream that has crashed, and answers for its address.
 async fn end(listener: TcpListener, connections: CancellationToken, aftermath: Address) {
     match aftermath {
