Let unconfirmed crashes be refuted for a second before they convict

Requests that were at a crash together and have enough against them are tried one after the other: otherwise the next crash would not tell them apart either.

--- a/crates/gateway/src/suspect/breaks/mod.rs
+++ b/crates/gateway/src/suspect/breaks/mod.rs
@@ -26,6 +26,30 @@
         crashes.any(|it| self.is_unconfirmed(it, upstream, born) && self.counts(it, subject))
     }
 
+    /// Returns whether crashes convict only because of unconfirmed ones that may still be refuted.
+    pub(super) fn is_recent(&self, evidence: &[&Crash], needed: usize, now: Moment) -> bool {
+        let confirmed = evidence.iter().filter(|crash| crash.confirmed).count();
+        let unconfirmed = evidence.iter().rfind(|crash| !crash.confirmed);
+        confirmed < needed
+            && unconfirmed.is_some_and(|last| now.since(last.at) < self.settings.doubt)
+    }
+
+    /// Returns whether the crashes under a subject are enough to convict it unless an upstream
+    /// answers soon.
+    pub(super) fn may_be_refuted(&self, subject: Subject, now: Moment) -> bool {
+        let (evidence, needed) = (self.evidence(subject), self.threshold(subject) + 1);
+        is_enough(&evidence, needed) && self.is_recent(&evidence, needed, now)
+    }
+
+    /// Returns whether unconfirmed crashes under a request have not been refuted in time.
+    pub(super) fn has_ripened(&self, subject: Subject, now: Moment) -> bool {
+        if !subject.is_request() || self.convicted.contains_key(&subject) {
+            return false;
+        }
+        let (evidence, needed) = (self.evidence(subject), self.threshold(subject) + 1);
+        is_enough(&evidence, needed) && !self.is_recent(&evidence, needed, now)
+    }
+
     /// Records that an upstream has answered a call that was sent at `sent_at`. That refutes its
     /// unconfirmed crashes before.
     pub fn observe_answer(
--- a/crates/gateway/src/suspect/mod.rs
+++ b/crates/gateway/src/suspect/mod.rs
@@ -66,6 +66,9 @@
     pub same_crash: Duration,
     /// How long a crash counts against a subject.
     pub crash_expiry: Duration,
+    /// How long unconfirmed crashes may still be refuted before they convict: upstreams under load
+    /// answer several calls in this time.
+    pub doubt: Duration,
     /// How long the first conviction lasts. Each further one of the same subject lasts twice as
     /// long as the one before.
     pub conviction: Duration,
@@ -93,6 +96,7 @@
             correlated: Duration::from_millis(50),
             same_crash: Duration::from_secs(1),
             crash_expiry: Duration::from_secs(30),
+            doubt: Duration::from_secs(1),
             conviction: Duration::from_mins(1),
             max_conviction: Duration::from_mins(15),
             claim_delay: Duration::from_millis(150),
@@ -239,6 +243,12 @@
             return Verdict::Pass;
         }
         self.drop_expired(now);
+        if subjects
+            .iter()
+            .any(|subject| self.has_ripened(*subject, now))
+        {
+            self.convict_and_record(now);
+        }
         for subject in subjects {
             if let Some(conviction) = self.convicted.get(subject)
                 && !conviction.on_probation
@@ -254,6 +264,12 @@
         let Some(suspect) = suspects.iter().min().copied() else {
             return Verdict::Pass;
         };
+        let must_wait = |subject: &Subject| {
+            self.may_be_refuted(*subject, now) || self.is_behind_a_trial(*subject)
+        };
+        if suspects.iter().any(must_wait) {
+            return Verdict::Wait;
+        }
         // A crash would not tell which of several suspects caused it, so calls with one of them
         // go first.
         let delay = if suspects.len() == 1 {
@@ -292,6 +308,28 @@
         Verdict::Try(subject)
     }
 
+    /// Returns whether the trial of another request is running that was at a crash together with this
+    /// one. Were both tried at once, the next crash would not tell them apart either. Requests with
+    /// few crashes are tried at once, as there are many after the loss of a rack.
+    fn is_behind_a_trial(&self, subject: Subject) -> bool {
+        if !subject.is_request() || self.evidence(subject).len() <= self.threshold(subject) {
+            return false;
+        }
+        let own = self.claims.iter().filter(|(_, claim)| claim.running);
+        let foreign = self.foreign.iter().filter(|(_, (claim, _))| claim.running);
+        let mut running = own
+            .map(|(other, _)| *other)
+            .chain(foreign.map(|((other, _), _)| *other))
+            .filter(|other| *other != subject && other.is_request());
+        running.any(|other| {
+            let crashes = &self.crashes;
+            let is_at = |crash: &Crash, it| crash.subjects.contains(&it);
+            crashes
+                .iter()
+                .any(|it| is_at(it, subject) && is_at(it, other))
+        })
+    }
+
     /// Returns whether the trial of a suspect may be sent: no subject of its call has been convicted
     /// since it was claimed.
     pub fn may_go_on(&self, trial: Subject, subjects: &[Subject]) -> bool {
@@ -589,6 +627,9 @@
         };
         let excess = |subject, crashes| crashes + INNOCENT_THRESHOLD - self.threshold(subject);
         let own_excess = excess(subject, evidence.len());
+        if self.is_recent(&evidence, needed, now) {
+            return false;
+        }
         let together = self.crashes.iter().filter(|crash| {
             let apart = crash.at.since(last.at).max(last.at.since(crash.at));
             apart <= self.settings.correlated
