Bound the memory of all messages together

Callers saw (in a play of our own): 60 calls at once whose answers never end filled the memory of the gateway beyond that of its VM, so that the process ended with the calls of everyone else.

Cause: 16 MiB bound each answer, and the table each request; nothing bounded their sum. It is the class of limits for each member of an unbounded set.

Requests, answers and partial events now share a budget, a quarter of the memory of the VM. When it is exceeded, the largest message that is still being read is ended; those up to 64 KiB never are.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod exchange;
 pub mod hash;
 pub mod maps;
+pub mod memory;
 pub mod metrics;
 pub mod names;
 pub mod node;
--- /dev/null
+++ b/crates/gateway/src/memory/mod.rs
@@ -0,0 +1,230 @@
+//! A budget for the bytes that a process holds of messages that are not complete.
+//!
+//! A limit for each message bounds one of them, and not what many hold at once. So all messages share
+//! a [`Budget`]. When it is exceeded, the largest one that is still growing is revoked, which ends
+//! its call: one that never ends is soon the largest. Small messages are never revoked, so that
+//! sound calls go on. See docs/notes/memory.md.
+
+use std::collections::HashMap;
+use std::pin::pin;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use bytes::{Bytes, BytesMut};
+use http_body::Body;
+use http_body_util::BodyExt as _;
+use tokio::sync::oneshot;
+
+/// Budget of a process that does not know the memory it may use.
+pub const DEFAULT_LIMIT: usize = 32 << 20;
+/// Largest message that is not revoked. Most are far smaller.
+const PROTECTED: usize = 64 << 10;
+/// Largest body of which the buffer is allocated at once, by its stated length.
+const MAX_INITIAL_CAPACITY: usize = 64 << 10;
+
+/// Key of a share in its budget.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+struct Key(u64);
+
+#[derive(Debug)]
+struct Entry {
+    bytes: usize,
+    is_growing: bool,
+    /// Dropped together with the entry, which tells the holder of the share.
+    _revoke: oneshot::Sender<()>,
+}
+
+#[derive(Debug, Default)]
+struct Ledger {
+    entries: HashMap<Key, Entry>,
+    next: u64,
+    total: usize,
+}
+
+impl Ledger {
+    /// Revokes the largest share that may be. Returns its size; `None` if there is none.
+    fn revoke_largest(&mut self) -> Option<usize> {
+        let may_be_revoked = |entry: &Entry| entry.is_growing && entry.bytes > PROTECTED;
+        let growing = self.entries.iter().filter(|(_, it)| may_be_revoked(it));
+        let (key, _) = growing.max_by_key(|(_, entry)| entry.bytes)?;
+        let key = *key;
+        let entry = self.entries.remove(&key)?;
+        self.total -= entry.bytes;
+        Some(entry.bytes)
+    }
+}
+
+/// Bytes that all incomplete messages of a process may hold together.
+#[derive(Debug)]
+pub struct Budget {
+    limit: usize,
+    ledger: Mutex<Ledger>,
+}
+
+impl Default for Budget {
+    fn default() -> Self {
+        Self::new(DEFAULT_LIMIT)
+    }
+}
+
+impl Budget {
+    /// Creates a budget of `limit` bytes.
+    pub fn new(limit: usize) -> Self {
+        Self {
+            limit,
+            ledger: Mutex::default(),
+        }
+    }
+
+    /// Returns the bytes that are held now.
+    pub fn held(&self) -> usize {
+        self.lock().total
+    }
+
+    /// Creates the share of a message, without bytes yet.
+    pub fn share(self: &Arc<Self>) -> Share {
+        let (revoke, revoked) = oneshot::channel();
+        let mut ledger = self.lock();
+        let key = Key(ledger.next);
+        ledger.next += 1;
+        let entry = Entry {
+            bytes: 0,
+            is_growing: true,
+            _revoke: revoke,
+        };
+        ledger.entries.insert(key, entry);
+        drop(ledger);
+        Share {
+            budget: Arc::clone(self),
+            key,
+            revoked,
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Ledger> {
+        self.ledger.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// The share of one message in a [`Budget`]. Dropping it gives its bytes back.
+#[derive(Debug)]
+pub struct Share {
+    budget: Arc<Budget>,
+    key: Key,
+    revoked: oneshot::Receiver<()>,
+}
+
+impl Share {
+    /// Sets the bytes that the message holds, and revokes the largest shares, of which this may be
+    /// one, while the budget is exceeded.
+    ///
+    /// # Errors
+    /// Fails if this share has been revoked.
+    pub fn set(&mut self, bytes: usize) -> Result<(), Revoked> {
+        let mut ledger = self.budget.lock();
+        let entry = ledger.entries.get_mut(&self.key).ok_or(Revoked)?;
+        let before = std::mem::replace(&mut entry.bytes, bytes);
+        ledger.total = ledger.total - before + bytes;
+        while ledger.total > self.budget.limit {
+            let Some(revoked) = ledger.revoke_largest() else {
+                break;
+            };
+            log::warn!(
+                "event=message_revoked bytes={revoked} held={} limit={}",
+                ledger.total,
+                self.budget.limit
+            );
+        }
+        if ledger.entries.contains_key(&self.key) {
+            Ok(())
+        } else {
+            Err(Revoked)
+        }
+    }
+
+    /// Marks the message as complete: it grows no more and is not revoked.
+    pub fn complete(&mut self) {
+        if let Some(entry) = self.budget.lock().entries.get_mut(&self.key) {
+            entry.is_growing = false;
+        }
+    }
+
+    /// Waits until the share is revoked. Must not be called again after that.
+    pub async fn revoked(&mut self) {
+        // The sender is dropped.
+        let _ = (&mut self.revoked).await;
+    }
+}
+
+impl Drop for Share {
+    fn drop(&mut self) {
+        let mut ledger = self.budget.lock();
+        if let Some(entry) = ledger.entries.remove(&self.key) {
+            ledger.total -= entry.bytes;
+        }
+    }
+}
+
+/// The share of a message was revoked, since it was the largest when the budget was exceeded.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Revoked;
+
+/// Why a body was not read to its end.
+#[derive(Debug)]
+pub enum ReadError<E> {
+    /// The body is larger than its limit, or states so.
+    TooLarge,
+    /// The budget of the process was exceeded.
+    Revoked,
+    /// The body broke off.
+    Broken(E),
+}
+
+impl<E: std::fmt::Display> std::fmt::Display for ReadError<E> {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::TooLarge => f.write_str("larger than its limit"),
+            Self::Revoked => f.write_str("the memory for messages is exhausted"),
+            Self::Broken(error) => error.fmt(f),
+        }
+    }
+}
+
+/// Reads a body of at most `limit` bytes to its end.
+///
+/// # Errors
+/// Fails if the body breaks off, is too large, or is revoked.
+pub async fn read<B>(body: B, limit: usize, share: &mut Share) -> Result<Bytes, ReadError<B::Error>>
+where
+    B: Body<Data = Bytes>,
+{
+    let stated = body.size_hint().lower();
+    if stated > limit as u64 {
+        return Err(ReadError::TooLarge);
+    }
+    let mut body = pin!(body);
+    let mut whole = BytesMut::with_capacity((stated as usize).min(MAX_INITIAL_CAPACITY));
+    loop {
+        let frame = tokio::select! {
+            biased;
+            () = share.revoked() => return Err(ReadError::Revoked),
+            frame = body.frame() => frame,
+        };
+        let data = match frame {
+            None => {
+                share.complete();
+                return Ok(whole.freeze());
+            }
+            Some(Err(error)) => return Err(ReadError::Broken(error)),
+            Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
+        };
+        if whole.len() + data.len() > limit {
+            return Err(ReadError::TooLarge);
+        }
+        let size = whole.len() + data.len();
+        // The buffer is copied when it grows, so it counts as large as it may become.
+        share
+            .set(size.next_power_of_two())
+            .map_err(|Revoked| ReadError::Revoked)?;
+        whole.extend_from_slice(&data);
+    }
+}
--- a/crates/gateway/src/pool/mod.rs
+++ b/crates/gateway/src/pool/mod.rs
@@ -38,6 +38,8 @@
 /// Bytes that may be read before the header of an answer is complete, with interim answers
 /// and the part of the body that is read along with the header.
 const MAX_HEADER_READ_BYTES: usize = 1 << 20;
+/// Buffer of a connection for what the upstream sends. A longer header fails the call.
+const MAX_BUFFER_BYTES: usize = 64 << 10;
 /// Most idle connections kept for each upstream.
 const MAX_IDLE_PER_UPSTREAM: usize = 64;
 
@@ -160,6 +162,7 @@
     pub async fn open(&self, record: &Record, timeout: Duration) -> io::Result<Connection> {
         let socket = Socket::new(connect(record.address, timeout).await?);
         let (sender, connection) = http1::Builder::new()
+            .max_buf_size(MAX_BUFFER_BYTES)
             .handshake(TokioIo::new(socket.clone()))
             .await
             .map_err(io::Error::other)?;
--- a/crates/gateway/src/relay/answer/mod.rs
+++ b/crates/gateway/src/relay/answer/mod.rs
@@ -12,6 +12,8 @@
 use hyper::body::Incoming;
 use tokio::sync::mpsc;
 
+use crate::memory::Share;
+
 /// The answer ended before it was complete: the upstream truncated it, the deadline
 /// passed, or an event was too large. As a body error, it closes the connection
 /// to the caller, so that the response of the gateway does not look complete.
@@ -31,6 +33,8 @@
 pub enum Body {
     /// Complete body.
     Whole(Full<Bytes>),
+    /// Complete body of an upstream, whose memory is given back when it has been sent.
+    Held(Full<Bytes>, Share),
     /// Chunks from a task, which ends when this receiver is dropped.
     Stream(mpsc::Receiver<Result<Bytes, Incomplete>>),
 }
@@ -44,7 +48,7 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Incomplete>>> {
         match self.get_mut() {
-            Self::Whole(body) => Pin::new(body)
+            Self::Whole(body) | Self::Held(body, _) => Pin::new(body)
                 .poll_frame(cx)
                 .map_err(|never| match never {}),
             Self::Stream(chunks) => chunks.poll_recv(cx).map(|chunk| {
@@ -56,14 +60,14 @@
 
     fn is_end_stream(&self) -> bool {
         match self {
-            Self::Whole(body) => body.is_end_stream(),
+            Self::Whole(body) | Self::Held(body, _) => body.is_end_stream(),
             Self::Stream(_) => false,
         }
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
-            Self::Whole(body) => body.size_hint(),
+            Self::Whole(body) | Self::Held(body, _) => body.size_hint(),
             Self::Stream(_) => SizeHint::default(),
         }
     }
--- a/crates/gateway/src/relay/buffered/mod.rs
+++ b/crates/gateway/src/relay/buffered/mod.rs
@@ -3,9 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use http::{Response, StatusCode};
-use http_body_util::{BodyExt as _, Full, Limited};
+use http_body_util::Full;
 use tokio::time::timeout;
 
 use super::Shared;
@@ -14,6 +13,7 @@
 use super::call::Call;
 use crate::admit::{HealthSignal, Refusal};
 use crate::clock;
+use crate::memory::{self, ReadError};
 use crate::names::Names;
 use crate::table::Kind;
 
@@ -139,8 +139,15 @@
     let ends_with_connection = answer::ends_with_connection(&response);
     let (mut parts, body) = response.into_parts();
     let time_left = call.end().since(clock::now());
-    let body = match timeout(time_left, Limited::new(body, MAX_ANSWER_BYTES).collect()).await {
-        Ok(Ok(body)) => body.to_bytes(),
+    let mut share = shared.memory.share();
+    let reading = memory::read(body, MAX_ANSWER_BYTES, &mut share);
+    let body = match timeout(time_left, reading).await {
+        Ok(Ok(body)) => body,
+        Ok(Err(error @ (ReadError::TooLarge | ReadError::Revoked))) => {
+            log::info!("event=answer_cut id={} reason=\"{error}\"", call.id());
+            permit.set_signal(HealthSignal::Failure);
+            return None;
+        }
         Ok(Err(error)) => {
             log::info!("event=answer_cut id={} reason=\"{error}\"", call.id());
             permit.set_signal(HealthSignal::Failure);
@@ -174,11 +181,8 @@
     });
     shared.keep_connection(&permit.record, connection, keep_alive);
     answer::strip_hop_by_hop(&mut parts.headers);
-    Some(Response::from_parts(parts, buffered_body(body)))
-}
-
-fn buffered_body(body: Bytes) -> Body {
-    Body::Whole(Full::new(body))
+    let body = Body::Held(Full::new(body), share);
+    Some(Response::from_parts(parts, body))
 }
 
 /// Logs the end of a call and counts it in the metrics.
--- a/crates/gateway/src/relay/call/mod.rs
+++ b/crates/gateway/src/relay/call/mod.rs
@@ -8,6 +8,7 @@
 use sesamerock_base::key::Workspace;
 use sesamerock_base::time::Moment;
 
+use crate::memory::Share;
 use crate::socket::Socket;
 use crate::suspect::Subject;
 use crate::table::Kind;
@@ -44,6 +45,8 @@
     pub headers: HeaderMap,
     /// Body for the upstream; kept for retries.
     pub body: Bytes,
+    /// Memory that the body takes.
+    pub(super) _memory: Share,
     /// For a stream that the caller resumes, the identifier of the last event received.
     pub last_event: Option<u64>,
     /// When the gateway had read the request header.
--- a/crates/gateway/src/relay/head/mod.rs
+++ b/crates/gateway/src/relay/head/mod.rs
@@ -6,7 +6,6 @@
 use bytes::Bytes;
 use http::header::{AUTHORIZATION, CONTENT_LENGTH, HOST};
 use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode};
-use http_body_util::{BodyExt as _, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use sesamerock_base::key::Workspace;
 
@@ -15,6 +14,7 @@
 use super::call::Call;
 use crate::admit::LATE_URGENCY;
 use crate::clock;
+use crate::memory::{self, ReadError, Share};
 use crate::names::{Headers, Names};
 use crate::socket::Socket;
 use crate::suspect::{MAX_PARTS, Subject};
@@ -25,6 +25,8 @@
 const TABLE_WAIT: Duration = Duration::from_secs(1);
 /// `retry-after` of refusals after that wait: the store is away or turns the gateway away.
 const NO_TABLE_RETRY_AFTER: Duration = Duration::from_secs(1);
+/// `retry-after` of a request whose body there is no memory for. Other calls end meanwhile.
+const NO_MEMORY_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Lowest priority of a call; the one below it is for calls that can only be late.
 const LOWEST_URGENCY: u8 = LATE_URGENCY - 1;
 
@@ -40,7 +42,7 @@
 ) -> Result<Call, Response<Body>> {
     let arrived = clock::now();
     let (parts, body) = request.into_parts();
-    let body = read_body(shared, names, &parts.headers, body).await?;
+    let (body, memory) = read_body(shared, names, &parts.headers, body).await?;
     // Loaded after the body, since the table may have changed in the meantime.
     let Some(table) = shared.first_table(TABLE_WAIT).await else {
         let status = StatusCode::SERVICE_UNAVAILABLE;
@@ -117,6 +119,7 @@
         uri,
         headers,
         body,
+        _memory: memory,
         last_event,
         arrived,
         deadline: arrived + caller_timeout,
@@ -128,26 +131,27 @@
     })
 }
 
-/// Reads the body of a request, up to the size limit of the table.
+/// Reads the body of a request, up to the size limit of the table and as far as there is memory.
 async fn read_body<N: Names>(
     shared: &Shared,
     names: &N,
     headers: &HeaderMap,
     body: Incoming,
-) -> Result<Bytes, Response<Body>> {
+) -> Result<(Bytes, Share), Response<Body>> {
     let table = shared.view.load().table.clone();
     let limits = table.map_or_else(Limits::default, |it| it.content().limits);
-    match Limited::new(body, limits.body).collect().await {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(error) => {
-            let status = if error.is::<LengthLimitError>() {
-                StatusCode::PAYLOAD_TOO_LARGE
-            } else {
-                StatusCode::BAD_REQUEST
-            };
-            Err(reject(shared, headers, names, status, "body"))
+    let mut share = shared.memory.share();
+    let status = match memory::read(body, limits.body, &mut share).await {
+        Ok(body) => return Ok((body, share)),
+        Err(ReadError::TooLarge) => StatusCode::PAYLOAD_TOO_LARGE,
+        Err(ReadError::Broken(_)) => StatusCode::BAD_REQUEST,
+        Err(ReadError::Revoked) => {
+            let status = StatusCode::SERVICE_UNAVAILABLE;
+            drop(reject(shared, headers, names, status, "memory"));
+            return Err(answer::refusal(status, "memory", NO_MEMORY_RETRY_AFTER));
         }
-    }
+    };
+    Err(reject(shared, headers, names, status, "body"))
 }
 
 /// Returns the headers for the upstream: without hop-by-hop headers and the caller's
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -42,6 +42,7 @@
 use crate::admit::outage::Statement;
 use crate::admit::{AdmissionController, Obstacle, Refusal};
 use crate::clock;
+use crate::memory;
 use crate::metrics::Counters;
 use crate::names::Names;
 use crate::pool::{self, Connection, ConnectionPool, KeepAlive};
@@ -75,6 +76,8 @@
     pub attempt_timeout_objectives: f64,
     /// Retry budget of each service, for all gateways together.
     pub budget: budget::Settings,
+    /// Bytes that all requests and answers that are being read may hold together.
+    pub max_buffered: usize,
 }
 
 impl Default for Settings {
@@ -85,6 +88,7 @@
             buffered_wait_objectives: 2.0,
             attempt_timeout_objectives: 2.5,
             budget: budget::Settings::default(),
+            max_buffered: memory::DEFAULT_LIMIT,
         }
     }
 }
@@ -125,6 +129,8 @@
     retries: Retries,
     connections: ConnectionPool,
     published: Notify,
+    /// Memory for requests and answers.
+    pub memory: Arc<memory::Budget>,
     /// Notified when other gateways should hear of a change at once.
     pub news: Notify,
     next_call: AtomicU64,
@@ -150,6 +156,7 @@
             retries: Retries::new(settings.budget),
             connections: ConnectionPool::default(),
             published: Notify::new(),
+            memory: Arc::new(memory::Budget::new(settings.max_buffered)),
             news: Notify::new(),
             next_call: AtomicU64::new(0),
         }
--- a/crates/gateway/src/relay/streaming/mod.rs
+++ b/crates/gateway/src/relay/streaming/mod.rs
@@ -232,10 +232,21 @@
         let ends_with_connection = answer::ends_with_connection(&response);
         let mut may_end = !ends_with_connection;
         let mut body = response.into_body();
+        let mut share = self.shared.memory.share();
         let mut last_event: Option<Moment> = None;
         loop {
             let time_left = self.call.end().since(clock::now());
-            let frame = match timeout(time_left, body.frame()).await {
+            let frame = tokio::select! {
+                biased;
+                () = share.revoked() => None,
+                frame = timeout(time_left, body.frame()) => Some(frame),
+            };
+            let Some(frame) = frame else {
+                log::info!("event=answer_cut id={} reason=memory", self.call.id());
+                permit.set_signal(HealthSignal::Failure);
+                return End::Cut;
+            };
+            let frame = match frame {
                 Ok(Some(Ok(frame))) => frame,
                 Ok(None) if may_end && self.events.at_boundary() => {
                     if ends_with_connection {
@@ -269,6 +280,8 @@
                 permit.set_signal(HealthSignal::Failure);
                 return End::Cut;
             };
+            // If it is revoked, the next round ends the stream.
+            let _ = share.set(self.events.buffered());
             if chunk.is_empty() {
                 continue;
             }
--- a/crates/gateway/src/run/mod.rs
+++ b/crates/gateway/src/run/mod.rs
@@ -28,6 +28,7 @@
 use crate::engine::Engine;
 use crate::exchange::{self, Heartbeat, LocalNode, Peers, Statement};
 use crate::maps;
+use crate::memory;
 use crate::metrics;
 use crate::names::Names;
 use crate::node;
@@ -61,6 +62,12 @@
 /// independently, and a gateway that has just started may be unknown to the others.
 const RETRY_BUDGET_FRACTION: f64 = 0.7;
 
+/// Part of the memory of a VM for requests and answers that are being read, Buffers of connections, the
+/// allocator and all else take the rest.
+const MEMORY_PART: f64 = 0.25;
+/// Least memory for requests and answers: that of one of the largest answers.
+const MIN_BUFFERED: usize = 16 << 20;
+
 /// Shared state of the tasks of a node.
 #[derive(Clone, Debug)]
 pub struct Node {
@@ -404,6 +411,7 @@
     let shared = Arc::new(Shared::new(
         relay::Settings {
             budget: retry_budget(&settings),
+            max_buffered: max_buffered(&settings),
             ..relay::Settings::default()
         },
         admission,
@@ -463,6 +471,16 @@
 }
 
 /// Returns the retry budget that all nodes together use.
+/// Returns the bytes that requests and answers may hold together while they are read.
+fn max_buffered(settings: &Settings) -> usize {
+    let part = settings
+        .memory_mib
+        .map(|mib| mib * MEMORY_PART * f64::from(1 << 20));
+    part.map_or(memory::DEFAULT_LIMIT, |bytes| {
+        (bytes as usize).max(MIN_BUFFERED)
+    })
+}
+
 fn retry_budget(settings: &Settings) -> budget::Settings {
     let slack = settings.retry_slack * RETRY_BUDGET_FRACTION;
     // Within one window, both the saved budget and the budget accrued in it can be spent.
@@ -529,6 +547,8 @@
         let mut text = shared.counters.render();
         metrics::append_line(&mut text, format_args!("sesamerock_running {running}"));
         metrics::append_line(&mut text, format_args!("sesamerock_waiting {waiting}"));
+        let held = shared.memory.held();
+        metrics::append_line(&mut text, format_args!("sesamerock_buffered_bytes {held}"));
         let open = connections.len();
         metrics::append_line(&mut text, format_args!("sesamerock_connections {open}"));
         let subjects = shared.update_suspects(|suspects| suspects.list(clock::now()));
--- a/crates/gateway/src/run/settings/mod.rs
+++ b/crates/gateway/src/run/settings/mod.rs
@@ -50,6 +50,10 @@
     /// Calls that an upstream may receive beyond its rate during its cold start, in the
     /// whole system.
     pub cold_slack: f64,
+    /// Memory of the VM in MiB, of which a part holds requests and answers that are being read.
+    /// Without it, that part is [`memory::DEFAULT_LIMIT`](crate::memory::DEFAULT_LIMIT).
+    #[serde(default)]
+    pub memory_mib: Option<f64>,
     /// How long the leader for the expert maps remains leader without contact to the store.
     /// This is the shortest lease that the store grants.
     #[serde(rename = "lease_ms")]
--- a/crates/gateway/src/stream/mod.rs
+++ b/crates/gateway/src/stream/mod.rs
@@ -66,6 +66,11 @@
         self.buffer.clear();
     }
 
+    /// Returns the memory that a partial event takes, in bytes.
+    pub fn buffered(&self) -> usize {
+        self.buffer.capacity()
+    }
+
     /// Returns whether there is no partial event, so that the stream may end here.
     pub fn at_boundary(&self) -> bool {
         self.buffer.is_empty()
--- a/crates/soak/src/process/mod.rs
+++ b/crates/soak/src/process/mod.rs
@@ -5,7 +5,7 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 
-use eyre::WrapErr as _;
+use eyre::{OptionExt as _, WrapErr as _};
 use sesamerock_gateway::run::Settings;
 
 /// A gateway process. Dropping this value kills the child process, and no other process.
@@ -101,6 +101,20 @@
         Ok(())
     }
 
+    /// Returns the most memory that the process has had resident since its start, in bytes.
+    ///
+    /// # Errors
+    /// Fails if the process has ended or the operating system does not tell.
+    pub fn peak_memory(&mut self) -> eyre::Result<u64> {
+        eyre::ensure!(self.is_running()?, "{} has ended", self.settings.node);
+        let id = self.child.as_ref().map_or(0, Child::id);
+        let status = fs::read_to_string(format!("/proc/{id}/status"))?;
+        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let peak = peak.and_then(|value| value.trim().strip_suffix(" kB"));
+        let peak: u64 = peak.ok_or_eyre("no VmHWM")?.parse()?;
+        Ok(peak << 10)
+    }
+
     /// Returns the address that callers connect to.
     pub fn front_address(&self) -> SocketAddr {
         self.settings.front
--- a/crates/standin/src/scripted/mod.rs
+++ b/crates/standin/src/scripted/mod.rs
@@ -27,6 +27,8 @@
     Work(Duration, String),
     /// Writes a header and then pieces, each after a pause, and keeps the connection.
     Stream(String, Vec<String>, Duration),
+    /// Writes a header and then a piece again and again until the client closes the connection.
+    Repeat(String, &'static str),
     /// Sends nothing until the client closes the connection.
     Hang,
     /// Writes these bytes and ends: all connections close, and the address behaves as stated.
@@ -310,6 +312,14 @@
                 }
                 (text, false)
             }
+            Act::Repeat(head, piece) => {
+                let block = piece.repeat((64 << 10) / piece.len().max(1));
+                let mut written = stream.write_all(head.as_bytes()).await;
+                while written.is_ok() {
+                    written = stream.write_all(block.as_bytes()).await;
+                }
+                return;
+            }
             Act::Crash(text, aftermath) => {
                 if stream.write_all(text.as_bytes()).await.is_ok() {
                     // Fails if another call has crashed the upstream already.
