Serve a queue in a time that does not depend on the costs of its calls

Callers saw: two requests of two tenants that state 2^64 - 1 tokens hung a gateway for good, with all streams and callers on it.

Cause: the queue added one quantum a turn until a call was covered, as many turns as the cost has quanta; and costs were added up without a range.

Rounds in which no call can be served are skipped at once, which keeps the order of service (checked against one turn at a time for random costs), and a cost counts as 2^40 at most.

--- a/crates/limit/src/queue/mod.rs
+++ b/crates/limit/src/queue/mod.rs
@@ -21,6 +21,10 @@
 /// Number of priority levels, as defined by RFC 9218.
 pub const LEVELS: usize = 8;
 
+/// Highest cost of a call; a higher one counts as this. It is far beyond what any upstream can
+/// run, and the costs of all queued calls can be added up.
+pub const MAX_TOKENS: u64 = 1 << 40;
+
 /// Identifies one attempt of a call; the caller never reuses a value.
 pub type CallId = u64;
 
@@ -53,7 +57,7 @@
     pub call: CallId,
     /// Workspace on whose behalf the call is made; the unit of fairness.
     pub workspace: Workspace,
-    /// Cost in tokens.
+    /// Cost in tokens, [`MAX_TOKENS`] at most.
     pub tokens: u64,
     /// Priority level, 0 (highest) to 7; larger values count as 7.
     pub urgency: u8,
@@ -148,6 +152,10 @@
     /// Adds a call. A full queue evicts calls of lower levels first, then of
     /// the workspace with the most queued tokens.
     pub fn push(&mut self, item: Item) -> PushOutcome {
+        let item = Item {
+            tokens: item.tokens.min(MAX_TOKENS),
+            ..item
+        };
         if self.items.contains_key(&item.call) {
             return PushOutcome::Duplicate;
         }
@@ -203,10 +211,13 @@
     pub fn peek(&mut self) -> Option<Item> {
         let level = self.next_level()?;
         let quantum = self.settings.quantum.max(1);
-        // Each turn adds a quantum, so the number of turns for a call is its
-        // tokens divided by the quantum, independent of how many workspaces
-        // wait.
+        let mut turns = 0;
         loop {
+            if turns > self.levels[level].flows.len() {
+                self.skip_rounds(level, quantum);
+                turns = 0;
+            }
+            turns += 1;
             let workspace = self.levels[level].front()?;
             let item = self.head(level, workspace)?;
             let level = &mut self.levels[level];
@@ -223,6 +234,22 @@
         }
     }
 
+    /// Adds the quanta of all rounds in which no call could be served, so that the time to find the
+    /// next call does not depend on its cost.
+    fn skip_rounds(&mut self, level: usize, quantum: u64) {
+        let flows = self.levels[level].flows.iter();
+        let deficits: Vec<_> = flows.map(|(it, flow)| (*it, flow.deficit)).collect();
+        let rounds = deficits.into_iter().filter_map(|(workspace, deficit)| {
+            let head = self.head(level, workspace)?;
+            Some(head.tokens.saturating_sub(deficit).div_ceil(quantum))
+        });
+        // The last round is served in turns.
+        let skipped = rounds.min().unwrap_or_default().saturating_sub(1);
+        for flow in self.levels[level].flows.values_mut() {
+            flow.deficit += skipped * quantum;
+        }
+    }
+
     /// Removes and returns the call that [`Queue::peek`] returns.
     pub fn pop(&mut self) -> Option<Item> {
         let item = self.peek()?;
@@ -247,6 +274,7 @@
     /// cost and level if the call were pushed now and no others followed.
     pub fn tokens_ahead(&self, workspace: Workspace, tokens: u64, urgency: u8) -> u64 {
         let index = index(urgency);
+        let tokens = tokens.min(MAX_TOKENS);
         let higher: u64 = self.levels[..index].iter().map(|l| l.tokens).sum();
         let level = &self.levels[index];
         let own = level.flows.get(&workspace).map_or(0, |f| f.tokens);
--- a/crates/limit/tests/queue.rs
+++ b/crates/limit/tests/queue.rs
@@ -168,3 +168,70 @@
     }
     assert_eq!(queue.flows(), 1);
 }
+
+/// Regression: two calls of two workspaces with a cost without measure kept `peek` busy for good, one
+/// quantum a turn.
+#[test]
+fn regression_a_senseless_cost_does_not_hang_the_queue() {
+    let mut queue = Queue::new(Settings::default());
+    for (call, workspace) in [(1, 1), (2, 2), (3, 1), (4, 2)] {
+        assert_eq!(
+            queue.push(item(call, workspace, u64::MAX, 3)),
+            PushOutcome::Queued
+        );
+    }
+    assert_eq!(queue.push(item(5, 3, 100, 3)), PushOutcome::Queued);
+    assert!(queue.tokens_ahead(Workspace(4), u64::MAX, 3) > 0);
+    let mut served = Vec::new();
+    while let Some(next) = queue.pop() {
+        served.push(next.call);
+    }
+    assert_eq!(served.len(), 5);
+    assert_eq!(served[0], 5, "the cheap call is served first");
+}
+
+quickcheck! {
+    /// Skipping the rounds in which no call can be served does not change the order of service.
+    fn skipped_rounds_keep_the_order(costs: Vec<(u8, u32)>) -> bool {
+        let settings = Settings { calls: usize::MAX, quantum: 7, ..Settings::default() };
+        let mut queue = Queue::new(settings);
+        let mut flows: BTreeMap<u32, Vec<(u64, u64)>> = BTreeMap::new();
+        let mut round: Vec<u32> = Vec::new();
+        for (index, (workspace, cost)) in costs.iter().enumerate() {
+            let (call, workspace) = (index as u64, u32::from(workspace % 4));
+            let cost = u64::from(cost % 5_000) + 1;
+            queue.push(item(call, workspace, cost, 3));
+            if !round.contains(&workspace) {
+                round.push(workspace);
+            }
+            flows.entry(workspace).or_default().push((call, cost));
+        }
+        // Deficit round robin, one turn at a time.
+        let mut deficits: BTreeMap<u32, u64> = BTreeMap::new();
+        while let Some(workspace) = round.first().copied() {
+            let only = round.len() == 1;
+            let Some(calls) = flows.get_mut(&workspace) else { return false };
+            let deficit = deficits.entry(workspace).or_default();
+            let (call, cost) = calls[0];
+            if *deficit < cost {
+                *deficit += if only { cost } else { 7 };
+            }
+            if *deficit < cost {
+                round.rotate_left(1);
+                continue;
+            }
+            if queue.pop().map(|next| next.call) != Some(call) {
+                return false;
+            }
+            *deficit -= cost;
+            calls.remove(0);
+            if calls.is_empty() {
+                deficits.remove(&workspace);
+                round.remove(0);
+            } else if calls[0].1 > *deficit {
+                round.rotate_left(1);
+            }
+        }
+        queue.is_empty()
+    }
+}
