Accept calls in a stop by how long calls of their own route take

Callers saw: orders that a stopping gateway had accepted were cut at its end although they ran.

Cause: whether a call can still end was judged by the longest recent call of its service. Look-ups of another route of that service take 20 ms and go on all the time; orders take 3 s. A bound taken from others than those it is for.

Durations are kept by route. A call of a route without a recent one is judged by its deadline.

--- a/crates/gateway/src/relay/buffered/mod.rs
+++ b/crates/gateway/src/relay/buffered/mod.rs
@@ -190,7 +190,7 @@
     let total = clock::now().since(call.arrived);
     let status = response.status().as_u16();
     if response.status().is_success() {
-        shared.durations.record(&call.service, total, clock::now());
+        shared.durations.record(&call.route, total, clock::now());
     }
     shared.counters.answered(status);
     shared.counters.last_byte.record(total);
--- a/crates/gateway/src/relay/durations/mod.rs
+++ b/crates/gateway/src/relay/durations/mod.rs
@@ -1,8 +1,8 @@
-//! How long calls of each service took recently, which tells whether a call can end before the
-//! process does.
+//! How long calls of each route took recently, which tells whether a call can end before the
+//! process does. Routes of one service may differ by far.
 
 use std::collections::HashMap;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use sesamerock_base::time::Moment;
@@ -10,10 +10,10 @@
 /// Length of a window. A value counts for at least one and at most two windows.
 const WINDOW: Duration = Duration::from_secs(5);
 
-/// Longest time from the arrival of a call to the end of its answer, by service.
+/// Longest time from the arrival of a call to the end of its answer, by route.
 #[derive(Debug, Default)]
 pub struct Durations {
-    services: Mutex<HashMap<Arc<str>, Longest>>,
+    routes: Mutex<HashMap<String, Longest>>,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -40,22 +40,25 @@
 }
 
 impl Durations {
-    fn services(&self) -> MutexGuard<'_, HashMap<Arc<str>, Longest>> {
-        self.services.lock().unwrap_or_else(PoisonError::into_inner)
+    fn routes(&self) -> MutexGuard<'_, HashMap<String, Longest>> {
+        self.routes.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Records a call whose answer was complete.
-    pub fn record(&self, service: &Arc<str>, duration: Duration, now: Moment) {
-        let mut services = self.services();
-        let longest = services.entry(Arc::clone(service)).or_default();
+    pub fn record(&self, route: &str, duration: Duration, now: Moment) {
+        let mut routes = self.routes();
+        let longest = match routes.get_mut(route) {
+            Some(longest) => longest,
+            None => routes.entry(route.to_owned()).or_default(),
+        };
         longest.advance(now);
         longest.current = longest.current.max(duration);
     }
 
-    /// Returns the longest recent call of a service; `None` if none has ended recently.
-    pub fn longest(&self, service: &Arc<str>, now: Moment) -> Option<Duration> {
-        let mut services = self.services();
-        let longest = services.get_mut(service)?;
+    /// Returns the longest recent call of a route; `None` if none has ended recently.
+    pub fn longest(&self, route: &str, now: Moment) -> Option<Duration> {
+        let mut routes = self.routes();
+        let longest = routes.get_mut(route)?;
         longest.advance(now);
         let longest = longest.current.max(longest.previous);
         (longest > Duration::ZERO).then_some(longest)
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -175,7 +175,7 @@
 
     /// Returns whether a call may be accepted, or the process may end before the call does.
     fn may_accept(&self, call: &Call, now: Moment) -> bool {
-        let longest = self.durations.longest(&call.service, now);
+        let longest = self.durations.longest(&call.route, now);
         let shutdown = self.shutdown.get();
         shutdown.is_none_or(|shutdown| shutdown.may_accept(call.end(), longest, now))
     }
--- a/crates/gateway/src/relay/streaming/mod.rs
+++ b/crates/gateway/src/relay/streaming/mod.rs
@@ -197,7 +197,7 @@
     }
     if end == End::Complete {
         let durations = &task.shared.durations;
-        durations.record(&call.service, total, clock::now());
+        durations.record(&call.route, total, clock::now());
     }
     task.shared.counters.last_byte.record(total);
     // The caller has received this status even if the stream ended early.
--- a/crates/gateway/src/shutdown/mod.rs
+++ b/crates/gateway/src/shutdown/mod.rs
@@ -8,7 +8,7 @@
 
 use sesamerock_base::time::Moment;
 
-/// Multiple of the longest recent call of a service that must remain for a call without a nearer
+/// Multiple of the longest recent call of a route that must remain for a call without a nearer
 /// deadline. Passes can become longer while it runs.
 const DURATION_MARGIN: f64 = 1.5;
 /// Time before the end in which no gateway goes on listening, even if it is the only one.
@@ -55,7 +55,7 @@
     }
 
     /// Returns whether a call can be expected to end before the process does. `deadline` is the
-    /// latest end of the call, `longest` the longest time that a call of its service took
+    /// latest end of the call, `longest` the longest time that a call of its route took
     /// recently; `None` if there was none.
     pub fn may_accept(&self, deadline: Moment, longest: Option<Duration>, now: Moment) -> bool {
         let expected_end = longest.map_or(deadline, |time| now + time.mul_f64(DURATION_MARGIN));
