Send few calls to a cold upstream while the other gateways are unknown

Callers saw: after a restart of all gateways while the partition with their records was down, a cold upstream got 21 calls in a second, crashed, and running orders were lost with it.

Cause: while its members are unknown, a gateway stood for a system of one and took the whole rate of a cold upstream. The default for what is unknown was the most optimistic value.

A gateway that does not know the others now sends one call in a second of a longer period, as if 64 gateways shared the upstream, each at another time. It sends none to an upstream that names a limit.

A replay with 4, 17 and 59 gateways stays within the bound in each second.

Left: with far more than 64 gateways the bound does not hold while they are unknown.

--- a/crates/gateway/src/admit/cold/mod.rs
+++ b/crates/gateway/src/admit/cold/mod.rs
@@ -5,13 +5,30 @@
 //! gateways than calls, only some of them call a given upstream, and others call the next
 //! one.
 
+use sesamerock_base::time::Moment;
+
 use crate::hash;
 
-/// This gateway and the others that may call the same upstreams.
+/// Gateways between which an upstream is divided while their number is unknown.
+const ASSUMED_GATEWAYS: u64 = 64;
+const MICROS_PER_SECOND: u64 = 1_000_000;
+
+/// Returns the part of a gateway in `total` calls a second to an upstream while it does not know the
+/// other gateways: one call in a second of a longer period. `seed` differs between gateways, so
+/// that their calls are spread over the period.
+pub fn share_among_unknown(seed: u64, upstream: &str, total: u32, now: Moment) -> u32 {
+    let period = ASSUMED_GATEWAYS.div_ceil(u64::from(total.max(1)));
+    let phase = hash::combine(seed, hash::of(upstream)) % period;
+    let second = now.0 / MICROS_PER_SECOND;
+    u32::from(total > 0 && second % period == phase)
+}
+
+/// This gateway and the others that may call the same upstreams. By default, the others are not known.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Members {
     own: u64,
     others: Vec<u64>,
+    are_known: bool,
 }
 
 impl Members {
@@ -20,6 +37,7 @@
         Self {
             own: hash::of(own),
             others: others.into_iter().map(hash::of).collect(),
+            are_known: true,
         }
     }
 
@@ -30,7 +48,12 @@
         hash::combine(self.own, hash::of(upstream))
     }
 
-    /// Returns the number of gateways, including this one.
+    /// Returns whether it is known with which gateways an upstream is shared.
+    pub fn are_known(&self) -> bool {
+        self.are_known
+    }
+
+    /// Returns the number of gateways that are known, including this one.
     pub fn count(&self) -> usize {
         self.others.len() + 1
     }
--- a/crates/gateway/src/admit/limit/mod.rs
+++ b/crates/gateway/src/admit/limit/mod.rs
@@ -83,7 +83,7 @@
         // A rate beyond the number of gateways makes all of them users.
         let users = MIN_USERS.saturating_add(rate as usize);
         let users = users.min(members.count());
-        let is_user = members.rank(id) < users;
+        let is_user = members.are_known() && members.rank(id) < users;
         Some(if is_user {
             rate.max(MIN_RATE) / users as f64
         } else {
--- a/crates/gateway/src/admit/mod.rs
+++ b/crates/gateway/src/admit/mod.rs
@@ -726,7 +726,7 @@
         }
         if candidate.cold_until > now
             && pool.cold_rate > 0.0
-            && upstream.recent_starts.count(now) >= self.cold_start_limit(pool, candidate)
+            && upstream.recent_starts.count(now) >= self.cold_start_limit(pool, candidate, now)
         {
             return;
         }
@@ -741,11 +741,14 @@
 
     /// Returns the calls per second that this gateway may send to an upstream during its
     /// cold start.
-    fn cold_start_limit(&self, pool: &UpstreamPool, candidate: &Candidate) -> u32 {
-        *candidate.cold_limit.get_or_init(|| {
-            let total = pool.cold_rate * self.settings.cold_share + self.settings.cold_slack;
-            pool.members.share(&candidate.record.id, total as u32)
-        })
+    fn cold_start_limit(&self, pool: &UpstreamPool, candidate: &Candidate, now: Moment) -> u32 {
+        let total = pool.cold_rate * self.settings.cold_share + self.settings.cold_slack;
+        let (id, total) = (&candidate.record.id, total as u32);
+        if !pool.members.are_known() {
+            return cold::share_among_unknown(self.settings.seed, id, total, now);
+        }
+        let share = || pool.members.share(id, total);
+        *candidate.cold_limit.get_or_init(share)
     }
 
     fn start_call(&mut self, record: &Arc<Record>, now: Moment) {
--- a/crates/gateway/tests/admit.rs
+++ b/crates/gateway/tests/admit.rs
@@ -706,3 +706,41 @@
     let chosen: HashSet<Option<String>> = (0..59).map(favourite).collect();
     assert!(chosen.len() >= 40, "59 gateways chose {}", chosen.len());
 }
+
+/// Regression: gateways that did not know each other yet, after a restart of all, each took the whole
+/// rate of a cold upstream.
+#[test]
+fn regression_gateways_without_members_share_a_cold_upstream() {
+    for gateways in [4, 17, 59] {
+        let calls = (0..gateways).map(|seed| {
+            let mut pool = pool(1);
+            pool.candidates[0].cold_until = at(20_000);
+            pool.cold_rate = 8.0;
+            pool.members = Arc::default();
+            let settings = Settings {
+                seed,
+                ..Settings::default()
+            };
+            let mut admission = AdmissionController::new(settings, Arc::from("a"));
+            admission.set_pools(HashMap::from([(Arc::from("s"), pool)]));
+            let mut seconds = [0; 16];
+            for tick in 0..1_600 {
+                let now = at(10 * tick);
+                for record in fill(&mut admission, now) {
+                    seconds[tick as usize / 100] += 1;
+                    admission.end_call(&record, HealthSignal::Success, now);
+                }
+            }
+            seconds
+        });
+        let calls: Vec<[u32; 16]> = calls.collect();
+        let seconds = (0..16).map(|second| calls.iter().map(|it| it[second]).sum::<u32>());
+        let seconds: Vec<u32> = seconds.collect();
+        // As many as gateways may send that know each other.
+        assert!(
+            seconds.iter().all(|it| *it <= 13),
+            "{gateways}: {seconds:?}"
+        );
+        assert!(seconds.iter().any(|it| *it > 0), "{gateways}: {seconds:?}");
+    }
+}
