Ask the operating system for the memory of the VM

Without the setting memory_mib, a gateway now takes what /proc/meminfo states, and logs it with the limit for messages at its start.

--- a/crates/gateway/src/memory/mod.rs
+++ b/crates/gateway/src/memory/mod.rs
@@ -21,6 +21,22 @@
 /// Largest body of which the buffer is allocated at once, by its stated length.
 const MAX_INITIAL_CAPACITY: usize = 64 << 10;
 
+/// Returns the memory of this VM in MiB, as the operating system states it.
+pub fn total_mib() -> Option<f64> {
+    let text = match std::fs::read_to_string("/proc/meminfo") {
+        Ok(text) => text,
+        Err(error) => {
+            log::warn!("event=memory_unknown reason=\"{error}\"");
+            return None;
+        }
+    };
+    let total = text
+        .lines()
+        .find_map(|line| line.strip_prefix("MemTotal:"))?;
+    let kib: f64 = total.trim().strip_suffix("kB")?.trim().parse().ok()?;
+    Some(kib / 1024.0)
+}
+
 /// Key of a share in its budget.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 struct Key(u64);
--- a/crates/gateway/src/run/mod.rs
+++ b/crates/gateway/src/run/mod.rs
@@ -473,12 +473,11 @@
 /// Returns the retry budget that all nodes together use.
 /// Returns the bytes that requests and answers may hold together while they are read.
 fn max_buffered(settings: &Settings) -> usize {
-    let part = settings
-        .memory_mib
-        .map(|mib| mib * MEMORY_PART * f64::from(1 << 20));
-    part.map_or(memory::DEFAULT_LIMIT, |bytes| {
-        (bytes as usize).max(MIN_BUFFERED)
-    })
+    let memory = settings.memory_mib.or_else(memory::total_mib);
+    let part = memory.map(|mib| (mib * MEMORY_PART * f64::from(1 << 20)) as usize);
+    let limit = part.map_or(memory::DEFAULT_LIMIT, |bytes| bytes.max(MIN_BUFFERED));
+    log::info!("event=message_memory memory_mib={memory:?} limit={limit}");
+    limit
 }
 
 fn retry_budget(settings: &Settings) -> budget::Settings {
--- a/crates/gateway/src/run/settings/mod.rs
+++ b/crates/gateway/src/run/settings/mod.rs
@@ -51,7 +51,7 @@
     /// whole system.
     pub cold_slack: f64,
     /// Memory of the VM in MiB, of which a part holds requests and answers that are being read.
-    /// Without it, that part is [`memory::DEFAULT_LIMIT`](crate::memory::DEFAULT_LIMIT).
+    /// Without it, the operating system is asked.
     #[serde(default)]
     pub memory_mib: Option<f64>,
     /// How long the leader for the expert maps remains leader without contact to the store.
