Drop the calls of gateways that report none any more

Cause: only a heartbeat dropped the calls that lost gateways had reported, and the last gateway gets none. Reports that expire only when another one comes.

Heartbeats drop them too, as before.

--- a/crates/gateway/src/admit/mod.rs
+++ b/crates/gateway/src/admit/mod.rs
@@ -258,8 +258,7 @@
         self.pools = pools;
     }
 
-    /// Replaces the call counts of another gateway, and drops those older than
-    /// [`Settings::peer_load_ttl`].
+    /// Replaces the call counts of another gateway, and drops those that are too old.
     pub fn set_peer_loads(&mut self, gateway: &str, loads: Vec<(Arc<str>, u32)>, now: Moment) {
         for (id, load) in &loads {
             self.upstreams.entry(Arc::clone(id)).or_default().remote += load;
@@ -271,6 +270,12 @@
         if let Some(previous) = self.peer_loads.insert(gateway.to_owned(), peer_load) {
             self.subtract_remote(&previous);
         }
+        self.drop_silent_loads(now);
+    }
+
+    /// Drops the call counts of gateways that have not reported any for
+    /// [`Settings::peer_load_ttl`]: their calls have ended with them or will not be told.
+    pub fn drop_silent_loads(&mut self, now: Moment) {
         let ttl = self.settings.peer_load_ttl;
         let expired = self
             .peer_loads
--- a/crates/gateway/src/run/mod.rs
+++ b/crates/gateway/src/run/mod.rs
@@ -629,6 +629,9 @@
         for peer in node.inner.peers.remove_silent() {
             log::warn!("event=peer_silent peer={peer}");
         }
+        let shared = &node.inner.shared;
+        shared.admission().drop_silent_loads(clock::now());
+        shared.assign_slots();
         let expired = node.state().drop_expired(clock::now());
         if !expired.is_empty() {
             log_events("lapse", &expired, node.state().position());
--- a/crates/gateway/tests/admit.rs
+++ b/crates/gateway/tests/admit.rs
@@ -744,3 +744,16 @@
         assert!(seconds.iter().any(|it| *it > 0), "{gateways}: {seconds:?}");
     }
 }
+
+/// Regression: only a heartbeat removed the calls of other gateways, so that the last gateway counted
+/// those of lost ones for good.
+#[test]
+fn regression_loads_of_lost_gateways_expire_without_a_heartbeat() {
+    let mut admission = admission(pool(1));
+    let id = Arc::clone(&record(0).id);
+    admission.set_peer_loads("other", vec![(id, SLOTS)], at(0));
+    assert_eq!(fill(&mut admission, at(0)).len(), 1);
+    let ttl = Settings::default().peer_load_ttl;
+    admission.drop_silent_loads(at(0) + ttl);
+    assert_eq!(fill(&mut admission, at(0) + ttl).len() as u32, SLOTS);
+}
