Do not roll back a switch of maps that has been released

Cause: the leader had sent go, and then a rank's answer to a report was an extra one, which now fails the call. It is the class of conclusions from a state that has two histories: armed ranks without a hold were always released.

A switch is rolled back only if a rank holds the group. Ranks that are armed without a hold are left alone until their step has begun, and the group is looked at again.

--- a/crates/gateway/src/maps/leader/group/mod.rs
+++ b/crates/gateway/src/maps/leader/group/mod.rs
@@ -100,13 +100,16 @@
     last_step: &mut Option<Moment>,
 ) -> StopReason {
     let (records, reports): (Vec<Arc<Record>>, Vec<Report>) = members.into_iter().unzip();
-    if let Some(switch) = Switch::recover(&reports, leader.fence(), 0) {
+    if let Some(switch) = Switch::recover(&reports, leader.fence()) {
         let end = run_switch(&leader, &name, switch, &records, None).await;
         if end == End::Fenced {
             return StopReason::Fenced;
         }
         return StopReason::Changed("an unfinished switch was rolled back");
     }
+    if Switch::is_unsettled(&reports, 0) {
+        return StopReason::Changed("ranks are armed for a step that has not begun");
+    }
     let Some((version, map)) = current_map(&leader, &records, &reports, params.shape).await else {
         return StopReason::Changed("the map of the group could not be read");
     };
@@ -205,7 +208,7 @@
         if records.len() != self.records.len() {
             return Err(StopReason::Changed("a rank did not answer a state query"));
         }
-        if Switch::recover(&reports, self.leader.fence(), self.version).is_some() {
+        if Switch::is_unsettled(&reports, self.version) {
             return Err(StopReason::Changed(
                 "another leader has held the group or armed a rank",
             ));
--- a/crates/gateway/src/maps/switch/mod.rs
+++ b/crates/gateway/src/maps/switch/mod.rs
@@ -105,30 +105,30 @@
         }
     }
 
-    /// Begins the rollback of a switch that another leader left unfinished, with the group
-    /// held or ranks armed. Returns `None` if neither is the case. `own_version` is the
-    /// version that this leader has switched the group to; late reports that still show it
-    /// armed or held are ignored.
-    pub fn recover(reports: &[Report], fence: u64, own_version: u64) -> Option<Self> {
-        let armed = reports.iter().filter_map(|report| report.armed);
-        let switched = armed.clone().find(|(version, _)| *version == own_version);
-        let armed = armed.filter(|(version, _)| *version != own_version).max();
-        let held = reports.iter().position(|report| {
-            report.held.is_some() && report.held != switched.map(|(_, step)| step)
-        });
+    /// Returns whether a rank is held or armed, but for the switch of this leader to `own_version`,
+    /// which late reports may still show.
+    pub fn is_unsettled(reports: &[Report], own_version: u64) -> bool {
+        let own = reports.iter().filter_map(|report| report.armed);
+        let own_step = own.clone().find(|(version, _)| *version == own_version);
+        let own_step = own_step.map(|(_, step)| step);
+        let is_armed = own.into_iter().any(|(version, _)| version != own_version);
+        let is_held = |report: &Report| report.held.is_some() && report.held != own_step;
+        is_armed || reports.iter().any(is_held)
+    }
+
+    /// Begins the rollback of a switch that was left unfinished with the group held. Returns `None`
+    /// if no rank holds it: ranks that are armed then have all been, and may begin the step of the
+    /// switch at any moment, before all of them are disarmed.
+    pub fn recover(reports: &[Report], fence: u64) -> Option<Self> {
+        let holder = reports.iter().position(|report| report.held.is_some())?;
+        let armed = reports.iter().filter_map(|report| report.armed).max();
         // Commands of the previous leader may still arrive. The disarm command gives every
         // rank the higher fencing token, including ranks that are not armed yet.
         let prepared = reports.iter().filter_map(|report| report.prepared).max();
         let version = armed.map(|(version, _)| version).or(prepared);
-        if held.is_none() && armed.is_none() {
-            return None;
-        }
         let mut switch = Self::new(reports, fence, version.unwrap_or_default(), Vec::new(), 0);
-        switch.holder = held.unwrap_or_default();
-        switch.step = reports[switch.holder]
-            .held
-            .or(armed.map(|(_, step)| step))
-            .unwrap_or_default();
+        switch.holder = holder;
+        switch.step = reports[holder].held.unwrap_or_default();
         switch.phase = Phase::Disarm;
         switch.rolling_back = true;
         Some(switch)
--- a/crates/gateway/tests/switch.rs
+++ b/crates/gateway/tests/switch.rs
@@ -201,7 +201,6 @@
     let mut model = GroupModel::new(seed);
     let mut fence = 1;
     let mut version = 0;
-    let mut own_version = 0;
     let mut switched = 0;
     let mut current: Option<Switch> = None;
     for round in 0..ROUNDS_PER_RUN {
@@ -212,17 +211,18 @@
             0
         };
         if fault_percent > 0 && model.chance(4) {
-            // The leader crashes; another one takes over after some steps.
+            // The leader crashes, or a rank does not answer it; another one takes over, or the same
+            // one begins anew, at once or after some steps.
             current = None;
-            own_version = 0;
             fence += 1;
-            for _ in 0..8 {
+            for _ in 0..model.random.next_u32() % 9 {
                 model.run_step();
             }
         }
         let mut switch = current.take().unwrap_or_else(|| {
             let reports = model.reports();
-            Switch::recover(&reports, fence, own_version).unwrap_or_else(|| {
+            let recovered = Switch::recover(&reports, fence);
+            recovered.unwrap_or_else(|| {
                 version += 1;
                 Switch::new(
                     &reports,
@@ -257,7 +257,6 @@
         match switch.phase() {
             Phase::End(End::Switched) => {
                 switched += 1;
-                own_version = switch.version();
             }
             Phase::End(_) => {}
             _ => current = Some(switch),
@@ -324,7 +323,7 @@
         step: 3,
     };
     model.apply(2, &arm, preconditions(1));
-    let Some(mut switch) = Switch::recover(&model.reports(), 2, 0) else {
+    let Some(mut switch) = Switch::recover(&model.reports(), 2) else {
         panic!("the held and armed ranks must lead to a rollback");
     };
     while switch.phase() == Phase::Disarm {
@@ -348,6 +347,38 @@
     assert!(!model.mixed && model.step == 5);
 }
 
+/// Regression: a leader that looked at the group anew, since a rank did not answer, before the step of
+/// its own switch had begun, disarmed the ranks one by one while that step began.
+#[test]
+fn regression_ranks_that_are_armed_and_released_are_not_rolled_back() {
+    let mut model = GroupModel::new(1);
+    let preconditions = Preconditions {
+        fence: 1,
+        expected: 0,
+        epoch: 1,
+    };
+    let prepare = Command::Prepare {
+        version: 5,
+        map: Vec::new(),
+    };
+    let arm = Command::Arm {
+        version: 5,
+        step: 3,
+    };
+    for command in [&prepare, &arm] {
+        for index in 0..RANKS {
+            model.apply(index, command, preconditions);
+        }
+    }
+    assert!(Switch::recover(&model.reports(), 1).is_none());
+    assert!(Switch::is_unsettled(&model.reports(), 0));
+    assert!(!Switch::is_unsettled(&model.reports(), 5));
+    for _ in 0..5 {
+        model.run_step();
+    }
+    assert!(!Switch::is_unsettled(&model.reports(), 0));
+}
+
 /// A rank that has crashed does not answer any more. The other ranks report that the group
 /// has broken, and the leader must then not wait for the crashed rank.
 #[test]
