Accept late calls in a stop by their own bounds, and answer those that run at its end

Cause: a stop accepted a call by the longest recent call of its route. Nothing makes that one alike: one long call among short ones is accepted and cut. Ruled out: calls of other routes.

Evidence: regression_long_calls_among_short_ones_are_refused_at_the_end_of_a_stop, regression_long_streams_among_short_ones_are_refused_at_the_end_of_a_stop and regression_calls_that_are_open_at_the_end_of_a_stop_are_answered failed on the code before (a cut stream of 22 of 30 events, connections closed without an answer) and pass now.

Why this works: callers expect cuts only for calls sent up to 3 s after SIGTERM. Later ones are accepted by what the call itself bounds: deadline, route timeout, or the tokens of a stream at the pace of the slowest group. The same decision limits the wait for a slot and is asked again before each attempt. What still runs 0.1 s before the end is answered: 504, or 503 if nothing was sent. Calls that may be repeated are still accepted by an estimate, since they are answered in any case.

--- a/crates/gateway/src/admit/group/mod.rs
+++ b/crates/gateway/src/admit/group/mod.rs
@@ -53,7 +53,7 @@
 }
 
 /// Index of a group.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Key(usize);
 
 #[derive(Debug)]
@@ -239,6 +239,11 @@
         group.slowdown.observe(engine, gap, load, now);
     }
 
+    /// Returns the duration of the longest passes of a group; `None` if its pace is unknown.
+    pub fn longest_pass(&self, key: Key, engine: &EngineSpec, now: Moment) -> Option<Duration> {
+        self.arena[key.0].slowdown.longest_pass(engine, now)
+    }
+
     /// Adds what another gateway observed.
     pub fn learn(&mut self, paces: &[Pace], now: Moment) {
         for pace in paces {
--- a/crates/gateway/src/admit/mod.rs
+++ b/crates/gateway/src/admit/mod.rs
@@ -367,6 +367,27 @@
             .clamp(shortest, longest)
     }
 
+    /// Returns the longest time that a stream of these numbers of tokens takes from its start at
+    /// an upstream, at the pace of the slowest group; `None` if the service has no engines or the
+    /// pace of a group is unknown.
+    pub fn longest_stream(
+        &self,
+        service: &str,
+        prompt: u64,
+        output: u64,
+        now: Moment,
+    ) -> Option<Duration> {
+        let pool = self.pools.get(service)?;
+        let engine = pool.engine.as_ref()?;
+        let records = pool.candidates.iter().map(|candidate| &candidate.record);
+        let keys: HashSet<group::Key> = records.filter_map(|it| self.groups.key(it)).collect();
+        let passes = keys.into_iter();
+        let passes: Option<Vec<Duration>> = passes
+            .map(|key| self.groups.longest_pass(key, engine, now))
+            .collect();
+        pace::longest_stream(engine, passes?.into_iter().max()?, prompt, output)
+    }
+
     /// Records the time between two events of a stream from an upstream.
     pub fn observe_gap(&mut self, record: &Record, gap: Duration, now: Moment) {
         let Some(pool) = self.pools.get(&record.service) else {
--- a/crates/gateway/src/admit/pace/mod.rs
+++ b/crates/gateway/src/admit/pace/mod.rs
@@ -20,6 +20,9 @@
 /// Share of the longest pause that is used. The rest is left for delays of the network and for
 /// streams that other gateways start before they know of each other's.
 const TARGET_SHARE: f64 = 0.9;
+/// Margin of the longest time of a stream: passes can become longer while it runs, and an engine
+/// without memory reads a prompt again.
+const STREAM_MARGIN: f64 = 1.5;
 /// Weight of a slowdown that another gateway observed.
 const PEER_WEIGHT: f64 = 0.3;
 /// Time without own events after which the observations of other gateways are used.
@@ -52,6 +55,14 @@
         self.0.sampled_within(age, now)
     }
 
+    /// Returns the duration of the longest passes with all slots taken; `None` without recent
+    /// events.
+    pub fn longest_pass(&self, engine: &EngineSpec, now: Moment) -> Option<Duration> {
+        let peak = self.0.current(now)?.upper(PEAK_DEVIATIONS);
+        let millis = pass_ms(engine, f64::from(engine.slots)) * peak;
+        Duration::try_from_secs_f64(millis / 1e3).ok()
+    }
+
     /// Returns how many requests each engine may run on average with streams that pause
     /// no longer than `pause`; at least `lowest`, so that there are events to measure.
     pub fn limit(&self, engine: &EngineSpec, pause: Duration, lowest: f64, now: Moment) -> f64 {
@@ -69,6 +80,26 @@
     }
 }
 
+/// Returns the longest time that a stream takes from its start at an engine to its end, with
+/// passes of this duration; `None` for a number of tokens beyond any answer.
+pub fn longest_stream(
+    engine: &EngineSpec,
+    longest_pass: Duration,
+    prompt: u64,
+    output: u64,
+) -> Option<Duration> {
+    // The prompts of all requests of an engine are read in turn, one part in each pass.
+    let prompts = engine.prompt.max(prompt as f64) * f64::from(engine.slots);
+    let reading = if engine.read_rate > 0.0 {
+        prompts / engine.read_rate
+    } else {
+        0.0
+    };
+    let passes = 1.0 + (output as f64 / f64::from(engine.stride.max(1))).ceil();
+    let seconds = reading + passes * longest_pass.as_secs_f64();
+    Duration::try_from_secs_f64(seconds * STREAM_MARGIN).ok()
+}
+
 /// Returns the duration of a pass with `load` requests in ms, computed from the
 /// configured step and request times.
 fn pass_ms(engine: &EngineSpec, load: f64) -> f64 {
--- a/crates/gateway/src/relay/attempt/mod.rs
+++ b/crates/gateway/src/relay/attempt/mod.rs
@@ -133,6 +133,18 @@
         }
     };
     let acquired = clock::now();
+    if acquired > shared.latest_start(call, acquired) {
+        let (reason, after) = (Reason::Leaving, Duration::ZERO);
+        shared.counters.refused(reason.as_str());
+        log::info!(
+            "event=refused id={} service={} reason={} wait_ms={}",
+            call.id(),
+            call.service,
+            reason.as_str(),
+            acquired.since(started).as_millis(),
+        );
+        return Ok(Outcome::Refused(Refusal { reason, after }));
+    }
     let record = Arc::clone(&permit.record);
     let sent = send(shared, names, call, attempted, limits, permit, watch).await;
     let outcome = sent.inspect_err(|obstacle| {
--- a/crates/gateway/src/relay/buffered/mod.rs
+++ b/crates/gateway/src/relay/buffered/mod.rs
@@ -11,7 +11,7 @@
 use super::answer::{self, Body};
 use super::attempt::{self, AttemptLimits, Attempted, Outcome, StartedAnswer};
 use super::call::Call;
-use crate::admit::{HealthSignal, Refusal};
+use crate::admit::{HealthSignal, Reason, Refusal};
 use crate::clock;
 use crate::memory::{self, ReadError};
 use crate::names::Names;
@@ -22,6 +22,9 @@
 /// Shortest time before the deadline in which another attempt is started.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(20);
 
+/// Reason of the answer to a call that still runs when the process ends.
+const STOPPED: &str = "stopped";
+
 /// Why the attempts so far have not answered a call successfully.
 #[derive(Debug)]
 pub enum CallFailure {
@@ -36,11 +39,25 @@
 /// Runs a call and returns its response.
 pub async fn answer<N: Names>(shared: &Arc<Shared>, names: &N, call: &Arc<Call>) -> Response<Body> {
     let mut attempted = Attempted::default();
-    let response = run_attempts(shared, names, call, &mut attempted).await;
+    let answered = tokio::select! {
+        biased;
+        response = run_attempts(shared, names, call, &mut attempted) => Some(response),
+        () = shared.ending.cancelled() => None,
+    };
+    let response = answered.unwrap_or_else(|| to_response(None, stopped(&attempted)));
     record_end(shared, call, &attempted, &response);
     response
 }
 
+/// Returns why a call is not answered at the end of the process.
+pub fn stopped(attempted: &Attempted) -> CallFailure {
+    if attempted.sent > 0 {
+        return CallFailure::Unknown(STOPPED);
+    }
+    let (reason, after) = (Reason::Leaving, Duration::ZERO);
+    CallFailure::NotRun(Refusal { reason, after })
+}
+
 async fn run_attempts<N: Names>(
     shared: &Arc<Shared>,
     names: &N,
@@ -52,8 +69,10 @@
     loop {
         let now = clock::now();
         let objective = call.objective;
-        let latest_in_time =
-            (now + objective.mul_f64(settings.buffered_wait_objectives)).min(call.end());
+        let wait = objective.mul_f64(settings.buffered_wait_objectives);
+        let latest_in_time = (now + wait)
+            .min(call.end())
+            .min(shared.latest_start(call, now));
         let may_try_another = call.kind.repeatable() && attempted.sent + 1 < call.attempts;
         let abandon_at = if may_try_another {
             (now + objective.mul_f64(settings.attempt_timeout_objectives)).min(call.end())
@@ -119,8 +138,8 @@
             refusal.reason.as_str(),
             refusal.after,
         ),
-        CallFailure::Unknown("silent") => {
-            answer::local_response(StatusCode::GATEWAY_TIMEOUT, "silent")
+        CallFailure::Unknown(reason @ ("silent" | STOPPED)) => {
+            answer::local_response(StatusCode::GATEWAY_TIMEOUT, reason)
         }
         CallFailure::Unknown(reason) => answer::local_response(StatusCode::BAD_GATEWAY, reason),
         CallFailure::Failure(response) => response,
--- a/crates/gateway/src/relay/call/mod.rs
+++ b/crates/gateway/src/relay/call/mod.rs
@@ -37,6 +37,8 @@
     pub subjects: Arc<[Subject]>,
     /// Cost in tokens; 1 for calls of plain services.
     pub tokens: u64,
+    /// Largest number of tokens of the answer; `None` if the caller states none.
+    pub output_tokens: Option<u64>,
     /// HTTP method for the upstream.
     pub method: Method,
     /// Path and query.
--- a/crates/gateway/src/relay/head/mod.rs
+++ b/crates/gateway/src/relay/head/mod.rs
@@ -115,6 +115,7 @@
         urgency: priority.min(LOWEST_URGENCY),
         subjects,
         tokens: token_usage.map_or(1, |(prompt, _)| prompt.max(1)),
+        output_tokens: token_usage.map(|(_, output)| output),
         method: parts.method,
         uri,
         headers,
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -46,12 +46,12 @@
 use crate::metrics::Counters;
 use crate::names::Names;
 use crate::pool::{self, Connection, ConnectionPool, KeepAlive};
-use crate::shutdown::Shutdown;
+use crate::shutdown::{Outlook, Shutdown};
 use crate::socket::Socket;
 use crate::state::View;
 use crate::store::contact::Contact;
 use crate::suspect::{self, Subject, Suspects, Verdict};
-use crate::table::Table;
+use crate::table::{Kind, Table};
 use crate::upstream::Record;
 
 use answer::Body;
@@ -117,6 +117,8 @@
     pub store_contact: Contact,
     /// Set when the process has been told to stop.
     shutdown: OnceLock<Shutdown>,
+    /// Cancelled when calls that still run are answered, shortly before the process ends.
+    ending: CancellationToken,
     suspects: Mutex<Suspects>,
     /// Notified when the verdict on a subject may have changed.
     suspects_changed: Notify,
@@ -146,6 +148,7 @@
             is_leader: AtomicBool::new(false),
             store_contact: Contact::default(),
             shutdown: OnceLock::new(),
+            ending: CancellationToken::new(),
             suspects: Mutex::new(suspects),
             suspects_changed: Notify::new(),
             convictions: Mutex::default(),
@@ -173,11 +176,36 @@
         self.shutdown.get().is_some()
     }
 
+    /// Returns what is known about the duration of a call.
+    fn outlook(&self, call: &Call, now: Moment) -> Outlook {
+        let tokens = call.output_tokens.map(|output| (call.tokens, output));
+        let bound = tokens.and_then(|(prompt, output)| {
+            let admission = self.admission();
+            admission.longest_stream(&call.service, prompt, output, now)
+        });
+        Outlook {
+            arrived: call.arrived,
+            deadline: call.end(),
+            bound,
+            longest: self.durations.longest(&call.route, now),
+            is_repeatable: call.kind == Kind::Safe,
+        }
+    }
+
     /// Returns whether a call may be accepted, or the process may end before the call does.
     fn may_accept(&self, call: &Call, now: Moment) -> bool {
-        let longest = self.durations.longest(&call.route, now);
         let shutdown = self.shutdown.get();
-        shutdown.is_none_or(|shutdown| shutdown.may_accept(call.end(), longest, now))
+        shutdown.is_none_or(|shutdown| shutdown.may_accept(&self.outlook(call, now), now))
+    }
+
+    /// Returns the latest time at which a call may be sent to an upstream, so that it ends before
+    /// the process does.
+    fn latest_start(&self, call: &Call, now: Moment) -> Moment {
+        let Some(shutdown) = self.shutdown.get() else {
+            return call.end();
+        };
+        let latest_start = shutdown.latest_start(&self.outlook(call, now));
+        latest_start.unwrap_or_default()
     }
 
     /// Locks the admission controller. The guard must not be held across an `await`.
@@ -422,6 +450,11 @@
         self.notify_suspects();
     }
 
+    /// Answers the calls that still run with an unknown result, and ends the streams.
+    pub fn end_calls(&self) {
+        self.ending.cancel();
+    }
+
     /// Assigns free slots to waiting calls, and notifies those that are refused.
     pub fn assign_slots(&self) {
         loop {
@@ -549,7 +582,20 @@
         arrived: clock::now(),
         answered: false,
     };
-    let mut response = match head::read(request, caller, &shared, &names).await {
+    let read = tokio::select! {
+        biased;
+        read = head::read(request, caller, &shared, &names) => read,
+        () = shared.ending.cancelled() => {
+            shared.counters.refused("leaving");
+            let id = id.as_ref().and_then(|id| id.to_str().ok());
+            log::info!(
+                "event=call_rejected id={} status=503 reason=\"leaving before the body\"",
+                id.unwrap_or("-"),
+            );
+            Err(answer::refusal(StatusCode::SERVICE_UNAVAILABLE, "leaving", Duration::ZERO))
+        }
+    };
+    let mut response = match read {
         Ok(call) if !shared.may_accept(&call, clock::now()) => {
             shared.counters.refused("leaving");
             log::info!(
@@ -564,9 +610,7 @@
             let call = Arc::new(call);
             shared.retries.count_call(&call.service, clock::now());
             match call.kind {
-                crate::table::Kind::Stream { .. } => {
-                    streaming::answer(&shared, &names, &call).await
-                }
+                Kind::Stream { .. } => streaming::answer(&shared, &names, &call).await,
                 _ => buffered::answer(&shared, &names, &call).await,
             }
         }
--- a/crates/gateway/src/relay/streaming/mod.rs
+++ b/crates/gateway/src/relay/streaming/mod.rs
@@ -34,15 +34,27 @@
 /// Runs a call and returns its response, which may continue as a stream.
 pub async fn answer<N: Names>(shared: &Arc<Shared>, names: &N, call: &Arc<Call>) -> Response<Body> {
     let mut attempted = Attempted::default();
-    let response = match find_upstream(shared, names, call, &mut attempted, call.last_event).await {
-        Ok(begun) if is_stream(&begun) => {
+    let begun = tokio::select! {
+        biased;
+        begun = find_upstream(shared, names, call, &mut attempted, call.last_event) => Some(begun),
+        () = shared.ending.cancelled() => None,
+    };
+    let response = match begun {
+        Some(Ok(begun)) if is_stream(&begun) => {
             return start_stream(shared, names, call, attempted, begun);
         }
-        Ok(begun) => match buffered::collect(shared, call, begun).await {
-            Some(response) => response,
-            None => buffered::to_response(None, CallFailure::Unknown("cut")),
-        },
-        Err(failure) => buffered::to_response(None, failure),
+        Some(Ok(begun)) => {
+            let collected = tokio::select! {
+                biased;
+                response = buffered::collect(shared, call, begun) => {
+                    response.ok_or(CallFailure::Unknown("cut"))
+                }
+                () = shared.ending.cancelled() => Err(buffered::stopped(&attempted)),
+            };
+            collected.unwrap_or_else(|failure| buffered::to_response(None, failure))
+        }
+        Some(Err(failure)) => buffered::to_response(None, failure),
+        None => buffered::to_response(None, buffered::stopped(&attempted)),
     };
     buffered::record_end(shared, call, &attempted, &response);
     response
@@ -69,12 +81,13 @@
         let in_time_wait = shared
             .admission()
             .longest_wait(&call.service, call.objective, now);
+        let latest_start = call.end().min(shared.latest_start(call, now));
         let max_wait = call
             .objective
             .mul_f64(shared.settings.stream_max_wait_objectives);
         let limits = AttemptLimits {
-            latest_in_time: (call.arrived + in_time_wait).max(now).min(call.end()),
-            latest_start: (call.arrived + max_wait).max(now).min(call.end()),
+            latest_in_time: (call.arrived + in_time_wait).max(now).min(latest_start),
+            latest_start: (call.arrived + max_wait).max(now).min(latest_start),
             abandon_at: call.end(),
             last_event,
         };
@@ -177,18 +190,18 @@
     Late,
     /// The caller disconnected.
     Left,
+    /// The process ends.
+    Stopped,
 }
 
 /// Forwards the answers of all upstreams of a stream, and logs its end.
 async fn run_stream<N: Names>(mut task: StreamTask<N>, first: StartedAnswer) {
-    let mut begun = Some(first);
-    let mut end = End::Cut;
-    while let Some(current) = begun.take() {
-        end = task.forward(current).await;
-        if end == End::Cut {
-            begun = task.resume().await;
-        }
-    }
+    let ending = task.shared.ending.clone();
+    let end = tokio::select! {
+        biased;
+        end = task.forward_all(first) => end,
+        () = ending.cancelled() => End::Stopped,
+    };
     let call = &task.call;
     let total = clock::now().since(call.arrived);
     if end != End::Complete {
@@ -219,6 +232,19 @@
 }
 
 impl<N: Names> StreamTask<N> {
+    /// Forwards the events of the first upstream, and of those that continue after it.
+    async fn forward_all(&mut self, first: StartedAnswer) -> End {
+        let mut begun = Some(first);
+        let mut end = End::Cut;
+        while let Some(current) = begun.take() {
+            end = self.forward(current).await;
+            if end == End::Cut {
+                begun = self.resume().await;
+            }
+        }
+        end
+    }
+
     /// Forwards the events of one upstream.
     async fn forward(&mut self, begun: StartedAnswer) -> End {
         let StartedAnswer {
--- a/crates/gateway/src/run/mod.rs
+++ b/crates/gateway/src/run/mod.rs
@@ -696,8 +696,10 @@
     };
     if !has_ended(shutdown.waiting_end()).await {
         shared.refuse_waiting();
-        if !has_ended(shutdown.calls_end()).await {
+        if !has_ended(shutdown.answers_end()).await {
             log_step("calls_cut");
+            shared.end_calls();
+            has_ended(shutdown.calls_end()).await;
         }
     }
     log_step("stop");
--- a/crates/gateway/tests/admit.rs
+++ b/crates/gateway/tests/admit.rs
@@ -435,6 +435,37 @@
     assert!(calls_by_group[2] >= 16, "{calls_by_group:?}");
 }
 
+/// A stream is bounded by its number of tokens and the passes of the slowest group, and by nothing
+/// while the pace of a group is unknown.
+#[test]
+fn streams_are_bounded_by_their_tokens_and_the_pace_of_the_slowest_group() {
+    let mut admission = groups_of_engines();
+    let longest = |admission: &AdmissionController, output, now| {
+        admission.longest_stream("s", 800, output, now)
+    };
+    admission.observe_gap(&record(0), Duration::from_millis(35), at(0));
+    admission.observe_gap(&record(4), Duration::from_millis(35), at(0));
+    assert_eq!(longest(&admission, 96, at(0)), None);
+    admission.observe_gap(&record(8), Duration::from_millis(70), at(0));
+    let Some(short) = longest(&admission, 96, at(0)) else {
+        panic!("the pace is unknown");
+    };
+    // 24 passes at the pace of the third group are 1.7 s with one request, more with twelve.
+    assert!(short >= Duration::from_millis(1_700), "{short:?}");
+    assert!(short <= Duration::from_secs(8), "{short:?}");
+    let Some(long) = longest(&admission, 960, at(0)) else {
+        panic!("the pace is unknown");
+    };
+    assert!(long > short * 8, "{long:?} {short:?}");
+    // Callers may send any number.
+    let huge = longest(&admission, u64::MAX, at(0));
+    assert!(
+        huge.is_none_or(|huge| at(0) + huge > at(1_000_000)),
+        "{huge:?}"
+    );
+    assert_eq!(longest(&admission, 96, at(5_000)), None);
+}
+
 /// A gateway without streams in a slow group learns its pace from others, and forgets it once
 /// nobody observes it any more.
 #[test]
