Keep the idle connections to an upstream that still accepts others

each_caller_gets_its_own_answer_or_a_true_error opened 5087 to 5104 connections on an idle machine since (fewer than 5,000 wanted). Cause: a broken answer closed all idle connections to its upstream, and with them the one that the probe after the last broken answer had opened for the next call. A probe that is accepted shows that the upstream lives, and each idle connection is checked before it is used.

--- a/crates/gateway/src/relay/attempt/mod.rs
+++ b/crates/gateway/src/relay/attempt/mod.rs
@@ -270,7 +270,6 @@
     let response = match timeout(response_timeout, connection.sender.send_request(request)).await {
         Ok(Ok(response)) => response,
         Ok(Err(error)) => {
-            shared.connections.close_idle(&record.id);
             permit.set_signal(if connection.used {
                 HealthSignal::Neutral
             } else {
@@ -279,6 +278,7 @@
             if error.is_canceled() || connection.is_unsent() {
                 // The upstream closed the connection, or wrote to it, before anything was
                 // written.
+                shared.connections.close_idle(&record.id);
                 attempted.sent -= 1;
                 if connection.used {
                     // A new connection to the same upstream may serve the call.
--- a/crates/gateway/src/relay/streaming/mod.rs
+++ b/crates/gateway/src/relay/streaming/mod.rs
@@ -287,7 +287,6 @@
                 }
                 Ok(None | Some(Err(_))) => {
                     permit.set_signal(HealthSignal::Failure);
-                    self.shared.connections.close_idle(&permit.record.id);
                     watch.end_broken(&permit.record).await;
                     return End::Cut;
                 }
--- a/crates/gateway/src/relay/watch/mod.rs
+++ b/crates/gateway/src/relay/watch/mod.rs
@@ -182,6 +182,9 @@
             self.has_begun,
             reply.as_str()
         );
+        if reply != Reply::Accepted {
+            self.shared.connections.close_idle(&record.id);
+        }
         self.record(record, reply);
         if reply != Reply::Refused {
             let (shared, record) = (Arc::clone(&self.shared), Arc::clone(record));
