Answer commands on their way when a sidecar stops

A sidecar that was told to stop ended at once. A command that it had received was cut, and the leader could not tell whether the rank had carried it out. The process now closes its listener, waits up to 0.5 s (the longest wait of a gateway) for the answers of its engine, and ends. Found in the search for what else ends a call in planned work; it does not share the cause of the stop of gateways, as nothing is estimated here.

regression_commands_on_their_way_are_answered_when_a_sidecar_stops fails without the wait (NoAnswer: "the connection to the server was already shutdown") and passes with it.

--- a/crates/gateway/src/sidecar/mod.rs
+++ b/crates/gateway/src/sidecar/mod.rs
@@ -14,7 +14,7 @@
 use crate::upstream::Record;
 
 pub use remote::SidecarEngines;
-pub use serve::{Settings, run};
+pub use serve::{Settings, run, run_until};
 
 /// Placement on a rank: the version of its map, and the experts that it holds by set.
 pub type Held = (u64, Vec<Vec<u16>>);
--- a/crates/gateway/src/sidecar/remote/mod.rs
+++ b/crates/gateway/src/sidecar/remote/mod.rs
@@ -19,7 +19,7 @@
 /// Time limit to connect to a sidecar. VMs of a region are a few milliseconds apart.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
 /// Time limit for a sidecar's answer.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(500);
+pub(super) const ANSWER_TIMEOUT: Duration = Duration::from_millis(500);
 /// How long an engine is called directly after its sidecar could not be reached, before the
 /// next attempt to connect.
 const RETRY_DELAY: Duration = Duration::from_secs(2);
--- a/crates/gateway/src/sidecar/serve/mod.rs
+++ b/crates/gateway/src/sidecar/serve/mod.rs
@@ -1,6 +1,7 @@
 //! The sidecar's server: passes calls on to the engine of its VM.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use eyre::WrapErr as _;
 use futures::StreamExt as _;
@@ -9,14 +10,22 @@
 use tarpc::server::{BaseChannel, Channel as _};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
+use tokio::time::{sleep, timeout};
 use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
 
+use super::remote::ANSWER_TIMEOUT;
 use super::{Held, Sidecar};
 use crate::engine::{Command, CommandOutcome, Counts, Engine, Preconditions, Report};
 use crate::exchange::{accept, transport};
 use crate::store::Fault;
 use crate::upstream::Record;
 
+/// Longest wait of a sidecar that stops for the answers of its engine. Gateways wait no longer.
+const STOP_TIMEOUT: Duration = ANSWER_TIMEOUT;
+/// Time to write the last answers.
+const WRITE_TIME: Duration = Duration::from_millis(20);
+
 /// Settings of a sidecar, as read from its file.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Settings {
@@ -79,11 +88,38 @@
     }
 }
 
-/// Runs a sidecar until the process receives SIGTERM or SIGINT.
+/// Runs a sidecar until the process receives SIGTERM or SIGINT, and then until it has answered the
+/// calls that it has received.
 ///
 /// # Errors
 /// Fails if the address cannot be bound or a signal handler cannot be installed.
 pub async fn run(settings: Settings, engine: impl Engine) -> eyre::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut reload = signal(SignalKind::hangup())?;
+    let node = settings.node.clone();
+    let stop = async move {
+        loop {
+            tokio::select! {
+                _ = terminate.recv() => return,
+                _ = interrupt.recv() => return,
+                _ = reload.recv() => log::info!("event=reload node={node}"),
+            }
+        }
+    };
+    run_until(settings, engine, stop).await
+}
+
+/// Runs a sidecar until `stop_requested` ends, and then until it has answered the calls that it has
+/// received. A gateway could not tell whether an order that is cut has been carried out.
+///
+/// # Errors
+/// Fails if the address cannot be bound.
+pub async fn run_until(
+    settings: Settings,
+    engine: impl Engine,
+    stop_requested: impl Future<Output = ()>,
+) -> eyre::Result<()> {
     let Settings {
         node,
         exchange,
@@ -94,24 +130,27 @@
     let listener = listener.wrap_err_with(|| format!("cannot listen on {exchange}"))?;
     let service = Service { engine, address };
     let stop = CancellationToken::new();
+    let calls = TaskTracker::new();
+    let tracker = calls.clone();
     let serving = accept(listener, stop, move |stream| {
         let channel = BaseChannel::with_defaults(transport(stream));
+        let tracker = tracker.clone();
         let calls = channel.execute(service.clone().serve());
-        calls.for_each(|call| async {
-            tokio::spawn(call);
+        calls.for_each(move |call| {
+            tracker.spawn(call);
+            std::future::ready(())
         })
     });
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    let mut reload = signal(SignalKind::hangup())?;
-    tokio::spawn(serving);
-    loop {
-        tokio::select! {
-            _ = terminate.recv() => break,
-            _ = interrupt.recv() => break,
-            _ = reload.recv() => log::info!("event=reload node={node}"),
-        }
-    }
-    log::info!("event=stop node={node}");
+    let listening = tokio::spawn(serving);
+    stop_requested.await;
+    // Closes the listener, but no open connection.
+    listening.abort();
+    calls.close();
+    let (open, has_answered) = (
+        calls.len(),
+        timeout(STOP_TIMEOUT, calls.wait()).await.is_ok(),
+    );
+    log::info!("event=stop node={node} calls={open} answered={has_answered}");
+    sleep(WRITE_TIME).await;
     Ok(())
 }
