Let late calls fill a group whose streams are late at any load

Cause: while a rank is several times as slow as usual, the passes of its group are longer than the longest pause at any load. The limit that keeps pauses short then fell to two requests per engine for all calls, also for those that could only be late, and most calls were refused while slots were free. Change: calls of the lowest priority level, which can only be late, get the number of requests with which a pass lasts at most 2.5 longest pauses, if the limit for streams in time is under 0.3 of the slots. Setting late_streams. Result: the new test placed no late call before.

--- a/crates/gateway/src/admit/group/mod.rs
+++ b/crates/gateway/src/admit/group/mod.rs
@@ -267,12 +267,14 @@
     }
 
     /// Computes how many more streams each group may run on average per engine, from the mean
-    /// `loads` of its engines, with no pause longer than `pause`.
+    /// `loads` of its engines, with no pause longer than `pause`. If `may_be_late`, groups whose
+    /// streams are late at any load run more.
     pub fn headroom(
         &self,
         loads: &Loads,
         engine: &EngineSpec,
         pause: Duration,
+        may_be_late: bool,
         now: Moment,
     ) -> Headroom {
         let is_single = loads.0.iter().filter(|load| load.engines > 0).count() < 2;
@@ -285,6 +287,9 @@
         let mut headroom = Headroom::default();
         for (group, load) in groups {
             let limit = group.slowdown.limit(engine, pause, lowest, now);
+            let late_limit = || group.slowdown.late_limit(engine, pause, now);
+            let late_limit = may_be_late.then(late_limit).flatten();
+            let limit = late_limit.map_or(limit, |late_limit| limit.max(late_limit));
             let streams = limit - load.mean();
             headroom.streams += streams.max(0.0) * f64::from(load.engines);
             let slots = f64::from(engine.slots.max(1));
--- a/crates/gateway/src/admit/mod.rs
+++ b/crates/gateway/src/admit/mod.rs
@@ -92,6 +92,8 @@
     /// Calls of a service that may wait although their answer can no longer be in time. They
     /// get what capacity the others leave. More of them would only be refused later.
     pub max_late_calls: usize,
+    /// Whether calls that can only be late may fill a group whose streams are late at any load.
+    pub late_streams: bool,
     /// Limits of the queue of each service.
     pub queue: queue::Settings,
     /// Seed of the random choices, which should differ between gateways.
@@ -109,6 +111,7 @@
             max_retry_after: Duration::from_millis(2_500),
             considered_slots: 2_400,
             max_late_calls: 4,
+            late_streams: false,
             queue: queue::Settings::default(),
             seed: 0,
         }
@@ -433,7 +436,11 @@
     ) -> Option<Headroom> {
         let (engine, pause) = (pool.engine.as_ref()?, request.pause?);
         let loads = self.group_loads(pool);
-        Some(self.groups.headroom(&loads, engine, pause, now))
+        let may_be_late = self.settings.late_streams && request.urgency >= LATE_URGENCY;
+        let headroom = self
+            .groups
+            .headroom(&loads, engine, pause, may_be_late, now);
+        Some(headroom)
     }
 
     /// Returns the number of running calls and the number of waiting calls.
--- a/crates/gateway/src/admit/pace/mod.rs
+++ b/crates/gateway/src/admit/pace/mod.rs
@@ -20,6 +20,12 @@
 /// Share of the longest pause that is used. The rest is left for delays of the network and for
 /// streams that other gateways start before they know of each other's.
 const TARGET_SHARE: f64 = 0.9;
+/// Share of the slots below which a limit that keeps to the longest pause is not worth keeping for
+/// calls that are late anyway: they would be refused while most slots are free.
+const MIN_IN_TIME_SHARE: f64 = 0.3;
+/// Longest passes of late streams, in multiples of the longest pause. A stream of average length
+/// then still ends within its deadline, and no caller gives up for the length of a gap.
+const LATE_PAUSES: f64 = 2.5;
 /// Margin of the longest time of a stream: passes can become longer while it runs, and an engine
 /// without memory reads a prompt again.
 const STREAM_MARGIN: f64 = 1.5;
@@ -73,10 +79,25 @@
         if engine.request_ms <= 0.0 {
             return slots;
         }
-        let peak = slowdown.upper(PEAK_DEVIATIONS).max(f64::MIN_POSITIVE);
-        let target_ms = pause.as_secs_f64() * 1e3 * TARGET_SHARE;
-        let step_ms = target_ms / (f64::from(engine.stride) * peak);
-        ((step_ms - engine.step_ms) / engine.request_ms).clamp(lowest.min(slots), slots)
+        let peak = slowdown.upper(PEAK_DEVIATIONS);
+        let longest = pause.mul_f64(TARGET_SHARE);
+        requests(engine, longest, peak).clamp(lowest.min(slots), slots)
+    }
+
+    /// Returns how many requests each engine may run on average if the streams of a group are late
+    /// whatever the load; `None` if enough of them can be in time.
+    ///
+    /// While a rank is several times as slow as usual, no limit keeps the pauses short, but passes
+    /// grow far less with the load than the number of streams does.
+    pub fn late_limit(&self, engine: &EngineSpec, pause: Duration, now: Moment) -> Option<f64> {
+        let slots = f64::from(engine.slots);
+        let slowdown = self.0.current(now)?;
+        let in_time = self.limit(engine, pause, 0.0, now);
+        if in_time >= slots * MIN_IN_TIME_SHARE {
+            return None;
+        }
+        let longest = pause.mul_f64(LATE_PAUSES);
+        Some(requests(engine, longest, slowdown.mean).clamp(0.0, slots))
     }
 }
 
@@ -100,6 +121,13 @@
     Duration::try_from_secs_f64(seconds * STREAM_MARGIN).ok()
 }
 
+/// Returns the number of requests of an engine with which a pass lasts `longest` at a slowdown.
+fn requests(engine: &EngineSpec, longest: Duration, slowdown: f64) -> f64 {
+    let passes = f64::from(engine.stride) * slowdown.max(f64::MIN_POSITIVE);
+    let step_ms = longest.as_secs_f64() * 1e3 / passes;
+    (step_ms - engine.step_ms) / engine.request_ms
+}
+
 /// Returns the duration of a pass with `load` requests in ms, computed from the
 /// configured step and request times.
 fn pass_ms(engine: &EngineSpec, load: f64) -> f64 {
--- a/crates/gateway/src/run/mod.rs
+++ b/crates/gateway/src/run/mod.rs
@@ -403,6 +403,7 @@
     let admission = AdmissionController::new(
         admit::Settings {
             cold_slack: settings.cold_slack,
+            late_streams: settings.late_streams,
             seed: rand::random(),
             ..admit::Settings::default()
         },
--- a/crates/gateway/src/run/settings/mod.rs
+++ b/crates/gateway/src/run/settings/mod.rs
@@ -54,6 +54,10 @@
     /// Without it, the operating system is asked.
     #[serde(default)]
     pub memory_mib: Option<f64>,
+    /// Whether calls that can only be late may fill a group of engines whose streams are late at
+    /// any load (docs/notes/load.md).
+    #[serde(default)]
+    pub late_streams: bool,
     /// How long the leader for the expert maps remains leader without contact to the store.
     /// This is the shortest lease that the store grants.
     #[serde(rename = "lease_ms")]
--- a/crates/gateway/tests/admit.rs
+++ b/crates/gateway/tests/admit.rs
@@ -13,8 +13,8 @@
 use sesamerock_gateway::admit::pace::PassSlowdown;
 use sesamerock_gateway::admit::pause::{MAX_PAUSE, Pauses};
 use sesamerock_gateway::admit::{
-    AdmissionController, Candidate, HealthSignal, Obstacle, Reason, Refusal, Settings, SlotRequest,
-    UpstreamPool, Verdict,
+    AdmissionController, Candidate, HealthSignal, LATE_URGENCY, Obstacle, Reason, Refusal,
+    Settings, SlotRequest, UpstreamPool, Verdict,
 };
 use sesamerock_gateway::table::EngineSpec;
 use sesamerock_gateway::upstream::Record;
@@ -385,6 +385,47 @@
     assert!((4..8).contains(&placed), "{placed} of 10");
 }
 
+/// Regression: while one rank made the passes of the only group 4.5 times as long, no stream could
+/// be in time. The limit for streams in time applied to late calls too, so that most calls were
+/// refused while four in five slots were free.
+#[test]
+fn regression_late_calls_fill_a_group_whose_streams_are_late_at_any_load() {
+    for late_streams in [false, true] {
+        let mut pool = pool(4);
+        pool.engine = Some(EngineSpec {
+            slots: SLOTS,
+            ..engine()
+        });
+        let settings = Settings {
+            late_streams,
+            ..Settings::default()
+        };
+        let mut admission = AdmissionController::new(settings, Arc::from("a"));
+        admission.set_pools(HashMap::from([(Arc::from("s"), pool)]));
+        let pass_ms = 4.0 * (4.55 + 0.905) * 4.5;
+        for tick in 0..100 {
+            let gap = Duration::from_secs_f64(pass_ms / 1e3);
+            admission.observe_gap(&record(0), gap, at(tick));
+        }
+        let mut place = |urgency| {
+            let placed = (0..40).filter(|call| {
+                let request = SlotRequest {
+                    urgency,
+                    pause: Some(Duration::from_millis(80)),
+                    ..slot_request(100 * u64::from(urgency) + call, 0, at(100))
+                };
+                matches!(admission.request(request, at(100)), Verdict::Place(_))
+            });
+            placed.count() as u32
+        };
+        // Two in time for each engine, so that the recovery of the group is seen.
+        assert_eq!(place(1), 8);
+        let late = place(LATE_URGENCY);
+        assert_eq!(late > 0, late_streams, "{late} late calls placed");
+        assert!(late <= 4 * (SLOTS + Settings::default().ahead), "{late}");
+    }
+}
+
 /// Returns a controller with three groups of four engines, and the groups' upstreams.
 fn groups_of_engines() -> AdmissionController {
     let mut pool = pool(12);
