Send expert counts from sidecars as differences

Cause: the leader read the cumulative counts of all experts of each rank ten times a second, some 5 to 6 kB each, which is most of what crosses between zones. Change: a sidecar sends the differences to the counts that it sent last over the same connection, in exponential Golomb codes. The leader states the message that it holds; otherwise, and after a restart of engine, sidecar or leader, counts are sent in full. Decoded counts are those of the engine after any sequence of lost answers, restarts and broken connections (quickcheck).

--- a/crates/gateway/src/sidecar/mod.rs
+++ b/crates/gateway/src/sidecar/mod.rs
@@ -6,13 +6,15 @@
 //! the group. The sidecar makes no decisions. Without one, a gateway queries the engine
 //! directly. See `docs/notes/platform.md`.
 
+mod counts;
 mod remote;
 mod serve;
 
-use crate::engine::{Command, CommandOutcome, Counts, Preconditions, Report};
+use crate::engine::{Command, CommandOutcome, Preconditions, Report};
 use crate::store::Fault;
 use crate::upstream::Record;
 
+pub use counts::{Decoder, Encoder, Reading};
 pub use remote::SidecarEngines;
 pub use serve::{Settings, run, run_until};
 
@@ -25,8 +27,9 @@
 pub trait Sidecar {
     /// Returns the state of the engine.
     async fn report(record: Record) -> Result<Report, Fault>;
-    /// Returns how often each expert was chosen, for the first `sets` sets.
-    async fn counts(record: Record, sets: u16) -> Result<Counts, Fault>;
+    /// Returns how often each expert was chosen, for the first `sets` sets. `base` is the number
+    /// of the latest message of this connection whose counts the caller holds.
+    async fn counts(record: Record, sets: u16, base: Option<u32>) -> Result<Reading, Fault>;
     /// Returns the experts that the engine holds.
     async fn held(record: Record) -> Result<Held, Fault>;
     /// Sends a command to the engine and returns its outcome.
--- a/crates/gateway/src/sidecar/remote/mod.rs
+++ b/crates/gateway/src/sidecar/remote/mod.rs
@@ -8,7 +8,7 @@
 use sesamerock_base::time::Moment;
 use tarpc::client;
 
-use super::{Held, SidecarClient};
+use super::{Decoder, Held, SidecarClient};
 use crate::clock;
 use crate::engine::{Command, CommandOutcome, Counts, Engine, Preconditions, Report};
 use crate::exchange::{context_with_deadline, transport};
@@ -26,7 +26,7 @@
 
 #[derive(Clone, Debug)]
 enum Link {
-    Open(SidecarClient),
+    Open(SidecarClient, Arc<Mutex<Decoder>>),
     Failed(Moment),
 }
 
@@ -62,9 +62,14 @@
     /// Returns the client for an engine's sidecar, and connects if needed. Returns `None` if
     /// the sidecar is unreachable.
     async fn sidecar(&self, at: &Record) -> Option<SidecarClient> {
+        self.connection(at).await.map(|(client, _)| client)
+    }
+
+    /// Returns [`Self::sidecar`] with the counts that were received last over its connection.
+    async fn connection(&self, at: &Record) -> Option<(SidecarClient, Arc<Mutex<Decoder>>)> {
         let ip = at.address.ip();
         match self.link(ip) {
-            Some(Link::Open(client)) => return Some(client),
+            Some(Link::Open(client, counts)) => return Some((client, counts)),
             Some(Link::Failed(since)) if clock::now().since(since) < RETRY_DELAY => return None,
             _ => {}
         }
@@ -73,8 +78,9 @@
                 let new = SidecarClient::new(client::Config::default(), transport(stream));
                 // The task ends with the last client of the connection.
                 tokio::spawn(new.dispatch);
-                self.set_link(ip, Link::Open(new.client.clone()));
-                Some(new.client)
+                let counts = Arc::default();
+                self.set_link(ip, Link::Open(new.client.clone(), Arc::clone(&counts)));
+                Some((new.client, counts))
             }
             Err(error) => {
                 log::info!("event=sidecar_away upstream={} reason=\"{error}\"", at.id);
@@ -101,7 +107,7 @@
 
 impl<E: Engine> Engine for SidecarEngines<E> {
     fn has_sidecar(&self, at: &Record) -> bool {
-        matches!(self.link(at.address.ip()), Some(Link::Open(_)))
+        matches!(self.link(at.address.ip()), Some(Link::Open(..)))
     }
 
     async fn report(&self, at: &Record) -> Result<Report, Fault> {
@@ -117,12 +123,21 @@
     }
 
     async fn counts(&self, at: &Record, sets: u16) -> Result<Counts, Fault> {
-        match self.sidecar(at).await {
-            Some(client) => {
+        match self.connection(at).await {
+            Some((client, counts)) => {
+                let lock = || counts.lock().unwrap_or_else(PoisonError::into_inner);
+                let base = lock().base();
                 let answer = client
-                    .counts(context_with_deadline(ANSWER_TIMEOUT), at.clone(), sets)
+                    .counts(
+                        context_with_deadline(ANSWER_TIMEOUT),
+                        at.clone(),
+                        sets,
+                        base,
+                    )
                     .await;
-                self.handle_answer(at, answer)
+                let reading = self.handle_answer(at, answer)?;
+                let decoded = lock().decode(&reading);
+                decoded.ok_or_else(|| Fault::Malformed("counts without their base".to_owned()))
             }
             None => self.direct.counts(at, sets).await,
         }
--- a/crates/gateway/src/sidecar/serve/mod.rs
+++ b/crates/gateway/src/sidecar/serve/mod.rs
@@ -1,6 +1,7 @@
 //! The sidecar's server: passes calls on to the engine of its VM.
 
 use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use eyre::WrapErr as _;
@@ -15,8 +16,8 @@
 use tokio_util::task::TaskTracker;
 
 use super::remote::ANSWER_TIMEOUT;
-use super::{Held, Sidecar};
-use crate::engine::{Command, CommandOutcome, Counts, Engine, Preconditions, Report};
+use super::{Encoder, Held, Reading, Sidecar};
+use crate::engine::{Command, CommandOutcome, Engine, Preconditions, Report};
 use crate::exchange::{accept, transport};
 use crate::store::Fault;
 use crate::upstream::Record;
@@ -41,6 +42,8 @@
 struct Service<E> {
     engine: E,
     address: SocketAddr,
+    /// Counts that were sent last over the connection.
+    counts: Arc<Mutex<Encoder>>,
 }
 
 impl<E> Service<E> {
@@ -58,8 +61,16 @@
         self.engine.report(&self.local(record)).await
     }
 
-    async fn counts(self, _: Context, record: Record, sets: u16) -> Result<Counts, Fault> {
-        self.engine.counts(&self.local(record), sets).await
+    async fn counts(
+        self,
+        _: Context,
+        record: Record,
+        sets: u16,
+        base: Option<u32>,
+    ) -> Result<Reading, Fault> {
+        let read = self.engine.counts(&self.local(record), sets).await?;
+        let mut counts = self.counts.lock().unwrap_or_else(PoisonError::into_inner);
+        Ok(counts.encode(read, base))
     }
 
     async fn held(self, _: Context, record: Record) -> Result<Held, Fault> {
@@ -128,14 +139,18 @@
     log::info!("event=start node={node} exchange={exchange} engine={address}");
     let listener = TcpListener::bind(exchange).await;
     let listener = listener.wrap_err_with(|| format!("cannot listen on {exchange}"))?;
-    let service = Service { engine, address };
     let stop = CancellationToken::new();
     let calls = TaskTracker::new();
     let tracker = calls.clone();
     let serving = accept(listener, stop, move |stream| {
         let channel = BaseChannel::with_defaults(transport(stream));
         let tracker = tracker.clone();
-        let calls = channel.execute(service.clone().serve());
+        let service = Service {
+            engine: engine.clone(),
+            address,
+            counts: Arc::default(),
+        };
+        let calls = channel.execute(service.serve());
         calls.for_each(move |call| {
             tracker.spawn(call);
             std::future::ready(())
