Send heartbeats as changes since an acknowledged one

Cause: each heartbeat carried all counts of calls with the ids of their upstreams as text, five times a second between each pair of gateways and in both directions. Change: exchange::delta encodes a heartbeat by field and relative to one that the receiver has acknowledged on the same connection; upstreams are announced once by id and named by an index from then on. All is sent whole every 2 s, the full state after a reconnect or when the receiver lacks the base. The type Heartbeat and what receivers do are unchanged. Bytes by kind of message are counters on the metrics page.

--- a/crates/gateway/src/exchange/mod.rs
+++ b/crates/gateway/src/exchange/mod.rs
@@ -1,8 +1,10 @@
 //! The protocol between gateways: heartbeats with the load of each upstream and, for a
 //! node whose reads of the store lag behind, the full state.
 
+pub mod delta;
 mod peers;
 mod serve;
+pub mod traffic;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -60,7 +62,7 @@
 #[tarpc::service]
 pub trait Exchange {
     /// Delivers a heartbeat and returns that of the other node.
-    async fn greet(greeting: Heartbeat) -> Heartbeat;
+    async fn greet(greeting: delta::Message) -> delta::Message;
     /// Returns the full state of the other node.
     async fn pull() -> Snapshot;
     /// Returns the listing of groups that the other node knows.
--- a/crates/gateway/src/exchange/peers/mod.rs
+++ b/crates/gateway/src/exchange/peers/mod.rs
@@ -8,6 +8,8 @@
 use tarpc::client;
 use tokio::sync::watch;
 
+use super::delta::Link;
+use super::traffic::{self, Kind};
 use super::{
     ExchangeClient, Heartbeat, LocalNode, Statement, address, context_with_deadline, transport,
 };
@@ -255,21 +257,32 @@
     let initiates = host.name() < node.name.as_str();
     let silent = settings.interval.mul_f64(INITIATOR_SILENT);
     let mut send = false;
+    let mut link = Link::default();
     loop {
         let recent = host.last_heartbeat(&node.name);
         let recent = recent.filter(|last| !initiates && !send && last.age < silent);
         let (position, groups) = if let Some(last) = recent {
             (last.position, last.groups)
         } else {
+            let greeting = link.encode(&host.heartbeat(), clock::now());
+            traffic::count(Kind::Heartbeat, &greeting);
             let answer = client
-                .greet(context_with_deadline(settings.timeout), host.heartbeat())
+                .greet(context_with_deadline(settings.timeout), greeting)
                 .await;
-            match answer {
-                Ok(answer) => {
+            match answer.map(|answer| link.decode(answer)) {
+                Ok(Ok(answer)) => {
                     let stated = (answer.position, answer.groups);
                     host.receive_heartbeat(answer);
                     stated
                 }
+                Ok(Err(fault)) => {
+                    // The next answer is in full. Until then nothing newer is known.
+                    log::info!(
+                        "event=heartbeat_dropped peer={} reason=\"{fault}\"",
+                        node.name
+                    );
+                    (host.position(), host.groups().version)
+                }
                 Err(error) => {
                     log::debug!("event=peer_silent peer={} reason=\"{error}\"", node.name);
                     return;
--- a/crates/gateway/src/exchange/serve/mod.rs
+++ b/crates/gateway/src/exchange/serve/mod.rs
@@ -1,5 +1,6 @@
 //! The server side of the exchange between gateways.
 
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 use futures::StreamExt as _;
@@ -13,8 +14,11 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
 
-use super::{Exchange, Heartbeat, LocalNode};
+use super::delta::{Link, Message};
+use super::traffic::{self, Kind};
+use super::{Exchange, LocalNode};
 use crate::admit::group::Listing;
+use crate::clock;
 use crate::pool;
 use crate::state::Snapshot;
 
@@ -24,20 +28,36 @@
 const ACCEPT_RETRY: Duration = Duration::from_millis(10);
 
 #[derive(Clone, Debug)]
-struct Service<H>(H);
+struct Service<H> {
+    host: H,
+    /// Heartbeats that were exchanged last over the connection.
+    link: Arc<Mutex<Link>>,
+}
 
 impl<H: LocalNode> Exchange for Service<H> {
-    async fn greet(self, _: Context, greeting: Heartbeat) -> Heartbeat {
-        self.0.receive_heartbeat(greeting);
-        self.0.heartbeat()
+    async fn greet(self, _: Context, greeting: Message) -> Message {
+        let lock = || self.link.lock().unwrap_or_else(PoisonError::into_inner);
+        let decoded = lock().decode(greeting);
+        match decoded {
+            Ok(heartbeat) => self.host.receive_heartbeat(heartbeat),
+            Err(fault) => log::info!("event=heartbeat_dropped reason=\"{fault}\""),
+        }
+        let own = self.host.heartbeat();
+        let answer = lock().encode(&own, clock::now());
+        traffic::count(Kind::Heartbeat, &answer);
+        answer
     }
 
     async fn pull(self, _: Context) -> Snapshot {
-        self.0.snapshot()
+        let snapshot = self.host.snapshot();
+        traffic::count(Kind::Snapshot, &snapshot);
+        snapshot
     }
 
     async fn groups(self, _: Context) -> Listing {
-        Listing::clone(&self.0.groups())
+        let groups = self.host.groups();
+        traffic::count(Kind::Groups, &*groups);
+        Listing::clone(&groups)
     }
 }
 
@@ -45,7 +65,11 @@
 pub async fn serve(listener: TcpListener, host: impl LocalNode, stop: CancellationToken) {
     let answer = |stream| {
         let channel = BaseChannel::with_defaults(transport(stream));
-        let calls = channel.execute(Service(host.clone()).serve());
+        let service = Service {
+            host: host.clone(),
+            link: Arc::default(),
+        };
+        let calls = channel.execute(service.serve());
         calls.for_each(|call| async {
             tokio::spawn(call);
         })
--- a/crates/gateway/src/run/mod.rs
+++ b/crates/gateway/src/run/mod.rs
@@ -544,6 +544,7 @@
     tokio::spawn(auxiliary::serve(metrics, move |_: &Request<Incoming>| {
         let (running, waiting) = shared.admission().totals();
         let mut text = shared.counters.render();
+        exchange::traffic::render(&mut text);
         metrics::append_line(&mut text, format_args!("sesamerock_running {running}"));
         metrics::append_line(&mut text, format_args!("sesamerock_waiting {waiting}"));
         let held = shared.memory.held();
--- a/crates/gateway/src/sidecar/remote/mod.rs
+++ b/crates/gateway/src/sidecar/remote/mod.rs
@@ -11,6 +11,7 @@
 use super::{Decoder, Held, SidecarClient};
 use crate::clock;
 use crate::engine::{Command, CommandOutcome, Counts, Engine, Preconditions, Report};
+use crate::exchange::traffic::{self, Kind};
 use crate::exchange::{context_with_deadline, transport};
 use crate::pool;
 use crate::store::Fault;
@@ -136,6 +137,7 @@
                     )
                     .await;
                 let reading = self.handle_answer(at, answer)?;
+                traffic::count(Kind::Counts, &reading);
                 let decoded = lock().decode(&reading);
                 decoded.ok_or_else(|| Fault::Malformed("counts without their base".to_owned()))
             }
