Read all expert counts rarely while the shares are stable

Cause: the leader reads the counts of all ranks every 100 ms, also when nothing changes. Change: maps::cadence decides, without I/O, at which reads all counts are needed. After a second without a move, in groups of 16 ranks or more with sidecars, one rank in four sends its counts at each read, the others their step, and all send counts at each third read. If the shares move beyond the usual distance, all counts are read at once and then at each read, as they are during a switch and after a restart. All ranks are still queried every 100 ms, so that silent ones are noticed and steps are counted as before.

--- a/crates/gateway/src/engine/mod.rs
+++ b/crates/gateway/src/engine/mod.rs
@@ -151,7 +151,8 @@
     fn has_sidecar(&self, at: &Record) -> bool;
     /// Requests the state of an engine.
     fn report(&self, at: &Record) -> impl Future<Output = Result<Report, Fault>> + Send;
-    /// Requests how often each expert was chosen. `sets` is the number of sets.
+    /// Requests how often each expert was chosen. `sets` is the number of sets; with 0, only step
+    /// and epoch of the answer are used.
     fn counts(&self, at: &Record, sets: u16) -> impl Future<Output = Result<Counts, Fault>> + Send;
     /// Requests the version of the expert map in use and the experts that the rank holds,
     /// by set.
--- a/crates/gateway/src/maps/leader/group/mod.rs
+++ b/crates/gateway/src/maps/leader/group/mod.rs
@@ -16,6 +16,7 @@
 use super::{CHECK_INTERVAL, Leader, Members, QUERY_TIMEOUT, ServiceParams};
 use crate::clock;
 use crate::engine::{Counts, Engine, Report};
+use crate::maps::cadence::Cadence;
 use crate::maps::plan::{self, Demand, Plan};
 use crate::maps::switch::{End, Phase, Switch};
 use crate::table::Experts;
@@ -77,6 +78,7 @@
     previous_version: u64,
     switched_at: Moment,
     demand: Demand,
+    cadence: Cadence,
     /// The latest step known to have begun, and when that was read.
     step: Option<(u64, Moment)>,
     /// The step at which the ranks switch to the map. Until that step has begun they are
@@ -126,6 +128,7 @@
         previous_version: version,
         switched_at: now,
         demand: Demand::new(plan::Settings::default(), params.shape),
+        cadence: Cadence::default(),
         step: None,
         switch_step: 0,
         step_rate: 0.0,
@@ -233,17 +236,45 @@
         }
     }
 
-    /// Reads the counts of chosen experts from all ranks with a sidecar, and from
-    /// [`SAMPLED_RANK`] in any case. Returns whether they show the present demand.
+    /// Reads the counts of chosen experts from the ranks of which they are needed, and at once
+    /// from all if the shares have moved. Returns whether they show the present demand.
     async fn observe(&mut self) -> bool {
+        self.has_silent_rank = false;
+        let ranks = self.ranks_with_sidecar();
+        // Without a sidecar at the sampled rank, reads are too rare for some to be left out.
+        if !self.leader.engine.has_sidecar(&self.records[SAMPLED_RANK]) {
+            self.cadence.reset();
+        }
+        let has_all = self.cadence.needs_all(ranks);
+        let counts = self.read_counts(ranks).await;
+        if self.cadence.record(&counts, ranks) {
+            // Too soon after the first read to show any shares by itself.
+            let counts = self.read_counts(ranks).await;
+            return self.demand.observe(counts, clock::now());
+        }
+        has_all && self.demand.observe(counts, clock::now())
+    }
+
+    fn ranks_with_sidecar(&self) -> usize {
+        let engine = &self.leader.engine;
+        let records = self.records.iter();
+        records.filter(|it| engine.has_sidecar(it)).count()
+    }
+
+    /// Reads the counts from all ranks with a sidecar, and from [`SAMPLED_RANK`] in any case. Ranks
+    /// whose counts are not needed now only state their step.
+    async fn read_counts(&mut self, ranks: usize) -> Vec<(u16, Counts)> {
         let engine = &self.leader.engine;
         let sets = self.map.layers.len() as u16;
+        let cadence = &self.cadence;
         let selected = self.records.iter().enumerate();
         let selected =
             selected.filter(|(rank, record)| *rank == SAMPLED_RANK || engine.has_sidecar(record));
         let queries = selected.map(|(rank, record)| async move {
+            let rank = rank as u16;
+            let sets = if cadence.needs(rank, ranks) { sets } else { 0 };
             match timeout(QUERY_TIMEOUT, engine.counts(record, sets)).await {
-                Ok(Ok(counts)) => Some((rank as u16, counts)),
+                Ok(Ok(counts)) => Some((rank, counts)),
                 Ok(Err(fault)) => {
                     log::debug!("event=no_counts upstream={} reason=\"{fault}\"", record.id);
                     None
@@ -255,13 +286,12 @@
             }
         });
         let answers = join_all(queries).await;
-        self.has_silent_rank = answers.iter().any(Option::is_none);
+        self.has_silent_rank |= answers.iter().any(Option::is_none);
         let counts: Vec<(u16, Counts)> = answers.into_iter().flatten().collect();
-        let now = clock::now();
         if let Some(step) = counts.iter().map(|(_, counts)| counts.step).max() {
-            self.count_steps(step, now);
+            self.count_steps(step, clock::now());
         }
-        self.demand.observe(counts, now)
+        counts
     }
 
     /// Updates the step rate from the latest step that has begun.
@@ -290,6 +320,8 @@
 
     /// Switches the group to a planned map; records the map if the switch succeeds.
     async fn switch_to(&mut self, plan: Plan, reports: &[Report]) -> End {
+        // A shift during the switch supersedes its plan, so all counts are read meanwhile.
+        self.cadence.reset();
         let leader = self.leader.clone();
         let fence = leader.fence();
         let versions_in_use = reports
--- a/crates/gateway/src/maps/mod.rs
+++ b/crates/gateway/src/maps/mod.rs
@@ -4,6 +4,7 @@
 //! the next map in [`plan`] and switches the group to it with [`switch`], a state machine
 //! without I/O. See `docs/notes/platform.md`.
 
+pub mod cadence;
 mod leader;
 pub mod plan;
 pub mod switch;
--- a/crates/gateway/src/sidecar/counts/mod.rs
+++ b/crates/gateway/src/sidecar/counts/mod.rs
@@ -32,6 +32,29 @@
     bits: Vec<u8>,
 }
 
+impl Reading {
+    /// Returns a message without counts, which is the base of none.
+    pub const fn without_counts(step: u64, epoch: u64) -> Self {
+        Self {
+            sequence: 0,
+            base: None,
+            step,
+            epoch,
+            experts: Vec::new(),
+            bits: Vec::new(),
+        }
+    }
+
+    /// Returns step and epoch of a message without counts.
+    pub fn into_empty_counts(self) -> Counts {
+        Counts {
+            step: self.step,
+            epoch: self.epoch,
+            counts: Vec::new(),
+        }
+    }
+}
+
 /// The sidecar's side of a connection.
 #[derive(Debug, Default)]
 pub struct Encoder {
--- a/crates/gateway/src/sidecar/remote/mod.rs
+++ b/crates/gateway/src/sidecar/remote/mod.rs
@@ -138,6 +138,9 @@
                     .await;
                 let reading = self.handle_answer(at, answer)?;
                 traffic::count(Kind::Counts, &reading);
+                if sets == 0 {
+                    return Ok(reading.into_empty_counts());
+                }
                 let decoded = lock().decode(&reading);
                 decoded.ok_or_else(|| Fault::Malformed("counts without their base".to_owned()))
             }
--- a/crates/gateway/src/sidecar/serve/mod.rs
+++ b/crates/gateway/src/sidecar/serve/mod.rs
@@ -69,6 +69,9 @@
         base: Option<u32>,
     ) -> Result<Reading, Fault> {
         let read = self.engine.counts(&self.local(record), sets).await?;
+        if sets == 0 {
+            return Ok(Reading::without_counts(read.step, read.epoch));
+        }
         let mut counts = self.counts.lock().unwrap_or_else(PoisonError::into_inner);
         Ok(counts.encode(read, base))
     }
--- a/crates/gateway/tests/counts.rs
+++ b/crates/gateway/tests/counts.rs
@@ -116,6 +116,8 @@
         let delta = encoder.encode(later.clone(), decoder.base());
         let delta_size = size(&delta);
         assert_eq!(decoder.decode(&delta), Some(later));
+        let third = encoder.encode(typical(sets, experts, 20_004), decoder.base());
+        println!("{sets} x {experts}: after 300 ms {}", size(&third));
         println!("{sets} x {experts}: former {former} full {full_size} delta {delta_size}");
         assert!(delta_size * 4 <= former, "{delta_size} of {former} bytes");
     }
