--- a/crates/soak/src/process/mod.rs
+++ b/crates/soak/src/process/mod.rs
@@ -115,6 +115,16 @@
         Ok(peak << 10)
     }
 
+    /// Returns how many descriptors the process has open.
+    ///
+    /// # Errors
+    /// Fails if the process has ended or the operating system does not tell.
+    pub fn descriptors(&mut self) -> eyre::Result<usize> {
+        eyre::ensure!(self.is_running()?, "{} has ended", self.settings.node);
+        let id = self.child.as_ref().map_or(0, Child::id);
+        Ok(fs::read_dir(format!("/proc/{id}/fd"))?.count())
+    }
+
     /// Returns the address that callers connect to.
     pub fn front_address(&self) -> SocketAddr {
         self.settings.front
