Bound what callers make a gateway hold, and close those that do not read

Cause: an answer no longer counted in the memory for messages once the HTTP library had taken it, so that callers that do not read filled the memory; idle connections took all descriptors. Change: a registry of the connections of callers (callers), with decisions that have no I/O (callers::rule): who is closed when memory or descriptors are exhausted, and callers without progress for caller_stall_ms. Bodies count until their last byte is written, and are written from where they are. What waits for the caller of a stream counts, the upstream's slot is held until the deadline at most, and a broken stream to an HTTP/1.0 caller ends with a reset.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 //! [`names`]. See `docs/notes/platform.md`.
 
 pub mod admit;
+pub mod callers;
 pub mod clock;
 pub mod engine;
 pub mod exchange;
--- a/crates/gateway/src/memory/mod.rs
+++ b/crates/gateway/src/memory/mod.rs
@@ -2,8 +2,9 @@
 //!
 //! A limit for each message bounds one of them, and not what many hold at once. So all messages share
 //! a [`Budget`]. When it is exceeded, the largest one that is still growing is revoked, which ends
-//! its call: one that never ends is soon the largest. Small messages are never revoked, so that
-//! sound calls go on. See docs/notes/memory.md.
+//! its call: one that never ends is soon the largest. Small messages that grow are never revoked, so
+//! that sound calls go on. What waits for a caller that does not read is freed by closing the caller.
+//! See docs/notes/memory.md.
 
 use std::collections::HashMap;
 use std::pin::pin;
@@ -12,14 +13,20 @@
 use bytes::{Bytes, BytesMut};
 use http_body::Body;
 use http_body_util::BodyExt as _;
+use sesamerock_base::time::Moment;
 use tokio::sync::oneshot;
 
+use crate::callers::rule::{self, Holder, Phase};
+use crate::callers::{Caller, Cause};
+use crate::clock;
+
 /// Budget of a process that does not know the memory it may use.
 pub const DEFAULT_LIMIT: usize = 32 << 20;
 /// Largest message that is not revoked. Most are far smaller.
 const PROTECTED: usize = 64 << 10;
-/// Largest body of which the buffer is allocated at once, by its stated length.
-const MAX_INITIAL_CAPACITY: usize = 64 << 10;
+/// Largest body of which the buffer is allocated at once, by its stated length. The operating system
+/// provides the memory when it is written to.
+const MAX_INITIAL_CAPACITY: usize = 1 << 20;
 
 /// Returns the memory of this VM in MiB, as the operating system states it.
 pub fn total_mib() -> Option<f64> {
@@ -37,14 +44,40 @@
     Some(kib / 1024.0)
 }
 
+/// Makes the allocator give the memory of large buffers back as soon as they are freed. By default it
+/// keeps them, and takes an arena for each thread.
+pub fn tune_allocator() {
+    #[cfg(target_env = "gnu")]
+    {
+        let options = [(libc::M_MMAP_THRESHOLD, 64 << 10), (libc::M_ARENA_MAX, 2)];
+        for (option, value) in options {
+            // SAFETY: the options are known to the allocator, which checks the values.
+            if unsafe { libc::mallopt(option, value) } == 0 {
+                log::warn!("event=allocator_untuned option={option}");
+            }
+        }
+    }
+}
+
 /// Key of a share in its budget.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 struct Key(u64);
 
+/// What the message of a share waits for.
+#[derive(Debug)]
+enum Use {
+    /// The rest of it, from an upstream or a caller.
+    Growing,
+    /// An upstream.
+    Complete,
+    /// The caller, which is closed if the share is revoked.
+    Held(Caller),
+}
+
 #[derive(Debug)]
 struct Entry {
     bytes: usize,
-    is_growing: bool,
+    usage: Use,
     /// Dropped together with the entry, which tells the holder of the share.
     _revoke: oneshot::Sender<()>,
 }
@@ -57,14 +90,39 @@
 }
 
 impl Ledger {
-    /// Revokes the largest share that may be. Returns its size; `None` if there is none.
-    fn revoke_largest(&mut self) -> Option<usize> {
-        let may_be_revoked = |entry: &Entry| entry.is_growing && entry.bytes > PROTECTED;
-        let growing = self.entries.iter().filter(|(_, it)| may_be_revoked(it));
-        let (key, _) = growing.max_by_key(|(_, entry)| entry.bytes)?;
-        let key = *key;
+    /// Revokes the share that [`rule`] names. Returns its size; `None` if there is none.
+    fn revoke_first(&mut self, now: Moment) -> Option<usize> {
+        let holders = self.entries.iter().filter_map(|(key, entry)| {
+            let (waits_for_caller, progressed_at) = match &entry.usage {
+                Use::Growing if entry.bytes > PROTECTED => (false, now),
+                Use::Growing | Use::Complete => return None,
+                Use::Held(_) if entry.bytes == 0 => return None,
+                Use::Held(caller) => match caller.connection() {
+                    state if state.phase == Phase::Working => return None,
+                    state => (state.waits_for_caller(), state.progressed_at),
+                },
+            };
+            let bytes = entry.bytes;
+            Some(Holder {
+                key: *key,
+                bytes,
+                waits_for_caller,
+                progressed_at,
+            })
+        });
+        let key = rule::first_to_end(holders, now)?.key;
         let entry = self.entries.remove(&key)?;
         self.total -= entry.bytes;
+        match entry.usage {
+            Use::Held(caller) => {
+                caller.close(Cause::Memory, entry.bytes, now);
+            }
+            Use::Growing | Use::Complete => log::warn!(
+                "event=message_revoked bytes={} held={}",
+                entry.bytes,
+                self.total,
+            ),
+        }
         Some(entry.bytes)
     }
 }
@@ -104,7 +162,7 @@
         ledger.next += 1;
         let entry = Entry {
             bytes: 0,
-            is_growing: true,
+            usage: Use::Growing,
             _revoke: revoke,
         };
         ledger.entries.insert(key, entry);
@@ -112,6 +170,7 @@
         Share {
             budget: Arc::clone(self),
             key,
+            bytes: 0,
             revoked,
         }
     }
@@ -126,6 +185,8 @@
 pub struct Share {
     budget: Arc<Budget>,
     key: Key,
+    /// Bytes that were set last.
+    bytes: usize,
     revoked: oneshot::Receiver<()>,
 }
 
@@ -136,19 +197,14 @@
     /// # Errors
     /// Fails if this share has been revoked.
     pub fn set(&mut self, bytes: usize) -> Result<(), Revoked> {
+        self.bytes = bytes;
         let mut ledger = self.budget.lock();
         let entry = ledger.entries.get_mut(&self.key).ok_or(Revoked)?;
         let before = std::mem::replace(&mut entry.bytes, bytes);
         ledger.total = ledger.total - before + bytes;
-        while ledger.total > self.budget.limit {
-            let Some(revoked) = ledger.revoke_largest() else {
-                break;
-            };
-            log::warn!(
-                "event=message_revoked bytes={revoked} held={} limit={}",
-                ledger.total,
-                self.budget.limit
-            );
+        if ledger.total > self.budget.limit {
+            let now = clock::now();
+            while ledger.total > self.budget.limit && ledger.revoke_first(now).is_some() {}
         }
         if ledger.entries.contains_key(&self.key) {
             Ok(())
@@ -157,10 +213,30 @@
         }
     }
 
+    /// Sets the bytes as [`Share::set`] does, rounded down to a multiple of `step`. Does nothing if
+    /// they have not changed by that much.
+    ///
+    /// # Errors
+    /// Fails if this share has been revoked and the bytes have changed.
+    pub fn set_steps(&mut self, bytes: usize, step: usize) -> Result<(), Revoked> {
+        let bytes = bytes - bytes % step;
+        if bytes == self.bytes {
+            return Ok(());
+        }
+        self.set(bytes)
+    }
+
     /// Marks the message as complete: it grows no more and is not revoked.
     pub fn complete(&mut self) {
         if let Some(entry) = self.budget.lock().entries.get_mut(&self.key) {
-            entry.is_growing = false;
+            entry.usage = Use::Complete;
+        }
+    }
+
+    /// Marks the message as one that waits for a caller, which is closed if the share is revoked.
+    pub fn hold(&mut self, caller: &Caller) {
+        if let Some(entry) = self.budget.lock().entries.get_mut(&self.key) {
+            entry.usage = Use::Held(caller.clone());
         }
     }
 
@@ -180,6 +256,24 @@
     }
 }
 
+/// Bytes that count until the last slice of them is dropped.
+struct Held {
+    bytes: Bytes,
+    _share: Share,
+}
+
+impl AsRef<[u8]> for Held {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
+/// Returns bytes whose share is given back when the last slice of them is dropped.
+pub fn hold(bytes: Bytes, share: Share) -> Bytes {
+    let _share = share;
+    Bytes::from_owner(Held { bytes, _share })
+}
+
 /// The share of a message was revoked, since it was the largest when the budget was exceeded.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Revoked;
@@ -238,9 +332,12 @@
         }
         let size = whole.len() + data.len();
         // The buffer is copied when it grows, so it counts as large as it may become.
-        share
-            .set(size.next_power_of_two())
-            .map_err(|Revoked| ReadError::Revoked)?;
+        let counted = if size <= whole.capacity() {
+            size
+        } else {
+            size.next_power_of_two()
+        };
+        share.set(counted).map_err(|Revoked| ReadError::Revoked)?;
         whole.extend_from_slice(&data);
     }
 }
--- a/crates/gateway/src/relay/answer/mod.rs
+++ b/crates/gateway/src/relay/answer/mod.rs
@@ -1,7 +1,9 @@
 //! Responses to callers: the body type, and the responses that the gateway generates.
 
 use std::pin::Pin;
-use std::task::{Context, Poll};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -10,9 +12,9 @@
 use http_body::{Body as _, Frame, SizeHint};
 use http_body_util::Full;
 use hyper::body::Incoming;
-use tokio::sync::mpsc;
+use tokio::sync::{Notify, mpsc};
 
-use crate::memory::Share;
+use crate::callers::Delivery;
 
 /// The answer ended before it was complete: the upstream truncated it, the deadline
 /// passed, or an event was too large. As a body error, it closes the connection
@@ -28,15 +30,90 @@
 
 impl std::error::Error for Incomplete {}
 
+/// Most bytes that the HTTP library takes at once.
+const PIECE: usize = 16 << 10;
+
+/// Bytes of a stream that its caller has not taken.
+#[derive(Debug, Default)]
+pub struct Backlog {
+    bytes: AtomicUsize,
+    /// Whether the body was dropped.
+    ended: AtomicBool,
+    /// Notified when some were taken, and at the end of the body.
+    pub taken: Notify,
+}
+
+impl Backlog {
+    /// Returns the number of bytes; none once the body was dropped.
+    pub fn bytes(&self) -> usize {
+        if self.ended.load(Ordering::Relaxed) {
+            return 0;
+        }
+        self.bytes.load(Ordering::Relaxed)
+    }
+
+    /// Adds bytes that are sent to the caller.
+    pub fn add(&self, bytes: usize) {
+        self.bytes.fetch_add(bytes, Ordering::Relaxed);
+    }
+
+    fn take(&self, bytes: usize) {
+        self.bytes.fetch_sub(bytes, Ordering::Relaxed);
+        self.taken.notify_one();
+    }
+}
+
+/// Chunks from a task, which ends when this is dropped.
+#[derive(Debug)]
+pub struct Chunks {
+    /// Receives the chunks.
+    pub receiver: mpsc::Receiver<Result<Bytes, Incomplete>>,
+    /// Counts the bytes of the chunks.
+    pub backlog: Arc<Backlog>,
+    /// Rest of a chunk of which the HTTP library has taken a piece.
+    pub rest: Bytes,
+}
+
+impl Chunks {
+    fn poll_piece(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, Incomplete>>> {
+        while self.rest.is_empty() {
+            match ready!(self.receiver.poll_recv(cx)) {
+                Some(Ok(chunk)) => self.rest = chunk,
+                end => return Poll::Ready(end),
+            }
+        }
+        let piece = self.rest.split_to(self.rest.len().min(PIECE));
+        self.backlog.take(piece.len());
+        Poll::Ready(Some(Ok(piece)))
+    }
+}
+
+impl Drop for Chunks {
+    fn drop(&mut self) {
+        self.backlog.ended.store(true, Ordering::Relaxed);
+        self.backlog.taken.notify_one();
+    }
+}
+
 /// Body of a response to a caller.
 #[derive(Debug)]
 pub enum Body {
     /// Complete body.
     Whole(Full<Bytes>),
-    /// Complete body of an upstream, whose memory is given back when it has been sent.
-    Held(Full<Bytes>, Share),
-    /// Chunks from a task, which ends when this receiver is dropped.
-    Stream(mpsc::Receiver<Result<Bytes, Incomplete>>),
+    /// Complete body of an upstream, which is taken in pieces.
+    Held(Bytes),
+    /// Chunks of a stream.
+    Stream(Chunks),
+    /// Body of which the caller is to read something now and then.
+    Delivered(Box<Self>, Delivery),
+}
+
+impl Body {
+    /// Returns the body with the caller that is to read it.
+    #[must_use]
+    pub fn deliver(self, delivery: Delivery) -> Self {
+        Self::Delivered(Box::new(self), delivery)
+    }
 }
 
 impl http_body::Body for Body {
@@ -48,27 +125,36 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Incomplete>>> {
         match self.get_mut() {
-            Self::Whole(body) | Self::Held(body, _) => Pin::new(body)
+            Self::Whole(body) => Pin::new(body)
                 .poll_frame(cx)
                 .map_err(|never| match never {}),
-            Self::Stream(chunks) => chunks.poll_recv(cx).map(|chunk| {
-                let chunk = chunk?;
-                Some(chunk.map(Frame::data))
-            }),
+            Self::Held(body) => {
+                let piece = body.split_to(body.len().min(PIECE));
+                Poll::Ready((!piece.is_empty()).then(|| Ok(Frame::data(piece))))
+            }
+            Self::Stream(chunks) => {
+                let piece = chunks.poll_piece(cx);
+                piece.map(|piece| Some(piece?.map(Frame::data)))
+            }
+            Self::Delivered(body, _) => Pin::new(&mut **body).poll_frame(cx),
         }
     }
 
     fn is_end_stream(&self) -> bool {
         match self {
-            Self::Whole(body) | Self::Held(body, _) => body.is_end_stream(),
+            Self::Whole(body) => body.is_end_stream(),
+            Self::Held(body) => body.is_empty(),
             Self::Stream(_) => false,
+            Self::Delivered(body, _) => body.is_end_stream(),
         }
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
-            Self::Whole(body) | Self::Held(body, _) => body.size_hint(),
+            Self::Whole(body) => body.size_hint(),
+            Self::Held(body) => SizeHint::with_exact(body.len() as u64),
             Self::Stream(_) => SizeHint::default(),
+            Self::Delivered(body, _) => body.size_hint(),
         }
     }
 }
--- a/crates/gateway/src/relay/attempt/mod.rs
+++ b/crates/gateway/src/relay/attempt/mod.rs
@@ -231,7 +231,7 @@
     mut watch: Watch,
 ) -> Result<Outcome, Obstacle> {
     let record = Arc::clone(&permit.record);
-    if call.connection.is_closed() {
+    if call.caller.socket().is_closed() {
         return Ok(Outcome::Left);
     }
     attempted.ids.push(Arc::clone(&record.id));
--- a/crates/gateway/src/relay/buffered/mod.rs
+++ b/crates/gateway/src/relay/buffered/mod.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use http::{Response, StatusCode};
-use http_body_util::Full;
 use tokio::time::timeout;
 
 use super::Shared;
@@ -164,7 +163,12 @@
         Ok(Ok(body)) => body,
         Ok(Err(error @ (ReadError::TooLarge | ReadError::Revoked))) => {
             log::info!("event=answer_cut id={} reason=\"{error}\"", call.id());
-            permit.set_signal(HealthSignal::Failure);
+            // Memory may be short because of others, which says nothing about the upstream.
+            permit.set_signal(if matches!(error, ReadError::Revoked) {
+                HealthSignal::Neutral
+            } else {
+                HealthSignal::Failure
+            });
             return None;
         }
         Ok(Err(error)) => {
@@ -200,7 +204,8 @@
     });
     shared.keep_connection(&permit.record, connection, keep_alive);
     answer::strip_hop_by_hop(&mut parts.headers);
-    let body = Body::Held(Full::new(body), share);
+    share.hold(&call.caller);
+    let body = Body::Held(memory::hold(body, share));
     Some(Response::from_parts(parts, body))
 }
 
--- a/crates/gateway/src/relay/call/mod.rs
+++ b/crates/gateway/src/relay/call/mod.rs
@@ -8,16 +8,18 @@
 use sesamerock_base::key::Workspace;
 use sesamerock_base::time::Moment;
 
+use crate::callers::Caller;
 use crate::memory::Share;
-use crate::socket::Socket;
 use crate::suspect::Subject;
 use crate::table::Kind;
 
 /// A call, with everything that its attempts need.
 #[derive(Debug)]
 pub struct Call {
-    /// Connection of the caller, to detect that the caller has left.
-    pub connection: Socket,
+    /// Connection of the caller.
+    pub caller: Caller,
+    /// Version of HTTP that the caller speaks.
+    pub http: http::Version,
     /// Identifier of the call, chosen by the caller.
     pub id: HeaderValue,
     /// Name of the route, for logs.
--- a/crates/gateway/src/relay/head/mod.rs
+++ b/crates/gateway/src/relay/head/mod.rs
@@ -13,12 +13,13 @@
 use super::answer::{self, Body};
 use super::call::Call;
 use crate::admit::LATE_URGENCY;
+use crate::callers::Caller;
+use crate::callers::rule::Phase;
 use crate::clock;
 use crate::memory::{self, ReadError, Share};
 use crate::names::{Headers, Names};
-use crate::socket::Socket;
 use crate::suspect::{MAX_PARTS, Subject};
-use crate::table::{Caller, Limits};
+use crate::table::{self, Limits};
 
 /// Longest wait of a request for the first table. After a loss of power, callers return before
 /// the gateway has read anything, and many of them have no further attempt.
@@ -36,13 +37,15 @@
 /// Returns the response to a request that is rejected or refused.
 pub async fn read<N: Names>(
     request: Request<Incoming>,
-    connection: Socket,
+    caller: Caller,
     shared: &Shared,
     names: &N,
 ) -> Result<Call, Response<Body>> {
     let arrived = clock::now();
     let (parts, body) = request.into_parts();
+    caller.set_phase(Phase::Receiving);
     let (body, memory) = read_body(shared, names, &parts.headers, body).await?;
+    caller.set_phase(Phase::Working);
     // Loaded after the body, since the table may have changed in the meantime.
     let Some(table) = shared.first_table(TABLE_WAIT).await else {
         let status = StatusCode::SERVICE_UNAVAILABLE;
@@ -70,8 +73,8 @@
         return Err(reject(shared, &parts.headers, names, status, "no route"));
     };
     let key = header(&AUTHORIZATION).and_then(|value| names.key(value));
-    let caller = table.caller(route, key);
-    if caller == Caller::Unknown {
+    let holder = table.caller(route, key);
+    if holder == table::Caller::Unknown {
         let status = StatusCode::UNAUTHORIZED;
         return Err(reject(shared, &parts.headers, names, status, "no key"));
     }
@@ -79,18 +82,19 @@
         let status = StatusCode::SERVICE_UNAVAILABLE;
         return Err(reject(shared, &parts.headers, names, status, "no service"));
     };
-    let workspace = table.workspace(caller);
+    let workspace = table.workspace(holder);
     let caller_timeout = header(&header_names.deadline).and_then(|value| value.parse().ok());
     let caller_timeout = caller_timeout.map_or(route.timeout, Duration::from_millis);
     let token_usage = header(&header_names.tokens).and_then(|value| names.tokens(value));
     let prompt = header(&header_names.parts).map(|value| names.parts(value));
     let prompt = prompt.unwrap_or_default().into_iter().take(MAX_PARTS);
     let prompt = prompt.map(|id| Subject::part(service, id));
-    let workspace_index = match caller {
-        Caller::Workspace(index) => index as u32 + 1,
+    let workspace_index = match holder {
+        table::Caller::Workspace(index) => index as u32 + 1,
         // Anonymous callers share index 0.
-        Caller::Anonymous | Caller::Unknown => 0,
+        table::Caller::Anonymous | table::Caller::Unknown => 0,
     };
+    caller.set_workspace(workspace_index);
     let last_event = header(&header_names.last_event).and_then(|value| value.parse().ok());
     let priority = workspace
         .and_then(|it| it.priority)
@@ -105,7 +109,8 @@
     let subjects = prompt.chain([request]).collect();
     let headers = upstream_headers(parts.headers, header_names, workspace_name.as_deref());
     Ok(Call {
-        connection,
+        caller,
+        http: parts.version,
         id,
         route: route.name.clone(),
         service: Arc::from(service),
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -41,6 +41,7 @@
 use crate::admit::limit;
 use crate::admit::outage::Statement;
 use crate::admit::{AdmissionController, Obstacle, Refusal};
+use crate::callers::{self, Caller, Delivery, Registry};
 use crate::clock;
 use crate::memory;
 use crate::metrics::Counters;
@@ -76,8 +77,10 @@
     pub attempt_timeout_objectives: f64,
     /// Retry budget of each service, for all gateways together.
     pub budget: budget::Settings,
-    /// Bytes that all requests and answers that are being read may hold together.
+    /// Bytes that all requests and answers may hold together.
     pub max_buffered: usize,
+    /// Limits for the connections of callers.
+    pub callers: callers::Settings,
 }
 
 impl Default for Settings {
@@ -89,6 +92,7 @@
             attempt_timeout_objectives: 2.5,
             budget: budget::Settings::default(),
             max_buffered: memory::DEFAULT_LIMIT,
+            callers: callers::Settings::default(),
         }
     }
 }
@@ -133,6 +137,8 @@
     published: Notify,
     /// Memory for requests and answers.
     pub memory: Arc<memory::Budget>,
+    /// Connections of callers.
+    pub callers: Arc<Registry>,
     /// Notified when other gateways should hear of a change at once.
     pub news: Notify,
     next_call: AtomicU64,
@@ -141,7 +147,9 @@
 impl Shared {
     /// Creates the shared state with an empty view.
     pub fn new(settings: Settings, admission: AdmissionController, suspects: Suspects) -> Self {
+        let memory = Arc::new(memory::Budget::new(settings.max_buffered));
         Self {
+            callers: Arc::new(Registry::new(settings.callers, Arc::clone(&memory))),
             settings,
             view: ArcSwap::default(),
             counters: Counters::default(),
@@ -159,7 +167,7 @@
             retries: Retries::new(settings.budget),
             connections: ConnectionPool::default(),
             published: Notify::new(),
-            memory: Arc::new(memory::Budget::new(settings.max_buffered)),
+            memory,
             news: Notify::new(),
             next_call: AtomicU64::new(0),
         }
@@ -535,7 +543,16 @@
         Some(table) => table.content().limits,
         None => crate::table::Limits::default(),
     };
-    let caller = Socket::new(stream);
+    let Ok(peer) = stream.peer_addr() else {
+        // The caller has closed the connection already.
+        return;
+    };
+    let socket = Socket::new(stream);
+    socket.limit_send_buffer(callers::SEND_BUFFER);
+    // The operating system would close callers that do not read for its shorter time.
+    socket.set_user_timeout(shared.settings.callers.stall);
+    let registration = shared.callers.register(socket.clone(), peer);
+    let caller = &registration.caller;
     let service = service_fn(|request: Request<Incoming>| {
         let shared = Arc::clone(&shared);
         let names = names.clone();
@@ -553,15 +570,19 @@
         .keep_alive(!is_last_request)
         .header_read_timeout(header_timeout)
         .max_buf_size(limits.header.max(8 << 10) * 2)
-        .serve_connection(TokioIo::new(caller.clone()), service);
+        .serve_connection(TokioIo::new(socket), service);
     let mut connection = pin!(connection);
     let served = tokio::select! {
         // First the connection, so that a request that has arrived is read before it closes.
         biased;
         served = connection.as_mut() => served,
+        () = caller.closed() => return,
         () = closing.cancelled(), if !is_last_request => {
             connection.as_mut().graceful_shutdown();
-            connection.await
+            tokio::select! {
+                served = connection => served,
+                () = caller.closed() => return,
+            }
         }
     };
     if let Err(error) = served {
@@ -572,7 +593,7 @@
 /// Answers one request.
 async fn respond<N: Names>(
     request: Request<Incoming>,
-    caller: Socket,
+    caller: Caller,
     shared: Arc<Shared>,
     names: N,
 ) -> Response<Body> {
@@ -584,7 +605,7 @@
     };
     let read = tokio::select! {
         biased;
-        read = head::read(request, caller, &shared, &names) => read,
+        read = head::read(request, caller.clone(), &shared, &names) => read,
         () = shared.ending.cancelled() => {
             shared.counters.refused("leaving");
             let id = id.as_ref().and_then(|id| id.to_str().ok());
@@ -628,7 +649,7 @@
             .insert(http::header::CONNECTION, close);
     }
     guard.answered = true;
-    response
+    response.map(|body| body.deliver(Delivery::begin(caller)))
 }
 
 /// Logs callers that disconnect before the response. The future of the request is then
--- a/crates/gateway/src/relay/streaming/mod.rs
+++ b/crates/gateway/src/relay/streaming/mod.rs
@@ -10,24 +10,32 @@
 
 use bytes::Bytes;
 use http::header::{CONTENT_LENGTH, CONTENT_TYPE};
-use http::{HeaderMap, Response, StatusCode};
+use http::{HeaderMap, Response, StatusCode, Version};
 use http_body_util::BodyExt as _;
 use sesamerock_base::time::Moment;
 use tokio::sync::mpsc::{self, Sender};
 use tokio::time::timeout;
 
 use super::Shared;
-use super::answer::{self, Body, Incomplete};
+use super::answer::{self, Backlog, Body, Chunks, Incomplete};
 use super::attempt::{self, AttemptLimits, Attempted, Outcome, StartedAnswer};
 use super::buffered::{self, CallFailure};
 use super::call::Call;
 use crate::admit::HealthSignal;
 use crate::clock;
+use crate::memory::Share;
 use crate::names::Names;
 use crate::stream::Events;
 
 /// Chunks buffered for a caller that reads slowly.
-const BUFFERED_CHUNKS: usize = 8;
+const BUFFERED_CHUNKS: usize = 256;
+/// Bytes buffered for a caller that reads slowly, beyond which the upstream waits.
+const MAX_BACKLOG: usize = 256 << 10;
+/// Step in which bytes of a stream are counted, so that streams that are read need no lock for each
+/// event.
+const BACKLOG_STEP: usize = 4 << 10;
+/// Buffers of the HTTP library for an answer of an upstream and for its delivery.
+const STREAM_BUFFERS: usize = 112 << 10;
 /// Shortest time before the deadline in which another attempt is started.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(100);
 
@@ -136,7 +144,12 @@
     begun: StartedAnswer,
 ) -> Response<Body> {
     let (sender, receiver) = mpsc::channel(BUFFERED_CHUNKS);
-    let mut response = Response::new(Body::Stream(receiver));
+    let backlog = Arc::new(Backlog::default());
+    let mut response = Response::new(Body::Stream(Chunks {
+        receiver,
+        backlog: Arc::clone(&backlog),
+        rest: Bytes::new(),
+    }));
     *response.status_mut() = begun.response.status();
     let mut headers: HeaderMap = begun.response.headers().clone();
     answer::strip_hop_by_hop(&mut headers);
@@ -150,17 +163,24 @@
         attempted,
         events: Events::after(call.last_event),
         sender: sender.clone(),
+        backlog,
         first_event: None,
         longest_gap: Duration::ZERO,
     };
     let call = Arc::clone(call);
+    let mut share = shared.memory.share();
+    share.hold(&call.caller);
     tokio::spawn(async move {
+        let backlog = Arc::clone(&task.backlog);
         tokio::select! {
             () = sender.closed() => {
                 log::info!("event=caller_left id={} route={}", call.id(), call.route);
             }
-            () = run_stream(task, begun) => {}
+            () = run_stream(task, begun, &mut share) => {}
         }
+        // The body ends with its last sender.
+        drop(sender);
+        drain(&backlog, share).await;
     });
     response
 }
@@ -173,6 +193,8 @@
     attempted: Attempted,
     events: Events,
     sender: Sender<Result<Bytes, Incomplete>>,
+    /// Bytes that the caller has not taken.
+    backlog: Arc<Backlog>,
     /// Time from the arrival of the call to its first event.
     first_event: Option<Duration>,
     /// Longest time between two chunks of events.
@@ -195,16 +217,20 @@
 }
 
 /// Forwards the answers of all upstreams of a stream, and logs its end.
-async fn run_stream<N: Names>(mut task: StreamTask<N>, first: StartedAnswer) {
+async fn run_stream<N: Names>(mut task: StreamTask<N>, first: StartedAnswer, share: &mut Share) {
     let ending = task.shared.ending.clone();
     let end = tokio::select! {
         biased;
-        end = task.forward_all(first) => end,
+        end = task.forward_all(first, share) => end,
         () = ending.cancelled() => End::Stopped,
     };
     let call = &task.call;
     let total = clock::now().since(call.arrived);
     if end != End::Complete {
+        if call.http < Version::HTTP_11 {
+            // Such an answer has no chunks, so that a close would look like its end.
+            call.caller.socket().reset_on_close();
+        }
         // Marks the response as truncated, which closes the connection to the caller.
         drop(task.sender.send(Err(Incomplete)).await);
     }
@@ -231,13 +257,54 @@
     );
 }
 
+/// Returns the memory for what the caller has not taken. While the caller is behind, the buffers of
+/// the connection to the upstream are full too.
+fn held(backlog: &Backlog) -> usize {
+    let bytes = backlog.bytes();
+    if bytes < BACKLOG_STEP {
+        0
+    } else {
+        bytes + STREAM_BUFFERS
+    }
+}
+
+/// Counts what the caller has not taken until it has, or has left.
+async fn drain(backlog: &Backlog, mut share: Share) {
+    while backlog.bytes() > 0 {
+        if share.set_steps(held(backlog), BACKLOG_STEP).is_err() {
+            return;
+        }
+        backlog.taken.notified().await;
+    }
+}
+
 impl<N: Names> StreamTask<N> {
+    /// Passes events on to the caller. Waits while it holds too many, until the deadline.
+    async fn pass_on(&mut self, chunk: Bytes, share: &mut Share) -> Result<(), End> {
+        let time_left = self.call.end().since(clock::now());
+        let bytes = chunk.len();
+        let room = async {
+            while self.backlog.bytes() > MAX_BACKLOG {
+                self.backlog.taken.notified().await;
+            }
+            self.sender.reserve().await
+        };
+        let room = timeout(time_left, room).await;
+        let room = room.map_err(|_elapsed| End::Late)?;
+        let room = room.map_err(|_closed| End::Left)?;
+        self.backlog.add(bytes);
+        room.send(Ok(chunk));
+        // If it is revoked, the caller is closed.
+        let _ = share.set_steps(held(&self.backlog), BACKLOG_STEP);
+        Ok(())
+    }
+
     /// Forwards the events of the first upstream, and of those that continue after it.
-    async fn forward_all(&mut self, first: StartedAnswer) -> End {
+    async fn forward_all(&mut self, first: StartedAnswer, held: &mut Share) -> End {
         let mut begun = Some(first);
         let mut end = End::Cut;
         while let Some(current) = begun.take() {
-            end = self.forward(current).await;
+            end = self.forward(current, held).await;
             if end == End::Cut {
                 begun = self.resume().await;
             }
@@ -246,7 +313,7 @@
     }
 
     /// Forwards the events of one upstream.
-    async fn forward(&mut self, begun: StartedAnswer) -> End {
+    async fn forward(&mut self, begun: StartedAnswer, held: &mut Share) -> End {
         let StartedAnswer {
             response,
             connection,
@@ -306,7 +373,7 @@
                 return End::Cut;
             };
             // If it is revoked, the next round ends the stream.
-            let _ = share.set(self.events.buffered());
+            let _ = share.set_steps(self.events.buffered(), BACKLOG_STEP);
             if chunk.is_empty() {
                 continue;
             }
@@ -330,8 +397,8 @@
                 drop(admission);
                 self.shared.counters.first_byte.record(first_event);
             }
-            if self.sender.send(Ok(chunk)).await.is_err() {
-                return End::Left;
+            if let Err(end) = self.pass_on(chunk, held).await {
+                return end;
             }
         }
     }
--- a/crates/gateway/src/run/mod.rs
+++ b/crates/gateway/src/run/mod.rs
@@ -24,6 +24,7 @@
 use crate::admit::cold::Members;
 use crate::admit::group::Listing;
 use crate::admit::{self, AdmissionController};
+use crate::callers;
 use crate::clock;
 use crate::engine::Engine;
 use crate::exchange::{self, Heartbeat, LocalNode, Peers, Statement};
@@ -400,6 +401,7 @@
         record.front,
         settings.store,
     );
+    memory::tune_allocator();
     let admission = AdmissionController::new(
         admit::Settings {
             cold_slack: settings.cold_slack,
@@ -412,6 +414,7 @@
         relay::Settings {
             budget: retry_budget(&settings),
             max_buffered: max_buffered(&settings),
+            callers: caller_settings(&settings),
             ..relay::Settings::default()
         },
         admission,
@@ -459,6 +462,7 @@
         leadership,
     ));
     tokio::spawn(run_maintenance(node.clone()));
+    tokio::spawn(Arc::clone(&shared.callers).watch());
     tokio::spawn(announce_news(node.clone()));
     let front = bind(settings.front).await?;
     let calls = Arc::clone(&shared);
@@ -470,7 +474,21 @@
     Ok(())
 }
 
-/// Returns the retry budget that all nodes together use.
+/// Returns the limits for the connections of callers.
+fn caller_settings(settings: &Settings) -> callers::Settings {
+    let default = callers::Settings::default();
+    let used = callers::Settings {
+        stall: settings.caller_stall.unwrap_or(default.stall),
+        max_descriptors: settings.max_descriptors.unwrap_or(default.max_descriptors),
+    };
+    log::info!(
+        "event=caller_limits caller_stall_ms={} max_descriptors={}",
+        used.stall.as_millis(),
+        used.max_descriptors
+    );
+    used
+}
+
 /// Returns the bytes that requests and answers may hold together while they are read.
 fn max_buffered(settings: &Settings) -> usize {
     let memory = settings.memory_mib.or_else(memory::total_mib);
@@ -480,6 +498,7 @@
     limit
 }
 
+/// Returns the retry budget that all nodes together use.
 fn retry_budget(settings: &Settings) -> budget::Settings {
     let slack = settings.retry_slack * RETRY_BUDGET_FRACTION;
     // Within one window, both the saved budget and the budget accrued in it can be spent.
@@ -548,6 +567,15 @@
         metrics::append_line(&mut text, format_args!("sesamerock_waiting {waiting}"));
         let held = shared.memory.held();
         metrics::append_line(&mut text, format_args!("sesamerock_buffered_bytes {held}"));
+        let (unread, still) = shared.callers.unread();
+        metrics::append_line(&mut text, format_args!("sesamerock_unread_bytes {unread}"));
+        let still = still.as_secs_f64();
+        let line = format_args!("sesamerock_caller_longest_stall_seconds {still}");
+        metrics::append_line(&mut text, line);
+        for (cause, count) in shared.callers.closed() {
+            let line = format_args!("sesamerock_callers_closed{{cause=\"{cause}\"}} {count}");
+            metrics::append_line(&mut text, line);
+        }
         let open = connections.len();
         metrics::append_line(&mut text, format_args!("sesamerock_connections {open}"));
         let subjects = shared.update_suspects(|suspects| suspects.list(clock::now()));
--- a/crates/gateway/src/run/settings/mod.rs
+++ b/crates/gateway/src/run/settings/mod.rs
@@ -54,6 +54,13 @@
     /// Without it, the operating system is asked.
     #[serde(default)]
     pub memory_mib: Option<f64>,
+    /// Time without progress after which a caller that is to read or send is closed; 10 s if absent.
+    #[serde(rename = "caller_stall_ms", default)]
+    #[serde_as(as = "Option<DurationMilliSeconds<u64>>")]
+    pub caller_stall: Option<Duration>,
+    /// Most descriptors that the process opens. Without it, the operating system is asked.
+    #[serde(default)]
+    pub max_descriptors: Option<usize>,
     /// How long the leader for the expert maps remains leader without contact to the store.
     /// This is the shortest lease that the store grants.
     #[serde(rename = "lease_ms")]
--- a/crates/gateway/src/socket/mod.rs
+++ b/crates/gateway/src/socket/mod.rs
@@ -8,12 +8,13 @@
 //! discards them. Bytes that arrive before a request are no answer to it; after
 //! [`Socket::start_request`] they make the write fail.
 
-use std::io;
+use std::io::{self, IoSlice};
 use std::mem::MaybeUninit;
 use std::net::Shutdown;
+use std::os::fd::AsRawFd as _;
 use std::pin::Pin;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
@@ -24,6 +25,14 @@
 /// Value of [`Shared::readable`] for a connection whose reads are not limited.
 const UNLIMITED: usize = usize::MAX;
 
+/// Connections that this process has open.
+static OPEN: AtomicUsize = AtomicUsize::new(0);
+
+/// Returns how many connections this process has open.
+pub fn open() -> usize {
+    OPEN.load(Ordering::Relaxed)
+}
+
 /// Cloneable handle of a TCP connection; the last one dropped closes it.
 #[derive(Clone, Debug)]
 pub struct Socket(Arc<Shared>);
@@ -35,13 +44,23 @@
     readable: AtomicUsize,
     /// Whether a request has been started of which nothing is written yet.
     unsent: AtomicBool,
+    /// Bytes that were read and written.
+    moved: AtomicU64,
+}
+
+impl Drop for Shared {
+    fn drop(&mut self) {
+        OPEN.fetch_sub(1, Ordering::Relaxed);
+    }
 }
 
 impl Socket {
     /// Takes ownership of a connection.
     pub fn new(stream: TcpStream) -> Self {
+        OPEN.fetch_add(1, Ordering::Relaxed);
         Self(Arc::new(Shared {
             stream,
+            moved: AtomicU64::new(0),
             readable: AtomicUsize::new(UNLIMITED),
             unsent: AtomicBool::new(false),
         }))
@@ -70,6 +89,40 @@
         self.0.readable.store(UNLIMITED, Ordering::Relaxed);
     }
 
+    /// Returns how many bytes were read and written.
+    pub fn moved(&self) -> u64 {
+        self.0.moved.load(Ordering::Relaxed)
+    }
+
+    /// Returns how many written bytes the peer has not acknowledged.
+    pub fn unread_by_peer(&self) -> usize {
+        let mut bytes: libc::c_int = 0;
+        // SAFETY: the descriptor is open, and `bytes` is a valid place for the result.
+        let result =
+            unsafe { libc::ioctl(self.0.stream.as_raw_fd(), libc::TIOCOUTQ, &raw mut bytes) };
+        if result == 0 {
+            usize::try_from(bytes).unwrap_or_default()
+        } else {
+            let error = io::Error::last_os_error();
+            log::debug!("event=send_queue_unknown reason=\"{error}\"");
+            0
+        }
+    }
+
+    /// Bounds the send buffer of the connection.
+    pub fn limit_send_buffer(&self, bytes: usize) {
+        if let Err(error) = SockRef::from(&self.0.stream).set_send_buffer_size(bytes) {
+            log::debug!("event=send_buffer_unset reason=\"{error}\"");
+        }
+    }
+
+    /// Sets the time without acknowledgement after which the operating system closes the connection.
+    pub fn set_user_timeout(&self, time: Duration) {
+        if let Err(error) = SockRef::from(&self.0.stream).set_tcp_user_timeout(Some(time)) {
+            log::debug!("event=user_timeout_unset reason=\"{error}\"");
+        }
+    }
+
     /// Counts bytes that were read against the limit.
     fn count_read(&self, bytes: usize) -> io::Result<()> {
         let readable = self.0.readable.load(Ordering::Relaxed);
@@ -120,6 +173,7 @@
             match self.0.stream.try_read(buf.initialize_unfilled()) {
                 Ok(read) => {
                     self.count_read(read)?;
+                    self.0.moved.fetch_add(read as u64, Ordering::Relaxed);
                     buf.advance(read);
                     return Poll::Ready(Ok(()));
                 }
@@ -130,11 +184,11 @@
     }
 }
 
-impl AsyncWrite for Socket {
-    fn poll_write(
-        self: Pin<&mut Self>,
+impl Socket {
+    fn poll_with(
+        &self,
         cx: &mut Context<'_>,
-        buf: &[u8],
+        write: impl Fn(&TcpStream) -> io::Result<usize>,
     ) -> Poll<io::Result<usize>> {
         loop {
             ready!(self.0.stream.poll_write_ready(cx))?;
@@ -142,17 +196,42 @@
                 let reason = "the peer closed or wrote before the request";
                 return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, reason)));
             }
-            match self.0.stream.try_write(buf) {
+            match write(&self.0.stream) {
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                 written => {
-                    if written.is_ok() {
+                    if let Ok(bytes) = &written {
                         self.0.unsent.store(false, Ordering::Relaxed);
+                        self.0.moved.fetch_add(*bytes as u64, Ordering::Relaxed);
                     }
                     return Poll::Ready(written);
                 }
             }
         }
     }
+}
+
+impl AsyncWrite for Socket {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        self.poll_with(cx, |stream| stream.try_write(buf))
+    }
+
+    // The HTTP library then writes bodies from where they are. Otherwise it copies them to a buffer
+    // that each connection keeps.
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        self.poll_with(cx, |stream| stream.try_write_vectored(bufs))
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
 
     fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
         Poll::Ready(Ok(()))
--- a/crates/sesamerock/tests/endless.rs
+++ b/crates/sesamerock/tests/endless.rs
@@ -80,6 +80,8 @@
             retry_window: Duration::from_secs(10),
             cold_slack: 5.0,
             memory_mib: Some(MEMORY_MIB as f64),
+            caller_stall: None,
+            max_descriptors: None,
             lease: Duration::from_secs(1),
             fencing: true,
             max_pause: Duration::from_millis(120),
