--- a/crates/gateway/src/relay/answer/mod.rs
+++ b/crates/gateway/src/relay/answer/mod.rs
@@ -159,6 +159,12 @@
     }
 }
 
+/// Returns whether a status may end a call. The HTTP library reads any three digits, and also returns
+/// 101, after which a connection would speak another protocol.
+pub fn is_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Returns whether only the end of the connection marks the end of the body. If the body is
 /// empty, such an answer cannot be told from one that broke off after its header.
 pub fn ends_with_connection(response: &Response<Incoming>) -> bool {
--- a/crates/gateway/src/relay/attempt/mod.rs
+++ b/crates/gateway/src/relay/attempt/mod.rs
@@ -11,6 +11,7 @@
 use tokio::time::timeout;
 
 use super::Shared;
+use super::answer;
 use super::call::Call;
 use super::permit::{self, Permit};
 use super::watch::Watch;
@@ -294,6 +295,17 @@
             return Ok(Outcome::Unknown("silent"));
         }
     };
+    if !answer::is_final(response.status()) {
+        let status = response.status().as_u16();
+        log::warn!(
+            "event=status_invalid id={} upstream={} status={status}",
+            call.id(),
+            record.id
+        );
+        permit.set_signal(HealthSignal::Failure);
+        watch.end_broken(&record).await;
+        return Ok(Outcome::Unknown("invalid_status"));
+    }
     connection.start_answer();
     // A misdirected call was answered by another upstream, which speaks for itself only.
     let is_other = response.status() == StatusCode::MISDIRECTED_REQUEST;
