--- a/crates/gateway/src/socket/mod.rs
+++ b/crates/gateway/src/socket/mod.rs
@@ -25,6 +25,10 @@
 /// Value of [`Shared::readable`] for a connection whose reads are not limited.
 const UNLIMITED: usize = usize::MAX;
 
+/// Most bytes of one read. The HTTP library enlarges the buffer of a connection, up to 64 KiB, when a
+/// read fills it, and keeps it; with 400 streams these buffers took 20 MB.
+const MAX_READ: usize = 16_000;
+
 /// Connections that this process has open.
 static OPEN: AtomicUsize = AtomicUsize::new(0);
 
@@ -170,7 +174,8 @@
     ) -> Poll<io::Result<()>> {
         loop {
             ready!(self.0.stream.poll_read_ready(cx))?;
-            match self.0.stream.try_read(buf.initialize_unfilled()) {
+            let size = buf.remaining().min(MAX_READ);
+            match self.0.stream.try_read(buf.initialize_unfilled_to(size)) {
                 Ok(read) => {
                     self.count_read(read)?;
                     self.0.moved.fetch_add(read as u64, Ordering::Relaxed);
