--- a/crates/gateway/src/admit/pace/mod.rs
+++ b/crates/gateway/src/admit/pace/mod.rs
@@ -20,9 +20,9 @@
 /// Share of the longest pause that is used. The rest is left for delays of the network and for
 /// streams that other gateways start before they know of each other's.
 const TARGET_SHARE: f64 = 0.9;
-/// Share of the slots below which a limit that keeps to the longest pause is not worth keeping for
-/// calls that are late anyway: they would be refused while most slots are free.
-const MIN_IN_TIME_SHARE: f64 = 0.3;
+/// Requests of an engine in the mean below which no stream of its group can be in time: not even
+/// one that runs alone.
+const MIN_IN_TIME_REQUESTS: f64 = 1.0;
 /// Longest passes of late streams, in multiples of the longest pause. A stream of average length
 /// then still ends within its deadline, and no caller gives up for the length of a gap.
 const LATE_PAUSES: f64 = 2.5;
@@ -85,19 +85,19 @@
     }
 
     /// Returns how many requests each engine may run on average if the streams of a group are late
-    /// whatever the load; `None` if enough of them can be in time.
+    /// whatever the load; `None` if they can be in time.
     ///
     /// While a rank is several times as slow as usual, no limit keeps the pauses short, but passes
-    /// grow far less with the load than the number of streams does.
+    /// grow far less with the load than the number of streams does. The mean decides, as a few long
+    /// passes, such as those after a shift of demand, soon end.
     pub fn late_limit(&self, engine: &EngineSpec, pause: Duration, now: Moment) -> Option<f64> {
-        let slots = f64::from(engine.slots);
-        let slowdown = self.0.current(now)?;
-        let in_time = self.limit(engine, pause, 0.0, now);
-        if in_time >= slots * MIN_IN_TIME_SHARE {
+        let mean = self.0.current(now)?.mean;
+        let in_time = requests(engine, pause.mul_f64(TARGET_SHARE), mean);
+        if in_time >= MIN_IN_TIME_REQUESTS {
             return None;
         }
-        let longest = pause.mul_f64(LATE_PAUSES);
-        Some(requests(engine, longest, slowdown.mean).clamp(0.0, slots))
+        let late = requests(engine, pause.mul_f64(LATE_PAUSES), mean);
+        Some(late.clamp(0.0, f64::from(engine.slots)))
     }
 }
 
--- a/crates/sesamerock/tests/endless.rs
+++ b/crates/sesamerock/tests/endless.rs
@@ -81,6 +81,8 @@
             cold_slack: 5.0,
             memory_mib: Some(MEMORY_MIB as f64),
             late_streams: true,
+            caller_stall: None,
+            max_descriptors: None,
             lease: Duration::from_secs(1),
             fencing: true,
             max_pause: Duration::from_millis(120),
--- a/crates/soak/src/world/mod.rs
+++ b/crates/soak/src/world/mod.rs
@@ -206,6 +206,8 @@
         cold_slack: 5.0,
         memory_mib: None,
         late_streams: true,
+        caller_stall: None,
+        max_descriptors: None,
         lease: Duration::from_secs(1),
         fencing: true,
         max_pause: Duration::from_millis(120),
