Let one gateway of a zone read the store for the others

Cause: each gateway reads all feeds of the store, so that the calls grow with the number of gateways although all read the same records.

Change: in zones with at least four gateways alive (setting store_reader), one gateway reads and delivers each batch with its offsets to the others over the exchange. A delivery does not count as contact with the store. Calls to the store are counted by kind in the metrics.

--- a/crates/gateway/src/exchange/mod.rs
+++ b/crates/gateway/src/exchange/mod.rs
@@ -1,6 +1,7 @@
 //! The protocol between gateways: heartbeats with the load of each upstream and, for a
 //! node whose reads of the store lag behind, the full state.
 
+mod delivery;
 mod peers;
 mod serve;
 
@@ -20,6 +21,7 @@
 use crate::store::contact::ContactState;
 use crate::suspect;
 
+pub use delivery::Delivery;
 pub use peers::{Peers, Settings};
 pub use serve::{accept, context_with_deadline, serve, transport};
 
@@ -65,6 +67,8 @@
     async fn pull() -> Snapshot;
     /// Returns the listing of groups that the other node knows.
     async fn groups() -> Listing;
+    /// Delivers what the reader of the zone has read from the store.
+    async fn deliver(delivery: Delivery);
 }
 
 /// What a node stated about its knowledge, and when.
@@ -98,6 +102,8 @@
     fn groups(&self) -> Arc<Listing>;
     /// Uses the listing of groups of another node if it is newer.
     fn merge_groups(&self, from: &str, listing: Listing);
+    /// Processes what the reader of the zone has read from the store.
+    fn receive_delivery(&self, delivery: Delivery);
 }
 
 /// Returns the address at which another node serves the exchange.
--- a/crates/gateway/src/exchange/peers/mod.rs
+++ b/crates/gateway/src/exchange/peers/mod.rs
@@ -1,7 +1,7 @@
 //! Exchanges heartbeats with the other nodes and tracks which of them are alive.
 
 use std::collections::HashMap;
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use sesamerock_base::time::Moment;
@@ -9,7 +9,8 @@
 use tokio::sync::watch;
 
 use super::{
-    ExchangeClient, Heartbeat, LocalNode, Statement, address, context_with_deadline, transport,
+    Delivery, ExchangeClient, Heartbeat, LocalNode, Statement, address, context_with_deadline,
+    transport,
 };
 use crate::clock;
 use crate::node;
@@ -54,6 +55,8 @@
 /// timer together take less than one interval, so a healthy initiator is always earlier.
 const INITIATOR_SILENT: f64 = 2.5;
 
+type Clients = Arc<Mutex<HashMap<String, ExchangeClient>>>;
+
 #[derive(Debug)]
 struct Received {
     at: Moment,
@@ -66,6 +69,8 @@
     settings: Settings,
     received: Mutex<HashMap<String, Received>>,
     tasks: Mutex<HashMap<String, (node::Record, AbortOnDrop)>>,
+    /// Latest connection to each node, for deliveries.
+    clients: Clients,
     /// For each announced node, when its last heartbeat was received or, without one, when
     /// its record was first read; `None` until the announced nodes are known.
     members: Mutex<Option<HashMap<String, Moment>>>,
@@ -81,6 +86,7 @@
             settings,
             received: Mutex::default(),
             tasks: Mutex::default(),
+            clients: Clients::default(),
             members: Mutex::default(),
             send_now: watch::Sender::default(),
         }
@@ -125,6 +131,33 @@
         })
     }
 
+    /// Returns the names of the other nodes of a zone that are alive, each with whether its calls
+    /// to the store fail.
+    pub fn in_zone(&self, zone: &str) -> Vec<(String, bool)> {
+        self.collect_alive(|heartbeat| {
+            let state = || (heartbeat.node.name.clone(), heartbeat.store.failing);
+            (*heartbeat.node.zone == *zone).then(state)
+        })
+    }
+
+    /// Sends a delivery to each of these nodes that is connected, at once and without waiting. One
+    /// that is lost or late is made up for by its receiver.
+    pub fn deliver(&self, nodes: impl IntoIterator<Item = String>, delivery: &Delivery) {
+        let clients = self.clients.lock().unwrap_or_else(PoisonError::into_inner);
+        for name in nodes {
+            let Some(client) = clients.get(&name).cloned() else {
+                continue;
+            };
+            let delivery = delivery.clone();
+            let context = context_with_deadline(self.settings.timeout);
+            tokio::spawn(async move {
+                if let Err(error) = client.deliver(context, delivery).await {
+                    log::debug!("event=delivery_failed peer={name} reason=\"{error}\"");
+                }
+            });
+        }
+    }
+
     /// Returns what the last heartbeat of a node stated.
     pub fn last_heartbeat(&self, node: &str) -> Option<Statement> {
         let received = self.received.lock().unwrap_or_else(PoisonError::into_inner);
@@ -197,13 +230,17 @@
                 _ => {
                     let settings = self.settings;
                     let send_now = self.send_now.subscribe();
-                    let task = maintain_connection(settings, node.clone(), host.clone(), send_now);
+                    let clients = Arc::clone(&self.clients);
+                    let (peer, host) = (node.clone(), host.clone());
+                    let task = maintain_connection(settings, peer, host, send_now, clients);
                     (node.clone(), AbortOnDrop(tokio::spawn(task)))
                 }
             };
             followed.insert(node.name.clone(), entry);
         }
         members.retain(|name, _| followed.contains_key(name));
+        let mut clients = self.clients.lock().unwrap_or_else(PoisonError::into_inner);
+        clients.retain(|name, _| followed.contains_key(name));
         *tasks = followed;
     }
 }
@@ -215,6 +252,7 @@
     node: node::Record,
     host: impl LocalNode,
     mut send_now: watch::Receiver<()>,
+    clients: Clients,
 ) {
     loop {
         match pool::connect(address(&node), settings.timeout).await {
@@ -227,7 +265,16 @@
                         log::debug!("event=exchange_broken reason=\"{error}\"");
                     }
                 }));
+                let connected = |client: Option<ExchangeClient>| {
+                    let mut clients = clients.lock().unwrap_or_else(PoisonError::into_inner);
+                    match client {
+                        Some(client) => clients.insert(node.name.clone(), client),
+                        None => clients.remove(&node.name),
+                    };
+                };
+                connected(Some(client.clone()));
                 exchange_heartbeats(&settings, &node, &host, &client, &mut send_now).await;
+                connected(None);
             }
             Err(error) => log::debug!(
                 "event=peer_unreachable peer={} reason=\"{error}\"",
--- a/crates/gateway/src/exchange/serve/mod.rs
+++ b/crates/gateway/src/exchange/serve/mod.rs
@@ -13,7 +13,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
 
-use super::{Exchange, Heartbeat, LocalNode};
+use super::{Delivery, Exchange, Heartbeat, LocalNode};
 use crate::admit::group::Listing;
 use crate::pool;
 use crate::state::Snapshot;
@@ -39,6 +39,10 @@
     async fn groups(self, _: Context) -> Listing {
         Listing::clone(&self.0.groups())
     }
+
+    async fn deliver(self, _: Context, delivery: Delivery) {
+        self.0.receive_delivery(delivery);
+    }
 }
 
 /// Serves the exchange to other nodes until `stop` is cancelled.
--- a/crates/gateway/src/run/feeds/mod.rs
+++ b/crates/gateway/src/run/feeds/mod.rs
@@ -8,27 +8,11 @@
 use tokio::time::sleep;
 
 use super::Node;
+use super::reader::{Role, pace};
+use super::zone::elected;
 use crate::clock;
 use crate::store::{Fault, Feed, Store};
 
-/// How long a read waits at the store for the first record. The connection is probed
-/// meanwhile, so that a broken one is detected.
-const LONG_POLL: Duration = Duration::from_secs(10);
-/// Interval between two reads of upstreams, as a fraction of the drain time. Changes of
-/// many upstreams at once are read together, and after one failed read there is time for
-/// another within the drain time.
-const UPSTREAMS_INTERVAL_FRACTION: f64 = 0.35;
-/// How long a read of upstreams waits for a record, as a fraction of the drain time. Most
-/// records do not change for minutes, so a read that waits saves calls. The wait is short
-/// since a waiting read may miss its record.
-const UPSTREAMS_WAIT_FRACTION: f64 = 0.3;
-/// Shortest pause between two reads of the nodes. When all gateways start at once, each
-/// announcement would otherwise end a read of every gateway, and the calls would grow with the
-/// square of their number. A new gateway is known earlier by its heartbeats.
-const NODES_INTERVAL: Duration = Duration::from_secs(1);
-/// Reads of the nodes that all gateways together make per second when gateways are restarted
-/// in turn. Each restart ends the read of every gateway.
-const NODES_READS_PER_SECOND: f64 = 10.0;
 /// Interval before the first attempt after a failure; doubled with each further one.
 const RETRY_INTERVAL: Duration = Duration::from_millis(200);
 /// Longest interval between attempts. Failed calls count against the rate limit of the store,
@@ -54,23 +38,18 @@
     (RETRY_INTERVAL * (1 << doublings)).min(longest)
 }
 
-/// Returns the pause after a successful read of a feed by one of `gateways`.
+/// Returns the pause after a successful read of a feed by one of `gateways` that read for
+/// themselves.
 pub fn read_interval(feed: Feed, drain: Duration, gateways: usize) -> Duration {
-    match feed {
-        Feed::Orders => Duration::ZERO,
-        Feed::Upstreams => drain.mul_f64(UPSTREAMS_INTERVAL_FRACTION),
-        Feed::Nodes => {
-            let shared = Duration::from_secs_f64(gateways as f64 / NODES_READS_PER_SECOND);
-            shared.max(NODES_INTERVAL)
-        }
-    }
+    let pace = pace(feed, Role::Alone, drain, gateways);
+    pace.map_or(Duration::ZERO, |pace| pace.pause)
 }
 
 /// Reads one feed and applies its records to the node, also after a fault of the program in doing
 /// so: without the feed, the gateway would go on with what it knows for good. Never returns.
-pub async fn follow_feed<S: Store>(node: Node, store: S, feed: Feed, drain: Duration) {
+pub async fn follow_feed<S: Store>(node: Node, store: S, feed: Feed) {
     loop {
-        let reading = read_feed(node.clone(), store.clone(), feed, drain);
+        let reading = read_feed(node.clone(), store.clone(), feed);
         let Err(_) = AssertUnwindSafe(reading).catch_unwind().await;
         // The panic itself has been written to standard error.
         log::error!("event=feed_failed feed={}", feed.as_str());
@@ -78,16 +57,15 @@
     }
 }
 
-async fn read_feed<S: Store>(node: Node, store: S, feed: Feed, drain: Duration) -> Infallible {
+async fn read_feed<S: Store>(node: Node, store: S, feed: Feed) -> Infallible {
+    let zone = &node.inner.zone;
     let mut returns = node.inner.shared.store_contact.returns();
-    let mut from: Option<u64> = None;
+    let mut roles = zone.roles();
     let mut failures = 0_u32;
     loop {
-        let wait = if feed == Feed::Upstreams {
-            drain.mul_f64(UPSTREAMS_WAIT_FRACTION)
-        } else {
-            LONG_POLL
-        };
+        let gateways = node.inner.shared.view.load().gateways;
+        let wait = zone.turn(feed, gateways, &mut roles).await;
+        let from = zone.offsets().get(feed);
         let requested_at = clock::now();
         let call = async {
             match from {
@@ -98,6 +76,8 @@
         let result = tokio::select! {
             result = call => result,
             Ok(()) = returns.changed() => continue,
+            // The zone depends on the reads of this gateway, which are to follow its new pace.
+            () = elected(&mut roles) => continue,
         };
         let now = clock::now();
         match result {
@@ -110,17 +90,26 @@
                     );
                 }
                 failures = 0;
-                let full_listing = from.is_none();
-                from = Some(batch.next);
-                node.apply(feed, batch, full_listing, now);
+                match from {
+                    None => node.apply_listing(feed, batch, now),
+                    Some(from) => {
+                        // A frozen process sees an old answer late.
+                        let age = now.since(requested_at + wait);
+                        node.apply_read(feed, from, batch, age);
+                    }
+                }
                 // This read has just been answered, so its own return ends no other one.
                 returns.mark_unchanged();
                 let gateways = node.inner.shared.view.load().gateways;
-                sleep(read_interval(feed, drain, gateways)).await;
+                let pause = zone.pace(feed, gateways).map(|pace| pace.pause);
+                tokio::select! {
+                    () = sleep(pause.unwrap_or_default()) => {}
+                    () = elected(&mut roles) => {}
+                }
             }
             Err(Fault::Expired) => {
                 log::warn!("event=history_expired feed={} from={from:?}", feed.as_str());
-                from = None;
+                zone.offsets().reset(feed);
             }
             Err(fault) => {
                 if failures == 0 {
--- a/crates/gateway/src/run/mod.rs
+++ b/crates/gateway/src/run/mod.rs
@@ -2,7 +2,10 @@
 
 mod auxiliary;
 mod feeds;
+pub mod offsets;
+pub mod reader;
 mod settings;
+mod zone;
 
 use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
@@ -26,7 +29,7 @@
 use crate::admit::{self, AdmissionController};
 use crate::clock;
 use crate::engine::Engine;
-use crate::exchange::{self, Heartbeat, LocalNode, Peers, Statement};
+use crate::exchange::{self, Delivery, Heartbeat, LocalNode, Peers, Statement};
 use crate::maps;
 use crate::memory;
 use crate::metrics;
@@ -35,11 +38,13 @@
 use crate::relay::{self, Shared, answer};
 use crate::shutdown::{self, Shutdown};
 use crate::state::{Event, Position, Snapshot, State, View};
+use crate::store::counted::{Calls, Counted};
 use crate::store::{Batch, Fault, Feed, Store};
 use crate::suspect::{self, Suspects};
+use zone::Zone;
 
 pub use feeds::read_interval;
-pub use settings::Settings;
+pub use settings::{Settings, StoreReader};
 
 /// TTL of the addresses given to callers. Callers may keep addresses for three times the
 /// TTL, and a node that shuts down must keep serving for that time.
@@ -81,6 +86,7 @@
     shared: Arc<Shared>,
     peers: Peers,
     membership: Mutex<Membership>,
+    zone: Zone,
     /// Cancelled when this node stops listening for callers.
     closing: CancellationToken,
     /// When the last heartbeat of a leader was received; the start of this process before
@@ -115,11 +121,10 @@
         self.state().set_store_unreachable(now);
     }
 
-    fn apply(&self, feed: Feed, batch: Batch, full_listing: bool, now: Moment) {
-        self.inner.shared.store_contact.record_answer(now);
+    fn apply(&self, feed: Feed, batch: Batch, full_listing: bool, source: &str, now: Moment) {
         let events = self.state().apply(feed, batch, full_listing, now);
         let position = self.state().position();
-        log_events("store", &events, position);
+        log_events(source, &events, position);
         for event in &events {
             if let Event::Conviction(record) = event {
                 let shared = &self.inner.shared;
@@ -338,6 +343,10 @@
     fn merge_groups(&self, from: &str, listing: Listing) {
         self.inner.shared.set_groups(from, listing);
     }
+
+    fn receive_delivery(&self, delivery: Delivery) {
+        self.apply_delivery(delivery);
+    }
 }
 
 /// Runs a gateway until the process receives SIGTERM or SIGINT, and then until its calls
@@ -424,12 +433,19 @@
             shared: Arc::clone(&shared),
             peers: Peers::new(exchange::Settings::default()),
             membership: Mutex::default(),
+            zone: Zone::new(
+                &settings.node,
+                settings.store_reader.enabled,
+                settings.drain,
+            ),
             closing: CancellationToken::new(),
             last_leader_heartbeat: Mutex::new(clock::now()),
         }),
     };
     let connections = TaskTracker::new();
-    serve_auxiliary(&settings, &node, &names, &connections).await?;
+    let store_calls = Arc::new(Calls::default());
+    let store = Counted::new(store, Arc::clone(&store_calls));
+    serve_auxiliary(&settings, &node, &names, &connections, store_calls).await?;
     let exchange_listener = bind(settings.exchange).await?;
     tokio::spawn(exchange::serve(
         exchange_listener,
@@ -438,12 +454,7 @@
         CancellationToken::new(),
     ));
     for feed in [Feed::Orders, Feed::Upstreams, Feed::Nodes] {
-        tokio::spawn(feeds::follow_feed(
-            node.clone(),
-            store.clone(),
-            feed,
-            settings.drain,
-        ));
+        tokio::spawn(feeds::follow_feed(node.clone(), store.clone(), feed));
     }
     tokio::spawn(announce(store.clone(), record));
     tokio::spawn(keep_convictions(Arc::clone(&shared), store.clone()));
@@ -458,6 +469,7 @@
         engine,
         leadership,
     ));
+    tokio::spawn(zone::run_election(node.clone()));
     tokio::spawn(run_maintenance(node.clone()));
     tokio::spawn(announce_news(node.clone()));
     let front = bind(settings.front).await?;
@@ -501,6 +513,7 @@
     node: &Node,
     names: &N,
     connections: &TaskTracker,
+    store_calls: Arc<Calls>,
 ) -> eyre::Result<()> {
     let readiness = bind(settings.readiness).await?;
     let directory = bind(settings.directory).await?;
@@ -539,6 +552,7 @@
             response
         },
     ));
+    let host = node.clone();
     let shared = Arc::clone(&node.inner.shared);
     let connections = connections.clone();
     tokio::spawn(auxiliary::serve(metrics, move |_: &Request<Incoming>| {
@@ -546,6 +560,10 @@
         let mut text = shared.counters.render();
         metrics::append_line(&mut text, format_args!("sesamerock_running {running}"));
         metrics::append_line(&mut text, format_args!("sesamerock_waiting {waiting}"));
+        store_calls.render(&mut text);
+        let role = host.inner.zone.role().as_str();
+        let line = format_args!("sesamerock_store_role{{role=\"{role}\"}} 1");
+        metrics::append_line(&mut text, line);
         let held = shared.memory.held();
         metrics::append_line(&mut text, format_args!("sesamerock_buffered_bytes {held}"));
         let open = connections.len();
--- a/crates/gateway/src/run/settings/mod.rs
+++ b/crates/gateway/src/run/settings/mod.rs
@@ -59,6 +59,9 @@
     #[serde(rename = "lease_ms")]
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     pub lease: Duration,
+    /// Whether one gateway of a zone reads the store for the others.
+    #[serde(default)]
+    pub store_reader: StoreReader,
     /// Whether engines refuse commands with a lower fencing token than they have seen. Only
     /// then may a leader go on past its lease while the store answers nobody.
     #[serde(default)]
@@ -69,3 +72,12 @@
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     pub max_pause: Duration,
 }
+
+/// Whether one gateway of a zone reads the store for the others; see
+/// `docs/notes/store-reads.md`.
+#[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
+pub struct StoreReader {
+    /// Without it, zones with at least four gateways alive have a reader.
+    #[serde(default)]
+    pub enabled: Option<bool>,
+}
--- a/crates/gateway/src/state/mod.rs
+++ b/crates/gateway/src/state/mod.rs
@@ -6,6 +6,7 @@
 
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::{Arc, OnceLock};
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 use sesamerock_base::time::Moment;
@@ -129,6 +130,21 @@
             .extend_retention(now + RETENTION_AFTER_OUTAGE);
     }
 
+    /// Returns how long absent records are still retained after the store was unreachable.
+    pub fn retention_left(&self, now: Moment) -> Duration {
+        let until = self.retention_deadline(now);
+        until.map_or(Duration::ZERO, |until| until.since(now))
+    }
+
+    /// Retains absent records at least for a time, as the gateway does that has read for this one.
+    pub fn retain_for(&mut self, time: Duration, now: Moment) {
+        let until = Some(now + time);
+        if !time.is_zero() && until > self.retain_until {
+            self.retain_until = until;
+            self.upstreams.extend_retention(now + time);
+        }
+    }
+
     fn retention_deadline(&self, now: Moment) -> Option<Moment> {
         self.retain_until.filter(|until| *until > now)
     }
--- a/crates/gateway/src/store/mod.rs
+++ b/crates/gateway/src/store/mod.rs
@@ -6,6 +6,7 @@
 //! records.
 
 pub mod contact;
+pub mod counted;
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -18,7 +19,7 @@
 use crate::upstream;
 
 /// A log of keyed records, in which the newest record of each key is valid.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Feed {
     /// Orders of operators: the table, and zones out of service.
     Orders,
@@ -29,6 +30,9 @@
 }
 
 impl Feed {
+    /// All feeds.
+    pub const ALL: [Self; 3] = [Self::Orders, Self::Upstreams, Self::Nodes];
+
     /// Returns the name used in logs and metrics.
     pub const fn as_str(self) -> &'static str {
         match self {
@@ -40,7 +44,7 @@
 }
 
 /// The decoded content of one record.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum Update {
     /// A version of the operators' table.
     Table(Arc<Content>),
@@ -71,7 +75,7 @@
 }
 
 /// A decoded record and its offset in the log.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Change {
     /// Offset of the record; of two records of a key, the higher one is newer.
     pub offset: u64,
@@ -80,7 +84,7 @@
 }
 
 /// The result of a read.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Batch {
     /// Offset from which to continue reading.
     pub next: u64,
--- a/crates/gateway/tests/exchange.rs
+++ b/crates/gateway/tests/exchange.rs
@@ -8,7 +8,9 @@
 use eyre::Result;
 use sesamerock_gateway::admit::group::{Listing, Version};
 use sesamerock_gateway::admit::outage;
-use sesamerock_gateway::exchange::{self, Heartbeat, LocalNode, Peers, Settings, Statement};
+use sesamerock_gateway::exchange::{
+    self, Delivery, Heartbeat, LocalNode, Peers, Settings, Statement,
+};
 use sesamerock_gateway::node;
 use sesamerock_gateway::state::{Position, Snapshot, State};
 use sesamerock_gateway::store::contact::ContactState;
@@ -68,6 +70,8 @@
         Position::default()
     }
 
+    fn receive_delivery(&self, _: Delivery) {}
+
     fn groups(&self) -> Arc<Listing> {
         Arc::default()
     }
--- a/crates/sesamerock/tests/endless.rs
+++ b/crates/sesamerock/tests/endless.rs
@@ -6,7 +6,7 @@
 
 use eyre::Result;
 use futures::future::{join_all, try_join_all};
-use sesamerock_gateway::run::Settings;
+use sesamerock_gateway::run::{Settings, StoreReader};
 use sesamerock_soak::process::Process;
 use sesamerock_standin::port::free;
 use sesamerock_standin::scripted::{Act, Upstream, answer, field};
@@ -82,6 +82,7 @@
             memory_mib: Some(MEMORY_MIB as f64),
             lease: Duration::from_secs(1),
             fencing: true,
+            store_reader: StoreReader::default(),
             max_pause: Duration::from_millis(120),
         };
         let program = Path::new(env!("CARGO_BIN_EXE_sesamerock"));
--- a/crates/standin/src/topics/mod.rs
+++ b/crates/standin/src/topics/mod.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use base64::Engine as _;
 use base64::prelude::BASE64_STANDARD;
@@ -30,6 +30,9 @@
     /// Whether long-poll reads miss records written while they wait.
     misses_awaited_records: bool,
     calls: u64,
+    /// Whether the leadership is granted, and to whom until when.
+    grants_leadership: bool,
+    leader: Option<(String, Instant)>,
 }
 
 /// A running stand-in store.
@@ -116,6 +119,11 @@
         lock(&self.state).misses_awaited_records = true;
     }
 
+    /// Grants the leadership from now on, to one claimant at a time.
+    pub fn grant_leadership(&self) {
+        lock(&self.state).grants_leadership = true;
+    }
+
     /// Returns the number of calls received, including refused ones.
     pub fn calls(&self) -> u64 {
         lock(&self.state).calls
@@ -157,7 +165,7 @@
             reply(200, br#"{"offset":0,"end":1}"#.to_vec())
         }
         "/v1/log-leave" => reply(200, b"{}".to_vec()),
-        "/v1/log-join" => reply(200, br#"{"generation":1,"ttlMs":1500,"parts":[]}"#.to_vec()),
+        "/v1/log-join" => reply(200, join(&mut lock(&state), &body)),
         _ => reply(404, Vec::new()),
     })
 }
@@ -220,6 +228,20 @@
     }
 }
 
+fn join(state: &mut State, body: &[u8]) -> Vec<u8> {
+    let claim: serde_json::Value = serde_json::from_slice(body).unwrap_or_default();
+    let member = claim["member"].as_str().unwrap_or_default();
+    let now = Instant::now();
+    let other = state.leader.as_ref();
+    let is_held = other.is_some_and(|(leader, until)| leader != member && *until > now);
+    if is_held || !state.grants_leadership {
+        return br#"{"generation":1,"ttlMs":1500,"parts":[]}"#.to_vec();
+    }
+    state.leader = Some((member.to_owned(), now + Duration::from_millis(1_500)));
+    let topic = &claim["topics"][0];
+    format!(r#"{{"generation":1,"ttlMs":1500,"parts":[[{topic},0,null]]}}"#).into_bytes()
+}
+
 fn append(state: &mut State, topic: String, body: &[u8]) {
     let Some((length, rest)) = body.split_at_checked(4) else {
         return;
