--- a/crates/gateway/src/exchange/serve/mod.rs
+++ b/crates/gateway/src/exchange/serve/mod.rs
@@ -16,7 +16,7 @@
 
 use super::delta::{Link, Message};
 use super::traffic::{self, Kind};
-use super::{Exchange, LocalNode};
+use super::{Delivery, Exchange, LocalNode};
 use crate::admit::group::Listing;
 use crate::clock;
 use crate::pool;
@@ -59,6 +59,10 @@
         traffic::count(Kind::Groups, &*groups);
         Listing::clone(&groups)
     }
+
+    async fn deliver(self, _: Context, delivery: Delivery) {
+        self.host.receive_delivery(delivery);
+    }
 }
 
 /// Serves the exchange to other nodes until `stop` is cancelled.
--- a/crates/sesamerock/tests/endless.rs
+++ b/crates/sesamerock/tests/endless.rs
@@ -6,7 +6,7 @@
 
 use eyre::Result;
 use futures::future::{join_all, try_join_all};
-use sesamerock_gateway::run::Settings;
+use sesamerock_gateway::run::{Settings, StoreReader};
 use sesamerock_soak::process::Process;
 use sesamerock_standin::port::free;
 use sesamerock_standin::scripted::{Act, Upstream, answer, field};
@@ -85,6 +85,7 @@
             max_descriptors: None,
             lease: Duration::from_secs(1),
             fencing: true,
+            store_reader: StoreReader::default(),
             max_pause: Duration::from_millis(120),
         };
         let program = Path::new(env!("CARGO_BIN_EXE_sesamerock"));
--- a/crates/sesamerock/tests/uncontrolled.rs
+++ b/crates/sesamerock/tests/uncontrolled.rs
@@ -9,7 +9,7 @@
 
 use eyre::{OptionExt as _, Result};
 use futures::StreamExt as _;
-use sesamerock_gateway::run::Settings;
+use sesamerock_gateway::run::{Settings, StoreReader};
 use sesamerock_soak::process::Process;
 use sesamerock_standin::port::free;
 use sesamerock_standin::scripted::{Act, Upstream, answer, chunk, stream};
@@ -90,6 +90,8 @@
             memory_mib: Some(MEMORY_MIB as f64),
             caller_stall: None,
             max_descriptors: None,
+            late_streams: true,
+            store_reader: StoreReader::default(),
             lease: Duration::from_secs(1),
             fencing: true,
             max_pause: Duration::from_millis(120),
