--- a/crates/gateway/tests/support/fleet/mod.rs
+++ b/crates/gateway/tests/support/fleet/mod.rs
@@ -1,6 +1,8 @@
 //! A simulation in virtual time of gateways that share upstreams. The admission controllers
 //! are those of the product; upstreams and heartbeats are models.
 
+pub mod mix;
+
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, HashSet, VecDeque};
 use std::sync::{Arc, OnceLock};
@@ -20,6 +22,8 @@
 use sesamerock_gateway::table::EngineSpec;
 use sesamerock_gateway::upstream::Record;
 
+use mix::{Mix, Served};
+
 /// Availability zones over which gateways and upstreams are spread.
 const ZONES: [&str; 5] = ["a", "b", "c", "d", "e"];
 /// One-way delay of a heartbeat.
@@ -29,6 +33,11 @@
 /// Longest wait of a call whose answer will be late.
 const LATE_WAIT: Duration = Duration::from_millis(1_800);
 
+/// Longest wait of a call for a slot, in multiples of its objective, as in the request path.
+const MAX_WAIT_OBJECTIVES: f64 = 3.0;
+/// Time that callers have for a request; they wait a third of what is left for a repeat.
+const CALLER_DEADLINE: Duration = Duration::from_secs(8);
+
 /// Start of a replay.
 const START: Moment = Moment::from_millis(100_000);
 
@@ -88,6 +97,10 @@
     End(usize, usize),
     /// A gateway assigns slots to its waiting calls.
     Poll(usize),
+    /// A caller repeats a refused call.
+    Repeat(u64),
+    /// A gateway sees the first event of a call after this number of milliseconds.
+    FirstEvent(usize, u64),
 }
 
 struct Upstream {
@@ -114,6 +127,10 @@
     arrivals: HashMap<u64, Moment>,
     outcome: Outcome,
     duration: Duration,
+    mix: Option<Mix>,
+    calls: HashMap<u64, mix::Call>,
+    served: Served,
+    last_call: u64,
 }
 
 impl Fleet {
@@ -212,9 +229,23 @@
             arrivals: HashMap::new(),
             outcome: Outcome::default(),
             duration: Duration::ZERO,
+            mix: None,
+            calls: HashMap::new(),
+            served: Served::default(),
+            last_call: 0,
         }
     }
 
+    /// Lets the calls be of these workspaces and priorities.
+    pub fn set_mix(&mut self, mix: Mix) {
+        self.mix = Some(mix);
+    }
+
+    /// Returns how the calls of the mix were served.
+    pub fn served(&self) -> Served {
+        self.served.clone()
+    }
+
     /// Lets the first upstreams leave one after the other, the first one `after` the start of a
     /// replay and each next one `gap` later. They stay listed as ready.
     pub fn leave(&mut self, upstreams: usize, after: Duration, gap: Duration) {
@@ -234,7 +265,6 @@
             let phase = interval.mul_f64(self.rng.random());
             self.push(start + phase, Event::Heartbeat(gateway));
         }
-        let mut call = 0;
         let (mut next_sample, mut samples) = (start + Duration::from_secs(3), 0.0);
         while let Some(Reverse((now, event))) = self.events.pop() {
             if now > start + load.length {
@@ -247,9 +277,14 @@
             }
             match event {
                 Event::Arrival => {
-                    call += 1;
+                    let call = self.next_call();
                     self.arrive(call, now);
-                    let gap = -self.rng.random::<f64>().max(1e-9).ln() / load.calls_per_second;
+                    let factor = self
+                        .mix
+                        .as_ref()
+                        .map_or(1.0, |mix| mix.load(now.since(start)));
+                    let rate = load.calls_per_second * factor;
+                    let gap = -self.rng.random::<f64>().max(1e-9).ln() / rate;
                     self.push(now + Duration::from_secs_f64(gap), Event::Arrival);
                 }
                 Event::Heartbeat(gateway) => {
@@ -268,6 +303,12 @@
                 }
                 Event::End(gateway, upstream) => self.end(gateway, upstream, now),
                 Event::Poll(gateway) => self.poll(gateway, now),
+                Event::Repeat(call) => self.repeat(call, now),
+                Event::FirstEvent(gateway, millis) => {
+                    let elapsed = Duration::from_millis(millis);
+                    let service = Arc::from("s");
+                    self.gateways[gateway].observe_first_event(&service, elapsed, now);
+                }
             }
         }
         self.outcome.pairs = self.pairs.len();
@@ -289,17 +330,75 @@
         let gateway = self.rng.random_range(0..self.gateways.len());
         self.outcome.arrived += 1;
         self.arrivals.insert(call, now);
-        self.request(gateway, call, 1, now);
+        if let Some(mix) = &self.mix {
+            let drawn = mix.draw(call, now.since(START), &mut self.rng);
+            self.calls.insert(call, drawn);
+            self.tally(&drawn).offered += u32::from(drawn.is_counted);
+        }
+        self.request(gateway, call, self.urgency(call), now);
+    }
+
+    fn next_call(&mut self) -> u64 {
+        self.last_call += 1;
+        self.last_call
+    }
+
+    fn urgency(&self, call: u64) -> u8 {
+        self.calls.get(&call).map_or(1, |call| call.kind.priority)
+    }
+
+    fn tally(&mut self, call: &mix::Call) -> &mut mix::Tally {
+        let key = (call.workspace, call.kind.priority);
+        self.served.0.entry(key).or_default()
+    }
+
+    /// Sends a refused call again, with a new id and to any gateway.
+    fn repeat(&mut self, refused: u64, now: Moment) {
+        let gateway = self.rng.random_range(0..self.gateways.len());
+        let call = self.next_call();
+        let repeated = mix::Call {
+            is_repeat: true,
+            ..self.calls[&refused]
+        };
+        self.calls.insert(call, repeated);
+        self.arrivals.insert(call, now);
+        self.request(gateway, call, self.urgency(call), now);
+    }
+
+    /// Counts a refusal, after which the caller may repeat the call.
+    fn refuse(&mut self, call: u64, retry_after: Duration, now: Moment) {
+        self.outcome.refused += 1;
+        let has_repeats = self.mix.as_ref().is_some_and(|mix| mix.has_repeats);
+        let is_repeat = self.calls.get(&call).is_none_or(|call| call.is_repeat);
+        if has_repeats && !is_repeat {
+            let left = CALLER_DEADLINE.saturating_sub(now.since(self.arrivals[&call]));
+            self.push(now + retry_after.min(left / 3), Event::Repeat(call));
+        }
+    }
+
+    /// Returns until when a call may wait such that it can be in time, and until when at all.
+    fn waits(&self, gateway: usize, call: u64, now: Moment) -> (Duration, Duration) {
+        let Some(call) = self.calls.get(&call) else {
+            return (IN_TIME_WAIT, LATE_WAIT);
+        };
+        let objective = call.kind.objective;
+        let in_time = self.gateways[gateway].longest_wait("s", objective, now);
+        (in_time, objective.mul_f64(MAX_WAIT_OBJECTIVES))
     }
 
     /// Requests a slot as the request path does: in time first, and then as a late call.
     fn request(&mut self, gateway: usize, call: u64, urgency: u8, now: Moment) {
         let is_late = urgency == LATE_URGENCY;
-        let wait = if is_late { LATE_WAIT } else { IN_TIME_WAIT };
+        let (in_time, late) = self.waits(gateway, call, now);
+        let wait = if is_late { late } else { in_time };
+        let workspace = match self.calls.get(&call) {
+            Some(call) => call.workspace as u32,
+            None => self.rng.random_range(0..40),
+        };
         let request = SlotRequest {
             call,
             service: Arc::from("s"),
-            workspace: Workspace(self.rng.random_range(0..40)),
+            workspace: Workspace(workspace),
             tokens: 100,
             urgency,
             latest_start: self.arrivals[&call] + wait,
@@ -309,7 +408,7 @@
         match self.gateways[gateway].request(request, now) {
             Verdict::Place(record) => self.send(gateway, call, &record, now),
             Verdict::Wait => self.push(now + Duration::from_millis(50), Event::Poll(gateway)),
-            Verdict::Refuse(_) if is_late => self.outcome.refused += 1,
+            Verdict::Refuse(refusal) if is_late => self.refuse(call, refusal.after, now),
             Verdict::Refuse(_) => self.request(gateway, call, LATE_URGENCY, now),
         }
     }
@@ -336,7 +435,15 @@
     }
 
     fn start(&mut self, gateway: usize, call: u64, upstream: usize, now: Moment) {
-        if now.since(self.arrivals[&call]) <= IN_TIME_WAIT {
+        let wait = now.since(self.arrivals[&call]);
+        if let Some(call) = self.calls.get(&call).copied() {
+            let is_in_time = wait + call.first_event <= call.kind.objective;
+            self.tally(&call).in_time += u32::from(call.is_counted && is_in_time);
+            let millis = call.first_event.as_millis() as u64;
+            let first_event = Event::FirstEvent(gateway, millis);
+            self.push(now + call.first_event, first_event);
+        }
+        if wait <= IN_TIME_WAIT {
             self.outcome.in_time += 1;
         }
         let started = &mut self.upstreams[upstream];
@@ -362,11 +469,12 @@
 
     fn poll(&mut self, gateway: usize, now: Moment) {
         let poll = self.gateways[gateway].poll(now);
-        for (call, _) in poll.refused {
-            if now.since(self.arrivals[&call]) < LATE_WAIT {
+        for (call, refusal) in poll.refused {
+            let (_, latest) = self.waits(gateway, call, now);
+            if now.since(self.arrivals[&call]) < latest {
                 self.request(gateway, call, LATE_URGENCY, now);
             } else {
-                self.outcome.refused += 1;
+                self.refuse(call, refusal.after, now);
             }
         }
         for (call, record) in poll.placed {
