--- a/crates/gateway/src/admit/group/mod.rs
+++ b/crates/gateway/src/admit/group/mod.rs
@@ -306,6 +306,11 @@
 }
 
 impl Availability {
+    /// Returns whether a group of the service runs nothing.
+    pub fn has_broken(&self) -> bool {
+        !self.broken.is_empty()
+    }
+
     /// Returns the expected time until a group of the service runs calls; `None` if one does.
     pub fn wait(&self) -> Option<Duration> {
         self.earliest.filter(|_| self.waits)
--- a/crates/gateway/src/admit/mod.rs
+++ b/crates/gateway/src/admit/mod.rs
@@ -8,6 +8,7 @@
 
 mod choice;
 pub mod cold;
+pub mod demand;
 pub mod estimate;
 pub mod group;
 mod health;
@@ -33,6 +34,7 @@
 
 use crate::upstream::Record;
 use choice::{Random, Selection};
+use demand::{Decision, Demand, Slots};
 use estimate::Estimate;
 use group::{Availability, Groups, Headroom, Listing, Loads, Pace};
 use health::Health;
@@ -58,6 +60,10 @@
 /// multiples of its objective. The rest is for processing the prompt.
 const MAX_WAIT_OBJECTIVES: f64 = 0.7;
 
+/// As [`MIN_WAIT_OBJECTIVES`], where calls are admitted by shares. At 14 gateways that start 255 calls
+/// a second, a slot becomes free at a gateway every 55 ms; calls that may wait less are mostly lost.
+const MIN_SHARED_WAIT_OBJECTIVES: f64 = 0.25;
+
 /// Share of the slots for which calls wait until the end of an outage. Their answers will be late,
 /// so the rest is for calls that arrive then and can be in time.
 const HELD_SLOTS_SHARE: f64 = 0.2;
@@ -96,6 +102,9 @@
     pub queue: queue::Settings,
     /// Seed of the random choices, which should differ between gateways.
     pub seed: u64,
+    /// Shares of workspaces; `None` if operators set none. They are then in force only for services
+    /// whose routes have unlike priorities.
+    pub shares: Option<demand::Settings>,
 }
 
 impl Default for Settings {
@@ -111,6 +120,7 @@
             max_late_calls: 4,
             queue: queue::Settings::default(),
             seed: 0,
+            shares: None,
         }
     }
 }
@@ -134,6 +144,8 @@
     pub pause: Option<Duration>,
     /// Upstreams that the call has already tried, which are not chosen again.
     pub exclude: Vec<Arc<str>>,
+    /// Where the call comes from, for its share.
+    pub origin: demand::Origin,
 }
 
 /// Decision on a [`SlotRequest`].
@@ -196,6 +208,7 @@
     queues: HashMap<Arc<str>, ServiceQueue>,
     pools: HashMap<Arc<str>, UpstreamPool>,
     groups: Groups,
+    demand: Demand,
     /// Starts that this gateway may make, by service.
     shares: HashMap<Arc<str>, StartShare>,
     /// Time from the start of a stream at its upstream to its first event, by service.
@@ -216,6 +229,12 @@
     pub fn new(settings: Settings, zone: Arc<str>) -> Self {
         Self {
             random: Random::new(settings.seed),
+            demand: Demand::new(
+                settings.shares.clone().unwrap_or_default(),
+                settings.peer_load_ttl,
+                settings.max_retry_after,
+                settings.seed,
+            ),
             settings,
             zone,
             upstreams: HashMap::new(),
@@ -258,6 +277,11 @@
         self.pools = pools;
     }
 
+    /// Returns the usable upstreams of all services.
+    pub fn pools(&self) -> &HashMap<Arc<str>, UpstreamPool> {
+        &self.pools
+    }
+
     /// Replaces the call counts of another gateway, and drops those that are too old.
     pub fn set_peer_loads(&mut self, gateway: &str, loads: Vec<(Arc<str>, u32)>, now: Moment) {
         for (id, load) in &loads {
@@ -276,6 +300,7 @@
     /// Drops the call counts of gateways that have not reported any for
     /// [`Settings::peer_load_ttl`]: their calls have ended with them or will not be told.
     pub fn drop_silent_loads(&mut self, now: Moment) {
+        self.demand.drop_expired(now);
         let ttl = self.settings.peer_load_ttl;
         let expired = self
             .peer_loads
@@ -357,10 +382,20 @@
     pub fn longest_wait(&self, service: &str, objective: Duration, now: Moment) -> Duration {
         let estimate = self.first_events.get(service);
         let first_event = estimate.and_then(|estimate| estimate.current(now));
+        // A call that is admitted by its share waits as long as half of those like it are in time.
+        let deviations = if self.is_shared(service) {
+            0.0
+        } else {
+            FIRST_EVENT_DEVIATIONS
+        };
         let first_event = first_event.map_or(Duration::ZERO, |first_event| {
-            Duration::from_secs_f64(first_event.upper(FIRST_EVENT_DEVIATIONS))
+            Duration::from_secs_f64(first_event.upper(deviations))
+        });
+        let shortest = objective.mul_f64(if self.is_shared(service) {
+            MIN_SHARED_WAIT_OBJECTIVES
+        } else {
+            MIN_WAIT_OBJECTIVES
         });
-        let shortest = objective.mul_f64(MIN_WAIT_OBJECTIVES);
         let longest = objective.mul_f64(MAX_WAIT_OBJECTIVES);
         objective
             .saturating_sub(first_event)
@@ -454,12 +489,19 @@
             return Verdict::Refuse(self.refusal(Reason::Leaving, &request.service, now));
         }
         let urgency = request.urgency;
+        let is_first = match self.judge_share(&request, now) {
+            Decision::Admit { returns } => returns,
+            Decision::Refuse(after) => {
+                let reason = Reason::OverShare;
+                return Verdict::Refuse(Refusal { reason, after });
+            }
+        };
         let queue = self.queues.get(&request.service);
         let ahead = queue.map_or(0, |service| service.queue.len_up_to(urgency));
         if ahead == 0
             && let Some(record) = self.choose(&request, now)
         {
-            self.start_call(&record, now);
+            self.start_call(&record, &request, now);
             return Verdict::Place(record);
         }
         if self.is_without_upstream(&request.service) {
@@ -482,7 +524,7 @@
             if now + remaining > request.latest_start || held >= held_limit(pool) {
                 return Verdict::Refuse(self.refusal(Reason::Full, &request.service, now));
             }
-        } else if self.yields(&request) {
+        } else if urgency >= LATE_URGENCY && self.yields(&request, now) {
             return Verdict::Refuse(self.refusal(Reason::Full, &request.service, now));
         }
         let service_queue = self
@@ -503,6 +545,7 @@
         let too_many =
             outage.is_none() && urgency >= LATE_URGENCY && late >= self.settings.max_late_calls;
         if too_late || too_many || request.latest_start <= now {
+            self.turn_away(&request.service, urgency, now);
             return Verdict::Refuse(self.refusal(Reason::Full, &request.service, now));
         }
         let item = Item {
@@ -512,7 +555,11 @@
             urgency: request.urgency,
             latest_start: request.latest_start,
         };
-        let pushed = service_queue.queue.push(item);
+        let pushed = if is_first {
+            service_queue.queue.push_first(item)
+        } else {
+            service_queue.queue.push(item)
+        };
         match pushed {
             queue::PushOutcome::Queued | queue::PushOutcome::Duplicate => {}
             queue::PushOutcome::Full => {
@@ -543,9 +590,14 @@
             service_queue.requests.remove(&call);
             refused.push((call, Reason::Full));
         }
+        let mut expired = Vec::new();
         while let Some(item) = service_queue.queue.pop_expired(now) {
             service_queue.requests.remove(&item.call);
             refused.push((item.call, Reason::Expired));
+            expired.push(item.urgency);
+        }
+        for urgency in expired {
+            self.turn_away(service, urgency, now);
         }
         if self.is_closed {
             let waiting = self.drain_queue(service);
@@ -601,7 +653,7 @@
         let item = service_queue.queue.peek()?;
         let request = service_queue.requests.get(&item.call)?.clone();
         let record = self.choose(&request, now)?;
-        self.start_call(&record, now);
+        self.start_call(&record, &request, now);
         let service_queue = self.queues.get_mut(service)?;
         service_queue.queue.pop();
         service_queue.requests.remove(&request.call);
@@ -666,7 +718,14 @@
         if gateways == 1 || pool.engine.is_none() {
             return true;
         }
-        let free_slots = headroom.map_or_else(
+        let free_slots = self.free_slots(pool, headroom, now);
+        let share = self.shares.entry(Arc::clone(service)).or_default();
+        share.may_start(free_slots, gateways, now)
+    }
+
+    /// Returns how many calls may still start at the upstreams of a pool.
+    fn free_slots(&self, pool: &UpstreamPool, headroom: Option<&Headroom>, now: Moment) -> f64 {
+        headroom.map_or_else(
             || {
                 let records = pool.candidates.iter().map(|candidate| &candidate.record);
                 let records = records.filter(|record| self.is_open(record, &pool.members, now));
@@ -674,23 +733,101 @@
                 f64::from(free.sum::<u32>())
             },
             Headroom::streams,
-        );
-        let share = self.shares.entry(Arc::clone(service)).or_default();
-        share.may_start(free_slots, gateways, now)
+        )
     }
 
-    /// Returns whether a call that can only be late leaves the slots to others that can be in
-    /// time, here or at another gateway.
-    fn yields(&self, request: &SlotRequest) -> bool {
+    /// Returns whether a call leaves the slots to others, here or at another gateway: one that can
+    /// only be late to those that can be in time, and one of a lower priority, where calls are
+    /// admitted by shares, to those of a higher one that found no slot lately.
+    fn yields(&self, request: &SlotRequest, now: Moment) -> bool {
         let share = self.shares.get(&request.service);
-        request.urgency >= LATE_URGENCY && share.is_some_and(StartShare::is_scarce)
+        if !share.is_some_and(StartShare::is_scarce) {
+            return false;
+        }
+        let (service, urgency) = (&request.service, request.urgency);
+        urgency >= LATE_URGENCY
+            || self.is_shared(service) && self.demand.yields(service, urgency, now)
+    }
+
+    /// Returns whether the calls of a service are admitted by shares.
+    fn is_shared(&self, service: &str) -> bool {
+        let pool = self.pools.get(service);
+        pool.is_some_and(|pool| {
+            pool.engine.is_some() && (pool.has_priorities || self.settings.shares.is_some())
+        })
+    }
+
+    /// Decides whether a call may compete for a slot, by the share of its workspace and priority.
+    /// A call is counted once, however many slots it asks for.
+    fn judge_share(&mut self, request: &SlotRequest, now: Moment) -> Decision {
+        let is_admitted = Decision::Admit { returns: false };
+        let origin = request.origin;
+        if origin.is_charged || request.urgency >= LATE_URGENCY || !self.is_shared(&request.service)
+        {
+            return is_admitted;
+        }
+        let key = origin.key(request.urgency);
+        let slots = if self.demand.needs_slots(&request.service, key, now) {
+            self.slots(request, now)
+        } else {
+            None
+        };
+        self.demand
+            .judge(&request.service, key, origin.request, slots, now)
+    }
+
+    /// Counts the slots of a service; `None` while a group of it runs nothing, as calls then go by
+    /// the rules for outages, and before the other gateways are known.
+    fn slots(&self, request: &SlotRequest, now: Moment) -> Option<Slots> {
+        let pool = self.pools.get(&request.service)?;
+        if !pool.members.are_known() || self.availability(pool, now).has_broken() {
+            return None;
+        }
+        let candidates = pool.candidates.iter();
+        let running = candidates.map(|candidate| self.load(&candidate.record.id));
+        let headroom = self.headroom(pool, request, now);
+        Some(Slots {
+            free: self.free_slots(pool, headroom.as_ref(), now),
+            running: f64::from(running.sum::<u32>()),
+            gateways: pool.members.count(),
+        })
+    }
+
+    /// Records that a call found no slot in time.
+    fn turn_away(&mut self, service: &Arc<str>, urgency: u8, now: Moment) {
+        if urgency < LATE_URGENCY && self.is_shared(service) {
+            self.demand.turn_away(service, urgency, now);
+        }
+    }
+
+    /// Returns the demand of this gateway, to tell the others.
+    pub fn demand(&mut self, now: Moment) -> demand::Report {
+        self.demand.report(now)
+    }
+
+    /// Replaces the demand of another gateway.
+    pub fn learn_demand(&mut self, gateway: &str, report: demand::Report, now: Moment) {
+        self.demand.learn(gateway, report, now);
+    }
+
+    /// Returns the fraction of the calls of a workspace and priority that is admitted.
+    pub fn admitted_fraction(&self, service: &str, origin: demand::Origin, urgency: u8) -> f64 {
+        self.demand.fraction(service, origin.key(urgency))
+    }
+
+    /// Returns the calls of all gateways by service, where they are admitted by shares, and the
+    /// number of bookings that are kept.
+    pub fn demand_totals(&self) -> (Vec<(Arc<str>, demand::Totals)>, usize) {
+        let services = self.pools.keys().filter(|service| self.is_shared(service));
+        let totals = services.map(|service| (Arc::clone(service), self.demand.totals(service)));
+        (totals.collect(), self.demand.bookings())
     }
 
     /// Chooses an upstream, preferring the gateway's zone.
     fn choose(&mut self, request: &SlotRequest, now: Moment) -> Option<Arc<Record>> {
         let pool = self.pools.get(&request.service)?;
         let headroom = self.headroom(pool, request, now);
-        if !self.may_start(&request.service, headroom.as_ref(), now) || self.yields(request) {
+        if !self.may_start(&request.service, headroom.as_ref(), now) || self.yields(request, now) {
             return None;
         }
         let pool = self.pools.get(&request.service)?;
@@ -777,7 +914,11 @@
         *candidate.cold_limit.get_or_init(share)
     }
 
-    fn start_call(&mut self, record: &Arc<Record>, now: Moment) {
+    fn start_call(&mut self, record: &Arc<Record>, request: &SlotRequest, now: Moment) {
+        if self.is_shared(&request.service) {
+            let key = request.origin.key(request.urgency);
+            self.demand.start(&request.service, key, now);
+        }
         if let Some(share) = self.shares.get_mut(&record.service) {
             share.start();
         }
--- a/crates/gateway/src/admit/pool/mod.rs
+++ b/crates/gateway/src/admit/pool/mod.rs
@@ -31,4 +31,6 @@
     pub members: Arc<Members>,
     /// Configured step and request times of the upstreams, if they are engines.
     pub engine: Option<EngineSpec>,
+    /// Whether the routes of the service have unlike priorities.
+    pub has_priorities: bool,
 }
--- a/crates/gateway/src/admit/refusal/mod.rs
+++ b/crates/gateway/src/admit/refusal/mod.rs
@@ -35,6 +35,9 @@
     /// All upstreams of the service that are left have named a limit, by which the next call may
     /// be sent after the latest start.
     Limited,
+    /// More calls are offered than can run, and this one exceeds the share of its workspace and
+    /// priority.
+    OverShare,
 }
 
 impl Reason {
@@ -50,6 +53,7 @@
             Self::OnTrial => "suspect_on_trial",
             Self::Paused => "paused",
             Self::Limited => "limited",
+            Self::OverShare => "over_share",
         }
     }
 }
--- a/crates/gateway/src/exchange/mod.rs
+++ b/crates/gateway/src/exchange/mod.rs
@@ -10,6 +10,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::admit::demand;
 use crate::admit::group::{self, Listing, Pace};
 use crate::admit::leaving::Departure;
 use crate::admit::limit;
@@ -54,6 +55,8 @@
     pub paces: Vec<Pace>,
     /// Number of calls in flight from the sender, by upstream id.
     pub loads: Vec<(Arc<str>, u32)>,
+    /// Calls offered to the sender and started by it, by workspace and priority.
+    pub demand: demand::Report,
 }
 
 /// Remote calls between gateways.
--- a/crates/gateway/src/names/mod.rs
+++ b/crates/gateway/src/names/mod.rs
@@ -30,6 +30,9 @@
     pub tokens: HeaderName,
     /// Parts of the prompt, in order.
     pub parts: HeaderName,
+    /// Priority of a call, from 0 (the highest) to 9, which upstreams are told if the table has more
+    /// than one.
+    pub priority: HeaderName,
 }
 
 /// Paths at which a gateway answers requests other than calls.
--- a/crates/gateway/src/relay/attempt/mod.rs
+++ b/crates/gateway/src/relay/attempt/mod.rs
@@ -14,6 +14,7 @@
 use super::call::Call;
 use super::permit::{self, Permit};
 use super::watch::Watch;
+use crate::admit::demand;
 use crate::admit::{HealthSignal, LATE_URGENCY, Obstacle, Reason, Refusal, SlotRequest};
 use crate::clock;
 use crate::names::Names;
@@ -76,6 +77,8 @@
     pub ids: Vec<Arc<str>>,
     /// Number of upstreams that the call was sent to.
     pub sent: u32,
+    /// Whether the call has been counted for the share of its workspace.
+    pub is_charged: bool,
 }
 
 /// Time limits of an attempt, and where a resumed stream starts.
@@ -120,9 +123,10 @@
         Err(refusal) => {
             shared.counters.refused(refusal.reason.as_str());
             let (running, waiting) = shared.admission().totals();
+            let share = share_of(shared, call, refusal.reason);
             log::info!(
                 "event=refused id={} service={} reason={} wait_ms={} retry_after_ms={} \
-                 running={running} waiting={waiting}",
+                 running={running} waiting={waiting}{share}",
                 call.id(),
                 call.service,
                 refusal.reason.as_str(),
@@ -170,11 +174,25 @@
     Ok(outcome)
 }
 
+/// Returns the further fields of the log line of a call that exceeds its share.
+fn share_of(shared: &Shared, call: &Call, reason: Reason) -> String {
+    if reason != Reason::OverShare {
+        return String::new();
+    }
+    let admission = shared.admission();
+    let fraction = admission.admitted_fraction(&call.service, call.origin, call.urgency);
+    let workspace = call.workspace_name.as_deref().unwrap_or("-");
+    format!(
+        " workspace={workspace} priority={} admitted={fraction:.3}",
+        call.urgency
+    )
+}
+
 /// Waits for a slot with which the call may be sent.
 async fn acquire(
     shared: &Arc<Shared>,
     call: &Call,
-    attempted: &Attempted,
+    attempted: &mut Attempted,
     limits: AttemptLimits,
 ) -> Result<(Watch, Permit), Refusal> {
     loop {
@@ -191,7 +209,7 @@
 async fn acquire_permit(
     shared: &Arc<Shared>,
     call: &Call,
-    attempted: &Attempted,
+    attempted: &mut Attempted,
     limits: AttemptLimits,
 ) -> Result<Permit, Refusal> {
     let slot_request = SlotRequest {
@@ -203,16 +221,27 @@
         latest_start: limits.latest_in_time,
         pause: call.pause,
         exclude: attempted.ids.clone(),
+        origin: demand::Origin {
+            is_charged: attempted.is_charged,
+            ..call.origin
+        },
     };
+    attempted.is_charged = true;
     let late_request = SlotRequest {
         call: shared.next_call_number(),
         urgency: LATE_URGENCY,
         latest_start: limits.latest_start,
+        origin: demand::Origin {
+            is_charged: true,
+            ..call.origin
+        },
         ..slot_request.clone()
     };
     match permit::acquire(shared, slot_request).await {
+        // A call that exceeds its share is not tried again as a late one.
         Err(refusal)
-            if refusal.reason != Reason::Nowhere && limits.latest_start > limits.latest_in_time =>
+            if !matches!(refusal.reason, Reason::Nowhere | Reason::OverShare)
+                && limits.latest_start > limits.latest_in_time =>
         {
             permit::acquire(shared, late_request).await
         }
--- a/crates/gateway/src/relay/call/mod.rs
+++ b/crates/gateway/src/relay/call/mod.rs
@@ -8,6 +8,7 @@
 use sesamerock_base::key::Workspace;
 use sesamerock_base::time::Moment;
 
+use crate::admit::demand;
 use crate::memory::Share;
 use crate::socket::Socket;
 use crate::suspect::Subject;
@@ -32,6 +33,8 @@
     pub workspace_name: Option<String>,
     /// Priority level; 0 is served first.
     pub urgency: u8,
+    /// What the call is counted as for the share of its workspace.
+    pub origin: demand::Origin,
     /// What may crash upstreams: the parts of the prompt that other prompts may share, and the
     /// request.
     pub subjects: Arc<[Subject]>,
--- a/crates/gateway/src/relay/head/mod.rs
+++ b/crates/gateway/src/relay/head/mod.rs
@@ -13,6 +13,7 @@
 use super::answer::{self, Body};
 use super::call::Call;
 use crate::admit::LATE_URGENCY;
+use crate::admit::demand;
 use crate::clock;
 use crate::memory::{self, ReadError, Share};
 use crate::names::{Headers, Names};
@@ -30,6 +31,9 @@
 /// Lowest priority of a call; the one below it is for calls that can only be late.
 const LOWEST_URGENCY: u8 = LATE_URGENCY - 1;
 
+/// Lowest priority that upstreams are told.
+const LOWEST_SENT_PRIORITY: u8 = 9;
+
 /// Reads a request and looks up its route, caller, workspace and service.
 ///
 /// # Errors
@@ -103,7 +107,13 @@
     let name = workspace_name.as_deref();
     let request = Subject::request(service, name, &parts.method, &uri, &body);
     let subjects = prompt.chain([request]).collect();
-    let headers = upstream_headers(parts.headers, header_names, workspace_name.as_deref());
+    let origin = demand::Origin {
+        workspace: name.map_or(0, demand::workspace),
+        request: request.key() as u32,
+        is_charged: false,
+    };
+    let sent_priority = table.has_priorities(None).then_some(priority);
+    let headers = upstream_headers(parts.headers, header_names, name, sent_priority);
     Ok(Call {
         connection,
         id,
@@ -113,6 +123,7 @@
         workspace: Workspace(workspace_index),
         workspace_name,
         urgency: priority.min(LOWEST_URGENCY),
+        origin,
         subjects,
         tokens: token_usage.map_or(1, |(prompt, _)| prompt.max(1)),
         output_tokens: token_usage.map(|(_, output)| output),
@@ -156,17 +167,23 @@
 }
 
 /// Returns the headers for the upstream: without hop-by-hop headers and the caller's
-/// key, and with the workspace that this gateway has determined.
+/// key, and with the workspace and priority that this gateway has determined.
 fn upstream_headers(
     mut headers: HeaderMap,
     header_names: &Headers,
     workspace: Option<&str>,
+    priority: Option<u8>,
 ) -> HeaderMap {
     answer::strip_hop_by_hop(&mut headers);
     headers.remove(AUTHORIZATION);
     headers.remove(CONTENT_LENGTH);
     headers.remove(&header_names.workspace);
     headers.remove(&header_names.instance);
+    headers.remove(&header_names.priority);
+    if let Some(priority) = priority {
+        let priority = HeaderValue::from(u16::from(priority.min(LOWEST_SENT_PRIORITY)));
+        headers.insert(header_names.priority.clone(), priority);
+    }
     if let Some(name) = workspace {
         match HeaderValue::from_str(name) {
             Ok(value) => {
--- a/crates/gateway/src/run/mod.rs
+++ b/crates/gateway/src/run/mod.rs
@@ -39,7 +39,7 @@
 use crate::suspect::{self, Suspects};
 
 pub use feeds::read_interval;
-pub use settings::Settings;
+pub use settings::{Settings, Shares};
 
 /// TTL of the addresses given to callers. Callers may keep addresses for three times the
 /// TTL, and a node that shuts down must keep serving for that time.
@@ -257,7 +257,7 @@
         let position = self.state().position();
         let shared = &self.inner.shared;
         let suspects = shared.update_suspects(|suspects| suspects.report(now));
-        let admission = shared.admission();
+        let mut admission = shared.admission();
         Heartbeat {
             node: self.inner.record.clone(),
             ready: self.is_ready(),
@@ -273,6 +273,7 @@
             outages: admission.outages(now),
             paces: admission.recent_paces(exchange::Settings::default().interval, now),
             loads: admission.loads(),
+            demand: admission.demand(now),
         }
     }
 
@@ -301,6 +302,7 @@
         admission.learn_misdirected(&heartbeat.misdirected, now);
         admission.learn_paces(&heartbeat.paces, now);
         admission.set_peer_loads(&name, loads, now);
+        admission.learn_demand(&name, heartbeat.demand.clone(), now);
         drop(admission);
         self.inner.shared.learn_leaving(&name, &heartbeat.leaving);
         self.inner.shared.learn_limits(&name, &heartbeat.limits);
@@ -373,7 +375,7 @@
 /// is over.
 ///
 /// # Errors
-/// Fails if an address cannot be bound.
+/// Fails if a setting is out of range or an address cannot be bound.
 pub async fn run_until<S: Store, E: Engine, N: Names>(
     settings: Settings,
     store: S,
@@ -381,6 +383,7 @@
     names: N,
     stop_requested: impl Future<Output = ()>,
 ) -> eyre::Result<()> {
+    settings.check()?;
     let incarnation = std::time::SystemTime::now()
         .duration_since(std::time::UNIX_EPOCH)
         .unwrap_or_default()
@@ -404,6 +407,7 @@
         admit::Settings {
             cold_slack: settings.cold_slack,
             seed: rand::random(),
+            shares: settings.shares.as_ref().map(settings::Shares::admission),
             ..admit::Settings::default()
         },
         Arc::clone(&record.zone),
@@ -546,6 +550,19 @@
         let mut text = shared.counters.render();
         metrics::append_line(&mut text, format_args!("sesamerock_running {running}"));
         metrics::append_line(&mut text, format_args!("sesamerock_waiting {waiting}"));
+        let (demand, bookings) = shared.admission().demand_totals();
+        for (service, totals) in demand {
+            for (state, rate) in [
+                ("offered", totals.offered),
+                ("started", totals.started),
+                ("capacity", totals.capacity),
+            ] {
+                let labels = format!("service=\"{service}\",calls=\"{state}\"");
+                let line = format_args!("sesamerock_demand_per_second{{{labels}}} {rate}");
+                metrics::append_line(&mut text, line);
+            }
+        }
+        metrics::append_line(&mut text, format_args!("sesamerock_bookings {bookings}"));
         let held = shared.memory.held();
         metrics::append_line(&mut text, format_args!("sesamerock_buffered_bytes {held}"));
         let open = connections.len();
--- a/crates/gateway/src/run/settings/mod.rs
+++ b/crates/gateway/src/run/settings/mod.rs
@@ -1,11 +1,14 @@
 //! The settings file of a gateway.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, DurationSeconds, serde_as};
 
+use crate::admit::demand;
+
 /// Settings of a gateway, as read from its file. Unknown keys are ignored, so that a file
 /// for a newer version still works.
 #[serde_as]
@@ -68,4 +71,69 @@
     #[serde(rename = "pass_ms")]
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     pub max_pause: Duration,
+    /// Shares of workspaces in an overload. Without it, they are in force for engines whose routes
+    /// have unlike priorities, and weights follow the usual demand.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub shares: Option<Shares>,
+}
+
+/// Shares of workspaces in an overload.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Shares {
+    /// Part of the mean ratio of served to offered calls that each workspace and priority keeps.
+    pub floor: f64,
+    /// Weights by workspace name; 1 is that of a workspace with the mean usual demand.
+    pub weights: BTreeMap<String, f64>,
+}
+
+impl Default for Shares {
+    fn default() -> Self {
+        Self {
+            floor: demand::Settings::default().floor,
+            weights: BTreeMap::new(),
+        }
+    }
+}
+
+impl Shares {
+    /// Checks the ranges of the values.
+    ///
+    /// # Errors
+    /// Names the field, its value and the limit.
+    pub fn check(&self) -> eyre::Result<()> {
+        let floor = self.floor;
+        eyre::ensure!(
+            (0.0..=1.0).contains(&floor),
+            "shares.floor is {floor}; it must be from 0 to 1"
+        );
+        for (name, weight) in &self.weights {
+            eyre::ensure!(
+                *weight > 0.0 && weight.is_finite(),
+                "shares.weights.{name} is {weight}; it must be over 0 and finite"
+            );
+        }
+        Ok(())
+    }
+
+    /// Returns the settings for admission.
+    pub fn admission(&self) -> demand::Settings {
+        let weights = self.weights.iter();
+        demand::Settings {
+            floor: self.floor,
+            weights: weights
+                .map(|(name, weight)| (demand::workspace(name), *weight))
+                .collect(),
+        }
+    }
+}
+
+impl Settings {
+    /// Checks the values whose range is limited.
+    ///
+    /// # Errors
+    /// Names the field, its value and the limit.
+    pub fn check(&self) -> eyre::Result<()> {
+        self.shares.as_ref().map_or(Ok(()), Shares::check)
+    }
 }
--- a/crates/gateway/src/state/mod.rs
+++ b/crates/gateway/src/state/mod.rs
@@ -334,6 +334,7 @@
         }
         for (service, pool) in &mut pools {
             let table = self.table.as_ref();
+            pool.has_priorities = table.is_some_and(|table| table.has_priorities(Some(service)));
             let service = table.and_then(|table| table.service(service));
             pool.cold_rate = service.map_or(0.0, |service| service.cold_rate);
             pool.engine = service.and_then(|service| service.engine.clone());
--- a/crates/gateway/src/table/mod.rs
+++ b/crates/gateway/src/table/mod.rs
@@ -248,6 +248,17 @@
         routes.filter_map(|route| route.pause).min()
     }
 
+    /// Returns whether routes have unlike priorities: those of a service, or all.
+    pub fn has_priorities(&self, service: Option<&str>) -> bool {
+        let routes = self.content.routes.iter();
+        let routes = routes.filter(|route| {
+            service.is_none_or(|service| route.split.iter().any(|(name, _)| name == service))
+        });
+        let mut priorities = routes.map(|route| route.priority);
+        let first = priorities.next();
+        priorities.any(|priority| Some(priority) != first)
+    }
+
     /// Identifies the sender of a call on a route by its key.
     pub fn caller(&self, route: &Route, key: Option<&str>) -> Caller {
         let known = key.and_then(|key| self.keys.get(key));
--- a/crates/gateway/tests/exchange.rs
+++ b/crates/gateway/tests/exchange.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use eyre::Result;
+use sesamerock_gateway::admit::demand;
 use sesamerock_gateway::admit::group::{Listing, Version};
 use sesamerock_gateway::admit::outage;
 use sesamerock_gateway::exchange::{self, Heartbeat, LocalNode, Peers, Settings, Statement};
@@ -46,6 +47,7 @@
             outages: outage::Statement::default(),
             paces: Vec::new(),
             loads: Vec::new(),
+            demand: demand::Report::default(),
         }
     }
 
--- a/crates/gateway/tests/shares.rs
+++ b/crates/gateway/tests/shares.rs
@@ -32,8 +32,18 @@
     upstreams as f64 * f64::from(slots) / DURATION.as_secs_f64()
 }
 
-fn play(fleet: &mut Fleet, capacity: f64, surge: Option<(usize, f64)>) -> Served {
+/// Whether calls are admitted by shares.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Rule {
+    Former,
+    Shares,
+}
+
+fn play(fleet: &mut Fleet, rule: Rule, capacity: f64, surge: Option<(usize, f64)>) -> Served {
     let span = (Duration::from_secs(12), COUNTED.1);
+    if rule == Rule::Shares {
+        fleet.set_priorities();
+    }
     fleet.set_mix(Mix {
         workspaces: workspaces(),
         surge: surge.map(|(workspace, factor)| Surge {
@@ -79,14 +89,13 @@
     for (gateways, upstreams, slots) in FLEETS {
         let capacity = capacity(upstreams, slots);
         for seed in 0..2 {
-            let mut fleet = Fleet::new(gateways, upstreams, slots, seed);
-            let served = play(&mut fleet, capacity, None);
-            print(
-                &format!("{gateways} gateways, seed {seed}"),
-                &served,
-                capacity,
-                None,
-            );
+            let mut served = Served::default();
+            for rule in [Rule::Former, Rule::Shares] {
+                let mut fleet = Fleet::new(gateways, upstreams, slots, seed);
+                served = play(&mut fleet, rule, capacity, None);
+                let label = format!("{gateways} gateways, seed {seed}, {rule:?}");
+                print(&label, &served, capacity, None);
+            }
             let ratio = |one| served.sum(|_, priority| priority == one).ratio();
             let all = served.sum(|_, _| true).ratio();
             assert!(ratio(0) >= ratio(1) && ratio(1) >= ratio(2));
@@ -101,12 +110,16 @@
     for (gateways, upstreams, slots) in FLEETS {
         let capacity = capacity(upstreams, slots);
         let mut fleet = Fleet::new(gateways, upstreams, slots, 0);
-        let usual = play(&mut fleet, capacity, None);
+        let usual = play(&mut fleet, Rule::Shares, capacity, None);
         for (workspace, factor) in [(0, 10.0), (2, 12.0), (8, 30.0)] {
-            let mut fleet = Fleet::new(gateways, upstreams, slots, 0);
-            let served = play(&mut fleet, capacity, Some((workspace, factor)));
-            let label = format!("{gateways} gateways, workspace {workspace} x {factor}");
-            print(&label, &served, capacity, Some(workspace));
+            let mut served = Served::default();
+            for rule in [Rule::Former, Rule::Shares] {
+                let mut fleet = Fleet::new(gateways, upstreams, slots, 0);
+                served = play(&mut fleet, rule, capacity, Some((workspace, factor)));
+                let label =
+                    format!("{gateways} gateways, workspace {workspace} x {factor}, {rule:?}");
+                print(&label, &served, capacity, Some(workspace));
+            }
             let others = |served: &Served| served.sum(|one, _| one != workspace).ratio();
             let (before, during) = (others(&usual), others(&served));
             assert!(during >= before - MAX_LOSS, "{before} {during}");
--- a/crates/gateway/tests/support/fleet/mod.rs
+++ b/crates/gateway/tests/support/fleet/mod.rs
@@ -15,8 +15,8 @@
 use sesamerock_gateway::admit::cold::Members;
 use sesamerock_gateway::admit::leaving::Departure;
 use sesamerock_gateway::admit::{
-    AdmissionController, Candidate, HealthSignal, LATE_URGENCY, Settings, SlotRequest,
-    UpstreamPool, Verdict,
+    AdmissionController, Candidate, HealthSignal, LATE_URGENCY, Reason, Settings, SlotRequest,
+    UpstreamPool, Verdict, demand,
 };
 use sesamerock_gateway::exchange;
 use sesamerock_gateway::table::EngineSpec;
@@ -123,6 +123,7 @@
     events: BinaryHeap<Reverse<(Moment, Event)>>,
     sent: Vec<Vec<(Arc<str>, u32)>>,
     departures: Vec<Vec<Departure>>,
+    reports: Vec<demand::Report>,
     pairs: HashMap<(usize, usize), u32>,
     arrivals: HashMap<u64, Moment>,
     outcome: Outcome,
@@ -225,6 +226,7 @@
             events: BinaryHeap::new(),
             sent: vec![Vec::new(); gateways],
             departures: vec![Vec::new(); gateways],
+            reports: vec![demand::Report::default(); gateways],
             pairs: HashMap::new(),
             arrivals: HashMap::new(),
             outcome: Outcome::default(),
@@ -236,6 +238,15 @@
         }
     }
 
+    /// Lets the routes have unlike priorities, so that calls are admitted by shares.
+    pub fn set_priorities(&mut self) {
+        for gateway in &mut self.gateways {
+            let mut pool = gateway.pools()["s"].clone();
+            pool.has_priorities = true;
+            gateway.set_pools(HashMap::from([(Arc::from("s"), pool)]));
+        }
+    }
+
     /// Lets the calls be of these workspaces and priorities.
     pub fn set_mix(&mut self, mix: Mix) {
         self.mix = Some(mix);
@@ -290,6 +301,7 @@
                 Event::Heartbeat(gateway) => {
                     self.sent[gateway] = self.gateways[gateway].loads();
                     self.departures[gateway] = self.gateways[gateway].recent_leaving(now);
+                    self.reports[gateway] = self.gateways[gateway].demand(now);
                     for peer in (0..self.gateways.len()).filter(|peer| *peer != gateway) {
                         let counts = Event::Counts(gateway, peer);
                         self.push(now + HEARTBEAT_DELAY, counts);
@@ -299,6 +311,8 @@
                 Event::Counts(gateway, peer) => {
                     let counts = self.sent[gateway].clone();
                     self.gateways[peer].learn_leaving(&self.departures[gateway], now);
+                    let report = self.reports[gateway].clone();
+                    self.gateways[peer].learn_demand(&format!("g{gateway}"), report, now);
                     self.gateways[peer].set_peer_loads(&format!("g{gateway}"), counts, now);
                 }
                 Event::End(gateway, upstream) => self.end(gateway, upstream, now),
@@ -376,6 +390,15 @@
         }
     }
 
+    fn origin(&self, call: u64) -> demand::Origin {
+        let call = self.calls.get(&call);
+        call.map_or_else(demand::Origin::default, |call| demand::Origin {
+            workspace: call.workspace as u32 + 1,
+            request: call.request as u32,
+            is_charged: false,
+        })
+    }
+
     /// Returns until when a call may wait such that it can be in time, and until when at all.
     fn waits(&self, gateway: usize, call: u64, now: Moment) -> (Duration, Duration) {
         let Some(call) = self.calls.get(&call) else {
@@ -404,11 +427,14 @@
             latest_start: self.arrivals[&call] + wait,
             pause: None,
             exclude: Vec::new(),
+            origin: self.origin(call),
         };
         match self.gateways[gateway].request(request, now) {
             Verdict::Place(record) => self.send(gateway, call, &record, now),
             Verdict::Wait => self.push(now + Duration::from_millis(50), Event::Poll(gateway)),
-            Verdict::Refuse(refusal) if is_late => self.refuse(call, refusal.after, now),
+            Verdict::Refuse(refusal) if is_late || refusal.reason == Reason::OverShare => {
+                self.refuse(call, refusal.after, now)
+            }
             Verdict::Refuse(_) => self.request(gateway, call, LATE_URGENCY, now),
         }
     }
--- a/crates/limit/src/queue/mod.rs
+++ b/crates/limit/src/queue/mod.rs
@@ -152,6 +152,16 @@
     /// Adds a call. A full queue evicts calls of lower levels first, then of
     /// the workspace with the most queued tokens.
     pub fn push(&mut self, item: Item) -> PushOutcome {
+        self.push_at(item, false)
+    }
+
+    /// Adds a call as [`Queue::push`] does, before the other calls of its workspace and level: its
+    /// caller was told to come back now.
+    pub fn push_first(&mut self, item: Item) -> PushOutcome {
+        self.push_at(item, true)
+    }
+
+    fn push_at(&mut self, item: Item, is_first: bool) -> PushOutcome {
         let item = Item {
             tokens: item.tokens.min(MAX_TOKENS),
             ..item
@@ -160,14 +170,14 @@
             return PushOutcome::Duplicate;
         }
         if self.items.len() < self.settings.calls {
-            self.insert(item);
+            self.insert(item, is_first);
             return PushOutcome::Queued;
         }
         let Some(eviction_candidate) = self.eviction_candidate(&item) else {
             return PushOutcome::Full;
         };
         let evicted = self.remove(eviction_candidate);
-        self.insert(item);
+        self.insert(item, is_first);
         evicted.map_or(PushOutcome::Queued, PushOutcome::Evicted)
     }
 
@@ -299,7 +309,7 @@
         items
     }
 
-    fn insert(&mut self, item: Item) {
+    fn insert(&mut self, item: Item, is_first: bool) {
         self.stamp += 1;
         self.items.insert(item.call, (item, self.stamp));
         self.deadlines.insert((item.latest_start, item.call));
@@ -312,7 +322,12 @@
         } else {
             level.backlog.remove(&(flow.tokens, item.workspace));
         }
-        flow.calls.push_back((item.call, self.stamp));
+        let element = (item.call, self.stamp);
+        if is_first {
+            flow.calls.push_front(element);
+        } else {
+            flow.calls.push_back(element);
+        }
         flow.queued_calls += 1;
         flow.tokens += item.tokens;
         level.backlog.insert((flow.tokens, item.workspace));
--- a/crates/sesamerock/src/cli/command/mod.rs
+++ b/crates/sesamerock/src/cli/command/mod.rs
@@ -173,13 +173,17 @@
 fn deployed_faults(text: &str) -> Option<Vec<String>> {
     let keys: serde_yaml_ng::Mapping = serde_yaml_ng::from_str(text).ok()?;
     let fault = if keys.contains_key("readiness") {
-        serde_yaml_ng::from_str::<sesamerock_gateway::run::Settings>(text).err()
+        match serde_yaml_ng::from_str::<sesamerock_gateway::run::Settings>(text) {
+            Ok(settings) => settings.check().err().map(|fault| fault.to_string()),
+            Err(fault) => Some(fault.to_string()),
+        }
     } else if keys.contains_key("engine") && keys.contains_key("exchange") {
-        serde_yaml_ng::from_str::<sesamerock_gateway::sidecar::Settings>(text).err()
+        let settings = serde_yaml_ng::from_str::<sesamerock_gateway::sidecar::Settings>(text);
+        settings.err().map(|fault| fault.to_string())
     } else {
         return None;
     };
-    Some(fault.map(|fault| fault.to_string()).into_iter().collect())
+    Some(fault.into_iter().collect())
 }
 
 fn check(file: &Path) -> eyre::Result<u8> {
--- a/crates/sesamerock/tests/endless.rs
+++ b/crates/sesamerock/tests/endless.rs
@@ -83,6 +83,7 @@
             lease: Duration::from_secs(1),
             fencing: true,
             max_pause: Duration::from_millis(120),
+            shares: None,
         };
         let program = Path::new(env!("CARGO_BIN_EXE_sesamerock"));
         let logs = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("endless-{name}"));
--- a/crates/soak/src/world/mod.rs
+++ b/crates/soak/src/world/mod.rs
@@ -208,6 +208,7 @@
         lease: Duration::from_secs(1),
         fencing: true,
         max_pause: Duration::from_millis(120),
+        shares: None,
     })
 }
 
