Keep starts for urgent calls, and let late calls yield in an overload

Cause: at 59 gateways a slot becomes free at one of them each 100 ms, so that urgent calls found none in their wait.

--- a/crates/gateway/src/admit/demand/mod.rs
+++ b/crates/gateway/src/admit/demand/mod.rs
@@ -29,13 +29,17 @@
 /// Starts, in seconds, for which there must be free slots so that nothing is refused: with fewer,
 /// the gateways' counts are too old to say whether a slot is free.
 const ROOM_SECONDS: f64 = 0.1;
+/// Free slots for each gateway with which nothing is refused. One is kept for urgent calls.
+pub const ROOM_SLOTS: f64 = 2.0;
+/// Further free slots, relative to those for priority 0, that each lower priority needs.
+const ROOM_PER_PRIORITY: f64 = 0.5;
 /// Time for which a refused call of a higher priority keeps lower ones from taking slots.
 const YIELD: Duration = Duration::from_millis(200);
 /// Time for which expired reports remain in use while there are no others.
 const RETAINED: Duration = Duration::from_secs(10);
 /// Multiple of its usual demand up to which a workspace's demand counts as usual in an overload, so
-/// that a surge of ten seconds raises its weight by a tenth at most.
-const MAX_GROWTH: f64 = 1.5;
+/// that a surge hardly raises its weight, also while the average is young.
+const MAX_GROWTH: f64 = 1.1;
 /// Least weight of a workspace, relative to the mean: one that is new has no usual demand.
 const MIN_WEIGHT: f64 = 0.1;
 /// Part of the capacity for callers that come back.
@@ -267,7 +271,8 @@
         let fraction = service.fraction(key);
         let gate = service.gates.entry(key);
         let gate = gate.or_insert_with(|| Gate::new((phase >> 11) as f64 / (1_u64 << 53) as f64));
-        let is_open = fraction >= 1.0 || slots.is_none_or(|slots| service.totals.is_roomy(slots));
+        let is_open = fraction >= 1.0
+            || slots.is_none_or(|slots| service.totals.is_roomy(slots, key.priority));
         if is_open {
             service.usage.offer(key);
             if found != Return::None {
@@ -350,6 +355,12 @@
         service.map_or(1.0, |service| service.fraction(key))
     }
 
+    /// Returns whether more calls are offered than can start.
+    pub fn is_overloaded(&self, name: &str) -> bool {
+        let service = self.services.get(&workspace(name));
+        service.is_some_and(|service| !service.fractions.is_empty())
+    }
+
     /// Returns the calls of a service at all gateways.
     pub fn totals(&self, name: &str) -> Totals {
         let service = self.services.get(&workspace(name));
@@ -450,8 +461,9 @@
 
 impl Totals {
     /// Returns whether so many slots are free that a call need not be refused for others.
-    fn is_roomy(&self, slots: Slots) -> bool {
-        slots.free >= (self.started * ROOM_SECONDS).max(slots.gateways as f64)
+    fn is_roomy(&self, slots: Slots, priority: u8) -> bool {
+        let least = 1.0 + ROOM_PER_PRIORITY * f64::from(priority);
+        slots.free >= least * (self.started * ROOM_SECONDS).max(slots.gateways as f64 * ROOM_SLOTS)
     }
 }
 
--- a/crates/gateway/src/admit/mod.rs
+++ b/crates/gateway/src/admit/mod.rs
@@ -64,6 +64,9 @@
 /// a second, a slot becomes free at a gateway every 55 ms; calls that may wait less are mostly lost.
 const MIN_SHARED_WAIT_OBJECTIVES: f64 = 0.25;
 
+/// Free slots for each gateway below which calls that can only be late leave them to others.
+const SCARCE_SLOTS: f64 = 1.0;
+
 /// Share of the slots for which calls wait until the end of an outage. Their answers will be late,
 /// so the rest is for calls that arrive then and can be in time.
 const HELD_SLOTS_SHARE: f64 = 0.2;
@@ -741,12 +744,18 @@
     /// admitted by shares, to those of a higher one that found no slot lately.
     fn yields(&self, request: &SlotRequest, now: Moment) -> bool {
         let share = self.shares.get(&request.service);
-        if !share.is_some_and(StartShare::is_scarce) {
-            return false;
-        }
         let (service, urgency) = (&request.service, request.urgency);
-        urgency >= LATE_URGENCY
-            || self.is_shared(service) && self.demand.yields(service, urgency, now)
+        let is_overloaded = self.is_shared(service) && self.demand.is_overloaded(service);
+        let slots = if is_overloaded {
+            demand::ROOM_SLOTS
+        } else {
+            SCARCE_SLOTS
+        };
+        let Some(share) = share.filter(|share| share.is_scarce(slots)) else {
+            return false;
+        };
+        let leaves_start = is_overloaded && !share.is_left_for(urgency);
+        urgency >= LATE_URGENCY || leaves_start || self.demand.yields(service, urgency, now)
     }
 
     /// Returns whether the calls of a service are admitted by shares.
--- a/crates/gateway/src/admit/share/mod.rs
+++ b/crates/gateway/src/admit/share/mod.rs
@@ -20,6 +20,9 @@
 const STARTS_PER_END: f64 = 0.9;
 /// Starts that may be saved, so that ends whose fractions add up are not lost.
 const MIN_SAVED: f64 = 2.0;
+/// Saved starts that calls of priority 0, 1 and the others leave to higher priorities, less than
+/// [`MIN_SAVED`] with the start itself.
+const RESERVED_STARTS: [f64; 3] = [0.0, 0.5, 0.9];
 /// Starts per second that a gateway may always make, so that one without calls learns whether
 /// the counts of others are right.
 const MIN_RATE: f64 = 0.5;
@@ -52,9 +55,16 @@
         self.saved >= 1.0
     }
 
-    /// Returns whether fewer slots are free than there are gateways.
-    pub fn is_scarce(&self) -> bool {
-        self.part < 1.0
+    /// Returns whether fewer slots are free than this number for each gateway.
+    pub fn is_scarce(&self, slots: f64) -> bool {
+        self.part < slots
+    }
+
+    /// Returns whether a call of this priority may take a start while slots are scarce: lower
+    /// priorities leave some of the saved starts to higher ones, which then need not wait.
+    pub fn is_left_for(&self, priority: u8) -> bool {
+        let reserved = RESERVED_STARTS[usize::from(priority).min(RESERVED_STARTS.len() - 1)];
+        self.saved >= 1.0 + reserved
     }
 
     /// Counts a start.
--- a/crates/gateway/tests/shares.rs
+++ b/crates/gateway/tests/shares.rs
@@ -86,6 +86,7 @@
 /// waited and got each slot that became free, so that the least urgent calls were served best.
 #[test]
 fn regression_more_urgent_calls_are_served_no_worse_in_overload() {
+    let mut failures = Vec::new();
     for (gateways, upstreams, slots) in FLEETS {
         let capacity = capacity(upstreams, slots);
         for seed in 0..2 {
@@ -98,15 +99,19 @@
             }
             let ratio = |one| served.sum(|_, priority| priority == one).ratio();
             let all = served.sum(|_, _| true).ratio();
-            assert!(ratio(0) >= ratio(1) && ratio(1) >= ratio(2));
-            assert!(ratio(2) >= MIN_RELATIVE * all);
+            let is_ordered = ratio(0) >= ratio(1) && ratio(1) >= ratio(2);
+            if !is_ordered || ratio(2) < MIN_RELATIVE * all {
+                failures.push((gateways, seed, [ratio(0), ratio(1), ratio(2), all]));
+            }
         }
     }
+    assert!(failures.is_empty(), "{failures:?}");
 }
 
 /// Regression: a workspace that sent a multiple of its usual calls took the slots of the others.
 #[test]
 fn regression_a_surge_of_one_workspace_does_not_harm_the_others() {
+    let mut failures = Vec::new();
     for (gateways, upstreams, slots) in FLEETS {
         let capacity = capacity(upstreams, slots);
         let mut fleet = Fleet::new(gateways, upstreams, slots, 0);
@@ -122,10 +127,12 @@
             }
             let others = |served: &Served| served.sum(|one, _| one != workspace).ratio();
             let (before, during) = (others(&usual), others(&served));
-            assert!(during >= before - MAX_LOSS, "{before} {during}");
             let own = served.sum(|one, _| one == workspace).ratio();
             let all = served.sum(|_, _| true).ratio();
-            assert!(own >= MIN_RELATIVE * all, "{own} {all}");
+            if during < before - MAX_LOSS || own < MIN_RELATIVE * all {
+                failures.push((gateways, workspace, [before, during, own, all]));
+            }
         }
     }
+    assert!(failures.is_empty(), "{failures:?}");
 }
