Keep the shares clean of lints

Cause: clippy named a map type, a length without is_empty, and a default in a test. Change: ordered maps for weights, Bookings::count, Origin::default. Result: no change of behaviour.

--- a/crates/gateway/src/admit/demand/allocation/mod.rs
+++ b/crates/gateway/src/admit/demand/allocation/mod.rs
@@ -1,6 +1,6 @@
 //! Divides the capacity of a service between workspaces and, inside each, between priorities.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 
 use super::Key;
 
@@ -84,7 +84,7 @@
 pub fn allocate(
     capacity: f64,
     demand: &BTreeMap<Key, f64>,
-    weights: &HashMap<u32, f64>,
+    weights: &BTreeMap<u32, f64>,
     floor: f64,
 ) -> BTreeMap<Key, f64> {
     let total: f64 = demand.values().sum();
--- a/crates/gateway/src/admit/demand/booking/mod.rs
+++ b/crates/gateway/src/admit/demand/booking/mod.rs
@@ -121,7 +121,7 @@
     }
 
     /// Returns the number of bookings that are kept.
-    pub fn len(&self) -> usize {
+    pub fn count(&self) -> usize {
         self.by_request.len()
     }
 }
--- a/crates/gateway/src/admit/demand/mod.rs
+++ b/crates/gateway/src/admit/demand/mod.rs
@@ -369,7 +369,7 @@
 
     /// Returns the number of bookings that are kept.
     pub fn bookings(&self) -> usize {
-        self.bookings.len()
+        self.bookings.count()
     }
 
     /// Computes the shares of a service, once in each step.
@@ -439,7 +439,7 @@
         }
     }
 
-    fn weights(&self, demand: &BTreeMap<Key, f64>, settings: &Settings) -> HashMap<u32, f64> {
+    fn weights(&self, demand: &BTreeMap<Key, f64>, settings: &Settings) -> BTreeMap<u32, f64> {
         let mean = self.usual.values().sum::<f64>() / self.usual.len().max(1) as f64;
         let workspaces = demand.keys().map(|key| key.workspace);
         let weights = workspaces.map(|workspace| {
--- a/crates/gateway/tests/admit.rs
+++ b/crates/gateway/tests/admit.rs
@@ -81,7 +81,7 @@
         latest_start,
         pause: None,
         exclude: Vec::new(),
-        origin: Default::default(),
+        origin: sesamerock_gateway::admit::demand::Origin::default(),
     }
 }
 
--- a/crates/gateway/tests/demand.rs
+++ b/crates/gateway/tests/demand.rs
@@ -1,6 +1,6 @@
 //! Tests of the shares of workspaces and priorities at one gateway.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use quickcheck::quickcheck;
@@ -38,7 +38,7 @@
             let key = key(u32::from(workspace % 24), priority % 7);
             demand.insert(key, f64::from(calls) + 1.0);
         }
-        let weights: HashMap<u32, f64> = (0..).zip(weights.into_iter().map(f64::from)).collect();
+        let weights: BTreeMap<u32, f64> = (0..).zip(weights.into_iter().map(f64::from)).collect();
         let total: f64 = demand.values().sum();
         let capacity = total * (f64::from(part) + 1.0) / 128.0;
         let floor = f64::from(floor) / 255.0;
@@ -76,7 +76,7 @@
         (key(2, 2), 10.0),
         (key(3, 2), 1_000.0),
     ]);
-    let weights = HashMap::from([(1, 1.0), (2, 1.0), (3, 1.0)]);
+    let weights = BTreeMap::from([(1, 1.0), (2, 1.0), (3, 1.0)]);
     let granted = allocate(300.0, &demand, &weights, 0.0);
     assert!((granted[&key(2, 2)] - 10.0).abs() < ERROR);
     assert!((granted[&key(1, 0)] - 100.0).abs() < ERROR);
@@ -125,10 +125,10 @@
     for request in 0..MAX_BOOKINGS as u32 + 10 {
         bookings.add(request, START + millis(500), START);
     }
-    assert_eq!(bookings.len(), MAX_BOOKINGS);
+    assert_eq!(bookings.count(), MAX_BOOKINGS);
     assert!(!bookings.add(u32::MAX, START + millis(500), START));
     assert!(bookings.add(u32::MAX, START + millis(3_000), START + millis(2_100)));
-    assert_eq!(bookings.len(), 1);
+    assert_eq!(bookings.count(), 1);
 }
 
 /// A gateway among equal ones, which offers the calls of two workspaces beyond the capacity.
--- a/crates/gateway/tests/outage.rs
+++ b/crates/gateway/tests/outage.rs
@@ -118,7 +118,7 @@
         latest_start,
         pause: None,
         exclude: Vec::new(),
-        origin: Default::default(),
+        origin: sesamerock_gateway::admit::demand::Origin::default(),
     }
 }
 
