Keep the replay of shares clean of lints

Cause: clippy named a parameter, a variant and a subtraction of the test support. Change: other names, a saturating subtraction. Result: no change of behaviour.

--- a/crates/gateway/tests/shares.rs
+++ b/crates/gateway/tests/shares.rs
@@ -71,7 +71,7 @@
     let own = served
         .sum(|workspace, _| Some(workspace) == surging)
         .ratio();
-    let best = served.best_value(capacity * (COUNTED.1 - COUNTED.0).as_secs_f64());
+    let best = served.best_value(capacity * COUNTED.1.saturating_sub(COUNTED.0).as_secs_f64());
     println!(
         "{label}: by priority {:.3} {:.3} {:.3}, others {others:.3}, surging {own:.3}, \
          value {:.3} of the best",
--- a/crates/gateway/tests/support/fleet/mix/mod.rs
+++ b/crates/gateway/tests/support/fleet/mix/mod.rs
@@ -98,8 +98,8 @@
 }
 
 impl std::iter::Sum for Tally {
-    fn sum<I: Iterator<Item = Self>>(tallies: I) -> Self {
-        tallies.fold(Self::default(), |sum, one| Self {
+    fn sum<I: Iterator<Item = Self>>(iter: I) -> Self {
+        iter.fold(Self::default(), |sum, one| Self {
             offered: sum.offered + one.offered,
             in_time: sum.in_time + one.in_time,
         })
--- a/crates/gateway/tests/support/fleet/mod.rs
+++ b/crates/gateway/tests/support/fleet/mod.rs
@@ -100,7 +100,7 @@
     /// A caller repeats a refused call.
     Repeat(u64),
     /// A gateway sees the first event of a call after this number of milliseconds.
-    FirstEvent(usize, u64),
+    Answer(usize, u64),
 }
 
 struct Upstream {
@@ -318,7 +318,7 @@
                 Event::End(gateway, upstream) => self.end(gateway, upstream, now),
                 Event::Poll(gateway) => self.poll(gateway, now),
                 Event::Repeat(call) => self.repeat(call, now),
-                Event::FirstEvent(gateway, millis) => {
+                Event::Answer(gateway, millis) => {
                     let elapsed = Duration::from_millis(millis);
                     let service = Arc::from("s");
                     self.gateways[gateway].observe_first_event(&service, elapsed, now);
@@ -433,7 +433,7 @@
             Verdict::Place(record) => self.send(gateway, call, &record, now),
             Verdict::Wait => self.push(now + Duration::from_millis(50), Event::Poll(gateway)),
             Verdict::Refuse(refusal) if is_late || refusal.reason == Reason::OverShare => {
-                self.refuse(call, refusal.after, now)
+                self.refuse(call, refusal.after, now);
             }
             Verdict::Refuse(_) => self.request(gateway, call, LATE_URGENCY, now),
         }
@@ -466,7 +466,7 @@
             let is_in_time = wait + call.first_event <= call.kind.objective;
             self.tally(&call).in_time += u32::from(call.is_counted && is_in_time);
             let millis = call.first_event.as_millis() as u64;
-            let first_event = Event::FirstEvent(gateway, millis);
+            let first_event = Event::Answer(gateway, millis);
             self.push(now + call.first_event, first_event);
         }
         if wait <= IN_TIME_WAIT {
