--- a/crates/gateway/src/exchange/delta/fields/mod.rs
+++ b/crates/gateway/src/exchange/delta/fields/mod.rs
@@ -70,6 +70,6 @@
 
 fields! {
     fields: node ready accepting leads position store misdirected leaving limits groups suspects
-        outages paces;
+        outages paces demand;
     lists: loads
 }
--- a/crates/gateway/src/exchange/mod.rs
+++ b/crates/gateway/src/exchange/mod.rs
@@ -13,6 +13,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::admit::demand;
 use crate::admit::group::{self, Listing, Pace};
 use crate::admit::leaving::Departure;
 use crate::admit::limit;
@@ -58,6 +59,8 @@
     pub paces: Vec<Pace>,
     /// Number of calls in flight from the sender, by upstream id.
     pub loads: Vec<(Arc<str>, u32)>,
+    /// Calls offered to the sender and started by it, by workspace and priority.
+    pub demand: demand::Report,
 }
 
 /// Remote calls between gateways.
--- a/crates/gateway/tests/heartbeats.rs
+++ b/crates/gateway/tests/heartbeats.rs
@@ -44,6 +44,7 @@
         suspects: suspect::Report::default(),
         outages: outage::Statement::default(),
         paces: Vec::new(),
+        demand: sesamerock_gateway::admit::demand::Report::default(),
         loads: Vec::new(),
     }
 }
--- a/crates/sesamerock/tests/endless.rs
+++ b/crates/sesamerock/tests/endless.rs
@@ -87,6 +87,7 @@
             fencing: true,
             store_reader: StoreReader::default(),
             max_pause: Duration::from_millis(120),
+            shares: None,
         };
         let program = Path::new(env!("CARGO_BIN_EXE_sesamerock"));
         let logs = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("endless-{name}"));
--- a/crates/sesamerock/tests/uncontrolled.rs
+++ b/crates/sesamerock/tests/uncontrolled.rs
@@ -92,6 +92,7 @@
             max_descriptors: None,
             late_streams: true,
             store_reader: StoreReader::default(),
+            shares: None,
             lease: Duration::from_secs(1),
             fencing: true,
             max_pause: Duration::from_millis(120),
--- a/crates/soak/src/world/mod.rs
+++ b/crates/soak/src/world/mod.rs
@@ -212,6 +212,7 @@
         fencing: true,
         store_reader: StoreReader::default(),
         max_pause: Duration::from_millis(120),
+        shares: None,
     })
 }
 
