--- a/crates/gateway/src/memory/mod.rs
+++ b/crates/gateway/src/memory/mod.rs
@@ -270,8 +270,10 @@
 
 /// Returns bytes whose share is given back when the last slice of them is dropped.
 pub fn hold(bytes: Bytes, share: Share) -> Bytes {
-    let _share = share;
-    Bytes::from_owner(Held { bytes, _share })
+    Bytes::from_owner(Held {
+        bytes,
+        _share: share,
+    })
 }
 
 /// The share of a message was revoked, since it was the largest when the budget was exceeded.
--- a/crates/gateway/src/relay/head/mod.rs
+++ b/crates/gateway/src/relay/head/mod.rs
@@ -8,6 +8,7 @@
 use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use sesamerock_base::key::Workspace;
+use sesamerock_base::time::Moment;
 
 use super::Shared;
 use super::answer::{self, Body};
@@ -52,16 +53,7 @@
     caller.set_phase(Phase::Working);
     // Loaded after the body, since the table may have changed in the meantime.
     let Some(table) = shared.first_table(TABLE_WAIT).await else {
-        let status = StatusCode::SERVICE_UNAVAILABLE;
-        shared.counters.refused("no_table");
-        let id = parts.headers.get(&names.headers().call_id);
-        log::info!(
-            "event=call_rejected id={} status=503 reason=\"no table yet\" wait_ms={}",
-            id.and_then(|id| id.to_str().ok()).unwrap_or("-"),
-            clock::now().since(arrived).as_millis(),
-        );
-        let retry_after = NO_TABLE_RETRY_AFTER;
-        return Err(answer::refusal(status, "no table yet", retry_after));
+        return Err(refuse_without_table(shared, &parts.headers, names, arrived));
     };
     let header = |name: &HeaderName| parts.headers.get(name).and_then(|it| it.to_str().ok());
     let header_names = names.headers();
@@ -200,6 +192,24 @@
     headers
 }
 
+/// Logs and counts a request that came before the first table, and returns the response to it.
+fn refuse_without_table<N: Names>(
+    shared: &Shared,
+    headers: &HeaderMap,
+    names: &N,
+    arrived: Moment,
+) -> Response<Body> {
+    shared.counters.refused("no_table");
+    let id = headers.get(&names.headers().call_id);
+    log::info!(
+        "event=call_rejected id={} status=503 reason=\"no table yet\" wait_ms={}",
+        id.and_then(|id| id.to_str().ok()).unwrap_or("-"),
+        clock::now().since(arrived).as_millis(),
+    );
+    let status = StatusCode::SERVICE_UNAVAILABLE;
+    answer::refusal(status, "no table yet", NO_TABLE_RETRY_AFTER)
+}
+
 /// Logs and counts a rejected request, and returns the response to it.
 fn reject<N: Names>(
     shared: &Shared,
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -543,9 +543,12 @@
         Some(table) => table.content().limits,
         None => crate::table::Limits::default(),
     };
-    let Ok(peer) = stream.peer_addr() else {
-        // The caller has closed the connection already.
-        return;
+    let peer = match stream.peer_addr() {
+        Ok(peer) => peer,
+        Err(error) => {
+            log::debug!("event=caller_lost reason=\"{error}\"");
+            return;
+        }
     };
     let socket = Socket::new(stream);
     socket.limit_send_buffer(callers::SEND_BUFFER);
