--- a/review/harness-2/src/bin/directory.rs
+++ b/review/harness-2/src/bin/directory.rs
@@ -23,7 +23,7 @@
     store.put("keyed.op", "config", table::config(1).as_bytes());
     let runs: Runs = Arc::default();
     for (number, zone) in ["hobart-a", "hobart-b", "hobart-c"].iter().enumerate() {
-        Server::start(number as u8, zone, &store, &runs);
+        Server::start(number as u8, zone, 12, &store, &runs);
     }
     let gateway = Gateway::start(0, "hobart-a", store.address, 2_000);
     if !gateway.wait_ready(Duration::from_secs(10)) {
--- a/review/harness-2/src/bin/restored.rs
+++ b/review/harness-2/src/bin/restored.rs
@@ -41,7 +41,7 @@
     order("config", table::config(1).as_bytes());
     let runs: Runs = Arc::default();
     for number in 0..SERVERS {
-        Server::start(number, ZONES[usize::from(number) % 3], &store, &runs);
+        Server::start(number, ZONES[usize::from(number) % 3], 12, &store, &runs);
     }
     let gateways: Vec<Gateway> = ["hobart-a", "hobart-a", "hobart-b", "hobart-c"]
         .iter()
--- a/review/harness-2/src/server.rs
+++ b/review/harness-2/src/server.rs
@@ -36,7 +36,7 @@
 
 impl Server {
     /// Starts a server on the address of a machine.
-    pub fn start(number: u8, zone: &str, store: &Store, runs: &Runs) -> Self {
+    pub fn start(number: u8, zone: &str, slots: u32, store: &Store, runs: &Runs) -> Self {
         let listener = TcpListener::bind((crate::machine_ip(100 + number), 0));
         let listener = listener.expect("no server");
         let server = Self {
@@ -83,7 +83,7 @@
         std::thread::spawn(move || {
             for seq in 0_u64.. {
                 let entry = format!(
-                    r#"{{"service":"chalk-assist","address":"{}","zone":"{}","version":"v1","slots":12,"state":"ready","coldRemainingMs":0,"seq":{seq},"born":{born}}}"#,
+                    r#"{{"service":"chalk-assist","address":"{}","zone":"{}","version":"v1","slots":{slots},"state":"ready","coldRemainingMs":0,"seq":{seq},"born":{born}}}"#,
                     own.address, own.zone
                 );
                 // While the store is away, the write fails and is made again with the next one.
