--- a/review/harness-2/src/gateway.rs
+++ b/review/harness-2/src/gateway.rs
@@ -144,6 +144,21 @@
         child.is_some_and(|it| matches!(it.try_wait(), Ok(None)))
     }
 
+    /// Kills the process.
+    pub fn kill(&self) {
+        let mut children = CHILDREN.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(child) = children.iter_mut().find(|it| it.id() == self.pid) {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Returns whether the process took the leadership of the expert maps last, as its log says.
+    pub fn leads(&self) -> bool {
+        let lines = self.log_lines("event=lead ");
+        lines.last().is_some_and(|it| it.contains("leads=true"))
+    }
+
     /// Returns a line of the status of the process in kB, such as `VmHWM` or `VmRSS`.
     pub fn memory_kb(&self, name: &str) -> u64 {
         let status = fs::read_to_string(format!("/proc/{}/status", self.pid));
--- a/review/harness-2/src/lib.rs
+++ b/review/harness-2/src/lib.rs
@@ -13,6 +13,7 @@
 
 use std::net::{IpAddr, Ipv4Addr, TcpListener};
 use std::sync::OnceLock;
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::{Duration, Instant};
 
 /// Returns the time since the start of the script.
@@ -38,15 +39,22 @@
     IpAddr::V4(Ipv4Addr::new(127, 64 + (seed as u8 & 63), low, number + 1))
 }
 
-/// Returns a free port of an address.
+/// Returns a free port of an address, below those that the system gives to outgoing connections.
 pub fn free_port(ip: IpAddr) -> u16 {
-    let listener = TcpListener::bind((ip, 0)).expect("no free port");
-    listener.local_addr().expect("no address").port()
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    loop {
+        let number = NEXT.fetch_add(1, Ordering::Relaxed);
+        assert!(number < 4_000, "no free port");
+        let port = 25_000 + ((seed() % 3_000) as u16 + number) % 7_000;
+        if TcpListener::bind((ip, port)).is_ok() {
+            return port;
+        }
+    }
 }
 
 /// Returns a port that is free at all of these addresses.
 pub fn common_port(ips: &[IpAddr]) -> u16 {
-    let first = 20_000 + (seed() % 8_000) as u16;
+    let first = 20_000 + (seed() % 1_000) as u16;
     let mut ports = first..first + 4_000;
     let is_free = |port: &u16| ips.iter().all(|ip| TcpListener::bind((*ip, *port)).is_ok());
     ports.find(is_free).expect("no common port")
