--- a/review/harness-2/src/bin/maps.rs
+++ b/review/harness-2/src/bin/maps.rs
@@ -29,7 +29,7 @@
         start_sidecar(number as u8, *server, port);
     }
     let gateways: Vec<Gateway> = (0..2)
-        .map(|it| Gateway::start_at(it, ZONES[usize::from(it)], store.address, 2_000, port))
+        .map(|it| Gateway::start_at(it, ZONES[usize::from(it)], store.address, 2_000, port, ""))
         .collect();
     if !gateways
         .iter()
--- a/review/harness-2/src/server.rs
+++ b/review/harness-2/src/server.rs
@@ -14,6 +14,11 @@
 /// Time between two events.
 const EVENT_GAP: Duration = Duration::from_millis(60);
 
+/// Bytes of a token of a prompt.
+const BYTES_PER_TOKEN: f64 = 4.0;
+/// Prompt tokens that a server reads in a second, as on the sheet of the deployment.
+const TOKENS_PER_SECOND: f64 = 61_400.0;
+
 /// A request that a server began to run.
 #[derive(Clone, Debug)]
 pub struct Run {
@@ -65,6 +70,7 @@
                     zone: own.zone.clone(),
                     id: id.clone(),
                 });
+            std::thread::sleep(prefill(&request));
             let signature = format!("3e1b.07.{id}");
             if request.path().starts_with("/quote/") {
                 return stream_events(&request, &id, &signature, stream);
@@ -95,6 +101,12 @@
     }
 }
 
+/// Returns how long a server reads the prompt of a request.
+fn prefill(request: &Message) -> Duration {
+    let tokens = request.body.len() as f64 / BYTES_PER_TOKEN;
+    Duration::from_secs_f64(tokens / TOKENS_PER_SECOND)
+}
+
 /// Answers with the events of a stream after the one that the consumer has.
 fn stream_events(
     request: &Message,
--- a/review/harness-2/src/table.rs
+++ b/review/harness-2/src/table.rs
@@ -3,6 +3,9 @@
 /// Capacity and speed of the servers, as on the sheet of the deployment.
 pub const ENGINE: &str = r#","engine":{"slots":12,"kvCapacityTokens":280000,"kvTokenBytes":35136,"linkMbps":44000.0,"stride":4,"models":[{"name":"m"}],"step_ms":4.55,"per_seq_ms":0.905,"context_per_k":0.0183,"read_per_s":61400.0,"pairs_per_m":0.525,"chunk":512,"report_lag_ms":200.0,"usual":{"prompt":835,"answer":97},"sets":3,"experts":96,"places":11,"spare":4,"expertMb":2200.0,"expertShare":0.85,"form_ms":600.0}"#;
 
+/// The same without experts, for servers that form no group.
+pub const SINGLE_ENGINE: &str = r#","engine":{"slots":12,"kvCapacityTokens":280000,"kvTokenBytes":35136,"linkMbps":44000.0,"stride":4,"models":[{"name":"m"}],"step_ms":4.55,"per_seq_ms":0.905,"context_per_k":0.0183,"read_per_s":61400.0,"pairs_per_m":0.525,"chunk":512,"report_lag_ms":200.0,"usual":{"prompt":835,"answer":97}}"#;
+
 /// Returns a version of the configuration. Each version adds a route.
 pub fn config(version: u64) -> String {
     with_engine(version, "")
