Give each phase of a map switch its own fencing token

Cause: all commands of a leadership bore its generation as the fencing token. It refused commands of former leaders only. Commands of the same leader that were carried out seconds later were to name a step that has begun; in an idle group it has not. So a late hold was accepted after its release, the leader rolled its own switch back, and late commands to arm were accepted after that. A late release by a killed leader was accepted while the next one disarmed.

Change: the token rises with each phase and each choice of a step, and a phase ends when the ranks that could act on earlier commands have confirmed a higher one. A rollback of an unknown switch confirms the hold, shows its token to all ranks, reads what is armed, disarms that and releases the group. A hold that is given up is released with a higher token.

Two more faults, found by the model while it was extended: a rollback disarmed one version at all ranks, though late reports named two, and one that began by a late report of a hold disarmed ranks that had been released already.

--- a/crates/gateway/src/maps/leader/group/mod.rs
+++ b/crates/gateway/src/maps/leader/group/mod.rs
@@ -102,12 +102,16 @@
     last_step: &mut Option<Moment>,
 ) -> StopReason {
     let (records, reports): (Vec<Arc<Record>>, Vec<Report>) = members.into_iter().unzip();
-    if let Some(switch) = Switch::recover(&reports, leader.fence()) {
+    if let Some(switch) = Switch::recover(
+        &reports,
+        leader.tokens(&name),
+        unused_version(&leader, &reports),
+    ) {
         let end = run_switch(&leader, &name, switch, &records, None).await;
         if end == End::Fenced {
             return StopReason::Fenced;
         }
-        return StopReason::Changed("an unfinished switch was rolled back");
+        return StopReason::Changed("an unfinished switch was found");
     }
     if Switch::is_unsettled(&reports, 0) {
         return StopReason::Changed("ranks are armed for a step that has not begun");
@@ -143,6 +147,15 @@
     reason
 }
 
+/// Returns a version that is above those in use and that this process has not used before.
+fn unused_version<E: Engine>(leader: &Leader<E>, reports: &[Report]) -> u64 {
+    let in_use = reports
+        .iter()
+        .flat_map(|report| [Some(report.map), report.prepared]);
+    let in_use = in_use.flatten().max().unwrap_or_default();
+    (leader.fence() * VERSIONS_PER_FENCE + leader.next_sequence()).max(in_use + 1)
+}
+
 /// Returns the latest epoch that any rank of a group reports, or 0 if none reports one.
 fn epoch(reports: &[Report]) -> u64 {
     let groups = reports.iter().filter_map(|report| report.group.as_ref());
@@ -323,13 +336,16 @@
         // A shift during the switch supersedes its plan, so all counts are read meanwhile.
         self.cadence.reset();
         let leader = self.leader.clone();
-        let fence = leader.fence();
-        let versions_in_use = reports
-            .iter()
-            .flat_map(|report| [Some(report.map), report.prepared]);
-        let versions_in_use = versions_in_use.flatten().max().unwrap_or_default();
-        let version =
-            (fence * VERSIONS_PER_FENCE + leader.next_sequence()).max(versions_in_use + 1);
+        let tokens = leader.tokens(&self.name);
+        if tokens.are_exhausted() {
+            log::error!(
+                "event=tokens_exhausted group={} fence={}",
+                self.name,
+                leader.fence()
+            );
+            return End::Fenced;
+        }
+        let version = unused_version(&leader, reports);
         log::info!(
             "event=map_planned group={} version={version} gain={:.3} loss={:.3} copies={} \
              steps_per_s={:.1}",
@@ -347,7 +363,7 @@
         };
         let lead_steps = MIN_LEAD_STEPS + (self.step_rate * report_lag.as_secs_f64()).ceil() as u64;
         let map = plan::by_rank(&plan.map);
-        let switch = Switch::new(reports, fence, version, map, lead_steps);
+        let switch = Switch::new(reports, tokens, version, map, lead_steps);
         let (name, records) = (Arc::clone(&self.name), self.records.clone());
         let copying = Some((&mut *self, &plan));
         let end = run_switch(&leader, &name, switch, &records, copying).await;
@@ -451,9 +467,11 @@
             .map_or(Duration::ZERO, |(_, plan)| plan.copy_duration);
         let copy_may_be_done = switch.phase() == Phase::Copy && now.since(sent_at) >= min_copy_time;
         let stuck = now.since(started) > SETTLE_TIME && switch.is_committed();
-        if copy_may_be_done || stuck {
+        let all_local = records.iter().all(|it| leader.engine.has_sidecar(it));
+        let settled = all_local || now.since(sent_at) > SETTLE_TIME;
+        let verifies = switch.phase() == Phase::Verify && settled;
+        if copy_may_be_done || stuck || verifies {
             let found = leader.reports(records).await;
-            let settled = now.since(sent_at) > SETTLE_TIME;
             for (_, report) in &found {
                 switch.handle_report(report);
             }
--- a/crates/gateway/src/maps/leader/mod.rs
+++ b/crates/gateway/src/maps/leader/mod.rs
@@ -7,8 +7,8 @@
 
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::hash::{DefaultHasher, Hash as _, Hasher as _};
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use futures::future::join_all;
@@ -22,6 +22,7 @@
 use crate::admit::outage;
 use crate::clock;
 use crate::engine::{Engine, Report};
+use crate::maps::fence::Tokens;
 use crate::pool::AbortOnDrop;
 use crate::relay::Shared;
 use crate::store::{Fault, Lease, Store};
@@ -121,6 +122,7 @@
     let claim_task = AbortOnDrop(tokio::spawn(claim_task));
     let version_counter = Arc::new(AtomicU64::new(0));
     let listing_counter = Arc::new(AtomicU64::new(0));
+    let last_tokens = Arc::default();
     let mut last_fenced = 0;
     loop {
         sleep(LEADERSHIP_POLL_INTERVAL).await;
@@ -140,6 +142,7 @@
             leadership: leadership.clone(),
             version_counter: Arc::clone(&version_counter),
             listing_counter: Arc::clone(&listing_counter),
+            last_tokens: Arc::clone(&last_tokens),
         };
         if leader.manage_groups().await == StopReason::Fenced {
             last_fenced = leadership.borrow().fence;
@@ -265,6 +268,8 @@
     leadership: watch::Receiver<Leadership>,
     version_counter: Arc<AtomicU64>,
     listing_counter: Arc<AtomicU64>,
+    /// Last fencing token that this process has used, by group.
+    last_tokens: Arc<Mutex<HashMap<Arc<str>, Arc<AtomicU64>>>>,
 }
 
 impl<E: Engine> Leader<E> {
@@ -274,11 +279,21 @@
         self.leadership.borrow().is_held() && !self.shared.is_leaving()
     }
 
-    /// Returns the fencing token for a switch that begins now.
+    /// Returns the generation of the leadership.
     fn fence(&self) -> u64 {
         self.leadership.borrow().fence
     }
 
+    /// Returns the fencing tokens for a switch of a group that begins now.
+    fn tokens(&self, group: &Arc<str>) -> Tokens {
+        let mut last = self
+            .last_tokens
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        let last = last.entry(Arc::clone(group)).or_default();
+        Tokens::new(self.fence(), Arc::clone(last))
+    }
+
     /// Returns the part of a map version that this process has not used before.
     fn next_sequence(&self) -> u64 {
         self.version_counter.fetch_add(1, Ordering::Relaxed) + 1
--- a/crates/gateway/src/maps/mod.rs
+++ b/crates/gateway/src/maps/mod.rs
@@ -5,6 +5,7 @@
 //! without I/O. See `docs/notes/platform.md`.
 
 pub mod cadence;
+pub mod fence;
 mod leader;
 pub mod plan;
 pub mod switch;
--- a/crates/gateway/src/maps/switch/mod.rs
+++ b/crates/gateway/src/maps/switch/mod.rs
@@ -2,11 +2,16 @@
 //!
 //! No step may begin with ranks on different maps. One rank holds the group before a step,
 //! then every rank arms the map for that step, and the holder releases the group only when
-//! all have confirmed. Commands may go unanswered and be carried out late. Late commands
-//! have no effect: a hold or an arm names a step that has begun by then, and every command
-//! names an epoch and a fencing token. The machine returns the commands to send and takes
-//! the answers and reports.
+//! all have confirmed. The machine returns the commands to send and takes the answers and
+//! reports.
+//!
+//! Commands may go unanswered and be carried out late, also seconds after the switch has ended
+//! and, in an idle group, before the step that they name. They have no effect then: each phase
+//! and each choice of a step takes a higher fencing token, and a phase ends only when each rank
+//! that could still act on an earlier command has confirmed one with the higher token.
+//! `docs/notes/platform.md` lists which phase refuses which command.
 
+use super::fence::Tokens;
 use crate::engine::{Command, CommandOutcome, ExpertPlacement, Preconditions, Report};
 
 /// Number of times that a refused hold is retried with a later step.
@@ -25,7 +30,12 @@
     Hold,
     /// All ranks are commanded to switch at that step.
     Arm,
-    /// All ranks are commanded to cancel the armed map.
+    /// All ranks receive the token of a leader that rolls back the switch of another one, with a
+    /// command that has no effect.
+    Claim,
+    /// Reports have to show which ranks that switch has armed.
+    Verify,
+    /// The ranks are commanded to cancel the armed map.
     Disarm,
     /// The holder is commanded to release the group.
     Go,
@@ -54,6 +64,8 @@
     accepted_commands: u64,
     /// Whether the rank has confirmed the command of this phase.
     confirmed: bool,
+    /// Version that the rank may be armed with.
+    armed: u64,
 }
 
 /// One switch of a group, or the rollback of one that another leader began.
@@ -62,6 +74,8 @@
     version: u64,
     map: ExpertPlacement,
     epoch: u64,
+    tokens: Tokens,
+    /// Fencing token of this phase.
     fence: u64,
     phase: Phase,
     ranks: Vec<Rank>,
@@ -70,6 +84,8 @@
     /// Index of the rank that holds the group.
     holder: usize,
     hold_conflicts: u32,
+    /// Whether the holder may hold the group before this step without having confirmed it.
+    hold_unanswered: bool,
     rounds: u32,
     /// Whether the switch ends as abandoned once the ranks are disarmed and released.
     rolling_back: bool,
@@ -82,7 +98,7 @@
     /// the number of steps between the last known step and the switch.
     pub fn new(
         reports: &[Report],
-        fence: u64,
+        tokens: Tokens,
         version: u64,
         map: ExpertPlacement,
         lead_steps: u64,
@@ -90,15 +106,17 @@
         Self {
             version,
             map,
-            fence,
+            fence: tokens.next(),
+            tokens,
             lead_steps,
             epoch: epoch(reports),
             phase: Phase::Prepare,
-            ranks: ranks(reports),
+            ranks: ranks(reports, version),
             step: 0,
             // Any rank can hold the group.
             holder: 0,
             hold_conflicts: 0,
+            hold_unanswered: false,
             rounds: 0,
             rolling_back: false,
             prepare_unanswered: false,
@@ -118,18 +136,18 @@
 
     /// Begins the rollback of a switch that was left unfinished with the group held. Returns `None`
     /// if no rank holds it: ranks that are armed then have all been, and may begin the step of the
-    /// switch at any moment, before all of them are disarmed.
-    pub fn recover(reports: &[Report], fence: u64) -> Option<Self> {
+    /// switch at any moment, before all of them are disarmed. `unused` is a version that no map has.
+    ///
+    /// Commands of the previous leader may still arrive, and reports lag. The hold is confirmed
+    /// first, so that none of these commands releases the group meanwhile, and then every rank
+    /// receives the token of this leader, so that none of them arms a rank. Only after that do
+    /// reports tell which ranks have to be disarmed.
+    pub fn recover(reports: &[Report], tokens: Tokens, unused: u64) -> Option<Self> {
         let holder = reports.iter().position(|report| report.held.is_some())?;
-        let armed = reports.iter().filter_map(|report| report.armed).max();
-        // Commands of the previous leader may still arrive. The disarm command gives every
-        // rank the higher fencing token, including ranks that are not armed yet.
-        let prepared = reports.iter().filter_map(|report| report.prepared).max();
-        let version = armed.map(|(version, _)| version).or(prepared);
-        let mut switch = Self::new(reports, fence, version.unwrap_or_default(), Vec::new(), 0);
+        let mut switch = Self::new(reports, tokens, unused, Vec::new(), 0);
         switch.holder = holder;
         switch.step = reports[holder].held.unwrap_or_default();
-        switch.phase = Phase::Disarm;
+        switch.phase = Phase::Hold;
         switch.rolling_back = true;
         Some(switch)
     }
@@ -157,10 +175,12 @@
     /// Returns whether ranks may be held or armed, in which case the switch must be completed
     /// or rolled back even after the leadership has been lost.
     pub fn is_committed(&self) -> bool {
-        matches!(
-            self.phase,
-            Phase::Hold | Phase::Arm | Phase::Disarm | Phase::Go
-        )
+        match self.phase {
+            // A rollback that has not confirmed the hold has changed nothing yet.
+            Phase::Hold => !self.rolling_back,
+            Phase::Arm | Phase::Claim | Phase::Verify | Phase::Disarm | Phase::Go => true,
+            Phase::Prepare | Phase::Copy | Phase::End(_) => false,
+        }
     }
 
     /// Returns the commands to send now, with the index of their rank. An empty list means
@@ -176,11 +196,11 @@
                 version: self.version,
                 step: self.step,
             },
-            Phase::Disarm => Command::Disarm {
+            Phase::Claim | Phase::Disarm => Command::Disarm {
                 version: self.version,
             },
             Phase::Go => Command::Go { step: self.step },
-            Phase::Copy | Phase::End(_) => return Vec::new(),
+            Phase::Copy | Phase::Verify | Phase::End(_) => return Vec::new(),
         };
         let all = self.ranks.iter().enumerate();
         all.filter(|(index, rank)| {
@@ -192,7 +212,13 @@
                 expected: rank.accepted_commands,
                 epoch: self.epoch,
             };
-            (index, command.clone(), preconditions)
+            let command = match self.phase {
+                Phase::Disarm => Command::Disarm {
+                    version: rank.armed,
+                },
+                _ => command.clone(),
+            };
+            (index, command, preconditions)
         })
         .collect()
     }
@@ -212,7 +238,10 @@
             Some(CommandOutcome::Conflict | CommandOutcome::Refused) => {
                 self.handle_conflict(index, phase);
             }
-            None => self.prepare_unanswered |= phase == Phase::Prepare,
+            None => {
+                self.prepare_unanswered |= phase == Phase::Prepare;
+                self.hold_unanswered |= phase == Phase::Hold;
+            }
         }
         self.advance();
     }
@@ -244,13 +273,19 @@
                 rank.accepted_commands = report.orders;
             }
         }
-        if self.phase == Phase::Copy {
+        if self.phase == Phase::Verify && settled {
+            self.verify(reports);
+        } else if self.phase == Phase::Copy {
             let version = Some(self.version);
             if reports.iter().all(|report| report.prepared == version) {
                 self.enter(Phase::Hold);
                 self.choose_step(reports);
             }
-        } else if self.phase == Phase::Hold && self.hold_conflicts > 0 {
+        } else if self.phase == Phase::Hold
+            && !self.rolling_back
+            && self.hold_conflicts > 0
+            && !self.hold_unanswered
+        {
             self.choose_step(reports);
         }
     }
@@ -268,7 +303,8 @@
         if self.rounds > MAX_ROUNDS {
             match self.phase {
                 Phase::Prepare | Phase::Copy => self.phase = Phase::End(End::Abandoned),
-                Phase::Hold | Phase::Arm => self.roll_back(),
+                Phase::Hold => self.give_up_hold(),
+                Phase::Arm => self.roll_back(),
                 _ => {}
             }
         }
@@ -285,23 +321,59 @@
     fn choose_step(&mut self, reports: &[Report]) {
         let last = reports.iter().map(|report| report.step).max();
         let lead_steps = self.lead_steps + u64::from(self.prepare_unanswered);
-        self.step = last.unwrap_or_default() + lead_steps * u64::from(self.hold_conflicts + 1);
+        self.set_step(last.unwrap_or_default() + lead_steps * u64::from(self.hold_conflicts + 1));
+    }
+
+    /// Sets the step of the switch. A command to hold the group before another step has a lower
+    /// token, so that it has no effect once this one is confirmed.
+    fn set_step(&mut self, step: u64) {
+        if step != self.step {
+            self.step = step;
+            self.hold_unanswered = false;
+            self.fence = self.tokens.next();
+        }
     }
 
     fn handle_conflict(&mut self, index: usize, phase: Phase) {
         match phase {
             Phase::Prepare => self.phase = Phase::End(End::Abandoned),
+            // The step has begun, or the group is held by another command.
+            Phase::Hold if self.rolling_back => self.give_up_hold(),
             Phase::Hold => {
                 self.hold_conflicts += 1;
-                self.step += self.lead_steps;
                 if self.hold_conflicts > MAX_HOLD_RETRIES {
-                    self.phase = Phase::End(End::Abandoned);
+                    self.give_up_hold();
+                } else {
+                    self.set_step(self.step + self.lead_steps);
                 }
             }
             Phase::Arm => self.roll_back(),
             // The rank has no such hold or arm, which is the result that the command requests.
-            Phase::Go | Phase::Disarm => self.ranks[index].confirmed = true,
-            Phase::Copy | Phase::End(_) => {}
+            Phase::Go | Phase::Claim | Phase::Disarm => self.ranks[index].confirmed = true,
+            Phase::Copy | Phase::Verify | Phase::End(_) => {}
+        }
+    }
+
+    /// Cancels what reports show to be armed. Ranks that are armed for a step before the hold have
+    /// been released by the leader that armed them all, and may begin that step at any moment.
+    fn verify(&mut self, reports: &[Report]) {
+        self.enter(Phase::Disarm);
+        for (rank, report) in self.ranks.iter_mut().zip(reports) {
+            let armed = report.armed.filter(|(_, step)| *step >= self.step);
+            rank.confirmed = armed.is_none();
+            rank.armed = armed.map_or(rank.armed, |(version, _)| version);
+        }
+        self.advance();
+    }
+
+    /// Gives up to hold the group. No rank has been armed, but an unanswered command may still hold
+    /// the group, so the holder receives a higher token.
+    fn give_up_hold(&mut self) {
+        if self.rolling_back {
+            self.phase = Phase::End(End::Abandoned);
+        } else {
+            self.rolling_back = true;
+            self.enter(Phase::Go);
         }
     }
 
@@ -322,11 +394,13 @@
         }
         let next = match self.phase {
             Phase::Prepare => Phase::Copy,
+            Phase::Hold if self.rolling_back => Phase::Claim,
             Phase::Hold => Phase::Arm,
+            Phase::Claim => Phase::Verify,
             Phase::Arm | Phase::Disarm => Phase::Go,
             Phase::Go if self.rolling_back => Phase::End(End::Abandoned),
             Phase::Go => Phase::End(End::Switched),
-            same @ (Phase::Copy | Phase::End(_)) => same,
+            same @ (Phase::Copy | Phase::Verify | Phase::End(_)) => same,
         };
         if next != self.phase {
             self.enter(next);
@@ -335,6 +409,7 @@
 
     fn enter(&mut self, phase: Phase) {
         self.phase = phase;
+        self.fence = self.tokens.next();
         self.rounds = 0;
         for rank in &mut self.ranks {
             rank.confirmed = false;
@@ -347,12 +422,13 @@
     groups.map(|group| group.epoch).max().unwrap_or_default()
 }
 
-fn ranks(reports: &[Report]) -> Vec<Rank> {
+fn ranks(reports: &[Report], version: u64) -> Vec<Rank> {
     let reports = reports.iter();
     reports
         .map(|report| Rank {
             accepted_commands: report.orders,
             confirmed: false,
+            armed: version,
         })
         .collect()
 }
--- a/crates/gateway/tests/switch.rs
+++ b/crates/gateway/tests/switch.rs
@@ -1,11 +1,14 @@
 //! Randomized simulation of map switches with lost answers, late commands and crashing
 //! leaders, which checks that no step begins with ranks on different maps.
 
+use std::collections::VecDeque;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
 
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::{Rng as _, SeedableRng as _};
 use sesamerock_gateway::engine::{Command, CommandOutcome, Group, Preconditions, Report};
+use sesamerock_gateway::maps::fence::Tokens;
 use sesamerock_gateway::maps::switch::{End, Phase, Switch};
 
 const RANKS: usize = 4;
@@ -13,9 +16,47 @@
 const ROUNDS_PER_RUN: u32 = 400;
 /// Number of steps between the last known step and a switch.
 const LEAD_STEPS: u64 = 3;
-/// Minimum number of steps before a late command is carried out. Commands are late by two
-/// seconds or more, and a step takes at most a tenth of a second.
-const MIN_DELAY_STEPS: u64 = 20;
+/// Minimum time before a late command is carried out. Commands are late by two seconds or more,
+/// and a step takes at most a tenth of a second.
+const MIN_DELAY: u64 = 20;
+
+/// What may happen beside lost answers and late commands. Times are those of steps of a busy group.
+#[derive(Clone, Copy, Debug)]
+struct Conditions {
+    /// Minimum time before a late command is carried out.
+    min_delay: u64,
+    /// Range of the delay above the minimum.
+    delays: u64,
+    /// Share of the late commands that are carried out twice.
+    repeat_percent: u32,
+    /// Whether the group has no work for a time now and then, and begins no steps.
+    idles: bool,
+    /// Longest age of the reports that a leader reads.
+    lag: u64,
+    /// Whether a leader may begin anew with the leadership that it had.
+    same_leader: bool,
+    /// Whether a former leader may go on beside the next one.
+    former_leader: bool,
+}
+
+impl Default for Conditions {
+    fn default() -> Self {
+        Self {
+            min_delay: MIN_DELAY,
+            delays: 60,
+            repeat_percent: 0,
+            idles: false,
+            lag: 0,
+            same_leader: false,
+            former_leader: false,
+        }
+    }
+}
+
+/// Returns the tokens of a new process under a generation of the leadership.
+fn tokens(generation: u64) -> Tokens {
+    Tokens::new(generation, Arc::new(AtomicU64::new(0)))
+}
 
 #[derive(Clone, Copy, Debug, Default)]
 struct Rank {
@@ -32,18 +73,28 @@
     ranks: [Rank; RANKS],
     step: u64,
     time: u64,
+    conditions: Conditions,
+    /// When the group has work again or, if it has some, when it has none any more.
+    changes_at: u64,
+    is_idle: bool,
+    /// Reports of the latest times, the newest last.
+    past: VecDeque<Vec<Report>>,
     /// Commands still to be carried out: step, index of the rank, command and its preconditions.
     delayed: Vec<(u64, usize, Command, Preconditions)>,
     mixed: bool,
 }
 
 impl GroupModel {
-    fn new(seed: u64) -> Self {
+    fn new(seed: u64, conditions: Conditions) -> Self {
         Self {
             random: ChaCha8Rng::seed_from_u64(seed),
             ranks: [Rank::default(); RANKS],
             step: 0,
             time: 0,
+            conditions,
+            changes_at: 0,
+            is_idle: false,
+            past: VecDeque::new(),
             delayed: Vec::new(),
             mixed: false,
         }
@@ -115,6 +166,17 @@
         for (_, index, command, preconditions) in due {
             self.apply(index, &command, preconditions);
         }
+        self.past.push_back(self.reports());
+        if self.past.len() as u64 > self.conditions.lag + 1 {
+            self.past.pop_front();
+        }
+        if self.conditions.idles && now >= self.changes_at {
+            self.is_idle = !self.is_idle;
+            self.changes_at = now + 1 + u64::from(self.random.next_u32() % 120);
+        }
+        if self.is_idle {
+            return;
+        }
         let next = self.step + 1;
         if self.ranks.iter().any(|rank| rank.held == Some(next)) {
             return;
@@ -129,6 +191,20 @@
         self.mixed |= self.ranks.iter().any(|rank| rank.map != self.ranks[0].map);
     }
 
+    /// Returns reports of times up to the lag ago, another one for each rank.
+    fn late_reports(&mut self) -> Vec<Report> {
+        if self.conditions.lag == 0 || self.past.is_empty() {
+            return self.reports();
+        }
+        let ranks = 0..RANKS;
+        ranks
+            .map(|rank| {
+                let index = self.random.next_u32() as usize % self.past.len();
+                self.past[index][rank].clone()
+            })
+            .collect()
+    }
+
     fn reports(&self) -> Vec<Report> {
         let ranks = self.ranks.iter().enumerate();
         ranks
@@ -175,9 +251,18 @@
                 self.apply(index, command, preconditions);
             }
             _ => {
-                let when = self.time + MIN_DELAY_STEPS + u64::from(self.random.next_u32() % 60);
-                self.delayed
-                    .push((when, index, command.clone(), preconditions));
+                let Conditions {
+                    min_delay,
+                    delays,
+                    repeat_percent,
+                    ..
+                } = self.conditions;
+                for _ in 0..=u32::from(self.chance(repeat_percent)) {
+                    let delay = min_delay + u64::from(self.random.next_u32()) % delays;
+                    let when = self.time + delay;
+                    self.delayed
+                        .push((when, index, command.clone(), preconditions));
+                }
             }
         }
         None
@@ -195,72 +280,100 @@
     Hold,
 }
 
+/// Sends the commands of a switch, gives it the answers and ends its round.
+fn run_round(
+    model: &mut GroupModel,
+    switch: &mut Switch,
+    removed: RemovedGuard,
+    fault_percent: u32,
+) {
+    for (index, command, preconditions) in switch.commands() {
+        let skips_hold = removed == RemovedGuard::Hold && matches!(command, Command::Hold { .. });
+        let outcome = if skips_hold {
+            Some(CommandOutcome::Done)
+        } else {
+            model.send(index, &command, preconditions, fault_percent)
+        };
+        let assumes_armed =
+            removed == RemovedGuard::Confirmation && matches!(command, Command::Arm { .. });
+        let outcome = outcome.or(assumes_armed.then_some(CommandOutcome::Done));
+        switch.handle_answer(index, outcome);
+        if model.random.next_u32().is_multiple_of(4) {
+            model.run_step();
+        }
+    }
+    if switch.phase() == Phase::Copy || switch.is_committed() {
+        let settled = model.chance(50);
+        let reports = if settled {
+            model.reports()
+        } else {
+            model.late_reports()
+        };
+        switch.handle_reports(&reports, settled);
+    }
+    switch.end_round();
+}
+
+/// Returns the rollback or the switch that a leader begins by the reports that it reads, if any.
+fn begin(model: &mut GroupModel, leader: &Tokens, generation: u64, version: u64) -> Option<Switch> {
+    let reports = model.late_reports();
+    let version = generation * 1_000 + version;
+    let recovered = Switch::recover(&reports, leader.clone(), version);
+    let is_unsettled = model.conditions.idles && Switch::is_unsettled(&reports, 0);
+    recovered.or_else(|| {
+        let new = || Switch::new(&reports, leader.clone(), version, Vec::new(), LEAD_STEPS);
+        (!is_unsettled).then(new)
+    })
+}
+
 /// Simulates one run. Returns whether a step began with ranks on different maps, how many
 /// switches succeeded, and whether the group makes progress at the end.
-fn simulate(seed: u64, removed: RemovedGuard) -> (bool, u32, bool) {
-    let mut model = GroupModel::new(seed);
-    let mut fence = 1;
+fn simulate(seed: u64, conditions: Conditions, removed: RemovedGuard) -> (bool, u32, bool) {
+    let mut model = GroupModel::new(seed, conditions);
+    let mut generation = 1;
+    let mut leader = tokens(generation);
     let mut version = 0;
     let mut switched = 0;
     let mut current: Option<Switch> = None;
+    let mut former: Option<Switch> = None;
     for round in 0..ROUNDS_PER_RUN {
         // The last quarter has no faults, so that the last switch can end.
         let fault_percent = if round < ROUNDS_PER_RUN * 3 / 4 {
             25
         } else {
+            model.conditions.idles = false;
+            model.is_idle = false;
             0
         };
         if fault_percent > 0 && model.chance(4) {
             // The leader crashes, or a rank does not answer it; another one takes over, or the same
             // one begins anew, at once or after some steps.
+            if conditions.former_leader && model.chance(50) {
+                former = current.take();
+            }
             current = None;
-            fence += 1;
+            if !(conditions.same_leader && model.chance(50)) {
+                generation += 1;
+                leader = tokens(generation);
+            }
             for _ in 0..model.random.next_u32() % 9 {
                 model.run_step();
             }
         }
-        let mut switch = current.take().unwrap_or_else(|| {
-            let reports = model.reports();
-            let recovered = Switch::recover(&reports, fence);
-            recovered.unwrap_or_else(|| {
-                version += 1;
-                Switch::new(
-                    &reports,
-                    fence,
-                    fence * 1_000 + version,
-                    Vec::new(),
-                    LEAD_STEPS,
-                )
-            })
-        });
-        for (index, command, preconditions) in switch.commands() {
-            let skips_hold =
-                removed == RemovedGuard::Hold && matches!(command, Command::Hold { .. });
-            let outcome = if skips_hold {
-                Some(CommandOutcome::Done)
-            } else {
-                model.send(index, &command, preconditions, fault_percent)
-            };
-            let assumes_armed =
-                removed == RemovedGuard::Confirmation && matches!(command, Command::Arm { .. });
-            let outcome = outcome.or(assumes_armed.then_some(CommandOutcome::Done));
-            switch.handle_answer(index, outcome);
-            if model.random.next_u32().is_multiple_of(4) {
-                model.run_step();
-            }
+        if let Some(mut switch) = former.take() {
+            run_round(&mut model, &mut switch, removed, fault_percent);
+            former = Some(switch).filter(|it| !matches!(it.phase(), Phase::End(_)));
         }
-        if switch.phase() == Phase::Copy || switch.is_committed() {
-            switch.handle_reports(&model.reports(), true);
+        let switch = current.take().or_else(|| {
+            version += 1;
+            begin(&mut model, &leader, generation, version)
+        });
+        if let Some(mut switch) = switch {
+            run_round(&mut model, &mut switch, removed, fault_percent);
+            switched += u32::from(switch.phase() == Phase::End(End::Switched));
+            current = Some(switch).filter(|it| !matches!(it.phase(), Phase::End(_)));
         }
-        switch.end_round();
         model.run_step();
-        match switch.phase() {
-            Phase::End(End::Switched) => {
-                switched += 1;
-            }
-            Phase::End(_) => {}
-            _ => current = Some(switch),
-        }
     }
     let before = model.step;
     for _ in 0..LEAD_STEPS {
@@ -273,28 +386,74 @@
     )
 }
 
-/// No fault may let a step begin with ranks on different maps or block the group forever.
-#[test]
-fn no_pass_begins_under_two_maps() {
+/// Simulates some runs under all conditions that the tests vary, and fails if one of them begins a
+/// step with ranks on different maps or stays held.
+fn check_runs(conditions: Conditions, runs: u64, min_switches: u32) {
     let mut total = 0;
-    for seed in 0..2_000 {
-        let (mixed, switched, makes_progress) = simulate(seed, RemovedGuard::None);
-        assert!(!mixed, "seed {seed}");
-        assert!(makes_progress, "seed {seed}: the group stays held");
+    for seed in 0..runs {
+        let (mixed, switched, makes_progress) = simulate(seed, conditions, RemovedGuard::None);
+        assert!(!mixed, "seed {seed}, {conditions:?}");
+        assert!(makes_progress, "seed {seed}, {conditions:?}: stays held");
         total += switched;
     }
     assert!(
-        total > 10_000,
+        total > min_switches,
         "only {total} switches, too few to show anything"
     );
 }
 
+/// No fault may let a step begin with ranks on different maps or block the group forever.
+#[test]
+fn no_pass_begins_under_two_maps() {
+    check_runs(Conditions::default(), 2_000, 10_000);
+}
+
+/// Regression: in a group without work, a leader rolled its own switch back, and late commands to
+/// arm that bore the same token were accepted after that (review/6).
+#[test]
+fn regression_late_commands_mix_no_maps_in_an_idle_group() {
+    let idle = Conditions {
+        idles: true,
+        same_leader: true,
+        ..Conditions::default()
+    };
+    check_runs(idle, 1_000, 500);
+    let any_delay = Conditions {
+        min_delay: 1,
+        repeat_percent: 50,
+        ..idle
+    };
+    check_runs(any_delay, 1_000, 500);
+    let late_reports = Conditions {
+        lag: 8,
+        ..any_delay
+    };
+    check_runs(late_reports, 1_000, 500);
+}
+
+/// Regression: a late command of a killed leader released the group while the next leader disarmed
+/// its ranks, so that a step began with some of them armed.
+#[test]
+fn regression_commands_of_a_former_leader_mix_no_maps() {
+    for idles in [false, true] {
+        let conditions = Conditions {
+            min_delay: 1,
+            idles,
+            lag: 8,
+            former_leader: true,
+            repeat_percent: 50,
+            ..Conditions::default()
+        };
+        check_runs(conditions, 1_000, 500);
+    }
+}
+
 /// The simulation must be able to fail: without the confirmation of every rank, or without
 /// the hold, steps begin with ranks on different maps.
 #[test]
 fn simulation_detects_removed_guards() {
     for removed in [RemovedGuard::Confirmation, RemovedGuard::Hold] {
-        let found = (0..50).any(|seed| simulate(seed, removed).0);
+        let found = (0..50).any(|seed| simulate(seed, Conditions::default(), removed).0);
         assert!(found, "{removed:?}");
     }
 }
@@ -303,7 +462,7 @@
 /// and rolls the switch back.
 #[test]
 fn a_new_leader_rolls_back_an_unfinished_switch() {
-    let mut model = GroupModel::new(1);
+    let mut model = GroupModel::new(1, Conditions::default());
     let preconditions = |fence| Preconditions {
         fence,
         expected: 0,
@@ -323,23 +482,31 @@
         step: 3,
     };
     model.apply(2, &arm, preconditions(1));
-    let Some(mut switch) = Switch::recover(&model.reports(), 2) else {
+    let Some(mut switch) = Switch::recover(&model.reports(), tokens(2), 2_001) else {
         panic!("the held and armed ranks must lead to a rollback");
     };
-    while switch.phase() == Phase::Disarm {
+    let mut run_phase = |model: &mut GroupModel| {
         for (index, command, preconditions) in switch.commands() {
             let outcome = model.apply(index, &command, preconditions);
             switch.handle_answer(index, Some(outcome));
         }
-    }
+        switch.handle_reports(&model.reports(), true);
+        switch.phase()
+    };
+    assert_eq!(run_phase(&mut model), Phase::Claim);
+    // The late command to release the group, and to arm another rank.
+    let go = Command::Go { step: 3 };
+    assert_eq!(
+        model.apply(0, &go, preconditions(1)),
+        CommandOutcome::Fenced
+    );
+    assert_eq!(run_phase(&mut model), Phase::Disarm);
     assert_eq!(
         model.apply(1, &arm, preconditions(1)),
         CommandOutcome::Fenced
     );
-    for (index, command, preconditions) in switch.commands() {
-        let outcome = model.apply(index, &command, preconditions);
-        switch.handle_answer(index, Some(outcome));
-    }
+    assert_eq!(run_phase(&mut model), Phase::Go);
+    run_phase(&mut model);
     assert_eq!(switch.phase(), Phase::End(End::Abandoned));
     for _ in 0..5 {
         model.run_step();
@@ -351,7 +518,7 @@
 /// its own switch had begun, disarmed the ranks one by one while that step began.
 #[test]
 fn regression_ranks_that_are_armed_and_released_are_not_rolled_back() {
-    let mut model = GroupModel::new(1);
+    let mut model = GroupModel::new(1, Conditions::default());
     let preconditions = Preconditions {
         fence: 1,
         expected: 0,
@@ -370,7 +537,7 @@
             model.apply(index, command, preconditions);
         }
     }
-    assert!(Switch::recover(&model.reports(), 1).is_none());
+    assert!(Switch::recover(&model.reports(), tokens(1), 1_001).is_none());
     assert!(Switch::is_unsettled(&model.reports(), 0));
     assert!(!Switch::is_unsettled(&model.reports(), 5));
     for _ in 0..5 {
@@ -383,8 +550,8 @@
 /// has broken, and the leader must then not wait for the crashed rank.
 #[test]
 fn a_broken_group_ends_the_switch() {
-    let model = GroupModel::new(1);
-    let mut switch = Switch::new(&model.reports(), 1, 7, Vec::new(), LEAD_STEPS);
+    let model = GroupModel::new(1, Conditions::default());
+    let mut switch = Switch::new(&model.reports(), tokens(1), 7, Vec::new(), LEAD_STEPS);
     for (index, _, _) in switch.commands() {
         switch.handle_answer(index, (index > 0).then_some(CommandOutcome::Begun));
     }
