--- a/crates/gateway/src/exchange/delivery/mod.rs
+++ b/crates/gateway/src/exchange/delivery/mod.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, serde_as};
 
-use crate::store::{Batch, Feed};
+use crate::store::{Batch, Feed, Offset};
 
 /// A batch that the reader of a zone has read. Without records, it says that there are none.
 #[serde_as]
@@ -16,7 +16,7 @@
     /// Feed that was read.
     pub feed: Feed,
     /// Offset from which the batch was read.
-    pub from: u64,
+    pub from: Offset,
     /// Records that were read, and the offset after them.
     pub batch: Batch,
     /// Time since the store answered.
--- a/crates/gateway/src/maps/fence/mod.rs
+++ b/crates/gateway/src/maps/fence/mod.rs
@@ -8,38 +8,37 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 
-/// Bits of a token that number the phases of one leadership. The bits above them are its
-/// generation.
+/// Bits of a token that number the phases of one leadership. The bits above them are its term.
 const PHASE_BITS: u32 = 24;
 /// Tokens that a switch must find unused. One switch uses fewer, as its rounds are limited.
 const RESERVE: u64 = 256;
 
-/// Rising fencing tokens for one group under one generation of the leadership. Clones share the
-/// last token, also those of different generations.
+/// Rising fencing tokens for one group in one term of the leadership. Clones share the last
+/// token, also those of different terms.
 #[derive(Clone, Debug)]
 pub struct Tokens {
-    generation: u64,
+    term: u64,
     last: Arc<AtomicU64>,
 }
 
 impl Tokens {
-    /// Returns the tokens of a generation that are higher than `last`, the last one that this
+    /// Returns the tokens of a term, given by its number, that are higher than `last`, the last one that this
     /// process has used for the group.
-    pub fn new(generation: u64, last: Arc<AtomicU64>) -> Self {
-        Self { generation, last }
+    pub fn new(term: u64, last: Arc<AtomicU64>) -> Self {
+        Self { term, last }
     }
 
-    /// Returns a token that is higher than all before. Tokens of a generation are lower than those
-    /// of any later one.
+    /// Returns a token that is higher than all before. Tokens of a term are lower than those of any
+    /// later one.
     pub fn next(&self) -> u64 {
-        let floor = self.generation << PHASE_BITS;
+        let floor = self.term << PHASE_BITS;
         self.last.fetch_max(floor, Ordering::Relaxed);
         self.last.fetch_add(1, Ordering::Relaxed) + 1
     }
 
-    /// Returns whether too few tokens are left for another switch in this generation.
+    /// Returns whether too few tokens are left for another switch in this term.
     pub fn are_exhausted(&self) -> bool {
-        let end = (self.generation + 1) << PHASE_BITS;
+        let end = (self.term + 1) << PHASE_BITS;
         self.last.load(Ordering::Relaxed) + RESERVE >= end
     }
 }
--- a/crates/gateway/src/maps/leader/mod.rs
+++ b/crates/gateway/src/maps/leader/mod.rs
@@ -25,7 +25,7 @@
 use crate::maps::fence::Tokens;
 use crate::pool::AbortOnDrop;
 use crate::relay::Shared;
-use crate::store::{Fault, Lease, Store};
+use crate::store::{Fault, Lease, Store, Term};
 use crate::table::Experts;
 use crate::upstream::Record;
 
@@ -68,7 +68,7 @@
 /// The leadership last granted by the store, and its expiry by this process's clock.
 #[derive(Clone, Copy, Debug, Default)]
 struct Leadership {
-    fence: u64,
+    term: Term,
     until: Option<Moment>,
 }
 
@@ -123,7 +123,7 @@
     let version_counter = Arc::new(AtomicU64::new(0));
     let listing_counter = Arc::new(AtomicU64::new(0));
     let last_tokens = Arc::default();
-    let mut last_fenced = 0;
+    let mut last_fenced = Term::default();
     loop {
         sleep(LEADERSHIP_POLL_INTERVAL).await;
         let current = *leadership.borrow();
@@ -133,7 +133,7 @@
             resign(&store, &settings.node, current).await;
             return;
         }
-        if !current.is_held() || current.fence <= last_fenced {
+        if !current.is_held() || current.term <= last_fenced {
             continue;
         }
         let leader = Leader {
@@ -145,7 +145,7 @@
             last_tokens: Arc::clone(&last_tokens),
         };
         if leader.manage_groups().await == StopReason::Fenced {
-            last_fenced = leadership.borrow().fence;
+            last_fenced = leadership.borrow().term;
         }
     }
 }
@@ -169,21 +169,23 @@
         let previous = *leadership.borrow();
         let may_claim = shared.view.load().claims_leadership || previous.is_held();
         if may_claim && !shared.is_leaving() {
-            let claim = store.claim_leadership(&node, lease, previous.fence);
+            let claim = store.claim_leadership(&node, lease, previous.term);
             let claimed = timeout(lease.mul_f64(CLAIM_TIMEOUT_LEASES), claim).await;
             let claimed = claimed.unwrap_or_else(|_| Err(Fault::NoAnswer("timed out".to_owned())));
             match claimed {
-                Ok(Lease { generation, held }) => {
+                Ok(Lease { term, held }) => {
                     extended = false;
                     shared.store_contact.record_answer(clock::now());
+                    shared.store_contact.record_era(term.era());
                     let until = held.then_some(requested_at + lease);
                     if previous.until.is_some() != held {
-                        log::info!("event=lead node={node} leads={held} generation={generation}");
+                        log::info!(
+                            "event=lead node={node} leads={held} generation={} era={}",
+                            term.generation(),
+                            term.era()
+                        );
                     }
-                    leadership.send_replace(Leadership {
-                        fence: generation,
-                        until,
-                    });
+                    leadership.send_replace(Leadership { term, until });
                     shared.is_leader.store(held, Ordering::Relaxed);
                 }
                 Err(fault) => {
@@ -197,7 +199,7 @@
                         if !std::mem::replace(&mut extended, true) {
                             log::warn!(
                                 "event=lead_extended node={node} generation={} reason=\"{fault}\"",
-                                previous.fence
+                                previous.term.generation()
                             );
                         }
                         leadership.send_replace(Leadership {
@@ -218,7 +220,7 @@
 /// Resigns from the leadership, so that another gateway need not wait for the end of the
 /// lease. A failure is only logged, since the lease then expires.
 async fn resign(store: &impl Store, node: &str, leadership: Leadership) {
-    if leadership.fence == 0 {
+    if leadership.term == Term::default() {
         return;
     }
     match store.resign(node).await {
@@ -279,9 +281,9 @@
         self.leadership.borrow().is_held() && !self.shared.is_leaving()
     }
 
-    /// Returns the generation of the leadership.
+    /// Returns the number of the term of the leadership.
     fn fence(&self) -> u64 {
-        self.leadership.borrow().fence
+        self.leadership.borrow().term.number()
     }
 
     /// Returns the fencing tokens for a switch of a group that begins now.
--- a/crates/gateway/src/run/feeds/mod.rs
+++ b/crates/gateway/src/run/feeds/mod.rs
@@ -108,7 +108,8 @@
                 }
             }
             Err(Fault::Expired) => {
-                log::warn!("event=history_expired feed={} from={from:?}", feed.as_str());
+                let from = from.unwrap_or_default();
+                log::warn!("event=history_expired feed={} from={from}", feed.as_str());
                 zone.offsets().reset(feed);
             }
             Err(fault) => {
--- a/crates/gateway/src/run/mod.rs
+++ b/crates/gateway/src/run/mod.rs
@@ -64,6 +64,11 @@
 const CONVICTION_RETRY: Duration = Duration::from_secs(1);
 /// Most attempts to write a conviction: as long as the first conviction of a subject lasts.
 const CONVICTION_ATTEMPTS: u32 = 60;
+/// Range of the random pause before a gateway publishes its record again after a restore of the
+/// store, which accepts a limited rate of writes from all.
+const REANNOUNCE_SPREAD: Duration = Duration::from_secs(5);
+/// Longest age of a copy from which the store may be restored.
+const MAX_COPY_AGE: Duration = Duration::from_mins(1);
 /// Fraction of the system's retry budget that all nodes together use. Each node counts
 /// independently, and a gateway that has just started may be unknown to the others.
 const RETRY_BUDGET_FRACTION: f64 = 0.7;
@@ -468,7 +473,7 @@
     for feed in [Feed::Orders, Feed::Upstreams, Feed::Nodes] {
         tokio::spawn(feeds::follow_feed(node.clone(), store.clone(), feed));
     }
-    tokio::spawn(announce(store.clone(), record));
+    tokio::spawn(announce(store.clone(), record, Arc::clone(&shared)));
     tokio::spawn(keep_convictions(Arc::clone(&shared), store.clone()));
     let leadership = maps::Settings {
         node: settings.node.clone(),
@@ -639,13 +644,19 @@
 }
 
 /// Publishes the record of this node, retrying until the store accepts it or fails
-/// permanently.
-async fn announce<S: Store>(store: S, record: node::Record) {
+/// permanently, and again whenever the store has been restored from a copy.
+async fn announce<S: Store>(store: S, record: node::Record, shared: Arc<Shared>) {
+    let mut restores = shared.store_contact.restores();
     loop {
         match store.announce(&record).await {
             Ok(()) => {
                 log::info!("event=announced node={}", record.name);
-                return;
+                if restores.changed().await.is_err() {
+                    return;
+                }
+                // All gateways notice a restore at the same time.
+                sleep(REANNOUNCE_SPREAD.mul_f64(rand::random())).await;
+                continue;
             }
             Err(fault @ (Fault::Expired | Fault::Held)) => {
                 log::error!("event=announce_failed reason=\"{fault}\"");
@@ -658,10 +669,23 @@
 }
 
 /// Writes the convictions that this gateway pronounces or ends to the store, so that they outlive
-/// the gateways. Heartbeats have told the others before.
+/// the gateways, and those of late again when the store has been restored from a copy. Heartbeats
+/// have told the others before.
 async fn keep_convictions<S: Store>(shared: Arc<Shared>, store: S) {
+    let mut restores = shared.store_contact.restores();
+    let mut kept: Vec<(Moment, suspect::Record)> = Vec::new();
     loop {
-        for record in shared.next_convictions().await {
+        let records = tokio::select! {
+            records = shared.next_convictions() => records,
+            Ok(()) = restores.changed() => kept.drain(..).map(|(_, record)| record).collect(),
+        };
+        let now = clock::now();
+        kept.retain(|(at, old)| {
+            let is_replaced = records.iter().any(|new| new.slot() == old.slot());
+            now.since(*at) < MAX_COPY_AGE && !is_replaced
+        });
+        kept.extend(records.iter().map(|record| (now, *record)));
+        for record in records {
             let subject = record.subject;
             for attempt in 1..=CONVICTION_ATTEMPTS {
                 match store.keep_conviction(&record).await {
@@ -701,7 +725,7 @@
         let shared = &node.inner.shared;
         shared.admission().drop_silent_loads(clock::now());
         shared.assign_slots();
-        let expired = node.state().drop_expired(clock::now());
+        let expired = node.state().settle(clock::now());
         if !expired.is_empty() {
             log_events("lapse", &expired, node.state().position());
         }
--- a/crates/gateway/src/run/offsets/mod.rs
+++ b/crates/gateway/src/run/offsets/mod.rs
@@ -1,6 +1,6 @@
 //! The offsets up to which this gateway has followed each feed, by reads or deliveries.
 
-use crate::store::{Batch, Feed};
+use crate::store::{Batch, Feed, Offset};
 
 /// What a delivered batch is to this gateway.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -17,11 +17,11 @@
 
 /// Next offset of each feed; `None` before its first full listing.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct Offsets([Option<u64>; Feed::ALL.len()]);
+pub struct Offsets([Option<Offset>; Feed::ALL.len()]);
 
 impl Offsets {
     /// Returns the next offset of a feed.
-    pub fn get(&self, feed: Feed) -> Option<u64> {
+    pub fn get(&self, feed: Feed) -> Option<Offset> {
         self.0[feed as usize]
     }
 
@@ -31,7 +31,7 @@
     }
 
     /// Begins at an offset after a full listing.
-    pub fn begin(&mut self, feed: Feed, next: u64) {
+    pub fn begin(&mut self, feed: Feed, next: Offset) {
         self.0[feed as usize] = Some(next);
     }
 
@@ -42,7 +42,7 @@
 
     /// Judges a batch that begins at `from`. If it fits, removes the records that this gateway
     /// knows from it and advances to its end.
-    pub fn advance(&mut self, feed: Feed, from: u64, batch: &mut Batch) -> Verdict {
+    pub fn advance(&mut self, feed: Feed, from: Offset, batch: &mut Batch) -> Verdict {
         let Some(own) = self.get(feed) else {
             return Verdict::Unlisted;
         };
--- a/crates/gateway/src/run/zone/mod.rs
+++ b/crates/gateway/src/run/zone/mod.rs
@@ -12,7 +12,7 @@
 use super::reader::{Election, Mate, Pace, Role, Settings, Situation, pace};
 use crate::clock;
 use crate::exchange::{Delivery, LocalNode as _};
-use crate::store::{Batch, Feed};
+use crate::store::{Batch, Feed, Offset};
 
 /// Interval between two decisions on the role of this gateway.
 const DECISION_INTERVAL: Duration = Duration::from_millis(100);
@@ -110,10 +110,12 @@
 impl Node {
     /// Applies what this gateway has read from an offset, and passes it on if it is the reader of
     /// its zone. `age` is the longest time since the store answered.
-    pub(super) fn apply_read(&self, feed: Feed, from: u64, batch: Batch, age: Duration) {
+    pub(super) fn apply_read(&self, feed: Feed, from: Offset, batch: Batch, age: Duration) {
         let now = clock::now();
         let zone = &self.inner.zone;
-        self.inner.shared.store_contact.record_answer(now);
+        let contact = &self.inner.shared.store_contact;
+        contact.record_answer(now);
+        contact.record_era(batch.next.era());
         if feed == Feed::Upstreams {
             zone.election().record_answer(now - age);
         }
@@ -126,7 +128,9 @@
     /// Applies a full listing that this gateway has read.
     pub(super) fn apply_listing(&self, feed: Feed, batch: Batch, now: Moment) {
         let zone = &self.inner.zone;
-        self.inner.shared.store_contact.record_answer(now);
+        let contact = &self.inner.shared.store_contact;
+        contact.record_answer(now);
+        contact.record_era(batch.next.era());
         if feed == Feed::Upstreams {
             zone.election().record_answer(now);
         }
@@ -141,7 +145,7 @@
     fn advance(
         &self,
         feed: Feed,
-        from: u64,
+        from: Offset,
         mut batch: Batch,
         source: &str,
         now: Moment,
@@ -155,7 +159,7 @@
         verdict
     }
 
-    fn deliver(&self, feed: Feed, from: u64, batch: Batch, age: Duration, now: Moment) {
+    fn deliver(&self, feed: Feed, from: Offset, batch: Batch, age: Duration, now: Moment) {
         let delivery = Delivery {
             reader: self.inner.record.name.clone(),
             feed,
--- a/crates/gateway/src/state/mod.rs
+++ b/crates/gateway/src/state/mod.rs
@@ -3,6 +3,11 @@
 //! [`State`] does no I/O. It keeps the newest record of each key by log offset (the table
 //! by version), never replaces a record by an older one, and derives a [`View`] for the
 //! request path.
+//!
+//! When the store has been restored from a copy, what it lists at first may be older than what is
+//! known, though its era is later. Until the operators and the upstreams have written again, zones
+//! that were out of service and upstreams that had left or were draining stay so, and upstreams
+//! that are missing are kept.
 
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::{Arc, OnceLock};
@@ -14,10 +19,10 @@
 use crate::admit::cold::Members;
 use crate::admit::{Candidate, UpstreamPool};
 use crate::node;
-use crate::store::{Batch, Change, Feed, Update};
+use crate::store::{Batch, Change, Feed, Offset, Update};
 use crate::suspect;
 use crate::table::{Content, Table};
-use crate::upstream::{self, Outcome, RETENTION_AFTER_OUTAGE};
+use crate::upstream::{self, DISTRUST_AFTER_RESTORE, Outcome, RETENTION_AFTER_OUTAGE};
 
 /// An immutable snapshot of the state for the request path.
 #[derive(Debug, Default)]
@@ -44,9 +49,9 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Position {
     /// Next offset to read from the operators' orders.
-    pub orders: u64,
+    pub orders: Offset,
     /// Next offset to read from the upstreams.
-    pub upstreams: u64,
+    pub upstreams: Offset,
 }
 
 /// The table, zones and upstreams known to one node, for a node whose reads of the store
@@ -56,12 +61,12 @@
     /// Offsets up to which the state is complete.
     pub position: Position,
     /// The operators' table and its offset.
-    pub table: Option<(Content, u64)>,
+    pub table: Option<(Content, Offset)>,
     /// Zones, whether each is out of service, and the offset of that record.
-    pub zones: Vec<(Arc<str>, bool, u64)>,
+    pub zones: Vec<(Arc<str>, bool, Offset)>,
     /// Upstreams with their offsets. [`upstream::Record::cold`] holds the remaining cold
     /// start, counted from the moment of the snapshot.
-    pub upstreams: Vec<(upstream::Record, u64)>,
+    pub upstreams: Vec<(upstream::Record, Offset)>,
 }
 
 /// A change of the state, reported for logging and publication.
@@ -85,14 +90,29 @@
 #[derive(Debug, Default)]
 pub struct State {
     table: Option<Arc<Table>>,
-    table_offset: u64,
-    zones: BTreeMap<Arc<str>, (bool, u64)>,
+    table_offset: Offset,
+    zones: BTreeMap<Arc<str>, Zone>,
     upstreams: upstream::UpstreamSet,
     nodes: HashMap<String, node::Record>,
+    /// Next offset to read from the records of the nodes.
+    nodes_next: Offset,
     position: Position,
     complete: bool,
     /// Until when absent records are kept after the store was unreachable.
     retain_until: Option<Moment>,
+    /// Until when absent orders are kept after the store was restored.
+    keep_orders_until: Option<Moment>,
+    /// Until when listed upstreams may be older than what is known, after the store was restored.
+    distrust_until: Option<Moment>,
+}
+
+/// The newest order about a zone.
+#[derive(Clone, Copy, Debug)]
+struct Zone {
+    out: bool,
+    offset: Offset,
+    /// When the zone returns to service, if a restored store has lost the order.
+    returns_at: Option<Moment>,
 }
 
 impl State {
@@ -160,6 +180,7 @@
         now: Moment,
     ) -> Vec<Event> {
         let mut events = Vec::new();
+        let is_restored = self.enter_era(feed, batch.next, now);
         let listed: HashSet<Arc<str>> = batch
             .changes
             .iter()
@@ -170,17 +191,28 @@
             })
             .collect();
         for change in batch.changes {
-            self.apply_change(feed, change, now, &mut events);
+            match change.update {
+                // A restored store lists records of nodes that have been replaced since.
+                Update::Node(record) if is_restored => {
+                    self.learn_node(&record);
+                }
+                _ => self.apply_change(feed, change, full_listing, now, &mut events),
+            }
         }
         match feed {
             Feed::Orders => {
                 if full_listing && batch.next >= self.position.orders {
-                    self.zones.retain(|zone, (out, _)| {
-                        let keep = !*out || listed.contains(zone);
-                        if !keep {
-                            events.push(Event::Zone(Arc::clone(zone), false));
+                    let until = self.keep_orders_until.filter(|until| *until > now);
+                    self.zones.retain(|zone, known| {
+                        if !known.out || listed.contains(zone) {
+                            return true;
+                        }
+                        if until.is_some() {
+                            known.returns_at = until;
+                            return true;
                         }
-                        keep
+                        events.push(Event::Zone(Arc::clone(zone), false));
+                        false
                     });
                 }
                 self.position.orders = self.position.orders.max(batch.next);
@@ -196,19 +228,57 @@
                 }
                 self.position.upstreams = self.position.upstreams.max(batch.next);
             }
-            Feed::Nodes => {}
+            Feed::Nodes => self.nodes_next = self.nodes_next.max(batch.next),
         }
         events
     }
 
-    fn apply_change(&mut self, feed: Feed, change: Change, now: Moment, events: &mut Vec<Event>) {
+    /// Prepares for records of a later era than before, which a restored store lists. Returns
+    /// whether the era is a later one.
+    fn enter_era(&mut self, feed: Feed, next: Offset, now: Moment) -> bool {
+        let position = match feed {
+            Feed::Orders => self.position.orders,
+            Feed::Upstreams => self.position.upstreams,
+            Feed::Nodes => self.nodes_next,
+        };
+        // Nothing is known before the first listing.
+        if position == Offset::default() || next.era() <= position.era() {
+            return false;
+        }
+        let until = Some(now + DISTRUST_AFTER_RESTORE);
+        match feed {
+            Feed::Orders => self.keep_orders_until = until,
+            Feed::Upstreams => {
+                self.distrust_until = until;
+                self.retain_for(RETENTION_AFTER_OUTAGE, now);
+            }
+            Feed::Nodes => {}
+        }
+        true
+    }
+
+    /// Applies a change; `is_listed` states that it comes from a full listing.
+    fn apply_change(
+        &mut self,
+        feed: Feed,
+        change: Change,
+        is_listed: bool,
+        now: Moment,
+        events: &mut Vec<Event>,
+    ) {
         let offset = change.offset;
         match change.update {
             Update::Table(content) => self.set_table(&content, offset, events),
             Update::Zone { zone, out } => self.set_zone(zone, out, offset, events),
             Update::Upstream(record) => {
                 let shared = Arc::new(record.clone());
-                if self.upstreams.put(record, offset, now) == Outcome::Changed {
+                let is_doubtful = is_listed && self.distrust_until.is_some_and(|until| until > now);
+                let outcome = if is_doubtful {
+                    self.upstreams.put_restored(record, offset, now)
+                } else {
+                    self.upstreams.put(record, offset, now)
+                };
+                if outcome == Outcome::Changed {
                     events.push(Event::Upstream(shared));
                 }
             }
@@ -236,7 +306,7 @@
         }
     }
 
-    fn set_table(&mut self, content: &Content, offset: u64, events: &mut Vec<Event>) {
+    fn set_table(&mut self, content: &Content, offset: Offset, events: &mut Vec<Event>) {
         let newer = self
             .table
             .as_ref()
@@ -248,21 +318,40 @@
         }
     }
 
-    fn set_zone(&mut self, zone: Arc<str>, out: bool, offset: u64, events: &mut Vec<Event>) {
+    fn set_zone(&mut self, zone: Arc<str>, out: bool, offset: Offset, events: &mut Vec<Event>) {
         let known = self.zones.get(&zone);
-        if known.is_some_and(|(_, at)| *at > offset) {
+        if known.is_some_and(|known| known.offset > offset) {
             return;
         }
-        if known.is_none_or(|(was, _)| *was != out) {
+        if known.is_none_or(|known| known.out != out) {
             events.push(Event::Zone(Arc::clone(&zone), out));
         }
-        self.zones.insert(zone, (out, offset));
+        let order = Zone {
+            out,
+            offset,
+            returns_at: None,
+        };
+        self.zones.insert(zone, order);
     }
 
-    /// Removes records whose retention after an outage of the store has ended.
-    pub fn drop_expired(&mut self, now: Moment) -> Vec<Event> {
-        let removed = self.upstreams.drop_expired(now);
-        removed.into_iter().map(Event::UpstreamRemoved).collect()
+    /// Removes records whose retention after an outage or a restore of the store has ended, and
+    /// uses restored ones that nothing has contradicted since.
+    pub fn settle(&mut self, now: Moment) -> Vec<Event> {
+        let (removed, believed) = self.upstreams.settle(now);
+        let removed = removed.into_iter().map(Event::UpstreamRemoved);
+        let mut events: Vec<Event> = removed.collect();
+        events.extend(believed.into_iter().map(Event::Upstream));
+        for (name, zone) in &mut self.zones {
+            if zone.returns_at.is_some_and(|at| now >= at) {
+                *zone = Zone {
+                    out: false,
+                    offset: self.position.orders,
+                    returns_at: None,
+                };
+                events.push(Event::Zone(Arc::clone(name), false));
+            }
+        }
+        events
     }
 
     /// Returns the full state of this node.
@@ -277,7 +366,9 @@
             zones: self
                 .zones
                 .iter()
-                .map(|(zone, (out, offset))| (Arc::clone(zone), *out, *offset))
+                // Others judge by themselves what a restored store has lost.
+                .filter(|(_, known)| known.returns_at.is_none())
+                .map(|(zone, known)| (Arc::clone(zone), known.out, known.offset))
                 .collect(),
             upstreams: upstreams
                 .map(|known| {
@@ -293,6 +384,8 @@
     pub fn merge_snapshot(&mut self, snapshot: Snapshot, now: Moment) -> Vec<Event> {
         let mut events = Vec::new();
         let position = snapshot.position;
+        self.enter_era(Feed::Orders, position.orders, now);
+        self.enter_era(Feed::Upstreams, position.upstreams, now);
         if let Some((content, offset)) = &snapshot.table {
             self.set_table(content, *offset, &mut events);
         }
@@ -311,11 +404,15 @@
             for (record, offset) in snapshot.upstreams {
                 let update = Update::Upstream(record);
                 let change = Change { offset, update };
-                self.apply_change(Feed::Upstreams, change, now, &mut events);
+                self.apply_change(Feed::Upstreams, change, true, now, &mut events);
             }
+            // The other node retains what may be missing after an outage, but it may not have known
+            // what a restored store has lost.
+            let is_restored = self.distrust_until.is_some_and(|until| until > now);
+            let until = self.retention_deadline(now).filter(|_| is_restored);
             let removed = self
                 .upstreams
-                .retain(position.upstreams, |id| ids.contains(id), None);
+                .retain(position.upstreams, |id| ids.contains(id), until);
             events.extend(removed.into_iter().map(Event::UpstreamRemoved));
             self.position.upstreams = position.upstreams;
             self.complete = true;
@@ -329,7 +426,7 @@
         let out: HashSet<Arc<str>> = self
             .zones
             .iter()
-            .filter(|(_, (out, _))| *out)
+            .filter(|(_, known)| known.out)
             .map(|(zone, _)| Arc::clone(zone))
             .collect();
         let mut pools: HashMap<Arc<str>, UpstreamPool> = HashMap::new();
--- a/crates/gateway/src/store/contact/mod.rs
+++ b/crates/gateway/src/store/contact/mod.rs
@@ -11,6 +11,8 @@
 use sesamerock_base::time::Moment;
 use tokio::sync::watch;
 
+use super::Era;
+
 /// Delay of heartbeats that is tolerated when the last answers of two gateways are compared.
 const MAX_HEARTBEAT_DELAY: Duration = Duration::from_millis(250);
 
@@ -28,14 +30,18 @@
     last_answer: Option<Moment>,
     last_peer_answer: Option<Moment>,
     failing_since: Option<Moment>,
+    /// The latest era that an answer of the store has stated.
+    era: Option<Era>,
 }
 
 /// The contact of this gateway with the store.
 #[derive(Debug, Default)]
 pub struct Contact {
     inner: Mutex<Inner>,
-    /// Number of times that the store has answered again after failures.
+    /// Number of times that the store has answered again after failures, or from a copy.
     returns: watch::Sender<u64>,
+    /// Number of times that the store has been restored from a copy.
+    restores: watch::Sender<u64>,
 }
 
 impl Contact {
@@ -55,7 +61,28 @@
         }
     }
 
-    /// Returns a receiver that is notified whenever the store answers again after failures.
+    /// Records the era that the store has stated. A later one than before means that the store has
+    /// been restored from a copy, also if no call has failed meanwhile.
+    pub fn record_era(&self, era: Era) {
+        let mut inner = self.inner();
+        let known = inner.era;
+        inner.era = known.max(Some(era));
+        drop(inner);
+        if known.is_some_and(|known| known < era) {
+            log::warn!("event=store_restored era={era} previous={known:?}");
+            self.restores.send_modify(|restores| *restores += 1);
+            self.returns.send_modify(|returns| *returns += 1);
+        }
+    }
+
+    /// Returns a receiver that is notified whenever the store has been restored from a copy. What
+    /// this system has written to it lately may be gone then.
+    pub fn restores(&self) -> watch::Receiver<u64> {
+        self.restores.subscribe()
+    }
+
+    /// Returns a receiver that is notified whenever the store answers again after failures, or has
+    /// been restored from a copy.
     /// A call that has been waiting since before may never be answered.
     pub fn returns(&self) -> watch::Receiver<u64> {
         self.returns.subscribe()
--- a/crates/gateway/src/store/counted/mod.rs
+++ b/crates/gateway/src/store/counted/mod.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use super::{Batch, Fault, Feed, Lease, Store};
+use super::{Batch, Fault, Feed, Lease, Offset, Store, Term};
 use crate::metrics::append_line;
 use crate::{node, suspect};
 
@@ -63,7 +63,7 @@
         self.store.newest(feed).await
     }
 
-    async fn read(&self, feed: Feed, from: u64, wait: Duration) -> Result<Batch, Fault> {
+    async fn read(&self, feed: Feed, from: Offset, wait: Duration) -> Result<Batch, Fault> {
         self.calls.add(READ + feed as usize);
         self.store.read(feed, from, wait).await
     }
@@ -72,10 +72,10 @@
         &self,
         node: &str,
         ttl: Duration,
-        generation: u64,
+        term: Term,
     ) -> Result<Lease, Fault> {
         self.calls.add(CLAIM);
-        self.store.claim_leadership(node, ttl, generation).await
+        self.store.claim_leadership(node, ttl, term).await
     }
 
     async fn resign(&self, node: &str) -> Result<(), Fault> {
--- a/crates/gateway/src/store/mod.rs
+++ b/crates/gateway/src/store/mod.rs
@@ -7,6 +7,7 @@
 
 pub mod contact;
 pub mod counted;
+mod offset;
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -18,6 +19,8 @@
 use crate::table::Content;
 use crate::upstream;
 
+pub use offset::{Era, Offset, Term};
+
 /// A log of keyed records, in which the newest record of each key is valid.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Feed {
@@ -78,7 +81,7 @@
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Change {
     /// Offset of the record; of two records of a key, the higher one is newer.
-    pub offset: u64,
+    pub offset: Offset,
     /// Decoded content of the record.
     pub update: Update,
 }
@@ -87,7 +90,7 @@
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Batch {
     /// Offset from which to continue reading.
-    pub next: u64,
+    pub next: Offset,
     /// Records in the order in which the store returned them.
     pub changes: Vec<Change>,
 }
@@ -95,7 +98,8 @@
 /// Why a call to the store or to an engine failed.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Fault {
-    /// The requested records are no longer retained.
+    /// The requested records are no longer retained, or the store has been restored from a copy
+    /// since their offset was read.
     Expired,
     /// The request was refused with this HTTP status; a retry may succeed.
     Refused(u16),
@@ -126,33 +130,34 @@
 /// Leadership as granted by the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Lease {
-    /// Fencing token: increases with each change of leader, and also when claimants join
-    /// or leave.
-    pub generation: u64,
+    /// Increases with each change of leader, and also when claimants join or leave.
+    pub term: Term,
     /// Whether this node is the leader.
     pub held: bool,
 }
 
 /// Operations on the store. All of them fail with a [`Fault`].
 pub trait Store: Clone + Send + Sync + 'static {
-    /// Reads the newest record of each key, as the start of reading a feed.
+    /// Reads the newest record of each key, as the start of reading a feed. All records are of
+    /// the era of [`Batch::next`].
     fn newest(&self, feed: Feed) -> impl Future<Output = Result<Batch, Fault>> + Send;
 
     /// Reads the records from an offset on, waiting up to `wait` for the first one. Fails
-    /// with [`Fault::Expired`] if that offset is no longer retained.
+    /// with [`Fault::Expired`] if that offset is no longer retained or is of another era than the
+    /// store.
     fn read(
         &self,
         feed: Feed,
-        from: u64,
+        from: Offset,
         wait: Duration,
     ) -> impl Future<Output = Result<Batch, Fault>> + Send;
 
-    /// Claims or renews leadership for `ttl`; `generation` is the last one received.
+    /// Claims or renews leadership for `ttl`; `term` is the last one received.
     fn claim_leadership(
         &self,
         node: &str,
         ttl: Duration,
-        generation: u64,
+        term: Term,
     ) -> impl Future<Output = Result<Lease, Fault>> + Send;
 
     /// Releases leadership, or withdraws the claim to it.
--- a/crates/gateway/src/upstream/mod.rs
+++ b/crates/gateway/src/upstream/mod.rs
@@ -4,7 +4,11 @@
 //! Of two records, the one with the higher offset is newer. A record that disappears
 //! while the store is unreachable may have expired only because its upstream could not
 //! renew it, so it is kept for a time after the store returns; see
-//! [`UpstreamSet::drop_expired`].
+//! [`UpstreamSet::settle`].
+//!
+//! A store that is restored from a copy lists records that were replaced or removed after the copy
+//! was made. Such a record does not put an upstream to use again that has left or is draining,
+//! until the upstream writes another one or a time has passed.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -14,6 +18,8 @@
 use serde::{Deserialize, Serialize};
 use sesamerock_base::time::Moment;
 
+use crate::store::Offset;
+
 /// The record that an upstream publishes about itself.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Record {
@@ -41,13 +47,18 @@
 /// write their records again within two seconds of the return.
 pub const RETENTION_AFTER_OUTAGE: Duration = Duration::from_millis(2_300);
 
+/// How long a restored record is not believed of an upstream that has left or is draining. A store
+/// removes the records of dead upstreams after three intervals of their heartbeats, and upstreams
+/// that are alive write theirs again earlier.
+pub const DISTRUST_AFTER_RESTORE: Duration = Duration::from_secs(10);
+
 /// A record with the local state of this node about it.
 #[derive(Clone, Debug)]
 pub struct TrackedUpstream {
     /// The newest record read.
     pub record: Arc<Record>,
     /// Offset of the record in the log.
-    pub offset: u64,
+    pub offset: Offset,
     /// End of the cold start of the upstream.
     pub cold_until: Moment,
     /// When the record is dropped, if it disappeared while the store was unreachable.
@@ -58,9 +69,25 @@
 #[derive(Clone, Debug, Default)]
 pub struct UpstreamSet {
     known: HashMap<Arc<str>, TrackedUpstream>,
-    /// Offsets at which records were removed, so that a record read late from a lagging
-    /// replica does not restore one.
-    removed: HashMap<Arc<str>, u64>,
+    /// Records that were removed, so that one read late from a lagging replica, or listed by a
+    /// restored store, does not restore them.
+    removed: HashMap<Arc<str>, Removal>,
+    /// Restored records that are not believed yet.
+    doubted: HashMap<Arc<str>, Doubted>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Removal {
+    offset: Offset,
+    /// [`Record::born`] of the upstream.
+    born: Option<u64>,
+}
+
+#[derive(Clone, Debug)]
+struct Doubted {
+    record: Record,
+    offset: Offset,
+    until: Moment,
 }
 
 /// The effect of a record on the set.
@@ -77,10 +104,12 @@
 
 impl UpstreamSet {
     /// Adds or updates a record unless the set has a newer one.
-    pub fn put(&mut self, record: Record, offset: u64, now: Moment) -> Outcome {
-        if self.removed.get(&record.id).is_some_and(|at| *at > offset) {
+    pub fn put(&mut self, record: Record, offset: Offset, now: Moment) -> Outcome {
+        let removal = self.removed.get(&record.id);
+        if removal.is_some_and(|removal| removal.offset > offset) {
             return Outcome::Stale;
         }
+        self.doubted.remove(&record.id);
         let cold_until = now + record.cold;
         if let Some(known) = self.known.get_mut(&record.id) {
             if known.offset > offset {
@@ -116,10 +145,39 @@
         Outcome::Changed
     }
 
+    /// Adds or updates a record that a store lists after it was restored from a copy. If the
+    /// upstream is known to have left or to be draining, it stays so until it writes another
+    /// record, or until [`DISTRUST_AFTER_RESTORE`] has passed.
+    pub fn put_restored(&mut self, record: Record, offset: Offset, now: Moment) -> Outcome {
+        let known = self.known.get(&record.id);
+        let is_draining = known.is_some_and(|known| {
+            known.offset.era() < offset.era()
+                && known.record.draining
+                && !record.draining
+                && known.record.born == record.born
+        });
+        let has_left = self.removed.get(&record.id).is_some_and(|removal| {
+            removal.offset.era() < offset.era() && removal.born == record.born
+        });
+        if !is_draining && !has_left {
+            return self.put(record, offset, now);
+        }
+        let until = now + DISTRUST_AFTER_RESTORE;
+        let first = self.doubted.get(&record.id).map(|doubted| doubted.until);
+        let doubted = Doubted {
+            offset,
+            until: first.unwrap_or(until),
+            record,
+        };
+        self.doubted.insert(Arc::clone(&doubted.record.id), doubted);
+        Outcome::Same
+    }
+
     /// Removes a record whose key was deleted at `offset`. With `until`, it is kept until
     /// then unless it is draining, since it may have expired only because the store was
     /// unreachable.
-    pub fn remove(&mut self, id: &str, offset: u64, until: Option<Moment>) -> Outcome {
+    pub fn remove(&mut self, id: &str, offset: Offset, until: Option<Moment>) -> Outcome {
+        self.doubted.remove(id);
         let Some(known) = self.known.get_mut(id) else {
             return Outcome::Same;
         };
@@ -140,7 +198,7 @@
     /// `until` as for [`UpstreamSet::remove`]. Returns the ids removed.
     pub fn retain(
         &mut self,
-        end: u64,
+        end: Offset,
         listed: impl Fn(&str) -> bool,
         until: Option<Moment>,
     ) -> Vec<Arc<str>> {
@@ -150,12 +208,30 @@
         absent
     }
 
-    /// Drops the records whose retention after an outage has ended. Returns their ids.
-    pub fn drop_expired(&mut self, now: Moment) -> Vec<Arc<str>> {
+    /// Drops the records whose retention after an outage has ended, and believes restored ones
+    /// that have been doubted for long enough. Returns the ids of the former and the records of
+    /// the latter.
+    pub fn settle(&mut self, now: Moment) -> (Vec<Arc<str>>, Vec<Arc<Record>>) {
+        (self.drop_expired(now), self.believe_doubted(now))
+    }
+
+    fn believe_doubted(&mut self, now: Moment) -> Vec<Arc<Record>> {
+        let due = self.doubted.extract_if(|_, doubted| now >= doubted.until);
+        let due: Vec<Doubted> = due.map(|(_, doubted)| doubted).collect();
+        let records = due
+            .into_iter()
+            .filter_map(|Doubted { record, offset, .. }| {
+                let shared = Arc::new(record.clone());
+                (self.put(record, offset, now) == Outcome::Changed).then_some(shared)
+            });
+        records.collect()
+    }
+
+    fn drop_expired(&mut self, now: Moment) -> Vec<Arc<str>> {
         let is_expired =
             |known: &TrackedUpstream| known.expires_at.is_some_and(|until| now >= until);
         let expired = self.known.values().filter(|known| is_expired(known));
-        let expired: Vec<(Arc<str>, u64)> = expired
+        let expired: Vec<(Arc<str>, Offset)> = expired
             .map(|known| (Arc::clone(&known.record.id), known.offset))
             .collect();
         for (id, offset) in &expired {
@@ -178,9 +254,10 @@
         self.known.values()
     }
 
-    fn drop_record(&mut self, id: &str, offset: u64) {
-        if let Some((id, _)) = self.known.remove_entry(id) {
-            self.removed.insert(id, offset);
+    fn drop_record(&mut self, id: &str, offset: Offset) {
+        if let Some((id, known)) = self.known.remove_entry(id) {
+            let born = known.record.born;
+            self.removed.insert(id, Removal { offset, born });
         }
     }
 }
--- a/crates/gateway/tests/heartbeats.rs
+++ b/crates/gateway/tests/heartbeats.rs
@@ -17,6 +17,7 @@
 use sesamerock_gateway::exchange::{Heartbeat, Peers, Settings};
 use sesamerock_gateway::node;
 use sesamerock_gateway::state::Position;
+use sesamerock_gateway::store::Offset;
 use sesamerock_gateway::store::contact::ContactState;
 use sesamerock_gateway::suspect;
 
@@ -73,7 +74,10 @@
     heartbeat.loads = (seed % 7..seed % 11 + seed % 5).map(load).collect();
     match seed % 9 {
         0 => heartbeat.ready = !heartbeat.ready,
-        1 => heartbeat.position.orders += u64::from(seed),
+        1 => {
+            let orders = heartbeat.position.orders.index() + u64::from(seed);
+            heartbeat.position.orders = Offset::new(0, orders);
+        }
         2 => heartbeat.store.answer_age_ms = Some(u64::from(seed)),
         3 => heartbeat.leaving.push(Departure {
             id: Arc::from(format!("engine-{seed}")),
@@ -386,8 +390,8 @@
         sequence: 40,
     };
     sent.position = Position {
-        orders: 60,
-        upstreams: 4_000,
+        orders: Offset::new(0, 60),
+        upstreams: Offset::new(0, 4_000),
     };
     let mut calls = [0_u32; 72];
     for count in calls.iter_mut().take(30) {
--- a/crates/gateway/tests/reader.rs
+++ b/crates/gateway/tests/reader.rs
@@ -5,7 +5,7 @@
 use sesamerock_base::time::Moment;
 use sesamerock_gateway::run::offsets::{Offsets, Verdict};
 use sesamerock_gateway::run::reader::{Election, Mate, Role, Settings, Situation, pace};
-use sesamerock_gateway::store::{Batch, Change, Feed, Update};
+use sesamerock_gateway::store::{Batch, Change, Feed, Offset, Update};
 
 const DRAIN: Duration = Duration::from_secs(3);
 const TICK_MS: u64 = 10;
@@ -401,11 +401,11 @@
 
 fn batch(next: u64, offsets: &[u64]) -> Batch {
     let changes = offsets.iter().map(|offset| Change {
-        offset: *offset,
+        offset: Offset::new(0, *offset),
         update: Update::NodeRemoved(format!("n{offset}")),
     });
     Batch {
-        next,
+        next: Offset::new(0, next),
         changes: changes.collect(),
     }
 }
@@ -417,13 +417,17 @@
     let mut offsets = Offsets::default();
     let advance = |offsets: &mut Offsets, from, next, records: &[u64]| {
         let mut batch = batch(next, records);
-        let verdict = offsets.advance(Feed::Nodes, from, &mut batch);
-        let kept: Vec<u64> = batch.changes.iter().map(|change| change.offset).collect();
-        (verdict, kept, offsets.get(Feed::Nodes))
+        let verdict = offsets.advance(Feed::Nodes, Offset::new(0, from), &mut batch);
+        let kept: Vec<u64> = batch
+            .changes
+            .iter()
+            .map(|change| change.offset.index())
+            .collect();
+        (verdict, kept, offsets.get(Feed::Nodes).map(Offset::index))
     };
     let (verdict, ..) = advance(&mut offsets, 5, 7, &[5, 6]);
     assert_eq!(verdict, Verdict::Unlisted);
-    offsets.begin(Feed::Nodes, 5);
+    offsets.begin(Feed::Nodes, Offset::new(0, 5));
     assert_eq!(
         advance(&mut offsets, 5, 7, &[5, 6]),
         (Verdict::Fits, vec![5, 6], Some(7))
--- a/crates/gateway/tests/state.rs
+++ b/crates/gateway/tests/state.rs
@@ -6,9 +6,9 @@
 use sesamerock_base::time::Moment;
 use sesamerock_gateway::node;
 use sesamerock_gateway::state::{Event, State};
-use sesamerock_gateway::store::{Batch, Change, Feed, Update};
+use sesamerock_gateway::store::{Batch, Change, Feed, Offset, Update};
 use sesamerock_gateway::table::Content;
-use sesamerock_gateway::upstream::{RETENTION_AFTER_OUTAGE, Record};
+use sesamerock_gateway::upstream::{DISTRUST_AFTER_RESTORE, RETENTION_AFTER_OUTAGE, Record};
 
 fn at(millis: u64) -> Moment {
     Moment::from_millis(100_000 + millis)
@@ -30,9 +30,12 @@
 fn batch(next: u64, changes: Vec<(u64, Update)>) -> Batch {
     let changes = changes.into_iter();
     Batch {
-        next,
+        next: Offset::new(0, next),
         changes: changes
-            .map(|(offset, update)| Change { offset, update })
+            .map(|(offset, update)| Change {
+                offset: Offset::new(0, offset),
+                update,
+            })
             .collect(),
     }
 }
@@ -78,7 +81,7 @@
     assert_eq!(ids(&state), ["x", "y"]);
     let rewritten = vec![(12, Update::Upstream(record("x", "a")))];
     state.apply(Feed::Upstreams, batch(13, rewritten), false, at(6_000));
-    state.drop_expired(at(5_000) + RETENTION_AFTER_OUTAGE);
+    state.settle(at(5_000) + RETENTION_AFTER_OUTAGE);
     assert_eq!(
         ids(&state),
         ["x", "y"],
@@ -97,12 +100,8 @@
         false,
         at(5_100),
     );
-    assert_eq!(state.drop_expired(at(5_200)), []);
-    assert!(
-        !state
-            .drop_expired(at(5_000) + RETENTION_AFTER_OUTAGE)
-            .is_empty()
-    );
+    assert_eq!(state.settle(at(5_200)), []);
+    assert!(!state.settle(at(5_000) + RETENTION_AFTER_OUTAGE).is_empty());
     assert_eq!(ids(&state), ["y"]);
 }
 
@@ -250,7 +249,7 @@
         false,
         at(300),
     );
-    let events = state.drop_expired(at(200) + RETENTION_AFTER_OUTAGE);
+    let events = state.settle(at(200) + RETENTION_AFTER_OUTAGE);
     assert_eq!(events, [Event::UpstreamRemoved(Arc::from("x"))]);
 }
 
@@ -273,3 +272,173 @@
     let known: Vec<u64> = state.nodes().map(|node| node.incarnation).collect();
     assert_eq!(known, [3]);
 }
+
+/// Returns a batch of an era of the store.
+fn batch_of(era: u32, next: u64, changes: Vec<(u64, Update)>) -> Batch {
+    let mut batch = batch(next, changes);
+    batch.next = Offset::new(era, next);
+    for change in &mut batch.changes {
+        change.offset = Offset::new(era, change.offset.index());
+    }
+    batch
+}
+
+fn zone(name: &str, out: bool) -> Update {
+    Update::Zone {
+        zone: Arc::from(name),
+        out,
+    }
+}
+
+fn is_out(state: &State, name: &str) -> bool {
+    state.view(None).zones_out_of_service.contains(name)
+}
+
+/// Returns a state that has read both feeds up to offset 50 before the store was restored, with the
+/// upstreams `x` and `y`.
+fn before_restore() -> State {
+    let mut state = two_upstreams();
+    state.apply(Feed::Upstreams, batch(50, vec![]), false, at(0));
+    let orders = vec![(40, zone("a", false)), (41, zone("b", true))];
+    state.apply(Feed::Orders, batch(50, orders), true, at(0));
+    state
+}
+
+/// Regression: after the store was restored from a copy, a zone was not taken out of service since
+/// the order had a lower offset than one from before (review/9).
+#[test]
+fn regression_orders_of_a_restored_store_are_newer() {
+    let mut state = before_restore();
+    let listed = vec![(20, zone("b", true))];
+    state.apply(Feed::Orders, batch_of(1, 21, listed), true, at(1_000));
+    assert!(!is_out(&state, "a") && is_out(&state, "b"));
+    let orders = vec![(21, zone("a", true)), (22, zone("b", false))];
+    state.apply(Feed::Orders, batch_of(1, 23, orders), false, at(9_000));
+    assert!(is_out(&state, "a") && !is_out(&state, "b"));
+    // A second restore soon after, and a late batch of the era before.
+    let orders = vec![(21, zone("a", false))];
+    state.apply(Feed::Orders, batch_of(2, 22, vec![]), true, at(9_500));
+    state.apply(Feed::Orders, batch_of(2, 23, orders), false, at(9_600));
+    assert!(!is_out(&state, "a"));
+    let late = vec![(60, zone("a", true))];
+    state.apply(Feed::Orders, batch_of(1, 61, late), false, at(9_700));
+    assert!(!is_out(&state, "a"));
+}
+
+/// Regression: the removal of an upstream after a restore was ignored, as was its draining.
+#[test]
+fn regression_upstreams_leave_after_a_restore() {
+    for leaves in [true, false] {
+        let mut state = two_upstreams();
+        state.apply(Feed::Upstreams, batch(50, vec![]), false, at(0));
+        let both = vec![
+            (1, Update::Upstream(record("x", "a"))),
+            (2, Update::Upstream(record("y", "b"))),
+        ];
+        state.apply(Feed::Upstreams, batch_of(1, 3, both), true, at(1_000));
+        let draining = Record {
+            draining: true,
+            ..record("x", "a")
+        };
+        let update = if leaves {
+            removed("x")
+        } else {
+            Update::Upstream(draining)
+        };
+        let changes = vec![(3, update)];
+        state.apply(Feed::Upstreams, batch_of(1, 4, changes), false, at(5_500));
+        assert_eq!(ids(&state), ["y"], "leaves: {leaves}");
+    }
+}
+
+/// A restored store lacks what was written after the copy: sound upstreams and zones out of
+/// service stay as they are until they are written again or a time has passed.
+#[test]
+fn what_a_restored_store_has_lost_is_kept_for_a_time() {
+    let mut state = before_restore();
+    let only_x = vec![(1, Update::Upstream(record("x", "a")))];
+    state.apply(Feed::Upstreams, batch_of(1, 2, only_x), true, at(1_000));
+    state.apply(Feed::Orders, batch_of(1, 5, vec![]), true, at(1_000));
+    assert!(is_out(&state, "b"));
+    assert_eq!(ids(&state), ["x"], "`y` is in zone `b`");
+    let back = vec![(5, zone("b", false))];
+    state.apply(Feed::Orders, batch_of(1, 6, back), false, at(1_500));
+    assert_eq!(ids(&state), ["x", "y"]);
+    state.settle(at(1_000) + RETENTION_AFTER_OUTAGE);
+    assert_eq!(ids(&state), ["x"]);
+
+    let mut state = before_restore();
+    state.apply(Feed::Orders, batch_of(1, 5, vec![]), true, at(1_000));
+    let events = state.settle(at(1_000) + DISTRUST_AFTER_RESTORE);
+    assert_eq!(events, [Event::Zone(Arc::from("b"), false)]);
+    assert!(!is_out(&state, "b"));
+}
+
+/// A restored store lists upstreams that have left or begun to drain after the copy was made. They
+/// are not used again unless they write another record.
+#[test]
+fn upstreams_that_left_do_not_come_back_with_a_restored_store() {
+    for draining in [true, false] {
+        let mut state = two_upstreams();
+        let update = if draining {
+            Update::Upstream(Record {
+                draining,
+                ..record("x", "a")
+            })
+        } else {
+            removed("x")
+        };
+        state.apply(Feed::Upstreams, batch(50, vec![(49, update)]), false, at(0));
+        assert_eq!(ids(&state), ["y"]);
+        let copied = || {
+            vec![
+                (1, Update::Upstream(record("x", "a"))),
+                (2, Update::Upstream(record("y", "b"))),
+            ]
+        };
+        state.apply(Feed::Upstreams, batch_of(1, 3, copied()), true, at(1_000));
+        state.apply(Feed::Upstreams, batch_of(1, 3, copied()), true, at(4_000));
+        state.settle(at(8_000));
+        assert_eq!(ids(&state), ["y"], "draining: {draining}");
+        // The removal is written again.
+        let mut gone = state;
+        let again = vec![(3, removed("x"))];
+        gone.apply(Feed::Upstreams, batch_of(1, 4, again), false, at(8_100));
+        gone.settle(at(20_000));
+        assert_eq!(ids(&gone), ["y"], "draining: {draining}");
+
+        let mut state = two_upstreams();
+        state.apply(
+            Feed::Upstreams,
+            batch(50, vec![(49, removed("x"))]),
+            false,
+            at(0),
+        );
+        state.apply(Feed::Upstreams, batch_of(1, 3, copied()), true, at(1_000));
+        let alive = vec![(3, Update::Upstream(record("x", "a")))];
+        state.apply(Feed::Upstreams, batch_of(1, 4, alive), false, at(2_000));
+        assert_eq!(ids(&state), ["x", "y"]);
+    }
+}
+
+/// Regression: the state of a gateway from before a restore looked newer than that of one that has
+/// read the restored store, since its offsets were higher.
+#[test]
+fn regression_snapshots_of_an_earlier_era_are_not_merged() {
+    let old = before_restore();
+    let mut new = State::default();
+    let listed = vec![(20, zone("b", false))];
+    new.apply(Feed::Orders, batch_of(1, 21, listed), true, at(1_000));
+    let listed = vec![(1, Update::Upstream(record("x", "a")))];
+    new.apply(Feed::Upstreams, batch_of(1, 2, listed), true, at(1_000));
+    new.merge_snapshot(old.snapshot(at(1_000)), at(1_000));
+    assert!(!is_out(&new, "b"));
+    assert_eq!(ids(&new), ["x"]);
+    // The other way round, what the new gateway cannot know is kept for a time.
+    let mut old = old;
+    old.merge_snapshot(new.snapshot(at(1_200)), at(1_200));
+    assert_eq!(old.position(), new.position());
+    assert_eq!(ids(&old), ["x", "y"]);
+    old.settle(at(1_200) + RETENTION_AFTER_OUTAGE);
+    assert_eq!(ids(&old), ["x"]);
+}
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -17,7 +17,7 @@
 };
 use sesamerock_gateway::node;
 use sesamerock_gateway::state::View;
-use sesamerock_gateway::store::{Batch, Fault, Feed, Lease, Store};
+use sesamerock_gateway::store::{Batch, Fault, Feed, Lease, Offset, Store, Term};
 use sesamerock_gateway::suspect;
 use sesamerock_gateway::table::{self, Content, Experts, Limits, Service, Table};
 use sesamerock_gateway::upstream::Record;
@@ -47,17 +47,17 @@
         pending().await
     }
 
-    async fn read(&self, _: Feed, _: u64, _: Duration) -> Result<Batch, Fault> {
+    async fn read(&self, _: Feed, _: Offset, _: Duration) -> Result<Batch, Fault> {
         pending().await
     }
 
-    async fn claim_leadership(&self, _: &str, _: Duration, _: u64) -> Result<Lease, Fault> {
+    async fn claim_leadership(&self, _: &str, _: Duration, _: Term) -> Result<Lease, Fault> {
         self.claims.fetch_add(1, Ordering::Relaxed);
         if self.silent.load(Ordering::Relaxed) {
             return pending().await;
         }
         Ok(Lease {
-            generation: 1,
+            term: Term::new(0, 1).unwrap_or_default(),
             held: true,
         })
     }
--- a/crates/standin/src/topics/mod.rs
+++ b/crates/standin/src/topics/mod.rs
@@ -1,4 +1,4 @@
-//! Stand-in for the store: keyed topics, long-poll reads and injected faults.
+//! Stand-in for the store: keyed topics, long-poll reads, restores from a copy and injected faults.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -8,7 +8,7 @@
 use base64::Engine as _;
 use base64::prelude::BASE64_STANDARD;
 use bytes::Bytes;
-use http::{Request, Response, StatusCode};
+use http::{HeaderValue, Request, Response, StatusCode};
 use http_body_util::{BodyExt as _, Full};
 use hyper::body::Incoming;
 use hyper::service::service_fn;
@@ -20,11 +20,17 @@
 
 type Topic = Vec<(String, Vec<u8>)>;
 
+/// A copy of the records of a store, from which it may be restored.
+#[derive(Clone, Debug)]
+pub struct Copy(HashMap<String, Topic>);
+
 #[derive(Debug, Default)]
 struct State {
     topics: HashMap<String, Topic>,
     /// Records whose bytes a test has chosen, by topic and offset.
     raw: HashMap<(String, usize), Vec<u8>>,
+    /// Number of times that the store was restored from a copy.
+    era: u64,
     /// Status with which every call is refused, if set.
     refuse: Option<u16>,
     /// Whether long-poll reads miss records written while they wait.
@@ -84,6 +90,18 @@
         Ok(other)
     }
 
+    /// Makes a copy of the records.
+    pub fn back_up(&self) -> Copy {
+        Copy(lock(&self.state).topics.clone())
+    }
+
+    /// Loses all that was written since a copy was made. Offsets are given out again.
+    pub fn restore(&self, copy: Copy) {
+        let mut state = lock(&self.state);
+        state.topics = copy.0;
+        state.era += 1;
+    }
+
     /// Writes a record; an empty value removes the key.
     pub fn put(&self, topic: &str, key: &str, value: &str) {
         let mut state = lock(&self.state);
@@ -154,25 +172,36 @@
         state.refuse
     };
     if let Some(status) = refused {
-        return Ok(reply(status, Vec::new()));
+        return Ok(reply(&state, status, Vec::new()));
     }
     let topic = query.get("topic").cloned().unwrap_or_default();
     Ok(match path.as_str() {
-        "/v1/log-newest" => reply(200, newest(&lock(&state), &topic)),
-        "/v1/log-read" => reply(200, read(&state, &topic, &query).await),
+        "/v1/log-newest" => {
+            let body = newest(&lock(&state), &topic);
+            reply(&state, 200, body)
+        }
+        "/v1/log-read" => match read(&state, &topic, &query).await {
+            Some(body) => reply(&state, 200, body),
+            None => reply(&state, 410, br#"{"first":0}"#.to_vec()),
+        },
         "/v1/log-append" => {
             append(&mut lock(&state), topic, &body);
-            reply(200, br#"{"offset":0,"end":1}"#.to_vec())
+            reply(&state, 200, br#"{"offset":0,"end":1}"#.to_vec())
         }
-        "/v1/log-leave" => reply(200, b"{}".to_vec()),
-        "/v1/log-join" => reply(200, join(&mut lock(&state), &body)),
-        _ => reply(404, Vec::new()),
+        "/v1/log-leave" => reply(&state, 200, b"{}".to_vec()),
+        "/v1/log-join" => {
+            let body = join(&mut lock(&state), &body);
+            reply(&state, 200, body)
+        }
+        _ => reply(&state, 404, Vec::new()),
     })
 }
 
-fn reply(status: u16, body: Vec<u8>) -> Response<Full<Bytes>> {
+fn reply(state: &Mutex<State>, status: u16, body: Vec<u8>) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::from(body));
     *response.status_mut() = StatusCode::from_u16(status).unwrap_or_default();
+    let era = HeaderValue::from(lock(state).era);
+    response.headers_mut().insert("store-era", era);
     response
 }
 
@@ -197,7 +226,12 @@
     .into_bytes()
 }
 
-async fn read(state: &Mutex<State>, topic: &str, query: &HashMap<String, String>) -> Vec<u8> {
+/// Returns the records from an offset on, or `None` if it lies behind the end of the log.
+async fn read(
+    state: &Mutex<State>,
+    topic: &str,
+    query: &HashMap<String, String>,
+) -> Option<Vec<u8>> {
     let number = |name: &str| query.get(name).and_then(|value| value.parse::<u64>().ok());
     let from = number("from").unwrap_or_default() as usize;
     let mut remaining_wait_ms = number("waitMs").unwrap_or_default();
@@ -205,6 +239,9 @@
         {
             let state = lock(state);
             let records = state.topics.get(topic).map_or(&[][..], Vec::as_slice);
+            if from > records.len() {
+                return None;
+            }
             let misses = state.misses_awaited_records && remaining_wait_ms > 0;
             if (records.len() > from && !misses) || remaining_wait_ms == 0 {
                 let mut body = (records.len() as u64).to_be_bytes().to_vec();
@@ -220,7 +257,7 @@
                     body.extend(key.as_bytes());
                     body.extend(value);
                 }
-                return body;
+                return Some(body);
             }
         }
         sleep(Duration::from_millis(10)).await;
