Free the slot of a call that is dropped before it learns of it

Cause: a slot is assigned by sending the record through a channel. A task whose caller had left was dropped without reading it. The sender had succeeded and no permit existed, so nobody freed the slot.

Change: the waiting call owns the receiver; when it is dropped, it closes the channel and frees a slot that was sent before.

--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -10,7 +10,7 @@
 mod call;
 mod durations;
 mod head;
-mod permit;
+pub mod permit;
 pub mod retries;
 mod streaming;
 mod watch;
--- a/crates/gateway/src/relay/permit/mod.rs
+++ b/crates/gateway/src/relay/permit/mod.rs
@@ -27,6 +27,15 @@
 }
 
 impl Permit {
+    fn new(shared: Arc<Shared>, record: Arc<Record>) -> Self {
+        Self {
+            shared,
+            record,
+            started: clock::now(),
+            signal: HealthSignal::Neutral,
+        }
+    }
+
     /// Sets what is recorded about the upstream when the permit is dropped.
     pub fn set_signal(&mut self, signal: HealthSignal) {
         self.signal = signal;
@@ -42,17 +51,30 @@
     }
 }
 
-/// A call that waits in the queue. Dropping it removes the call from the queue.
+/// A call that waits in the queue. Dropping it removes the call from the queue, and frees the slot
+/// that it may have been assigned without having been told.
 struct QueuedCall {
     shared: Arc<Shared>,
     service: Arc<str>,
     call: u64,
+    placement: oneshot::Receiver<Result<Arc<Record>, Refusal>>,
+}
+
+impl QueuedCall {
+    fn permit(&self, record: Arc<Record>) -> Permit {
+        Permit::new(Arc::clone(&self.shared), record)
+    }
 }
 
 impl Drop for QueuedCall {
     fn drop(&mut self) {
         self.shared.waiters().remove(&self.call);
         self.shared.admission().cancel(&self.service, self.call);
+        // From here on, a slot that is assigned is freed by the sender.
+        self.placement.close();
+        if let Ok(Ok(record)) = self.placement.try_recv() {
+            drop(self.permit(record));
+        }
     }
 }
 
@@ -61,18 +83,12 @@
 /// # Errors
 /// Returns the refusal if no slot becomes free in time.
 pub async fn acquire(shared: &Arc<Shared>, request: SlotRequest) -> Result<Permit, Refusal> {
-    let permit = |record| Permit {
-        shared: Arc::clone(shared),
-        record,
-        started: clock::now(),
-        signal: HealthSignal::Neutral,
-    };
     let call = request.call;
     let service = Arc::clone(&request.service);
-    let mut placement = {
+    let placement = {
         let mut admission = shared.admission();
         match admission.request(request, clock::now()) {
-            Verdict::Place(record) => return Ok(permit(record)),
+            Verdict::Place(record) => return Ok(Permit::new(Arc::clone(shared), record)),
             Verdict::Refuse(refusal) => return Err(refusal),
             Verdict::Wait => {
                 let (sender, receiver) = oneshot::channel();
@@ -81,14 +97,15 @@
             }
         }
     };
-    let _queued = QueuedCall {
+    let mut queued = QueuedCall {
         shared: Arc::clone(shared),
         service: Arc::clone(&service),
         call,
+        placement,
     };
     loop {
-        match timeout(RECHECK_INTERVAL, &mut placement).await {
-            Ok(Ok(Ok(record))) => return Ok(permit(record)),
+        match timeout(RECHECK_INTERVAL, &mut queued.placement).await {
+            Ok(Ok(Ok(record))) => return Ok(queued.permit(record)),
             Ok(Ok(Err(refusal))) => return Err(refusal),
             Ok(Err(_)) => return Err(shared.admission().full_refusal(&service, clock::now())),
             Err(_) => shared.assign_slots(),
