Limit and count the connections of the directory, readiness and metrics ports

Cause: these ports were served with the defaults of the HTTP library: 408 KiB of a header for 15 s, and any number of connections, none of them counted.

--- a/crates/gateway/src/run/mod.rs
+++ b/crates/gateway/src/run/mod.rs
@@ -551,10 +551,13 @@
     let readiness = bind(settings.readiness).await?;
     let directory = bind(settings.directory).await?;
     let metrics = bind(settings.metrics).await?;
+    let limits = node.inner.shared.settings;
+    let registry = || auxiliary::registry(limits.callers, limits.max_buffered);
     let host = node.clone();
     let path = names.paths().ready;
     tokio::spawn(auxiliary::serve(
         readiness,
+        registry(),
         move |request: &Request<Incoming>| {
             if request.uri().path() != path {
                 return auxiliary::not_found();
@@ -571,6 +574,7 @@
     let ttl = ADDRESS_TTL.min(settings.longest_ttl);
     tokio::spawn(auxiliary::serve(
         directory,
+        registry(),
         move |request: &Request<Incoming>| {
             if request.uri().path() != own.paths().addresses {
                 return auxiliary::not_found();
@@ -588,58 +592,62 @@
     let host = node.clone();
     let shared = Arc::clone(&node.inner.shared);
     let connections = connections.clone();
-    tokio::spawn(auxiliary::serve(metrics, move |_: &Request<Incoming>| {
-        let (running, waiting) = shared.admission().totals();
-        let mut text = shared.counters.render();
-        exchange::traffic::render(&mut text);
-        metrics::append_line(&mut text, format_args!("sesamerock_running {running}"));
-        metrics::append_line(&mut text, format_args!("sesamerock_waiting {waiting}"));
-        store_calls.render(&mut text);
-        let role = host.inner.zone.role().as_str();
-        let line = format_args!("sesamerock_store_role{{role=\"{role}\"}} 1");
-        metrics::append_line(&mut text, line);
-        let (demand, bookings) = shared.admission().demand_totals();
-        for (service, totals) in demand {
-            for (state, rate) in [
-                ("offered", totals.offered),
-                ("started", totals.started),
-                ("capacity", totals.capacity),
-            ] {
-                let labels = format!("service=\"{service}\",calls=\"{state}\"");
-                let line = format_args!("sesamerock_demand_per_second{{{labels}}} {rate}");
-                metrics::append_line(&mut text, line);
-            }
-        }
-        metrics::append_line(&mut text, format_args!("sesamerock_bookings {bookings}"));
-        let held = shared.memory.held();
-        metrics::append_line(&mut text, format_args!("sesamerock_buffered_bytes {held}"));
-        let (unread, still) = shared.callers.unread();
-        metrics::append_line(&mut text, format_args!("sesamerock_unread_bytes {unread}"));
-        let still = still.as_secs_f64();
-        let line = format_args!("sesamerock_caller_longest_stall_seconds {still}");
-        metrics::append_line(&mut text, line);
-        for (cause, count) in shared.callers.closed() {
-            let line = format_args!("sesamerock_callers_closed{{cause=\"{cause}\"}} {count}");
+    tokio::spawn(auxiliary::serve(
+        metrics,
+        registry(),
+        move |_: &Request<Incoming>| {
+            let (running, waiting) = shared.admission().totals();
+            let mut text = shared.counters.render();
+            exchange::traffic::render(&mut text);
+            metrics::append_line(&mut text, format_args!("sesamerock_running {running}"));
+            metrics::append_line(&mut text, format_args!("sesamerock_waiting {waiting}"));
+            store_calls.render(&mut text);
+            let role = host.inner.zone.role().as_str();
+            let line = format_args!("sesamerock_store_role{{role=\"{role}\"}} 1");
             metrics::append_line(&mut text, line);
-        }
-        let open = connections.len();
-        metrics::append_line(&mut text, format_args!("sesamerock_connections {open}"));
-        let subjects = shared.update_suspects(|suspects| suspects.list(clock::now()));
-        for (subject, convicted, upstreams) in subjects {
-            let state = if convicted.is_some() {
-                "convicted"
-            } else {
-                "suspect"
-            };
-            let crashes = upstreams.len();
-            let labels = format!("subject=\"{subject}\",state=\"{state}\"");
-            let line = format_args!("sesamerock_suspect_crashes{{{labels}}} {crashes}");
+            let (demand, bookings) = shared.admission().demand_totals();
+            for (service, totals) in demand {
+                for (state, rate) in [
+                    ("offered", totals.offered),
+                    ("started", totals.started),
+                    ("capacity", totals.capacity),
+                ] {
+                    let labels = format!("service=\"{service}\",calls=\"{state}\"");
+                    let line = format_args!("sesamerock_demand_per_second{{{labels}}} {rate}");
+                    metrics::append_line(&mut text, line);
+                }
+            }
+            metrics::append_line(&mut text, format_args!("sesamerock_bookings {bookings}"));
+            let held = shared.memory.held();
+            metrics::append_line(&mut text, format_args!("sesamerock_buffered_bytes {held}"));
+            let (unread, still) = shared.callers.unread();
+            metrics::append_line(&mut text, format_args!("sesamerock_unread_bytes {unread}"));
+            let still = still.as_secs_f64();
+            let line = format_args!("sesamerock_caller_longest_stall_seconds {still}");
             metrics::append_line(&mut text, line);
-        }
-        let mut response = answer::local_response(StatusCode::OK, "none");
-        *response.body_mut() = answer::Body::Whole(text.into());
-        response
-    }));
+            for (cause, count) in shared.callers.closed() {
+                let line = format_args!("sesamerock_callers_closed{{cause=\"{cause}\"}} {count}");
+                metrics::append_line(&mut text, line);
+            }
+            let open = connections.len();
+            metrics::append_line(&mut text, format_args!("sesamerock_connections {open}"));
+            let subjects = shared.update_suspects(|suspects| suspects.list(clock::now()));
+            for (subject, convicted, upstreams) in subjects {
+                let state = if convicted.is_some() {
+                    "convicted"
+                } else {
+                    "suspect"
+                };
+                let crashes = upstreams.len();
+                let labels = format!("subject=\"{subject}\",state=\"{state}\"");
+                let line = format_args!("sesamerock_suspect_crashes{{{labels}}} {crashes}");
+                metrics::append_line(&mut text, line);
+            }
+            let mut response = answer::local_response(StatusCode::OK, "none");
+            *response.body_mut() = answer::Body::Whole(text.into());
+            response
+        },
+    ));
     Ok(())
 }
 
--- a/crates/sesamerock/tests/uncontrolled.rs
+++ b/crates/sesamerock/tests/uncontrolled.rs
@@ -275,3 +275,55 @@
     sleep(Duration::from_secs(1)).await;
     system.assert_lives(300).await
 }
+
+/// Opens connections to the directory that each send a part of a header and leave it unfinished.
+async fn leave_headers_unfinished(
+    directory: SocketAddr,
+    count: usize,
+    bytes: usize,
+) -> Vec<TcpStream> {
+    let mut text = "GET /v1/resolve?name=calls.example HTTP/1.1\r\nHost: x\r\nX-Pad: ".to_owned();
+    text.push_str(&"x".repeat(bytes));
+    let text = text.as_str();
+    let opened = (0..count).map(|_| async move {
+        let mut stream = TcpStream::connect(directory).await.ok()?;
+        // The directory may refuse the header before its end.
+        let _ = timeout(SETTLE, stream.write_all(text.as_bytes())).await;
+        Some(stream)
+    });
+    let opened = futures::stream::iter(opened).buffer_unordered(AT_ONCE);
+    opened.filter_map(std::future::ready).collect().await
+}
+
+/// Returns whether the directory names gateways, within the time that callers give it.
+async fn directory_answers(directory: SocketAddr) -> bool {
+    let exchange = async {
+        let mut stream = TcpStream::connect(directory).await?;
+        let text =
+            "GET /v1/resolve?name=calls.example HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+        stream.write_all(text.as_bytes()).await?;
+        let mut bytes = Vec::new();
+        stream.read_to_end(&mut bytes).await?;
+        Ok::<_, std::io::Error>(bytes.starts_with(b"HTTP/1.1 200"))
+    };
+    matches!(
+        timeout(Duration::from_secs(1), exchange).await,
+        Ok(Ok(true))
+    )
+}
+
+/// Regression: the directory limited neither the headers nor the number of connections that it reads,
+/// so that unfinished headers exceeded the memory of the machine (review/10).
+#[tokio::test]
+async fn regression_unfinished_headers_at_the_directory_leave_memory() -> Result<()> {
+    let _alone = ALONE.lock().await;
+    let mut system = System::start("directory", 4_096).await?;
+    let directory = system.gateway.directory_address();
+    assert!(directory_answers(directory).await);
+    for (count, bytes) in [(400, 400_000), (1_500, 4_000), (1_500, 0)] {
+        let _crowd = leave_headers_unfinished(directory, count, bytes).await;
+        assert!(directory_answers(directory).await, "{count} x {bytes}");
+        system.assert_lives(3_000).await?;
+    }
+    Ok(())
+}
--- a/crates/soak/src/process/mod.rs
+++ b/crates/soak/src/process/mod.rs
@@ -129,6 +129,11 @@
     pub fn front_address(&self) -> SocketAddr {
         self.settings.front
     }
+
+    /// Returns the address at which callers ask where to connect.
+    pub fn directory_address(&self) -> SocketAddr {
+        self.settings.directory
+    }
 }
 
 impl Drop for Process {
