Refuse bodies of requests that would take the memory of running answers

Cause: the body of a request is held until its call ends, and never given up. When such bodies filled the budget, every further byte was taken from the connections of running streams and from new ones.

Change: bodies of requests have half of the budget, and those above 64 KiB three quarters of that, but for a single one. The connection of a caller that takes all that it is sent is not closed for others.

--- a/crates/gateway/src/memory/mod.rs
+++ b/crates/gateway/src/memory/mod.rs
@@ -4,11 +4,15 @@
 //! a [`Budget`]. When it is exceeded, the largest one that is still growing is revoked, which ends
 //! its call: one that never ends is soon the largest. Small messages that grow are never revoked, so
 //! that sound calls go on. What waits for a caller that does not read is freed by closing the caller.
-//! See docs/notes/memory.md.
+//!
+//! The bodies of requests have a part of the budget, and large ones a part of that. They are held
+//! until their calls end, and must not take the memory of answers that are being sent: what exceeds
+//! its part is refused. See docs/notes/memory.md.
 
 use std::collections::HashMap;
 use std::pin::pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use http_body::Body;
@@ -17,13 +21,21 @@
 use tokio::sync::oneshot;
 
 use crate::callers::rule::{self, Holder, Phase};
-use crate::callers::{Caller, Cause};
+use crate::callers::{CONNECTION_BYTES, Caller, Cause};
 use crate::clock;
 
 /// Budget of a process that does not know the memory it may use.
 pub const DEFAULT_LIMIT: usize = 32 << 20;
 /// Largest message that is not revoked. Most are far smaller.
 const PROTECTED: usize = 64 << 10;
+/// Part of the budget for the bodies of requests; the rest is for connections and answers.
+const REQUEST_PART: f64 = 0.5;
+/// Part of the budget for those of them that are larger than [`PROTECTED`].
+const LARGE_REQUEST_PART: f64 = 0.375;
+/// Average bytes per second below which a body is slow, if it has been arriving for a second.
+const SLOW_BODY: f64 = (64 << 10) as f64;
+/// Time after which a body may count as slow.
+const SLOW_BODY_AGE: Duration = Duration::from_secs(1);
 /// Largest body of which the buffer is allocated at once, by its stated length. The operating system
 /// provides the memory when it is written to.
 const MAX_INITIAL_CAPACITY: usize = 1 << 20;
@@ -78,6 +90,8 @@
 struct Entry {
     bytes: usize,
     usage: Use,
+    /// When the first bytes of the body arrived, if it is that of a request.
+    request_since: Option<Moment>,
     /// Dropped together with the entry, which tells the holder of the share.
     _revoke: oneshot::Sender<()>,
 }
@@ -87,9 +101,87 @@
     entries: HashMap<Key, Entry>,
     next: u64,
     total: usize,
+    /// Bytes of requests, and of large ones among them.
+    requests: usize,
+    large_requests: usize,
 }
 
 impl Ledger {
+    /// Sets the bytes of an entry.
+    ///
+    /// # Errors
+    /// Fails if there is no such entry.
+    fn set(&mut self, key: Key, bytes: usize) -> Result<(), Revoked> {
+        let entry = self.entries.get_mut(&key).ok_or(Revoked)?;
+        let before = std::mem::replace(&mut entry.bytes, bytes);
+        let is_request = entry.request_since.is_some();
+        self.count(before, bytes, is_request);
+        Ok(())
+    }
+
+    fn remove(&mut self, key: Key) -> Option<Entry> {
+        let entry = self.entries.remove(&key)?;
+        self.count(entry.bytes, 0, entry.request_since.is_some());
+        Some(entry)
+    }
+
+    fn count(&mut self, before: usize, after: usize, is_request: bool) {
+        self.total = self.total - before + after;
+        if is_request {
+            let large = |bytes: usize| if bytes > PROTECTED { bytes } else { 0 };
+            self.requests = self.requests - before + after;
+            self.large_requests = self.large_requests - large(before) + large(after);
+        }
+    }
+
+    /// Revokes bodies of requests that are still arriving until they fit into their part of a
+    /// budget. A single body may take more than its part.
+    fn limit_requests(&mut self, limit: usize, now: Moment) {
+        let part = |part: f64| (limit as f64 * part) as usize;
+        while self.large_requests > part(LARGE_REQUEST_PART)
+            && self.revoke_request(|bytes| bytes > PROTECTED, self.large_requests, now)
+        {}
+        while self.requests > part(REQUEST_PART)
+            && self.revoke_request(|bytes| bytes > 0, self.requests, now)
+        {}
+    }
+
+    /// Revokes the body of a request that is still arriving: the slowest one, or if none is slow the
+    /// latest. `is_meant` states by its bytes whether a body may be revoked, and `all` are the bytes
+    /// of all bodies that are meant. Returns whether there was one.
+    fn revoke_request(
+        &mut self,
+        is_meant: impl Fn(usize) -> bool,
+        all: usize,
+        now: Moment,
+    ) -> bool {
+        let rate = |entry: &Entry, since: Moment| {
+            let age = now.since(since);
+            let rate = entry.bytes as f64 / age.as_secs_f64();
+            (age >= SLOW_BODY_AGE && rate < SLOW_BODY).then_some(rate)
+        };
+        let arriving = self.entries.iter().filter_map(|(key, entry)| {
+            let since = entry.request_since?;
+            let may_end = matches!(entry.usage, Use::Growing) && is_meant(entry.bytes);
+            (may_end && entry.bytes < all).then(|| (*key, rate(entry, since)))
+        });
+        let first = arriving.min_by(|(key, rate), (other, other_rate)| {
+            let rates = rate.unwrap_or(f64::MAX);
+            let rates = rates.total_cmp(&other_rate.unwrap_or(f64::MAX));
+            rates.then(other.0.cmp(&key.0))
+        });
+        let Some(entry) = first.and_then(|(key, _)| self.remove(key)) else {
+            return false;
+        };
+        log::warn!(
+            "event=message_revoked bytes={} held={} requests={}",
+            entry.bytes,
+            self.total,
+            self.requests,
+        );
+        true
+    }
+
     /// Revokes the share that [`rule`] names. Returns its size; `None` if there is none.
     fn revoke_first(&mut self, now: Moment) -> Option<usize> {
         let holders = self.entries.iter().filter_map(|(key, entry)| {
@@ -99,6 +191,14 @@
                 Use::Held(_) if entry.bytes == 0 => return None,
                 Use::Held(caller) => match caller.connection() {
                     state if state.phase == Phase::Working => return None,
+                    // A caller that takes all that it is sent.
+                    state
+                        if state.phase == Phase::Sending
+                            && state.unread == 0
+                            && entry.bytes <= CONNECTION_BYTES =>
+                    {
+                        return None;
+                    }
                     state => (state.waits_for_caller(), state.progressed_at),
                 },
             };
@@ -111,8 +211,7 @@
             })
         });
         let key = rule::first_to_end(holders, now)?.key;
-        let entry = self.entries.remove(&key)?;
-        self.total -= entry.bytes;
+        let entry = self.remove(key)?;
         match entry.usage {
             Use::Held(caller) => {
                 caller.close(Cause::Memory, entry.bytes, now);
@@ -156,6 +255,15 @@
 
     /// Creates the share of a message, without bytes yet.
     pub fn share(self: &Arc<Self>) -> Share {
+        self.share_since(None)
+    }
+
+    /// Creates the share of the body of a request, which is about to arrive.
+    pub fn request_share(self: &Arc<Self>) -> Share {
+        self.share_since(Some(clock::now()))
+    }
+
+    fn share_since(self: &Arc<Self>, request_since: Option<Moment>) -> Share {
         let (revoke, revoked) = oneshot::channel();
         let mut ledger = self.lock();
         let key = Key(ledger.next);
@@ -163,6 +271,7 @@
         let entry = Entry {
             bytes: 0,
             usage: Use::Growing,
+            request_since,
             _revoke: revoke,
         };
         ledger.entries.insert(key, entry);
@@ -199,11 +308,13 @@
     pub fn set(&mut self, bytes: usize) -> Result<(), Revoked> {
         self.bytes = bytes;
         let mut ledger = self.budget.lock();
-        let entry = ledger.entries.get_mut(&self.key).ok_or(Revoked)?;
-        let before = std::mem::replace(&mut entry.bytes, bytes);
-        ledger.total = ledger.total - before + bytes;
-        if ledger.total > self.budget.limit {
+        ledger.set(self.key, bytes)?;
+        let limit = self.budget.limit;
+        // Any part is exceeded only if the requests are, or the whole.
+        let may_exceed = (limit as f64 * LARGE_REQUEST_PART) as usize;
+        if ledger.requests > may_exceed || ledger.total > limit {
             let now = clock::now();
+            ledger.limit_requests(limit, now);
             while ledger.total > self.budget.limit && ledger.revoke_first(now).is_some() {}
         }
         if ledger.entries.contains_key(&self.key) {
@@ -250,9 +361,7 @@
 impl Drop for Share {
     fn drop(&mut self) {
         let mut ledger = self.budget.lock();
-        if let Some(entry) = ledger.entries.remove(&self.key) {
-            ledger.total -= entry.bytes;
-        }
+        ledger.remove(self.key);
     }
 }
 
--- a/crates/gateway/src/relay/head/mod.rs
+++ b/crates/gateway/src/relay/head/mod.rs
@@ -149,7 +149,7 @@
 ) -> Result<(Bytes, Share), Response<Body>> {
     let table = shared.view.load().table.clone();
     let limits = table.map_or_else(Limits::default, |it| it.content().limits);
-    let mut share = shared.memory.share();
+    let mut share = shared.memory.request_share();
     let status = match memory::read(body, limits.body, &mut share).await {
         Ok(body) => return Ok((body, share)),
         Err(ReadError::TooLarge) => StatusCode::PAYLOAD_TOO_LARGE,
--- a/crates/gateway/tests/memory.rs
+++ b/crates/gateway/tests/memory.rs
@@ -1,8 +1,9 @@
 //! Tests the budget of memory that messages share.
 
 use std::sync::Arc;
+use std::time::Duration;
 
-use sesamerock_gateway::memory::{Budget, Revoked};
+use sesamerock_gateway::memory::{Budget, Revoked, Share};
 
 const KIB: usize = 1 << 10;
 
@@ -32,3 +33,70 @@
     drop(complete);
     assert_eq!(budget.held(), 0);
 }
+
+fn requests(budget: &Arc<Budget>, count: usize, bytes: usize) -> Vec<Share> {
+    let shares = (0..count).map(|_| {
+        let mut share = budget.request_share();
+        assert_eq!(share.set(bytes), Ok(()));
+        share.complete();
+        share
+    });
+    shares.collect()
+}
+
+/// Regression: large bodies of requests that wait for their answers filled the budget, so that
+/// everything else displaced the answers that were being sent (review/8).
+#[test]
+fn regression_large_requests_leave_memory_for_others() {
+    let budget = Arc::new(Budget::new(16_000 * KIB));
+    let running = requests(&budget, 6, 1_000 * KIB);
+    let mut next = budget.request_share();
+    assert_eq!(next.set(1_000 * KIB), Err(Revoked));
+    // Small ones have room of their own.
+    let small = requests(&budget, 30, 60 * KIB);
+    assert_eq!(budget.held(), 7_800 * KIB);
+    drop(running);
+    let mut next = budget.request_share();
+    assert_eq!(next.set(1_000 * KIB), Ok(()));
+    drop((small, next));
+    assert_eq!(budget.held(), 0);
+}
+
+/// A single request inside the limit of its body is served, though it exceeds the part of requests.
+#[test]
+fn a_single_large_request_has_the_whole_budget() {
+    let budget = Arc::new(Budget::new(4_000 * KIB));
+    let mut only = budget.request_share();
+    for bytes in [100, 1_000, 2_000, 3_900] {
+        assert_eq!(only.set(bytes * KIB), Ok(()));
+    }
+    let mut other = budget.request_share();
+    assert_eq!(other.set(100 * KIB), Err(Revoked));
+    assert_eq!(only.set(3_950 * KIB), Ok(()));
+}
+
+/// Many small bodies that never end must not keep out the others: the slowest are given up.
+#[test]
+fn slow_requests_are_given_up_first() {
+    let budget = Arc::new(Budget::new(1_000 * KIB));
+    let mut slow: Vec<Share> = (0..8).map(|_| budget.request_share()).collect();
+    for share in &mut slow {
+        assert_eq!(share.set(60 * KIB), Ok(()));
+    }
+    std::thread::sleep(Duration::from_millis(1_100));
+    let mut next = budget.request_share();
+    assert_eq!(next.set(60 * KIB), Ok(()));
+    let given_up = slow
+        .iter_mut()
+        .filter_map(|share| share.set(60 * KIB).err());
+    assert_eq!(given_up.count(), 1);
+    // Without a slow one, the latest is refused.
+    let mut latest = budget.request_share();
+    drop(slow);
+    let mut early: Vec<Share> = (0..7).map(|_| budget.request_share()).collect();
+    for share in &mut early {
+        assert_eq!(share.set(60 * KIB), Ok(()));
+    }
+    assert_eq!(latest.set(60 * KIB), Ok(()), "it began before");
+    assert_eq!(early[6].set(60 * KIB), Err(Revoked));
+}
