Ignore answers to commands of an earlier phase of a map switch

Cause: the answers of a round are handled one after the other. When one rank refused to be armed, the switch went on to disarm the ranks, and the answers that came after it, to the command to arm, counted as answers to the command to disarm. These ranks stayed armed when the group was released.

Change: an answer is handled with the token of its command; it confirms nothing if the phase has another token by then.

--- a/crates/gateway/src/maps/leader/group/mod.rs
+++ b/crates/gateway/src/maps/leader/group/mod.rs
@@ -454,11 +454,11 @@
             }
         } else {
             sent_at = clock::now();
-            let round = switch.round();
+            let (round, fence) = (switch.round(), switch.fence());
             for (index, outcome) in
                 commands::send(&leader.engine, name, records, commands, round).await
             {
-                switch.handle_answer(index, outcome);
+                switch.handle_answer(index, fence, outcome);
             }
         }
         let now = clock::now();
--- a/crates/gateway/src/maps/switch/mod.rs
+++ b/crates/gateway/src/maps/switch/mod.rs
@@ -223,8 +223,18 @@
         .collect()
     }
 
-    /// Handles the answer of the rank at `index` to a command; `None` if there was none.
-    pub fn handle_answer(&mut self, index: usize, outcome: Option<CommandOutcome>) {
+    /// Returns the fencing token of the commands to send now.
+    pub fn fence(&self) -> u64 {
+        self.fence
+    }
+
+    /// Handles the answer of the rank at `index` to a command with the token `fence`; `None` if there
+    /// was none. An answer to a command of an earlier phase confirms nothing: another answer of the
+    /// same round may have ended that phase.
+    pub fn handle_answer(&mut self, index: usize, fence: u64, outcome: Option<CommandOutcome>) {
+        if fence != self.fence && outcome != Some(CommandOutcome::Fenced) {
+            return;
+        }
         let phase = self.phase;
         let rank = &mut self.ranks[index];
         match outcome {
--- a/crates/gateway/tests/switch.rs
+++ b/crates/gateway/tests/switch.rs
@@ -29,6 +29,8 @@
     delays: u64,
     /// Share of the late commands that are carried out twice.
     repeat_percent: u32,
+    /// Share of the commands to arm that a rank refuses, as when it has taken other commands.
+    refused_percent: u32,
     /// Whether the group has no work for a time now and then, and begins no steps.
     idles: bool,
     /// Longest age of the reports that a leader reads.
@@ -45,6 +47,7 @@
             min_delay: MIN_DELAY,
             delays: 60,
             repeat_percent: 0,
+            refused_percent: 0,
             idles: false,
             lag: 0,
             same_leader: false,
@@ -242,6 +245,10 @@
         preconditions: Preconditions,
         fault_percent: u32,
     ) -> Option<CommandOutcome> {
+        let refused_percent = self.conditions.refused_percent.min(fault_percent);
+        if matches!(command, Command::Arm { .. }) && self.chance(refused_percent) {
+            return Some(CommandOutcome::Conflict);
+        }
         if !self.chance(fault_percent) {
             return Some(self.apply(index, command, preconditions));
         }
@@ -297,7 +304,7 @@
         let assumes_armed =
             removed == RemovedGuard::Confirmation && matches!(command, Command::Arm { .. });
         let outcome = outcome.or(assumes_armed.then_some(CommandOutcome::Done));
-        switch.handle_answer(index, outcome);
+        switch.handle_answer(index, preconditions.fence, outcome);
         if model.random.next_u32().is_multiple_of(4) {
             model.run_step();
         }
@@ -429,6 +436,11 @@
         ..any_delay
     };
     check_runs(late_reports, 1_000, 500);
+    let refusals = Conditions {
+        refused_percent: 10,
+        ..late_reports
+    };
+    check_runs(refusals, 1_000, 500);
 }
 
 /// Regression: a late command of a killed leader released the group while the next leader disarmed
@@ -488,7 +500,7 @@
     let mut run_phase = |model: &mut GroupModel| {
         for (index, command, preconditions) in switch.commands() {
             let outcome = model.apply(index, &command, preconditions);
-            switch.handle_answer(index, Some(outcome));
+            switch.handle_answer(index, preconditions.fence, Some(outcome));
         }
         switch.handle_reports(&model.reports(), true);
         switch.phase()
@@ -552,8 +564,9 @@
 fn a_broken_group_ends_the_switch() {
     let model = GroupModel::new(1, Conditions::default());
     let mut switch = Switch::new(&model.reports(), tokens(1), 7, Vec::new(), LEAD_STEPS);
-    for (index, _, _) in switch.commands() {
-        switch.handle_answer(index, (index > 0).then_some(CommandOutcome::Begun));
+    for (index, _, preconditions) in switch.commands() {
+        let outcome = (index > 0).then_some(CommandOutcome::Begun);
+        switch.handle_answer(index, preconditions.fence, outcome);
     }
     assert_eq!(switch.phase(), Phase::Prepare);
     let mut broken = model.reports().swap_remove(1);
@@ -563,3 +576,34 @@
     switch.handle_report(&broken);
     assert_eq!(switch.phase(), Phase::End(End::Reformed));
 }
+
+/// Regression: when a rank refused to be armed, the ranks whose answers of the same round came after it
+/// counted as disarmed, and the group was released with them armed.
+#[test]
+fn regression_ranks_that_are_armed_beside_a_refusal_are_disarmed() {
+    let mut model = GroupModel::new(1, Conditions::default());
+    let mut switch = Switch::new(&model.reports(), tokens(1), 7, Vec::new(), LEAD_STEPS);
+    while switch.phase() != Phase::Disarm {
+        for (index, command, preconditions) in switch.commands() {
+            let refuses = index == 1 && matches!(command, Command::Arm { .. });
+            let outcome = if refuses {
+                CommandOutcome::Conflict
+            } else {
+                model.apply(index, &command, preconditions)
+            };
+            switch.handle_answer(index, preconditions.fence, Some(outcome));
+        }
+        switch.handle_reports(&model.reports(), true);
+    }
+    assert!(model.ranks[3].armed.is_some());
+    while !switch.end_round() {
+        for (index, command, preconditions) in switch.commands() {
+            let outcome = model.apply(index, &command, preconditions);
+            switch.handle_answer(index, preconditions.fence, Some(outcome));
+        }
+    }
+    for _ in 0..2 * LEAD_STEPS {
+        model.run_step();
+    }
+    assert!(!model.mixed);
+}
