Log full listings of the store and count the version of the table

Change: event=feed_listed states the feed, the number of records, the next offset and the version of the table afterwards; sesamerock_table_version is a metric.

--- a/crates/gateway/src/run/mod.rs
+++ b/crates/gateway/src/run/mod.rs
@@ -128,9 +128,17 @@
     }
 
     fn apply(&self, feed: Feed, batch: Batch, full_listing: bool, source: &str, now: Moment) {
+        let (next, listed) = (batch.next, batch.changes.len());
         let events = self.state().apply(feed, batch, full_listing, now);
         let position = self.state().position();
         log_events(source, &events, position);
+        if full_listing {
+            let version = self.state().version().unwrap_or_default();
+            log::info!(
+                "event=feed_listed feed={} listed={listed} next={next} table={version}",
+                feed.as_str()
+            );
+        }
         for event in &events {
             if let Event::Conviction(record) = event {
                 let shared = &self.inner.shared;
@@ -613,6 +621,11 @@
     metrics::append_line(&mut text, format_args!("sesamerock_running {running}"));
     metrics::append_line(&mut text, format_args!("sesamerock_waiting {waiting}"));
     store_calls.render(&mut text);
+    let version = node.state().version().unwrap_or_default();
+    metrics::append_line(
+        &mut text,
+        format_args!("sesamerock_table_version {version}"),
+    );
     let role = node.inner.zone.role().as_str();
     let line = format_args!("sesamerock_store_role{{role=\"{role}\"}} 1");
     metrics::append_line(&mut text, line);
