Let gateways that start learn of a newer table before they take calls

Cause: a store that was restored from a copy lists what is older than what gateways know. A gateway that started then put the listed table in force and was ready; the others knew a newer one, but a pull compares offsets in the feeds, and these were equal, since all had read the copy to its end. A gateway that was alive and had not read the version before the store left was in the same place. The missing invariant: a gateway acts on a table that is at least as new as that of any gateway that it hears. Offsets do not tell that, versions do.

Change: heartbeats state the version of the table; whoever hears of a newer one for 0.25 s asks for it, with at most two such calls at once. With a store that has ever been restored, a gateway that starts takes no calls before it has heard each announced gateway, or 1.6 s have passed, and has the newest table that they state, for 10 s at most. With others nothing waits.

--- a/crates/gateway/src/exchange/delta/fields/mod.rs
+++ b/crates/gateway/src/exchange/delta/fields/mod.rs
@@ -69,7 +69,7 @@
 }
 
 fields! {
-    fields: node ready accepting leads position store misdirected leaving limits groups suspects
-        outages paces demand;
+    fields: node ready accepting leads position knowledge store misdirected leaving limits groups
+        suspects outages paces demand;
     lists: loads
 }
--- a/crates/gateway/src/exchange/mod.rs
+++ b/crates/gateway/src/exchange/mod.rs
@@ -20,9 +20,11 @@
 use crate::admit::misdirected::Finding;
 use crate::admit::outage;
 use crate::node;
-use crate::state::{Position, Snapshot};
+use crate::state::{Knowledge, Position, Snapshot};
+use crate::store::Offset;
 use crate::store::contact::ContactState;
 use crate::suspect;
+use crate::table::Content;
 
 pub use delivery::Delivery;
 pub use peers::{Peers, Settings};
@@ -41,6 +43,8 @@
     pub leads: bool,
     /// Offsets up to which the sender has read the logs.
     pub position: Position,
+    /// What the sender knows that the store may lack.
+    pub knowledge: Knowledge,
     /// Contact of the sender with the store.
     pub store: ContactState,
     /// Upstreams to which calls of the sender were misdirected lately.
@@ -70,6 +74,8 @@
     async fn greet(greeting: delta::Message) -> delta::Message;
     /// Returns the full state of the other node.
     async fn pull() -> Snapshot;
+    /// Returns the operators' table that the other node knows, and its offset.
+    async fn table() -> Option<(Content, Offset)>;
     /// Returns the listing of groups that the other node knows.
     async fn groups() -> Listing;
     /// Delivers what the reader of the zone has read from the store.
@@ -83,6 +89,8 @@
     pub age: Duration,
     /// Offsets up to which the node had read the logs.
     pub position: Position,
+    /// Version of the operators' table that it knew.
+    pub table: Option<u64>,
     /// Version of the listing of groups that it knew.
     pub groups: group::Version,
 }
@@ -103,6 +111,17 @@
     fn merge_snapshot(&self, from: &str, snapshot: Snapshot);
     /// Returns the offsets up to which this node has read the logs.
     fn position(&self) -> Position;
+    /// Returns the version of the operators' table that this node knows.
+    fn table_version(&self) -> Option<u64>;
+    /// Returns the operators' table that this node knows, and its offset.
+    fn table(&self) -> Option<(Content, Offset)>;
+    /// Uses the table of another node named `from` if it is newer.
+    fn merge_table(&self, from: &str, content: &Content, offset: Offset);
+    /// Returns whether this node has started and does not act on its state before it knows what the
+    /// others know.
+    fn is_catching_up(&self) -> bool {
+        false
+    }
     /// Returns the listing of groups that this node knows.
     fn groups(&self) -> Arc<Listing>;
     /// Uses the listing of groups of another node if it is newer.
--- a/crates/gateway/src/exchange/peers/mod.rs
+++ b/crates/gateway/src/exchange/peers/mod.rs
@@ -6,7 +6,7 @@
 
 use sesamerock_base::time::Moment;
 use tarpc::client;
-use tokio::sync::watch;
+use tokio::sync::{Semaphore, watch};
 
 use super::delta::Link;
 use super::traffic::{self, Kind};
@@ -57,6 +57,9 @@
 /// timer together take less than one interval, so a healthy initiator is always earlier.
 const INITIATOR_SILENT: f64 = 2.5;
 
+/// Most pulls of a table at once: a second one, in case the first node does not answer.
+const MAX_TABLE_PULLS: usize = 2;
+
 type Clients = Arc<Mutex<HashMap<String, ExchangeClient>>>;
 
 #[derive(Debug)]
@@ -73,6 +76,8 @@
     tasks: Mutex<HashMap<String, (node::Record, AbortOnDrop)>>,
     /// Latest connection to each node, for deliveries.
     clients: Clients,
+    /// Pulls of a table that may run at once. All others state a newer one at the same time.
+    table_pulls: Arc<Semaphore>,
     /// For each announced node, when its last heartbeat was received or, without one, when
     /// its record was first read; `None` until the announced nodes are known.
     members: Mutex<Option<HashMap<String, Moment>>>,
@@ -89,6 +94,7 @@
             received: Mutex::default(),
             tasks: Mutex::default(),
             clients: Clients::default(),
+            table_pulls: Arc::new(Semaphore::new(MAX_TABLE_PULLS)),
             members: Mutex::default(),
             send_now: watch::Sender::default(),
         }
@@ -167,6 +173,7 @@
         Some(Statement {
             age: clock::now().since(peer.at),
             position: peer.heartbeat.position,
+            table: peer.heartbeat.knowledge.table,
             groups: peer.heartbeat.groups,
         })
     }
@@ -181,6 +188,20 @@
         alive.filter_map(|peer| select(&peer.heartbeat)).collect()
     }
 
+    /// Returns the newest version of the table that a node states which is alive.
+    pub fn newest_table(&self) -> Option<u64> {
+        let versions = self.collect_alive(|heartbeat| heartbeat.knowledge.table);
+        versions.into_iter().max()
+    }
+
+    /// Returns the number of announced nodes that are not heard; `None` until they are known.
+    pub fn unheard(&self) -> Option<usize> {
+        let received = self.received.lock().unwrap_or_else(PoisonError::into_inner);
+        let members = self.members.lock().unwrap_or_else(PoisonError::into_inner);
+        let members = members.as_ref()?.keys();
+        Some(members.filter(|name| !received.contains_key(*name)).count())
+    }
+
     /// Returns the names of the other nodes that may be alive, in order; `None` until the
     /// announced nodes are known.
     pub fn members(&self) -> Option<Vec<String>> {
@@ -233,8 +254,9 @@
                     let settings = self.settings;
                     let send_now = self.send_now.subscribe();
                     let clients = Arc::clone(&self.clients);
+                    let pulls = Arc::clone(&self.table_pulls);
                     let (peer, host) = (node.clone(), host.clone());
-                    let task = maintain_connection(settings, peer, host, send_now, clients);
+                    let task = maintain_connection(settings, peer, host, send_now, clients, pulls);
                     (node.clone(), AbortOnDrop(tokio::spawn(task)))
                 }
             };
@@ -255,6 +277,7 @@
     host: impl LocalNode,
     mut send_now: watch::Receiver<()>,
     clients: Clients,
+    table_pulls: Arc<Semaphore>,
 ) {
     loop {
         match pool::connect(address(&node), settings.timeout).await {
@@ -275,7 +298,8 @@
                     };
                 };
                 connected(Some(client.clone()));
-                exchange_heartbeats(&settings, &node, &host, &client, &mut send_now).await;
+                let link = (&client, &*table_pulls);
+                exchange_heartbeats(&settings, &node, &host, link, &mut send_now).await;
                 connected(None);
             }
             Err(error) => log::debug!(
@@ -292,9 +316,10 @@
     settings: &Settings,
     node: &node::Record,
     host: &impl LocalNode,
-    client: &ExchangeClient,
+    (client, table_pulls): (&ExchangeClient, &Semaphore),
     send_now: &mut watch::Receiver<()>,
 ) {
+    let mut table_lag = Lag::default();
     let mut orders_lag = Lag::default();
     let mut upstreams_lag = Lag::default();
     // Spreads the heartbeats over the interval, also when all nodes start at once.
@@ -308,8 +333,8 @@
     loop {
         let recent = host.last_heartbeat(&node.name);
         let recent = recent.filter(|last| !initiates && !send && last.age < silent);
-        let (position, groups) = if let Some(last) = recent {
-            (last.position, last.groups)
+        let (position, table, groups) = if let Some(last) = recent {
+            (last.position, last.table, last.groups)
         } else {
             let greeting = link.encode(&host.heartbeat(), clock::now());
             traffic::count(Kind::Heartbeat, &greeting);
@@ -318,7 +343,7 @@
                 .await;
             match answer.map(|answer| link.decode(answer)) {
                 Ok(Ok(answer)) => {
-                    let stated = (answer.position, answer.groups);
+                    let stated = (answer.position, answer.knowledge.table, answer.groups);
                     host.receive_heartbeat(answer);
                     stated
                 }
@@ -328,7 +353,7 @@
                         "event=heartbeat_dropped peer={} reason=\"{fault}\"",
                         node.name
                     );
-                    (host.position(), host.groups().version)
+                    (host.position(), None, host.groups().version)
                 }
                 Err(error) => {
                     log::debug!("event=peer_silent peer={} reason=\"{error}\"", node.name);
@@ -355,6 +380,23 @@
                 }
             }
         }
+        let max_table_lag = if host.is_catching_up() {
+            Duration::ZERO
+        } else {
+            settings.max_orders_lag
+        };
+        if table_lag.exceeds(table > host.table_version(), max_table_lag)
+            && let Ok(_permit) = table_pulls.try_acquire()
+        {
+            match client.table(context_with_deadline(settings.timeout)).await {
+                Ok(Some((content, offset))) => host.merge_table(&node.name, &content, offset),
+                Ok(None) => {}
+                Err(error) => {
+                    log::debug!("event=pull_failed peer={} reason=\"{error}\"", node.name);
+                    return;
+                }
+            }
+        }
         if groups > host.groups().version {
             match client.groups(context_with_deadline(settings.timeout)).await {
                 Ok(listing) => host.merge_groups(&node.name, listing),
--- a/crates/gateway/src/exchange/serve/mod.rs
+++ b/crates/gateway/src/exchange/serve/mod.rs
@@ -21,6 +21,8 @@
 use crate::clock;
 use crate::pool;
 use crate::state::Snapshot;
+use crate::store::Offset;
+use crate::table::Content;
 
 /// Maximum size of a message between nodes, in bytes; fits a table of thousands of routes.
 const MESSAGE_BYTES: usize = 32 << 20;
@@ -54,6 +56,12 @@
         snapshot
     }
 
+    async fn table(self, _: Context) -> Option<(Content, Offset)> {
+        let table = self.host.table();
+        traffic::count(Kind::Snapshot, &table);
+        table
+    }
+
     async fn groups(self, _: Context) -> Listing {
         let groups = self.host.groups();
         traffic::count(Kind::Groups, &*groups);
--- a/crates/gateway/src/run/mod.rs
+++ b/crates/gateway/src/run/mod.rs
@@ -1,6 +1,7 @@
 //! Runs a gateway. One process runs on each VM that serves callers.
 
 mod auxiliary;
+pub mod catch_up;
 mod feeds;
 pub mod offsets;
 pub mod reader;
@@ -40,8 +41,10 @@
 use crate::shutdown::{self, Shutdown};
 use crate::state::{Event, Position, Snapshot, State, View};
 use crate::store::counted::{Calls, Counted};
-use crate::store::{Batch, Fault, Feed, Store};
+use crate::store::{Batch, Fault, Feed, Offset, Store};
 use crate::suspect::{self, Suspects};
+use crate::table::Content;
+use catch_up::{CatchUp, Situation};
 use zone::Zone;
 
 pub use feeds::read_interval;
@@ -92,6 +95,7 @@
     shared: Arc<Shared>,
     peers: Peers,
     membership: Mutex<Membership>,
+    catch_up: Mutex<CatchUp>,
     zone: Zone,
     /// Cancelled when this node stops listening for callers.
     closing: CancellationToken,
@@ -153,17 +157,53 @@
             }
             self.update_peers();
         }
-        if !events.is_empty() || full_listing {
+        let caught_up = self.finish_catch_up(now);
+        if !events.is_empty() || full_listing || caught_up {
             self.publish();
         }
     }
 
+    fn catch_up(&self) -> MutexGuard<'_, CatchUp> {
+        let catch_up = &self.inner.catch_up;
+        catch_up.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns whether this gateway may act on its state from now on, since it knows what the others
+    /// know.
+    fn finish_catch_up(&self, now: Moment) -> bool {
+        if self.catch_up().is_done() {
+            return false;
+        }
+        let peers = &self.inner.peers;
+        let situation = Situation {
+            era: self.inner.shared.store_contact.era(),
+            unheard: peers.unheard(),
+            table: self.state().version(),
+            newest: peers.newest_table(),
+        };
+        let Some(waited) = self.catch_up().finish(situation, now) else {
+            return false;
+        };
+        log::info!(
+            "event=caught_up wait_ms={} unheard={} table={} newest={}",
+            waited.as_millis(),
+            situation.unheard.unwrap_or_default(),
+            situation.table.unwrap_or_default(),
+            situation.newest.unwrap_or_default(),
+        );
+        true
+    }
+
     fn publish(&self) {
         let membership = self.membership();
-        let view = View {
+        let mut view = View {
             claims_leadership: membership.claims_leadership,
             ..self.state().view(membership.members.as_ref())
         };
+        if !self.catch_up().is_done() {
+            // Another gateway may know a newer one.
+            view.table = None;
+        }
         self.inner.shared.publish(view);
     }
 
@@ -283,6 +323,7 @@
             accepting: self.is_accepting(),
             leads: self.inner.shared.is_leader.load(Ordering::Relaxed),
             position,
+            knowledge: self.state().knowledge(),
             store: self.inner.shared.store_contact.state(now),
             misdirected: admission.recent_misdirected(now),
             leaving: admission.recent_leaving(now),
@@ -333,6 +374,9 @@
         if is_new_node && self.inner.peers.members().is_some() {
             self.update_peers();
         }
+        if self.finish_catch_up(now) {
+            self.publish();
+        }
     }
 
     fn snapshot(&self) -> Snapshot {
@@ -352,6 +396,28 @@
         self.state().position()
     }
 
+    fn table_version(&self) -> Option<u64> {
+        self.state().version()
+    }
+
+    fn table(&self) -> Option<(Content, Offset)> {
+        self.state().table()
+    }
+
+    fn merge_table(&self, from: &str, content: &Content, offset: Offset) {
+        let events = self.state().merge_table(content, offset);
+        let position = self.state().position();
+        log_events(from, &events, position);
+        let caught_up = self.finish_catch_up(clock::now());
+        if caught_up || !events.is_empty() {
+            self.publish();
+        }
+    }
+
+    fn is_catching_up(&self) -> bool {
+        !self.catch_up().is_done()
+    }
+
     fn groups(&self) -> Arc<Listing> {
         self.inner.shared.admission().groups()
     }
@@ -458,6 +524,7 @@
             shared: Arc::clone(&shared),
             peers: Peers::new(exchange::Settings::default()),
             membership: Mutex::default(),
+            catch_up: Mutex::default(),
             zone: Zone::new(
                 &settings.node,
                 settings.store_reader.enabled,
@@ -763,7 +830,8 @@
             let previous = std::mem::replace(&mut *known, membership.clone());
             previous != membership
         };
-        if !expired.is_empty() || changed {
+        let caught_up = node.finish_catch_up(clock::now());
+        if !expired.is_empty() || changed || caught_up {
             node.publish();
         }
     }
--- a/crates/gateway/src/state/mod.rs
+++ b/crates/gateway/src/state/mod.rs
@@ -9,6 +9,8 @@
 //! that were out of service and upstreams that had left or were draining stay so, and upstreams
 //! that are missing are kept.
 
+mod knowledge;
+
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
@@ -24,6 +26,8 @@
 use crate::table::{Content, Table};
 use crate::upstream::{self, DISTRUST_AFTER_RESTORE, Outcome, RETENTION_AFTER_OUTAGE};
 
+pub use knowledge::Knowledge;
+
 /// An immutable snapshot of the state for the request path.
 #[derive(Debug, Default)]
 pub struct View {
@@ -180,7 +184,8 @@
         now: Moment,
     ) -> Vec<Event> {
         let mut events = Vec::new();
-        let is_restored = self.enter_era(feed, batch.next, now);
+        self.enter_era(feed, batch.next, now);
+        let may_be_outdated = full_listing && batch.next.era() > 0;
         let listed: HashSet<Arc<str>> = batch
             .changes
             .iter()
@@ -193,7 +198,7 @@
         for change in batch.changes {
             match change.update {
                 // A restored store lists records of nodes that have been replaced since.
-                Update::Node(record) if is_restored => {
+                Update::Node(record) if may_be_outdated => {
                     self.learn_node(&record);
                 }
                 _ => self.apply_change(feed, change, full_listing, now, &mut events),
@@ -233,9 +238,8 @@
         events
     }
 
-    /// Prepares for records of a later era than before, which a restored store lists. Returns
-    /// whether the era is a later one.
-    fn enter_era(&mut self, feed: Feed, next: Offset, now: Moment) -> bool {
+    /// Prepares for records of a later era than before, which a restored store lists.
+    fn enter_era(&mut self, feed: Feed, next: Offset, now: Moment) {
         let position = match feed {
             Feed::Orders => self.position.orders,
             Feed::Upstreams => self.position.upstreams,
@@ -243,7 +247,7 @@
         };
         // Nothing is known before the first listing.
         if position == Offset::default() || next.era() <= position.era() {
-            return false;
+            return;
         }
         let until = Some(now + DISTRUST_AFTER_RESTORE);
         match feed {
@@ -254,7 +258,6 @@
             }
             Feed::Nodes => {}
         }
-        true
     }
 
     /// Applies a change; `is_listed` states that it comes from a full listing.
@@ -306,6 +309,19 @@
         }
     }
 
+    /// Returns the content of the table and its offset, for a node that knows an older one.
+    pub fn table(&self) -> Option<(Content, Offset)> {
+        let table = self.table.as_ref()?;
+        Some((table.content().clone(), self.table_offset))
+    }
+
+    /// Uses the table of another node if it is newer, and returns what changed.
+    pub fn merge_table(&mut self, content: &Content, offset: Offset) -> Vec<Event> {
+        let mut events = Vec::new();
+        self.set_table(content, offset, &mut events);
+        events
+    }
+
     fn set_table(&mut self, content: &Content, offset: Offset, events: &mut Vec<Event>) {
         let newer = self
             .table
@@ -359,10 +375,7 @@
         let upstreams = self.upstreams.iter();
         Snapshot {
             position: self.position,
-            table: self
-                .table
-                .as_ref()
-                .map(|table| (table.content().clone(), self.table_offset)),
+            table: self.table(),
             zones: self
                 .zones
                 .iter()
--- a/crates/gateway/src/store/contact/mod.rs
+++ b/crates/gateway/src/store/contact/mod.rs
@@ -75,6 +75,11 @@
         }
     }
 
+    /// Returns the latest era that an answer of the store has stated.
+    pub fn era(&self) -> Option<Era> {
+        self.inner().era
+    }
+
     /// Returns a receiver that is notified whenever the store has been restored from a copy. What
     /// this system has written to it lately may be gone then.
     pub fn restores(&self) -> watch::Receiver<u64> {
--- a/crates/gateway/tests/exchange.rs
+++ b/crates/gateway/tests/exchange.rs
@@ -13,9 +13,11 @@
     self, Delivery, Heartbeat, LocalNode, Peers, Settings, Statement,
 };
 use sesamerock_gateway::node;
-use sesamerock_gateway::state::{Position, Snapshot, State};
+use sesamerock_gateway::state::{Knowledge, Position, Snapshot, State};
+use sesamerock_gateway::store::Offset;
 use sesamerock_gateway::store::contact::ContactState;
 use sesamerock_gateway::suspect;
+use sesamerock_gateway::table::Content;
 use tokio::net::TcpListener;
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
@@ -41,6 +43,7 @@
             suspects: suspect::Report::default(),
             leads: false,
             position: Position::default(),
+            knowledge: Knowledge::default(),
             store: ContactState::default(),
             misdirected: Vec::new(),
             leaving: Vec::new(),
@@ -74,6 +77,16 @@
 
     fn receive_delivery(&self, _: Delivery) {}
 
+    fn table_version(&self) -> Option<u64> {
+        None
+    }
+
+    fn table(&self) -> Option<(Content, Offset)> {
+        None
+    }
+
+    fn merge_table(&self, _: &str, _: &Content, _: Offset) {}
+
     fn groups(&self) -> Arc<Listing> {
         Arc::default()
     }
--- a/crates/gateway/tests/heartbeats.rs
+++ b/crates/gateway/tests/heartbeats.rs
@@ -16,7 +16,7 @@
 use sesamerock_gateway::exchange::delta::{Fault, Link, Message};
 use sesamerock_gateway::exchange::{Heartbeat, Peers, Settings};
 use sesamerock_gateway::node;
-use sesamerock_gateway::state::Position;
+use sesamerock_gateway::state::{Knowledge, Position};
 use sesamerock_gateway::store::Offset;
 use sesamerock_gateway::store::contact::ContactState;
 use sesamerock_gateway::suspect;
@@ -37,6 +37,7 @@
         accepting: true,
         leads: false,
         position: Position::default(),
+        knowledge: Knowledge::default(),
         store: ContactState::default(),
         misdirected: Vec::new(),
         leaving: Vec::new(),
