--- a/crates/standin/src/topics/mod.rs
+++ b/crates/standin/src/topics/mod.rs
@@ -33,6 +33,8 @@
     era: u64,
     /// Status with which every call is refused, if set.
     refuse: Option<u16>,
+    /// Whether records that are sent are refused.
+    refuses_appends: bool,
     /// Whether long-poll reads miss records written while they wait.
     misses_awaited_records: bool,
     calls: u64,
@@ -132,6 +134,11 @@
         lock(&self.state).refuse = status;
     }
 
+    /// Refuses the records that others send, or ends that. [`Store::put`] goes on.
+    pub fn refuse_appends(&self, refuses: bool) {
+        lock(&self.state).refuses_appends = refuses;
+    }
+
     /// Makes long-poll reads miss records written while they wait.
     pub fn miss_awaited_records(&self) {
         lock(&self.state).misses_awaited_records = true;
@@ -169,7 +176,8 @@
     let refused = {
         let mut state = lock(&state);
         state.calls += 1;
-        state.refuse
+        let refuses_append = state.refuses_appends && path == "/v1/log-append";
+        state.refuse.or(refuses_append.then_some(503))
     };
     if let Some(status) = refused {
         return Ok(reply(&state, status, Vec::new()));
