Refuse with 503 what the table does not allow shortly after a restore

Cause: a gateway answered as if the table that it lists were the newest one. The missing invariant: what the store lists proves what is not allowed only if the store has lost nothing that it acknowledged.

Change: for 10 s after a restore, such requests get 503 and Retry-After, which promise that they have not run. Heartbeats state the era that the sender knows and its age, so that a gateway that starts later does not count from its own start, and one that hears nobody does. With a store that was never restored nothing changes.

--- a/crates/gateway/src/maps/leader/mod.rs
+++ b/crates/gateway/src/maps/leader/mod.rs
@@ -175,8 +175,9 @@
             match claimed {
                 Ok(Lease { term, held }) => {
                     extended = false;
-                    shared.store_contact.record_answer(clock::now());
-                    shared.store_contact.record_era(term.era());
+                    let now = clock::now();
+                    shared.store_contact.record_answer(now);
+                    shared.store_contact.record_era(term.era(), now);
                     let until = held.then_some(requested_at + lease);
                     if previous.until.is_some() != held {
                         log::info!(
--- a/crates/gateway/src/relay/head/mod.rs
+++ b/crates/gateway/src/relay/head/mod.rs
@@ -30,6 +30,9 @@
 const NO_TABLE_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// `retry-after` of a request whose body there is no memory for. Other calls end meanwhile.
 const NO_MEMORY_RETRY_AFTER: Duration = Duration::from_secs(1);
+/// `retry-after` of a request that the table does not allow while the store may lack a newer one,
+/// which the operators write again.
+const DOUBT_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Lowest priority of a call; the one below it is for calls that can only be late.
 const LOWEST_URGENCY: u8 = LATE_URGENCY - 1;
 
@@ -66,13 +69,13 @@
         .unwrap_or_default();
     let Some(route) = table.route(host, parts.uri.path()) else {
         let status = StatusCode::NOT_FOUND;
-        return Err(reject(shared, &parts.headers, names, status, "no route"));
+        return Err(deny(shared, &parts.headers, names, status, "no route"));
     };
     let key = header(&AUTHORIZATION).and_then(|value| names.key(value));
     let holder = table.caller(route, key);
     if holder == table::Caller::Unknown {
         let status = StatusCode::UNAUTHORIZED;
-        return Err(reject(shared, &parts.headers, names, status, "no key"));
+        return Err(deny(shared, &parts.headers, names, status, "no key"));
     }
     let Some(service) = route.choose_service(rand::random()) else {
         let status = StatusCode::SERVICE_UNAVAILABLE;
@@ -210,6 +213,24 @@
     answer::refusal(status, "no table yet", NO_TABLE_RETRY_AFTER)
 }
 
+/// Rejects a request that the table does not allow. While a restored store may lack the newest
+/// table, the request is refused instead, since that table may allow it.
+fn deny<N: Names>(
+    shared: &Shared,
+    headers: &HeaderMap,
+    names: &N,
+    status: StatusCode,
+    reason: &'static str,
+) -> Response<Body> {
+    let contact = &shared.store_contact;
+    if contact.doubted_until(clock::now()).is_none() {
+        return reject(shared, headers, names, status, reason);
+    }
+    let status = StatusCode::SERVICE_UNAVAILABLE;
+    drop(reject(shared, headers, names, status, "table in doubt"));
+    answer::refusal(status, "table in doubt", DOUBT_RETRY_AFTER)
+}
+
 /// Logs and counts a rejected request, and returns the response to it.
 fn reject<N: Names>(
     shared: &Shared,
--- a/crates/gateway/src/run/zone/mod.rs
+++ b/crates/gateway/src/run/zone/mod.rs
@@ -115,7 +115,7 @@
         let zone = &self.inner.zone;
         let contact = &self.inner.shared.store_contact;
         contact.record_answer(now);
-        contact.record_era(batch.next.era());
+        contact.record_era(batch.next.era(), now);
         if feed == Feed::Upstreams {
             zone.election().record_answer(now - age);
         }
@@ -130,7 +130,7 @@
         let zone = &self.inner.zone;
         let contact = &self.inner.shared.store_contact;
         contact.record_answer(now);
-        contact.record_era(batch.next.era());
+        contact.record_era(batch.next.era(), now);
         if feed == Feed::Upstreams {
             zone.election().record_answer(now);
         }
--- a/crates/gateway/src/store/contact/mod.rs
+++ b/crates/gateway/src/store/contact/mod.rs
@@ -3,6 +3,9 @@
 //! The difference tells an outage of the store, in which nobody can become the leader of the
 //! expert maps, from a store that turns away this gateway alone, in which another gateway
 //! must take over. See `docs/notes/size.md`.
+//!
+//! It also keeps since when the present era of the store lasts, as far as the gateways know together:
+//! for a time after a restore, the store may lack what it has acknowledged before.
 
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -12,6 +15,7 @@
 use tokio::sync::watch;
 
 use super::Era;
+use crate::upstream::DISTRUST_AFTER_RESTORE;
 
 /// Delay of heartbeats that is tolerated when the last answers of two gateways are compared.
 const MAX_HEARTBEAT_DELAY: Duration = Duration::from_millis(250);
@@ -23,6 +27,9 @@
     pub answer_age_ms: Option<u64>,
     /// Whether the latest call failed.
     pub failing: bool,
+    /// The latest era of the store that the gateway knows, and for how many milliseconds it or another
+    /// one has known it; `None` if it knows no era. Ages from [`DISTRUST_AFTER_RESTORE`] on are all stated as that.
+    pub era: Option<(Era, u64)>,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -32,6 +39,18 @@
     failing_since: Option<Moment>,
     /// The latest era that an answer of the store has stated.
     era: Option<Era>,
+    /// The latest era that this gateway or another one knows, and when one of them first knew it.
+    begun: Option<(Era, Moment)>,
+}
+
+impl Inner {
+    fn learn_era(&mut self, era: Era, since: Moment) {
+        match &mut self.begun {
+            Some((known, at)) if *known == era => *at = (*at).min(since),
+            Some((known, _)) if *known > era => {}
+            begun => *begun = Some((era, since)),
+        }
+    }
 }
 
 /// The contact of this gateway with the store.
@@ -63,10 +82,11 @@
 
     /// Records the era that the store has stated. A later one than before means that the store has
     /// been restored from a copy, also if no call has failed meanwhile.
-    pub fn record_era(&self, era: Era) {
+    pub fn record_era(&self, era: Era, now: Moment) {
         let mut inner = self.inner();
         let known = inner.era;
         inner.era = known.max(Some(era));
+        inner.learn_era(era, now);
         drop(inner);
         if known.is_some_and(|known| known < era) {
             log::warn!("event=store_restored era={era} previous={known:?}");
@@ -75,11 +95,6 @@
         }
     }
 
-    /// Returns the latest era that an answer of the store has stated.
-    pub fn era(&self) -> Option<Era> {
-        self.inner().era
-    }
-
     /// Returns a receiver that is notified whenever the store has been restored from a copy. What
     /// this system has written to it lately may be gone then.
     pub fn restores(&self) -> watch::Receiver<u64> {
@@ -101,6 +116,10 @@
 
     /// Records what another gateway tells about its contact in a heartbeat.
     pub fn record_peer(&self, peer: ContactState, now: Moment) {
+        if let Some((era, age)) = peer.era {
+            let since = now - Duration::from_millis(age);
+            self.inner().learn_era(era, since);
+        }
         let Some(age) = peer.answer_age_ms.map(Duration::from_millis) else {
             return;
         };
@@ -112,12 +131,31 @@
     pub fn state(&self, now: Moment) -> ContactState {
         let inner = self.inner();
         let age = inner.last_answer.map(|at| now.since(at).as_millis() as u64);
+        let era = inner.begun.map(|(era, since)| {
+            let age = now.since(since).min(DISTRUST_AFTER_RESTORE);
+            (era, age.as_millis() as u64)
+        });
         ContactState {
             answer_age_ms: age,
             failing: inner.failing_since.is_some(),
+            era,
         }
     }
 
+    /// Returns the latest era that an answer of the store has stated.
+    pub fn era(&self) -> Option<Era> {
+        self.inner().era
+    }
+
+    /// Returns until when the store may lack what it has acknowledged, since it has been restored
+    /// from a copy. `None` if that time has passed, or if the store has never been restored. A
+    /// gateway that has started since and knows no other one takes its first answer for the restore.
+    pub fn doubted_until(&self, now: Moment) -> Option<Moment> {
+        let (era, since) = self.inner().begun?;
+        let until = since + DISTRUST_AFTER_RESTORE;
+        (era > 0 && now < until).then_some(until)
+    }
+
     /// Returns whether the calls of this gateway fail and no other gateway is known to have
     /// had an answer since they do.
     pub fn is_store_out(&self) -> bool {
--- a/crates/gateway/tests/eras.rs
+++ b/crates/gateway/tests/eras.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
 
+use sesamerock_gateway::clock;
 use sesamerock_gateway::maps::fence::Tokens;
 use sesamerock_gateway::store::contact::Contact;
 use sesamerock_gateway::store::{Offset, Term};
@@ -31,11 +32,11 @@
 fn a_later_era_is_a_restore() {
     let contact = Contact::default();
     let (mut restores, mut returns) = (contact.restores(), contact.returns());
-    contact.record_era(4);
-    contact.record_era(4);
+    contact.record_era(4, clock::now());
+    contact.record_era(4, clock::now());
     assert_eq!(restores.has_changed().ok(), Some(false));
-    contact.record_era(5);
-    contact.record_era(4);
+    contact.record_era(5, clock::now());
+    contact.record_era(4, clock::now());
     assert_eq!(*restores.borrow_and_update(), 1);
     assert_eq!(*returns.borrow_and_update(), 1);
 }
--- a/crates/gateway/tests/leader.rs
+++ b/crates/gateway/tests/leader.rs
@@ -194,6 +194,7 @@
                 let answered = ContactState {
                     answer_age_ms: Some(0),
                     failing: false,
+                    era: None,
                 };
                 gateway.store_contact.record_peer(answered, clock::now());
             }
