Do not take back upstreams whose retention has ended from other gateways

What callers saw: nothing in the users' record.

Cause: a record that is absent after an outage is retained for a time and then removed, with the offset of the record itself. Another gateway that still retained it handed it over with that offset, which did not count as older than the removal. The missing invariant: a removal is later than what it removes.

Change: the removal has the offset after the record.

--- a/crates/gateway/src/upstream/mod.rs
+++ b/crates/gateway/src/upstream/mod.rs
@@ -235,7 +235,8 @@
             .map(|known| (Arc::clone(&known.record.id), known.offset))
             .collect();
         for (id, offset) in &expired {
-            self.drop_record(id, *offset);
+            // Another node may still retain the record, and must not bring it back.
+            self.drop_record(id, offset.next());
         }
         expired.into_iter().map(|(id, _)| id).collect()
     }
