Tell other gateways which zones and upstreams a restored store lists wrongly

A gateway that started around a restore sent calls to a zone that was out of service, and to upstreams that had left or were draining.

Cause: each gateway judged a restored listing by what it had read itself. The missing invariant: what any gateway that is heard knows against the listing holds at all of them.

Change: for 10 s after a restore, heartbeats state the zones that the sender keeps out of service and the upstreams that it does not believe, each with the offset of the record that is meant, so that a later record overrides it. A heartbeat with a later era counts as noticing the restore.

--- a/crates/gateway/src/exchange/peers/mod.rs
+++ b/crates/gateway/src/exchange/peers/mod.rs
@@ -17,6 +17,8 @@
 use crate::clock;
 use crate::node;
 use crate::pool::{self, AbortOnDrop};
+use crate::state::Position;
+use crate::store::Era;
 
 /// Intervals and timeouts of the exchange.
 #[derive(Clone, Copy, Debug)]
@@ -194,12 +196,19 @@
         versions.into_iter().max()
     }
 
-    /// Returns the number of announced nodes that are not heard; `None` until they are known.
-    pub fn unheard(&self) -> Option<usize> {
+    /// Returns the number of announced nodes that are not heard, or that have not listed the store in
+    /// an era yet and so cannot tell what it lacks; `None` until they are known.
+    pub fn unheard(&self, era: Era) -> Option<usize> {
         let received = self.received.lock().unwrap_or_else(PoisonError::into_inner);
         let members = self.members.lock().unwrap_or_else(PoisonError::into_inner);
         let members = members.as_ref()?.keys();
-        Some(members.filter(|name| !received.contains_key(*name)).count())
+        let has_listed = |name: &String| {
+            received.get(name).is_some_and(|peer| {
+                let Position { orders, upstreams } = peer.heartbeat.position;
+                orders.era() >= era && upstreams.era() >= era
+            })
+        };
+        Some(members.filter(|name| !has_listed(name)).count())
     }
 
     /// Returns the names of the other nodes that may be alive, in order; `None` until the
--- a/crates/gateway/src/run/catch_up/mod.rs
+++ b/crates/gateway/src/run/catch_up/mod.rs
@@ -23,7 +23,8 @@
 pub struct Situation {
     /// Era that the store has stated; `None` before its first answer.
     pub era: Option<Era>,
-    /// Announced gateways that have not been heard; `None` before they are known.
+    /// Announced gateways that have not been heard, or have not listed the store in that era yet; `None`
+    /// before they are known.
     pub unheard: Option<usize>,
     /// Version of the own table.
     pub table: Option<u64>,
--- a/crates/gateway/src/run/mod.rs
+++ b/crates/gateway/src/run/mod.rs
@@ -39,7 +39,7 @@
 use crate::node;
 use crate::relay::{self, Shared, answer};
 use crate::shutdown::{self, Shutdown};
-use crate::state::{Event, Position, Snapshot, State, View};
+use crate::state::{Event, Knowledge, Position, Snapshot, State, View};
 use crate::store::counted::{Calls, Counted};
 use crate::store::{Batch, Fault, Feed, Offset, Store};
 use crate::suspect::{self, Suspects};
@@ -175,9 +175,10 @@
             return false;
         }
         let peers = &self.inner.peers;
+        let era = self.inner.shared.store_contact.era();
         let situation = Situation {
-            era: self.inner.shared.store_contact.era(),
-            unheard: peers.unheard(),
+            era,
+            unheard: peers.unheard(era.unwrap_or_default()),
             table: self.state().version(),
             newest: peers.newest_table(),
         };
@@ -244,6 +245,22 @@
         self.inner.peers.set_peers(others, self);
     }
 
+    /// Uses what another gateway knows beyond what a restored store lists.
+    fn learn(&self, from: &str, knowledge: &Knowledge, now: Moment) {
+        if knowledge.zones.is_empty() && knowledge.upstreams.is_empty() {
+            return;
+        }
+        let Some(until) = self.inner.shared.store_contact.doubted_until(now) else {
+            return;
+        };
+        let events = self.state().learn(knowledge, until);
+        let position = self.state().position();
+        log_events(from, &events, position);
+        if !events.is_empty() {
+            self.publish();
+        }
+    }
+
     /// Returns whether this node takes calls.
     fn is_accepting(&self) -> bool {
         let view = self.inner.shared.view.load();
@@ -354,6 +371,7 @@
             .shared
             .store_contact
             .record_peer(heartbeat.store, now);
+        self.learn(&name, &heartbeat.knowledge, now);
         if heartbeat.leads {
             self.inner.set_last_leader_heartbeat(now);
         }
--- a/crates/gateway/src/store/contact/mod.rs
+++ b/crates/gateway/src/store/contact/mod.rs
@@ -119,6 +119,10 @@
         if let Some((era, age)) = peer.era {
             let since = now - Duration::from_millis(age);
             self.inner().learn_era(era, since);
+            if self.era().is_some_and(|own| own < era) {
+                // The feeds are to be listed anew, whose reads may be waiting.
+                self.record_era(era, now);
+            }
         }
         let Some(age) = peer.answer_age_ms.map(Duration::from_millis) else {
             return;
--- a/crates/gateway/src/upstream/mod.rs
+++ b/crates/gateway/src/upstream/mod.rs
@@ -18,6 +18,7 @@
 use serde::{Deserialize, Serialize};
 use sesamerock_base::time::Moment;
 
+use crate::state::Doubt;
 use crate::store::Offset;
 
 /// The record that an upstream publishes about itself.
@@ -173,6 +174,48 @@
         Outcome::Same
     }
 
+    /// Returns the restored records that are not believed.
+    pub fn doubts(&self) -> Vec<Doubt> {
+        let doubts = self.doubted.iter().map(|(id, doubted)| Doubt {
+            id: Arc::clone(id),
+            born: doubted.record.born,
+            offset: doubted.offset,
+        });
+        let mut doubts: Vec<Doubt> = doubts.collect();
+        doubts.sort_unstable_by(|a, b| a.id.cmp(&b.id));
+        doubts
+    }
+
+    /// Does not believe a record that the store has listed or will list, as another node does not,
+    /// which knew the upstream before the store was restored. Returns whether the upstream was in the
+    /// set.
+    pub fn doubt(&mut self, doubt: &Doubt, until: Moment) -> bool {
+        let removal = Removal {
+            // Before any record of the restored store.
+            offset: Offset::default(),
+            born: doubt.born,
+        };
+        let Some(known) = self.known.get(&doubt.id) else {
+            self.removed.entry(Arc::clone(&doubt.id)).or_insert(removal);
+            return false;
+        };
+        let is_meant = known.offset <= doubt.offset
+            && known.record.born == doubt.born
+            && !known.record.draining;
+        if !is_meant || self.doubted.contains_key(&doubt.id) {
+            return false;
+        }
+        let doubted = Doubted {
+            record: Record::clone(&known.record),
+            offset: known.offset,
+            until,
+        };
+        self.known.remove(&doubt.id);
+        self.doubted.insert(Arc::clone(&doubt.id), doubted);
+        self.removed.insert(Arc::clone(&doubt.id), removal);
+        true
+    }
+
     /// Removes a record whose key was deleted at `offset`. With `until`, it is kept until
     /// then unless it is draining, since it may have expired only because the store was
     /// unreachable.
--- a/crates/gateway/tests/catch_up.rs
+++ b/crates/gateway/tests/catch_up.rs
@@ -1,16 +1,174 @@
 //! Tests of what a gateway that starts learns from the others after a restore of the store.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use sesamerock_base::time::Moment;
 use sesamerock_gateway::run::catch_up::{CatchUp, MAX_UNHEARD, MAX_WAIT, Situation};
+use sesamerock_gateway::state::State;
 use sesamerock_gateway::store::contact::Contact;
-use sesamerock_gateway::upstream::DISTRUST_AFTER_RESTORE;
+use sesamerock_gateway::store::{Batch, Change, Feed, Offset, Update};
+use sesamerock_gateway::upstream::{DISTRUST_AFTER_RESTORE, Record};
 
 fn at(millis: u64) -> Moment {
     Moment::from_millis(100_000 + millis)
 }
 
+fn record(id: &str, born: u64) -> Record {
+    Record {
+        id: Arc::from(id),
+        born: Some(born),
+        service: Arc::from("engines"),
+        address: ([10, 0, 0, 1], 80).into(),
+        zone: Arc::from("a"),
+        slots: 4,
+        draining: false,
+        cold: Duration::ZERO,
+    }
+}
+
+fn upstream(record: Record) -> Update {
+    Update::Upstream(record)
+}
+
+fn zone(out: bool) -> Update {
+    let zone = Arc::from("a");
+    Update::Zone { zone, out }
+}
+
+/// Returns a batch of an era that ends at `next`, with updates from `first` on.
+fn batch(era: u32, first: u64, next: u64, updates: Vec<Update>) -> Batch {
+    let changes = updates.into_iter().zip(first..);
+    let changes = changes.map(|(update, index)| Change {
+        offset: Offset::new(era, index),
+        update,
+    });
+    Batch {
+        next: Offset::new(era, next),
+        changes: changes.collect(),
+    }
+}
+
+fn in_use(state: &State) -> Vec<String> {
+    let view = state.view(None);
+    let pools = view.pools.values().flat_map(|pool| &pool.candidates);
+    let mut ids: Vec<String> = pools.map(|it| it.record.id.to_string()).collect();
+    ids.sort_unstable();
+    ids
+}
+
+/// Returns a node that knew an order about zone `a`, that `left` had left and `drains` was draining,
+/// and that has listed a copy which lacks all three.
+fn informed() -> State {
+    let mut state = State::default();
+    let all = || ["drains", "left", "stays"].map(|id| upstream(record(id, 1)));
+    state.apply(Feed::Upstreams, batch(0, 1, 9, all().into()), true, at(0));
+    state.apply(Feed::Orders, batch(0, 1, 5, Vec::new()), true, at(0));
+    let draining = Record {
+        draining: true,
+        ..record("drains", 1)
+    };
+    let left = Update::UpstreamRemoved(Arc::from("left"));
+    let changes = vec![upstream(draining), left];
+    state.apply(Feed::Upstreams, batch(0, 9, 11, changes), false, at(100));
+    state.apply(
+        Feed::Orders,
+        batch(0, 5, 6, vec![zone(true)]),
+        false,
+        at(100),
+    );
+    list_copy(&mut state, at(1_000));
+    state
+}
+
+fn list_copy(state: &mut State, now: Moment) {
+    let all = ["drains", "left", "stays"].map(|id| upstream(record(id, 1)));
+    state.apply(Feed::Upstreams, batch(1, 1, 9, all.into()), true, now);
+    state.apply(Feed::Orders, batch(1, 1, 5, Vec::new()), true, now);
+}
+
+/// Regression: a gateway that started after a restore used zones that were out of service, and
+/// upstreams that had left or were draining, though the gateways beside it did not. It may hear them
+/// before it has listed the store, between its listings, or afterwards, and again and again.
+#[test]
+fn regression_a_node_that_starts_learns_what_the_copy_lacks() {
+    let knowledge = informed().knowledge();
+    let until = at(1_000) + DISTRUST_AFTER_RESTORE;
+    for heard in 0..8_u32 {
+        let mut state = State::default();
+        let hear = |state: &mut State, moment: u32| {
+            if heard & (1 << moment) != 0 || (moment == 2 && heard == 0) {
+                state.learn(&knowledge, until);
+            }
+        };
+        hear(&mut state, 0);
+        list_copy(&mut state, at(2_000));
+        hear(&mut state, 1);
+        list_copy(&mut state, at(2_500));
+        hear(&mut state, 2);
+        let view = state.view(None);
+        assert!(view.zones_out_of_service.contains("a"), "{heard}");
+        state.apply(
+            Feed::Orders,
+            batch(1, 5, 6, vec![zone(true)]),
+            false,
+            at(3_000),
+        );
+        state.apply(
+            Feed::Orders,
+            batch(1, 6, 7, vec![zone(false)]),
+            false,
+            at(3_500),
+        );
+        state.learn(&knowledge, until);
+        assert!(state.view(None).zones_out_of_service.is_empty(), "{heard}");
+        assert_eq!(in_use(&state), ["stays"], "{heard}");
+        // A record that is written after the restore is believed.
+        let written = vec![upstream(record("left", 1)), upstream(record("drains", 2))];
+        state.apply(Feed::Upstreams, batch(1, 9, 11, written), false, at(4_000));
+        state.learn(&knowledge, until);
+        assert_eq!(in_use(&state), ["drains", "left", "stays"], "{heard}");
+    }
+}
+
+/// What the others know beyond the store must not stay in force for good: nobody may write it again.
+#[test]
+fn what_the_copy_lacks_lapses() {
+    let knowledge = informed().knowledge();
+    let until = at(1_000) + DISTRUST_AFTER_RESTORE;
+    let mut state = State::default();
+    list_copy(&mut state, at(2_000));
+    state.learn(&knowledge, until);
+    state.settle(until);
+    assert_eq!(in_use(&state), ["drains", "left", "stays"]);
+    // A node that still keeps the order does not put it in force again.
+    state.learn(&knowledge, until + Duration::from_secs(1));
+    assert!(state.view(None).zones_out_of_service.is_empty());
+}
+
+/// An upstream that has started again since is another one, whatever is known of its former start.
+#[test]
+fn a_later_start_of_an_upstream_is_used() {
+    let mut knowledge = informed().knowledge();
+    knowledge.zones.clear();
+    let mut state = State::default();
+    let listed = vec![upstream(record("left", 2))];
+    state.apply(Feed::Upstreams, batch(1, 1, 9, listed), true, at(2_000));
+    state.learn(&knowledge, at(11_000));
+    assert_eq!(in_use(&state), ["left"]);
+}
+
+/// A node that knows nothing beyond the store states nothing, since heartbeats would carry it to all.
+#[test]
+fn a_node_states_nothing_once_the_store_has_caught_up() {
+    let mut state = informed();
+    assert_eq!(state.knowledge().zones.len(), 1);
+    assert_eq!(state.knowledge().upstreams.len(), 2);
+    state.settle(at(1_000) + DISTRUST_AFTER_RESTORE);
+    assert!(state.knowledge().zones.is_empty());
+    assert!(state.knowledge().upstreams.is_empty());
+}
+
 fn situation() -> Situation {
     Situation {
         era: Some(1),
