--- a/crates/gateway/tests/doubts.rs
+++ b/crates/gateway/tests/doubts.rs
@@ -256,3 +256,24 @@
     state.learn(&frozen.knowledge(), at(1_000) + DISTRUST_AFTER_RESTORE);
     assert!(!zone_is_known(&state));
 }
+
+/// A rank that drains still runs its group, whose maps a leader can only change while it knows all
+/// ranks. A doubt must not remove such an upstream from the ranks.
+#[test]
+fn a_doubt_about_a_draining_upstream_keeps_it_among_the_ranks() {
+    let mut informed = reader();
+    let draining = Record {
+        draining: true,
+        ..record("left")
+    };
+    let drains = vec![Update::Upstream(draining)];
+    informed.apply(Feed::Upstreams, batch(0, 9, 10, drains), false, at(100));
+    list_copy(&mut informed, at(1_000));
+    let ranks = |state: &State| state.view(None).ranks.values().map(Vec::len).sum::<usize>();
+    assert_eq!(ranks(&informed), 2);
+    let mut state = State::default();
+    list_copy(&mut state, at(1_100));
+    state.learn(&informed.knowledge(), at(1_000) + DISTRUST_AFTER_RESTORE);
+    assert_eq!(in_use(&state).len(), 1);
+    assert_eq!(ranks(&state), 2);
+}
