Extend doubts about upstreams when the store is restored again

After restores at 1 s and 9 s, an upstream that had left got calls from 11 s on.

Cause: the end of the first doubt was kept across eras. Change: it is kept within one era.

--- a/crates/gateway/src/upstream/mod.rs
+++ b/crates/gateway/src/upstream/mod.rs
@@ -164,7 +164,9 @@
             return self.put(record, offset, now);
         }
         let until = now + DISTRUST_AFTER_RESTORE;
-        let first = self.doubted.get(&record.id).map(|doubted| doubted.until);
+        let first = self.doubted.get(&record.id);
+        let first = first.filter(|doubted| doubted.offset.era() == offset.era());
+        let first = first.map(|doubted| doubted.until);
         let doubted = Doubted {
             offset,
             until: first.unwrap_or(until),
