Do not bring back a removed upstream when another gateway doubts it

A dead upstream whose removal was deferred after a restore was used for good from the end of the doubt on.

Cause: a doubt that another gateway stated took over the record without the end of its retention. Change: such a record is dropped. Evidence: a_doubt_does_not_undo_a_removal_that_was_deferred fails without the change.

--- a/crates/gateway/src/upstream/mod.rs
+++ b/crates/gateway/src/upstream/mod.rs
@@ -207,6 +207,12 @@
         if !is_meant || self.doubted.contains_key(&doubt.id) {
             return false;
         }
+        if known.expires_at.is_some() {
+            // The store no longer lists it, and nothing would end the doubt but its use.
+            let end = known.offset.next();
+            self.drop_record(&doubt.id, end);
+            return true;
+        }
         let doubted = Doubted {
             record: Record::clone(&known.record),
             offset: known.offset,
