Forget doubted upstreams that a later listing lacks

An upstream that had left was used for good from the end of the doubt on, if a further listing within 10 s lacked it, after a second restore or an expired history.

Cause: a listing removed what is in use, and not what is doubted. Change: the own listing of a gateway removes both.

--- a/crates/gateway/src/state/mod.rs
+++ b/crates/gateway/src/state/mod.rs
@@ -229,6 +229,7 @@
                         self.upstreams
                             .retain(batch.next, |id| listed.contains(id), until);
                     events.extend(removed.into_iter().map(Event::UpstreamRemoved));
+                    self.upstreams.retain_doubts(|id| listed.contains(id));
                     self.complete = true;
                 }
                 self.position.upstreams = self.position.upstreams.max(batch.next);
--- a/crates/gateway/src/upstream/mod.rs
+++ b/crates/gateway/src/upstream/mod.rs
@@ -259,6 +259,11 @@
         absent
     }
 
+    /// Forgets restored records that a later listing of the store lacks.
+    pub fn retain_doubts(&mut self, listed: impl Fn(&str) -> bool) {
+        self.doubted.retain(|id, _| listed(id));
+    }
+
     /// Drops the records whose retention after an outage has ended, and believes restored ones
     /// that have been doubted for long enough. Returns the ids of the former and the records of
     /// the latter.
