Let orders lapse that the state of another gateway lacks in a later era

A gateway that took over a later era from the state of another one stated to nobody that it alone knew a zone to be out, though it counted as having listed the store; and if its own listing arrived late, the zone stayed out for good.

Cause: only a listing marked the orders that a restored store lacks. Change: the state of another gateway in a later era marks them too.

--- a/crates/gateway/src/state/mod.rs
+++ b/crates/gateway/src/state/mod.rs
@@ -407,6 +407,13 @@
             for (zone, out, offset) in snapshot.zones {
                 self.set_zone(zone, out, offset, &mut events);
             }
+            // Of former eras, only what the other node knows as well is sure to be in force.
+            let until = self.keep_orders_until.filter(|until| *until > now);
+            for known in self.zones.values_mut() {
+                if known.out && known.offset.era() < position.orders.era() {
+                    known.returns_at = known.returns_at.or(until).or(Some(now));
+                }
+            }
             self.position.orders = position.orders;
         }
         if position.upstreams >= self.position.upstreams {
