Leave orders to the gateway that had read furthest before a restore

A gateway that was frozen while a zone returned to service took it out again, for up to 10 s, at gateways that had started since.

Cause: what a gateway keeps against a restored store was believed without regard to how far it had read before. Change: heartbeats state that offset, and a gateway that had read as far keeps to what it knows.

--- a/crates/gateway/src/state/knowledge/mod.rs
+++ b/crates/gateway/src/state/knowledge/mod.rs
@@ -19,6 +19,8 @@
     pub table: Option<u64>,
     /// Zones that stay out of service although the store no longer lists the order, with its offset.
     pub zones: Vec<(Arc<str>, Offset)>,
+    /// Offset up to which the sender had read the orders before the restore.
+    pub former_orders: Offset,
     /// Upstreams that the store lists although they have left or are draining.
     pub upstreams: Vec<Doubt>,
 }
@@ -44,6 +46,7 @@
                 .filter(|(_, known)| known.returns_at.is_some())
                 .map(|(zone, known)| (Arc::clone(zone), known.offset))
                 .collect(),
+            former_orders: self.former_orders,
             upstreams: self.upstreams.doubts(),
         }
     }
@@ -52,7 +55,10 @@
     /// the store is no longer doubted. Returns what changed.
     pub fn learn(&mut self, knowledge: &Knowledge, until: Moment) -> Vec<Event> {
         let mut events = Vec::new();
-        for (zone, offset) in &knowledge.zones {
+        // One that had read further knows what became of these orders.
+        let has_read_less = self.former_orders < knowledge.former_orders;
+        let zones = knowledge.zones.iter().filter(|_| has_read_less);
+        for (zone, offset) in zones {
             if self
                 .zones
                 .get(zone)
--- a/crates/gateway/src/state/mod.rs
+++ b/crates/gateway/src/state/mod.rs
@@ -104,6 +104,8 @@
     complete: bool,
     /// Until when absent records are kept after the store was unreachable.
     retain_until: Option<Moment>,
+    /// Next offset to read from the orders when the store was last restored.
+    former_orders: Offset,
     /// Until when absent orders are kept after the store was restored.
     keep_orders_until: Option<Moment>,
     /// Until when listed upstreams may be older than what is known, after the store was restored.
@@ -252,7 +254,10 @@
         }
         let until = Some(now + DISTRUST_AFTER_RESTORE);
         match feed {
-            Feed::Orders => self.keep_orders_until = until,
+            Feed::Orders => {
+                self.former_orders = position;
+                self.keep_orders_until = until;
+            }
             Feed::Upstreams => {
                 self.distrust_until = until;
                 self.retain_for(RETENTION_AFTER_OUTAGE, now);
