Wait for other gateways at a start also where the store lists none

Cause: "nobody is unheard" was taken from the restored list of nodes, which is itself learnt from the store alone. A copy that lists only some of them cannot be told from a complete one.

--- a/crates/gateway/src/run/catch_up/mod.rs
+++ b/crates/gateway/src/run/catch_up/mod.rs
@@ -2,7 +2,8 @@
 //!
 //! A store that has been restored may list what is older than what other gateways know. So a
 //! gateway hears each announced one first, and uses the newest table that they state. Those that are
-//! gone cannot be told from those that are slow to connect, so the wait is bounded.
+//! gone cannot be told from those that are slow to connect, nor those whose announcements the store
+//! has lost from none, so the wait is bounded.
 
 use std::time::Duration;
 
@@ -56,11 +57,13 @@
             now.since(since)
         });
         let is_behind = situation.newest > situation.table;
+        // Where no other gateway is heard, the store may have lost their records.
+        let all_heard = situation.unheard == Some(0) && situation.newest.is_some();
         self.done = match (situation.era, situation.unheard, waited) {
             // A store that has never been restored lists all that it has acknowledged.
             (Some(0), ..) => true,
-            (Some(_), Some(unheard), Some(waited)) => {
-                waited >= MAX_WAIT || (!is_behind && (unheard == 0 || waited >= MAX_UNHEARD))
+            (Some(_), Some(_), Some(waited)) => {
+                waited >= MAX_WAIT || (!is_behind && (all_heard || waited >= MAX_UNHEARD))
             }
             (None | Some(_), ..) => false,
         };
--- a/crates/gateway/tests/catch_up.rs
+++ b/crates/gateway/tests/catch_up.rs
@@ -241,7 +241,7 @@
                 newest: None,
                 ..situation()
             },
-            Some(Duration::ZERO),
+            Some(MAX_UNHEARD),
         ),
         (
             "the others know an older one",
