Believe upstreams that have written since a restore, whoever doubts them

A gateway that had listed a record that an upstream wrote after a restore, and not read it, doubted the upstream, and all others left it out until its next record.

Cause: a statement of another gateway was put above a record that was read live. Change: records are marked as listed or read; only listed ones may be doubted by others.

--- a/crates/gateway/src/state/mod.rs
+++ b/crates/gateway/src/state/mod.rs
@@ -284,6 +284,8 @@
                 let is_doubtful = is_listed && self.distrust_until.is_some_and(|until| until > now);
                 let outcome = if is_doubtful {
                     self.upstreams.put_restored(record, offset, now)
+                } else if is_listed {
+                    self.upstreams.put_listed(record, offset, now)
                 } else {
                     self.upstreams.put(record, offset, now)
                 };
--- a/crates/gateway/src/upstream/mod.rs
+++ b/crates/gateway/src/upstream/mod.rs
@@ -60,6 +60,8 @@
     pub record: Arc<Record>,
     /// Offset of the record in the log.
     pub offset: Offset,
+    /// Whether the record was listed, so that it may be that of a copy, and not read as a new one.
+    pub is_listed: bool,
     /// End of the cold start of the upstream.
     pub cold_until: Moment,
     /// When the record is dropped, if it disappeared while the store was unreachable.
@@ -122,6 +124,7 @@
                 cold: known.record.cold,
                 ..record.clone()
             } == *known.record;
+            known.is_listed &= known.offset == offset;
             known.offset = offset;
             known.cold_until = if cold { cold_until } else { now };
             let was_cold = known.record.cold > Duration::ZERO;
@@ -138,6 +141,7 @@
         self.removed.remove(&record.id);
         let known = TrackedUpstream {
             offset,
+            is_listed: false,
             cold_until,
             expires_at: None,
             record: Arc::new(record),
@@ -146,6 +150,21 @@
         Outcome::Changed
     }
 
+    /// Adds or updates a record that a store lists, as [`UpstreamSet::put`] does.
+    pub fn put_listed(&mut self, record: Record, offset: Offset, now: Moment) -> Outcome {
+        let id = Arc::clone(&record.id);
+        let former = self.known.get(&id).map(|known| known.offset);
+        let outcome = self.put(record, offset, now);
+        // One that was read before it was listed stays so.
+        if let Some(known) = self.known.get_mut(&id)
+            && known.offset == offset
+            && former != Some(offset)
+        {
+            known.is_listed = true;
+        }
+        outcome
+    }
+
     /// Adds or updates a record that a store lists after it was restored from a copy. If the
     /// upstream is known to have left or to be draining, it stays so until it writes another
     /// record, or until [`DISTRUST_AFTER_RESTORE`] has passed.
@@ -161,7 +180,7 @@
             removal.offset.era() < offset.era() && removal.born == record.born
         });
         if !is_draining && !has_left {
-            return self.put(record, offset, now);
+            return self.put_listed(record, offset, now);
         }
         let until = now + DISTRUST_AFTER_RESTORE;
         let first = self.doubted.get(&record.id);
@@ -201,7 +220,8 @@
             self.removed.entry(Arc::clone(&doubt.id)).or_insert(removal);
             return false;
         };
-        let is_meant = known.offset <= doubt.offset
+        let is_meant = known.is_listed
+            && known.offset <= doubt.offset
             && known.record.born == doubt.born
             && !known.record.draining;
         if !is_meant || self.doubted.contains_key(&doubt.id) {
@@ -278,7 +298,7 @@
             .into_iter()
             .filter_map(|Doubted { record, offset, .. }| {
                 let shared = Arc::new(record.clone());
-                (self.put(record, offset, now) == Outcome::Changed).then_some(shared)
+                (self.put_listed(record, offset, now) == Outcome::Changed).then_some(shared)
             });
         records.collect()
     }
