Keep upstreams that others know to drain among the ranks of their group

A rank that others knew to be draining vanished at a gateway that started around a restore, and a leader does not change the maps of a group of which it does not know all ranks.

Cause: a doubt did not state whether the upstream drains or has left. Change: it does; one that drains stays in the set, without calls. The type of a doubt moves to where it is applied.

--- a/crates/gateway/src/state/knowledge/mod.rs
+++ b/crates/gateway/src/state/knowledge/mod.rs
@@ -11,6 +11,7 @@
 
 use super::{Event, State, Zone};
 use crate::store::Offset;
+use crate::upstream::{Doubt, Outcome};
 
 /// What a gateway knows beyond what a restored store lists.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -25,17 +26,6 @@
     pub upstreams: Vec<Doubt>,
 }
 
-/// A record of an upstream that a restored store lists and that is not believed.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Doubt {
-    /// Id of the upstream.
-    pub id: Arc<str>,
-    /// Its start, as the record states it. A later start is not meant.
-    pub born: Option<u64>,
-    /// Offset of the record. A record with a later one is believed.
-    pub offset: Offset,
-}
-
 impl State {
     /// Returns what this node knows beyond what a restored store lists.
     pub fn knowledge(&self) -> Knowledge {
@@ -79,7 +69,7 @@
         }
         for doubt in &knowledge.upstreams {
             self.distrust_until = self.distrust_until.max(Some(until));
-            if self.upstreams.doubt(doubt, until) {
+            if self.upstreams.doubt(doubt, until) == Outcome::Changed {
                 events.push(Event::UpstreamRemoved(Arc::clone(&doubt.id)));
             }
         }
--- a/crates/gateway/src/state/mod.rs
+++ b/crates/gateway/src/state/mod.rs
@@ -26,7 +26,7 @@
 use crate::table::{Content, Table};
 use crate::upstream::{self, DISTRUST_AFTER_RESTORE, Outcome, RETENTION_AFTER_OUTAGE};
 
-pub use knowledge::{Doubt, Knowledge};
+pub use knowledge::Knowledge;
 
 /// An immutable snapshot of the state for the request path.
 #[derive(Debug, Default)]
--- a/crates/gateway/src/upstream/mod.rs
+++ b/crates/gateway/src/upstream/mod.rs
@@ -18,7 +18,6 @@
 use serde::{Deserialize, Serialize};
 use sesamerock_base::time::Moment;
 
-use crate::state::Doubt;
 use crate::store::Offset;
 
 /// The record that an upstream publishes about itself.
@@ -93,6 +92,19 @@
     until: Moment,
 }
 
+/// A record that a restored store lists and that is not believed, as gateways state it to each other.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Doubt {
+    /// Id of the upstream.
+    pub id: Arc<str>,
+    /// Its start, as the record states it. A later start is not meant.
+    pub born: Option<u64>,
+    /// Offset of the record. One that is read with a later offset is believed.
+    pub offset: Offset,
+    /// Whether the upstream is draining, and not gone.
+    pub draining: bool,
+}
+
 /// The effect of a record on the set.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
@@ -201,6 +213,7 @@
             id: Arc::clone(id),
             born: doubted.record.born,
             offset: doubted.offset,
+            draining: self.known.contains_key(id),
         });
         let mut doubts: Vec<Doubt> = doubts.collect();
         doubts.sort_unstable_by(|a, b| a.id.cmp(&b.id));
@@ -208,40 +221,45 @@
     }
 
     /// Does not believe a record that the store has listed or will list, as another node does not,
-    /// which knew the upstream before the store was restored. Returns whether the upstream was in the
-    /// set.
-    pub fn doubt(&mut self, doubt: &Doubt, until: Moment) -> bool {
+    /// which knew the upstream before the store was restored.
+    pub fn doubt(&mut self, doubt: &Doubt, until: Moment) -> Outcome {
         let removal = Removal {
             // Before any record of the restored store.
             offset: Offset::default(),
             born: doubt.born,
         };
-        let Some(known) = self.known.get(&doubt.id) else {
+        let Some(known) = self.known.get_mut(&doubt.id) else {
             self.removed.entry(Arc::clone(&doubt.id)).or_insert(removal);
-            return false;
+            return Outcome::Same;
         };
         let is_meant = known.is_listed
             && known.offset <= doubt.offset
             && known.record.born == doubt.born
             && !known.record.draining;
         if !is_meant || self.doubted.contains_key(&doubt.id) {
-            return false;
+            return Outcome::Same;
         }
         if known.expires_at.is_some() {
             // The store no longer lists it, and nothing would end the doubt but its use.
             let end = known.offset.next();
             self.drop_record(&doubt.id, end);
-            return true;
+            return Outcome::Changed;
         }
         let doubted = Doubted {
             record: Record::clone(&known.record),
             offset: known.offset,
             until,
         };
-        self.known.remove(&doubt.id);
         self.doubted.insert(Arc::clone(&doubt.id), doubted);
-        self.removed.insert(Arc::clone(&doubt.id), removal);
-        true
+        if doubt.draining {
+            // It stays a rank of its group.
+            Arc::make_mut(&mut known.record).draining = true;
+            known.offset = Offset::default();
+        } else {
+            self.known.remove(&doubt.id);
+            self.removed.insert(Arc::clone(&doubt.id), removal);
+        }
+        Outcome::Changed
     }
 
     /// Removes a record whose key was deleted at `offset`. With `until`, it is kept until
