Ignore all of a late heartbeat of a process that has restarted

A heartbeat of a former process that arrived late was rejected by the list of peers only after its contact, suspects, leadership and knowledge had been applied.

Change: it is rejected first. late_heartbeats_of_a_former_process_are_outdated.

--- a/crates/gateway/src/exchange/peers/mod.rs
+++ b/crates/gateway/src/exchange/peers/mod.rs
@@ -102,6 +102,13 @@
         }
     }
 
+    /// Returns whether a heartbeat is a late one of a process that has restarted since.
+    pub fn is_outdated(&self, heartbeat: &Heartbeat) -> bool {
+        let received = self.received.lock().unwrap_or_else(PoisonError::into_inner);
+        let previous = received.get(&heartbeat.node.name);
+        previous.is_some_and(|it| it.heartbeat.node.incarnation > heartbeat.node.incarnation)
+    }
+
     /// Processes a heartbeat. Returns whether its sender was unknown or silent until now.
     pub fn receive_heartbeat(&self, heartbeat: Heartbeat) -> bool {
         let now = clock::now();
--- a/crates/gateway/src/run/mod.rs
+++ b/crates/gateway/src/run/mod.rs
@@ -359,6 +359,9 @@
     }
 
     fn receive_heartbeat(&self, heartbeat: Heartbeat) {
+        if self.inner.peers.is_outdated(&heartbeat) {
+            return;
+        }
         let name = heartbeat.node.name.clone();
         let loads = heartbeat.loads.clone();
         let now = clock::now();
--- a/crates/gateway/tests/exchange.rs
+++ b/crates/gateway/tests/exchange.rs
@@ -169,6 +169,21 @@
     Ok(())
 }
 
+/// A late heartbeat of a process that has restarted states what this one no longer knows, such as that
+/// it leads or which table it has.
+#[tokio::test]
+async fn late_heartbeats_of_a_former_process_are_outdated() -> Result<()> {
+    let host = host("first").await?;
+    let mut heartbeat = host.heartbeat();
+    assert!(!host.peers.is_outdated(&heartbeat));
+    heartbeat.node.incarnation = 2;
+    host.peers.receive_heartbeat(heartbeat.clone());
+    assert!(!host.peers.is_outdated(&heartbeat));
+    heartbeat.node.incarnation = 1;
+    assert!(host.peers.is_outdated(&heartbeat));
+    Ok(())
+}
+
 /// Nodes that start at once hear of a newer table from all others at the same time. Each must ask for
 /// it hardly more often than needed, and the others must share the answers. Where only one knows it,
 /// all get it in the end.
