Claim the leadership only after having caught up with the others

A gateway that has started and knows no table yet could lead, and managed no group for the 1.6 s, at worst 10 s, of its wait.

Change: it does not claim the leadership before its wait has ended.

--- a/crates/gateway/src/run/mod.rs
+++ b/crates/gateway/src/run/mod.rs
@@ -225,7 +225,9 @@
         });
         let failing = self.inner.shared.store_contact.state(clock::now()).failing;
         let contacts = peers.store_contacts();
-        let claims_leadership = members.is_some()
+        // Without a table, a leader manages no group.
+        let claims_leadership = self.catch_up().is_done()
+            && members.is_some()
             && maps::competitors(failing, &contacts).is_some_and(|others| {
                 let others = others.into_iter();
                 maps::should_claim(own, others, self.leaderless_for())
