Refuse large bodies with 503 while no table is known

A gateway without a table, at its start or while it catches up, refused bodies above the default limit of 4 MiB with 413, though the operators may allow them.

Change: such a body is refused as a request without a table is, with 503. Evidence: regression_a_large_body_before_the_first_table_is_refused_with_503 gets 413 without the change.

--- a/crates/gateway/src/relay/head/mod.rs
+++ b/crates/gateway/src/relay/head/mod.rs
@@ -52,7 +52,7 @@
     let arrived = clock::now();
     let (parts, body) = request.into_parts();
     caller.set_phase(Phase::Receiving);
-    let (body, memory) = read_body(shared, names, &parts.headers, body).await?;
+    let (body, memory) = read_body(shared, names, &parts.headers, body, arrived).await?;
     caller.set_phase(Phase::Working);
     // Loaded after the body, since the table may have changed in the meantime.
     let Some(table) = shared.first_table(TABLE_WAIT).await else {
@@ -149,12 +149,18 @@
     names: &N,
     headers: &HeaderMap,
     body: Incoming,
+    arrived: Moment,
 ) -> Result<(Bytes, Share), Response<Body>> {
     let table = shared.view.load().table.clone();
+    let has_table = table.is_some();
     let limits = table.map_or_else(Limits::default, |it| it.content().limits);
     let mut share = shared.memory.request_share();
     let status = match memory::read(body, limits.body, &mut share).await {
         Ok(body) => return Ok((body, share)),
+        // The table may allow it.
+        Err(ReadError::TooLarge) if !has_table => {
+            return Err(refuse_without_table(shared, headers, names, arrived));
+        }
         Err(ReadError::TooLarge) => StatusCode::PAYLOAD_TOO_LARGE,
         Err(ReadError::Broken(_)) => StatusCode::BAD_REQUEST,
         Err(ReadError::Revoked) => {
