Restore the store from copies in the soak

The soak could not show it: its store never lost what it had acknowledged.

Change: `--drill` lets the store leave for 0.05 to 3 s and come back from a copy that is 0.5 to 7 s old, beside kills, stops, freezes and cuts of gateways, and a version just before that only some gateways read. What was lost is written again after up to 7.5 s. A caller for each gateway asks for the routes that the versions add and the keys that they withdraw; an act against what another live gateway knows is a violation, one against what no live gateway knows is noted.

--- a/crates/soak/src/caller/mod.rs
+++ b/crates/soak/src/caller/mod.rs
@@ -16,7 +16,8 @@
 use tokio::time::{sleep, timeout};
 
 use crate::recorder::SETTLE_TIME;
-use crate::world::{EVENTS_PER_STREAM, GATEWAYS, World};
+use crate::watcher;
+use crate::world::{EVENTS_PER_STREAM, World};
 
 /// Number of concurrent callers, each of which sends one call at a time.
 const CALLERS: u64 = 18;
@@ -46,9 +47,13 @@
             Task(tokio::spawn(send_calls(world, caller, next_number)))
         })
         .collect();
-    for number in 0..GATEWAYS {
-        let world = world.clone();
-        tasks.push(Task(tokio::spawn(watch_versions(world, number))));
+    for number in 0..world.gateways.len() {
+        let watched = world.clone();
+        tasks.push(Task(tokio::spawn(watch_versions(watched, number))));
+        if world.is_drill {
+            let watched = world.clone();
+            tasks.push(Task(tokio::spawn(watcher::watch(watched, number))));
+        }
     }
     tasks
 }
@@ -58,7 +63,11 @@
     let mut attempt = caller as usize;
     loop {
         attempt += 1;
-        let directory = world.gateway(attempt % GATEWAYS).process.settings.directory;
+        let directory = world
+            .gateway(attempt % world.gateways.len())
+            .process
+            .settings
+            .directory;
         let Some(address) = resolve(directory, attempt).await else {
             sleep(Duration::from_millis(50)).await;
             continue;
@@ -73,7 +82,8 @@
                 2 | 3 => Kind::Once,
                 _ => Kind::Stream,
             };
-            let id = format!("{caller:02}-{number:x}");
+            let gateway = world.number_of(address);
+            let id = format!("{caller:02}-{number:x}.g{gateway}");
             world.recorder.record_sent();
             let path = match kind {
                 Kind::Safe => "safe",
@@ -253,7 +263,8 @@
                 continue;
             }
             let sent_at = Instant::now();
-            let status = route_status(address, version).await;
+            let path = format!("v{version}");
+            let status = route_status(address, &path, "key-1").await;
             let same_process = world.gateway(number).process.incarnation == incarnation;
             match status {
                 Some(200) if same_process => served.1 = served.1.max(version),
@@ -275,12 +286,13 @@
     }
 }
 
-async fn route_status(address: SocketAddr, version: u64) -> Option<u16> {
+/// Returns the status that a gateway answers for a route and a key.
+pub async fn route_status(address: SocketAddr, path: &str, key: &str) -> Option<u16> {
     let request_status = async {
         let mut stream = TcpStream::connect(address).await.ok()?;
         let request = format!(
-            "GET /v{version}/x HTTP/1.1\r\nHost: soak.example\r\nRequest-Id: probe\r\n\
-             Deadline-Ms: 500\r\nAuthorization: Token key-1\r\n\r\n"
+            "GET /{path}/x HTTP/1.1\r\nHost: soak.example\r\nRequest-Id: probe\r\n\
+             Deadline-Ms: 500\r\nAuthorization: Token {key}\r\n\r\n"
         );
         stream.write_all(request.as_bytes()).await.ok()?;
         Some(read(&mut stream).await?.status)
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -9,9 +9,13 @@
 //! faults and not every interleaving. See `docs/notes/soak.md`.
 
 pub mod caller;
+pub mod drill;
 pub mod fault;
+pub mod knowledge;
+pub mod operator;
 pub mod process;
 pub mod recorder;
+pub mod watcher;
 pub mod world;
 
 use std::path::Path;
@@ -19,10 +23,12 @@
 
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::SeedableRng as _;
+use sesamerock_standin::task::Task;
 use tokio::time::sleep;
 
 use fault::Mix;
-use world::World;
+use knowledge::Class;
+use world::{Layout, World};
 
 /// Result of a run.
 #[derive(Clone, Debug)]
@@ -35,6 +41,8 @@
     pub served: u64,
     /// Faults that were injected, in order.
     pub faults: Vec<String>,
+    /// Acts against what the store had confirmed that are no violations, one description each.
+    pub notes: Vec<String>,
 }
 
 /// Time after the last fault within which service must have recovered.
@@ -54,11 +62,49 @@
     fault_time: Duration,
     program: &Path,
     logs: &Path,
+) -> eyre::Result<Outcome> {
+    run(seed, Mix::for_seed(seed), fault_time, program, logs).await
+}
+
+/// Runs one seed with restores of the store, like [`run_seed`]. Every third seed has six gateways in
+/// one zone, of which one reads the store for the others; the others have five in three zones.
+///
+/// # Errors
+/// Fails if the programs or the stand-ins cannot be started.
+pub async fn run_drill(
+    seed: u64,
+    fault_time: Duration,
+    program: &Path,
+    logs: &Path,
+) -> eyre::Result<Outcome> {
+    run(seed, Mix::for_drill(seed), fault_time, program, logs).await
+}
+
+async fn run(
+    seed: u64,
+    mix: Mix,
+    fault_time: Duration,
+    program: &Path,
+    logs: &Path,
 ) -> eyre::Result<Outcome> {
     let mut random = ChaCha8Rng::seed_from_u64(seed);
-    let world = World::start(program, logs).await?;
+    let is_drill = matches!(mix, Mix::Drill { .. });
+    let layout = match mix {
+        Mix::Drill { .. } if seed.is_multiple_of(3) => Layout {
+            gateways: 6,
+            one_zone: true,
+        },
+        Mix::Drill { .. } => Layout {
+            gateways: world::MIN_DRILL_GATEWAYS,
+            one_zone: false,
+        },
+        Mix::All | Mix::Calm => Layout::default(),
+    };
+    let world = World::start(program, logs, layout, is_drill).await?;
     let callers = caller::start(&world);
-    let faults = fault::inject(&world, &mut random, Mix::for_seed(seed), fault_time).await?;
+    let copies = is_drill.then(|| Task(tokio::spawn(drill::keep_copies(world.clone()))));
+    let faults = fault::inject(&world, &mut random, mix, fault_time).await?;
+    drop(copies);
     world.end_faults().await?;
     sleep(RECOVERY_TIME).await;
     let before = world.recorder.totals();
@@ -73,10 +119,54 @@
         world.recorder.record_violation(text);
     }
     world.recorder.check_refusals();
+    let mut violations = Vec::new();
+    let mut notes = Vec::new();
+    if is_drill {
+        violations = knowledge_violations(&world);
+        notes = notes_of(&world);
+    }
+    violations.extend(world.recorder.violations());
+    std::fs::write(logs.join("events.log"), world.recorder.events())?;
     Ok(Outcome {
-        violations: world.recorder.violations(),
+        violations,
         calls: after.sent,
         served: after.served,
         faults,
+        notes,
     })
 }
+
+/// Returns the acts against what a live gateway knew, and the gateways that do not serve the newest
+/// version in the end.
+fn knowledge_violations(world: &World) -> Vec<String> {
+    let recorder = &world.recorder;
+    let findings = recorder.update_knowledge(|known| known.findings(Class::Known));
+    let findings = findings.into_iter();
+    let mut violations: Vec<String> = findings
+        .map(|finding| format!("against what a live gateway knew: {finding}"))
+        .collect();
+    for number in 0..world.gateways.len() {
+        if !recorder.update_knowledge(|known| known.serves_newest(number)) {
+            violations.push(format!(
+                "gateway {number} does not serve the newest version in the end"
+            ));
+        }
+    }
+    violations
+}
+
+/// Returns the acts against what the store had confirmed that are no violations.
+fn notes_of(world: &World) -> Vec<String> {
+    let classes = [
+        (Class::Unknown, "known to no live gateway"),
+        (Class::Kept, "kept after its record was gone"),
+    ];
+    let notes = classes.into_iter().flat_map(|(class, name)| {
+        let findings = world
+            .recorder
+            .update_knowledge(|known| known.findings(class));
+        let findings = findings.into_iter();
+        findings.map(move |finding| format!("{name}: {finding}"))
+    });
+    notes.collect()
+}
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -14,6 +14,7 @@
     count: u64,
     seconds: u64,
     logs: PathBuf,
+    drill: bool,
 }
 
 fn options() -> Options {
@@ -30,11 +31,15 @@
         .help("Folder for the logs of the gateways")
         .argument("DIR")
         .fallback(PathBuf::from("target/soak"));
+    let drill = long("drill")
+        .help("Restore the store from copies, beside faults of gateways")
+        .switch();
     construct!(Options {
         seed,
         count,
         seconds,
-        logs
+        logs,
+        drill
     })
     .to_options()
     .descr("Runs gateways under random faults and checks what callers and upstreams see.")
@@ -57,15 +62,24 @@
     for seed in options.seed..options.seed + options.count {
         let logs = options.logs.join(seed.to_string());
         let fault_time = Duration::from_secs(options.seconds);
-        let outcome =
-            runtime.block_on(sesamerock_soak::run_seed(seed, fault_time, &program, &logs))?;
+        let outcome = if options.drill {
+            runtime.block_on(sesamerock_soak::run_drill(
+                seed, fault_time, &program, &logs,
+            ))?
+        } else {
+            runtime.block_on(sesamerock_soak::run_seed(seed, fault_time, &program, &logs))?
+        };
         println!(
-            "seed={seed} calls={} served={} faults={} violations={}",
+            "seed={seed} calls={} served={} faults={} violations={} notes={}",
             outcome.calls,
             outcome.served,
             outcome.faults.len(),
             outcome.violations.len(),
+            outcome.notes.len(),
         );
+        for note in &outcome.notes {
+            println!("  note {note}");
+        }
         if !outcome.violations.is_empty() {
             failed += 1;
             for fault in &outcome.faults {
--- a/crates/soak/src/recorder/mod.rs
+++ b/crates/soak/src/recorder/mod.rs
@@ -1,8 +1,11 @@
 //! Records what callers and upstreams observe, and checks it against the guarantees.
 
 use std::collections::HashMap;
+use std::fmt::Write as _;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use crate::knowledge::Knowledge;
 
 /// Maximum number of violations kept. Later ones are dropped, since the first ones are the
 /// most informative.
@@ -31,6 +34,10 @@
     /// Number of such faults that are active.
     active_disturbances: u32,
     violations: Vec<String>,
+    /// What live gateways know, which others must not act against.
+    knowledge: Knowledge,
+    /// Writes of the operators, faults and findings, as log lines.
+    events: String,
 }
 
 /// Observations of one run. Clones share the same record.
@@ -58,6 +65,8 @@
                 last_disturbance: Instant::now(),
                 active_disturbances: 0,
                 violations: Vec::new(),
+                knowledge: Knowledge::default(),
+                events: String::new(),
             })),
         }
     }
@@ -73,6 +82,25 @@
         self.lock().add_violation(text);
     }
 
+    /// Returns what live gateways know, locked.
+    pub fn update_knowledge<T>(&self, update: impl FnOnce(&mut Knowledge) -> T) -> T {
+        update(&mut self.lock().knowledge)
+    }
+
+    /// Records an event, with the time that the gateways' own logs have.
+    pub fn record_event(&self, text: &str) {
+        let time = SystemTime::now().duration_since(UNIX_EPOCH);
+        let time = time.unwrap_or_default().as_secs_f64();
+        let mut inner = self.lock();
+        // Writing to a string does not fail.
+        let _ = writeln!(inner.events, "time={time:.3} {text}");
+    }
+
+    /// Returns the recorded events, one line each.
+    pub fn events(&self) -> String {
+        self.lock().events.clone()
+    }
+
     /// Returns the recorded violations, of which only the first 20 are kept.
     pub fn violations(&self) -> Vec<String> {
         self.lock().violations.clone()
@@ -98,10 +126,16 @@
     pub fn record_run(&self, call: &str, once: bool, upstream: &str, zone: &str) {
         let now = Instant::now();
         let mut inner = self.lock();
-        for (key, bound) in [
+        let taken_out = [
             (upstream.to_owned(), DRAIN_TIME),
             (format!("zone/{zone}"), EVACUATION_TIME),
-        ] {
+        ];
+        if let Some(gateway) = gateway_of(call) {
+            for (key, bound) in &taken_out {
+                inner.knowledge.check_run(gateway, key, *bound, now);
+            }
+        }
+        for (key, bound) in taken_out {
             let Some(taken_out_at) = inner.out_of_service.get(&key).copied() else {
                 continue;
             };
@@ -181,6 +215,11 @@
     }
 }
 
+/// Returns the number of the gateway that a call was sent to, which ends its identity.
+fn gateway_of(call: &str) -> Option<usize> {
+    call.rsplit_once(".g")?.1.parse().ok()
+}
+
 /// Time after which a draining upstream must receive no more calls.
 pub const DRAIN_TIME: Duration = Duration::from_secs(2);
 /// Time after which a zone taken out of service must receive no more calls.
