Give every third soak with restores two zones with readers

Cause: with six gateways in one zone and no leader, gateways for which another one reads the store went on probing it, and nobody outside the zone could know better, so that versions lost between a read and its delivery did not show.

Change: seeds that are multiples of three have ten gateways in two zones, and one gateway leads. A run in which a gateway found a port taken ends with an error.

--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -66,8 +66,9 @@
     run(seed, Mix::for_seed(seed), fault_time, program, logs).await
 }
 
-/// Runs one seed with restores of the store, like [`run_seed`]. Every third seed has six gateways in
-/// one zone, of which one reads the store for the others; the others have five in three zones.
+/// Runs one seed with restores of the store, like [`run_seed`]. Every third seed has ten gateways in
+/// two zones, in each of which one reads the store for the others; the others have five in three
+/// zones.
 ///
 /// # Errors
 /// Fails if the programs or the stand-ins cannot be started.
@@ -91,12 +92,13 @@
     let is_drill = matches!(mix, Mix::Drill { .. });
     let layout = match mix {
         Mix::Drill { .. } if seed.is_multiple_of(3) => Layout {
-            gateways: 6,
-            one_zone: true,
+            gateways: 10,
+            zones: 2,
+            has_leader: true,
         },
         Mix::Drill { .. } => Layout {
             gateways: world::MIN_DRILL_GATEWAYS,
-            one_zone: false,
+            ..Layout::default()
         },
         Mix::All | Mix::Calm => Layout::default(),
     };
@@ -118,6 +120,9 @@
         let text = format!("recovery: {served} of {sent} calls are served after the last fault");
         world.recorder.record_violation(text);
     }
+    for number in 0..world.gateways.len() {
+        world.gateway(number).process.check_ports()?;
+    }
     world.recorder.check_refusals();
     let mut violations = Vec::new();
     let mut notes = Vec::new();
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -62,12 +62,20 @@
     for seed in options.seed..options.seed + options.count {
         let logs = options.logs.join(seed.to_string());
         let fault_time = Duration::from_secs(options.seconds);
-        let outcome = if options.drill {
-            runtime.block_on(sesamerock_soak::run_drill(
-                seed, fault_time, &program, &logs,
-            ))?
-        } else {
-            runtime.block_on(sesamerock_soak::run_seed(seed, fault_time, &program, &logs))?
+        let run = async {
+            if options.drill {
+                sesamerock_soak::run_drill(seed, fault_time, &program, &logs).await
+            } else {
+                sesamerock_soak::run_seed(seed, fault_time, &program, &logs).await
+            }
+        };
+        let outcome = match runtime.block_on(run) {
+            Ok(outcome) => outcome,
+            Err(error) => {
+                failed += 1;
+                println!("seed={seed} did not run to its end: {error:#}");
+                continue;
+            }
         };
         println!(
             "seed={seed} calls={} served={} faults={} violations={} notes={}",
--- a/crates/soak/src/process/mod.rs
+++ b/crates/soak/src/process/mod.rs
@@ -70,6 +70,20 @@
         Ok(true)
     }
 
+    /// Checks that the process has found its ports free at each start. Otherwise callers may have
+    /// reached a process of another run there.
+    ///
+    /// # Errors
+    /// Fails if a port was taken, or if the log cannot be read.
+    pub fn check_ports(&self) -> eyre::Result<()> {
+        let log = fs::read_to_string(&self.log_file)?;
+        let refused = log.lines().find(|line| line.contains("cannot listen on"));
+        match refused {
+            Some(line) => eyre::bail!("{} is no part of the run: {line}", self.settings.node),
+            None => Ok(()),
+        }
+    }
+
     /// Returns whether the process has not ended. A process stopped by SIGSTOP counts as
     /// running.
     ///
--- a/crates/soak/src/world/mod.rs
+++ b/crates/soak/src/world/mod.rs
@@ -63,15 +63,19 @@
 pub struct Layout {
     /// Number of gateways.
     pub gateways: usize,
-    /// Whether all gateways are in one zone.
-    pub one_zone: bool,
+    /// Number of zones that have gateways.
+    pub zones: usize,
+    /// Whether one of the gateways leads. Without a leader, gateways for which another one reads the
+    /// store make reads of their own to learn whether it answers them.
+    pub has_leader: bool,
 }
 
 impl Default for Layout {
     fn default() -> Self {
         Self {
             gateways: GATEWAYS,
-            one_zone: false,
+            zones: ZONES.len(),
+            has_leader: false,
         }
     }
 }
@@ -119,6 +123,9 @@
         let stop = CancellationToken::new();
         let recorder = Recorder::default();
         let store = Store::start().await?;
+        if layout.has_leader {
+            store.grant_leadership();
+        }
         let mut servers = Vec::new();
         for number in 0..UPSTREAMS {
             let id = format!("u{number}");
@@ -138,9 +145,7 @@
         for number in 0..layout.gateways {
             let proxy = Proxy::start(store.address, stop.clone()).await?;
             let mut settings = settings(number, &proxy)?;
-            if layout.one_zone {
-                ZONES[0].clone_into(&mut settings.zone);
-            }
+            ZONES[number % layout.zones].clone_into(&mut settings.zone);
             let process = Process::start(program, settings, logs)?;
             recorder.update_knowledge(|known| known.record_start(number, process.incarnation));
             gateways.push(Mutex::new(Gateway {
