List a feed anew once a later era of the store is known

What callers saw: after a restore of the store, gateways could go on with what they knew of the orders and the nodes for up to 10 s, although another feed, the leadership or a heartbeat had shown them the restore. Until then they stated positions of the former era, for which a gateway that starts does not take them for heard.

Cause: a read of a feed fails as expired if its answer states another era. Where the restored log did not end before the offset of the gateway, the read waited for the next record instead. The notice of the restore only made the gateway read again from the same offset, and that read waited as well.

Change: before each read, and while a follower reads nothing, a gateway that knows a later era than that of its offset drops the offset and lists the feed, at most once for each era, so that an era that the store does not answer in cannot cause listings without end.

--- a/crates/gateway/src/run/feeds/mod.rs
+++ b/crates/gateway/src/run/feeds/mod.rs
@@ -11,7 +11,7 @@
 use super::reader::{Role, pace};
 use super::zone::elected;
 use crate::clock;
-use crate::store::{Fault, Feed, Store};
+use crate::store::{Fault, Feed, Offset, Store};
 
 /// Interval before the first attempt after a failure; doubled with each further one.
 const RETRY_INTERVAL: Duration = Duration::from_millis(200);
@@ -59,12 +59,26 @@
 
 async fn read_feed<S: Store>(node: Node, store: S, feed: Feed) -> Infallible {
     let zone = &node.inner.zone;
-    let mut returns = node.inner.shared.store_contact.returns();
+    let contact = &node.inner.shared.store_contact;
+    let mut returns = contact.returns();
     let mut roles = zone.roles();
     let mut failures = 0_u32;
+    // Once for each era, so that a store that does not answer in the era that another gateway
+    // has named is not listed again and again.
+    let mut listed_for = None;
     loop {
+        let era = contact.era();
+        let known = zone.offsets().get(feed);
+        if let Some(from) = known.filter(|from| Some(from.era()) < era && listed_for < era) {
+            // A read from there may wait although the log is another one.
+            listed_for = era;
+            expire(&node, feed, from);
+        }
         let gateways = node.inner.shared.view.load().gateways;
-        let wait = zone.turn(feed, gateways, &mut roles).await;
+        let wait = tokio::select! {
+            wait = zone.turn(feed, gateways, &mut roles) => wait,
+            Ok(()) = returns.changed() => continue,
+        };
         let from = zone.offsets().get(feed);
         let requested_at = clock::now();
         let call = async {
@@ -108,9 +122,7 @@
                 }
             }
             Err(Fault::Expired) => {
-                let from = from.unwrap_or_default();
-                log::warn!("event=history_expired feed={} from={from}", feed.as_str());
-                zone.offsets().reset(feed);
+                expire(&node, feed, from.unwrap_or_default());
             }
             Err(fault) => {
                 if failures == 0 {
@@ -128,3 +140,9 @@
         }
     }
 }
+
+/// Has a feed listed anew whose records from an offset on are gone.
+fn expire(node: &Node, feed: Feed, from: Offset) {
+    log::warn!("event=history_expired feed={} from={from}", feed.as_str());
+    node.inner.zone.offsets().reset(feed);
+}
