--- a/crates/gateway/src/store/contact/mod.rs
+++ b/crates/gateway/src/store/contact/mod.rs
@@ -37,7 +37,7 @@
     last_answer: Option<Moment>,
     last_peer_answer: Option<Moment>,
     failing_since: Option<Moment>,
-    /// The latest era that an answer of the store has stated.
+    /// The latest era that an answer of the store has stated, or a later one that another gateway has.
     era: Option<Era>,
     /// The latest era that this gateway or another one knows, and when one of them first knew it.
     begun: Option<(Era, Moment)>,
@@ -146,7 +146,7 @@
         }
     }
 
-    /// Returns the latest era that an answer of the store has stated.
+    /// Returns the latest era that is known; `None` before the first answer of the store.
     pub fn era(&self) -> Option<Era> {
         self.inner().era
     }
