Add a failing test of a leader that does not know the table

What callers would see: calls are sent to a group of upstreams that is broken, as if it had recovered. It was not seen in a run of processes; the test runs the leader alone.

Cause: a gateway that starts after a restore takes no table into its view before it has that of the others, up to 10 s, but it may claim the leadership 0.8 s after its start. Without a table the leader finds no groups, takes the outages that heartbeats have told it for ended, and states so under a higher version than the leader before it.

The listing of the groups itself is not replaced by an empty one, as a leader without a group states none. A guard in eras.rs shows that a listing of a later era replaces one of an earlier era, and not the reverse; it passes.

--- a/crates/gateway/tests/eras.rs
+++ b/crates/gateway/tests/eras.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
 
+use sesamerock_gateway::admit::group::{Groups, Listing, Version};
 use sesamerock_gateway::clock;
 use sesamerock_gateway::maps::fence::Tokens;
 use sesamerock_gateway::store::contact::Contact;
@@ -40,3 +41,22 @@
     assert_eq!(*restores.borrow_and_update(), 1);
     assert_eq!(*returns.borrow_and_update(), 1);
 }
+
+/// A gateway that starts after a restore counts its listings anew and leads under a low generation. Its
+/// listing of the groups must replace that of the former leader, which must not come back.
+#[test]
+fn groups_listed_in_a_later_era_replace_those_of_an_earlier_one() {
+    let listing = |era, generation, sequence, group: &str| Listing {
+        version: Version {
+            fence: Term::new(era, generation).unwrap_or_default().number(),
+            sequence,
+        },
+        groups: vec![(Arc::from(group), vec![Arc::from("u1")])],
+    };
+    let mut groups = Groups::default();
+    assert!(groups.set(listing(3, 2_000_000, 5_000, "former")));
+    assert!(groups.set(listing(4, 1, 1, "present")));
+    assert!(!groups.set(listing(3, 2_000_001, 5_001, "former")));
+    assert!(!groups.set(listing(3, 2_000_000, 5_002, "former")));
+    assert_eq!(*groups.listing().groups[0].0, *"present");
+}
--- a/crates/gateway/tests/leader.rs
+++ b/crates/gateway/tests/leader.rs
@@ -6,6 +6,8 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use sesamerock_gateway::admit::group::Version;
+use sesamerock_gateway::admit::outage::{Broken, Statement};
 use sesamerock_gateway::admit::{self, AdmissionController};
 use sesamerock_gateway::clock;
 use sesamerock_gateway::maps;
@@ -307,3 +309,28 @@
     };
     run_leader_beside(&gateway, &engines, cut).await;
 }
+
+/// A gateway that starts at a restore of the store may become the leader before it knows the table,
+/// and with it the groups. It cannot tell that a group has recovered whose outage others know.
+#[tokio::test]
+async fn a_leader_without_a_table_does_not_end_the_outage_of_a_group() {
+    let gateway = shared(View {
+        table: None,
+        ..view(&["g"])
+    });
+    gateway.set_outages(&Statement {
+        version: Version {
+            fence: 0,
+            sequence: 9,
+        },
+        broken: vec![Broken {
+            group: Arc::from("g"),
+            age: Duration::ZERO,
+        }],
+    });
+    let engines = Engines::new(Duration::from_mins(1), |_, _, _| false);
+    engines.crash();
+    run_leader_beside(&gateway, &engines, sleep(Duration::from_millis(900))).await;
+    let broken = gateway.admission().outages(clock::now()).broken;
+    assert_eq!(broken.len(), 1, "{broken:?}");
+}
