Do not state outages of groups as a leader without a table

What callers would see: calls sent to a group of upstreams that is broken, as if it had recovered.

Cause: a leader that knows no table, as a gateway at its start, finds no groups and stated that none is broken, under a higher version than the leader before it. Change: it states nothing then.

--- a/crates/gateway/src/maps/leader/mod.rs
+++ b/crates/gateway/src/maps/leader/mod.rs
@@ -335,7 +335,10 @@
                 listed.extend(managed.clone());
                 self.list_groups(&listed);
             }
-            self.state_outages(broken.keys(), &last_steps, &mut stated_at);
+            // Without a table no group is known, which says nothing of their outages.
+            if self.shared.view.load().table.is_some() {
+                self.state_outages(broken.keys(), &last_steps, &mut stated_at);
+            }
             let next = sleep_until(
                 looked_at
                     + if listed.keys().any(|name| !managed.contains_key(name)) {
