Add a failing test of a leader that starts again in its term

What callers would see: the maps of a group no longer follow the demand after the leader was killed and started again. It was not seen in a run of processes; the test runs the leader alone.

Cause: a fencing token is a number above the term, counted from its beginning by each process. If the store grants the term of the process before to the one that starts under its name, the ranks refuse the lower tokens, and the leader does nothing until the term changes. The protocol says that a join keeps a member in its group and that the generation increases with each change; whether the generation stays the same in such a case was not observed. After a restore the era is above the generation, so that a leader of the new era is not refused.

The simulated ranks now refuse tokens lower than the highest that they have seen, as real ones do; the other tests of the leader pass with that.

--- a/crates/gateway/tests/leader.rs
+++ b/crates/gateway/tests/leader.rs
@@ -11,6 +11,7 @@
 use sesamerock_gateway::admit::{self, AdmissionController};
 use sesamerock_gateway::clock;
 use sesamerock_gateway::maps;
+use sesamerock_gateway::maps::fence::Tokens;
 use sesamerock_gateway::relay::{self, Shared};
 use sesamerock_gateway::shutdown::{self, Shutdown};
 use sesamerock_gateway::state::View;
@@ -334,3 +335,16 @@
     let broken = gateway.admission().outages(clock::now()).broken;
     assert_eq!(broken.len(), 1, "{broken:?}");
 }
+
+/// A leader that is killed and starts again under its name, before the store has noticed, is granted
+/// the same term. The ranks must not refuse its commands for those of the process before.
+#[tokio::test]
+async fn a_leader_that_starts_again_in_the_same_term_switches_maps() {
+    let engines = Engines::new(Duration::from_mins(1), |_, _, _| false);
+    let term = GrantingStore::term();
+    let former = Tokens::new(term.number(), Arc::default());
+    engines.fence((0..100).map(|_| former.next()).max().unwrap_or_default());
+    run_leader_for(&engines, &["fast"], Duration::from_secs(4)).await;
+    let history = engines.history("fast");
+    assert!(history.switches >= 1, "{history:?}");
+}
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -42,6 +42,13 @@
     pub silent: Arc<AtomicBool>,
 }
 
+impl GrantingStore {
+    /// Returns the term that is granted.
+    pub fn term() -> Term {
+        Term::new(0, 1).unwrap_or_default()
+    }
+}
+
 impl Store for GrantingStore {
     async fn newest(&self, _: Feed) -> Result<Batch, Fault> {
         pending().await
@@ -57,7 +64,7 @@
             return pending().await;
         }
         Ok(Lease {
-            term: Term::new(0, 1).unwrap_or_default(),
+            term: Self::term(),
             held: true,
         })
     }
@@ -83,6 +90,8 @@
     prepared: Option<u64>,
     armed: Option<(u64, u64)>,
     held: Option<u64>,
+    /// Highest fencing token of a command so far.
+    fence: Option<u64>,
     /// Number of received commands by kind.
     received: HashMap<&'static str, u32>,
 }
@@ -112,6 +121,8 @@
     /// for another start.
     born: Arc<AtomicU64>,
     crash: Arc<Mutex<Crash>>,
+    /// Token that all ranks have seen before the first command.
+    fenced: Arc<AtomicU64>,
 }
 
 /// State of the rank [`CRASHED_RANK`] of each group.
@@ -154,6 +165,7 @@
             leaves_unanswered,
             born: Arc::new(AtomicU64::new(FIRST_START)),
             crash: Arc::default(),
+            fenced: Arc::default(),
         }
     }
 
@@ -164,6 +176,11 @@
         locked(&self.histories).clear();
     }
 
+    /// Makes all ranks refuse lower tokens than this one, as after commands of another process.
+    pub fn fence(&self, token: u64) {
+        self.fenced.store(token, Ordering::Relaxed);
+    }
+
     /// Stops a rank of each group, with which all others stop. They do not state it yet.
     pub fn crash(&self) {
         let step = self.step();
@@ -207,6 +224,17 @@
         locked(&self.crash).stopped_at.unwrap_or(step)
     }
 
+    /// Returns whether a rank has seen no higher token than this one.
+    fn admit_fence(&self, id: &Arc<str>, fence: u64) -> bool {
+        let mut ranks = locked(&self.ranks);
+        let rank = ranks.entry(Arc::clone(id)).or_default();
+        let seen = rank
+            .fence
+            .unwrap_or_else(|| self.fenced.load(Ordering::Relaxed));
+        rank.fence = Some(seen.max(fence));
+        fence >= seen
+    }
+
     /// Applies a command to one rank.
     fn apply(&self, id: &Arc<str>, command: &Command) -> CommandOutcome {
         let step = self.step();
@@ -316,7 +344,7 @@
         &self,
         at: &Record,
         command: &Command,
-        _: Preconditions,
+        preconditions: Preconditions,
     ) -> Result<CommandOutcome, Fault> {
         let received_before = {
             let mut ranks = locked(&self.ranks);
@@ -331,6 +359,9 @@
         if at.born != Some(self.born.load(Ordering::Relaxed)) {
             return Ok(CommandOutcome::Refused);
         }
+        if !self.admit_fence(&at.id, preconditions.fence) {
+            return Ok(CommandOutcome::Fenced);
+        }
         Ok(self.apply(&at.id, command))
     }
 }
