Count revoked memory until its owner gives it back

What callers saw: a gateway whose callers did not read long answers took more memory than its budget.

Cause: the account no longer counted what it had revoked, such as the answer of a caller that it closes, although the owner gives the memory back only when its task runs. Until then others took the same memory again. What else was held for the same caller went on to count, so that more callers were closed than needed.

Change: revoked bytes count as releasing until the share is dropped, with all that is held for the caller. A message that exceeds the budget together with them waits, for 0.5 s at most, before it goes on. The metrics show sesamerock_releasing_bytes, which tells this cause from the others.

--- a/crates/gateway/src/callers/mod.rs
+++ b/crates/gateway/src/callers/mod.rs
@@ -149,6 +149,11 @@
         }
     }
 
+    /// Returns whether both refer to the same connection.
+    pub fn is(&self, other: &Self) -> bool {
+        Arc::ptr_eq(&self.0, &other.0)
+    }
+
     /// Waits until the connection is to be closed.
     pub async fn closed(&self) {
         self.0.closed.cancelled().await;
--- a/crates/gateway/src/memory/mod.rs
+++ b/crates/gateway/src/memory/mod.rs
@@ -5,6 +5,9 @@
 //! its call: one that never ends is soon the largest. Small messages that grow are never revoked, so
 //! that sound calls go on. What waits for a caller that does not read is freed by closing the caller.
 //!
+//! What is revoked takes memory until its owner drops it, which is after the owner's task has run.
+//! Until then it counts as releasing, and messages that would exceed the budget together with it wait.
+//!
 //! The bodies of requests have a part of the budget, and large ones a part of that. They are held
 //! until their calls end, and must not take the memory of answers that are being sent: what exceeds
 //! its part is refused. See docs/notes/memory.md.
@@ -18,7 +21,8 @@
 use http_body::Body;
 use http_body_util::BodyExt as _;
 use sesamerock_base::time::Moment;
-use tokio::sync::oneshot;
+use tokio::sync::{Notify, oneshot};
+use tokio::time::timeout;
 
 use crate::callers::rule::{self, Holder, Phase};
 use crate::callers::{CONNECTION_BYTES, Caller, Cause};
@@ -36,6 +40,8 @@
 const SLOW_BODY: f64 = (64 << 10) as f64;
 /// Time after which a body may count as slow.
 const SLOW_BODY_AGE: Duration = Duration::from_secs(1);
+/// Longest wait for memory that is being released. The tasks that release it are ready to run.
+const RELEASE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Largest body of which the buffer is allocated at once, by its stated length. The operating system
 /// provides the memory when it is written to.
 const MAX_INITIAL_CAPACITY: usize = 1 << 20;
@@ -101,6 +107,9 @@
     entries: HashMap<Key, Entry>,
     next: u64,
     total: usize,
+    /// Bytes of shares that were revoked and not dropped yet, and their sum.
+    revoked: HashMap<Key, usize>,
+    releasing: usize,
     /// Bytes of requests, and of large ones among them.
     requests: usize,
     large_requests: usize,
@@ -125,6 +134,29 @@
         Some(entry)
     }
 
+    /// Revokes a share, whose bytes are then being released.
+    fn revoke(&mut self, key: Key) -> Option<Entry> {
+        let entry = self.remove(key)?;
+        self.revoked.insert(key, entry.bytes);
+        self.releasing += entry.bytes;
+        Some(entry)
+    }
+
+    /// Revokes all that is held for a caller, which is being closed.
+    fn revoke_caller(&mut self, caller: &Caller) {
+        let held = self.entries.iter().filter_map(|(key, entry)| {
+            matches!(&entry.usage, Use::Held(it) if it.is(caller)).then_some(*key)
+        });
+        for key in held.collect::<Vec<_>>() {
+            self.revoke(key);
+        }
+    }
+
+    /// Returns whether the budget is exceeded only by what is being released.
+    fn must_wait(&self, limit: usize) -> bool {
+        self.releasing > 0 && self.total + self.releasing > limit
+    }
+
     fn count(&mut self, before: usize, after: usize, is_request: bool) {
         self.total = self.total - before + after;
         if is_request {
@@ -170,7 +202,7 @@
             let rates = rates.total_cmp(&other_rate.unwrap_or(f64::MAX));
             rates.then(other.0.cmp(&key.0))
         });
-        let Some(entry) = first.and_then(|(key, _)| self.remove(key)) else {
+        let Some(entry) = first.and_then(|(key, _)| self.revoke(key)) else {
             return false;
         };
         log::warn!(
@@ -211,10 +243,11 @@
             })
         });
         let key = rule::first_to_end(holders, now)?.key;
-        let entry = self.remove(key)?;
+        let entry = self.revoke(key)?;
         match entry.usage {
             Use::Held(caller) => {
                 caller.close(Cause::Memory, entry.bytes, now);
+                self.revoke_caller(&caller);
             }
             Use::Growing | Use::Complete => log::warn!(
                 "event=message_revoked bytes={} held={}",
@@ -231,6 +264,8 @@
 pub struct Budget {
     limit: usize,
     ledger: Mutex<Ledger>,
+    /// Notified when memory has been released.
+    released: Notify,
 }
 
 impl Default for Budget {
@@ -245,14 +280,39 @@
         Self {
             limit,
             ledger: Mutex::default(),
+            released: Notify::new(),
         }
     }
 
-    /// Returns the bytes that are held now.
+    /// Returns the bytes that are held now, without those that are being released.
     pub fn held(&self) -> usize {
         self.lock().total
     }
 
+    /// Returns the bytes of revoked shares that have not been dropped yet.
+    pub fn releasing(&self) -> usize {
+        self.lock().releasing
+    }
+
+    /// Waits while the budget is exceeded by memory that is being released.
+    pub async fn settled(&self) {
+        if !self.lock().must_wait(self.limit) {
+            return;
+        }
+        let settled = async {
+            loop {
+                // Created before the check, so that no release is missed.
+                let released = self.released.notified();
+                if !self.lock().must_wait(self.limit) {
+                    return;
+                }
+                released.await;
+            }
+        };
+        // Its owner may be unable to run, which others need not wait for.
+        let _elapsed = timeout(RELEASE_TIMEOUT, settled).await;
+    }
+
     /// Creates the share of a message, without bytes yet.
     pub fn share(self: &Arc<Self>) -> Share {
         self.share_since(None)
@@ -351,6 +411,11 @@
         }
     }
 
+    /// Waits while the budget is exceeded by memory that is being released.
+    pub async fn settled(&self) {
+        self.budget.settled().await;
+    }
+
     /// Waits until the share is revoked. Must not be called again after that.
     pub async fn revoked(&mut self) {
         // The sender is dropped.
@@ -362,6 +427,11 @@
     fn drop(&mut self) {
         let mut ledger = self.budget.lock();
         ledger.remove(self.key);
+        if let Some(bytes) = ledger.revoked.remove(&self.key) {
+            ledger.releasing -= bytes;
+            drop(ledger);
+            self.budget.released.notify_waiters();
+        }
     }
 }
 
@@ -449,6 +519,7 @@
             size.next_power_of_two()
         };
         share.set(counted).map_err(|Revoked| ReadError::Revoked)?;
+        share.settled().await;
         whole.extend_from_slice(&data);
     }
 }
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -556,6 +556,7 @@
     socket.set_user_timeout(shared.settings.callers.stall);
     let registration = shared.callers.register(socket.clone(), peer);
     let caller = &registration.caller;
+    shared.memory.settled().await;
     let service = service_fn(|request: Request<Incoming>| {
         let shared = Arc::clone(&shared);
         let names = names.clone();
--- a/crates/gateway/src/relay/streaming/mod.rs
+++ b/crates/gateway/src/relay/streaming/mod.rs
@@ -400,6 +400,7 @@
             if let Err(end) = self.pass_on(chunk, held).await {
                 return end;
             }
+            held.settled().await;
         }
     }
 
--- a/crates/gateway/src/run/mod.rs
+++ b/crates/gateway/src/run/mod.rs
@@ -631,6 +631,9 @@
     metrics::append_line(&mut text, format_args!("sesamerock_bookings {bookings}"));
     let held = shared.memory.held();
     metrics::append_line(&mut text, format_args!("sesamerock_buffered_bytes {held}"));
+    let releasing = shared.memory.releasing();
+    let line = format_args!("sesamerock_releasing_bytes {releasing}");
+    metrics::append_line(&mut text, line);
     let (unread, still) = shared.callers.unread();
     metrics::append_line(&mut text, format_args!("sesamerock_unread_bytes {unread}"));
     let still = still.as_secs_f64();
--- a/crates/gateway/tests/memory.rs
+++ b/crates/gateway/tests/memory.rs
@@ -1,8 +1,10 @@
 //! Tests the budget of memory that messages share.
 
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures::poll;
 use sesamerock_gateway::memory::{Budget, Revoked, Share};
 
 const KIB: usize = 1 << 10;
@@ -100,3 +102,30 @@
     assert_eq!(latest.set(60 * KIB), Ok(()), "it began before");
     assert_eq!(early[6].set(60 * KIB), Err(Revoked));
 }
+
+/// Regression: what was revoked no longer counted while its owner still held it, so that others took
+/// the same memory again before it was given back.
+#[tokio::test]
+async fn regression_revoked_messages_count_until_they_are_dropped() {
+    let budget = Arc::new(Budget::new(1_000 * KIB));
+    let (mut large, mut next) = (budget.share(), budget.share());
+    assert_eq!(large.set(900 * KIB), Ok(()));
+    assert_eq!(next.set(200 * KIB), Ok(()));
+    assert_eq!((budget.held(), budget.releasing()), (200 * KIB, 900 * KIB));
+    let mut settled = pin!(next.settled());
+    assert!(poll!(settled.as_mut()).is_pending());
+    drop(large);
+    assert!(poll!(settled.as_mut()).is_ready());
+    assert_eq!((budget.held(), budget.releasing()), (200 * KIB, 0));
+}
+
+/// An owner that cannot give its memory back must not stop the others.
+#[tokio::test]
+async fn memory_that_is_not_given_back_is_not_waited_for_without_end() {
+    let budget = Arc::new(Budget::new(1_000 * KIB));
+    let (mut large, mut next) = (budget.share(), budget.share());
+    assert_eq!(large.set(900 * KIB), Ok(()));
+    assert_eq!(next.set(200 * KIB), Ok(()));
+    next.settled().await;
+    assert_eq!(budget.releasing(), 900 * KIB);
+}
