Count connections to upstreams and running streams from their start

What callers saw: 400 streams that nobody read took 59516 KiB of 49152.

Cause: the account counted 20 KiB for each caller, and nothing for its running call until the caller was behind. The task of a stream, the connection to its upstream and what the HTTP library has taken of both take about 50 KiB more; in a run 372 streams held 34 MB while the account stood at 16 MB, of which 9 MB were in send buffers of the operating system.

Change: a connection to an upstream counts 28 KiB for as long as its task lives, also while it is idle, and a stream 24 KiB from before it is sent. Both are reserved before the call is sent. If there is no room, idle connections to upstreams are closed; if there is still none, the call is refused with 503 and Retry-After, and has not run. What counts while a caller is behind is less by as much. A connection of a caller counts with the 24 KiB that it takes after its first call.

--- a/crates/gateway/src/admit/refusal/mod.rs
+++ b/crates/gateway/src/admit/refusal/mod.rs
@@ -38,6 +38,8 @@
     /// More calls are offered than can run, and this one exceeds the share of its workspace and
     /// priority.
     OverShare,
+    /// There is no memory for the answer.
+    Memory,
 }
 
 impl Reason {
@@ -54,6 +56,7 @@
             Self::Paused => "paused",
             Self::Limited => "limited",
             Self::OverShare => "over_share",
+            Self::Memory => "memory",
         }
     }
 }
--- a/crates/gateway/src/callers/mod.rs
+++ b/crates/gateway/src/callers/mod.rs
@@ -24,9 +24,9 @@
 const RESERVED_DESCRIPTORS: usize = 200;
 /// Descriptors of a process if the operating system does not tell.
 const DEFAULT_DESCRIPTORS: usize = 1_024;
-/// Memory that each connection takes with its task and the first buffer of the HTTP library: 19 KiB
+/// Memory that each connection takes with its task and the first buffers of the HTTP library: 19 KiB
 /// measured with 800 idle connections, 23 KiB after their first call.
-pub const CONNECTION_BYTES: usize = 20 << 10;
+pub const CONNECTION_BYTES: usize = 24 << 10;
 /// Send buffer of a connection, which the operating system doubles. It holds what a link of
 /// 100 Mbit/s carries in 5 ms.
 pub const SEND_BUFFER: usize = 64 << 10;
--- a/crates/gateway/src/memory/mod.rs
+++ b/crates/gateway/src/memory/mod.rs
@@ -294,6 +294,20 @@
         self.lock().releasing
     }
 
+    /// Creates a share of this many bytes that is not revoked, if there is room for it.
+    ///
+    /// # Errors
+    /// Fails if the budget is exceeded by what must not be revoked for this.
+    pub fn reserve(self: &Arc<Self>, bytes: usize) -> Result<Share, Revoked> {
+        let mut share = self.share();
+        share.complete();
+        share.set(bytes)?;
+        if self.lock().total > self.limit {
+            return Err(Revoked);
+        }
+        Ok(share)
+    }
+
     /// Waits while the budget is exceeded by memory that is being released.
     pub async fn settled(&self) {
         if !self.lock().must_wait(self.limit) {
--- a/crates/gateway/src/pool/mod.rs
+++ b/crates/gateway/src/pool/mod.rs
@@ -20,6 +20,7 @@
 use tokio::task::JoinHandle;
 
 use crate::clock;
+use crate::memory::Share;
 use crate::socket::Socket;
 use crate::upstream::Record;
 
@@ -40,6 +41,8 @@
 const MAX_HEADER_READ_BYTES: usize = 1 << 20;
 /// Buffer of a connection for what the upstream sends. A longer header fails the call.
 const MAX_BUFFER_BYTES: usize = 64 << 10;
+/// Memory of a connection with its task and the buffers of the HTTP library for requests and answers.
+pub const CONNECTION_BYTES: usize = 28 << 10;
 /// Most idle connections kept for each upstream.
 const MAX_IDLE_PER_UPSTREAM: usize = 64;
 
@@ -155,11 +158,16 @@
         })
     }
 
-    /// Opens a connection to an upstream.
+    /// Opens a connection to an upstream, whose memory counts by `memory` for as long as it is open.
     ///
     /// # Errors
     /// Fails if the upstream cannot be reached within `timeout`; nothing was sent then.
-    pub async fn open(&self, record: &Record, timeout: Duration) -> io::Result<Connection> {
+    pub async fn open(
+        &self,
+        record: &Record,
+        timeout: Duration,
+        memory: Share,
+    ) -> io::Result<Connection> {
         let socket = Socket::new(connect(record.address, timeout).await?);
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_BUFFER_BYTES)
@@ -167,6 +175,9 @@
             .await
             .map_err(io::Error::other)?;
         let task = tokio::spawn(async move {
+            // Dropped after the connection, also if the task is aborted.
+            let _memory = memory;
+            let connection = connection;
             if let Err(error) = connection.await {
                 log::debug!("event=connection_lost reason=\"{error}\"");
             }
--- a/crates/gateway/src/relay/attempt/mod.rs
+++ b/crates/gateway/src/relay/attempt/mod.rs
@@ -18,13 +18,19 @@
 use crate::admit::demand;
 use crate::admit::{HealthSignal, LATE_URGENCY, Obstacle, Reason, Refusal, SlotRequest};
 use crate::clock;
+use crate::memory::{Revoked, Share};
 use crate::names::Names;
-use crate::pool::{Connection, KeepAlive};
+use crate::pool::{self, Connection, KeepAlive};
 use crate::table::Kind;
 
 /// Time after the deadline in which an upstream may still report that the call timed out.
 const DEADLINE_ANSWER_GRACE: Duration = Duration::from_millis(50);
 
+/// Memory of a running stream, with its task, its channel and what the HTTP library takes at once.
+const STREAM_BYTES: usize = 24 << 10;
+/// `retry-after` of a call for whose answer there is no memory. Other calls end meanwhile.
+const NO_MEMORY_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// An answer whose header has arrived.
 #[derive(Debug)]
 pub struct StartedAnswer {
@@ -38,6 +44,8 @@
     pub permit: Permit,
     /// Records what the answer shows about the parts of the prompt.
     pub watch: Watch,
+    /// Memory of the task that forwards the answer, if it is a stream.
+    pub memory: Option<Share>,
 }
 
 /// Result of an attempt.
@@ -264,8 +272,22 @@
     if call.caller.socket().is_closed() {
         return Ok(Outcome::Left);
     }
+    let memory = match call.kind {
+        Kind::Stream { .. } => match reserve(shared, STREAM_BYTES).await {
+            Ok(memory) => Some(memory),
+            Err(Revoked) => return Ok(refuse_for_memory(shared, call, &mut permit)),
+        },
+        Kind::Safe | Kind::Unsafe => None,
+    };
+    let connection = match take_idle(shared, &record).await {
+        Some(connection) => Ok(connection),
+        None => match reserve(shared, pool::CONNECTION_BYTES).await {
+            Ok(memory) => open(shared, &record, call, memory).await,
+            Err(Revoked) => return Ok(refuse_for_memory(shared, call, &mut permit)),
+        },
+    };
     attempted.ids.push(Arc::clone(&record.id));
-    let mut connection = match connect(shared, &record, call).await {
+    let mut connection = match connection {
         Ok(connection) => connection,
         Err(error) => {
             log::debug!(
@@ -343,7 +365,11 @@
     }
     observe_answer(shared, names, call, &response, &permit, now);
     watch.begin();
-    Ok(classify(names, call, response, connection, permit, watch))
+    let mut outcome = classify(names, call, response, connection, permit, watch);
+    if let Outcome::Begun(begun) = &mut outcome {
+        begun.memory = memory;
+    }
+    Ok(outcome)
 }
 
 /// Records that an upstream has answered, and whether the answer to a call asks for a pause or
@@ -421,23 +447,60 @@
         connection,
         permit,
         watch,
+        memory: None,
     }))
 }
 
-async fn connect(
-    shared: &Shared,
-    record: &crate::upstream::Record,
-    call: &Call,
-) -> std::io::Result<Connection> {
+/// Returns the idle connection to an upstream that was used last, if it is still open.
+async fn take_idle(shared: &Shared, record: &crate::upstream::Record) -> Option<Connection> {
     while let Some(mut connection) = shared.connections.take(record) {
         // Fails for a connection that the upstream has closed.
         if connection.sender.ready().await.is_ok() {
-            return Ok(connection);
+            return Some(connection);
         }
     }
+    None
+}
+
+async fn open(
+    shared: &Shared,
+    record: &crate::upstream::Record,
+    call: &Call,
+    memory: Share,
+) -> io::Result<Connection> {
     let time_left = call.end().since(clock::now());
-    let connect_timeout = shared.settings.connect_timeout.min(time_left);
-    shared.connections.open(record, connect_timeout).await
+    let timeout = shared.settings.connect_timeout.min(time_left);
+    shared.connections.open(record, timeout, memory).await
+}
+
+/// Reserves memory for an answer, and closes idle connections to upstreams if there is none.
+async fn reserve(shared: &Shared, bytes: usize) -> Result<Share, Revoked> {
+    let reserved = shared.memory.reserve(bytes);
+    if reserved.is_ok() {
+        shared.memory.settled().await;
+        return reserved;
+    }
+    shared.connections.retain(|_| false);
+    // The tasks of the connections end meanwhile.
+    tokio::task::yield_now().await;
+    let reserved = shared.memory.reserve(bytes)?;
+    shared.memory.settled().await;
+    Ok(reserved)
+}
+
+/// Records that there is no memory for the answer to a call, which has not been sent.
+fn refuse_for_memory(shared: &Shared, call: &Call, permit: &mut Permit) -> Outcome {
+    permit.set_signal(HealthSignal::Neutral);
+    let (reason, after) = (Reason::Memory, NO_MEMORY_RETRY_AFTER);
+    shared.counters.refused(reason.as_str());
+    log::info!(
+        "event=refused id={} service={} reason={} held={}",
+        call.id(),
+        call.service,
+        reason.as_str(),
+        shared.memory.held(),
+    );
+    Outcome::Refused(Refusal { reason, after })
 }
 
 fn request<N: Names>(
--- a/crates/gateway/src/relay/buffered/mod.rs
+++ b/crates/gateway/src/relay/buffered/mod.rs
@@ -153,6 +153,7 @@
         keep_alive,
         mut permit,
         mut watch,
+        memory: _memory,
     } = begun;
     let ends_with_connection = answer::ends_with_connection(&response);
     let (mut parts, body) = response.into_parts();
--- a/crates/gateway/src/relay/streaming/mod.rs
+++ b/crates/gateway/src/relay/streaming/mod.rs
@@ -34,8 +34,9 @@
 /// Step in which bytes of a stream are counted, so that streams that are read need no lock for each
 /// event.
 const BACKLOG_STEP: usize = 4 << 10;
-/// Buffers of the HTTP library for an answer of an upstream and for its delivery.
-const STREAM_BUFFERS: usize = 112 << 10;
+/// Memory that the buffers of the HTTP library take beyond those of a stream that is read, while its
+/// caller is behind.
+const STREAM_BUFFERS: usize = 60 << 10;
 /// Shortest time before the deadline in which another attempt is started.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(100);
 
@@ -320,6 +321,7 @@
             keep_alive,
             mut permit,
             mut watch,
+            memory: _memory,
         } = begun;
         // Without a length, an empty answer looks like one that broke off.
         let ends_with_connection = answer::ends_with_connection(&response);
--- a/crates/gateway/src/relay/watch/mod.rs
+++ b/crates/gateway/src/relay/watch/mod.rs
@@ -13,7 +13,7 @@
 use super::call::Call;
 use crate::admit::{Reason, Refusal};
 use crate::clock;
-use crate::pool::KeepAlive;
+use crate::pool::{self, KeepAlive};
 use crate::suspect::{Attempt, Event, Subject, Suspects, Verdict};
 use crate::upstream::Record;
 
@@ -256,7 +256,11 @@
 /// Opens a connection to an upstream and, if it is accepted, keeps it for the next call, as
 /// connections are dear to upstreams.
 async fn probe(shared: &Shared, record: &Record) -> Reply {
-    match shared.connections.open(record, PROBE_TIMEOUT).await {
+    let mut memory = shared.memory.share();
+    memory.complete();
+    // A probe is not refused.
+    let _ = memory.set(pool::CONNECTION_BYTES);
+    match shared.connections.open(record, PROBE_TIMEOUT, memory).await {
         Ok(connection) => {
             shared.keep_connection(record, connection, KeepAlive::Unstated);
             Reply::Accepted
--- a/crates/gateway/tests/memory.rs
+++ b/crates/gateway/tests/memory.rs
@@ -129,3 +129,16 @@
     next.settled().await;
     assert_eq!(budget.releasing(), 900 * KIB);
 }
+
+/// Regression: calls took memory for their answers without asking whether there was any.
+#[test]
+fn regression_memory_is_reserved_only_if_there_is_room() {
+    let budget = Arc::new(Budget::new(100 * KIB));
+    let reserve = || budget.reserve(40 * KIB);
+    let (first, second) = (reserve(), reserve());
+    assert_eq!((first.as_ref().err(), second.as_ref().err()), (None, None));
+    assert_eq!(reserve().err(), Some(Revoked));
+    assert_eq!(budget.held(), 80 * KIB);
+    drop(first);
+    assert_eq!(reserve().err(), None);
+}
