Give freed memory back to the operating system at once

What callers saw: a gateway whose callers did not read long answers still took 58160 KiB of 49152 after the account counted all that it holds.

Change: buffers from 32 KiB come from the system allocator, which maps each and unmaps it when it is freed.

--- a/crates/gateway/src/memory/mod.rs
+++ b/crates/gateway/src/memory/mod.rs
@@ -30,6 +30,8 @@
 
 /// Budget of a process that does not know the memory it may use.
 pub const DEFAULT_LIMIT: usize = 32 << 20;
+/// Buffers of at least this size are given back to the operating system as soon as they are freed.
+pub const LARGE_BUFFER: usize = 32 << 10;
 /// Largest message that is not revoked. Most are far smaller.
 const PROTECTED: usize = 64 << 10;
 /// Part of the budget for the bodies of requests; the rest is for connections and answers.
@@ -67,7 +69,8 @@
 pub fn tune_allocator() {
     #[cfg(target_env = "gnu")]
     {
-        let options = [(libc::M_MMAP_THRESHOLD, 64 << 10), (libc::M_ARENA_MAX, 2)];
+        let large = libc::c_int::try_from(LARGE_BUFFER).unwrap_or(libc::c_int::MAX);
+        let options = [(libc::M_MMAP_THRESHOLD, large), (libc::M_ARENA_MAX, 2)];
         for (option, value) in options {
             // SAFETY: the options are known to the allocator, which checks the values.
             if unsafe { libc::mallopt(option, value) } == 0 {
