Close callers that have not read their answer long after their call ended

What callers saw: a caller that read 32 KiB a second held an answer of 4 MB, its connection and the memory of both for as long as it liked.

Cause: only a caller without any progress was closed, and nothing bounded how long one that reads a little may take.

Change: a connection is closed if its caller has not read all that was sent caller_stall_ms (10 s by default) after the end of the call, which is its deadline or the timeout of the route. Callers within their limits wait no longer than their deadline. The cause in the metrics and the log is overdue.

--- a/crates/gateway/src/callers/mod.rs
+++ b/crates/gateway/src/callers/mod.rs
@@ -81,16 +81,24 @@
     Memory,
     /// All descriptors were in use.
     Descriptors,
+    /// It had not read its answer some time after the end of the call.
+    Overdue,
 }
 
 impl Cause {
-    const ALL: [Self; 3] = [Self::Stalled, Self::Memory, Self::Descriptors];
+    const ALL: [Self; 4] = [
+        Self::Stalled,
+        Self::Memory,
+        Self::Descriptors,
+        Self::Overdue,
+    ];
 
     const fn as_str(self) -> &'static str {
         match self {
             Self::Stalled => "stalled",
             Self::Memory => "memory",
             Self::Descriptors => "descriptors",
+            Self::Overdue => "overdue",
         }
     }
 }
@@ -111,6 +119,8 @@
     /// Bytes that had gone either way at the last check.
     moved: AtomicU64,
     progressed_at: AtomicU64,
+    /// End of the last call, whose answer is being sent.
+    call_end: AtomicU64,
     closed: CancellationToken,
     tally: Arc<Tally>,
 }
@@ -146,6 +156,7 @@
             phase: Phase::from_u8(self.0.phase.load(Ordering::Relaxed)),
             unread: self.0.unread.load(Ordering::Relaxed),
             progressed_at: Moment(self.0.progressed_at.load(Ordering::Relaxed)),
+            call_end: Moment(self.0.call_end.load(Ordering::Relaxed)),
         }
     }
 
@@ -258,6 +269,7 @@
             unread: AtomicUsize::default(),
             moved: AtomicU64::default(),
             progressed_at: AtomicU64::new(now.0),
+            call_end: AtomicU64::new(u64::MAX),
             closed: CancellationToken::new(),
             tally: Arc::clone(&self.tally),
         }));
@@ -315,6 +327,8 @@
             }
             if state.is_stalled(self.settings.stall, now) {
                 caller.close(Cause::Stalled, held(state.unread), now);
+            } else if state.is_overdue(self.settings.stall, now) {
+                caller.close(Cause::Overdue, held(state.unread), now);
             }
         }
     }
@@ -363,8 +377,10 @@
 pub struct Delivery(Caller);
 
 impl Delivery {
-    /// Begins to send a response.
-    pub fn begin(caller: Caller) -> Self {
+    /// Begins to send the response to a call that ends at `call_end`, if it is known.
+    pub fn begin(caller: Caller, call_end: Option<Moment>) -> Self {
+        let end = call_end.map_or(u64::MAX, |it| it.0);
+        caller.0.call_end.store(end, Ordering::Relaxed);
         caller.set_phase(Phase::Sending);
         Self(caller)
     }
--- a/crates/gateway/src/callers/rule/mod.rs
+++ b/crates/gateway/src/callers/rule/mod.rs
@@ -70,6 +70,8 @@
     pub unread: usize,
     /// When the caller last read or sent something.
     pub progressed_at: Moment,
+    /// When the call ends whose answer was begun last. The caller waits no longer.
+    pub call_end: Moment,
 }
 
 impl Connection {
@@ -87,6 +89,12 @@
     pub fn is_stalled(&self, longest: Duration, now: Moment) -> bool {
         self.waits_for_caller() && now.since(self.progressed_at) >= longest
     }
+
+    /// Returns whether the caller has not read an answer `longest` after the end of its call.
+    pub fn is_overdue(&self, longest: Duration, now: Moment) -> bool {
+        let is_read = matches!(self.phase, Phase::Receiving | Phase::Working) || self.unread == 0;
+        !is_read && now.since(self.call_end) >= longest
+    }
 }
 
 /// Returns the connection that is closed when there are no descriptors left: of those without a
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -620,6 +620,7 @@
             Err(answer::refusal(StatusCode::SERVICE_UNAVAILABLE, "leaving", Duration::ZERO))
         }
     };
+    let call_end = read.as_ref().ok().map(Call::end);
     let mut response = match read {
         Ok(call) if !shared.may_accept(&call, clock::now()) => {
             shared.counters.refused("leaving");
@@ -653,7 +654,7 @@
             .insert(http::header::CONNECTION, close);
     }
     guard.answered = true;
-    response.map(|body| body.deliver(Delivery::begin(caller)))
+    response.map(|body| body.deliver(Delivery::begin(caller, call_end)))
 }
 
 /// Logs callers that disconnect before the response. The future of the request is then
--- a/crates/gateway/tests/callers.rs
+++ b/crates/gateway/tests/callers.rs
@@ -24,6 +24,7 @@
         phase,
         unread,
         progressed_at: at(progressed_at),
+        call_end: Moment(u64::MAX),
     }
 }
 
@@ -67,6 +68,28 @@
     assert!(longest > Duration::from_secs(8), "the deadline of streams");
 }
 
+/// Guards against callers that hold an answer for ever by reading a little of it now and then.
+#[test]
+fn callers_are_overdue_after_the_end_of_their_call() {
+    let longest = Settings::default().stall;
+    let overdue = |phase, unread, now| {
+        let connection = Connection {
+            call_end: at(1_000),
+            ..connection(phase, unread, now)
+        };
+        connection.is_overdue(longest, at(now))
+    };
+    assert!(overdue(Phase::Sending, 1, 11_000));
+    assert!(overdue(Phase::Idle, 1, 11_000));
+    assert!(!overdue(Phase::Sending, 1, 10_999));
+    // All is read, or the next call has begun.
+    assert!(!overdue(Phase::Idle, 0, 60_000));
+    assert!(!overdue(Phase::Sending, 0, 60_000));
+    assert!(!overdue(Phase::Working, 1, 60_000));
+    assert!(!overdue(Phase::Receiving, 1, 60_000));
+    assert!(!connection(Phase::Sending, 1, 0).is_overdue(longest, at(60_000)));
+}
+
 /// Guards against closing calls, or busy callers, for the descriptors of idle ones.
 #[test]
 fn the_connection_that_is_idle_for_longest_gives_its_descriptor() {
