Test what is received for callers that do not read

What a machine has received of an answer and the process has not read takes memory of the machine, too. 100 callers request streams of 3 MB and read nothing; the peak of the process and what is received for it stay within the memory of the machine.

This holds without a further change; the code before this work was not measured.

--- a/crates/sesamerock/tests/crowd/mod.rs
+++ b/crates/sesamerock/tests/crowd/mod.rs
@@ -19,7 +19,7 @@
 use tokio::time::{Instant, sleep, timeout};
 
 /// Memory that the settings state, in MiB, and the bound for what the process takes.
-const MEMORY_MIB: u64 = 48;
+pub const MEMORY_MIB: u64 = 48;
 /// Time in which a caller gets the first bytes of its answer, or is closed.
 pub const SETTLE: Duration = Duration::from_secs(10);
 /// Receive buffer of a caller whose system takes little of an answer by itself.
@@ -38,7 +38,7 @@
     /// The gateway process.
     pub gateway: Process,
     _store: Store,
-    _upstream: Upstream,
+    upstream: Upstream,
 }
 
 impl System {
@@ -117,7 +117,7 @@
         let mut system = Self {
             gateway,
             _store: store,
-            _upstream: upstream,
+            upstream,
         };
         system.assert_serves().await?;
         Ok(system)
@@ -154,6 +154,25 @@
         self.assert_serves().await
     }
 
+    /// Returns the bytes that the system has received of answers and the process has not read.
+    pub fn received(&self) -> Result<usize> {
+        let upstream = format!(":{:04X}", self.upstream.address.port());
+        let sockets = std::fs::read_to_string("/proc/net/tcp")?;
+        let mut sum = 0;
+        for line in sockets.lines().skip(1) {
+            let fields: Vec<&str> = line.split_whitespace().collect();
+            let queues = fields.get(4).and_then(|it| it.split_once(':'));
+            if let Some((_, received)) = queues
+                && fields
+                    .get(2)
+                    .is_some_and(|remote| remote.ends_with(&upstream))
+            {
+                sum += usize::from_str_radix(received, 16)?;
+            }
+        }
+        Ok(sum)
+    }
+
     /// Checks that the process lives and an ordinary request is answered.
     pub async fn assert_serves(&mut self) -> Result<()> {
         let front = self.gateway.front_address();
--- a/crates/sesamerock/tests/slow_readers.rs
+++ b/crates/sesamerock/tests/slow_readers.rs
@@ -7,7 +7,7 @@
 
 use std::time::Duration;
 
-use crowd::{ALONE, System, read_slowly, read_some, request};
+use crowd::{ALONE, MEMORY_MIB, System, read_slowly, read_some, request};
 use eyre::Result;
 use tokio::time::sleep;
 
@@ -67,6 +67,25 @@
     system.assert_lives(DESCRIPTORS).await
 }
 
+/// What the system has received of an answer takes memory of the machine, too, so that it must not go on
+/// to receive streams that nobody reads.
+#[tokio::test]
+async fn unread_streams_are_not_received_without_end() -> Result<()> {
+    let _alone = ALONE.lock().await;
+    let mut system = System::start("streams-received", 4_096).await?;
+    let _crowd = system.open(100, &request("/stream/x", 10 * LONG)).await;
+    sleep(UNREAD).await;
+    let received = system.received()? as u64;
+    let memory = system.gateway.peak_memory()? + received;
+    println!(
+        "{} KiB received, {} KiB in all",
+        received >> 10,
+        memory >> 10
+    );
+    assert!(memory <= MEMORY_MIB << 20, "{} KiB", memory >> 10);
+    system.assert_lives(DESCRIPTORS).await
+}
+
 /// Regression: streams of which a byte a second is read, by callers whose systems take 64 KiB.
 #[tokio::test]
 async fn regression_streams_read_a_byte_a_second_leave_memory() -> Result<()> {
