--- a/crates/gateway/src/callers/mod.rs
+++ b/crates/gateway/src/callers/mod.rs
@@ -24,9 +24,9 @@
 const RESERVED_DESCRIPTORS: usize = 200;
 /// Descriptors of a process if the operating system does not tell.
 const DEFAULT_DESCRIPTORS: usize = 1_024;
-/// Memory that each connection takes with its task and the first buffer of the HTTP library: 19 KiB
+/// Memory that each connection takes with its task and the first buffers of the HTTP library: 19 KiB
 /// measured with 800 idle connections, 23 KiB after their first call.
-pub const CONNECTION_BYTES: usize = 20 << 10;
+pub const CONNECTION_BYTES: usize = 24 << 10;
 /// Send buffer of a connection, which the operating system doubles. It holds what a link of
 /// 100 Mbit/s carries in 5 ms.
 pub const SEND_BUFFER: usize = 64 << 10;
@@ -81,16 +81,24 @@
     Memory,
     /// All descriptors were in use.
     Descriptors,
+    /// It had not read its answer some time after the end of the call.
+    Overdue,
 }
 
 impl Cause {
-    const ALL: [Self; 3] = [Self::Stalled, Self::Memory, Self::Descriptors];
+    const ALL: [Self; 4] = [
+        Self::Stalled,
+        Self::Memory,
+        Self::Descriptors,
+        Self::Overdue,
+    ];
 
     const fn as_str(self) -> &'static str {
         match self {
             Self::Stalled => "stalled",
             Self::Memory => "memory",
             Self::Descriptors => "descriptors",
+            Self::Overdue => "overdue",
         }
     }
 }
@@ -111,6 +119,8 @@
     /// Bytes that had gone either way at the last check.
     moved: AtomicU64,
     progressed_at: AtomicU64,
+    /// End of the last call, whose answer is being sent.
+    call_end: AtomicU64,
     closed: CancellationToken,
     tally: Arc<Tally>,
 }
@@ -146,9 +156,15 @@
             phase: Phase::from_u8(self.0.phase.load(Ordering::Relaxed)),
             unread: self.0.unread.load(Ordering::Relaxed),
             progressed_at: Moment(self.0.progressed_at.load(Ordering::Relaxed)),
+            call_end: Moment(self.0.call_end.load(Ordering::Relaxed)),
         }
     }
 
+    /// Returns whether both refer to the same connection.
+    pub fn is(&self, other: &Self) -> bool {
+        Arc::ptr_eq(&self.0, &other.0)
+    }
+
     /// Waits until the connection is to be closed.
     pub async fn closed(&self) {
         self.0.closed.cancelled().await;
@@ -253,6 +269,7 @@
             unread: AtomicUsize::default(),
             moved: AtomicU64::default(),
             progressed_at: AtomicU64::new(now.0),
+            call_end: AtomicU64::new(u64::MAX),
             closed: CancellationToken::new(),
             tally: Arc::clone(&self.tally),
         }));
@@ -310,6 +327,8 @@
             }
             if state.is_stalled(self.settings.stall, now) {
                 caller.close(Cause::Stalled, held(state.unread), now);
+            } else if state.is_overdue(self.settings.stall, now) {
+                caller.close(Cause::Overdue, held(state.unread), now);
             }
         }
     }
@@ -358,8 +377,10 @@
 pub struct Delivery(Caller);
 
 impl Delivery {
-    /// Begins to send a response.
-    pub fn begin(caller: Caller) -> Self {
+    /// Begins to send the response to a call that ends at `call_end`, if it is known.
+    pub fn begin(caller: Caller, call_end: Option<Moment>) -> Self {
+        let end = call_end.map_or(u64::MAX, |it| it.0);
+        caller.0.call_end.store(end, Ordering::Relaxed);
         caller.set_phase(Phase::Sending);
         Self(caller)
     }
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -556,6 +556,7 @@
     socket.set_user_timeout(shared.settings.callers.stall);
     let registration = shared.callers.register(socket.clone(), peer);
     let caller = &registration.caller;
+    shared.memory.settled().await;
     let service = service_fn(|request: Request<Incoming>| {
         let shared = Arc::clone(&shared);
         let names = names.clone();
@@ -619,6 +620,7 @@
             Err(answer::refusal(StatusCode::SERVICE_UNAVAILABLE, "leaving", Duration::ZERO))
         }
     };
+    let call_end = read.as_ref().ok().map(Call::end);
     let mut response = match read {
         Ok(call) if !shared.may_accept(&call, clock::now()) => {
             shared.counters.refused("leaving");
@@ -652,7 +654,7 @@
             .insert(http::header::CONNECTION, close);
     }
     guard.answered = true;
-    response.map(|body| body.deliver(Delivery::begin(caller)))
+    response.map(|body| body.deliver(Delivery::begin(caller, call_end)))
 }
 
 /// Logs callers that disconnect before the response. The future of the request is then
