--- a/crates/gateway/src/state/mod.rs
+++ b/crates/gateway/src/state/mod.rs
@@ -71,6 +71,8 @@
     /// Upstreams with their offsets. [`upstream::Record::cold`] holds the remaining cold
     /// start, counted from the moment of the snapshot.
     pub upstreams: Vec<(upstream::Record, Offset)>,
+    /// Those of them that the store no longer lists, which are retained for this time.
+    pub retained: Vec<(Arc<str>, Offset, Duration)>,
 }
 
 /// A change of the state, reported for logging and publication.
@@ -381,7 +383,12 @@
     /// Returns the full state of this node.
     pub fn snapshot(&self, now: Moment) -> Snapshot {
         let upstreams = self.upstreams.iter();
+        let retained = self.upstreams.iter().filter_map(|known| {
+            let left = known.expires_at?.since(now);
+            Some((Arc::clone(&known.record.id), known.offset, left))
+        });
         Snapshot {
+            retained: retained.collect(),
             position: self.position,
             table: self.table(),
             zones: self
@@ -430,10 +437,17 @@
                 .map(|(record, _)| Arc::clone(&record.id))
                 .collect();
             for (record, offset) in snapshot.upstreams {
+                // The record that this node retains itself is no sign that the upstream is back.
+                if self.upstreams.is_retained(&record.id, offset) {
+                    continue;
+                }
                 let update = Update::Upstream(record);
                 let change = Change { offset, update };
                 self.apply_change(Feed::Upstreams, change, true, now, &mut events);
             }
+            for (id, offset, left) in snapshot.retained {
+                self.upstreams.retain_until(&id, offset, now + left);
+            }
             // The other node retains what may be missing after an outage, but it may not have known
             // what a restored store has lost.
             let is_restored = self.distrust_until.is_some_and(|until| until > now);
--- a/crates/gateway/src/upstream/mod.rs
+++ b/crates/gateway/src/upstream/mod.rs
@@ -262,6 +262,21 @@
         Outcome::Changed
     }
 
+    /// Returns whether the record of an upstream at this offset is held and retained after its removal.
+    pub fn is_retained(&self, id: &str, offset: Offset) -> bool {
+        let known = self.known.get(id);
+        known.is_some_and(|known| known.offset == offset && known.expires_at.is_some())
+    }
+
+    /// Ends the retention of the record at this offset at a moment, if it does not end earlier.
+    pub fn retain_until(&mut self, id: &str, offset: Offset, end: Moment) {
+        if let Some(known) = self.known.get_mut(id)
+            && known.offset == offset
+        {
+            known.expires_at = Some(known.expires_at.map_or(end, |own| own.min(end)));
+        }
+    }
+
     /// Removes a record whose key was deleted at `offset`. With `until`, it is kept until
     /// then unless it is draining, since it may have expired only because the store was
     /// unreachable.
--- a/crates/gateway/tests/doubts.rs
+++ b/crates/gateway/tests/doubts.rs
@@ -277,3 +277,25 @@
     assert_eq!(in_use(&state).len(), 1);
     assert_eq!(ranks(&state), 2);
 }
+
+/// Regression: an upstream that two nodes retained after its removal was used for good by one that took
+/// over the state of the other, since the record in it ended the retention. One that has not known the
+/// upstream must not use it for good either.
+#[test]
+fn regression_a_retained_upstream_does_not_stay_for_another_node_that_retains_it() {
+    let retaining = || {
+        let mut state = reader();
+        state.set_store_unreachable(at(1_000));
+        let removal = batch(0, 9, 10, vec![left()]);
+        state.apply(Feed::Upstreams, removal, false, at(1_500));
+        state
+    };
+    let other = retaining();
+    for mut state in [retaining(), State::default()] {
+        state.merge_snapshot(other.snapshot(at(2_000)), at(2_000));
+        assert!(in_use(&state).contains("left"), "retained");
+        state.settle(at(60_000));
+        assert!(!in_use(&state).contains("left"), "used for good");
+        assert!(in_use(&state).contains("stays"));
+    }
+}
