Do not let revoked messages wait for memory, nor streams that are read

A message or connection that was revoked itself while it waited for memory went on to wait, 0.5 s at most, and all others waited for its memory; with the budget full of running calls, each event of a stream could be delayed.

Change: the wait ends when the waiter is revoked, and a stream whose caller is not behind, which holds nothing, does not wait. Evidence: regression_revoked_messages_do_not_wait_for_others; the other tests of memory pass.

--- a/crates/gateway/src/memory/mod.rs
+++ b/crates/gateway/src/memory/mod.rs
@@ -428,9 +428,21 @@
         }
     }
 
-    /// Waits while the budget is exceeded by memory that is being released.
-    pub async fn settled(&self) {
-        self.budget.settled().await;
+    /// Waits while the budget is exceeded by memory that is being released. Does not wait if this
+    /// share holds nothing.
+    ///
+    /// # Errors
+    /// Fails if this share is revoked. Its owner is to drop it then, since others wait for that.
+    pub async fn settled(&mut self) -> Result<(), Revoked> {
+        if self.bytes == 0 {
+            return Ok(());
+        }
+        let budget = Arc::clone(&self.budget);
+        tokio::select! {
+            biased;
+            () = self.revoked() => Err(Revoked),
+            () = budget.settled() => Ok(()),
+        }
     }
 
     /// Waits until the share is revoked. Must not be called again after that.
@@ -536,7 +548,10 @@
             size.next_power_of_two()
         };
         share.set(counted).map_err(|Revoked| ReadError::Revoked)?;
-        share.settled().await;
+        share
+            .settled()
+            .await
+            .map_err(|Revoked| ReadError::Revoked)?;
         whole.extend_from_slice(&data);
     }
 }
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -556,7 +556,12 @@
     socket.set_user_timeout(shared.settings.callers.stall);
     let registration = shared.callers.register(socket.clone(), peer);
     let caller = &registration.caller;
-    shared.memory.settled().await;
+    tokio::select! {
+        biased;
+        // Its memory is among what is being released.
+        () = caller.closed() => return,
+        () = shared.memory.settled() => {}
+    }
     let service = service_fn(|request: Request<Incoming>| {
         let shared = Arc::clone(&shared);
         let names = names.clone();
--- a/crates/gateway/src/relay/streaming/mod.rs
+++ b/crates/gateway/src/relay/streaming/mod.rs
@@ -402,7 +402,10 @@
             if let Err(end) = self.pass_on(chunk, held).await {
                 return end;
             }
-            held.settled().await;
+            if held.settled().await.is_err() {
+                // The caller is being closed.
+                return End::Left;
+            }
         }
     }
 
--- a/crates/gateway/tests/memory.rs
+++ b/crates/gateway/tests/memory.rs
@@ -2,6 +2,7 @@
 
 use std::pin::pin;
 use std::sync::Arc;
+use std::task::Poll;
 use std::time::Duration;
 
 use futures::poll;
@@ -126,7 +127,7 @@
     let (mut large, mut next) = (budget.share(), budget.share());
     assert_eq!(large.set(900 * KIB), Ok(()));
     assert_eq!(next.set(200 * KIB), Ok(()));
-    next.settled().await;
+    assert_eq!(next.settled().await, Ok(()));
     assert_eq!(budget.releasing(), 900 * KIB);
 }
 
@@ -142,3 +143,23 @@
     drop(first);
     assert_eq!(reserve().err(), None);
 }
+
+/// Regression: a message that was revoked while it waited for the memory of others went on to wait, and
+/// with it all that waited for its memory.
+#[tokio::test]
+async fn regression_revoked_messages_do_not_wait_for_others() {
+    let budget = Arc::new(Budget::new(1_000 * KIB));
+    let (mut large, mut next, mut last) = (budget.share(), budget.share(), budget.share());
+    assert_eq!(large.set(900 * KIB), Ok(()));
+    assert_eq!(next.set(400 * KIB), Ok(()));
+    assert_eq!((budget.held(), budget.releasing()), (400 * KIB, 900 * KIB));
+    let mut settled = Box::pin(next.settled());
+    assert!(poll!(settled.as_mut()).is_pending());
+    assert_eq!(last.set(300 * KIB), Ok(()));
+    let mut reserved = budget.share();
+    reserved.complete();
+    assert_eq!(reserved.set(700 * KIB), Ok(()));
+    assert_eq!(poll!(settled.as_mut()), Poll::Ready(Err(Revoked)));
+    // A message that holds nothing waits for nobody.
+    assert_eq!(budget.share().settled().await, Ok(()));
+}
