Take the idle connection of a stream before memory is reserved for it

With the budget full, a stream closed the idle connection that it was to use, and opened another one, which is dear to upstreams.

Change: the connection is taken first.

--- a/crates/gateway/src/relay/attempt/mod.rs
+++ b/crates/gateway/src/relay/attempt/mod.rs
@@ -272,6 +272,8 @@
     if call.caller.socket().is_closed() {
         return Ok(Outcome::Left);
     }
+    // Taken before memory is reserved, for which idle connections may be closed.
+    let idle = take_idle(shared, &record).await;
     let memory = match call.kind {
         Kind::Stream { .. } => match reserve(shared, STREAM_BYTES).await {
             Ok(memory) => Some(memory),
@@ -279,7 +281,7 @@
         },
         Kind::Safe | Kind::Unsafe => None,
     };
-    let connection = match take_idle(shared, &record).await {
+    let connection = match idle {
         Some(connection) => Ok(connection),
         None => match reserve(shared, pool::CONNECTION_BYTES).await {
             Ok(memory) => open(shared, &record, call, memory).await,
