Review: a server that has left stays in use while another topic fails

One topic of the store, which does not concern servers, is refused with 503 for 4.5 s. A server leaves meanwhile, all gateways read the removal, and send it requests for 6.1 to 6.2 s more.

--- a/review/harness-3/src/main.rs
+++ b/review/harness-3/src/main.rs
@@ -4,6 +4,7 @@
 mod http;
 mod killed;
 mod partial;
+mod retained;
 mod server;
 mod store;
 mod system;
@@ -49,6 +50,7 @@
                 "early" => early::play(&setting),
                 "killed" => killed::play(&setting),
                 "partial" => partial::play(&setting),
+                "retained" => retained::play(&setting),
                 _ => Err(std::io::Error::other("unknown case")),
             }
         });
--- a/review/harness-3/src/server.rs
+++ b/review/harness-3/src/server.rs
@@ -2,6 +2,7 @@
 
 use std::io::{self, BufReader, Read as _};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -25,6 +26,8 @@
 #[derive(Debug)]
 pub struct Server {
     pub address: SocketAddr,
+    /// When requests that were meant for this server arrived, with their ids.
+    pub arrivals: Arc<Mutex<Vec<(Instant, String)>>>,
 }
 
 #[derive(Clone, Debug)]
@@ -32,6 +35,7 @@
     id: String,
     early: Early,
     work: Duration,
+    arrivals: Arc<Mutex<Vec<(Instant, String)>>>,
     record: Record,
 }
 
@@ -39,10 +43,12 @@
     pub fn start(id: &str, work: Duration, early: Early, record: &Record) -> io::Result<Self> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let address = listener.local_addr()?;
+        let arrivals = Arc::default();
         let shared = Shared {
             id: id.to_owned(),
             early,
             work,
+            arrivals: Arc::clone(&arrivals),
             record: record.clone(),
         };
         thread::spawn(move || {
@@ -51,7 +57,7 @@
                 thread::spawn(move || shared.serve(stream));
             }
         });
-        Ok(Self { address })
+        Ok(Self { address, arrivals })
     }
 }
 
@@ -111,6 +117,10 @@
                 b"",
             );
         }
+        let arrivals = &self.arrivals;
+        let mut arrivals = arrivals.lock().unwrap_or_else(PoisonError::into_inner);
+        arrivals.push((arrived, id.clone()));
+        drop(arrivals);
         let left = Duration::from_millis(deadline.parse().unwrap_or(60_000));
         if left.is_zero() {
             self.record
--- a/review/harness-3/src/store.rs
+++ b/review/harness-3/src/store.rs
@@ -24,6 +24,10 @@
     groups: HashMap<String, Group>,
     /// Topic whose partition is down, if one is: its calls get no answer.
     silent: Option<String>,
+    /// Topic whose calls are refused with 503, if there is one.
+    busy: Option<String>,
+    /// When reads have handed out the latest record of the servers, one for each reader.
+    handed_out: Vec<Instant>,
 }
 
 /// A running store.
@@ -63,11 +67,28 @@
         self.state.1.notify_all();
     }
 
+    /// Begins the outage of one topic, whose calls are refused, also those that wait, or ends it.
+    pub fn refuse(&self, topic: Option<&str>) {
+        let mut state = self.state.0.lock().unwrap_or_else(PoisonError::into_inner);
+        state.busy = topic.map(str::to_owned);
+        drop(state);
+        self.state.1.notify_all();
+    }
+
+    /// Returns when reads handed out the latest record of the servers.
+    pub fn handed_out(&self) -> Vec<Instant> {
+        let state = self.state.0.lock().unwrap_or_else(PoisonError::into_inner);
+        state.handed_out.clone()
+    }
+
     fn append(&self, topic: &str, key: &str, value: Vec<u8>) -> u64 {
         let mut state = self.state.0.lock().unwrap_or_else(PoisonError::into_inner);
         let records = state.topics.entry(topic.to_owned()).or_default();
         records.push((key.to_owned(), value));
         let end = records.len() as u64;
+        if topic == "keyed.servers" {
+            state.handed_out.clear();
+        }
         drop(state);
         self.state.1.notify_all();
         end
@@ -101,12 +122,19 @@
             drop(state);
             return hang();
         }
+        if state.busy.as_deref() == Some(topic) {
+            drop(state);
+            return http::respond(writer, "503 Busy", &[("Request-Id", &id)], b"");
+        }
         let (kind, body) = match path {
             "/v1/log-newest" => ("application/json", newest(&state, topic).into_bytes()),
             "/v1/log-read" => {
                 let (from, wait) = (number("from"), number("waitMs"));
                 let until = Instant::now() + Duration::from_millis(wait);
-                while records(&state, topic).len() as u64 <= from && Instant::now() < until {
+                while records(&state, topic).len() as u64 <= from
+                    && Instant::now() < until
+                    && state.busy.as_deref() != Some(topic)
+                {
                     let left = until.saturating_duration_since(Instant::now());
                     let waited = self.state.1.wait_timeout(state, left);
                     state = waited.unwrap_or_else(PoisonError::into_inner).0;
@@ -115,6 +143,14 @@
                         return hang();
                     }
                 }
+                if state.busy.as_deref() == Some(topic) {
+                    drop(state);
+                    return http::respond(writer, "503 Busy", &[("Request-Id", &id)], b"");
+                }
+                let all = records(&state, topic).len() as u64;
+                if topic == "keyed.servers" && from < all {
+                    state.handed_out.push(Instant::now());
+                }
                 let records = records(&state, topic);
                 let end = records.len() as u64;
                 let mut body = end.to_be_bytes().to_vec();
